--- /dev/null
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Load tool, benchmarks and history checker. */
+package org.whinwharf.bench;
--- /dev/null
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/package-info.java
@@ -0,0 +1,2 @@
+/** Command line of the operators. */
+package org.whinwharf.pgm;
--- /dev/null
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/duty/package-info.java
@@ -0,0 +1,2 @@
+/** Threads with one duty each, joined by bounded rings. */
+package org.whinwharf.runtime.duty;
--- /dev/null
+++ b/org.whinwharf.steward/src/main/java/org/whinwharf/steward/package-info.java
@@ -0,0 +1,2 @@
+/** Steward daemon: brings engines to what the document says. */
+package org.whinwharf.steward;
--- /dev/null
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between whinwharf's own processes. */
+package org.whinwharf.wire.peer;
--- /dev/null
+++ b/org.whinwharf/src/main/java/org/whinwharf/text/package-info.java
@@ -0,0 +1,2 @@
+/** Text that people read, from one resource bundle. */
+package org.whinwharf.text;
--- /dev/null
+++ b/org.whinwharf/src/main/java/org/whinwharf/time/Ticker.java
@@ -0,0 +1,23 @@
+package org.whinwharf.time;
+
+import java.util.concurrent.TimeUnit;
+
+/** Monotonic clock of one process. Its readings mean nothing in another process. */
+@FunctionalInterface
+public interface Ticker {
+    /**
+     * Reads the clock.
+     *
+     * @return milliseconds since an arbitrary instant; never falls
+     */
+    long nowMillis();
+
+    /**
+     * Returns the clock of this process.
+     *
+     * @return ticker over {@link System#nanoTime()}
+     */
+    static Ticker system() {
+        return () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+}
--- /dev/null
+++ b/org.whinwharf/src/main/java/org/whinwharf/time/package-info.java
@@ -0,0 +1,2 @@
+/** Time as the decisions see it. */
+package org.whinwharf.time;
