--- /dev/null
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/ManagedProcess.java
@@ -0,0 +1,111 @@
+package org.whinwharf.system;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Process of the project that a test starts, freezes, kills and stops. */
+final class ManagedProcess {
+    private static final long EXIT_SECONDS = 60;
+
+    private final String name;
+    private final List<String> command;
+    private final Path log;
+    private Process process;
+
+    ManagedProcess(String name, Class<?> main, int heapMegabytes, Path logs, List<String> arguments) {
+        this.name = name;
+        this.log = logs.resolve(name + ".log");
+        command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Xmx" + heapMegabytes + "m",
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Dio.netty.eventLoopThreads=2",
+                "-cp",
+                System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+                main.getName()));
+        command.addAll(arguments);
+    }
+
+    String name() {
+        return name;
+    }
+
+    void start() {
+        try {
+            process = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                    .start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    void kill() {
+        process.destroyForcibly();
+        awaitExit();
+    }
+
+    void terminate() {
+        process.destroy();
+    }
+
+    int awaitExit() {
+        try {
+            if (!process.waitFor(EXIT_SECONDS, TimeUnit.SECONDS)) {
+                throw new IllegalStateException(name + " did not exit; its log ends: " + logTail());
+            }
+            return process.exitValue();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    void freeze() {
+        signal("STOP");
+    }
+
+    void resume() {
+        signal("CONT");
+    }
+
+    String log() {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    String logTail() {
+        String text = log();
+        return text.substring(Math.max(0, text.length() - 2000));
+    }
+
+    private void signal(String signal) {
+        try {
+            int exit = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+            if (exit != 0) {
+                throw new IllegalStateException("kill -" + signal + " " + name + " exited with " + exit);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+}
