--- a/org.whinwharf/src/main/java/org/whinwharf/text/Text.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/text/Text.java
@@ -6,7 +6,7 @@
 
 /** Looks up the text that people read. */
 public final class Text {
-    private static final ResourceBundle BUNDLE = ResourceBundle.getBundle("org.whinwharf.text.Text", Locale.ROOT);
+    private static final String MAIN_BUNDLE = "org.whinwharf.text.Text";
 
     private Text() {}
 
@@ -19,6 +19,20 @@
      * @throws java.util.MissingResourceException when the bundle has no such key
      */
     public static String get(String key, Object... arguments) {
-        return new MessageFormat(BUNDLE.getString(key), Locale.ROOT).format(arguments);
+        return from(MAIN_BUNDLE, key, arguments);
+    }
+
+    /**
+     * Formats a text of a package's own bundle.
+     *
+     * @param bundle base name of the bundle, such as {@code org.whinwharf.schema.Faults}
+     * @param key key of the text
+     * @param arguments values for its places, as {@link MessageFormat} numbers them
+     * @return the text
+     * @throws java.util.MissingResourceException when there is no such bundle or it has no such key
+     */
+    public static String from(String bundle, String key, Object... arguments) {
+        ResourceBundle texts = ResourceBundle.getBundle(bundle, Locale.ROOT);
+        return new MessageFormat(texts.getString(key), Locale.ROOT).format(arguments);
     }
 }
