Work out slices, candidates and voters from the host list

Every process must agree on who owns a slice with nothing but the published list and the document. Membership is one immutable view of both: slices of at most eight targets, candidates by groups (own data centre, region, others) and rendezvous hashing inside a group, voters, allowed addresses. It is built once per revision; the order of a slice's candidates is worked out when first asked for, so that 410 hosts cost nothing for slices that a process never looks at.

Leaving hosts stay known and may connect, but are no candidates; a target of a data centre that the document does not name is unusable. Ruled out: the position in the list as tie break, since lists may be ordered differently; names break ties.

--- /dev/null
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/membership/MembershipTest.java
@@ -0,0 +1,139 @@
+package org.whinwharf.membership;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.wire.message.SliceId;
+import org.whinwharf.wire.schema.DataCentre;
+import org.whinwharf.wire.schema.Document;
+import org.whinwharf.wire.schema.EntryPorts;
+import org.whinwharf.wire.schema.Host;
+import org.whinwharf.wire.schema.HostList;
+import org.whinwharf.wire.schema.HostState;
+import org.whinwharf.wire.schema.TargetInfo;
+
+class MembershipTest {
+    private static final SliceId SLICE =
+            SliceId.newBuilder().setService("llm").setDataCentre("north-a").build();
+
+    @Test
+    void everyProcessOrdersCandidatesAlikeWhateverTheOrderOfTheList() {
+        List<Host> hosts = entryHosts(7);
+        Membership one = membership(1, hosts);
+        Collections.reverse(hosts);
+        Membership other = membership(1, hosts);
+        assertThat(one.candidates(SLICE), equalTo(other.candidates(SLICE)));
+        assertThat(one.candidates(SLICE), hasSize(7));
+        assertThat(one.candidates(SLICE).get(0).getDataCentre(), is("north-a"));
+    }
+
+    @Test
+    void slicesOfManyTargetsAreEvenAndDisjoint() {
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            hosts.add(target("t" + (char) ('a' + i), "north-a", HostState.LIVE));
+        }
+        Membership membership = membership(1, hosts);
+        assertThat(membership.slices("llm"), hasSize(3));
+        List<Integer> sizes = membership.slices("llm").stream()
+                .map(slice -> membership.targets(slice).size())
+                .toList();
+        assertThat(sizes, contains(7, 7, 6));
+        assertThat(membership.sliceOf("tb").orElseThrow().getIndex(), is(1));
+    }
+
+    @Test
+    void leavingHostIsKnownAndAllowedButNoCandidate() {
+        List<Host> hosts = entryHosts(3);
+        hosts.set(0, hosts.get(0).toBuilder().setState(HostState.LEAVING).build());
+        Membership membership = membership(1, hosts);
+        assertThat(membership.candidates(SLICE), hasSize(2));
+        assertThat(membership.allowedAddresses(), containsInAnyOrder("127.0.1.0", "127.0.1.1", "127.0.1.2"));
+        assertThat(membership.host("e0").isPresent(), is(true));
+        assertThat(membership.isLive("e0"), is(false));
+    }
+
+    @Test
+    void targetIsUnusableWhenItLeavesOrItsDataCentreIsOutOfService() {
+        Membership membership = membership(
+                1,
+                List.of(
+                        target("a", "north-a", HostState.LIVE),
+                        target("b", "north-a", HostState.LEAVING),
+                        target("c", "south-a", HostState.LIVE),
+                        target("d", "elsewhere", HostState.LIVE)));
+        assertThat(membership.isUsable("a"), is(true));
+        assertThat(membership.isUsable("b"), is(false));
+        assertThat(membership.isUsable("c"), is(false));
+        assertThat(membership.isUsable("d"), is(false));
+        assertThat(membership.targets(SLICE), hasSize(2));
+    }
+
+    @Test
+    void votersAreTheLocalHostsAndAtLeastThree() {
+        assertThat(membership(1, entryHosts(2)).voters(SLICE), hasSize(2));
+        assertThat(membership(1, entryHosts(7)).voters(SLICE), hasSize(3));
+        Membership wide = membership(1, entryHosts(410));
+        assertThat(wide.voters(SLICE), hasSize(9));
+        assertThat(
+                wide.voters(SLICE).stream().map(Host::getDataCentre).distinct().toList(), contains("north-a"));
+    }
+
+    @Test
+    void removedHostMovesOnlyTheSlicesThatItOwned() {
+        List<Host> hosts = entryHosts(7);
+        Membership before = membership(1, hosts);
+        Host gone = before.wouldBeOwner(SLICE).orElseThrow();
+        hosts.remove(gone);
+        Membership after = membership(2, hosts);
+        assertThat(after.wouldBeOwner(SLICE).orElseThrow(), is(not(gone)));
+        assertThat(after.candidates(SLICE), equalTo(before.candidates(SLICE).subList(1, 7)));
+    }
+
+    private static Membership membership(long revision, List<Host> hosts) {
+        HostList list =
+                HostList.newBuilder().setRevision(revision).addAllHosts(hosts).build();
+        Document document = Document.newBuilder()
+                .addDataCentres(DataCentre.newBuilder().setName("north-a").setRegion("north"))
+                .addDataCentres(DataCentre.newBuilder().setName("north-b").setRegion("north"))
+                .addDataCentres(DataCentre.newBuilder()
+                        .setName("south-a")
+                        .setRegion("south")
+                        .setInService(false))
+                .build();
+        return Membership.of(list, document);
+    }
+
+    private static List<Host> entryHosts(int count) {
+        String[] dataCentres = {"north-a", "north-b", "south-a"};
+        List<Host> hosts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            hosts.add(Host.newBuilder()
+                    .setName("e" + i)
+                    .setAddress("127.0." + (1 + i / 250) + "." + i % 250)
+                    .setDataCentre(dataCentres[i % dataCentres.length])
+                    .setState(HostState.LIVE)
+                    .setEntry(EntryPorts.getDefaultInstance())
+                    .build());
+        }
+        return hosts;
+    }
+
+    private static Host target(String name, String dataCentre, HostState state) {
+        return Host.newBuilder()
+                .setName(name)
+                .setDataCentre(dataCentre)
+                .setState(state)
+                .setTarget(TargetInfo.newBuilder().setService("llm"))
+                .build();
+    }
+}
--- /dev/null
+++ b/org.whinwharf/src/main/java/org/whinwharf/membership/Membership.java
@@ -0,0 +1,307 @@
+package org.whinwharf.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.whinwharf.membership.internal.Candidates;
+import org.whinwharf.wire.message.SliceId;
+import org.whinwharf.wire.schema.DataCentre;
+import org.whinwharf.wire.schema.Document;
+import org.whinwharf.wire.schema.Host;
+import org.whinwharf.wire.schema.HostList;
+import org.whinwharf.wire.schema.HostState;
+
+/**
+ * Immutable view of one revision of the host list under one document; safe for use by several threads.
+ *
+ * <p>Built once for each list revision or document generation. Slices are cut at once; the order of candidates of a
+ * slice is worked out when it is first asked for and then kept.
+ */
+public final class Membership {
+    /** Most targets of a slice. */
+    public static final int SLICE_TARGETS = 8;
+
+    private static final int MOST_VOTERS = 9;
+
+    private static final int FEWEST_VOTERS = 3;
+
+    private final long revision;
+    private final long generation;
+    private final Map<String, Host> hosts;
+    private final List<Host> entryHosts;
+    private final Set<String> allowedAddresses;
+    private final Map<String, Boolean> dataCentresInService;
+    private final Map<SliceId, List<Host>> targetsBySlice;
+    private final Map<String, List<SliceId>> slicesByService;
+    private final Map<String, SliceId> sliceByTarget;
+    private final Candidates ordering;
+    private final Map<SliceId, List<Host>> candidates = new ConcurrentHashMap<>();
+
+    private Membership(HostList list, Document document) {
+        revision = list.getRevision();
+        generation = document.getGeneration();
+        hosts = byName(list);
+        dataCentresInService = new HashMap<>();
+        Map<String, String> regions = new HashMap<>();
+        for (DataCentre dataCentre : document.getDataCentresList()) {
+            dataCentresInService.put(dataCentre.getName(), !dataCentre.hasInService() || dataCentre.getInService());
+            regions.put(dataCentre.getName(), dataCentre.getRegion());
+        }
+        entryHosts = liveEntryHosts(hosts);
+        allowedAddresses = addresses(hosts);
+        ordering = new Candidates(entryHosts, regions);
+        targetsBySlice = cutSlices(hosts);
+        slicesByService = new HashMap<>();
+        sliceByTarget = new HashMap<>();
+        index();
+    }
+
+    /**
+     * Builds the view.
+     *
+     * @param list the published host list
+     * @param document the document in force
+     * @return the view
+     */
+    public static Membership of(HostList list, Document document) {
+        return new Membership(list, document);
+    }
+
+    /**
+     * Returns the revision of the host list.
+     *
+     * @return revision, as published
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Returns the generation of the document that the view was built with.
+     *
+     * @return generation
+     */
+    public long generation() {
+        return generation;
+    }
+
+    /**
+     * Finds a host of the list, live or leaving.
+     *
+     * @param name name of the host
+     * @return the host; empty when the list does not have it
+     */
+    public Optional<Host> host(String name) {
+        return Optional.ofNullable(hosts.get(name));
+    }
+
+    /**
+     * Tells whether a host is in the list and not leaving.
+     *
+     * @param name name of the host
+     * @return true when it is live
+     */
+    public boolean isLive(String name) {
+        Host host = hosts.get(name);
+        return host != null && live(host);
+    }
+
+    /**
+     * Returns the live hosts that run whinwharf, ordered by name.
+     *
+     * @return hosts with entry ports
+     */
+    public List<Host> entryHosts() {
+        return entryHosts;
+    }
+
+    /**
+     * Returns all hosts that run whinwharf, also those that leave, ordered by name.
+     *
+     * @return hosts with entry ports
+     */
+    public List<Host> knownEntryHosts() {
+        return hosts.values().stream().filter(Host::hasEntry).toList();
+    }
+
+    /**
+     * Returns the addresses from which a connection between whinwharf's processes is accepted.
+     *
+     * @return IP numbers of all listed hosts that run whinwharf, live or leaving
+     */
+    public Set<String> allowedAddresses() {
+        return allowedAddresses;
+    }
+
+    /**
+     * Tells whether a data centre may receive new work.
+     *
+     * @param dataCentre name of the data centre
+     * @return true when the document has it and has it in service
+     */
+    public boolean isInService(String dataCentre) {
+        return dataCentresInService.getOrDefault(dataCentre, false);
+    }
+
+    /**
+     * Tells whether a target may receive new work: live, and its data centre in service.
+     *
+     * @param target name of the target
+     * @return true when it may
+     */
+    public boolean isUsable(String target) {
+        Host host = hosts.get(target);
+        return host != null && host.hasTarget() && live(host) && isInService(host.getDataCentre());
+    }
+
+    /**
+     * Returns the slices of a service in all data centres, whether in service or not.
+     *
+     * @param service name of the service
+     * @return slices, ordered by data centre and index
+     */
+    public List<SliceId> slices(String service) {
+        return slicesByService.getOrDefault(service, List.of());
+    }
+
+    /**
+     * Returns all slices.
+     *
+     * @return slices, ordered by service, data centre and index
+     */
+    public Set<SliceId> slices() {
+        return targetsBySlice.keySet();
+    }
+
+    /**
+     * Returns the targets of a slice, live or leaving.
+     *
+     * @param slice the slice
+     * @return hosts, ordered by name; empty when there is no such slice
+     */
+    public List<Host> targets(SliceId slice) {
+        return targetsBySlice.getOrDefault(slice, List.of());
+    }
+
+    /**
+     * Finds the slice of a target.
+     *
+     * @param target name of the target
+     * @return its slice; empty when the list has no such target
+     */
+    public Optional<SliceId> sliceOf(String target) {
+        return Optional.ofNullable(sliceByTarget.get(target));
+    }
+
+    /**
+     * Returns the hosts that may own a slice.
+     *
+     * @param slice the slice
+     * @return live hosts, the one that is to own the slice first
+     */
+    public List<Host> candidates(SliceId slice) {
+        return candidates.computeIfAbsent(slice, ordering::order);
+    }
+
+    /**
+     * Returns the host that is to own a slice.
+     *
+     * @param slice the slice
+     * @return the first candidate; empty when no live host runs whinwharf
+     */
+    public Optional<Host> wouldBeOwner(SliceId slice) {
+        return candidates(slice).stream().findFirst();
+    }
+
+    /**
+     * Returns the hosts whose pledges make an owner.
+     *
+     * @param slice the slice
+     * @return the first candidates: those of the slice's data centre up to nine, and at least three where there are so
+     *     many hosts
+     */
+    public List<Host> voters(SliceId slice) {
+        List<Host> ordered = candidates(slice);
+        int local = 0;
+        while (local < ordered.size() && ordered.get(local).getDataCentre().equals(slice.getDataCentre())) {
+            local++;
+        }
+        int count = Math.max(FEWEST_VOTERS, Math.min(MOST_VOTERS, local));
+        return ordered.subList(0, Math.min(count, ordered.size()));
+    }
+
+    private static boolean live(Host host) {
+        return host.getState() == HostState.LIVE;
+    }
+
+    private static Map<String, Host> byName(HostList list) {
+        Map<String, Host> hosts = new TreeMap<>();
+        for (Host host : list.getHostsList()) {
+            hosts.put(host.getName(), host);
+        }
+        return hosts;
+    }
+
+    private static List<Host> liveEntryHosts(Map<String, Host> hosts) {
+        return hosts.values().stream()
+                .filter(host -> host.hasEntry() && live(host))
+                .toList();
+    }
+
+    private static Set<String> addresses(Map<String, Host> hosts) {
+        Set<String> addresses = new HashSet<>();
+        for (Host host : hosts.values()) {
+            if (host.hasEntry()) {
+                addresses.add(host.getAddress());
+            }
+        }
+        return Set.copyOf(addresses);
+    }
+
+    private static Map<SliceId, List<Host>> cutSlices(Map<String, Host> hosts) {
+        Map<SliceId, List<Host>> groups = new HashMap<>();
+        for (Host host : hosts.values()) {
+            if (host.hasTarget()) {
+                SliceId whole = slice(host.getTarget().getService(), host.getDataCentre(), 0);
+                groups.computeIfAbsent(whole, key -> new ArrayList<>()).add(host);
+            }
+        }
+        Map<SliceId, List<Host>> slices = new TreeMap<>(Comparator.comparing(SliceId::getService)
+                .thenComparing(SliceId::getDataCentre)
+                .thenComparing(SliceId::getIndex));
+        groups.forEach((whole, targets) -> cut(whole, targets, slices));
+        return slices;
+    }
+
+    private static void cut(SliceId whole, List<Host> targets, Map<SliceId, List<Host>> slices) {
+        int count = (targets.size() + SLICE_TARGETS - 1) / SLICE_TARGETS;
+        for (int i = 0; i < targets.size(); i++) {
+            SliceId slice = slice(whole.getService(), whole.getDataCentre(), i % count);
+            slices.computeIfAbsent(slice, key -> new ArrayList<>()).add(targets.get(i));
+        }
+    }
+
+    private static SliceId slice(String service, String dataCentre, int index) {
+        return SliceId.newBuilder()
+                .setService(service)
+                .setDataCentre(dataCentre)
+                .setIndex(index)
+                .build();
+    }
+
+    private void index() {
+        targetsBySlice.forEach((slice, targets) -> {
+            slicesByService
+                    .computeIfAbsent(slice.getService(), key -> new ArrayList<>())
+                    .add(slice);
+            targets.forEach(target -> sliceByTarget.put(target.getName(), slice));
+        });
+    }
+}
--- /dev/null
+++ b/org.whinwharf/src/main/java/org/whinwharf/membership/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Ordering of candidates and cutting of slices. */
+package org.whinwharf.membership.internal;
