Add links between processes with hello, heartbeats and limits

Cause: the daemons need one transport between them that stays within its bounds when a peer vanishes, reads slowly or sends rubbish.

Several parts of a program may hold the same link.

Conclusion: the API stands for the daemons to build on.

--- /dev/null
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/ConnectionGate.java
@@ -0,0 +1,65 @@
+package org.whinwharf.wire.peer.internal;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import org.whinwharf.wire.peer.PeerEvent;
+
+/** Open connections of one network, and which new ones are let in. */
+public final class ConnectionGate {
+    private final int maxConnections;
+    private final LinkContext shared;
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+
+    /**
+     * Makes a gate without connections.
+     *
+     * @param maxConnections most open connections
+     * @param shared what all links share
+     */
+    public ConnectionGate(int maxConnections, LinkContext shared) {
+        this.maxConnections = maxConnections;
+        this.shared = shared;
+    }
+
+    /**
+     * Returns how many connections are open.
+     *
+     * @return number of connections
+     */
+    public int open() {
+        return channels.size();
+    }
+
+    /**
+     * Sends what is queued and closes all connections.
+     *
+     * @param timeoutMillis longest wait
+     */
+    public void closeAll(long timeoutMillis) {
+        for (Channel channel : channels) {
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+        channels.newCloseFuture().awaitUninterruptibly(timeoutMillis);
+        channels.close().awaitUninterruptibly(timeoutMillis);
+    }
+
+    boolean letIn(Channel channel) {
+        if (channels.size() >= maxConnections) {
+            shared.counters().add(PeerEvent.TOO_MANY_CONNECTIONS);
+            return false;
+        }
+        if (!shared.filter().admitsAddress(LinkHandler.addressOf(channel))) {
+            shared.counters().add(PeerEvent.UNLISTED);
+            return false;
+        }
+        return channels.add(channel);
+    }
+
+    void add(Channel channel) {
+        channels.add(channel);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Connector.java
@@ -0,0 +1,106 @@
+package org.whinwharf.wire.peer.internal;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.util.concurrent.Future;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.whinwharf.wire.peer.PeerAddress;
+import org.whinwharf.wire.peer.PeerEvent;
+
+/** Keeps one connection to one peer: connects again after each end, with a growing wait. */
+public final class Connector {
+    private final Bootstrap bootstrap;
+    private final PeerAddress peer;
+    private final Backoff backoff;
+    private final LinkContext shared;
+    private final Set<String> holders = new HashSet<>();
+    private boolean stopped;
+    private Channel channel;
+    private Future<?> retry;
+
+    /**
+     * Makes a connector that does nothing yet.
+     *
+     * @param bootstrap makes the connection; its handler is set here
+     * @param peer where the peer listens
+     * @param backoff waits between attempts
+     * @param shared what all links share
+     * @param gate knows the open connections
+     */
+    public Connector(Bootstrap bootstrap, PeerAddress peer, Backoff backoff, LinkContext shared, ConnectionGate gate) {
+        this.peer = peer;
+        this.backoff = backoff;
+        this.shared = shared;
+        this.bootstrap = bootstrap.handler(LinkInitializer.calling(shared, gate, peer, this::linkIsUp));
+    }
+
+    /**
+     * Connects when this is the first holder.
+     *
+     * @param holder who wants the link
+     */
+    public synchronized void hold(String holder) {
+        boolean first = holders.isEmpty();
+        holders.add(holder);
+        if (first) {
+            attempt();
+        }
+    }
+
+    /**
+     * Closes the connection when this was the last holder.
+     *
+     * @param holder who wants the link no more
+     * @return true when nobody is left
+     */
+    public synchronized boolean release(String holder) {
+        holders.remove(holder);
+        if (holders.isEmpty()) {
+            stop();
+        }
+        return holders.isEmpty();
+    }
+
+    /** Closes the connection and connects no more. */
+    public synchronized void stop() {
+        stopped = true;
+        if (retry != null) {
+            retry.cancel(false);
+        }
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private synchronized void attempt() {
+        if (stopped) {
+            return;
+        }
+        ChannelFuture connecting = bootstrap.connect(peer.address(), peer.port());
+        channel = connecting.channel();
+        connecting.addListener(done -> connected(connecting));
+    }
+
+    private void connected(ChannelFuture connecting) {
+        if (connecting.isSuccess()) {
+            shared.counters().add(PeerEvent.CONNECTED);
+            connecting.channel().closeFuture().addListener(closed -> attemptLater(connecting.channel()));
+        } else {
+            shared.counters().add(PeerEvent.CONNECT_FAILED);
+            attemptLater(connecting.channel());
+        }
+    }
+
+    private synchronized void attemptLater(Channel ended) {
+        if (!stopped) {
+            retry = ended.eventLoop().schedule(this::attempt, backoff.nextMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private synchronized void linkIsUp() {
+        backoff.reset();
+    }
+}
--- /dev/null
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Link.java
@@ -0,0 +1,77 @@
+package org.whinwharf.wire.peer.internal;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.whinwharf.wire.message.Frame;
+import org.whinwharf.wire.message.Hello;
+import org.whinwharf.wire.peer.PeerEvent;
+import org.whinwharf.wire.peer.PeerLink;
+
+/** Link over one channel. */
+final class Link implements PeerLink {
+    private final Channel channel;
+    private final Hello peer;
+    private final LinkLimits limits;
+    private final LinkCounters counters;
+    private final AtomicInteger queuedFrames = new AtomicInteger();
+    private final AtomicReference<String> closeReason = new AtomicReference<>();
+
+    Link(Channel channel, Hello peer, LinkContext context) {
+        this.channel = channel;
+        this.peer = peer;
+        this.limits = context.limits();
+        this.counters = context.counters();
+    }
+
+    @Override
+    public Hello peer() {
+        return peer;
+    }
+
+    @Override
+    public boolean send(Frame frame) {
+        if (frame.getSerializedSize() > limits.maxFrameBytes()) {
+            counters.add(PeerEvent.SEND_OVERSIZED);
+            return false;
+        }
+        // A peer that does not read must not fill our heap: neither by count nor by bytes may more wait for it.
+        if (!channel.isActive() || !channel.isWritable() || !reserve()) {
+            counters.add(PeerEvent.SEND_REFUSED);
+            return false;
+        }
+        ByteBuf buffer = FrameEncoder.encode(channel.alloc(), frame);
+        counters.add(PeerEvent.FRAMES_OUT);
+        counters.add(PeerEvent.BYTES_OUT, buffer.readableBytes());
+        channel.writeAndFlush(buffer).addListener(done -> queuedFrames.decrementAndGet());
+        return true;
+    }
+
+    @Override
+    public void close(String reason) {
+        if (closeReason.compareAndSet(null, reason)) {
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    String closeReason(String otherwise) {
+        String reason = closeReason.get();
+        return reason == null ? otherwise : reason;
+    }
+
+    private boolean reserve() {
+        if (queuedFrames.incrementAndGet() <= limits.maxQueuedFrames()) {
+            return true;
+        }
+        queuedFrames.decrementAndGet();
+        return false;
+    }
+
+    @Override
+    public String toString() {
+        return peer.getHost() + "/" + peer.getRole() + "@" + channel.remoteAddress();
+    }
+}
