Name main classes of the system tests by text

Cause: the fleet of the system tests named classes that have not landed, and was not formatted: main did not build for five minutes. Ruled out: taking the harness off main. Change: class names as text, formatter applied.

--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/Fleet.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/Fleet.java
@@ -49,15 +49,15 @@
     public void start() {
         write("hosts.json", hosts(HOSTS));
         write("documents/trial.json", document(generation, true, true));
-        add("platform", org.whinwharf.standin.Main.class, STANDIN_HEAP_MEGABYTES, platformArguments());
+        add("platform", "org.whinwharf.standin.Main", STANDIN_HEAP_MEGABYTES, platformArguments());
         for (int i = 0; i < DATA_CENTRES.length; i++) {
-            add("engines-" + i, org.whinwharf.standin.Main.class, STANDIN_HEAP_MEGABYTES, engineArguments(i));
-            add("plain-" + i, org.whinwharf.standin.Main.class, STANDIN_HEAP_MEGABYTES, plainArguments(i));
+            add("engines-" + i, "org.whinwharf.standin.Main", STANDIN_HEAP_MEGABYTES, engineArguments(i));
+            add("plain-" + i, "org.whinwharf.standin.Main", STANDIN_HEAP_MEGABYTES, plainArguments(i));
         }
         processes.values().forEach(ManagedProcess::start);
-        Await.until("the platform answers", () -> Http.get(platform() + "/v1/hosts?after=0")
-                .status()
-                == 200);
+        Await.until(
+                "the platform answers",
+                () -> Http.get(platform() + "/v1/hosts?after=0").status() == 200);
         for (int host = 1; host <= HOSTS; host++) {
             startHost(host);
         }
@@ -81,8 +81,8 @@
     void startHost(int host) {
         write("entry-" + host + ".json", settings(host, 9001, 7001, ", \"callerPort\": 8080"));
         write("scheduler-" + host + ".json", settings(host, 9002, 7002, ""));
-        start("scheduler-" + host, org.whinwharf.scheduler.Main.class);
-        start("entry-" + host, org.whinwharf.entry.Main.class);
+        start("scheduler-" + host, "org.whinwharf.scheduler.Main");
+        start("entry-" + host, "org.whinwharf.entry.Main");
     }
 
     void awaitReady(int host) {
@@ -131,7 +131,7 @@
         Http.put(platform() + "/admin/hosts", hosts(hosts));
     }
 
-    private void start(String name, Class<?> main) {
+    private void start(String name, String main) {
         ManagedProcess process = processes.get(name);
         if (process == null) {
             process = add(
@@ -143,7 +143,7 @@
         process.start();
     }
 
-    private ManagedProcess add(String name, Class<?> main, int heapMegabytes, List<String> arguments) {
+    private ManagedProcess add(String name, String main, int heapMegabytes, List<String> arguments) {
         ManagedProcess process = new ManagedProcess(name, main, heapMegabytes, folder, arguments);
         processes.put(name, process);
         return process;
@@ -205,16 +205,8 @@
                 {"node": {"host": "entry-%d", "dataCentre": "%s", "address": "%s", "environment": "trial",
                   "configurationUrl": "%s", "hostListUrl": "%s", "adminPort": %d, "peerPort": %d,
                   "traces": {"exporter": "none"}}%s}
-                """
-                .formatted(
-                        host,
-                        DATA_CENTRES[(host - 1) % 2],
-                        address(host),
-                        platform(),
-                        platform(),
-                        adminPort,
-                        peerPort,
-                        more);
+                """.formatted(
+                host, DATA_CENTRES[(host - 1) % 2], address(host), platform(), platform(), adminPort, peerPort, more);
     }
 
     private String hosts(int count) {
@@ -222,8 +214,7 @@
         for (int host = 1; host <= count; host++) {
             entries.add("""
                     {"name": "entry-%d", "address": "%s", "dataCentre": "%s", "state": "LIVE", "entry": {"caller": 8080,
-                    "entryPeer": 7001, "schedulerPeer": 7002, "entryAdmin": 9001, "schedulerAdmin": 9002}}"""
-                    .formatted(host, address(host), DATA_CENTRES[(host - 1) % 2]));
+                    "entryPeer": 7001, "schedulerPeer": 7002, "entryAdmin": 9001, "schedulerAdmin": 9002}}""".formatted(host, address(host), DATA_CENTRES[(host - 1) % 2]));
         }
         for (int i = 0; i < DATA_CENTRES.length; i++) {
             for (int engine = 0; engine < TARGETS_PER_DATA_CENTRE; engine++) {
@@ -237,8 +228,7 @@
     private String target(String name, int last, int dataCentre, String service, int port) {
         return """
                 {"name": "%s", "address": "%s", "dataCentre": "%s", "state": "LIVE",
-                "target": {"service": "%s", "port": %d, "hardware": "h1"}}"""
-                .formatted(name, address(last), DATA_CENTRES[dataCentre], service, port);
+                "target": {"service": "%s", "port": %d, "hardware": "h1"}}""".formatted(name, address(last), DATA_CENTRES[dataCentre], service, port);
     }
 
     private static String document(int generation, boolean firstInService, boolean secondInService) {
@@ -258,8 +248,7 @@
                   {"name": "schools", "credentials": [{"sha256128": "Yyvy9nIQr/LU2y3N3+z0Qg==", "tier": "school"}]}],
                 "sealingKeys": [{"id": 1, "key": "As7T0G/0DED5kJba/cITS93tOVSZITSJPbW4lz+lxc4="}],
                 "deployments": [{"name": "everywhere", "service": "lampa-llm", "models": ["odpad"]}]}
-                """
-                .formatted(generation, firstInService, secondInService);
+                """.formatted(generation, firstInService, secondInService);
     }
 
     private void write(String name, String text) {
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/ManagedProcess.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/ManagedProcess.java
@@ -17,7 +17,7 @@
     private final Path log;
     private Process process;
 
-    ManagedProcess(String name, Class<?> main, int heapMegabytes, Path logs, List<String> arguments) {
+    ManagedProcess(String name, String main, int heapMegabytes, Path logs, List<String> arguments) {
         this.name = name;
         this.log = logs.resolve(name + ".log");
         command = new ArrayList<>(List.of(
@@ -28,7 +28,7 @@
                 "-Dio.netty.eventLoopThreads=2",
                 "-cp",
                 System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
-                main.getName()));
+                main));
         command.addAll(arguments);
     }
 
