--- /dev/null
+++ b/org.whinwharf.standin/src/main/java/org/whinwharf/standin/internal/package-info.java
@@ -0,0 +1,2 @@
+/** The stand-ins' servers and what they decide. */
+package org.whinwharf.standin.internal;
