--- a/org.whinwharf.standin/src/main/java/org/whinwharf/standin/StandInText.java
+++ b/org.whinwharf.standin/src/main/java/org/whinwharf/standin/StandInText.java
@@ -64,6 +64,16 @@
         return text.toString();
     }
 
+    /**
+     * Returns a digest of a prompt or body, by which a request is found among those that ran.
+     *
+     * @param input prompt or body
+     * @return hexadecimal digits
+     */
+    public static String inputDigest(String input) {
+        return Hashing.murmur3_128().hashString(input, StandardCharsets.UTF_8).toString();
+    }
+
     /**
      * Returns the answer of a plain service.
      *
--- a/org.whinwharf.standin/src/main/java/org/whinwharf/standin/internal/Batch.java
+++ b/org.whinwharf.standin/src/main/java/org/whinwharf/standin/internal/Batch.java
@@ -29,6 +29,7 @@
     private double slowFactor = 1;
     private double prefillFreeMillis;
     private long coldSinceMillis;
+    private boolean coldByStart = true;
     private int completions;
     private long collapsedSinceMillis = Long.MAX_VALUE;
     private int maxInFlight;
@@ -51,7 +52,7 @@
     /** Admits a stream, or returns false when it is refused. */
     boolean admit(Work work, long nowMillis) {
         boolean crushed = cold() && inFlight() >= 2 * bears() + 1;
-        if (crushed || queued.size() >= settings.maxQueued()) {
+        if (crushed || inFlight() >= settings.slots() + settings.maxQueued()) {
             return false;
         }
         queued.add(work);
@@ -91,6 +92,7 @@
     void goCold(long nowMillis) {
         completions = 0;
         coldSinceMillis = nowMillis;
+        coldByStart = false;
     }
 
     /** Ends every stream and forgets the cache, as a new start does. */
@@ -152,7 +154,7 @@
     private void noteCold(long nowMillis) {
         maxInFlightCold = Math.max(maxInFlightCold, inFlight());
         if (inFlight() > bears() && overloads.size() < MAX_OVERLOADS) {
-            overloads.add(new Overload(nowMillis, nowMillis - coldSinceMillis, inFlight(), bears()));
+            overloads.add(new Overload(nowMillis, nowMillis - coldSinceMillis, coldByStart, inFlight(), bears()));
         }
     }
 
--- a/org.whinwharf.standin/src/main/java/org/whinwharf/standin/internal/Engine.java
+++ b/org.whinwharf.standin/src/main/java/org/whinwharf/standin/internal/Engine.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
+import org.whinwharf.standin.StandInText;
 import org.whinwharf.standin.record.EngineRecord;
 import org.whinwharf.standin.record.StreamRecord;
 import org.whinwharf.wire.schema.CacheEvent;
@@ -151,7 +152,8 @@
                     work.posts,
                     work.outcome.name().toLowerCase(java.util.Locale.ROOT),
                     work.promptTokens,
-                    work.prefillTokens));
+                    work.prefillTokens,
+                    StandInText.inputDigest(work.prompt)));
         }
         return new EngineRecord(
                 startNumber,
--- a/org.whinwharf.standin/src/main/java/org/whinwharf/standin/internal/Plain.java
+++ b/org.whinwharf.standin/src/main/java/org/whinwharf/standin/internal/Plain.java
@@ -28,7 +28,7 @@
         if (faults.refuse() || running >= slots) {
             throw new StandInException(HttpStatus.SERVICE_UNAVAILABLE, "overloaded");
         }
-        ran.add(new CallRecord(id, name, System.currentTimeMillis()));
+        ran.add(new CallRecord(id, name, System.currentTimeMillis(), StandInText.inputDigest(body)));
         running++;
         boolean lost = faults.loseAnswers();
         Duration time = Duration.ofMillis(Math.round(callMillis * faults.slowFactor()));
--- a/org.whinwharf.standin/src/main/java/org/whinwharf/standin/record/CallRecord.java
+++ b/org.whinwharf.standin/src/main/java/org/whinwharf/standin/record/CallRecord.java
@@ -6,5 +6,6 @@
  * @param id value of the request's {@code X-Request-Id} header
  * @param name name of the call
  * @param atMillis when it ran, in Unix milliseconds
+ * @param inputDigest digest of the body, see {@link org.whinwharf.standin.StandInText#inputDigest}
  */
-public record CallRecord(String id, String name, long atMillis) {}
+public record CallRecord(String id, String name, long atMillis, String inputDigest) {}
--- a/org.whinwharf.standin/src/main/java/org/whinwharf/standin/record/Overload.java
+++ b/org.whinwharf.standin/src/main/java/org/whinwharf/standin/record/Overload.java
@@ -5,7 +5,8 @@
  *
  * @param atMillis when, in Unix milliseconds
  * @param sinceColdMillis how long the engine had been cold
+ * @param atStart whether it was cold because it had started, not because it turned cold without warning
  * @param inFlight streams in flight, the admitted one included
  * @param bears streams that the engine bore at that time
  */
-public record Overload(long atMillis, long sinceColdMillis, int inFlight, int bears) {}
+public record Overload(long atMillis, long sinceColdMillis, boolean atStart, int inFlight, int bears) {}
--- a/org.whinwharf.standin/src/main/java/org/whinwharf/standin/record/StreamRecord.java
+++ b/org.whinwharf.standin/src/main/java/org/whinwharf/standin/record/StreamRecord.java
@@ -12,6 +12,7 @@
  * @param outcome {@code running}, {@code completed}, {@code cancelled} or {@code failed}
  * @param promptTokens tokens of the prompt
  * @param prefillTokens tokens of the prompt that the cache did not hold
+ * @param inputDigest digest of the prompt, see {@link org.whinwharf.standin.StandInText#inputDigest}
  */
 public record StreamRecord(
         String id,
@@ -22,4 +23,5 @@
         int posts,
         String outcome,
         int promptTokens,
-        int prefillTokens) {}
+        int prefillTokens,
+        String inputDigest) {}
