--- /dev/null
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/admin/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Routes of the admin server. */
+package org.whinwharf.runtime.admin.internal;
--- /dev/null
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/admin/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP server for operators: health, readiness, metrics and status. */
+package org.whinwharf.runtime.admin;
--- /dev/null
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/Daemon.java
@@ -0,0 +1,14 @@
+package org.whinwharf.runtime.command;
+
+import java.util.concurrent.CompletableFuture;
+import org.whinwharf.lifecycle.Service;
+
+/** Process that serves until it is told to leave. */
+public interface Daemon extends Service {
+    /**
+     * Begins a planned stop: takes no new work and lets what is in flight end. Called at most once.
+     *
+     * @return completes when nothing is in flight any more; never fails
+     */
+    CompletableFuture<Void> leave();
+}
--- /dev/null
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/package-info.java
@@ -0,0 +1,2 @@
+/** Command line and life of a daemon. */
+package org.whinwharf.runtime.command;
--- /dev/null
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -0,0 +1,175 @@
+package org.whinwharf.runtime.log;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.apache.logging.log4j.Level;
+import org.whinwharf.runtime.RuntimeText;
+
+/** Closed list of the events that daemons log, each with the fields it may carry. */
+public enum LogEvent {
+    /** A daemon has started. */
+    STARTED(Level.INFO, EventField.HOST, EventField.ROLE, EventField.VERSION, EventField.INCARNATION),
+    /** A daemon became ready. */
+    READY(Level.INFO, EventField.GENERATION, EventField.REVISION),
+    /** A daemon is not ready, or not any more. */
+    NOT_READY(Level.WARN, EventField.REASONS),
+    /** A planned stop has begun. */
+    LEAVING(Level.INFO),
+    /** Nothing is in flight any more. */
+    DRAINED(Level.INFO),
+    /** The bound on draining has passed. */
+    DRAIN_TIMEOUT(Level.WARN),
+    /** A daemon has stopped. */
+    STOPPED(Level.INFO, EventField.EXIT_CODE),
+    /** Another document is in force. */
+    DOCUMENT_IN_FORCE(Level.INFO, EventField.GENERATION, EventField.DIGEST, EventField.SOURCE),
+    /** A published document was refused. */
+    DOCUMENT_REFUSED(Level.ERROR, EventField.GENERATION, EventField.SOURCE, EventField.REASONS),
+    /** The configuration service cannot be read. */
+    DOCUMENT_UNREACHABLE(Level.WARN, EventField.REASON),
+    /** The configuration service can be read again. */
+    DOCUMENT_REACHABLE(Level.INFO),
+    /** Another host list is in force. */
+    LIST_IN_FORCE(Level.INFO, EventField.REVISION, EventField.HOSTS),
+    /** A published host list was refused. */
+    LIST_REFUSED(Level.ERROR, EventField.REASON),
+    /** The host list cannot be read. */
+    LIST_UNREACHABLE(Level.WARN, EventField.REASON),
+    /** The host list can be read again. */
+    LIST_REACHABLE(Level.INFO),
+    /** A link with a peer is up. */
+    LINK_UP(Level.DEBUG, EventField.PEER),
+    /** A link with a peer is down. */
+    LINK_DOWN(Level.INFO, EventField.PEER, EventField.REASON),
+    /** A request was admitted. */
+    REQUEST_ADMITTED(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.ORGANISATION,
+            EventField.TIER_RANK,
+            EventField.SERVICE,
+            EventField.MODEL,
+            EventField.CALL,
+            EventField.PROMPT_TOKENS,
+            EventField.TRACE_ID),
+    /** A request was sent to a target. */
+    REQUEST_SENT(Level.INFO, EventField.REQUEST, EventField.TARGET, EventField.GRANT, EventField.WAITED_MILLIS),
+    /** A request ended. */
+    REQUEST_ENDED(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.TARGET,
+            EventField.KIND,
+            EventField.RAN,
+            EventField.REASON,
+            EventField.PREFILL_TOKENS,
+            EventField.ANSWER_TOKENS,
+            EventField.TOTAL_MILLIS,
+            EventField.COME_BACK_MILLIS),
+    /** A request was refused before it was admitted. */
+    REQUEST_REFUSED(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.ORGANISATION,
+            EventField.TIER_RANK,
+            EventField.SERVICE,
+            EventField.KIND,
+            EventField.RAN,
+            EventField.REASON,
+            EventField.COME_BACK_MILLIS),
+    /** A request was relayed to its home. */
+    REQUEST_RELAYED(Level.INFO, EventField.REQUEST, EventField.PEER),
+    /** A grant came too late. */
+    GRANT_EXPIRED(Level.WARN, EventField.REQUEST, EventField.GRANT, EventField.TARGET, EventField.AGE_MILLIS),
+    /** A scheduler shed a request. */
+    SHED(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.PEER,
+            EventField.SLICE,
+            EventField.TIER_RANK,
+            EventField.REASON,
+            EventField.COME_BACK_MILLIS),
+    /** A scheduler owns a slice, or another share of it. */
+    SLICE_OWNED(Level.INFO, EventField.SLICE, EventField.SHARE),
+    /** A scheduler owns a slice no more. */
+    SLICE_LOST(Level.INFO, EventField.SLICE, EventField.REASON),
+    /** A floor was raised. */
+    FLOOR_RAISED(Level.INFO, EventField.SERVICE, EventField.FLOOR_RANK, EventField.PEER),
+    /** A floor was lowered. */
+    FLOOR_LOWERED(Level.INFO, EventField.SERVICE, EventField.PEER),
+    /** The state of a target changed. */
+    TARGET_STATE(Level.INFO, EventField.TARGET, EventField.FROM, EventField.TO, EventField.LIMIT, EventField.REASON),
+    /** An order was sent to an engine. */
+    ORDER_SENT(Level.INFO, EventField.TARGET, EventField.FENCING_NUMBER, EventField.ORDER),
+    /** An engine accepted an order. */
+    ORDER_DONE(Level.INFO, EventField.TARGET, EventField.FENCING_NUMBER, EventField.ORDER, EventField.STATUS),
+    /** An engine did not accept an order. */
+    ORDER_FAILED(
+            Level.WARN,
+            EventField.TARGET,
+            EventField.FENCING_NUMBER,
+            EventField.ORDER,
+            EventField.STATUS,
+            EventField.REASON),
+    /** An order was not sent although it was decided. */
+    ORDER_WITHHELD(Level.WARN, EventField.TARGET, EventField.FENCING_NUMBER, EventField.REASON, EventField.AGE_MILLIS),
+    /** A span ended. */
+    SPAN(
+            Level.INFO,
+            EventField.TRACE_ID,
+            EventField.SPAN_ID,
+            EventField.PARENT_SPAN_ID,
+            EventField.NAME,
+            EventField.START_UNIX_NANOS,
+            EventField.DURATION_MICROS,
+            EventField.ATTRIBUTES);
+
+    private final Level level;
+    private final Set<EventField> fields = EnumSet.noneOf(EventField.class);
+    private final String wireName = name().toLowerCase(Locale.ROOT).replace('_', '-');
+
+    LogEvent(Level level, EventField... fields) {
+        this.level = level;
+        this.fields.addAll(List.of(fields));
+    }
+
+    /**
+     * Returns the name in the log line.
+     *
+     * @return name in lower case with hyphens, such as {@code grant-expired}
+     */
+    public String wireName() {
+        return wireName;
+    }
+
+    /**
+     * Tells whether the event may carry a field.
+     *
+     * @param field the field
+     * @return true when it may
+     */
+    public boolean has(EventField field) {
+        return fields.contains(field);
+    }
+
+    /**
+     * Returns the level at which the event is logged.
+     *
+     * @return the level
+     */
+    public Level level() {
+        return level;
+    }
+
+    /**
+     * Describes the event to people.
+     *
+     * @return short text
+     */
+    public String text() {
+        return RuntimeText.get("event." + wireName);
+    }
+}
