Test links between processes and report peers that cannot be reached

Cause: the links had no tests, and a process that starts has to know at once that a peer it wants to ask is not there, instead of waiting for it.

--- /dev/null
+++ b/org.whinwharf.wire.test/src/test/java/org/whinwharf/wire/peer/PeerNetworkTest.java
@@ -0,0 +1,229 @@
+package org.whinwharf.wire.peer;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.wire.message.DocumentReply;
+import org.whinwharf.wire.message.DocumentRequest;
+import org.whinwharf.wire.message.Frame;
+import org.whinwharf.wire.message.Hello;
+import org.whinwharf.wire.message.Role;
+import org.whinwharf.wire.schema.PeerLimits;
+
+class PeerNetworkTest {
+    private static final String ADDRESS_A = "127.0.41.1";
+    private static final String ADDRESS_B = "127.0.41.2";
+    private static final String STRANGER = "127.0.41.9";
+    private static final PeerLimits LIMITS = PeerLimits.newBuilder()
+            .setReconnectMillis(20)
+            .setMaxReconnectMillis(100)
+            .setIdleMillis(60_000)
+            .setMaxFrameBytes(1 << 20)
+            .setMaxQueuedFrames(64)
+            .build();
+
+    private final List<PeerNetwork> networks = new ArrayList<>();
+    private final RecordingListener atA = new RecordingListener();
+    private final RecordingListener atB = new RecordingListener();
+
+    @AfterEach
+    void stopAll() {
+        networks.forEach(PeerNetwork::stop);
+    }
+
+    @Test
+    void framesArriveWholeAndInOrderInBothDirections() {
+        PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        a.connect(new PeerAddress("host-b", Role.SCHEDULER, ADDRESS_B, b.port()));
+        PeerLink toB = atA.up();
+        PeerLink toA = atB.up();
+        assertThat(toB.peer().getHost(), is("host-b"));
+        assertThat(toA.peer().getHost(), is("host-a"));
+
+        for (int i = 1; i <= 50; i++) {
+            assertThat(toB.send(request(i)), is(true));
+        }
+        assertThat(toA.send(reply(200_000)), is(true));
+
+        for (int i = 1; i <= 50; i++) {
+            assertThat(atB.frame(), equalTo(request(i)));
+        }
+        assertThat(atA.frame(), equalTo(reply(200_000)));
+    }
+
+    // A host is replaced while others hold a link to it. If they did not connect again by themselves, its successor at
+    // the same address would get no work and a user would notice a host that idles.
+    @Test
+    void connectsAgainWhenThePeerWasRestarted() {
+        PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
+        PeerNetwork first = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        int port = first.port();
+        a.connect(new PeerAddress("host-b", Role.SCHEDULER, ADDRESS_B, port));
+        atA.up();
+        first.stop();
+        atA.down();
+        atA.unreachablePeer();
+        start("host-b", ADDRESS_B, port, atB, LIMITS);
+        assertThat(atA.up().peer().getHost(), is("host-b"));
+    }
+
+    // A program that is no part of the fleet connects to the port between processes. If it were heard, it could ask
+    // for grants and overload a target.
+    @Test
+    void addressOutsideTheListIsClosedWithoutAHello() throws IOException {
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        try (Socket stranger = connect(STRANGER, b.port())) {
+            assertThat(stranger.getInputStream().read(), is(-1));
+        }
+        assertThat(b.counters().count(PeerEvent.UNLISTED), is(1L));
+    }
+
+    // One broken peer sends rubbish while another works. If the rubbish harmed more than its own connection, one faulty
+    // host would cut the whole fleet off.
+    @Test
+    void rubbishClosesItsOwnConnectionOnly() throws IOException {
+        PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        a.connect(new PeerAddress("host-b", Role.SCHEDULER, ADDRESS_B, b.port()));
+        PeerLink good = atA.up();
+        try (Socket broken = connect(ADDRESS_A, b.port())) {
+            broken.getOutputStream().write(new byte[] {5, -1, -1, -1, -1, -1});
+            assertThat(broken.getInputStream().read(), is(-1));
+        }
+        assertThat(b.counters().count(PeerEvent.MALFORMED), is(1L));
+        assertThat(good.send(request(7)), is(true));
+        assertThat(atB.frame(), equalTo(request(7)));
+    }
+
+    // A peer says hello and then reads nothing more, as a process that is stopped. If frames for it were kept without
+    // bound, the sender would run out of memory and every request that it holds would be lost.
+    @Test
+    void sendIsRefusedOnceThePeerHasNotReadForLong() throws IOException {
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        try (Socket stuck = connect(ADDRESS_A, b.port())) {
+            Hello hello = hello("host-a").toBuilder()
+                    .setProtocol(PeerNetwork.PROTOCOL_VERSION)
+                    .build();
+            Frame.newBuilder().setHello(hello).build().writeDelimitedTo(stuck.getOutputStream());
+            PeerLink link = atB.up();
+            int taken = 0;
+            while (taken < 10_000 && link.send(reply(100_000))) {
+                taken++;
+            }
+            assertThat(taken, greaterThan(0));
+            assertThat("socket buffers and the queue together", taken, lessThanOrEqualTo(1_000));
+            assertThat(b.counters().count(PeerEvent.SEND_REFUSED), is(1L));
+        }
+    }
+
+    @Test
+    void frameAboveTheLimitIsNotSent() {
+        PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        a.connect(new PeerAddress("host-b", Role.SCHEDULER, ADDRESS_B, b.port()));
+        PeerLink link = atA.up();
+        assertThat(link.send(reply(2 << 20)), is(false));
+        assertThat(link.send(request(1)), is(true));
+        assertThat(atB.frame(), equalTo(request(1)));
+    }
+
+    @Test
+    void connectionsAboveTheBoundAreClosed() throws IOException {
+        PeerLimits one = LIMITS.toBuilder().setMaxConnections(1).build();
+        PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, one);
+        a.connect(new PeerAddress("host-b", Role.SCHEDULER, ADDRESS_B, b.port()));
+        atA.up();
+        try (Socket second = connect(ADDRESS_A, b.port())) {
+            assertThat(second.getInputStream().read(), is(-1));
+        }
+        assertThat(b.counters().count(PeerEvent.TOO_MANY_CONNECTIONS), is(1L));
+    }
+
+    // After a host list mistake another process answers at the address. Frames meant for one owner must not reach
+    // another.
+    @Test
+    void anotherProcessThanTheOneCalledIsNoPeer() {
+        PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        a.connect(new PeerAddress("host-b", Role.ENTRY, ADDRESS_B, b.port()));
+        assertThat(atB.up().peer().getHost(), is("host-a"));
+        assertThat(atB.down(), containsString("closed"));
+        assertThat(a.counters().count(PeerEvent.WRONG_PEER), greaterThan(0L));
+    }
+
+    @Test
+    void linkStaysWhileOneHolderWantsIt() {
+        PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        PeerAddress address = new PeerAddress("host-b", Role.SCHEDULER, ADDRESS_B, b.port());
+        a.connect(address, "node");
+        a.connect(address);
+        PeerLink link = atA.up();
+        a.disconnect(address, "node");
+        assertThat(link.send(request(3)), is(true));
+        assertThat(atB.frame(), equalTo(request(3)));
+        a.disconnect(address);
+        atB.down();
+    }
+
+    private PeerNetwork start(String host, String address, int port, PeerListener listener, PeerLimits limits) {
+        PeerNetwork network = PeerNetwork.builder()
+                .self(hello(host))
+                .address(address)
+                .port(port)
+                .limits(limits)
+                .filter(new Listed())
+                .listener(listener)
+                .call();
+        networks.add(network);
+        network.start();
+        return network;
+    }
+
+    private static Hello hello(String host) {
+        return Hello.newBuilder().setHost(host).setRole(Role.SCHEDULER).build();
+    }
+
+    private static Socket connect(String from, int port) throws IOException {
+        return new Socket(InetAddress.getByName(ADDRESS_B), port, InetAddress.getByName(from), 0);
+    }
+
+    private static Frame request(long above) {
+        return Frame.newBuilder()
+                .setDocumentRequest(DocumentRequest.newBuilder().setAboveGeneration(above))
+                .build();
+    }
+
+    private static Frame reply(int sizeBytes) {
+        return Frame.newBuilder()
+                .setDocumentReply(DocumentReply.newBuilder().setPublished(ByteString.copyFrom(new byte[sizeBytes])))
+                .build();
+    }
+
+    private static final class Listed implements PeerFilter {
+        @Override
+        public boolean admitsAddress(String address) {
+            return Set.of(ADDRESS_A, ADDRESS_B).contains(address);
+        }
+
+        @Override
+        public boolean admits(Hello hello, String address) {
+            return hello.getHost().equals(address.equals(ADDRESS_A) ? "host-a" : "host-b");
+        }
+    }
+}
--- a/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/PeerListener.java
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/PeerListener.java
@@ -26,4 +26,11 @@
      * @param reason why, for the log
      */
     void linkDown(PeerLink link, String reason);
+
+    /**
+     * Reports that an attempt to connect to a wanted peer failed; another one follows by itself.
+     *
+     * @param peer the peer
+     */
+    default void unreachable(PeerAddress peer) {}
 }
--- a/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Connector.java
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Connector.java
@@ -90,6 +90,7 @@
             connecting.channel().closeFuture().addListener(closed -> attemptLater(connecting.channel()));
         } else {
             shared.counters().add(PeerEvent.CONNECT_FAILED);
+            shared.listener().unreachable(peer);
             attemptLater(connecting.channel());
         }
     }
