Cut slices by hash, so that a replaced target moves no other

Cause: targets were dealt out to slices by their place in the sorted list. One that came or went moved every later one to another slice; owners rightly give no work to a target until all lists agree where it belongs, so each replacement would have stopped a service for the lag of the list and a grant. Found by reading. Ruled out: a slice count in the document (one more thing to tune). Change: slice by hash of the name modulo a power of two. Conclusion: slices are stable unless the number of targets doubles or halves.

--- a/org.whinwharf/src/main/java/org/whinwharf/membership/Membership.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/membership/Membership.java
@@ -1,5 +1,8 @@
 package org.whinwharf.membership;
 
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -25,9 +28,11 @@
  * slice is worked out when it is first asked for and then kept.
  */
 public final class Membership {
-    /** Most targets of a slice. */
+    /** Most targets of a slice, on average. */
     public static final int SLICE_TARGETS = 8;
 
+    private static final HashFunction HASH = Hashing.murmur3_128();
+
     private static final int MOST_VOTERS = 9;
 
     private static final int FEWEST_VOTERS = 3;
@@ -281,11 +286,24 @@
     }
 
     private static void cut(SliceId whole, List<Host> targets, Map<SliceId, List<Host>> slices) {
-        int count = (targets.size() + SLICE_TARGETS - 1) / SLICE_TARGETS;
-        for (int i = 0; i < targets.size(); i++) {
-            SliceId slice = slice(whole.getService(), whole.getDataCentre(), i % count);
-            slices.computeIfAbsent(slice, key -> new ArrayList<>()).add(targets.get(i));
+        int count = sliceCount(targets.size());
+        for (Host target : targets) {
+            int index =
+                    HASH.hashString(target.getName(), StandardCharsets.UTF_8).asInt() & (count - 1);
+            SliceId slice = slice(whole.getService(), whole.getDataCentre(), index);
+            slices.computeIfAbsent(slice, key -> new ArrayList<>()).add(target);
+        }
+    }
+
+    // A target that moves to another slice gets no work until every process is sure to know. Were targets dealt out by
+    // their place in the list, one that comes or goes would move all the others; by hash and a power of two, none moves
+    // unless the number of targets doubles or halves.
+    private static int sliceCount(int targets) {
+        int count = 1;
+        while (targets > count * SLICE_TARGETS) {
+            count *= 2;
         }
+        return count;
     }
 
     private static SliceId slice(String service, String dataCentre, int index) {
