--- /dev/null
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/document/package-info.java
@@ -0,0 +1,2 @@
+/** Measures what the document costs as the number of organisations grows. */
+package org.whinwharf.bench.document;
--- a/org.whinwharf/src/main/java/org/whinwharf/schema/Problem.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/schema/Problem.java
@@ -48,7 +48,9 @@
     /** A key or hash of another length than required. */
     WRONG_LENGTH,
     /** Two organisations, or one twice, with the same credential. */
-    DUPLICATE_CREDENTIAL;
+    DUPLICATE_CREDENTIAL,
+    /** The document is of another environment than the process. */
+    OTHER_ENVIRONMENT;
 
     private static final String BUNDLE = "org.whinwharf.schema.Faults";
 
--- a/org.whinwharf/src/main/java/org/whinwharf/schema/internal/MessageWalk.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/schema/internal/MessageWalk.java
@@ -24,6 +24,9 @@
     }
 
     private void walk(Message message, String path) {
+        if (!message.getUnknownFields().asMap().isEmpty()) {
+            faults.add(Place.of(path), Problem.UNKNOWN_FIELD, "", "");
+        }
         for (FieldDescriptor field : message.getDescriptorForType().getFields()) {
             String fieldPath = path.isEmpty() ? field.getJsonName() : path + "." + field.getJsonName();
             if (field.isMapField()) {
