Add the node that every daemon runs, with its watches of the platform

Cause: entry, scheduler and steward need the same knowledge of document, host list and peers, within the platform's budget of reads and also while it is down or stale.

Ruled out: reading the platform from one elected process of each host (nobody may write who is elected); a fixed poll period (a change would wait for it); counting the age of an answer from its arrival (a process that was frozen while it waited would take an old list for a fresh one, so the age counts from the question).

Change: Node wires settings, document and host list watches, membership, links, metrics, spans and operators' routes. NodeCore decides: highest valid generation of platform and four peers chosen by rendezvous hashing, no document of a peer asked for twice when it is invalid here, list revisions never fall, not ready with the reason until list, document and peers are known. Watch and Pacing spread reads.

--- /dev/null
+++ b/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/platform/PacingTest.java
@@ -0,0 +1,107 @@
+package org.whinwharf.runtime.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import java.util.function.LongFunction;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+
+/** Drives the pacing of a whole fleet by a virtual clock and counts the reads of each second. */
+class PacingTest {
+    private static final int PROCESSES = 410 * 3;
+    private static final int SECONDS = 60;
+    private static final long DOCUMENT_WAIT_MILLIS = 10_000;
+    private static final long STEWARD_WAIT_MILLIS = 1_500;
+    private static final long START_SPREAD_MILLIS = 1_500;
+    private static final int PLATFORM_READS_PER_SECOND = 2_000;
+
+    // Everything is restarted at once after a fault of the data centre's power. If all processes asked at the same
+    // instant, the platform would refuse most of them and the fleet would stay out of service for longer.
+    @Test
+    void restartOfTheWholeFleetStaysWithinThePlatformsRate() {
+        int[] reads = run(DOCUMENT_WAIT_MILLIS, 0, at -> false);
+        assertThat(most(reads), lessThan(PLATFORM_READS_PER_SECOND / 2));
+    }
+
+    @Test
+    void fleetAtRestReadsLittle() {
+        int[] reads = run(DOCUMENT_WAIT_MILLIS, PROCESSES, at -> false);
+        assertThat(reads[SECONDS - 1], lessThan(PLATFORM_READS_PER_SECOND / 8));
+        assertThat(reads[SECONDS - 1], greaterThan(0));
+    }
+
+    // Operators publish twice within a second. Each time every waiting watch is answered and asks again.
+    @Test
+    void twoChangesInASecondStayWithinThePlatformsRate() {
+        int[] reads = run(DOCUMENT_WAIT_MILLIS, PROCESSES, at -> at == 30_000 || at == 30_700);
+        assertThat(most(reads), lessThan(PLATFORM_READS_PER_SECOND / 2));
+    }
+
+    @Test
+    void stewardsThatNeedAFreshListStayWithinThePlatformsRate() {
+        int[] reads = run(STEWARD_WAIT_MILLIS, PROCESSES, at -> false);
+        assertThat(reads[SECONDS - 1] / 3, lessThan(PLATFORM_READS_PER_SECOND / 4));
+    }
+
+    @Test
+    void outageOfThePlatformDoesNotRaiseTheReads() {
+        Pacing pacing = new Pacing(DOCUMENT_WAIT_MILLIS, START_SPREAD_MILLIS, RandomSource.SPLIT_MIX_64.create(1));
+        long totalMillis = 0;
+        for (int i = 0; i < 1_000; i++) {
+            totalMillis += pacing.nextMillis(new PlatformAnswer.Failed<>("down"), 0, PROCESSES);
+        }
+        long readsPerSecond = PROCESSES * 1_000L * 1_000 / totalMillis;
+        assertThat(readsPerSecond, lessThan(PLATFORM_READS_PER_SECOND / 2L));
+    }
+
+    /** Returns the reads of each second; {@code changes} tells at which millisecond something is published. */
+    private static int[] run(long waitMillis, int knownAtStart, LongFunction<Boolean> changes) {
+        int[] reads = new int[SECONDS];
+        PriorityQueue<Process> due = new PriorityQueue<>(Comparator.comparingLong(process -> process.askMillis));
+        for (int i = 0; i < PROCESSES; i++) {
+            Process process = new Process();
+            process.pacing = new Pacing(waitMillis, START_SPREAD_MILLIS, RandomSource.SPLIT_MIX_64.create(i));
+            process.askMillis = process.pacing.startMillis(knownAtStart);
+            due.add(process);
+        }
+        while (due.peek().askMillis < SECONDS * 1_000L) {
+            Process process = due.poll();
+            reads[(int) (process.askMillis / 1_000)]++;
+            process.answer(changes);
+            due.add(process);
+        }
+        return reads;
+    }
+
+    private static int most(int[] reads) {
+        int most = 0;
+        for (int each : reads) {
+            most = Math.max(most, each);
+        }
+        return most;
+    }
+
+    private static final class Process {
+        private Pacing pacing;
+        private long askMillis;
+        private boolean first = true;
+
+        void answer(LongFunction<Boolean> changes) {
+            long holdMillis = first ? 0 : pacing.holdMillis();
+            boolean changed = first;
+            first = false;
+            long tookMillis = 0;
+            while (tookMillis < holdMillis && !changed) {
+                tookMillis++;
+                changed = changes.apply(askMillis + tookMillis);
+            }
+            PlatformAnswer<String> answer =
+                    changed ? new PlatformAnswer.Changed<>("") : new PlatformAnswer.Unchanged<>();
+            askMillis += tookMillis + pacing.nextMillis(answer, tookMillis, PROCESSES);
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions and wiring behind a node. */
+package org.whinwharf.runtime.node.internal;
--- /dev/null
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/platform/PlatformClient.java
@@ -0,0 +1,107 @@
+package org.whinwharf.runtime.platform;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.util.JsonFormat;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClient;
+import io.micronaut.http.client.exceptions.HttpClientException;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import java.net.MalformedURLException;
+import java.net.URI;
+import java.net.URL;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.Function;
+import org.whinwharf.lifecycle.Service;
+import org.whinwharf.wire.schema.HostList;
+
+/** HTTP client of one of the platform's services. */
+public final class PlatformClient implements Service {
+    private static final long LONGEST_HOLD_MILLIS = 30_000;
+    private static final long ANSWER_MILLIS = 5_000;
+    private static final long CONNECT_MILLIS = 2_000;
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
+
+    private final HttpClient client;
+
+    /**
+     * Makes a client. Opens no connection.
+     *
+     * @param baseUrl base URL of the service, by IP number
+     */
+    public PlatformClient(String baseUrl) {
+        DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
+        configuration.setReadTimeout(Duration.ofMillis(LONGEST_HOLD_MILLIS + ANSWER_MILLIS));
+        configuration.setConnectTimeout(Duration.ofMillis(CONNECT_MILLIS));
+        configuration.setMaxContentLength(MAX_ANSWER_BYTES);
+        configuration.setNumOfThreads(1);
+        client = HttpClient.create(url(baseUrl), configuration);
+    }
+
+    @Override
+    public void start() {
+        // Connections are opened by the first read.
+    }
+
+    @Override
+    public void stop() {
+        client.close();
+    }
+
+    /**
+     * Makes reads of the published document.
+     *
+     * @param environment name of the environment
+     * @return reader of the published form
+     */
+    public PlatformReader<byte[]> documents(String environment) {
+        String path = "/v1/documents/" + environment + "?above=%d&waitMillis=%d";
+        return (above, waitMillis) -> read(path.formatted(above, waitMillis), PlatformAnswer.Changed::new);
+    }
+
+    /**
+     * Makes reads of the host list.
+     *
+     * @return reader of the list
+     */
+    public PlatformReader<HostList> hosts() {
+        String path = "/v1/hosts?after=%d&waitMillis=%d";
+        return (above, waitMillis) -> read(path.formatted(above, waitMillis), PlatformClient::parse);
+    }
+
+    private <T> PlatformAnswer<T> read(String path, Function<byte[], PlatformAnswer<T>> parser) {
+        try {
+            HttpResponse<byte[]> response = client.toBlocking().exchange(HttpRequest.GET(path), byte[].class);
+            if (response.code() == HttpStatus.NOT_MODIFIED.getCode()) {
+                return new PlatformAnswer.Unchanged<>();
+            }
+            byte[] body = response.body();
+            return body == null ? new PlatformAnswer.Failed<>("empty answer") : parser.apply(body);
+        } catch (HttpClientResponseException e) {
+            return new PlatformAnswer.Failed<>("status " + e.code());
+        } catch (HttpClientException e) {
+            return new PlatformAnswer.Failed<>(String.valueOf(e.getMessage()));
+        }
+    }
+
+    private static PlatformAnswer<HostList> parse(byte[] json) {
+        HostList.Builder list = HostList.newBuilder();
+        try {
+            JsonFormat.parser().ignoringUnknownFields().merge(new String(json, StandardCharsets.UTF_8), list);
+            return new PlatformAnswer.Changed<>(list.build());
+        } catch (InvalidProtocolBufferException e) {
+            return new PlatformAnswer.Failed<>("not a host list: " + e.getMessage());
+        }
+    }
+
+    private static URL url(String baseUrl) {
+        try {
+            return URI.create(baseUrl).toURL();
+        } catch (MalformedURLException e) {
+            throw new IllegalArgumentException(baseUrl, e);
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Reads of the platform: the published document and the host list. */
+package org.whinwharf.runtime.platform;
