Serve callers: submit, queue, send, stream, resume, relay

Callers need the whole path over HTTP. Added the entry daemon: Micronaut server for callers, Micronaut client for targets, one duty each for the home, the targets and the relays, links to the owners of slices, answers kept by bytes, explanations, metrics, spans and a planned stop.

Found by the tests and mended: the server does not cancel an answer whose first byte is not written when its caller goes away, so a waiting request stayed (CloseWatch listens to the channel); a publisher body taken out of switchOnFirst is cancelled with its outer publisher, so a resumption by receipt broke at once (it uses the session of the other answers now). Ruled out: answering 200 at once for streams, which would hide the status of a request that is shed; a lost frame without closing the link, which leaves the owner with a slot that never comes free.

reactor-core is named in the pom: it comes with Micronaut's client already. Tests: entry.test verify green, 12 tests over stand-ins and a scheduler that grants at once; before the two mends 10 of 12 passed. Conclusion: the thin path works with a granting scheduler; not yet tried against the real one.

--- /dev/null
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
@@ -0,0 +1,241 @@
+package org.whinwharf.entry;
+
+import com.google.protobuf.util.JsonFormat;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.whinwharf.document.Credentials;
+import org.whinwharf.standin.Main;
+import org.whinwharf.wire.schema.EntryPorts;
+import org.whinwharf.wire.schema.EntrySettings;
+import org.whinwharf.wire.schema.Host;
+import org.whinwharf.wire.schema.HostList;
+import org.whinwharf.wire.schema.HostState;
+import org.whinwharf.wire.schema.NodeSettings;
+import org.whinwharf.wire.schema.TargetInfo;
+
+/** Two entry daemons in this process, with a scheduler that grants at once, and stand-ins for the rest. */
+final class EntryFixture {
+    static final String CREDENTIAL = "driver-of-orava";
+    static final String OTHER_CREDENTIAL = "keeper-of-liptov";
+    static final Host ONE = entryHost("host-1", "127.0.51.1");
+    static final Host TWO = entryHost("host-2", "127.0.51.2");
+    static final Host ENGINE = target("engine-1", "127.0.51.8", "lampa-llm");
+    static final Host PLAIN = target("plain-1", "127.0.51.9", "zber-app");
+    private static final String PLATFORM = "127.0.51.10";
+    private static final int CALLER_PORT = 51_001;
+    private static final int TARGET_PORT = 51_009;
+    private static final int PLATFORM_PORT = 51_010;
+    private static final long BOUND_SECONDS = 30;
+
+    final GrantingScheduler scheduler = new GrantingScheduler(ONE, List.of(ENGINE, PLAIN));
+    final GrantingScheduler otherScheduler = new GrantingScheduler(TWO, List.of(ENGINE, PLAIN));
+    final EntryDaemon one = new EntryDaemon(settings(ONE));
+    final EntryDaemon two = new EntryDaemon(settings(TWO));
+    final HttpClient client =
+            HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(5)).build();
+
+    void start(Path directory) throws Exception {
+        startStandIns(directory);
+        scheduler.start();
+        otherScheduler.start();
+        one.start();
+        two.start();
+        until("ready", () -> get(ONE, "/v1/addresses").statusCode() == 200);
+        until("ready", () -> get(TWO, "/v1/addresses").statusCode() == 200);
+    }
+
+    void stop() {
+        one.stop();
+        two.stop();
+        scheduler.stop();
+        otherScheduler.stop();
+    }
+
+    HttpResponse<String> get(Host host, String path) {
+        return send(request(host, path).GET().build());
+    }
+
+    HttpResponse<String> post(Host host, String body) {
+        return send(submission(host, body));
+    }
+
+    static HttpRequest submission(Host host, String body) {
+        return request(host, "/v1/requests")
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build();
+    }
+
+    HttpResponse<String> send(HttpRequest request) {
+        try {
+            return client.send(request, HttpResponse.BodyHandlers.ofString());
+        } catch (IOException broken) {
+            throw new IllegalStateException(broken);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(interrupted);
+        }
+    }
+
+    static HttpRequest.Builder request(Host host, String path) {
+        return HttpRequest.newBuilder(uri(host.getAddress(), host.getEntry().getCaller(), path))
+                .timeout(Duration.ofSeconds(BOUND_SECONDS))
+                .header("Authorization", "Bearer " + CREDENTIAL);
+    }
+
+    /** Asks a stand-in, or the admin port of a host. */
+    String ask(String address, int port, String path) {
+        return send(HttpRequest.newBuilder(uri(address, port, path)).build()).body();
+    }
+
+    String admin(Host host, String path) {
+        return ask(host.getAddress(), host.getEntry().getEntryAdmin(), path);
+    }
+
+    String record(Host target) {
+        return ask(target.getAddress(), target.getTarget().getPort(), "/v1/record");
+    }
+
+    void fault(Host target, String faults) {
+        send(HttpRequest.newBuilder(uri(target.getAddress(), target.getTarget().getPort(), "/faults"))
+                .POST(HttpRequest.BodyPublishers.ofString(faults))
+                .build());
+    }
+
+    static void until(String what, BooleanSupplier condition) {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(BOUND_SECONDS);
+        while (!holds(condition)) {
+            if (System.nanoTime() > endNanos) {
+                throw new AssertionError("never came: " + what);
+            }
+            try {
+                Thread.sleep(20);
+            } catch (InterruptedException interrupted) {
+                Thread.currentThread().interrupt();
+                throw new IllegalStateException(interrupted);
+            }
+        }
+    }
+
+    private static boolean holds(BooleanSupplier condition) {
+        try {
+            return condition.getAsBoolean();
+        } catch (IllegalStateException notYet) {
+            return false;
+        }
+    }
+
+    private static URI uri(String address, int port, String path) {
+        return URI.create("http://" + address + ":" + port + path);
+    }
+
+    private static void startStandIns(Path directory) throws IOException {
+        HostList list = HostList.newBuilder()
+                .setRevision(1)
+                .addAllHosts(List.of(ONE, TWO, ENGINE, PLAIN))
+                .build();
+        Path hosts = directory.resolve("hosts.json");
+        Files.writeString(hosts, JsonFormat.printer().print(list));
+        Path documents = Files.createDirectory(directory.resolve("documents"));
+        Files.writeString(documents.resolve("trial.json"), document());
+        Main.main(new String[] {
+            "platform",
+            "--address",
+            PLATFORM,
+            "--port",
+            "" + PLATFORM_PORT,
+            "--hosts",
+            hosts.toString(),
+            "--documents",
+            documents.toString()
+        });
+        Main.main(new String[] {
+            "engine", "--address", ENGINE.getAddress(), "--port", "" + TARGET_PORT, "--cold-requests", "16"
+        });
+        Main.main(
+                new String[] {"plain", "--address", PLAIN.getAddress(), "--port", "" + TARGET_PORT, "--millis", "300"});
+    }
+
+    private static String document() {
+        return """
+                {
+                  "generation": 1,
+                  "environment": "trial",
+                  "dataCentres": [{"name": "martin-a", "region": "sk-central"}],
+                  "tiers": [{"name": "urgent", "rank": 3}],
+                  "models": [{"name": "lampa", "version": "1"}],
+                  "services": [
+                    {"name": "lampa-llm", "kind": "ENGINE", "models": ["lampa"], "maxBodyBytes": 20000},
+                    {"name": "zber-app", "kind": "PLAIN",
+                     "calls": [{"name": "book"}, {"name": "list", "idempotent": true}]}
+                  ],
+                  "organisations": [
+                    {"name": "orava", "credentials": [{"sha256128": "%s", "tier": "urgent"}]},
+                    {"name": "liptov", "credentials": [{"sha256128": "%s", "tier": "urgent"}]}
+                  ],
+                  "sealingKeys": [{"id": 1, "key": "%s"}]
+                }
+                """.formatted(hash(CREDENTIAL), hash(OTHER_CREDENTIAL), base64(new byte[32]));
+    }
+
+    private static String hash(String credential) {
+        return base64(Credentials.hash(credential));
+    }
+
+    private static String base64(byte[] bytes) {
+        return Base64.getEncoder().encodeToString(bytes);
+    }
+
+    private static EntrySettings settings(Host host) {
+        String platform = "http://" + PLATFORM + ":" + PLATFORM_PORT;
+        NodeSettings node = NodeSettings.newBuilder()
+                .setHost(host.getName())
+                .setDataCentre(host.getDataCentre())
+                .setAddress(host.getAddress())
+                .setEnvironment("trial")
+                .setConfigurationUrl(platform)
+                .setHostListUrl(platform)
+                .setAdminPort(host.getEntry().getEntryAdmin())
+                .setPeerPort(host.getEntry().getEntryPeer())
+                .build();
+        EntrySettings given = EntrySettings.newBuilder()
+                .setNode(node)
+                .setCallerPort(CALLER_PORT)
+                .setMaxBodyBytes(40_000)
+                .build();
+        return org.whinwharf.schema.SchemaChecker.complete(given);
+    }
+
+    private static Host entryHost(String name, String address) {
+        return Host.newBuilder()
+                .setName(name)
+                .setAddress(address)
+                .setDataCentre("martin-a")
+                .setState(HostState.LIVE)
+                .setEntry(EntryPorts.newBuilder()
+                        .setCaller(CALLER_PORT)
+                        .setEntryPeer(CALLER_PORT + 1)
+                        .setSchedulerPeer(CALLER_PORT + 2)
+                        .setEntryAdmin(CALLER_PORT + 3))
+                .build();
+    }
+
+    private static Host target(String name, String address, String service) {
+        return Host.newBuilder()
+                .setName(name)
+                .setAddress(address)
+                .setDataCentre("martin-a")
+                .setState(HostState.LIVE)
+                .setTarget(TargetInfo.newBuilder().setService(service).setPort(TARGET_PORT))
+                .build();
+    }
+}
--- /dev/null
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/Targets.java
@@ -0,0 +1,279 @@
+package org.whinwharf.entry.internal;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpRequest;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClient;
+import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import io.micronaut.http.client.sse.SseClient;
+import io.micronaut.http.sse.Event;
+import java.net.ConnectException;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.whinwharf.home.HomeAction;
+import org.whinwharf.home.HomeEvent;
+import org.whinwharf.home.Place;
+import org.whinwharf.home.Submission;
+import org.whinwharf.lifecycle.Service;
+import org.whinwharf.runtime.duty.Duty;
+import org.whinwharf.runtime.trace.TraceParent;
+import org.whinwharf.time.Ticker;
+import org.whinwharf.wire.schema.StreamOrder;
+import org.whinwharf.wire.schema.StreamToken;
+import reactor.core.Disposable;
+import reactor.core.Disposables;
+import reactor.core.publisher.Flux;
+import reactor.core.publisher.Mono;
+
+/** Thread that sends requests to targets, and the connections on which they answer. */
+final class Targets implements Service {
+    private static final int RING_SIZE = 16_384;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+    private static final Duration READ_TIMEOUT = Duration.ofHours(2);
+    private static final int MAX_CONTENT_BYTES = 16 << 20;
+    private static final int MAX_CONNECTIONS_PER_TARGET = 4_096;
+    private static final Duration CANCEL_RETRY = Duration.ofMillis(250);
+    private static final int CANCEL_RETRIES = 3;
+    private static final String REQUEST_ID = "X-Request-Id";
+
+    private final Ticker ticker;
+    private final HomeDuty home;
+    private final Duty<Runnable> duty;
+    private final Map<Long, Disposable> connections = new ConcurrentHashMap<>();
+    private HttpClient client;
+    private SseClient streams;
+
+    Targets(Ticker ticker, HomeDuty home) {
+        this.ticker = ticker;
+        this.home = home;
+        duty = Duty.<Runnable>builder()
+                .name("targets")
+                .handler(Runnable::run)
+                .ringSize(RING_SIZE)
+                .call();
+    }
+
+    @Override
+    public void start() {
+        DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
+        configuration.setConnectTimeout(CONNECT_TIMEOUT);
+        configuration.setReadTimeout(READ_TIMEOUT);
+        configuration.setReadIdleTimeout(READ_TIMEOUT);
+        configuration.setMaxContentLength(MAX_CONTENT_BYTES);
+        // A request that waited for a free connection after its gate was asked would leave on a grant that ran out.
+        // The owners bound what is in flight; this bound only has to lie above theirs.
+        configuration.getConnectionPoolConfiguration().setMaxConcurrentHttp1Connections(MAX_CONNECTIONS_PER_TARGET);
+        client = HttpClient.create(null, configuration);
+        streams = SseClient.create(null, configuration);
+        duty.start();
+    }
+
+    @Override
+    public void stop() {
+        duty.stop();
+        connections.values().forEach(Disposable::dispose);
+        client.close();
+        closeStreams();
+    }
+
+    /** Sends a request if its gate still lets it. */
+    void dispatch(HomeAction.Dispatch action, String traceParent) {
+        if (!duty.offer(() -> send(action, traceParent))) {
+            action.gate().close();
+            home.put(new HomeEvent.NotSent(action.sequence()));
+        }
+    }
+
+    /** Takes up a stream again. */
+    void resume(HomeAction.ResumeStream action) {
+        long sequence = action.sequence();
+        release(sequence);
+        HttpRequest<?> request = resumption(action.place(), action.fromIndex());
+        Flux<Event<String>> events = Mono.delay(Duration.ofMillis(action.delayMillis()))
+                .thenMany(Flux.from(streams.eventStream(request, String.class)));
+        follow(sequence, events, failure -> home.put(resumeFailure(sequence, failure)));
+    }
+
+    /** Streams what a target has of a stream from an index on, for a caller whose home is gone. */
+    Flux<StreamToken> resumeDirectly(Place place, int fromIndex) {
+        HttpRequest<?> request = resumption(place, fromIndex);
+        return Flux.from(streams.eventStream(request, String.class)).map(event -> parse(event.getData()));
+    }
+
+    /** Ends the work at a target. */
+    void cancel(HomeAction.CancelAtTarget action) {
+        release(action.sequence());
+        if (!action.isEngine()) {
+            return;
+        }
+        String uri = base(action.place()) + "/v1/streams/" + action.place().stream();
+        // The order may overtake the request on its way; the engine would then go on for nobody. So an engine that
+        // does not know the stream is asked again.
+        Mono.defer(() -> Mono.from(client.exchange(HttpRequest.DELETE(uri), byte[].class)))
+                .retryWhen(reactor.util.retry.Retry.fixedDelay(CANCEL_RETRIES, CANCEL_RETRY))
+                .subscribe(done -> {}, failure -> {});
+    }
+
+    /** Lets go of the connection of a request. */
+    void release(long sequence) {
+        Disposable connection = connections.remove(sequence);
+        if (connection != null) {
+            connection.dispose();
+        }
+    }
+
+    int connectionCount() {
+        return connections.size();
+    }
+
+    private void closeStreams() {
+        if (streams instanceof HttpClient closeable) {
+            closeable.close();
+        }
+    }
+
+    private void send(HomeAction.Dispatch action, String traceParent) {
+        long sequence = action.sequence();
+        if (!action.gate().trySend(ticker.nowMillis())) {
+            home.put(new HomeEvent.NotSent(sequence));
+            return;
+        }
+        home.put(new HomeEvent.Sent(sequence));
+        if (action.submission().isEngine()) {
+            HttpRequest<?> request = order(action.place(), action.submission(), traceParent);
+            Flux<Event<String>> events = Flux.from(streams.eventStream(request, String.class));
+            follow(sequence, events, failure -> home.put(sendFailure(sequence, failure)));
+        } else {
+            call(sequence, plainCall(action.place(), action.submission(), traceParent));
+        }
+    }
+
+    private void follow(long sequence, Flux<Event<String>> events, java.util.function.Consumer<Throwable> whenFailed) {
+        Disposable.Swap connection = Disposables.swap();
+        connections.put(sequence, connection);
+        connection.replace(events.subscribe(
+                event -> home.put(new HomeEvent.TokenArrived(sequence, parse(event.getData()))),
+                whenFailed,
+                () -> home.put(new HomeEvent.StreamBroken(sequence, "the stream ended"))));
+    }
+
+    private void call(long sequence, HttpRequest<?> request) {
+        Disposable.Swap connection = Disposables.swap();
+        connections.put(sequence, connection);
+        connection.replace(Mono.from(client.exchange(request, byte[].class))
+                .subscribe(
+                        response -> home.put(answered(sequence, response)),
+                        failure -> home.put(callFailure(sequence, failure))));
+    }
+
+    private static HomeEvent answered(long sequence, HttpResponse<byte[]> response) {
+        String contentType = response.getContentType().map(MediaType::toString).orElse(MediaType.TEXT_PLAIN);
+        ByteString body = response.getBody().map(ByteString::copyFrom).orElse(ByteString.EMPTY);
+        return new HomeEvent.CallAnswered(sequence, response.code(), contentType, body);
+    }
+
+    private static HomeEvent callFailure(long sequence, Throwable failure) {
+        if (failure instanceof HttpClientResponseException refused && refused.code() != unavailable()) {
+            String contentType = refused.getResponse()
+                    .getContentType()
+                    .map(MediaType::toString)
+                    .orElse(MediaType.TEXT_PLAIN);
+            ByteString body = refused.getResponse()
+                    .getBody(byte[].class)
+                    .map(ByteString::copyFrom)
+                    .orElse(ByteString.EMPTY);
+            return new HomeEvent.CallAnswered(sequence, refused.code(), contentType, body);
+        }
+        return sendFailure(sequence, failure);
+    }
+
+    private static HomeEvent sendFailure(long sequence, Throwable failure) {
+        if (isConnectFailure(failure)) {
+            return new HomeEvent.ConnectFailed(sequence);
+        }
+        if (failure instanceof HttpClientResponseException refused) {
+            int status = refused.code();
+            if (status == unavailable()) {
+                return new HomeEvent.TargetRefused(sequence);
+            }
+            boolean known = status == HttpStatus.CONFLICT.getCode();
+            return known
+                    ? new HomeEvent.StreamBroken(sequence, "the target has the stream already")
+                    : new HomeEvent.TargetFailed(sequence, status);
+        }
+        return new HomeEvent.StreamBroken(sequence, String.valueOf(failure.getMessage()));
+    }
+
+    private static HomeEvent resumeFailure(long sequence, Throwable failure) {
+        boolean unknown = failure instanceof HttpClientResponseException refused
+                && refused.code() == HttpStatus.NOT_FOUND.getCode();
+        return unknown
+                ? new HomeEvent.StreamUnknown(sequence)
+                : new HomeEvent.StreamBroken(sequence, String.valueOf(failure.getMessage()));
+    }
+
+    // The client writes a request only on a connection that stands. So a failure to connect means that no byte left.
+    private static boolean isConnectFailure(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof ConnectException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static HttpRequest<?> order(Place place, Submission submission, String traceParent) {
+        StreamOrder order = StreamOrder.newBuilder()
+                .setId(place.stream())
+                .setModel(submission.model())
+                .setPrompt(submission.text())
+                .setMaxTokens(submission.maxTokens())
+                .build();
+        MutableHttpRequest<String> request = HttpRequest.POST(base(place) + "/v1/streams", CallerJson.print(order))
+                .contentType(MediaType.APPLICATION_JSON_TYPE)
+                .accept(MediaType.TEXT_EVENT_STREAM_TYPE);
+        return traced(request, traceParent);
+    }
+
+    private static HttpRequest<?> plainCall(Place place, Submission submission, String traceParent) {
+        String uri = base(place) + "/v1/calls/" + submission.callName();
+        MutableHttpRequest<String> request = HttpRequest.POST(uri, submission.text())
+                .contentType(MediaType.APPLICATION_JSON_TYPE)
+                .accept(MediaType.ALL_TYPE)
+                .header(REQUEST_ID, place.stream());
+        return traced(request, traceParent);
+    }
+
+    private static HttpRequest<?> resumption(Place place, int fromIndex) {
+        String uri = base(place) + "/v1/streams/" + place.stream() + "?from=" + fromIndex;
+        return HttpRequest.GET(uri).accept(MediaType.TEXT_EVENT_STREAM_TYPE);
+    }
+
+    private static HttpRequest<?> traced(MutableHttpRequest<?> request, String traceParent) {
+        return traceParent.isEmpty() ? request : request.header(TraceParent.HEADER, traceParent);
+    }
+
+    private static String base(Place place) {
+        return "http://" + place.address() + ":" + place.port();
+    }
+
+    private static int unavailable() {
+        return HttpStatus.SERVICE_UNAVAILABLE.getCode();
+    }
+
+    private static StreamToken parse(String json) {
+        StreamToken.Builder token = StreamToken.newBuilder();
+        try {
+            CallerJson.merge(json, token);
+        } catch (InvalidProtocolBufferException malformed) {
+            throw new IllegalStateException("malformed token", malformed);
+        }
+        return token.build();
+    }
+}
