--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
@@ -29,6 +29,7 @@
     static final String OTHER_CREDENTIAL = "keeper-of-liptov";
     static final Host ONE = entryHost("host-1", "127.0.51.1");
     static final Host TWO = entryHost("host-2", "127.0.51.2");
+    static final Host THREE = entryHost("host-3", "127.0.51.3");
     static final Host ENGINE = target("engine-1", "127.0.51.8", "lampa-llm");
     static final Host PLAIN = target("plain-1", "127.0.51.9", "zber-app");
     private static final String PLATFORM = "127.0.51.10";
@@ -36,6 +37,7 @@
     private static final int TARGET_PORT = 51_009;
     private static final int PLATFORM_PORT = 51_010;
     private static final long BOUND_SECONDS = 30;
+    private static EntryFixture shared;
 
     final GrantingScheduler scheduler = new GrantingScheduler(ONE, List.of(ENGINE, PLAIN));
     final GrantingScheduler otherScheduler = new GrantingScheduler(TWO, List.of(ENGINE, PLAIN));
@@ -44,7 +46,25 @@
     final HttpClient client =
             HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(5)).build();
 
-    void start(Path directory) throws Exception {
+    /** Starts the fixture once for all tests of this process, which end it by their exit. */
+    static synchronized EntryFixture shared() throws IOException {
+        if (shared == null) {
+            EntryFixture fixture = new EntryFixture();
+            fixture.start(Files.createTempDirectory("entry-fixture"));
+            shared = fixture;
+        }
+        return shared;
+    }
+
+    /** Starts an entry daemon on the third host; the test stops it. */
+    EntryDaemon startThree() {
+        EntryDaemon daemon = new EntryDaemon(settings(THREE));
+        daemon.start();
+        until("ready", () -> get(THREE, "/v1/addresses").statusCode() == 200);
+        return daemon;
+    }
+
+    private void start(Path directory) throws IOException {
         startStandIns(directory);
         scheduler.start();
         otherScheduler.start();
@@ -54,13 +74,6 @@
         until("ready", () -> get(TWO, "/v1/addresses").statusCode() == 200);
     }
 
-    void stop() {
-        one.stop();
-        two.stop();
-        scheduler.stop();
-        otherScheduler.stop();
-    }
-
     HttpResponse<String> get(Host host, String path) {
         return send(request(host, path).GET().build());
     }
@@ -141,7 +154,7 @@
     private static void startStandIns(Path directory) throws IOException {
         HostList list = HostList.newBuilder()
                 .setRevision(1)
-                .addAllHosts(List.of(ONE, TWO, ENGINE, PLAIN))
+                .addAllHosts(List.of(ONE, TWO, THREE, ENGINE, PLAIN))
                 .build();
         Path hosts = directory.resolve("hosts.json");
         Files.writeString(hosts, JsonFormat.printer().print(list));
--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryPathTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryPathTest.java
@@ -8,13 +8,10 @@
 import com.google.protobuf.util.JsonFormat;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
-import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
 import org.whinwharf.wire.caller.Addresses;
 import org.whinwharf.wire.caller.Answer;
 import org.whinwharf.wire.caller.AnswerError;
@@ -23,46 +20,41 @@
 import org.whinwharf.wire.schema.Host;
 
 class EntryPathTest {
-    private static final EntryFixture FIXTURE = new EntryFixture();
+    private static EntryFixture fixture;
     private static final String ENGINE_REQUEST =
             "{\"service\":\"lampa-llm\",\"model\":\"lampa\",\"prompt\":\"sort a lamp\",\"maxTokens\":%d%s}";
     private static final String BOOKING =
             "{\"service\":\"zber-app\",\"call\":\"book\",\"body\":\"{}\",\"ticket\":\"%s\",\"number\":%d}";
 
     @BeforeAll
-    static void start(@TempDir Path directory) throws Exception {
-        FIXTURE.start(directory);
-    }
-
-    @AfterAll
-    static void stop() {
-        FIXTURE.stop();
+    static void start() throws Exception {
+        fixture = EntryFixture.shared();
     }
 
     @AfterEach
     void clearFaults() {
-        FIXTURE.scheduler.refusal = null;
-        FIXTURE.otherScheduler.refusal = null;
-        FIXTURE.scheduler.silent = false;
-        FIXTURE.otherScheduler.silent = false;
-        FIXTURE.fault(EntryFixture.ENGINE, "{\"refuse\":false,\"slowFactor\":1}");
+        fixture.scheduler.refusal = null;
+        fixture.otherScheduler.refusal = null;
+        fixture.scheduler.silent = false;
+        fixture.otherScheduler.silent = false;
+        fixture.fault(EntryFixture.ENGINE, "{\"refuse\":false,\"slowFactor\":1}");
     }
 
     @Test
     void wholeAnswerComesBack() throws Exception {
-        HttpResponse<String> response = FIXTURE.post(EntryFixture.ONE, engineRequest(5, ""));
+        HttpResponse<String> response = fixture.post(EntryFixture.ONE, engineRequest(5, ""));
         assertThat(response.body(), response.statusCode(), is(200));
         Answer.Builder answer = Answer.newBuilder();
         JsonFormat.parser().merge(response.body(), answer);
         assertThat(answer.getTokens(), is(5));
         assertThat(answer.getTarget(), is("engine-1"));
-        String explained = FIXTURE.admin(EntryFixture.ONE, "/v1/explain/" + answer.getRequestId());
+        String explained = fixture.admin(EntryFixture.ONE, "/v1/explain/" + answer.getRequestId());
         assertThat(explained, containsString("first-token"));
     }
 
     @Test
     void streamHasHeadTokensAndEnd() {
-        HttpResponse<String> response = FIXTURE.post(EntryFixture.ONE, engineRequest(3, ",\"stream\":true"));
+        HttpResponse<String> response = fixture.post(EntryFixture.ONE, engineRequest(3, ",\"stream\":true"));
         assertThat(response.body(), response.statusCode(), is(200));
         assertThat(response.body(), containsString("event: head"));
         assertThat(response.body(), containsString("\"index\":0"));
@@ -76,41 +68,41 @@
     void bookingSentThreeTimesRunsOnce() throws Exception {
         String ticket = ticket(EntryFixture.ONE);
         String booking = BOOKING.formatted(ticket, 0);
-        CompletableFuture<HttpResponse<String>> first = FIXTURE.client.sendAsync(
+        CompletableFuture<HttpResponse<String>> first = fixture.client.sendAsync(
                 EntryFixture.submission(EntryFixture.ONE, booking), HttpResponse.BodyHandlers.ofString());
-        HttpResponse<String> relayed = FIXTURE.post(EntryFixture.TWO, booking);
-        HttpResponse<String> later = FIXTURE.post(EntryFixture.ONE, booking);
+        HttpResponse<String> relayed = fixture.post(EntryFixture.TWO, booking);
+        HttpResponse<String> later = fixture.post(EntryFixture.ONE, booking);
         assertThat(relayed.body(), relayed.statusCode(), is(200));
         assertThat(first.get().body(), first.get().statusCode(), is(200));
         assertThat(later.body(), is(first.get().body()));
         assertThat(relayed.body(), is(first.get().body()));
         String id = answer(later).getRequestId();
-        assertThat(count(FIXTURE.record(EntryFixture.PLAIN), id), is(1));
-        HttpResponse<String> state = FIXTURE.get(EntryFixture.TWO, "/v1/requests?ticket=" + ticket + "&number=0");
+        assertThat(count(fixture.record(EntryFixture.PLAIN), id), is(1));
+        HttpResponse<String> state = fixture.get(EntryFixture.TWO, "/v1/requests?ticket=" + ticket + "&number=0");
         assertThat(state.body(), containsString("completed"));
     }
 
     @Test
     void badInputGetsItsKindAtOnce() throws Exception {
-        assertError(FIXTURE.post(EntryFixture.ONE, "{\"service\":"), 400, "malformed");
-        assertError(FIXTURE.post(EntryFixture.ONE, ""), 400, "malformed");
-        assertError(FIXTURE.post(EntryFixture.ONE, engineRequest(1, ",\"colour\":1")), 400, "unknown-field");
-        assertError(FIXTURE.post(EntryFixture.ONE, engineRequest(-1, "")), 400, "bad-value");
-        assertError(FIXTURE.post(EntryFixture.ONE, engineRequest(1, ",\"deadlineMillis\":-5")), 400, "bad-deadline");
-        assertError(FIXTURE.post(EntryFixture.ONE, engineRequest(1, ",\"deadlineMillis\":9e8")), 400, "bad-deadline");
+        assertError(fixture.post(EntryFixture.ONE, "{\"service\":"), 400, "malformed");
+        assertError(fixture.post(EntryFixture.ONE, ""), 400, "malformed");
+        assertError(fixture.post(EntryFixture.ONE, engineRequest(1, ",\"colour\":1")), 400, "unknown-field");
+        assertError(fixture.post(EntryFixture.ONE, engineRequest(-1, "")), 400, "bad-value");
+        assertError(fixture.post(EntryFixture.ONE, engineRequest(1, ",\"deadlineMillis\":-5")), 400, "bad-deadline");
+        assertError(fixture.post(EntryFixture.ONE, engineRequest(1, ",\"deadlineMillis\":9e8")), 400, "bad-deadline");
         assertError(
-                FIXTURE.post(EntryFixture.ONE, engineRequest(1, ",\"ticket\":\"x\",\"number\":1")), 400, "bad-ticket");
+                fixture.post(EntryFixture.ONE, engineRequest(1, ",\"ticket\":\"x\",\"number\":1")), 400, "bad-ticket");
         assertError(
-                FIXTURE.post(EntryFixture.ONE, "{\"service\":\"zber-app\",\"call\":\"book\"}"), 400, "ticket-required");
-        assertError(FIXTURE.post(EntryFixture.ONE, "{\"service\":\"nothing\"}"), 404, "unknown-service");
+                fixture.post(EntryFixture.ONE, "{\"service\":\"zber-app\",\"call\":\"book\"}"), 400, "ticket-required");
+        assertError(fixture.post(EntryFixture.ONE, "{\"service\":\"nothing\"}"), 404, "unknown-service");
         assertError(
-                FIXTURE.post(EntryFixture.ONE, "{\"service\":\"lampa-llm\",\"model\":\"x\",\"prompt\":\"p\"}"),
+                fixture.post(EntryFixture.ONE, "{\"service\":\"lampa-llm\",\"model\":\"x\",\"prompt\":\"p\"}"),
                 404,
                 "unknown-model");
-        assertError(FIXTURE.post(EntryFixture.ONE, "{\"service\":\"zber-app\",\"call\":\"x\"}"), 404, "unknown-call");
-        assertError(FIXTURE.post(EntryFixture.ONE, oversized(25_000)), 413, "body-too-large");
-        assertError(FIXTURE.post(EntryFixture.ONE, oversized(50_000)), 413, "body-too-large");
-        assertError(FIXTURE.get(EntryFixture.ONE, "/v1/requests/nothing"), 404, "unknown-request");
+        assertError(fixture.post(EntryFixture.ONE, "{\"service\":\"zber-app\",\"call\":\"x\"}"), 404, "unknown-call");
+        assertError(fixture.post(EntryFixture.ONE, oversized(25_000)), 413, "body-too-large");
+        assertError(fixture.post(EntryFixture.ONE, oversized(50_000)), 413, "body-too-large");
+        assertError(fixture.get(EntryFixture.ONE, "/v1/requests/nothing"), 404, "unknown-request");
     }
 
     @Test
@@ -120,62 +112,62 @@
                 .header("Authorization", "Bearer nobody")
                 .POST(HttpRequest.BodyPublishers.ofString(engineRequest(1, "")))
                 .build();
-        assertError(FIXTURE.send(request), 401, "unknown-credential");
+        assertError(fixture.send(request), 401, "unknown-credential");
     }
 
     @Test
     void shedRequestIsToldWhenToComeBack() throws Exception {
-        FIXTURE.scheduler.refusal = RefusalReason.SHED;
-        FIXTURE.otherScheduler.refusal = RefusalReason.SHED;
-        HttpResponse<String> response = FIXTURE.post(EntryFixture.ONE, engineRequest(1, ",\"stream\":true"));
+        fixture.scheduler.refusal = RefusalReason.SHED;
+        fixture.otherScheduler.refusal = RefusalReason.SHED;
+        HttpResponse<String> response = fixture.post(EntryFixture.ONE, engineRequest(1, ",\"stream\":true"));
         assertError(response, 503, "shed");
         assertThat(response.headers().firstValue("Retry-After").orElse(""), is("2"));
     }
 
     @Test
     void targetThatRefusesMakesItNotRun() throws Exception {
-        FIXTURE.fault(EntryFixture.ENGINE, "{\"refuse\":true}");
-        assertError(FIXTURE.post(EntryFixture.ONE, engineRequest(1, "")), 503, "target-refused");
+        fixture.fault(EntryFixture.ENGINE, "{\"refuse\":true}");
+        assertError(fixture.post(EntryFixture.ONE, engineRequest(1, "")), 503, "target-refused");
     }
 
     // The connection between home and engine breaks in the middle of a long summary. The caller gets it whole, and the
     // engine ran it once.
     @Test
     void brokenStreamIsTakenUpAgain() throws Exception {
-        FIXTURE.fault(EntryFixture.ENGINE, "{\"slowFactor\":3}");
-        CompletableFuture<HttpResponse<String>> sent = FIXTURE.client.sendAsync(
+        fixture.fault(EntryFixture.ENGINE, "{\"slowFactor\":3}");
+        CompletableFuture<HttpResponse<String>> sent = fixture.client.sendAsync(
                 EntryFixture.submission(EntryFixture.ONE, engineRequest(40, "")), HttpResponse.BodyHandlers.ofString());
         EntryFixture.until(
-                "running", () -> FIXTURE.admin(EntryFixture.ONE, "/v1/status").contains("Running\":1"));
-        FIXTURE.fault(EntryFixture.ENGINE, "{\"breakStreams\":true}");
+                "running", () -> fixture.admin(EntryFixture.ONE, "/v1/status").contains("Running\":1"));
+        fixture.fault(EntryFixture.ENGINE, "{\"breakStreams\":true}");
         Answer answer = answer(sent.get());
         assertThat(answer.getTokens(), is(40));
-        assertThat(count(FIXTURE.record(EntryFixture.ENGINE), answer.getRequestId()), is(1));
+        assertThat(count(fixture.record(EntryFixture.ENGINE), answer.getRequestId()), is(1));
     }
 
     // A caller goes away in the middle of a long answer. Its engine work must end and its slot come back; otherwise
     // callers with bad connections fill the engines with work for nobody.
     @Test
     void workOfACallerThatWentAwayIsCancelled() throws Exception {
-        FIXTURE.fault(EntryFixture.ENGINE, "{\"slowFactor\":20}");
-        int before = FIXTURE.scheduler.finished.size() + FIXTURE.otherScheduler.finished.size();
-        CompletableFuture<HttpResponse<java.io.InputStream>> sent = FIXTURE.client.sendAsync(
+        fixture.fault(EntryFixture.ENGINE, "{\"slowFactor\":20}");
+        int before = fixture.scheduler.finished.size() + fixture.otherScheduler.finished.size();
+        CompletableFuture<HttpResponse<java.io.InputStream>> sent = fixture.client.sendAsync(
                 EntryFixture.submission(EntryFixture.ONE, engineRequest(5_000, ",\"stream\":true")),
                 HttpResponse.BodyHandlers.ofInputStream());
         sent.get().body().close();
         EntryFixture.until(
                 "slot given back",
-                () -> FIXTURE.scheduler.finished.size() + FIXTURE.otherScheduler.finished.size() > before);
-        boolean cancelled = FIXTURE.scheduler.finished.stream().anyMatch(each -> each.getKind() == FinishKind.CANCELLED)
-                || FIXTURE.otherScheduler.finished.stream().anyMatch(each -> each.getKind() == FinishKind.CANCELLED);
+                () -> fixture.scheduler.finished.size() + fixture.otherScheduler.finished.size() > before);
+        boolean cancelled = fixture.scheduler.finished.stream().anyMatch(each -> each.getKind() == FinishKind.CANCELLED)
+                || fixture.otherScheduler.finished.stream().anyMatch(each -> each.getKind() == FinishKind.CANCELLED);
         assertThat(cancelled, is(true));
     }
 
     // A caller goes away while its request waits for a slot. Nothing was sent yet, and nothing may be sent any more.
     @Test
     void waitingRequestOfACallerThatWentAwayIsDropped() throws Exception {
-        FIXTURE.scheduler.silent = true;
-        FIXTURE.otherScheduler.silent = true;
+        fixture.scheduler.silent = true;
+        fixture.otherScheduler.silent = true;
         try (java.net.Socket socket = new java.net.Socket(
                 EntryFixture.ONE.getAddress(), EntryFixture.ONE.getEntry().getCaller())) {
             String body = engineRequest(1, "");
@@ -184,20 +176,20 @@
             socket.getOutputStream().write((head + body).getBytes(java.nio.charset.StandardCharsets.US_ASCII));
             EntryFixture.until(
                     "waiting",
-                    () -> FIXTURE.admin(EntryFixture.ONE, "/v1/status").contains("Waiting\":1"));
+                    () -> fixture.admin(EntryFixture.ONE, "/v1/status").contains("Waiting\":1"));
         }
         EntryFixture.until(
-                "dropped", () -> !FIXTURE.admin(EntryFixture.ONE, "/v1/status").contains("Waiting\":1"));
+                "dropped", () -> !fixture.admin(EntryFixture.ONE, "/v1/status").contains("Waiting\":1"));
     }
 
     // The home of a stream dies. Another host takes the stream up for a caller that shows the receipt, and starts
     // nothing: the engine has one record of it.
     @Test
     void anotherHostResumesByReceipt() throws Exception {
-        String stream = FIXTURE.post(EntryFixture.ONE, engineRequest(4, ",\"stream\":true"))
+        String stream = fixture.post(EntryFixture.ONE, engineRequest(4, ",\"stream\":true"))
                 .body();
         String receipt = stream.replaceAll("(?s).*\"receipt\":\"([^\"]*)\".*", "$1");
-        HttpResponse<String> resumed = FIXTURE.get(EntryFixture.TWO, "/v1/streams?from=2&receipt=" + receipt);
+        HttpResponse<String> resumed = fixture.get(EntryFixture.TWO, "/v1/streams?from=2&receipt=" + receipt);
         assertThat(resumed.body(), resumed.statusCode(), is(200));
         assertThat(resumed.body(), containsString("\"index\":2"));
         assertThat(resumed.body(), not(containsString("\"index\":1")));
@@ -207,7 +199,7 @@
     @Test
     void numberThatTheHomeNeverSawIsUnknown() throws Exception {
         String ticket = ticket(EntryFixture.ONE);
-        HttpResponse<String> state = FIXTURE.get(EntryFixture.TWO, "/v1/requests?ticket=" + ticket + "&number=77");
+        HttpResponse<String> state = fixture.get(EntryFixture.TWO, "/v1/requests?ticket=" + ticket + "&number=77");
         assertError(state, 404, "unknown-request");
     }
 
@@ -221,7 +213,7 @@
 
     private static String ticket(Host host) throws Exception {
         Addresses.Builder addresses = Addresses.newBuilder();
-        JsonFormat.parser().merge(FIXTURE.get(host, "/v1/addresses").body(), addresses);
+        JsonFormat.parser().merge(fixture.get(host, "/v1/addresses").body(), addresses);
         return addresses.getTicket();
     }
 
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerServer.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerServer.java
@@ -18,6 +18,7 @@
     static final String CALLERS = "callers";
 
     private static final int NETWORK_THREADS = 2;
+    private static final String NO_TIMEOUT = "-1s";
 
     private final EntrySettings settings;
     private final CallerRequests requests;
@@ -54,7 +55,10 @@
         properties.put("micronaut.server.host", settings.getNode().getAddress());
         properties.put("micronaut.server.port", settings.getCallerPort());
         properties.put("micronaut.server.max-request-size", settings.getMaxBodyBytes());
-        properties.put("micronaut.server.idle-timeout", settings.getIdleMillis() + "ms");
+        // The server's own timeout also cuts off callers that wait; see IdleGuard.
+        properties.put("micronaut.server.idle-timeout", NO_TIMEOUT);
+        properties.put("micronaut.server.read-idle-timeout", NO_TIMEOUT);
+        properties.put("micronaut.server.write-idle-timeout", NO_TIMEOUT);
         properties.put("micronaut.server.netty.max-header-size", settings.getMaxHeaderBytes());
         properties.put("micronaut.netty.event-loops.default.num-threads", NETWORK_THREADS);
         if (settings.hasTls()) {
