Add the load tool and the program that checks its histories

Cause: no tool sent a repeatable load or wrote down what callers were told, so neither goodput by tier nor any rule could be measured on real processes.

Not run: through entry hosts, which do not start yet.

--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/history/HistoryFiles.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/history/HistoryFiles.java
@@ -9,6 +9,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import org.whinwharf.standin.record.CallRecord;
+import org.whinwharf.standin.record.EngineRecord;
 
 /** Reads and writes histories: attempts as JSON lines, records of targets and withdrawals as JSON arrays. */
 public final class HistoryFiles {
@@ -75,4 +78,14 @@
     public static List<Withdrawal> readWithdrawals(Path file) throws IOException {
         return MAPPER.readValue(file.toFile(), new TypeReference<List<Withdrawal>>() {});
     }
+
+    /** Reads the record of one target: an object from an engine, an array from a plain service. */
+    static TargetHistory target(String name, String dataCentre, String json) throws IOException {
+        if (json.startsWith("[")) {
+            List<CallRecord> calls = MAPPER.readValue(json, new TypeReference<List<CallRecord>>() {});
+            return new TargetHistory(name, dataCentre, Optional.empty(), calls);
+        }
+        EngineRecord engine = MAPPER.readValue(json, EngineRecord.class);
+        return new TargetHistory(name, dataCentre, Optional.of(engine), List.of());
+    }
 }
--- /dev/null
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the load tool. */
+package org.whinwharf.bench.internal;
