Compare dedupe windows with an age-partitioned filter

Cause: the related paper's filter is the alternative to contiguous intervals with stragglers, and nothing measured the two on the same requests.

A program plays homes' requests in time of its own (restarts, tickets that run out, numbers that are lost, overtaking, repeats) against the window that the entry hosts use and against filters of three shapes, and prints bytes per request held, bytes of the heap, fresh requests refused wrongly and repeats let through. A repeat of a request that the filter had refused wrongly does not count as let through, since nothing ran before it.

Ruled out on the way: MemoryMXBean after one System.gc(), which gave 0.0 and 448 bytes for the same structure (the serial collector leaves dead objects in place and compacts wholly in every fourth collection); four collections give 31.3 bytes twice.

--- /dev/null
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/DedupeWindows.java
@@ -0,0 +1,26 @@
+package org.whinwharf.bench;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import org.whinwharf.bench.dedupe.DedupeCommand;
+
+/** Program that compares contiguous intervals with stragglers against age-partitioned filters as dedupe windows. */
+public final class DedupeWindows {
+    private static final int USAGE_EXIT = 64;
+
+    private DedupeWindows() {}
+
+    /**
+     * Prints the comparison as a table.
+     *
+     * @param arguments command line
+     */
+    public static void main(String[] arguments) {
+        try {
+            SingleCommand.singleCommand(DedupeCommand.class).parse(arguments).run();
+        } catch (ParseException e) {
+            System.err.println(e.getMessage());
+            System.exit(USAGE_EXIT);
+        }
+    }
+}
