Test the owner's queue, limit, pledges, floors and stops on a driven clock

Time-driven tests of one scheduler: grants by the home's clock, a slot of a lost home, a target that fails and starts anew, a data centre out and back, hopeless requests, shedding by tier, the floor between two owners, a planned stop, a sleep.

--- a/org.whinwharf.test/src/test/java/org/whinwharf/owner/Fixtures.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/Fixtures.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import org.whinwharf.membership.Membership;
+import org.whinwharf.owner.queue.Waiting;
 import org.whinwharf.wire.message.SliceId;
 import org.whinwharf.wire.schema.DataCentre;
 import org.whinwharf.wire.schema.Document;
@@ -25,10 +26,26 @@
 
     private Fixtures() {}
 
+    static Waiting waiting(long request, int rank, String organisation, int answerTokens, long arrivedAtMillis) {
+        return new Waiting(
+                new HomeId("h0", 1),
+                request,
+                rank,
+                organisation,
+                1,
+                "",
+                0,
+                answerTokens,
+                List.of(),
+                arrivedAtMillis + 60_000,
+                arrivedAtMillis);
+    }
+
     static Document document(int most, int maxWaiting) {
         return Document.newBuilder()
                 .setGeneration(1)
                 .addDataCentres(DataCentre.newBuilder().setName("a").setRegion("r"))
+                .addDataCentres(DataCentre.newBuilder().setName("b").setRegion("r"))
                 .addTiers(Tier.newBuilder().setName("low").setRank(0))
                 .addTiers(Tier.newBuilder().setName("middle").setRank(1))
                 .addTiers(Tier.newBuilder().setName("high").setRank(2))
@@ -52,6 +69,7 @@
         return out.build();
     }
 
+    /** Hosts whose names begin with b stand in data centre b, all others in data centre a. */
     static Membership membership(long revision, Document document, Collection<String> hosts, List<String> targets) {
         HostList.Builder list = HostList.newBuilder().setRevision(revision);
         for (String host : hosts) {
@@ -68,7 +86,7 @@
         return Host.newBuilder()
                 .setName(name)
                 .setAddress("127.0.0.1")
-                .setDataCentre("a")
+                .setDataCentre(name.startsWith("b") ? "b" : "a")
                 .setState(HostState.LIVE);
     }
 }
--- /dev/null
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/QueueOrderTest.java
@@ -0,0 +1,103 @@
+package org.whinwharf.owner;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.owner.queue.SliceQueue;
+import org.whinwharf.owner.queue.Waiting;
+
+class QueueOrderTest {
+    private final SliceQueue queue = new SliceQueue();
+
+    @Test
+    void higherTierIsServedFirstHoweverLateItCame() {
+        queue.add(Fixtures.waiting(1, 0, "o", 10, 0));
+        queue.add(Fixtures.waiting(2, 2, "o", 1000, 500));
+        queue.add(Fixtures.waiting(3, 1, "p", 10, 100));
+        assertThat(ids(serve(3)), is(List.of(2L, 3L, 1L)));
+    }
+
+    @Test
+    void shortAnswersDoNotWaitForALongOneThatCameBefore() {
+        queue.add(Fixtures.waiting(1, 0, "o", 5000, 0));
+        for (long request = 2; request <= 101; request++) {
+            queue.add(Fixtures.waiting(request, 0, "o", 20, request));
+        }
+        List<Waiting> served = serve(101);
+        assertThat(served.get(100).request(), is(1L));
+    }
+
+    // Short requests that keep coming would push a long one back for ever, if it were only a matter of length.
+    @Test
+    void longAnswerIsOvertakenForABoundedTimeOnly() {
+        queue.add(Fixtures.waiting(1, 0, "o", 1000, 0));
+        long turn = 0;
+        for (long nowMillis = 0; queue.size() == 1 || serve(1).get(0).request() != 1; nowMillis += 100) {
+            queue.add(Fixtures.waiting(nowMillis + 2, 0, "o", 20, nowMillis));
+            queue.add(Fixtures.waiting(nowMillis + 3, 0, "o", 20, nowMillis));
+            turn = nowMillis;
+        }
+        assertThat(turn, lessThan(12_000L));
+    }
+
+    @Test
+    void organisationsShareByCostNotByCount() {
+        for (long request = 0; request < 400; request++) {
+            queue.add(Fixtures.waiting(request, 0, "long", 984, request));
+            queue.add(Fixtures.waiting(1000 + request, 0, "short", 84, request));
+        }
+        double longCost = 0;
+        double shortCost = 0;
+        for (Waiting waiting : serve(220)) {
+            if (waiting.organisation().equals("long")) {
+                longCost += waiting.cost();
+            } else {
+                shortCost += waiting.cost();
+            }
+        }
+        assertThat(longCost / shortCost, closeTo(1, 0.1));
+    }
+
+    @Test
+    void organisationThatWasIdleCannotSaveUpItsShare() {
+        for (long request = 0; request < 100; request++) {
+            queue.add(Fixtures.waiting(request, 0, "busy", 84, request));
+        }
+        serve(50);
+        for (long request = 200; request < 300; request++) {
+            queue.add(Fixtures.waiting(request, 0, "late", 84, request));
+        }
+        long late = serve(20).stream()
+                .filter(waiting -> waiting.organisation().equals("late"))
+                .count();
+        assertThat((double) late, closeTo(10, 1));
+    }
+
+    @Test
+    void lowestTierIsShedFirst() {
+        queue.add(Fixtures.waiting(1, 1, "o", 10, 0));
+        queue.add(Fixtures.waiting(2, 0, "o", 10, 0));
+        queue.add(Fixtures.waiting(3, 2, "o", 10, 0));
+        assertThat(queue.victim().orElseThrow().request(), is(2L));
+        assertThat(ids(queue.below(2)), is(List.of(1L, 2L)));
+    }
+
+    private List<Waiting> serve(int count) {
+        List<Waiting> served = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            Waiting next = queue.heads().get(0);
+            queue.granted(next);
+            served.add(next);
+        }
+        return served;
+    }
+
+    private static List<Long> ids(List<Waiting> waiting) {
+        return waiting.stream().map(Waiting::request).toList();
+    }
+}
--- /dev/null
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/SchedulerCoreTest.java
@@ -0,0 +1,337 @@
+package org.whinwharf.owner;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.owner.placement.Placement;
+import org.whinwharf.wire.message.Enqueue;
+import org.whinwharf.wire.message.FinishKind;
+import org.whinwharf.wire.message.Finished;
+import org.whinwharf.wire.message.FloorCleared;
+import org.whinwharf.wire.message.FloorRaise;
+import org.whinwharf.wire.message.Frame;
+import org.whinwharf.wire.message.Grant;
+import org.whinwharf.wire.message.Heartbeat;
+import org.whinwharf.wire.message.Refusal;
+import org.whinwharf.wire.message.RefusalReason;
+import org.whinwharf.wire.schema.Document;
+import org.whinwharf.wire.schema.TargetLoad;
+
+class SchedulerCoreTest {
+    private static final HomeId HOME = new HomeId("h0", 7);
+    private static final HomeId PEER = new HomeId("b0", 9);
+    private static final int MAX_WAITING = 4;
+    private static final long TICK_MILLIS = 50;
+
+    private final SchedulerCore core = new SchedulerCore(new HomeId("s0", 5), Placement.SCORE, 0);
+    private final List<Action> actions = new ArrayList<>();
+    private final Set<Grant> given = new LinkedHashSet<>();
+    private Document document = Fixtures.document(4, MAX_WAITING);
+    private List<String> hosts = List.of("s0");
+    private List<String> targets = List.of("t0");
+    private long revision;
+    private long nowMillis;
+    private int running;
+
+    @BeforeEach
+    void own() {
+        view();
+        pass(6_000);
+    }
+
+    @Test
+    void grantCarriesTheHomesClockAndRunsOut() {
+        on(new Event.FromEntry(
+                HOME,
+                Frame.newBuilder()
+                        .setHeartbeat(Heartbeat.newBuilder().setSentAtMillis(123_456))
+                        .build()));
+        enqueue(1, 0);
+        assertThat(grants(), hasSize(1));
+        assertThat(grants().get(0).getEchoMillis(), is(123_456L));
+        assertThat(grants().get(0).getGoodMillis(), is(Fixtures.TIMINGS.grantMillis()));
+        enqueue(2, 0);
+        assertThat(grants(), hasSize(1));
+    }
+
+    // A target's process is replaced between two readings: its streams break, and the slots that come free would be
+    // filled
+    // up to the limit of the target that was there before.
+    @Test
+    void failureAtTheTargetStopsGrantsUntilALaterReadingAndANewStartIsCold() {
+        enqueue(1, 0);
+        finish(grants().get(0), FinishKind.FAILED);
+        enqueue(2, 0);
+        assertThat(grants(), hasSize(1));
+        nowMillis++;
+        load(2);
+        assertThat(grants(), hasSize(2));
+    }
+
+    // The host of a home dies with a request in flight at an engine that bears one. The engine works on for nobody; a
+    // second request would be too much for it.
+    @Test
+    void slotOfALostHomeIsKeptUntilAReadingShowsItFree() {
+        enqueue(1, 0);
+        running = 1;
+        on(new Event.EntryLost(HOME));
+        pass(3_000);
+        enqueue(2, 0);
+        assertThat(grants(), hasSize(1));
+        running = 0;
+        pass(500);
+        assertThat(grants(), hasSize(2));
+    }
+
+    @Test
+    void dataCentreOutRecallsUnusedGrantsRefusesWhatWaitsAndReturnsCold() {
+        growTo(4);
+        enqueue(100, 0);
+        enqueue(101, 1);
+        document = Fixtures.outOfService(document);
+        view();
+        assertThat(sent(Frame::hasRecall), hasSize(2));
+        enqueue(102, 2);
+        assertThat(refusals(102), contains(RefusalReason.NO_TARGET));
+        document = Fixtures.document(4, MAX_WAITING);
+        view();
+        pass(6_000);
+        actions.clear();
+        finishUnused(100);
+        finishUnused(101);
+        pass(TICK_MILLIS);
+        enqueue(103, 0);
+        enqueue(104, 0);
+        assertThat(grants(), hasSize(1));
+    }
+
+    // A request whose deadline cannot be met would be prefilled for nothing and delay those that can be served.
+    @Test
+    void hopelessRequestIsRefusedAtOnceWithATimeToComeBack() {
+        growTo(2);
+        actions.clear();
+        enqueue(Enqueue.newBuilder().setRequest(50).setAnswerTokens(10_000).setLeftMillis(1_000));
+        assertThat(refusals(50), contains(RefusalReason.HOPELESS));
+        assertThat(refusal(50).getComeBackMillis(), greaterThan(0L));
+    }
+
+    @Test
+    void fullQueueShedsTheLowestTierAndKeepsTheHigher() {
+        enqueue(1, 0);
+        for (long request = 2; request <= 5; request++) {
+            enqueue(request, 0);
+        }
+        enqueue(6, 2);
+        assertThat(refused(), hasSize(1));
+        assertThat(refused().get(0).getReason(), is(RefusalReason.SHED));
+        assertThat(refused().get(0).getRequest(), is(not(6L)));
+    }
+
+    // Two owners of one service: this one is full of the highest tier while the other still keeps a low one. Shedding
+    // here
+    // would turn a ranger away while a tourist's request waits elsewhere.
+    @Test
+    void higherTierIsShedOnlyAfterTheOtherOwnersHaveClearedWhatWaitsBelow() {
+        hosts = List.of("s0", "b0");
+        targets = List.of("t0", "b-t1");
+        view();
+        on(new Event.PeerUp(PEER));
+        pass(8_000);
+        actions.clear();
+        for (long request = 1; request <= MAX_WAITING + 2; request++) {
+            enqueue(request, 2);
+        }
+        FloorRaise raise = actions.stream()
+                .filter(action -> action instanceof Action.ToPeer send
+                        && send.host().equals("b0")
+                        && send.frame().hasFloorRaise())
+                .map(action -> ((Action.ToPeer) action).frame().getFloorRaise())
+                .findFirst()
+                .orElseThrow();
+        assertThat(raise.getRank(), is(2));
+        assertThat(refused(), is(empty()));
+        fromPeer(Frame.newBuilder()
+                .setFloorCleared(FloorCleared.newBuilder()
+                        .setService(Fixtures.SERVICE)
+                        .setRank(2)
+                        .setFloor(raise.getFloor())));
+        assertThat(refused().size(), greaterThan(0));
+        pass(3_000);
+        assertThat(
+                actions.stream()
+                        .anyMatch(action -> action instanceof Action.ToPeer send
+                                && send.frame().hasFloorLower()),
+                is(false));
+    }
+
+    @Test
+    void floorOfAnotherOwnerEvictsAndRefusesWhatIsBelowUntilItRunsOut() {
+        enqueue(1, 0);
+        enqueue(2, 1);
+        enqueue(3, 2);
+        enqueue(4, 0);
+        fromPeer(Frame.newBuilder()
+                .setFloorRaise(FloorRaise.newBuilder()
+                        .setService(Fixtures.SERVICE)
+                        .setRank(2)
+                        .setGoodMillis(1_000)
+                        .setFloor(1)));
+        assertThat(refused().stream().map(Refusal::getReason).distinct().toList(), contains(RefusalReason.BELOW_FLOOR));
+        assertThat(refused(), hasSize(2));
+        assertThat(
+                actions.stream()
+                        .anyMatch(action -> action instanceof Action.ToPeer send
+                                && send.frame().hasFloorCleared()),
+                is(true));
+        enqueue(5, 1);
+        assertThat(refusals(5), contains(RefusalReason.BELOW_FLOOR));
+        pass(1_100);
+        enqueue(6, 1);
+        assertThat(refusals(6), is(empty()));
+    }
+
+    // The host is replaced. What waits must move to the next owner at once, and no grant may be used after that owner
+    // has
+    // begun.
+    @Test
+    void plannedStopRefusesWhatWaitsAndReleasesPledgesOnceNoGrantIsUnused() {
+        enqueue(1, 0);
+        enqueue(2, 0);
+        on(new Event.Leave());
+        assertThat(refusals(2), hasItem(RefusalReason.OWNER_LEAVING));
+        assertThat(sent(Frame::hasRecall), hasSize(1));
+        assertThat(core.hasHandedOver(nowMillis), is(false));
+        finishUnused(1);
+        assertThat(core.hasHandedOver(nowMillis), is(true));
+    }
+
+    // The process sleeps for longer than its pledges last; another owner has taken over when it wakes.
+    @Test
+    void ownerThatWakesAfterASleepGrantsNothingBeforeListsMustAgreeAgain() {
+        nowMillis += 10_000;
+        enqueue(1, 0);
+        assertThat(grants(), is(empty()));
+        pass(1_500);
+        assertThat(grants(), is(empty()));
+        pass(1_500);
+        assertThat(grants(), hasSize(1));
+    }
+
+    private void growTo(int limit) {
+        for (int i = 1; i < limit; i++) {
+            enqueue(1_000 + i, 0);
+            finish(grants().get(grants().size() - 1), FinishKind.COMPLETED);
+        }
+        actions.clear();
+    }
+
+    private void view() {
+        on(new Event.Viewed(Fixtures.membership(++revision, document, hosts, targets), document));
+    }
+
+    private void on(Event event) {
+        actions.addAll(core.handle(event, nowMillis));
+        given.addAll(grants());
+    }
+
+    private void pass(long millis) {
+        for (long untilMillis = nowMillis + millis; nowMillis < untilMillis; ) {
+            nowMillis += TICK_MILLIS;
+            load(1);
+            on(new Event.Tick());
+        }
+    }
+
+    private void load(long startNumber) {
+        TargetLoad load = TargetLoad.newBuilder()
+                .setStartNumber(startNumber)
+                .setRunning(running)
+                .build();
+        targets.forEach(target -> on(new Event.LoadRead(target, load, nowMillis)));
+    }
+
+    private void enqueue(long request, int rank) {
+        enqueue(Enqueue.newBuilder()
+                .setRequest(request)
+                .setTierRank(rank)
+                .setAnswerTokens(20)
+                .setLeftMillis(5_000));
+    }
+
+    private void enqueue(Enqueue.Builder enqueue) {
+        enqueue.setSlice(Fixtures.SLICE).setOrganisation("o").setWeight(1);
+        on(new Event.FromEntry(HOME, Frame.newBuilder().setEnqueue(enqueue).build()));
+    }
+
+    private void finishUnused(long request) {
+        given.stream()
+                .filter(grant -> grant.getRequest() == request)
+                .forEach(grant -> finish(grant, FinishKind.UNUSED));
+    }
+
+    private void finish(Grant grant, FinishKind kind) {
+        on(finishedEvent(Finished.newBuilder()
+                .setRequest(grant.getRequest())
+                .setGrant(grant.getGrant())
+                .setTarget(grant.getTarget())
+                .setKind(kind)
+                .setFirstTokenMillis(50)
+                .setTotalMillis(1_000)
+                .setAnswerTokens(20)));
+    }
+
+    private static Event finishedEvent(Finished.Builder finished) {
+        return new Event.FromEntry(
+                HOME,
+                Frame.newBuilder()
+                        .setFinished(finished.setSlice(Fixtures.SLICE))
+                        .build());
+    }
+
+    private void fromPeer(Frame.Builder frame) {
+        on(new Event.FromPeer(PEER, frame.build()));
+    }
+
+    private List<Grant> grants() {
+        return sent(Frame::hasGrant).stream().map(Frame::getGrant).toList();
+    }
+
+    private List<Refusal> refused() {
+        return sent(Frame::hasRefusal).stream().map(Frame::getRefusal).toList();
+    }
+
+    private Refusal refusal(long request) {
+        return refused().stream()
+                .filter(refusal -> refusal.getRequest() == request)
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private List<RefusalReason> refusals(long request) {
+        return refused().stream()
+                .filter(refusal -> refusal.getRequest() == request)
+                .map(Refusal::getReason)
+                .toList();
+    }
+
+    private List<Frame> sent(Predicate<Frame> kind) {
+        return actions.stream()
+                .filter(Action.ToEntry.class::isInstance)
+                .map(action -> ((Action.ToEntry) action).frame())
+                .filter(kind)
+                .toList();
+    }
+}
--- /dev/null
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/limit/ConcurrencyLimitTest.java
@@ -0,0 +1,60 @@
+package org.whinwharf.owner.limit;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import org.junit.jupiter.api.Test;
+import org.whinwharf.wire.schema.Limits;
+
+class ConcurrencyLimitTest {
+    private final ConcurrencyLimit limit = new ConcurrencyLimit(
+            Limits.newBuilder().setCold(1).setMost(32).setSlowFactor(2).build());
+
+    @Test
+    void growsByCompletionsOnlyWhileItIsUsedUp() {
+        complete(10, 100, false);
+        assertThat(limit.value(), is(1));
+        complete(10, 100, true);
+        assertThat(limit.value(), is(11));
+    }
+
+    // An engine that is past its best serves everybody slowly; the owner must not wait until it refuses.
+    @Test
+    void stepsBackWhenServiceTimeExceedsTheBestSeen() {
+        complete(31, 100, true);
+        int before = limit.value();
+        complete(60, 300, true);
+        assertThat(limit.value(), lessThan(before));
+        assertThat(limit.value(), greaterThan(1));
+    }
+
+    @Test
+    void halvesOnARefusal() {
+        complete(15, 100, true);
+        limit.refused();
+        assertThat(limit.value(), is(8));
+    }
+
+    // A target lost its caches and weights without a new start number: each answer takes many times longer at once.
+    @Test
+    void fallsToColdOnASuddenStepOfServiceTime() {
+        complete(15, 100, true);
+        complete(2, 1000, true);
+        assertThat(limit.value(), is(1));
+    }
+
+    @Test
+    void growsAgainWhenATargetIsSlowerForGood() {
+        complete(31, 100, true);
+        complete(2000, 250, true);
+        assertThat(limit.value(), greaterThan(4));
+    }
+
+    private void complete(int times, long totalMillis, boolean wasFull) {
+        for (int i = 0; i < times; i++) {
+            limit.completed(new Sample(10, totalMillis, 0, 0, 20), wasFull);
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/pledge/VoterTest.java
@@ -0,0 +1,108 @@
+package org.whinwharf.owner.pledge;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.membership.Membership;
+import org.whinwharf.owner.HomeId;
+import org.whinwharf.owner.Timings;
+import org.whinwharf.wire.message.Pledge;
+import org.whinwharf.wire.message.PledgeRequest;
+import org.whinwharf.wire.message.SliceId;
+import org.whinwharf.wire.schema.Document;
+import org.whinwharf.wire.schema.EntryPorts;
+import org.whinwharf.wire.schema.Host;
+import org.whinwharf.wire.schema.HostList;
+import org.whinwharf.wire.schema.HostState;
+
+class VoterTest {
+    private static final Timings TIMINGS = new Timings(500, 1000, 800, 400, 1000, 200);
+    private static final SliceId SLICE =
+            SliceId.newBuilder().setService("llm").setDataCentre("a").build();
+    private static final PledgeRequest REQUEST =
+            PledgeRequest.newBuilder().addSlices(SLICE).build();
+    private static final Membership MEMBERSHIP = membership();
+    private static final HomeId FIRST = owner(0);
+    private static final HomeId SECOND = owner(1);
+
+    private final Voter voter = new Voter(0);
+
+    // A host is restarted and has forgotten that it pledged to one owner. If it pledged to another at once, both would
+    // count it and send twice what a target bears.
+    @Test
+    void restartedVoterPledgesNothingUntilItsEarlierPledgesHaveRunOut() {
+        assertThat(ask(FIRST, 1000).getRefusedCount(), is(1));
+        assertThat(ask(FIRST, 1001).getSlicesCount(), is(1));
+    }
+
+    @Test
+    void pledgesToOneOwnerAtATimeAndTellsHowLongTheOtherIsGone() {
+        assertThat(ask(SECOND, 2000).getSlicesCount(), is(1));
+        assertThat(ask(FIRST, 2999).getRefusedCount(), is(1));
+        Pledge pledge = ask(FIRST, 3100);
+        assertThat(pledge.getSlicesCount(), is(1));
+        assertThat(pledge.getQuietMillis(0), is(100L));
+    }
+
+    // The host that comes first by the list returns, and the present owner would renew its pledges for ever.
+    @Test
+    void stopsRenewingWhenAnOwnerThatComesFirstAsks() {
+        ask(SECOND, 2000);
+        ask(FIRST, 2100);
+        assertThat(ask(SECOND, 2300).getRefusedCount(), is(1));
+        assertThat(ask(FIRST, 3000).getSlicesCount(), is(1));
+        ask(SECOND, 3100);
+        assertThat(ask(FIRST, 3300).getSlicesCount(), is(1));
+    }
+
+    @Test
+    void cleanReleaseLetsTheNextOwnerStartWithoutWaitingForGrants() {
+        ask(FIRST, 2000);
+        voter.release(FIRST, List.of(SLICE), true, TIMINGS, 2100);
+        Pledge pledge = ask(SECOND, 2110);
+        assertThat(pledge.getSlicesCount(), is(1));
+        assertThat(pledge.getQuietMillis(0), is(10 + TIMINGS.longest(TIMINGS.grantMillis())));
+    }
+
+    @Property
+    void sharesOfSeveralOwnersNeverAddUpToMoreThanTheLimit(
+            @ForAll @IntRange(min = 1, max = 9) int voters,
+            @ForAll @IntRange(max = 9) int one,
+            @ForAll @IntRange(max = 9) int other,
+            @ForAll @IntRange(max = 64) int limit) {
+        int first = Math.min(one, voters);
+        int second = Math.min(other, voters - first);
+        int third = voters - first - second;
+        int sum = new Share(first, voters).of(limit)
+                + new Share(second, voters).of(limit)
+                + new Share(third, voters).of(limit);
+        assertThat(sum, lessThanOrEqualTo(limit));
+        assertThat(new Share(voters, voters).of(limit), is(limit));
+    }
+
+    private Pledge ask(HomeId asker, long nowMillis) {
+        return voter.answer(asker, REQUEST, MEMBERSHIP, TIMINGS, nowMillis);
+    }
+
+    private static HomeId owner(int place) {
+        return new HomeId(MEMBERSHIP.candidates(SLICE).get(place).getName(), 1);
+    }
+
+    private static Membership membership() {
+        HostList.Builder list = HostList.newBuilder();
+        for (String name : new String[] {"s0", "s1", "s2"}) {
+            list.addHosts(Host.newBuilder()
+                    .setName(name)
+                    .setDataCentre("a")
+                    .setState(HostState.LIVE)
+                    .setEntry(EntryPorts.getDefaultInstance()));
+        }
+        return Membership.of(list.build(), Document.getDefaultInstance());
+    }
+}
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
@@ -26,6 +26,7 @@
 /** Queue, pledges and targets of one slice at the process that owns it or is to own it. */
 final class SliceOwner {
     private static final int HARD_BOUND_FACTOR = 2;
+    private static final double NEARLY_FULL = 0.8;
     private static final double OPTIMISM = 0.5;
     private static final long SHORTEST_COME_BACK_MILLIS = 200;
     private static final long DEFAULT_COME_BACK_MILLIS = 1_000;
@@ -265,6 +266,10 @@
             }
             evict(victim, RefusalReason.SHED, nowMillis);
         }
+        // A floor that fell whenever the queue is just not too long would rise again with the next request.
+        if (queue.size() > NEARLY_FULL * bound) {
+            scene.floors().keep(slice.getService(), nowMillis);
+        }
     }
 
     private boolean mayShed(Waiting victim, long nowMillis) {
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/floor/Floors.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/floor/Floors.java
@@ -55,6 +55,19 @@
         return true;
     }
 
+    /**
+     * Keeps a floor up that was raised before; does nothing when there is none.
+     *
+     * @param service the service
+     * @param nowMillis time now
+     */
+    public void keep(String service, long nowMillis) {
+        Raised floor = raised.get(service);
+        if (floor != null) {
+            floor.neededAtMillis = nowMillis;
+        }
+    }
+
     /**
      * Returns the message that raises the floor, for owners that have not cleared yet or must be renewed.
      *
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/limit/TargetAccount.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/limit/TargetAccount.java
@@ -133,7 +133,7 @@
     public boolean isKnown(Timings timings, long nowMillis) {
         return last != null
                 && last.earliestMillis() >= nowMillis - timings.staleLoadMillis()
-                && last.earliestMillis() >= suspectSinceMillis;
+                && last.earliestMillis() > suspectSinceMillis;
     }
 
     /**
@@ -267,7 +267,7 @@
     /** Notes that the target's load could not be read; nothing is granted until it can be. */
     public void unreadable() {
         if (last != null) {
-            suspectSinceMillis = Math.max(suspectSinceMillis, last.earliestMillis() + 1);
+            suspectSinceMillis = Math.max(suspectSinceMillis, last.earliestMillis());
         }
     }
 
