Run the scheduler as a daemon on the node

whinwharf-scheduler has two duties: one decides (owner, voter and floors, fed by links, readings and ticks), one reads load and cache events of the targets of its slices over HTTP.

One reading at a time for each target.

Ruled out: one duty per slice (owners of one service share the floor); Reactor for the HTTP answers (not on the compile path of the client).

A scheduler that says in its heartbeats that it leaves counts as not reachable, so that the next candidate takes its slices at once; before, that candidate refused as long as the link stood.

--- /dev/null
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/LoadPoller.java
@@ -0,0 +1,186 @@
+package org.whinwharf.scheduler.internal;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import com.google.protobuf.Message;
+import com.google.protobuf.util.JsonFormat;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClient;
+import java.net.URL;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.whinwharf.lifecycle.Service;
+import org.whinwharf.owner.Event;
+import org.whinwharf.owner.Rules;
+import org.whinwharf.runtime.duty.Duty;
+import org.whinwharf.runtime.duty.DutyHandler;
+import org.whinwharf.time.Ticker;
+import org.whinwharf.wire.schema.CacheEvents;
+import org.whinwharf.wire.schema.Host;
+import org.whinwharf.wire.schema.ServiceKind;
+import org.whinwharf.wire.schema.TargetLoad;
+
+/** Duty that reads load and cache events of the targets of own slices. */
+public final class LoadPoller implements Service {
+    private static final int RING_SIZE = 64;
+    private static final long CONNECT_MILLIS = 500;
+    private static final long ANSWER_MILLIS = 1_000;
+    private static final int MAX_ANSWER_BYTES = 1 << 20;
+    private static final int POLLS_PER_CACHE_READ = 4;
+
+    private final Ticker ticker;
+    private final EventRing ring;
+    private final HttpClient client;
+    private final Duty<Map<String, Target>> duty;
+    private final Set<String> asked = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Creates the poller.
+     *
+     * @param pollMillis time between two readings of a target
+     * @param ticker clock of this process
+     * @param ring ring of the duty that decides
+     */
+    public LoadPoller(long pollMillis, Ticker ticker, EventRing ring) {
+        this.ticker = ticker;
+        this.ring = ring;
+        this.client = newClient();
+        this.duty = Duty.<Map<String, Target>>builder()
+                .name("load")
+                .handler(new Handler())
+                .ringSize(RING_SIZE)
+                .tickMillis(pollMillis)
+                .call();
+    }
+
+    @Override
+    public void start() {
+        duty.start();
+    }
+
+    @Override
+    public void stop() {
+        duty.stop();
+        client.close();
+    }
+
+    /**
+     * Says which targets to read from now on.
+     *
+     * @param targets targets by name
+     */
+    public void read(Map<String, Target> targets) {
+        duty.offer(Map.copyOf(targets));
+    }
+
+    private static HttpClient newClient() {
+        DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
+        configuration.setConnectTimeout(Duration.ofMillis(CONNECT_MILLIS));
+        configuration.setReadTimeout(Duration.ofMillis(ANSWER_MILLIS));
+        configuration.setMaxContentLength(MAX_ANSWER_BYTES);
+        configuration.setNumOfThreads(1);
+        return HttpClient.create((URL) null, configuration);
+    }
+
+    private void readLoad(String name, Target target) {
+        long askedAtMillis = ticker.nowMillis();
+        get(
+                name + "/load",
+                target.baseUrl() + "/v1/load",
+                body -> {
+                    TargetLoad load = parse(body, TargetLoad.newBuilder()).build();
+                    ring.offer(loop -> loop.run(new Event.LoadRead(name, load, askedAtMillis)));
+                },
+                () -> ring.offer(loop -> loop.run(new Event.LoadFailed(name))));
+    }
+
+    private void readCache(String name, Target target) {
+        get(
+                name + "/cache",
+                target.baseUrl() + "/v1/cache-events?after=" + target.lastCacheEvent(),
+                body -> {
+                    CacheEvents events = parse(body, CacheEvents.newBuilder()).build();
+                    ring.offer(loop -> loop.run(new Event.CacheRead(name, events)));
+                },
+                () -> {
+                    // What was learned before stays good enough; the next reading asks for the same events again.
+                });
+    }
+
+    // One question at a time for each target: one that answers slowly must not gather questions.
+    private void get(String key, String url, Consumer<byte[]> answered, Runnable failed) {
+        if (!asked.add(key)) {
+            return;
+        }
+        client.exchange(HttpRequest.GET(url), byte[].class)
+                .subscribe(new OneAnswer<>(
+                        response -> {
+                            asked.remove(key);
+                            accept(response, answered, failed);
+                        },
+                        () -> {
+                            asked.remove(key);
+                            failed.run();
+                        }));
+    }
+
+    private static void accept(HttpResponse<byte[]> response, Consumer<byte[]> answered, Runnable failed) {
+        byte[] body = response.body();
+        try {
+            answered.accept(body == null ? new byte[0] : body);
+        } catch (IllegalArgumentException malformed) {
+            failed.run();
+        }
+    }
+
+    private static <B extends Message.Builder> B parse(byte[] json, B builder) {
+        try {
+            JsonFormat.parser().ignoringUnknownFields().merge(new String(json, StandardCharsets.UTF_8), builder);
+            return builder;
+        } catch (InvalidProtocolBufferException e) {
+            throw new IllegalArgumentException(e);
+        }
+    }
+
+    /**
+     * Where a target is asked.
+     *
+     * @param baseUrl base URL, by IP number
+     * @param hasCache true for a model engine
+     * @param lastCacheEvent number of the last cache event seen
+     */
+    public record Target(String baseUrl, boolean hasCache, long lastCacheEvent) {
+        static Target of(Host host, Rules rules, long lastCacheEvent) {
+            String url = "http://" + host.getAddress() + ":" + host.getTarget().getPort();
+            ServiceKind kind = rules.service(host.getTarget().getService()).getKind();
+            return new Target(url, kind == ServiceKind.ENGINE, lastCacheEvent);
+        }
+    }
+
+    private final class Handler implements DutyHandler<Map<String, Target>> {
+        private Map<String, Target> targets = new HashMap<>();
+        private int polls;
+
+        @Override
+        public void handle(Map<String, Target> event) {
+            targets = event;
+        }
+
+        @Override
+        public void tick() {
+            boolean cacheToo = polls++ % POLLS_PER_CACHE_READ == 0;
+            targets.forEach((name, target) -> {
+                readLoad(name, target);
+                if (cacheToo && target.hasCache()) {
+                    readCache(name, target);
+                }
+            });
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/SchedulerLog.java
@@ -0,0 +1,108 @@
+package org.whinwharf.scheduler.internal;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.whinwharf.owner.HomeId;
+import org.whinwharf.runtime.log.EventField;
+import org.whinwharf.runtime.log.EventLog;
+import org.whinwharf.runtime.log.LogEvent;
+import org.whinwharf.wire.message.Frame;
+import org.whinwharf.wire.message.Refusal;
+import org.whinwharf.wire.message.SliceId;
+import org.whinwharf.wire.status.SliceState;
+import org.whinwharf.wire.status.TargetState;
+
+/** Log lines of the scheduler. */
+final class SchedulerLog {
+    private final Map<String, Integer> floors = new HashMap<>();
+
+    void sent(HomeId home, Frame frame) {
+        if (frame.hasRefusal()) {
+            Refusal refusal = frame.getRefusal();
+            EventLog.event(LogEvent.SHED)
+                    .with(EventField.REQUEST, Long.toHexString(refusal.getRequest()))
+                    .with(EventField.PEER, home.host())
+                    .with(EventField.SLICE, name(refusal.getSlice()))
+                    .with(EventField.REASON, refusal.getReason().name())
+                    .with(EventField.COME_BACK_MILLIS, refusal.getComeBackMillis())
+                    .call();
+        }
+    }
+
+    void sent(String host, Frame frame) {
+        if (frame.hasFloorRaise()) {
+            int rank = frame.getFloorRaise().getRank();
+            String service = frame.getFloorRaise().getService();
+            if (!Integer.valueOf(rank).equals(floors.put(service, rank))) {
+                EventLog.event(LogEvent.FLOOR_RAISED)
+                        .with(EventField.SERVICE, service)
+                        .with(EventField.FLOOR_RANK, rank)
+                        .with(EventField.PEER, host)
+                        .call();
+            }
+        } else if (frame.hasFloorLower() && floors.remove(frame.getFloorLower().getService()) != null) {
+            EventLog.event(LogEvent.FLOOR_LOWERED)
+                    .with(EventField.SERVICE, frame.getFloorLower().getService())
+                    .with(EventField.PEER, host)
+                    .call();
+        }
+    }
+
+    /** Logs what differs between two surveys. */
+    void changed(List<SliceState> before, List<SliceState> after) {
+        Map<String, SliceState> old = new HashMap<>();
+        before.forEach(state -> old.put(name(state), state));
+        for (SliceState state : after) {
+            SliceState earlier = old.remove(name(state));
+            shareChanged(earlier, state);
+            targetsChanged(earlier, state);
+        }
+        old.forEach((name, state) -> lost(name, "no longer handled here"));
+    }
+
+    private static void shareChanged(SliceState earlier, SliceState state) {
+        double before = earlier == null ? 0 : earlier.getShare();
+        if (before != state.getShare() && state.getShare() > 0) {
+            EventLog.event(LogEvent.SLICE_OWNED)
+                    .with(EventField.SLICE, name(state))
+                    .with(EventField.SHARE, state.getShare())
+                    .call();
+        } else if (before > 0 && state.getShare() == 0) {
+            lost(name(state), "pledges have run out");
+        }
+    }
+
+    private static void lost(String slice, String reason) {
+        EventLog.event(LogEvent.SLICE_LOST)
+                .with(EventField.SLICE, slice)
+                .with(EventField.REASON, reason)
+                .call();
+    }
+
+    private static void targetsChanged(SliceState earlier, SliceState state) {
+        Map<String, String> before = new HashMap<>();
+        if (earlier != null) {
+            earlier.getTargetsList().forEach(target -> before.put(target.getName(), target.getState()));
+        }
+        for (TargetState target : state.getTargetsList()) {
+            String from = before.getOrDefault(target.getName(), "unknown");
+            if (!from.equals(target.getState())) {
+                EventLog.event(LogEvent.TARGET_STATE)
+                        .with(EventField.TARGET, target.getName())
+                        .with(EventField.FROM, from)
+                        .with(EventField.TO, target.getState())
+                        .with(EventField.LIMIT, target.getLimit())
+                        .call();
+            }
+        }
+    }
+
+    private static String name(SliceState state) {
+        return state.getService() + "/" + state.getDataCentre() + "/" + state.getIndex();
+    }
+
+    private static String name(SliceId slice) {
+        return slice.getService() + "/" + slice.getDataCentre() + "/" + slice.getIndex();
+    }
+}
--- /dev/null
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/SchedulerMetrics.java
@@ -0,0 +1,84 @@
+package org.whinwharf.scheduler.internal;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.MultiGauge;
+import io.micrometer.core.instrument.Tags;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import org.whinwharf.owner.Measure;
+import org.whinwharf.wire.status.SliceState;
+import org.whinwharf.wire.status.TargetState;
+import org.whinwharf.wire.status.TierQueue;
+
+/** Metrics of the scheduler. Confined to the duty that decides; the registry itself is read by others. */
+public final class SchedulerMetrics {
+    private static final String PREFIX = "whinwharf.scheduler.";
+
+    private final MeterRegistry registry;
+    private final Map<String, Counter> counters = new HashMap<>();
+    private final MultiGauge waiting;
+    private final MultiGauge share;
+    private final MultiGauge limit;
+    private final MultiGauge inFlight;
+
+    /**
+     * Creates the metrics.
+     *
+     * @param registry where they go
+     */
+    public SchedulerMetrics(MeterRegistry registry) {
+        this.registry = registry;
+        waiting = gauge("waiting", "Requests that wait, by slice and tier rank");
+        share = gauge("share", "Share of the slice's capacity that this scheduler may use, from 0 to 1");
+        limit = gauge("target.limit", "Requests in flight that the target is believed to bear");
+        inFlight = gauge("target.in.flight", "Granted requests that have not ended, by target");
+    }
+
+    void count(Measure measure, String label) {
+        counters.computeIfAbsent(measure + "/" + label, key -> newCounter(measure, label))
+                .increment();
+    }
+
+    void update(List<SliceState> states) {
+        List<MultiGauge.Row<?>> waitingRows = new ArrayList<>();
+        List<MultiGauge.Row<?>> shareRows = new ArrayList<>();
+        List<MultiGauge.Row<?>> limitRows = new ArrayList<>();
+        List<MultiGauge.Row<?>> inFlightRows = new ArrayList<>();
+        for (SliceState state : states) {
+            Tags tags = Tags.of(
+                    "service",
+                    state.getService(),
+                    "data_centre",
+                    state.getDataCentre(),
+                    "index",
+                    Integer.toString(state.getIndex()));
+            shareRows.add(MultiGauge.Row.of(tags, state.getShare()));
+            for (TierQueue queue : state.getQueuesList()) {
+                Tags tier = tags.and("tier_rank", Integer.toString(queue.getTierRank()));
+                waitingRows.add(MultiGauge.Row.of(tier, queue.getWaiting()));
+            }
+            for (TargetState target : state.getTargetsList()) {
+                Tags one = Tags.of("target", target.getName());
+                limitRows.add(MultiGauge.Row.of(one, target.getLimit()));
+                inFlightRows.add(MultiGauge.Row.of(one, target.getInFlight()));
+            }
+        }
+        waiting.register(waitingRows, true);
+        share.register(shareRows, true);
+        limit.register(limitRows, true);
+        inFlight.register(inFlightRows, true);
+    }
+
+    private Counter newCounter(Measure measure, String label) {
+        String name = measure.name().toLowerCase(Locale.ROOT).replace('_', '.');
+        return Counter.builder(PREFIX + name).tag("label", label).register(registry);
+    }
+
+    private MultiGauge gauge(String name, String description) {
+        return MultiGauge.builder(PREFIX + name).description(description).register(registry);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/SchedulerSpans.java
@@ -0,0 +1,87 @@
+package org.whinwharf.scheduler.internal;
+
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+import io.opentelemetry.api.trace.Tracer;
+import java.util.HashMap;
+import java.util.Map;
+import org.whinwharf.owner.HomeId;
+import org.whinwharf.runtime.node.Node;
+import org.whinwharf.runtime.trace.TraceParent;
+import org.whinwharf.wire.message.Frame;
+
+/** Spans of requests while they wait here. Confined to the duty that decides. */
+final class SchedulerSpans {
+    private static final int MOST = 65_536;
+
+    private final Node node;
+    private final Map<Key, Span> waiting = new HashMap<>();
+    private Tracer tracer;
+
+    SchedulerSpans(Node node) {
+        this.node = node;
+    }
+
+    void received(HomeId home, Frame frame) {
+        if (frame.hasEnqueue() && !frame.getTraceParent().isEmpty() && waiting.size() < MOST) {
+            Span span = tracer().spanBuilder("schedule")
+                    .setParent(TraceParent.context(frame.getTraceParent()))
+                    .setSpanKind(SpanKind.SERVER)
+                    .setAttribute("tier_rank", frame.getEnqueue().getTierRank())
+                    .startSpan();
+            Span earlier = waiting.put(new Key(home, frame.getEnqueue().getRequest()), span);
+            if (earlier != null) {
+                earlier.end();
+            }
+        } else if (frame.hasWithdraw()) {
+            end(new Key(home, frame.getWithdraw().getRequest()), "withdrawn");
+        }
+    }
+
+    /** Ends the span of a request that is granted or refused; its identity goes with the answer. */
+    Frame sending(HomeId home, Frame frame) {
+        if (frame.hasGrant()) {
+            Key key = new Key(home, frame.getGrant().getRequest());
+            return with(frame, end(key, "granted " + frame.getGrant().getTarget()));
+        }
+        if (frame.hasRefusal()) {
+            Key key = new Key(home, frame.getRefusal().getRequest());
+            return with(frame, end(key, frame.getRefusal().getReason().name()));
+        }
+        return frame;
+    }
+
+    void lost(HomeId home) {
+        waiting.entrySet().removeIf(entry -> {
+            boolean lost = entry.getKey().home().equals(home);
+            if (lost) {
+                entry.getValue().end();
+            }
+            return lost;
+        });
+    }
+
+    private Span end(Key key, String outcome) {
+        Span span = waiting.remove(key);
+        if (span != null) {
+            span.setAttribute("outcome", outcome);
+            span.end();
+        }
+        return span;
+    }
+
+    private static Frame with(Frame frame, Span span) {
+        return span == null
+                ? frame
+                : frame.toBuilder().setTraceParent(TraceParent.of(span)).build();
+    }
+
+    private Tracer tracer() {
+        if (tracer == null) {
+            tracer = node.tracer();
+        }
+        return tracer;
+    }
+
+    private record Key(HomeId home, long request) {}
+}
--- /dev/null
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Threads, links and HTTP around the scheduler's decisions. */
+package org.whinwharf.scheduler.internal;
--- a/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/package-info.java
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/package-info.java
@@ -1,2 +1,2 @@
-/** Scheduler daemon: owns slices of targets and grants their slots. */
+/** Scheduler daemon: owner of slices of targets, voter for others' slices. */
 package org.whinwharf.scheduler;
--- a/org.whinwharf.test/src/test/java/org/whinwharf/owner/FleetModel.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/FleetModel.java
@@ -222,7 +222,7 @@
             frozenUntilMillis = 0;
             core = new SchedulerCore(id, Placement.SCORE, clock());
             if (membership != null) {
-                event(new Event.Viewed(membership, document));
+                event(new Event.Viewed(membership, Rules.of(document)));
             }
             linkAll();
         }
@@ -231,7 +231,7 @@
             awake(() -> {
                 if (membership == null || newer.revision() > membership.revision()) {
                     membership = newer;
-                    event(new Event.Viewed(newer, document));
+                    event(new Event.Viewed(newer, Rules.of(document)));
                 }
             });
         }
--- a/org.whinwharf.test/src/test/java/org/whinwharf/owner/SchedulerCoreTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/SchedulerCoreTest.java
@@ -239,7 +239,7 @@
     }
 
     private void view() {
-        on(new Event.Viewed(Fixtures.membership(++revision, document, hosts, targets), document));
+        on(new Event.Viewed(Fixtures.membership(++revision, document, hosts, targets), Rules.of(document)));
     }
 
     private void on(Event event) {
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/Event.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/Event.java
@@ -3,7 +3,6 @@
 import org.whinwharf.membership.Membership;
 import org.whinwharf.wire.message.Frame;
 import org.whinwharf.wire.schema.CacheEvents;
-import org.whinwharf.wire.schema.Document;
 import org.whinwharf.wire.schema.TargetLoad;
 
 /** What can happen to a scheduler. */
@@ -49,9 +48,9 @@
      * A new host list or document is in force.
      *
      * @param membership view of both
-     * @param document the document, absent values filled in
+     * @param rules what the document says
      */
-    record Viewed(Membership membership, Document document) implements Event {}
+    record Viewed(Membership membership, Rules rules) implements Event {}
 
     /**
      * A target's load was read.
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/Scene.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/Scene.java
@@ -13,9 +13,7 @@
 import org.whinwharf.owner.pledge.Views;
 import org.whinwharf.wire.message.Frame;
 import org.whinwharf.wire.message.SliceId;
-import org.whinwharf.wire.schema.Document;
 import org.whinwharf.wire.schema.ServiceSpec;
-import org.whinwharf.wire.schema.Tier;
 
 /** What all slices of one process share. */
 final class Scene {
@@ -30,10 +28,7 @@
     private final Map<HomeId, Long> homeClocks = new HashMap<>();
     private final Set<String> reachable = new HashSet<>();
     private List<Action> actions = new ArrayList<>();
-    private Document document;
-    private Timings timings;
-    private Map<String, ServiceSpec> services = Map.of();
-    private int lowestRank;
+    private Rules rules;
     private boolean leaving;
     private long nextGrant;
 
@@ -71,11 +66,11 @@
     }
 
     Timings timings() {
-        return timings;
+        return rules.timings();
     }
 
     boolean isReady() {
-        return document != null;
+        return rules != null;
     }
 
     boolean isLeaving() {
@@ -91,24 +86,16 @@
     }
 
     int lowestRank() {
-        return lowestRank;
+        return rules.lowestRank();
     }
 
     ServiceSpec service(String name) {
-        return services.getOrDefault(name, ServiceSpec.getDefaultInstance());
-    }
-
-    void update(Membership membership, Document newDocument, long nowMillis) {
-        document = newDocument;
-        timings = Timings.of(newDocument.getTiming());
-        Map<String, ServiceSpec> byName = new HashMap<>();
-        newDocument.getServicesList().forEach(service -> byName.put(service.getName(), service));
-        services = byName;
-        lowestRank = newDocument.getTiersList().stream()
-                .mapToInt(Tier::getRank)
-                .min()
-                .orElse(0);
-        views.update(membership, timings, nowMillis);
+        return rules.service(name);
+    }
+
+    void update(Membership membership, Rules newRules, long nowMillis) {
+        rules = newRules;
+        views.update(membership, rules.timings(), nowMillis);
     }
 
     void release(SliceId slice, long nowMillis) {
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SchedulerCore.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SchedulerCore.java
@@ -181,7 +181,7 @@
     }
 
     private void viewed(Event.Viewed viewed, long nowMillis) {
-        scene.update(viewed.membership(), viewed.document(), nowMillis);
+        scene.update(viewed.membership(), viewed.rules(), nowMillis);
         voter.prune(viewed.membership(), nowMillis);
         for (SliceId slice : viewed.membership().slices()) {
             boolean first = viewed.membership()
@@ -240,6 +240,12 @@
                                         scene.membership(),
                                         scene.timings(),
                                         nowMillis)));
+            case HEARTBEAT -> {
+                // Entries ask the next candidate once this one leaves; it must not wait for the link to go down.
+                if (frame.getHeartbeat().getLeaving()) {
+                    scene.reachable().remove(scheduler.host());
+                }
+            }
             case PLEDGE -> pledged(scheduler.host(), frame.getPledge(), nowMillis);
             case PLEDGE_RELEASE ->
                 voter.release(
