--- /dev/null
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/package-info.java
@@ -0,0 +1,2 @@
+/** What the commands share: terminal, reports, files and HTTP. */
+package org.whinwharf.pgm.internal;
--- a/org.whinwharf/src/main/java/org/whinwharf/document/DocumentReader.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/document/DocumentReader.java
@@ -7,6 +7,7 @@
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.zip.GZIPInputStream;
 import org.whinwharf.document.internal.DocumentRules;
@@ -32,6 +33,8 @@
      */
     static final int MAX_UNPACKED_BYTES = 8_000_000;
 
+    private static final Comparator<Fault> BY_PLACE =
+            Comparator.comparingInt(Fault::line).thenComparingInt(Fault::column);
     private static final int GZIP_FIRST = 0x1f;
     private static final int GZIP_SECOND = 0x8b;
 
@@ -69,6 +72,7 @@
         if (!byMeaning.isEmpty()) {
             faults.addAll(Positions.locate(byMeaning, json));
         }
+        faults.sort(BY_PLACE);
         return result(document, faults);
     }
 
