Decide and send orders to engines from one steward for each target

Cause: engines are to hold what the document says, without any written state, while stewards are replaced, freeze and hold lists of different age, and the weight store bears only so many loads a second over the whole fleet.

Change: org.whinwharf.order decides. The number is the list's revision and never falls. Orders go out only while the list is fresh by the own clock, asked again right before the sending. Engines that ignore numbers wait until the earlier steward's lag, freshness and last order have certainly passed, and again after a gap in the revisions. Each order states how the engine is to be, one at a time, with a reading after it.

Conclusion: decisions stand; the daemon is not yet tested end to end. Whether each test fails without its mechanism is tried next.

--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
@@ -204,6 +204,15 @@
         return snapshot.membership();
     }
 
+    /**
+     * Returns when the last successful read of the host list was begun: what it says is at most that old.
+     *
+     * @return monotonic clock; empty when there was none
+     */
+    public OptionalLong listHeardAtMillis() {
+        return snapshot.listHeardAtMillis();
+    }
+
     /**
      * Returns how old the knowledge of the host list may be.
      *
--- /dev/null
+++ b/org.whinwharf.steward/src/main/java/org/whinwharf/steward/StewardDaemon.java
@@ -0,0 +1,114 @@
+package org.whinwharf.steward;
+
+import java.util.concurrent.CompletableFuture;
+import org.whinwharf.document.DocumentView;
+import org.whinwharf.membership.Membership;
+import org.whinwharf.runtime.command.Daemon;
+import org.whinwharf.runtime.duty.Duty;
+import org.whinwharf.runtime.duty.DutyHandler;
+import org.whinwharf.runtime.node.Node;
+import org.whinwharf.runtime.node.NodeListener;
+import org.whinwharf.steward.internal.EngineClient;
+import org.whinwharf.steward.internal.OrderDesk;
+import org.whinwharf.steward.internal.StewardMetrics;
+import org.whinwharf.wire.message.Role;
+import org.whinwharf.wire.schema.StewardSettings;
+
+/** Daemon that orders the engines whose steward this host is. */
+public final class StewardDaemon implements Daemon {
+    private static final int RING_SIZE = 1_024;
+    private static final long TICK_MILLIS = 50;
+    private static final long LIST_WAIT_MILLIS = 1_500;
+
+    private final Node node;
+    private final EngineClient engines;
+    private final OrderDesk desk;
+    private final Duty<Runnable> duty;
+
+    /**
+     * Makes a steward. Opens no port.
+     *
+     * @param settings checked settings
+     */
+    public StewardDaemon(StewardSettings settings) {
+        node = Node.builder()
+                .settings(settings.getNode())
+                .role(Role.STEWARD)
+                .listWaitMillis(LIST_WAIT_MILLIS)
+                .listener(new Changes())
+                .status(status -> status.addAllEngines(desk().status()))
+                .call();
+        engines = new EngineClient(settings.getOrderMillis());
+        StewardMetrics metrics = new StewardMetrics(node.registry());
+        desk = new OrderDesk(settings, node, engines, metrics, this::hand);
+        metrics.bindStates(() -> desk().status());
+        duty = Duty.<Runnable>builder()
+                .name("orders")
+                .handler(new Handler())
+                .ringSize(RING_SIZE)
+                .tickMillis(TICK_MILLIS)
+                .call();
+    }
+
+    @Override
+    public void start() {
+        duty.start();
+        node.start();
+    }
+
+    @Override
+    public CompletableFuture<Void> leave() {
+        node.leave();
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        hand(() -> desk.leave(drained));
+        return drained;
+    }
+
+    @Override
+    public void stop() {
+        node.stop();
+        duty.stop();
+        engines.stop();
+    }
+
+    /**
+     * Returns the port of the operators' server.
+     *
+     * @return TCP port; call after the start
+     */
+    public int adminPort() {
+        return node.adminPort();
+    }
+
+    private OrderDesk desk() {
+        return desk;
+    }
+
+    private void hand(Runnable work) {
+        duty.offer(work);
+    }
+
+    private final class Handler implements DutyHandler<Runnable> {
+        @Override
+        public void handle(Runnable work) {
+            work.run();
+        }
+
+        @Override
+        public void tick() {
+            desk.tick();
+        }
+    }
+
+    private final class Changes implements NodeListener {
+        @Override
+        public void documentChanged(DocumentView document) {
+            hand(desk()::update);
+        }
+
+        @Override
+        public void membershipChanged(Membership membership) {
+            hand(desk()::update);
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.steward/src/main/java/org/whinwharf/steward/internal/StewardMetrics.java
@@ -0,0 +1,58 @@
+package org.whinwharf.steward.internal;
+
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Supplier;
+import org.whinwharf.order.OrderKind;
+import org.whinwharf.order.OrderOutcome;
+import org.whinwharf.order.Withheld;
+import org.whinwharf.wire.status.EngineStatus;
+
+/** Counts the steward's orders. */
+public final class StewardMetrics {
+    private static final List<String> STATES = List.of("in-step", "ordered", "waiting", "unreachable");
+
+    private final MeterRegistry registry;
+
+    /**
+     * Makes metrics.
+     *
+     * @param registry where they go
+     */
+    public StewardMetrics(MeterRegistry registry) {
+        this.registry = registry;
+    }
+
+    /**
+     * Binds how many engines are in each state.
+     *
+     * @param engines reads the engines of this steward
+     */
+    public void bindStates(Supplier<List<EngineStatus>> engines) {
+        for (String state : STATES) {
+            Gauge.builder("whinwharf.engines", engines, each -> count(each.get(), state))
+                    .tag("state", state)
+                    .description("engines of this steward by state")
+                    .register(registry);
+        }
+    }
+
+    void answered(OrderKind kind, OrderOutcome outcome) {
+        registry.counter("whinwharf.orders", "kind", name(kind), "outcome", name(outcome))
+                .increment();
+    }
+
+    void withheld(Withheld reason) {
+        registry.counter("whinwharf.orders.withheld", "reason", name(reason)).increment();
+    }
+
+    private static double count(List<EngineStatus> engines, String state) {
+        return engines.stream().filter(each -> each.getState().equals(state)).count();
+    }
+
+    private static String name(Enum<?> value) {
+        return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- /dev/null
+++ b/org.whinwharf.steward/src/main/java/org/whinwharf/steward/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Sends the steward's orders and reads engines. */
+package org.whinwharf.steward.internal;
--- /dev/null
+++ b/org.whinwharf/src/main/java/org/whinwharf/order/EngineGoal.java
@@ -0,0 +1,120 @@
+package org.whinwharf.order;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.whinwharf.document.DocumentView;
+import org.whinwharf.wire.schema.Deployment;
+import org.whinwharf.wire.schema.EngineState;
+import org.whinwharf.wire.schema.Host;
+import org.whinwharf.wire.schema.LoadedModel;
+import org.whinwharf.wire.schema.Model;
+
+/**
+ * What the document wants of one engine: the models of all deployments that describe it, and the role that the most
+ * specific of them names.
+ *
+ * @param models models with version and adapters
+ * @param role role
+ */
+public record EngineGoal(List<Model> models, String role) {
+    private static final String DEFAULT_ROLE = "mixed";
+
+    /**
+     * Copies the models.
+     *
+     * @param models models with version and adapters
+     * @param role role
+     */
+    public EngineGoal {
+        models = List.copyOf(models);
+    }
+
+    /**
+     * Reads the goal of an engine from the document.
+     *
+     * @param document document in force
+     * @param target the engine
+     * @return goal; empty when no deployment describes the engine, which is then left as it is
+     */
+    public static Optional<EngineGoal> of(DocumentView document, Host target) {
+        List<Deployment> matching = document.deployments(target.getTarget().getService()).stream()
+                .filter(deployment -> describes(deployment, target))
+                .toList();
+        if (matching.isEmpty()) {
+            return Optional.empty();
+        }
+        Set<String> names = new LinkedHashSet<>();
+        matching.forEach(deployment -> names.addAll(deployment.getModelsList()));
+        List<Model> models =
+                names.stream().flatMap(name -> document.model(name).stream()).toList();
+        Deployment specific = matching.stream()
+                .max(Comparator.comparingInt(EngineGoal::specificity))
+                .orElseThrow();
+        return Optional.of(new EngineGoal(models, orMixed(specific.getRole())));
+    }
+
+    /**
+     * Finds what an engine lacks.
+     *
+     * @param state state of the engine
+     * @return steps in the order in which they are to be taken; empty when the engine is as the document wants it
+     */
+    public List<OrderStep> steps(EngineState state) {
+        List<OrderStep> steps = new ArrayList<>();
+        if (!orMixed(state.getRole()).equals(role)) {
+            steps.add(OrderStep.role(role));
+        }
+        // Dropped before others are loaded, so that there is room for them.
+        state.getModelsList().stream()
+                .map(LoadedModel::getName)
+                .filter(name ->
+                        models.stream().noneMatch(model -> model.getName().equals(name)))
+                .forEach(name -> steps.add(OrderStep.unload(name)));
+        models.stream().filter(model -> !isLoaded(model, state)).forEach(model -> steps.add(OrderStep.load(model)));
+        return steps;
+    }
+
+    /**
+     * Tells how much an engine needs its next load.
+     *
+     * @param state state of the engine
+     * @return need
+     */
+    public LoadNeed need(EngineState state) {
+        if (state.getModelsCount() == 0) {
+            return LoadNeed.SERVES_NOTHING;
+        }
+        Set<String> loaded = new LinkedHashSet<>();
+        state.getModelsList().forEach(model -> loaded.add(model.getName()));
+        boolean missing = models.stream().anyMatch(model -> !loaded.contains(model.getName()));
+        return missing ? LoadNeed.MODEL_MISSING : LoadNeed.OTHER_VERSION;
+    }
+
+    private static boolean describes(Deployment deployment, Host target) {
+        boolean here = deployment.getDataCentre().isEmpty()
+                || deployment.getDataCentre().equals(target.getDataCentre());
+        boolean such = deployment.getHardware().isEmpty()
+                || deployment.getHardware().equals(target.getTarget().getHardware());
+        return here && such;
+    }
+
+    private static int specificity(Deployment deployment) {
+        int hardware = deployment.getHardware().isEmpty() ? 0 : 2;
+        return hardware + (deployment.getDataCentre().isEmpty() ? 0 : 1);
+    }
+
+    private static boolean isLoaded(Model model, EngineState state) {
+        return state.getModelsList().stream()
+                .anyMatch(loaded -> loaded.getName().equals(model.getName())
+                        && loaded.getVersion().equals(model.getVersion())
+                        && Set.copyOf(loaded.getAdaptersList()).equals(Set.copyOf(model.getAdaptersList())));
+    }
+
+    private static String orMixed(String role) {
+        return role.isEmpty() ? DEFAULT_ROLE : role;
+    }
+}
--- /dev/null
+++ b/org.whinwharf/src/main/java/org/whinwharf/order/StewardCore.java
@@ -0,0 +1,264 @@
+package org.whinwharf.order;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeMap;
+import org.whinwharf.document.DocumentView;
+import org.whinwharf.membership.Membership;
+import org.whinwharf.order.internal.EngineWatch;
+import org.whinwharf.order.internal.Tenure;
+import org.whinwharf.wire.schema.EngineState;
+import org.whinwharf.wire.schema.Host;
+import org.whinwharf.wire.schema.HostState;
+import org.whinwharf.wire.schema.ServiceKind;
+import org.whinwharf.wire.schema.ServiceSpec;
+import org.whinwharf.wire.status.EngineStatus;
+
+/**
+ * Decides what one steward reads and orders.
+ *
+ * <p>Stewards do not talk to each other. Two that hold different lists both take themselves for the steward of a
+ * target: where the engine checks fencing numbers, the one with the later list wins, since its number is higher. Where
+ * the engine ignores them, the later one waits until the earlier one has certainly stopped: the earlier one orders only
+ * while its list is fresh by its own clock.
+ *
+ * <p>Holds no clock, socket or thread. Not safe for use by several threads.
+ */
+public final class StewardCore {
+    /** Longest time from a decision to the sending of its order. */
+    public static final long SEND_MILLIS = 500;
+
+    private final String selfHost;
+    private final long orderMillis;
+    private final WeightTurns turns;
+    private final Tenure tenure = new Tenure();
+    private final Map<String, EngineWatch> engines = new TreeMap<>();
+    private Membership membership;
+    private DocumentView document;
+
+    /**
+     * Makes a steward that knows nothing.
+     *
+     * @param selfHost name of this host
+     * @param orderMillis longest that an order may take
+     * @param loadsPerSecond loads that the weight store bears a second, over the whole fleet
+     */
+    public StewardCore(String selfHost, long orderMillis, double loadsPerSecond) {
+        this.selfHost = selfHost;
+        this.orderMillis = orderMillis;
+        this.turns = new WeightTurns(loadsPerSecond);
+    }
+
+    /**
+     * Takes another host list or document.
+     *
+     * @param newMembership hosts
+     * @param newDocument document in force
+     * @param nowMillis monotonic clock
+     */
+    public void update(Membership newMembership, DocumentView newDocument, long nowMillis) {
+        if (membership != null && newMembership.revision() < membership.revision()) {
+            // The fencing number must not fall, or an engine that checks it would refuse every order from here.
+            return;
+        }
+        membership = newMembership;
+        document = newDocument;
+        List<String> all = new ArrayList<>();
+        Map<String, Host> own = new HashMap<>();
+        for (Host target : engineHosts()) {
+            all.add(target.getName());
+            if (isOwn(target)) {
+                own.put(target.getName(), target);
+            }
+        }
+        engines.keySet().retainAll(own.keySet());
+        own.forEach(this::watch);
+        tenure.update(membership.revision(), own.keySet(), nowMillis);
+        turns.targets(all, own.keySet(), nowMillis);
+    }
+
+    /**
+     * Takes a reading of an engine.
+     *
+     * @param target name of the engine
+     * @param state its state
+     * @param nowMillis monotonic clock
+     */
+    public void stateRead(String target, EngineState state, long nowMillis) {
+        find(target).ifPresent(engine -> engine.stateRead(state, nowMillis));
+    }
+
+    /**
+     * Takes the failure of a reading.
+     *
+     * @param target name of the engine
+     * @param reason why, in words
+     */
+    public void readFailed(String target, String reason) {
+        find(target).ifPresent(engine -> engine.readFailed(reason));
+    }
+
+    /**
+     * Takes what became of an order.
+     *
+     * @param target name of the engine
+     * @param outcome what became of it
+     * @param nowMillis monotonic clock
+     */
+    public void answered(String target, OrderOutcome outcome, long nowMillis) {
+        find(target).ifPresent(engine -> engine.answered(outcome, nowMillis, orderMillis));
+    }
+
+    /**
+     * Decides what to do now.
+     *
+     * @param nowMillis monotonic clock
+     * @param unixMillis wall clock; it only places turns at the weight store
+     * @param listHeardAtMillis monotonic clock when the host list was last asked for successfully; empty for never
+     * @return readings and orders
+     */
+    public List<StewardAction> tick(long nowMillis, long unixMillis, OptionalLong listHeardAtMillis) {
+        List<StewardAction> actions = new ArrayList<>();
+        if (membership == null) {
+            return actions;
+        }
+        if (isFresh(nowMillis, listHeardAtMillis)) {
+            order(nowMillis, unixMillis, actions);
+        }
+        for (EngineWatch engine : engines.values()) {
+            if (engine.takeRead(nowMillis)) {
+                actions.add(new StewardAction.ReadState(engine.target()));
+            }
+        }
+        return actions;
+    }
+
+    /**
+     * Tells right before the sending whether an order may still be sent.
+     *
+     * <p>The process may have been paused since the decision. When it wakes it still believes what it decided; only its
+     * own clock tells that others have gone on.
+     *
+     * @param order the order
+     * @param nowMillis monotonic clock, read for this call
+     * @param listHeardAtMillis monotonic clock when the host list was last asked for successfully; empty for never
+     * @return why not; empty when it may be sent
+     */
+    public Optional<Withheld> withheld(PlannedOrder order, long nowMillis, OptionalLong listHeardAtMillis) {
+        if (nowMillis - order.plannedAtMillis() > SEND_MILLIS) {
+            return Optional.of(Withheld.TOO_LATE);
+        }
+        if (!isFresh(nowMillis, listHeardAtMillis)) {
+            return Optional.of(Withheld.LIST_STALE);
+        }
+        if (order.fencingNumber() != membership.revision()) {
+            return Optional.of(Withheld.LIST_CHANGED);
+        }
+        return order.generation() == document.generation() ? Optional.empty() : Optional.of(Withheld.DOCUMENT_CHANGED);
+    }
+
+    /**
+     * Describes the engines of this steward to operators.
+     *
+     * @return one entry for each
+     */
+    public List<EngineStatus> status() {
+        return engines.values().stream().map(this::status).toList();
+    }
+
+    private EngineStatus status(EngineWatch engine) {
+        return EngineStatus.newBuilder()
+                .setTarget(engine.target().getName())
+                .setState(engine.stateName())
+                .setFencingNumber(membership.revision())
+                .addAllMissing(engine.steps().stream().map(OrderStep::text).toList())
+                .build();
+    }
+
+    private void order(long nowMillis, long unixMillis, List<StewardAction> actions) {
+        List<EngineWatch> loads = new ArrayList<>();
+        for (EngineWatch engine : engines.values()) {
+            if (!mayOrder(engine, nowMillis)) {
+                continue;
+            }
+            Optional<OrderStep> step = engine.nextStep(membership.revision(), nowMillis);
+            if (step.isPresent() && step.get().kind().readsWeights()) {
+                loads.add(engine);
+            } else {
+                step.ifPresent(each -> actions.add(plan(engine, each, nowMillis)));
+            }
+        }
+        loads.sort(this::compareNeed);
+        for (EngineWatch neediest : loads) {
+            if (!turns.take(nowMillis, unixMillis)) {
+                return;
+            }
+            neediest.nextStep(membership.revision(), nowMillis)
+                    .ifPresent(step -> actions.add(plan(neediest, step, nowMillis)));
+        }
+    }
+
+    private StewardAction plan(EngineWatch engine, OrderStep step, long nowMillis) {
+        PlannedOrder order =
+                new PlannedOrder(engine.target(), step, membership.revision(), document.generation(), nowMillis);
+        engine.sent(order);
+        return new StewardAction.SendOrder(order);
+    }
+
+    private boolean mayOrder(EngineWatch engine, long nowMillis) {
+        Host target = engine.target();
+        boolean checks = document.service(target.getTarget().getService())
+                .map(ServiceSpec::getChecksFencing)
+                .orElse(false);
+        long takeoverMillis = StewardBounds.of(document.timing(), orderMillis).takeoverMillis();
+        return checks || tenure.millis(target.getName(), nowMillis) >= takeoverMillis;
+    }
+
+    private int compareNeed(EngineWatch one, EngineWatch other) {
+        return Comparator.comparing((EngineWatch engine) ->
+                        !membership.isInService(engine.target().getDataCentre()))
+                .thenComparing(EngineWatch::need)
+                .thenComparing(engine -> engine.target().getName())
+                .compare(one, other);
+    }
+
+    private boolean isFresh(long nowMillis, OptionalLong listHeardAtMillis) {
+        return listHeardAtMillis.isPresent() && nowMillis - listHeardAtMillis.getAsLong() <= StewardBounds.FRESH_MILLIS;
+    }
+
+    private Set<Host> engineHosts() {
+        Set<Host> hosts = new HashSet<>();
+        membership.slices().forEach(slice -> {
+            if (document.service(slice.getService())
+                    .filter(service -> service.getKind() == ServiceKind.ENGINE)
+                    .isPresent()) {
+                hosts.addAll(membership.targets(slice));
+            }
+        });
+        return hosts;
+    }
+
+    private boolean isOwn(Host target) {
+        return target.getState() == HostState.LIVE
+                && EngineGoal.of(document, target).isPresent()
+                && Stewards.stewardOf(target, membership)
+                        .filter(host -> host.getName().equals(selfHost))
+                        .isPresent();
+    }
+
+    private void watch(String name, Host target) {
+        EngineWatch engine = engines.computeIfAbsent(name, key -> new EngineWatch(target));
+        engine.update(target, EngineGoal.of(document, target).orElseThrow());
+    }
+
+    private Optional<EngineWatch> find(String target) {
+        return Optional.ofNullable(engines.get(target));
+    }
+}
--- /dev/null
+++ b/org.whinwharf/src/main/java/org/whinwharf/order/internal/package-info.java
@@ -0,0 +1,2 @@
+/** Parts of the steward's decisions. */
+package org.whinwharf.order.internal;
