Give every host of the entry tests a scheduler

Cause: the third host of the fixture owned a slice but ran no scheduler, so requests waited for an owner that never came. The fixture now starts one on each host; no check was changed.

Ruled out: a fault in the daemon; waiting for the owner that the list names is what it is meant to do.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
@@ -15,6 +15,8 @@
 import java.util.function.BooleanSupplier;
 import org.whinwharf.document.Credentials;
 import org.whinwharf.standin.Main;
+import org.whinwharf.wire.message.Finished;
+import org.whinwharf.wire.message.RefusalReason;
 import org.whinwharf.wire.schema.EntryPorts;
 import org.whinwharf.wire.schema.EntrySettings;
 import org.whinwharf.wire.schema.Host;
@@ -41,6 +43,7 @@
 
     final GrantingScheduler scheduler = new GrantingScheduler(ONE, List.of(ENGINE, PLAIN));
     final GrantingScheduler otherScheduler = new GrantingScheduler(TWO, List.of(ENGINE, PLAIN));
+    final GrantingScheduler thirdScheduler = new GrantingScheduler(THREE, List.of(ENGINE, PLAIN));
     final EntryDaemon one = new EntryDaemon(settings(ONE));
     final EntryDaemon two = new EntryDaemon(settings(TWO));
     final HttpClient client =
@@ -68,12 +71,37 @@
         startStandIns(directory);
         scheduler.start();
         otherScheduler.start();
+        thirdScheduler.start();
         one.start();
         two.start();
         until("ready", () -> get(ONE, "/v1/addresses").statusCode() == 200);
         until("ready", () -> get(TWO, "/v1/addresses").statusCode() == 200);
     }
 
+    /** Lets all schedulers grant again. */
+    void grantAll() {
+        refuseAll(null);
+        schedulers().forEach(each -> each.silent = false);
+    }
+
+    /** Makes all schedulers refuse with one reason. */
+    void refuseAll(RefusalReason reason) {
+        schedulers().forEach(each -> each.refusal = reason);
+    }
+
+    /** Makes no scheduler answer. */
+    void silenceAll() {
+        schedulers().forEach(each -> each.silent = true);
+    }
+
+    List<Finished> finished() {
+        return schedulers().stream().flatMap(each -> each.finished.stream()).toList();
+    }
+
+    private List<GrantingScheduler> schedulers() {
+        return List.of(scheduler, otherScheduler, thirdScheduler);
+    }
+
     HttpResponse<String> get(Host host, String path) {
         return send(request(host, path).GET().build());
     }
--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryPathTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryPathTest.java
@@ -33,10 +33,7 @@
 
     @AfterEach
     void clearFaults() {
-        fixture.scheduler.refusal = null;
-        fixture.otherScheduler.refusal = null;
-        fixture.scheduler.silent = false;
-        fixture.otherScheduler.silent = false;
+        fixture.grantAll();
         fixture.fault(EntryFixture.ENGINE, "{\"refuse\":false,\"slowFactor\":1}");
     }
 
@@ -117,8 +114,7 @@
 
     @Test
     void shedRequestIsToldWhenToComeBack() throws Exception {
-        fixture.scheduler.refusal = RefusalReason.SHED;
-        fixture.otherScheduler.refusal = RefusalReason.SHED;
+        fixture.refuseAll(RefusalReason.SHED);
         HttpResponse<String> response = fixture.post(EntryFixture.ONE, engineRequest(1, ",\"stream\":true"));
         assertError(response, 503, "shed");
         assertThat(response.headers().firstValue("Retry-After").orElse(""), is("2"));
@@ -150,24 +146,20 @@
     @Test
     void workOfACallerThatWentAwayIsCancelled() throws Exception {
         fixture.fault(EntryFixture.ENGINE, "{\"slowFactor\":20}");
-        int before = fixture.scheduler.finished.size() + fixture.otherScheduler.finished.size();
+        int before = fixture.finished().size();
         CompletableFuture<HttpResponse<java.io.InputStream>> sent = fixture.client.sendAsync(
                 EntryFixture.submission(EntryFixture.ONE, engineRequest(5_000, ",\"stream\":true")),
                 HttpResponse.BodyHandlers.ofInputStream());
         sent.get().body().close();
-        EntryFixture.until(
-                "slot given back",
-                () -> fixture.scheduler.finished.size() + fixture.otherScheduler.finished.size() > before);
-        boolean cancelled = fixture.scheduler.finished.stream().anyMatch(each -> each.getKind() == FinishKind.CANCELLED)
-                || fixture.otherScheduler.finished.stream().anyMatch(each -> each.getKind() == FinishKind.CANCELLED);
+        EntryFixture.until("slot given back", () -> fixture.finished().size() > before);
+        boolean cancelled = fixture.finished().stream().anyMatch(each -> each.getKind() == FinishKind.CANCELLED);
         assertThat(cancelled, is(true));
     }
 
     // A caller goes away while its request waits for a slot. Nothing was sent yet, and nothing may be sent any more.
     @Test
     void waitingRequestOfACallerThatWentAwayIsDropped() throws Exception {
-        fixture.scheduler.silent = true;
-        fixture.otherScheduler.silent = true;
+        fixture.silenceAll();
         try (java.net.Socket socket = new java.net.Socket(
                 EntryFixture.ONE.getAddress(), EntryFixture.ONE.getEntry().getCaller())) {
             String body = engineRequest(1, "");
