Keep answering while callers may hold a stopped host's address

Cause: the stop counted requests of the home, not answers still being written, and closed the port at once, while callers hold the address for some seconds. Now open exchanges are counted until their last byte is written, and the host goes on telling callers to go elsewhere for as long as a list of addresses is good.

Ruled out: counting from the end of the request, since the server may answer before it reads it (a count never came back to zero, seen in EntryStopTest); a listener on the given promise, since the server writes with a void one. Conclusion: no answer is cut off by the stop itself; a caller that ignores how long its list is good still meets a closed port.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
@@ -223,6 +223,7 @@
                     {"name": "orava", "credentials": [{"sha256128": "%s", "tier": "urgent"}]},
                     {"name": "liptov", "credentials": [{"sha256128": "%s", "tier": "urgent"}]}
                   ],
+                  "timing": {"addressesGoodMillis": 1500},
                   "sealingKeys": [{"id": 1, "key": "%s"}]
                 }
                 """.formatted(hash(CREDENTIAL), hash(OTHER_CREDENTIAL), base64(new byte[32]));
--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/internal/IdleGuardTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/internal/IdleGuardTest.java
@@ -14,7 +14,8 @@
 
 class IdleGuardTest {
     private static final long IDLE_MILLIS = 1_000;
-    private final EmbeddedChannel channel = new EmbeddedChannel(new IdleGuard(IDLE_MILLIS));
+    private final Exchanges exchanges = new Exchanges();
+    private final EmbeddedChannel channel = new EmbeddedChannel(new IdleGuard(IDLE_MILLIS, exchanges));
 
     IdleGuardTest() {
         channel.freezeTime();
@@ -43,6 +44,22 @@
         assertThat(channel.isOpen(), is(false));
     }
 
+    // A host is stopped while the last bytes of an answer wait to be written. They count as in flight until they are.
+    @Test
+    void exchangeIsOpenUntilItsAnswerIsWrittenOrItsConnectionGone() {
+        channel.writeInbound(head(), new DefaultLastHttpContent());
+        assertThat(exchanges.count(), is(1));
+        channel.writeAndFlush(new DefaultLastHttpContent(), channel.voidPromise());
+        assertThat(exchanges.count(), is(0));
+        channel.writeInbound(head());
+        channel.writeOutbound(new DefaultLastHttpContent());
+        channel.writeInbound(new DefaultLastHttpContent());
+        assertThat("answered before its end was read", exchanges.count(), is(0));
+        channel.writeInbound(head(), new DefaultLastHttpContent());
+        channel.close();
+        assertThat(exchanges.count(), is(0));
+    }
+
     private static DefaultHttpRequest head() {
         return new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/v1/requests");
     }
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/AddressBook.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/AddressBook.java
@@ -25,7 +25,7 @@
 
     Addresses addresses(DocumentView document, String organisation) {
         return Addresses.newBuilder()
-                .addAllAddresses(others(""))
+                .addAllAddresses(others(node.isLeaving() ? node.settings().getHost() : ""))
                 .setGoodMillis(document.timing().getAddressesGoodMillis())
                 .setTicket(ticket(document, organisation))
                 .setTicketMillis(document.timing().getTicketMillis())
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerConnections.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerConnections.java
@@ -18,10 +18,12 @@
 @Requires(property = AdminServer.SERVER_PROPERTY, value = CallerServer.CALLERS)
 final class CallerConnections implements BeanCreatedEventListener<NettyServerCustomizer.Registry> {
     private final EntrySettings settings;
+    private final Exchanges exchanges;
     private final AtomicInteger open = new AtomicInteger();
 
-    CallerConnections(EntrySettings settings) {
+    CallerConnections(EntrySettings settings, Exchanges exchanges) {
         this.settings = settings;
+        this.exchanges = exchanges;
     }
 
     @Override
@@ -60,7 +62,7 @@
                 return;
             }
             long idleMillis = settings.getIdleMillis();
-            channel.pipeline().addAfter(codec, "caller-idle", new IdleGuard(idleMillis));
+            channel.pipeline().addAfter(codec, "caller-idle", new IdleGuard(idleMillis, exchanges));
             IdleStateHandler idle = new IdleStateHandler(0, 0, idleMillis, TimeUnit.MILLISECONDS);
             channel.pipeline().addAfter(codec, "caller-idle-state", idle);
         }
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerServer.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerServer.java
@@ -22,11 +22,13 @@
 
     private final EntrySettings settings;
     private final CallerRequests requests;
+    private final Exchanges exchanges;
     private ApplicationContext context;
 
-    CallerServer(EntrySettings settings, CallerRequests requests) {
+    CallerServer(EntrySettings settings, CallerRequests requests, Exchanges exchanges) {
         this.settings = settings;
         this.requests = requests;
+        this.exchanges = exchanges;
     }
 
     @Override
@@ -34,6 +36,7 @@
         context = ApplicationContext.builder(properties()).banner(false).build();
         context.registerSingleton(CallerRequests.class, requests);
         context.registerSingleton(EntrySettings.class, settings);
+        context.registerSingleton(Exchanges.class, exchanges);
         context.start();
         context.getBean(EmbeddedServer.class).start();
     }
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
@@ -28,6 +28,7 @@
     private final Ticker ticker = Ticker.system();
     private final HomeDuty home = new HomeDuty(ticker);
     private final Sessions sessions = new Sessions();
+    private final Exchanges exchanges = new Exchanges();
     private final SchedulerLinks schedulers = new SchedulerLinks();
     private final Explanations explanations = new Explanations();
     private final Targets targets = new Targets(ticker, home);
@@ -58,7 +59,7 @@
         Home decisions = new Home(
                 homeSettings(), new NoView(), RoutingPolicy.AFFINITY, RandomSource.XO_RO_SHI_RO_128_PP.create());
         home.attach(decisions, new ActionRunner(parts, decisions));
-        callers = new CallerServer(settings, new CallerRequests(settings, parts));
+        callers = new CallerServer(settings, new CallerRequests(settings, parts), exchanges);
     }
 
     @Override
@@ -120,10 +121,14 @@
     }
 
     private void awaitDrained() {
+        // Callers hold this host's address for a while yet. As long as they may, they are told at once to go elsewhere;
+        // a refused connection would leave them without knowing whether their request ran.
+        long goodMillis = node.document()
+                .map(document -> document.timing().getAddressesGoodMillis())
+                .orElse(0L);
+        long addressEndsMillis = ticker.nowMillis() + goodMillis;
         try {
-            // A request that came in just before the stop needs a moment to show in the counts.
-            TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
-            while (home.liveCount() > 0 || sessions.count() > 0) {
+            while (ticker.nowMillis() < addressEndsMillis || isBusy()) {
                 TimeUnit.MILLISECONDS.sleep(DRAIN_POLL_MILLIS);
             }
         } catch (InterruptedException interrupted) {
@@ -131,6 +136,10 @@
         }
     }
 
+    private boolean isBusy() {
+        return home.liveCount() > 0 || sessions.count() > 0 || exchanges.count() > 0;
+    }
+
     private final class Changes implements NodeListener {
         private DocumentView document;
 
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/IdleGuard.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/IdleGuard.java
@@ -17,33 +17,41 @@
  */
 final class IdleGuard extends ChannelDuplexHandler {
     private final long idleMillis;
+    private final Exchanges exchanges;
     private int awaited;
     private Future<?> receiving;
 
-    IdleGuard(long idleMillis) {
+    IdleGuard(long idleMillis, Exchanges exchanges) {
         this.idleMillis = idleMillis;
+        this.exchanges = exchanges;
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         if (message instanceof HttpRequest) {
+            // Counted from the head on: the server may answer before it has read the end of the request.
+            awaited++;
+            exchanges.began();
             // A sender that drips a byte now and then is never idle, yet holds a connection for ever.
             receiving = context.executor().schedule(() -> context.close(), idleMillis, TimeUnit.MILLISECONDS);
         }
         if (message instanceof LastHttpContent && receiving != null) {
             receiving.cancel(false);
             receiving = null;
-            awaited++;
         }
         super.channelRead(context, message);
     }
 
     @Override
     public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) throws Exception {
-        if (message instanceof LastHttpContent) {
-            awaited = Math.max(0, awaited - 1);
+        if (message instanceof LastHttpContent && awaited > 0) {
+            awaited--;
+            // Counted when it is written, not when it is queued: a planned stop must not cut off the last bytes. The
+            // server writes with a promise that takes no listeners, so another one stands in.
+            super.write(context, message, promise.unvoid().addListener(written -> exchanges.ended(1)));
+        } else {
+            super.write(context, message, promise);
         }
-        super.write(context, message, promise);
     }
 
     @Override
@@ -51,6 +59,8 @@
         if (receiving != null) {
             receiving.cancel(false);
         }
+        exchanges.ended(awaited);
+        awaited = 0;
         super.channelInactive(context);
     }
 
