Count pledges once and walk only organisations that wait

Change: pledges kept as an array for each view until one changes, voters kept by the view, active and idle organisations in two sorted sets, the next request found without a list.

--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/SchedulerLoad.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/SchedulerLoad.java
@@ -12,6 +12,7 @@
 import org.whinwharf.owner.Action;
 import org.whinwharf.owner.Event;
 import org.whinwharf.owner.HomeId;
+import org.whinwharf.owner.Rules;
 import org.whinwharf.owner.SchedulerCore;
 import org.whinwharf.owner.placement.Placement;
 import org.whinwharf.wire.message.Enqueue;
@@ -57,7 +58,7 @@
                 .filter(slice ->
                         membership.wouldBeOwner(slice).orElseThrow().getName().equals(host))
                 .toList();
-        step(new Event.Viewed(membership, size.document()));
+        step(new Event.Viewed(membership, Rules.of(size.document())));
     }
 
     /** Finds the host that owns most slices. */
--- a/org.whinwharf.test/src/test/java/org/whinwharf/owner/QueueOrderTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/QueueOrderTest.java
@@ -90,7 +90,7 @@
     private List<Waiting> serve(int count) {
         List<Waiting> served = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            Waiting next = queue.heads().get(0);
+            Waiting next = queue.next(any -> true).orElseThrow();
             queue.granted(next);
             served.add(next);
         }
--- a/org.whinwharf/src/main/java/org/whinwharf/membership/Membership.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/membership/Membership.java
@@ -48,6 +48,7 @@
     private final Map<String, SliceId> sliceByTarget;
     private final Candidates ordering;
     private final Map<SliceId, List<Host>> candidates = new ConcurrentHashMap<>();
+    private final Map<SliceId, List<Host>> voters = new ConcurrentHashMap<>();
 
     private Membership(HostList list, Document document) {
         revision = list.getRevision();
@@ -233,13 +234,17 @@
      *     many hosts
      */
     public List<Host> voters(SliceId slice) {
+        return voters.computeIfAbsent(slice, this::chooseVoters);
+    }
+
+    private List<Host> chooseVoters(SliceId slice) {
         List<Host> ordered = candidates(slice);
         int local = 0;
         while (local < ordered.size() && ordered.get(local).getDataCentre().equals(slice.getDataCentre())) {
             local++;
         }
         int count = Math.max(FEWEST_VOTERS, Math.min(MOST_VOTERS, local));
-        return ordered.subList(0, Math.min(count, ordered.size()));
+        return List.copyOf(ordered.subList(0, Math.min(count, ordered.size())));
     }
 
     private static boolean live(Host host) {
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
@@ -279,6 +279,9 @@
     }
 
     private void grant(long nowMillis) {
+        if (queue.size() == 0) {
+            return;
+        }
         List<Candidate> candidates = targets.withRoom(nowMillis);
         boolean granted = true;
         while (granted && !candidates.isEmpty()) {
@@ -287,21 +290,22 @@
     }
 
     private boolean grantOne(List<Candidate> candidates, long nowMillis) {
-        for (Waiting waiting : queue.heads()) {
-            List<Candidate> fitting = candidates.stream()
-                    .filter(candidate -> candidate.account().serves(waiting.model()))
-                    .toList();
-            if (!fitting.isEmpty()) {
-                Candidate chosen = scene.placement().choose(fitting, waiting, scene.placementState());
-                grant(waiting, chosen, nowMillis);
-                candidates.remove(chosen);
-                if (chosen.room() > 1) {
-                    candidates.add(chosen.less());
-                }
-                return true;
-            }
+        Optional<Waiting> next = queue.next(waiting ->
+                candidates.stream().anyMatch(candidate -> candidate.account().serves(waiting.model())));
+        if (next.isEmpty()) {
+            return false;
         }
-        return false;
+        Waiting waiting = next.get();
+        List<Candidate> fitting = candidates.stream()
+                .filter(candidate -> candidate.account().serves(waiting.model()))
+                .toList();
+        Candidate chosen = scene.placement().choose(fitting, waiting, scene.placementState());
+        grant(waiting, chosen, nowMillis);
+        candidates.remove(chosen);
+        if (chosen.room() > 1) {
+            candidates.add(chosen.less());
+        }
+        return true;
     }
 
     private void grant(Waiting waiting, Candidate chosen, long nowMillis) {
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/pledge/PledgeBook.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/pledge/PledgeBook.java
@@ -1,18 +1,20 @@
 package org.whinwharf.owner.pledge;
 
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import org.whinwharf.membership.Membership;
 import org.whinwharf.owner.Timings;
 import org.whinwharf.wire.message.SliceId;
-import org.whinwharf.wire.schema.Host;
 
 /** Pledges that one would-be owner has of the voters of one slice. */
 public final class PledgeBook {
     private final SliceId slice;
     private final Views views;
     private final Map<String, Held> held = new HashMap<>();
+    // Shares are asked for many times between two pledges; to look up each voter anew was most of a scheduler's work.
+    private final Map<Membership, Held[]> pledgesByView = new IdentityHashMap<>();
 
     /**
      * Creates an empty book.
@@ -47,11 +49,13 @@
         // Grants of an earlier owner may put requests at a target until then; a load measured earlier may lack them.
         long ripeAtMillis = nowMillis - timings.shortest(quietMillis) + timings.grantRunOutMillis();
         held.put(voter, new Held(untilMillis, ripeAtMillis));
+        pledgesByView.clear();
     }
 
     /** Forgets all pledges, for example after they were given back. */
     public void clear() {
         held.clear();
+        pledgesByView.clear();
     }
 
     /**
@@ -84,19 +88,26 @@
     }
 
     private Share share(Membership view, long measuredAtMillis, long nowMillis) {
-        List<Host> voters = view.voters(slice);
-        if (voters.isEmpty()) {
+        Held[] pledges = pledgesByView.computeIfAbsent(view, this::pledges);
+        if (pledges.length == 0) {
             return Share.NONE;
         }
         int pledged = 0;
-        for (Host voter : voters) {
-            Held pledge = held.get(voter.getName());
-            if (pledge != null && nowMillis < pledge.untilMillis() && pledge.ripeAtMillis() <= measuredAtMillis) {
+        for (Held pledge : pledges) {
+            if (nowMillis < pledge.untilMillis() && pledge.ripeAtMillis() <= measuredAtMillis) {
                 pledged++;
             }
         }
-        return new Share(pledged, voters.size());
+        return new Share(pledged, pledges.length);
     }
 
-    private record Held(long untilMillis, long ripeAtMillis) {}
+    private Held[] pledges(Membership view) {
+        return view.voters(slice).stream()
+                .map(voter -> held.getOrDefault(voter.getName(), Held.NONE))
+                .toArray(Held[]::new);
+    }
+
+    private record Held(long untilMillis, long ripeAtMillis) {
+        private static final Held NONE = new Held(Long.MIN_VALUE, Long.MAX_VALUE);
+    }
 }
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/pledge/Views.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/pledge/Views.java
@@ -22,6 +22,7 @@
 public final class Views {
     private final List<Replaced> replaced = new ArrayList<>();
     private Membership current;
+    private List<Membership> onlyCurrent = List.of();
     private long firstSettledAtMillis;
 
     /**
@@ -39,6 +40,7 @@
             replaced.add(new Replaced(current, settledAtMillis));
         }
         current = membership;
+        onlyCurrent = List.of(membership);
     }
 
     /**
@@ -86,6 +88,9 @@
         if (current == null || measuredAtMillis < firstSettledAtMillis) {
             return List.of();
         }
+        if (replaced.isEmpty()) {
+            return onlyCurrent;
+        }
         List<Membership> counted = new ArrayList<>();
         counted.add(current);
         for (Replaced view : replaced) {
@@ -106,10 +111,12 @@
      */
     public boolean isSettled(String target, SliceId slice, long measuredAtMillis) {
         List<Membership> counted = counted(measuredAtMillis);
-        return !counted.isEmpty()
-                && counted.stream()
-                        .allMatch(view ->
-                                view.sliceOf(target).filter(slice::equals).isPresent());
+        for (Membership view : counted) {
+            if (!view.sliceOf(target).filter(slice::equals).isPresent()) {
+                return false;
+            }
+        }
+        return !counted.isEmpty();
     }
 
     /**
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/queue/SliceQueue.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/queue/SliceQueue.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.whinwharf.owner.HomeId;
 
 /** Requests that wait in one slice: strict tiers, fair inside a tier. */
@@ -65,15 +66,20 @@
     }
 
     /**
-     * Returns requests in the order in which they are to be served: the first one of each organisation, highest tier
-     * first.
+     * Finds the request that is to be served next: the highest tier's, and of it the first one of the organisation that
+     * is furthest behind.
      *
-     * @return requests; empty when none waits
+     * @param passes what the request must satisfy
+     * @return a request; empty when none that is first in its organisation passes
      */
-    public List<Waiting> heads() {
-        List<Waiting> heads = new ArrayList<>();
-        tiers.values().forEach(tier -> heads.addAll(tier.heads()));
-        return heads;
+    public Optional<Waiting> next(Predicate<Waiting> passes) {
+        for (TierQueue tier : tiers.values()) {
+            Optional<Waiting> next = tier.firstHead(passes);
+            if (next.isPresent()) {
+                return next;
+            }
+        }
+        return Optional.empty();
     }
 
     /**
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/queue/TierQueue.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/queue/TierQueue.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Requests of one tier: fair between organisations by predicted cost, and inside an organisation the short ones first,
@@ -19,7 +21,11 @@
     private static final double MILLIS_PER_COST = 5;
 
     private final Map<String, Line> lines = new HashMap<>();
+    // Walked for every grant: organisations with nothing waiting are kept apart, for there may be thousands of them.
+    private final TreeSet<Line> active = new TreeSet<>(Line.ORDER);
+    private final TreeSet<Line> idle = new TreeSet<>(Line.ORDER);
     private double virtualTime;
+    private long cost;
     private int size;
 
     int size() {
@@ -27,16 +33,19 @@
     }
 
     long cost() {
-        return lines.values().stream().mapToLong(line -> line.cost).sum();
+        return cost;
     }
 
     void add(Waiting waiting) {
         Line line = lines.computeIfAbsent(waiting.organisation(), Line::new);
         if (line.waiting.isEmpty()) {
+            idle.remove(line);
             line.virtualTime = Math.max(line.virtualTime, virtualTime);
+            active.add(line);
         }
         if (line.waiting.add(waiting)) {
             line.cost += waiting.cost();
+            cost += waiting.cost();
             size++;
         }
     }
@@ -47,40 +56,43 @@
             return false;
         }
         line.cost -= waiting.cost();
+        cost -= waiting.cost();
         size--;
+        if (line.waiting.isEmpty()) {
+            active.remove(line);
+            idle.add(line);
+        }
         return true;
     }
 
-    /** Returns the first request of each organisation, in the order in which they are to be served. */
-    List<Waiting> heads() {
-        List<Line> active = new ArrayList<>();
-        for (Line line : lines.values()) {
-            if (!line.waiting.isEmpty()) {
-                active.add(line);
+    /**
+     * Returns the next request to be served among the first ones of each organisation that pass; empty when none does.
+     */
+    Optional<Waiting> firstHead(Predicate<Waiting> passes) {
+        for (Line line : active) {
+            Waiting head = line.waiting.first();
+            if (passes.test(head)) {
+                return Optional.of(head);
             }
         }
-        active.sort(Line.ORDER);
-        return active.stream().map(line -> line.waiting.first()).toList();
+        return Optional.empty();
     }
 
-    /** Accounts for a request that was granted. */
+    /** Accounts for a request that was granted and removed. */
     void served(Waiting waiting) {
         Line line = lines.get(waiting.organisation());
         if (line != null) {
             virtualTime = Math.max(virtualTime, line.virtualTime);
-            line.virtualTime += (double) waiting.cost() / Math.max(1, waiting.weight());
+            charge(line, (double) waiting.cost() / Math.max(1, waiting.weight()));
         }
-        // Idle organisations that are not ahead of the tier carry nothing worth keeping; without this the map would
-        // grow
-        // with every organisation ever seen.
-        lines.values().removeIf(idle -> idle.waiting.isEmpty() && idle.virtualTime <= virtualTime);
+        forgetIdle();
     }
 
     /** Returns the request that hurts least to shed: the last one of the organisation that has most waiting. */
     Waiting victim() {
         Line longest = null;
-        for (Line line : lines.values()) {
-            if (!line.waiting.isEmpty() && (longest == null || line.burden() > longest.burden())) {
+        for (Line line : active) {
+            if (longest == null || line.burden() > longest.burden()) {
                 longest = line;
             }
         }
@@ -89,10 +101,26 @@
 
     List<Waiting> all() {
         List<Waiting> all = new ArrayList<>(size);
-        lines.values().forEach(line -> all.addAll(line.waiting));
+        active.forEach(line -> all.addAll(line.waiting));
         return all;
     }
 
+    // A line's place in its set hangs on its virtual time, so it is taken out while that changes.
+    private void charge(Line line, double virtualCost) {
+        TreeSet<Line> place = line.waiting.isEmpty() ? idle : active;
+        place.remove(line);
+        line.virtualTime += virtualCost;
+        place.add(line);
+    }
+
+    // Idle organisations that are not ahead of the tier carry nothing worth keeping; without this the map would grow
+    // with every organisation ever seen.
+    private void forgetIdle() {
+        while (!idle.isEmpty() && idle.first().virtualTime <= virtualTime) {
+            lines.remove(idle.pollFirst().organisation);
+        }
+    }
+
     /** What one organisation has waiting. */
     private static final class Line {
         private static final Comparator<Line> ORDER =
