Mend gauges that read NaN after a collection, and report document conflicts

Cause: a steward started by hand showed NaN for every gauge of the node and of the engines: Micrometer holds a gauge's object weakly, and nothing else held the suppliers. Also nothing was logged while a process stayed not ready, and two documents of one generation in the fleet would have gone unnoticed, since the platform is asked only for what is above the generation in force.

Ruled out: fields that merely keep the suppliers alive (the next gauge would forget it again); preferring one of two conflicting documents, which would revert the other.

The test of fencing numbers no longer leans on the engine to report the number, and the old steward of the takeover test may act at any instant of its freshness.

--- a/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/node/NodeTest.java
+++ b/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/node/NodeTest.java
@@ -99,6 +99,22 @@
         }
     }
 
+    // Readings of gauges went through objects that nothing else held; after the first collection all of them read NaN
+    // and every alarm on them was silent.
+    @Test
+    void gaugesStillReadAfterACollection() throws Exception {
+        Changes changes = new Changes();
+        Node node = start("host-a", ADDRESS_A, portA, changes);
+        changes.next();
+        System.gc();
+        try (HttpClient client = HttpClient.create(
+                URI.create("http://" + ADDRESS_A + ":" + node.adminPort()).toURL())) {
+            String metrics = client.toBlocking().retrieve("/metrics");
+            assertThat(metrics, containsString("whinwharf_document_generation 1.0"));
+            assertThat(metrics, containsString("whinwharf_list_revision 3.0"));
+        }
+    }
+
     private Node start(String host, String address, int port, NodeListener listener) {
         NodeSettings settings = NodeSettings.newBuilder()
                 .setHost(host)
--- a/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/node/internal/NodeCoreTest.java
+++ b/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/node/internal/NodeCoreTest.java
@@ -115,6 +115,21 @@
         assertThat(peer.sent, hasSize(2));
     }
 
+    // Two operators promote at once and both documents carry generation 5. Half of the fleet follows one, half the
+    // other, and nothing but their digests tells them apart.
+    @Test
+    void otherDocumentOfTheSameGenerationIsReportedAndNotFollowed() {
+        core.listAnswered(new PlatformAnswer.Changed<>(TWO_HOSTS), 0, 0);
+        core.documentAnswered(new PlatformAnswer.Changed<>(TestFleet.document(5)), 0);
+        core.received(peer, heartbeat(5), 5);
+        assertThat(core.snapshot(6).faults(), empty());
+        core.received(peer, heartbeat(5, 4711), 10);
+        assertThat(core.snapshot(20).faults(), hasItem(containsString("host-b")));
+        assertThat(peer.sent, empty());
+        core.documentAnswered(new PlatformAnswer.Changed<>(TestFleet.document(6)), 30);
+        assertThat(core.snapshot(40).faults(), empty());
+    }
+
     // The peer that was asked dies before it answers; another one must be asked instead.
     @Test
     void anotherPeerIsAskedWhenTheFirstIsLost() {
@@ -176,8 +191,12 @@
     }
 
     private static Frame heartbeat(long generation) {
+        return heartbeat(generation, 0);
+    }
+
+    private static Frame heartbeat(long generation, long digestPrefix) {
         return Frame.newBuilder()
-                .setHeartbeat(Heartbeat.newBuilder().setGeneration(generation))
+                .setHeartbeat(Heartbeat.newBuilder().setGeneration(generation).setDocumentDigest(digestPrefix))
                 .build();
     }
 
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/DaemonRunner.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/DaemonRunner.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeoutException;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.whinwharf.runtime.RuntimeText;
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
 import org.whinwharf.runtime.log.LogEvent;
@@ -38,7 +39,7 @@
             daemon.start();
             return ExitCode.OK;
         } catch (RuntimeException e) {
-            LOG.error("cannot start", e);
+            LOG.error(RuntimeText.get("start.failed", e.getMessage()), e);
             daemon.stop();
             return StartFailure.of(e);
         }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -27,6 +27,8 @@
     DOCUMENT_IN_FORCE(Level.INFO, EventField.GENERATION, EventField.DIGEST, EventField.SOURCE),
     /** A published document was refused. */
     DOCUMENT_REFUSED(Level.ERROR, EventField.GENERATION, EventField.SOURCE, EventField.REASONS),
+    /** A peer holds another document of the same generation. */
+    DOCUMENT_CONFLICT(Level.ERROR, EventField.GENERATION, EventField.PEER, EventField.DIGEST),
     /** The configuration service cannot be read. */
     DOCUMENT_UNREACHABLE(Level.WARN, EventField.REASON),
     /** The configuration service can be read again. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
@@ -29,6 +29,7 @@
 import org.whinwharf.runtime.node.internal.NodeLinks;
 import org.whinwharf.runtime.node.internal.NodeMetrics;
 import org.whinwharf.runtime.node.internal.PeerChoice;
+import org.whinwharf.runtime.node.internal.ReadinessLog;
 import org.whinwharf.runtime.node.internal.Snapshot;
 import org.whinwharf.runtime.platform.Pacing;
 import org.whinwharf.runtime.platform.PlatformAnswer;
@@ -76,7 +77,7 @@
     private volatile Snapshot snapshot;
     private volatile boolean leaving;
     private volatile int processes;
-    private boolean wasReady;
+    private final ReadinessLog readiness = new ReadinessLog();
 
     Node(NodeBuilder parts) {
         this.parts = parts;
@@ -424,22 +425,7 @@
 
     private void takeSnapshot() {
         snapshot = core.snapshot(ticker.nowMillis());
-        List<String> reasons = reasons();
-        boolean ready = reasons.isEmpty();
-        if (ready == wasReady) {
-            return;
-        }
-        wasReady = ready;
-        if (ready) {
-            EventLog.event(LogEvent.READY)
-                    .with(
-                            EventField.GENERATION,
-                            snapshot.document().orElseThrow().generation())
-                    .with(EventField.REVISION, snapshot.revision())
-                    .call();
-        } else {
-            EventLog.event(LogEvent.NOT_READY).with(EventField.REASONS, reasons).call();
-        }
+        readiness.update(reasons(), snapshot, ticker.nowMillis());
     }
 
     private final class Handler implements DutyHandler<Consumer<NodeCore>> {
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/internal/DocumentIntake.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/internal/DocumentIntake.java
@@ -1,7 +1,9 @@
 package org.whinwharf.runtime.node.internal;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.whinwharf.document.DocumentKeeper;
 import org.whinwharf.document.Offer;
 import org.whinwharf.document.Source;
@@ -18,6 +20,7 @@
     private final Source platform;
     private OptionalLong heardAtMillis = OptionalLong.empty();
     private String problem = RuntimeText.get("source.not-asked");
+    private final Set<String> conflicting = new HashSet<>();
     private List<String> faults = List.of();
     private boolean reachable = true;
 
@@ -57,6 +60,31 @@
         return offer(published, Source.peer(peer), nowMillis);
     }
 
+    /**
+     * Takes what a peer says of its document, to notice two documents of one generation.
+     *
+     * <p>Neither is preferred, since that would take an accepted document back somewhere. Operators see it here and
+     * promote a higher generation.
+     *
+     * @param peer name of the peer
+     * @param generation generation in force there
+     * @param digestPrefix start of that document's digest; 0 when the peer does not say
+     */
+    void heardOf(String peer, long generation, long digestPrefix) {
+        boolean same = keeper.inForce()
+                .filter(view -> view.generation() == generation && view.digestPrefix() != digestPrefix)
+                .isEmpty();
+        if (same || digestPrefix == 0 || !conflicting.add(peer)) {
+            return;
+        }
+        faults = List.of(RuntimeText.get("document.conflict", generation, peer));
+        EventLog.event(LogEvent.DOCUMENT_CONFLICT)
+                .with(EventField.GENERATION, generation)
+                .with(EventField.PEER, peer)
+                .with(EventField.DIGEST, Long.toHexString(digestPrefix))
+                .call();
+    }
+
     DocumentKeeper keeper() {
         return keeper;
     }
@@ -77,6 +105,7 @@
         Offer offer = keeper.offer(published, source, nowMillis);
         if (offer instanceof Offer.Adopted adopted) {
             faults = List.of();
+            conflicting.clear();
             EventLog.event(LogEvent.DOCUMENT_IN_FORCE)
                     .with(EventField.GENERATION, adopted.view().generation())
                     .with(EventField.DIGEST, adopted.view().digest())
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/internal/NodeCore.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/internal/NodeCore.java
@@ -179,6 +179,7 @@
     private void heartbeat(PeerLink link, Heartbeat heartbeat, long nowMillis) {
         String peer = nameOf(link);
         long theirs = heartbeat.getGeneration();
+        documents.heardOf(peer, theirs, heartbeat.getDocumentDigest());
         boolean ahead = theirs > documents.keeper().generation();
         if (!ahead || unhelpful.getOrDefault(peer, 0L) == theirs) {
             done(peer);
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/internal/NodeMetrics.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/internal/NodeMetrics.java
@@ -115,6 +115,8 @@
             String name, String description, Supplier<Snapshot> snapshots, ToDoubleFunction<Snapshot> reading) {
         Gauge.builder(name, snapshots, each -> reading.applyAsDouble(each.get()))
                 .description(description)
+                // Nothing else holds the supplier; a weak reference would read NaN after the next collection.
+                .strongReference(true)
                 .register(registry);
     }
 
--- a/org.whinwharf.steward/src/main/java/org/whinwharf/steward/internal/StewardMetrics.java
+++ b/org.whinwharf.steward/src/main/java/org/whinwharf/steward/internal/StewardMetrics.java
@@ -35,6 +35,8 @@
             Gauge.builder("whinwharf.engines", engines, each -> count(each.get(), state))
                     .tag("state", state)
                     .description("engines of this steward by state")
+                    // Nothing else holds the supplier; a weak reference would read NaN after the next collection.
+                    .strongReference(true)
                     .register(registry);
         }
     }
--- a/org.whinwharf.test/src/test/java/org/whinwharf/order/StewardCoreTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/order/StewardCoreTest.java
@@ -67,7 +67,12 @@
     @Property(tries = 200)
     void fencingNumberNeverFalls(
             @ForAll @Size(min = 1, max = 12) List<@IntRange(min = 1, max = 20) Integer> revisions) {
-        FakeEngine forgetful = new FakeEngine(false);
+        FakeEngine forgetful = new FakeEngine(false) {
+            @Override
+            EngineState state() {
+                return super.state().toBuilder().clearFencingNumber().build();
+            }
+        };
         FakeSteward each = new FakeSteward("entry-0", FAST, Map.of(ENGINE, forgetful));
         long now = 0;
         long generation = 1;
@@ -128,6 +133,7 @@
     @Property(tries = 200)
     void engineThatIgnoresNumbersHearsTheNewStewardOnlyAfterTheOldOneIsDone(
             @ForAll @LongRange(min = 0, max = 2_000) long oldHeardLateMillis,
+            @ForAll @LongRange(min = 0, max = StewardBounds.FRESH_MILLIS - 200) long oldPauseMillis,
             @ForAll @LongRange(min = 0, max = 5_000) long newHeardLateMillis) {
         FakeEngine ignoring = new FakeEngine(false);
         FakeSteward old = new FakeSteward("entry-0", FAST, Map.of(ENGINE, ignoring));
@@ -139,7 +145,9 @@
         young.hears(list(5, "entry-1"), OrderFleet.document(2, "2", false), published + newHeardLateMillis);
         old.listAnswered(oldHeard);
         for (long now = oldHeard; now < published + 60_000; now += 100) {
-            old.tick(now, now, 0);
+            if (now >= oldHeard + oldPauseMillis) {
+                old.tick(now, now, 0);
+            }
             young.listAnswered(now);
             young.tick(now, now, 0);
         }
