--- a/org.whinwharf.test/src/test/java/org/whinwharf/owner/pledge/VoterTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/pledge/VoterTest.java
@@ -75,15 +75,16 @@
             @ForAll @IntRange(min = 1, max = 9) int voters,
             @ForAll @IntRange(max = 9) int one,
             @ForAll @IntRange(max = 9) int other,
-            @ForAll @IntRange(max = 64) int limit) {
+            @ForAll @IntRange(max = 64) int limit,
+            @ForAll ShareRule rule) {
         int first = Math.min(one, voters);
         int second = Math.min(other, voters - first);
         int third = voters - first - second;
-        int sum = new Share(first, voters).of(limit)
-                + new Share(second, voters).of(limit)
-                + new Share(third, voters).of(limit);
+        int sum = new Share(first, voters).of(limit, rule)
+                + new Share(second, voters).of(limit, rule)
+                + new Share(third, voters).of(limit, rule);
         assertThat(sum, lessThanOrEqualTo(limit));
-        assertThat(new Share(voters, voters).of(limit), is(limit));
+        assertThat(new Share(voters, voters).of(limit, rule), is(limit));
     }
 
     private Pledge ask(HomeId asker, long nowMillis) {
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
@@ -9,6 +9,7 @@
 import org.whinwharf.owner.limit.TargetAccount;
 import org.whinwharf.owner.placement.Candidate;
 import org.whinwharf.owner.pledge.PledgeBook;
+import org.whinwharf.owner.pledge.ShareRule;
 import org.whinwharf.owner.queue.DrainRate;
 import org.whinwharf.owner.queue.SliceQueue;
 import org.whinwharf.owner.queue.Waiting;
@@ -31,6 +32,7 @@
     private static final long SHORTEST_COME_BACK_MILLIS = 200;
     private static final long DEFAULT_COME_BACK_MILLIS = 1_000;
     private static final long LONGEST_COME_BACK_MILLIS = 60_000;
+    private static final long HOPELESS_MILLIS = 50;
     private static final long HEARD_MILLIS = 5_000;
 
     private final SliceId slice;
@@ -41,12 +43,13 @@
     private final DrainRate drain = new DrainRate();
     private final Map<HomeId, Long> heardAtMillis = new HashMap<>();
     private long enqueuedAtMillis = Long.MIN_VALUE / 2;
+    private long hopelessAtMillis = Long.MIN_VALUE / 2;
     private boolean holds;
 
     SliceOwner(SliceId slice, Scene scene) {
         this.slice = slice;
         this.scene = scene;
-        this.book = new PledgeBook(slice, scene.views());
+        this.book = new PledgeBook(slice, scene.views(), ShareRule.REST_TO_MAJORITY);
         this.targets = new SliceTargets(slice, scene, book);
         targets.update();
     }
@@ -174,7 +177,10 @@
             evictAll(RefusalReason.NO_TARGET, nowMillis);
             return;
         }
-        evictHopeless(nowMillis);
+        if (nowMillis - hopelessAtMillis >= HOPELESS_MILLIS) {
+            hopelessAtMillis = nowMillis;
+            evictHopeless(nowMillis);
+        }
         trim(nowMillis);
         grant(nowMillis);
     }
@@ -279,6 +285,9 @@
     }
 
     private void grant(long nowMillis) {
+        if (queue.size() == 0) {
+            return;
+        }
         List<Candidate> candidates = targets.withRoom(nowMillis);
         boolean granted = true;
         while (granted && !candidates.isEmpty()) {
@@ -288,6 +297,9 @@
 
     private boolean grantOne(List<Candidate> candidates, long nowMillis) {
         for (Waiting waiting : queue.heads()) {
+            if (waiting.deadlineMillis() <= nowMillis) {
+                continue;
+            }
             List<Candidate> fitting = candidates.stream()
                     .filter(candidate -> candidate.account().serves(waiting.model()))
                     .toList();
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/pledge/PledgeBook.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/pledge/PledgeBook.java
@@ -12,6 +12,7 @@
 public final class PledgeBook {
     private final SliceId slice;
     private final Views views;
+    private final ShareRule rule;
     private final Map<String, Held> held = new HashMap<>();
 
     /**
@@ -19,10 +20,12 @@
      *
      * @param slice the slice
      * @param views views of the host list to count by
+     * @param rule how pledges become parts of a limit
      */
-    public PledgeBook(SliceId slice, Views views) {
+    public PledgeBook(SliceId slice, Views views, ShareRule rule) {
         this.slice = slice;
         this.views = views;
+        this.rule = rule;
     }
 
     /**
@@ -66,7 +69,7 @@
         List<Membership> counted = views.counted(measuredAtMillis);
         int usable = counted.isEmpty() ? 0 : limit;
         for (Membership view : counted) {
-            usable = Math.min(usable, share(view, measuredAtMillis, nowMillis).of(limit));
+            usable = Math.min(usable, share(view, measuredAtMillis, nowMillis).of(limit, rule));
         }
         return usable;
     }
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/pledge/Share.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/pledge/Share.java
@@ -18,12 +18,14 @@
      * Returns the part of a limit that the owner may use.
      *
      * @param limit requests that the target bears
+     * @param rule how parts are made
      * @return requests that the owner may have in flight there
      */
-    public int of(int limit) {
-        if (2 * pledged > voters) {
-            return limit - (int) ((long) limit * (voters - pledged) / voters);
-        }
-        return (int) ((long) limit * pledged / voters);
+    public int of(int limit, ShareRule rule) {
+        return rule.usable(limit, this);
+    }
+
+    boolean isMajority() {
+        return 2 * pledged > voters;
     }
 }
--- /dev/null
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/pledge/ShareRule.java
@@ -0,0 +1,37 @@
+package org.whinwharf.owner.pledge;
+
+/** Ways to turn pledges into a part of a target's limit; docs/measurements/ownership.md compares them. */
+public enum ShareRule {
+    /** A majority uses the whole, anybody else nothing. */
+    MAJORITY {
+        @Override
+        int usable(int limit, Share share) {
+            return share.isMajority() ? limit : 0;
+        }
+    },
+    /** Everybody uses its part, rounded down. */
+    PROPORTIONAL {
+        @Override
+        int usable(int limit, Share share) {
+            return part(limit, share.pledged(), share.voters());
+        }
+    },
+    /**
+     * A minority uses its part, rounded down; a majority uses what all others together could not. A target that bears
+     * one request is used by the majority instead of by nobody.
+     */
+    REST_TO_MAJORITY {
+        @Override
+        int usable(int limit, Share share) {
+            return share.isMajority()
+                    ? limit - part(limit, share.voters() - share.pledged(), share.voters())
+                    : part(limit, share.pledged(), share.voters());
+        }
+    };
+
+    abstract int usable(int limit, Share share);
+
+    private static int part(int limit, int count, int all) {
+        return (int) ((long) limit * count / all);
+    }
+}
