--- a/org.whinwharf.pgm.test/src/test/java/org/whinwharf/pgm/TraceTest.java
+++ b/org.whinwharf.pgm.test/src/test/java/org/whinwharf/pgm/TraceTest.java
@@ -1,8 +1,10 @@
 package org.whinwharf.pgm;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 import java.nio.file.Path;
 import org.approvaltests.Approvals;
@@ -39,6 +41,17 @@
         assertThat(Run.withInput(LOG, "trace", TRACE, "--logs", "-").out(), equalTo(byRequest.out()));
     }
 
+    @Test
+    void theLatestTracesAreDrawnWithoutAnId() {
+        Run last = Run.withInput(LOG, "trace", "--last", "1", "--logs", "-");
+        Run both = Run.withInput(LOG, "trace", "--last", "5", "--logs", "-");
+
+        assertThat(last.out(), startsWith("trace ffff: 1 hops"));
+        assertThat(both.out(), startsWith("trace " + TRACE));
+        assertThat(both.out(), containsString("\n\ntrace ffff: 1 hops"));
+        assertThat(Run.withInput(LOG, "trace", "--logs", "-").exit(), is(OperatorExit.USAGE));
+    }
+
     @Test
     void aRequestWithoutSpansIsNotFound() {
         assertThat(Run.withInput(LOG, "trace", "entry-1.9f3c.2b", "--logs", "-").exit(), is(OperatorExit.NOT_FOUND));
--- a/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/Call.java
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/Call.java
@@ -44,7 +44,10 @@
     @Option(name = "--deadline-millis", title = "N", description = "Longest wait for the whole answer")
     private long deadlineMillis;
 
-    @Option(name = "--whole", description = "Ask for one whole answer instead of a stream")
+    @Option(name = "--stream", description = "Show the answer as it comes; the default for engines")
+    private boolean stream;
+
+    @Option(name = "--whole", description = "Ask for one whole answer; the default for plain services")
     private boolean whole;
 
     @Option(name = "--credential-file", title = "FILE", description = "File that holds the credential")
@@ -61,7 +64,7 @@
                 .setCall(plainCall)
                 .setBody(body)
                 .setDeadlineMillis(deadlineMillis)
-                .setStream(!whole && plainCall.isEmpty())
+                .setStream(stream || !whole && plainCall.isEmpty())
                 .build();
         String credential = credential(settings, terminal);
         try (CallerClient client = new CallerClient(credential, deadlineMillis)) {
--- a/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/Trace.java
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/Trace.java
@@ -18,6 +18,7 @@
 import org.whinwharf.pgm.internal.trace.Span;
 import org.whinwharf.pgm.internal.trace.TraceLog;
 import org.whinwharf.pgm.internal.trace.TraceReport;
+import org.whinwharf.pgm.internal.trace.TracesReport;
 
 /** Draws the path of one request, hop by hop, from logs. */
 @Command(name = "trace", description = "Draw one request's path with its times, from the spans in logs")
@@ -25,8 +26,10 @@
     private static final String STANDARD_INPUT = "-";
 
     @Arguments(title = "REQUEST", description = "Id of the request, or of the trace")
-    @Required
-    private String request;
+    private String request = "";
+
+    @Option(name = "--last", title = "N", description = "Draw the latest N traces of the logs instead of one request")
+    private int last;
 
     @Option(name = "--logs", title = "FILE", description = "Log of a daemon, - for standard input; may be repeated")
     @Required
@@ -34,15 +37,22 @@
 
     @Override
     protected OperatorExit run(Terminal terminal) throws CommandFailure {
+        if (request.isEmpty() == (last <= 0)) {
+            throw new CommandFailure(OperatorExit.USAGE, PgmText.get("usage.trace"));
+        }
         TraceLog log = new TraceLog(request);
         for (String file : logs) {
             read(log, file, terminal);
         }
-        List<Span> spans = log.spans();
-        if (spans.isEmpty()) {
+        List<List<Span>> traces = last > 0 ? log.last(last) : List.of(log.spans());
+        List<TraceReport> reports = traces.stream()
+                .filter(spans -> !spans.isEmpty())
+                .map(spans -> new TraceReport(spans.get(0).traceId(), spans))
+                .toList();
+        if (reports.isEmpty()) {
             throw new CommandFailure(OperatorExit.NOT_FOUND, PgmText.get("trace.none", request));
         }
-        print(terminal, new TraceReport(spans.get(0).traceId(), spans));
+        print(terminal, new TracesReport(reports));
         return OperatorExit.OK;
     }
 
--- a/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/trace/TraceLog.java
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/trace/TraceLog.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +26,7 @@
     /**
      * Begins a search.
      *
-     * @param wanted id of a request or of a trace
+     * @param wanted id of a request or of a trace; empty for none
      */
     public TraceLog(String wanted) {
         this.wanted = wanted;
@@ -55,12 +56,29 @@
         return traceId == null ? List.of() : List.copyOf(spansByTrace.getOrDefault(traceId, List.of()));
     }
 
+    /**
+     * Returns the latest traces of the log.
+     *
+     * @param count most traces to return
+     * @return spans of each trace, the earliest trace first
+     */
+    public List<List<Span>> last(int count) {
+        List<List<Span>> traces = spansByTrace.values().stream()
+                .sorted(Comparator.comparingLong(TraceLog::startUnixNanos))
+                .toList();
+        return traces.subList(Math.max(0, traces.size() - count), traces.size());
+    }
+
+    private static long startUnixNanos(List<Span> spans) {
+        return spans.stream().mapToLong(Span::startUnixNanos).min().orElse(0);
+    }
+
     private void readLine(String line) {
         try {
             JsonNode node = JSON.readTree(line);
             if (node.path("event").asText().equals(SPAN_EVENT)) {
                 readSpan(node);
-            } else if (node.path("request").asText().equals(wanted) && node.hasNonNull("traceId")) {
+            } else if (isWanted(node.path("request").asText()) && node.hasNonNull("traceId")) {
                 traceId = node.path("traceId").asText();
             }
         } catch (JsonProcessingException e) {
@@ -69,6 +87,10 @@
         }
     }
 
+    private boolean isWanted(String id) {
+        return !wanted.isEmpty() && id.equals(wanted);
+    }
+
     private void readSpan(JsonNode node) {
         Map<String, String> attributes = new TreeMap<>();
         node.path("attributes")
@@ -84,7 +106,7 @@
                 node.path("durationMicros").asLong(),
                 attributes);
         spansByTrace.computeIfAbsent(span.traceId(), key -> new ArrayList<>()).add(span);
-        if (traceId == null && attributes.containsValue(wanted)) {
+        if (traceId == null && attributes.values().stream().anyMatch(this::isWanted)) {
             traceId = span.traceId();
         }
     }
