Deal slices out evenly to the hosts of a data centre

Cause: by rendezvous hashing alone the busiest of 410 hosts owned 3 of 95 slices; it would send and receive 31.7 KB/s where 11 KB/s are allowed, while most hosts owned none. Ruled out: larger numbers of smaller slices (an owner then sees no queue worth ordering). Change: each slice goes to its first host by hash that has fewer than the mean, rounded up; voters stay chosen by hash alone. A removed host moves at most 6 of 32 slices in the test.

--- a/org.whinwharf.test/src/test/java/org/whinwharf/membership/MembershipTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/membership/MembershipTest.java
@@ -11,7 +11,9 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.whinwharf.wire.message.SliceId;
 import org.whinwharf.wire.schema.DataCentre;
@@ -114,6 +116,40 @@
         assertThat(after.candidates(SLICE), equalTo(before.candidates(SLICE).subList(1, 7)));
     }
 
+    // By hash alone one host may own several slices while others own none; it then sends and receives several times
+    // what a host is meant to, and its decisions come late.
+    @Test
+    void noHostOwnsMoreSlicesThanTheMeanRoundedUp() {
+        List<Host> hosts = targets(200);
+        hosts.addAll(entryHosts(60));
+        Membership membership = membership(1, hosts);
+        Map<String, Integer> owned = ownedSlices(membership);
+        assertThat(membership.slices("llm"), hasSize(32));
+        assertThat(Collections.max(owned.values()), is(2));
+    }
+
+    @Test
+    void removedHostMovesFewSlicesOfOthers() {
+        List<Host> hosts = targets(200);
+        hosts.addAll(entryHosts(60));
+        Membership before = membership(1, hosts);
+        Host gone = before.wouldBeOwner(before.slices("llm").get(0)).orElseThrow();
+        hosts.remove(gone);
+        Membership after = membership(2, hosts);
+        long moved = before.slices("llm").stream()
+                .filter(slice -> !before.wouldBeOwner(slice).equals(after.wouldBeOwner(slice)))
+                .count();
+        assertThat(moved, lessThanOrEqualTo(6L));
+    }
+
+    private static Map<String, Integer> ownedSlices(Membership membership) {
+        Map<String, Integer> owned = new HashMap<>();
+        for (SliceId slice : membership.slices()) {
+            owned.merge(membership.wouldBeOwner(slice).orElseThrow().getName(), 1, Integer::sum);
+        }
+        return owned;
+    }
+
     private static Membership membership(long revision, List<Host> hosts) {
         HostList list =
                 HostList.newBuilder().setRevision(revision).addAllHosts(hosts).build();
--- a/org.whinwharf/src/main/java/org/whinwharf/membership/Membership.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/membership/Membership.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import org.whinwharf.membership.internal.Candidates;
+import org.whinwharf.membership.internal.Owners;
 import org.whinwharf.wire.message.SliceId;
 import org.whinwharf.wire.schema.DataCentre;
 import org.whinwharf.wire.schema.Document;
@@ -47,6 +48,7 @@
     private final Map<String, List<SliceId>> slicesByService;
     private final Map<String, SliceId> sliceByTarget;
     private final Candidates ordering;
+    private final Map<SliceId, Host> owners;
     private final Map<SliceId, List<Host>> candidates = new ConcurrentHashMap<>();
     private final Map<SliceId, List<Host>> voters = new ConcurrentHashMap<>();
 
@@ -67,6 +69,7 @@
         slicesByService = new HashMap<>();
         sliceByTarget = new HashMap<>();
         index();
+        owners = Owners.assign(targetsBySlice.keySet(), ordering);
     }
 
     /**
@@ -213,7 +216,19 @@
      * @return live hosts, the one that is to own the slice first
      */
     public List<Host> candidates(SliceId slice) {
-        return candidates.computeIfAbsent(slice, ordering::order);
+        return candidates.computeIfAbsent(slice, this::orderCandidates);
+    }
+
+    private List<Host> orderCandidates(SliceId slice) {
+        List<Host> hashed = ordering.order(slice);
+        Host owner = owners.get(slice);
+        if (owner == null || hashed.get(0).equals(owner)) {
+            return hashed;
+        }
+        List<Host> ordered = new ArrayList<>(hashed.size());
+        ordered.add(owner);
+        hashed.stream().filter(host -> !host.equals(owner)).forEach(ordered::add);
+        return List.copyOf(ordered);
     }
 
     /**
@@ -230,15 +245,15 @@
      * Returns the hosts whose pledges make an owner.
      *
      * @param slice the slice
-     * @return the first candidates: those of the slice's data centre up to nine, and at least three where there are so
-     *     many hosts
+     * @return the first hosts by hash: those of the slice's data centre up to nine, and at least three where there are
+     *     so many hosts
      */
     public List<Host> voters(SliceId slice) {
         return voters.computeIfAbsent(slice, this::chooseVoters);
     }
 
     private List<Host> chooseVoters(SliceId slice) {
-        List<Host> ordered = candidates(slice);
+        List<Host> ordered = ordering.order(slice);
         int local = 0;
         while (local < ordered.size() && ordered.get(local).getDataCentre().equals(slice.getDataCentre())) {
             local++;
--- a/org.whinwharf/src/main/java/org/whinwharf/membership/internal/Candidates.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/membership/internal/Candidates.java
@@ -43,6 +43,21 @@
         return ranked.stream().map(Ranked::host).toList();
     }
 
+    /**
+     * Returns the hosts of the nearest group that has any.
+     *
+     * @param slice the slice
+     * @return hosts of the slice's data centre, or of its region, or all, ordered as by {@link #order}
+     */
+    List<Host> nearest(SliceId slice) {
+        List<Host> ordered = order(slice);
+        if (ordered.isEmpty()) {
+            return ordered;
+        }
+        int nearest = group(ordered.get(0), slice);
+        return ordered.stream().filter(host -> group(host, slice) == nearest).toList();
+    }
+
     private int group(Host host, SliceId slice) {
         if (host.getDataCentre().equals(slice.getDataCentre())) {
             return 0;
