--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/AttemptLog.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/AttemptLog.java
@@ -31,6 +31,10 @@
         return plan;
     }
 
+    LoadSummary summary() {
+        return summary;
+    }
+
     int tokens() {
         return tokens;
     }
--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/Exchange.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/Exchange.java
@@ -34,7 +34,8 @@
 
     /** Sends a request and returns the events of its answer; an error status ends in {@link RefusedException}. */
     Flux<ServerEvent> events(HttpRequest.Builder request) {
-        HttpRequest sent = request.header("Accept", "text/event-stream").build();
+        HttpRequest sent =
+                request.header("Accept", "text/event-stream, application/json").build();
         return Mono.fromFuture(() -> client.sendAsync(sent, BodyHandlers.ofPublisher()))
                 .flatMapMany(Exchange::events);
     }
