Let a target that was slow once be tried again, and new bounds hold at once

Cause, found by reading: requests are refused as hopeless by the learned speed and drain rate. After one very slow answer all were refused, so nothing completed and nothing could correct the speed: callers would be turned away for ever. The drain rate decayed while a few long requests ran and predicted endless waits with the same result. And a document with lower limits changed nothing at targets that were already known.

Change: only a speed learned in the last ten seconds makes a request hopeless; the drain rate is the one at the last completion and unknown after ten seconds; bounds of a new document are taken in at once. A pause shorter than half the list's lag bound counts as part of that bound (before: half a second, which busy machines reach). A later candidate connects to those before it, so that it knows whether they can be reached.

Ruled out: never refusing as hopeless by speed (prefill would be spent on answers that come too late).

Before: targetThatWasSlowOnceIsTriedAgain and lowerBoundOfANewDocumentHoldsForTargetsThatAreKnown fail; after: 12 tests of SchedulerCoreTest pass.

--- a/org.whinwharf.test/src/test/java/org/whinwharf/owner/SchedulerCoreTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/SchedulerCoreTest.java
@@ -128,6 +128,33 @@
         assertThat(refusal(50).getComeBackMillis(), greaterThan(0L));
     }
 
+    // One answer took very long, so everything looks hopeless from then on; nothing is sent, and so nothing can show
+    // that
+    // the target has recovered. Callers would be turned away for ever.
+    @Test
+    void targetThatWasSlowOnceIsTriedAgain() {
+        enqueue(1, 0);
+        finish(grants().get(0), FinishKind.COMPLETED, 20_000);
+        enqueue(2, 0);
+        assertThat(refusals(2), contains(RefusalReason.HOPELESS));
+        pass(11_000);
+        enqueue(3, 0);
+        assertThat(grants().get(grants().size() - 1).getRequest(), is(3L));
+    }
+
+    // Operators lower the bound of a service whose engines are overloaded, and nothing happens at targets that are in
+    // use.
+    @Test
+    void lowerBoundOfANewDocumentHoldsForTargetsThatAreKnown() {
+        growTo(4);
+        document = Fixtures.document(2, MAX_WAITING);
+        view();
+        for (long request = 1; request <= 4; request++) {
+            enqueue(request, 0);
+        }
+        assertThat(grants(), hasSize(2));
+    }
+
     @Test
     void fullQueueShedsTheLowestTierAndKeepsTheHigher() {
         enqueue(1, 0);
@@ -231,11 +258,15 @@
     }
 
     private void growTo(int limit) {
-        for (int i = 1; i < limit; i++) {
-            enqueue(1_000 + i, 0);
-            finish(grants().get(grants().size() - 1), FinishKind.COMPLETED);
+        for (long request = 1_000; request < 1_000 + limit * MAX_WAITING; request += MAX_WAITING) {
+            for (int i = 0; i < MAX_WAITING; i++) {
+                enqueue(request + i, 0);
+            }
+            for (int i = 0; i < grants().size(); i++) {
+                finish(grants().get(i), FinishKind.COMPLETED);
+            }
+            actions.clear();
         }
-        actions.clear();
     }
 
     private void view() {
@@ -283,13 +314,17 @@
     }
 
     private void finish(Grant grant, FinishKind kind) {
+        finish(grant, kind, 1_000);
+    }
+
+    private void finish(Grant grant, FinishKind kind, long totalMillis) {
         on(finishedEvent(Finished.newBuilder()
                 .setRequest(grant.getRequest())
                 .setGrant(grant.getGrant())
                 .setTarget(grant.getTarget())
                 .setKind(kind)
                 .setFirstTokenMillis(50)
-                .setTotalMillis(1_000)
+                .setTotalMillis(totalMillis)
                 .setAnswerTokens(20)));
     }
 
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SchedulerCore.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SchedulerCore.java
@@ -32,7 +32,7 @@
 public final class SchedulerCore {
     private static final int RENEWALS_PER_PLEDGE = 3;
     private static final long STATUS_MILLIS = 1_000;
-    private static final long PAUSE_MILLIS = 500;
+    private static final long SHORTEST_PAUSE_MILLIS = 500;
     private static final int FLOOR_CANDIDATES = 2;
 
     private final Scene scene;
@@ -121,6 +121,12 @@
                 peers.addAll(scene.views().voters(owner.slice()));
                 peers.addAll(owners(owner.slice().getService()));
             }
+            // Whether this host may take the slice over depends on whether those before it can be reached.
+            scene.membership().candidates(owner.slice()).stream()
+                    .map(Host::getName)
+                    .takeWhile(name -> !name.equals(scene.self().host()))
+                    .limit(FLOOR_CANDIDATES)
+                    .forEach(peers::add);
         }
         peers.remove(scene.self().host());
         return peers;
@@ -141,12 +147,17 @@
     // A paused process wakes with the list of before. It would ask for pledges by voters that others count no more, and
     // both could have a majority; ticks that come late show the pause.
     private void noticePause(long nowMillis) {
-        if (scene.isReady() && nowMillis - handledAtMillis > PAUSE_MILLIS) {
+        if (scene.isReady() && nowMillis - handledAtMillis > pauseMillis()) {
             scene.views().paused(scene.timings(), nowMillis);
         }
         handledAtMillis = nowMillis;
     }
 
+    // A shorter pause counts as part of the bound on the list's lag.
+    private long pauseMillis() {
+        return Math.max(SHORTEST_PAUSE_MILLIS, scene.timings().listLagMillis() / 2);
+    }
+
     private void handleReady(Event event, long nowMillis) {
         if (event instanceof Event.FromEntry frame) {
             fromEntry(frame.home(), frame.frame(), nowMillis);
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
@@ -224,7 +224,7 @@
 
     private boolean isHopeless(Waiting waiting, double waitMillis, long nowMillis) {
         double leftMillis = waiting.deadlineMillis() - nowMillis;
-        return leftMillis <= 0 || leftMillis < waitMillis + targets.bestMillis(waiting);
+        return leftMillis <= 0 || leftMillis < waitMillis + targets.bestMillis(waiting, nowMillis);
     }
 
     private void evictHopeless(long nowMillis) {
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SliceTargets.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SliceTargets.java
@@ -18,6 +18,7 @@
 import org.whinwharf.wire.message.InFlight;
 import org.whinwharf.wire.message.SliceId;
 import org.whinwharf.wire.schema.Host;
+import org.whinwharf.wire.schema.Limits;
 
 /** Targets of one slice as its owner knows them. */
 final class SliceTargets {
@@ -57,10 +58,10 @@
             String name = host.getName();
             boolean now = scene.membership().isUsable(name);
             usable.put(name, now);
-            accounts.computeIfAbsent(
-                    name,
-                    key -> new TargetAccount(
-                            key, scene.service(slice.getService()).getLimits()));
+            Limits limits = scene.service(slice.getService()).getLimits();
+            accounts.computeIfAbsent(name, key -> new TargetAccount(key, limits))
+                    .limit()
+                    .bounds(limits);
             if (now && !before.getOrDefault(name, true)) {
                 accounts.get(name).comeBack();
             }
@@ -127,9 +128,9 @@
     }
 
     /** Predicts how long the request takes at the best target; 0 when no target's speed is known. */
-    double bestMillis(Waiting waiting) {
+    double bestMillis(Waiting waiting, long nowMillis) {
         return accounts.values().stream()
-                .filter(account -> isUsable(account.name()) && account.speed().isKnown())
+                .filter(account -> isUsable(account.name()) && account.speed().isFresh(nowMillis))
                 .mapToDouble(account -> account.speed()
                         .predictMillis(
                                 account.prefixes().missingTokens(waiting.prefixes(), waiting.promptTokens()),
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/limit/ConcurrencyLimit.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/limit/ConcurrencyLimit.java
@@ -19,7 +19,7 @@
     private static final int BASE_WORK = 4;
     private static final double PREFILL_WORK = 1.0 / 16;
 
-    private final Limits limits;
+    private Limits limits;
     private int value;
     private int slowStartUntil;
     private int credit;
@@ -38,6 +38,19 @@
         cold();
     }
 
+    /**
+     * Takes in other bounds; what was learned stays, as far as the bounds allow it.
+     *
+     * @param newLimits bounds of the document, absent values filled in
+     */
+    public void bounds(Limits newLimits) {
+        if (!newLimits.equals(limits)) {
+            limits = newLimits;
+            value = Math.min(value, limits.getMost());
+            slowStartUntil = Math.max(value, Math.min(slowStartUntil, limits.getMost()));
+        }
+    }
+
     /**
      * Returns the limit.
      *
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/limit/TargetAccount.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/limit/TargetAccount.java
@@ -300,7 +300,7 @@
 
     private void learn(Slot slot, Finished finished, long nowMillis) {
         switch (finished.getKind()) {
-            case COMPLETED -> completed(slot, finished);
+            case COMPLETED -> completed(slot, finished, nowMillis);
             case REFUSED_BY_TARGET -> {
                 limit.refused();
                 suspectSinceMillis = nowMillis;
@@ -317,7 +317,7 @@
         }
     }
 
-    private void completed(Slot slot, Finished finished) {
+    private void completed(Slot slot, Finished finished, long nowMillis) {
         Sample sample = new Sample(
                 finished.getFirstTokenMillis(),
                 finished.getTotalMillis(),
@@ -325,7 +325,7 @@
                 finished.getPromptTokens(),
                 finished.getAnswerTokens());
         limit.completed(sample, slot.full());
-        speed.completed(sample);
+        speed.completed(sample, nowMillis);
         if (slot.waiting() != null) {
             prefixes.served(slot.waiting().prefixes());
         }
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/placement/TargetSpeed.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/placement/TargetSpeed.java
@@ -5,6 +5,7 @@
 /** Learned speed of one target. */
 public final class TargetSpeed {
     private static final double SMOOTHING = 0.2;
+    private static final long FRESH_MILLIS = 10_000;
     private static final int ENOUGH_TOKENS = 2;
     private static final int ENOUGH_PREFILL = 8;
 
@@ -12,14 +13,17 @@
     private double millisPerPrefillToken;
     private double baseMillis;
     private int samples;
+    private long learnedAtMillis;
 
     /**
      * Learns from a completed request.
      *
      * @param sample what it took
+     * @param nowMillis time now
      */
-    public void completed(Sample sample) {
+    public void completed(Sample sample, long nowMillis) {
         samples++;
+        learnedAtMillis = nowMillis;
         if (sample.answerTokens() < ENOUGH_TOKENS) {
             baseMillis = smooth(baseMillis, sample.totalMillis());
             return;
@@ -43,6 +47,19 @@
         return samples > 0;
     }
 
+    /**
+     * Tells whether something was learned lately.
+     *
+     * <p>Requests are refused because a target is too slow for them. Were an old speed good enough for that, a target
+     * that was slow once would be sent nothing any more and could never show that it is fast again.
+     *
+     * @param nowMillis time now
+     * @return true when a request completed in the last ten seconds
+     */
+    public boolean isFresh(long nowMillis) {
+        return isKnown() && nowMillis - learnedAtMillis <= FRESH_MILLIS;
+    }
+
     /**
      * Predicts how long a request takes at this target.
      *
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/queue/DrainRate.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/queue/DrainRate.java
@@ -36,18 +36,14 @@
         return rate <= 0 ? 0 : cost / rate;
     }
 
-    /**
-     * Returns the rate.
-     *
-     * @param nowMillis time now
-     * @return cost per millisecond; 0 when nothing was learned
-     */
-    public double costPerMilli(long nowMillis) {
-        if (firstAtMillis == Long.MIN_VALUE) {
+    // The rate is the one at the last completion, and unknown once that is long ago. One that decayed with time would
+    // predict endless waits while a few long requests run, and refuse all that could be served after them.
+    private double costPerMilli(long nowMillis) {
+        if (firstAtMillis == Long.MIN_VALUE || nowMillis - lastAtMillis > WINDOW_MILLIS) {
             return 0;
         }
-        double spanMillis = Math.min(WINDOW_MILLIS, Math.max(SHORTEST_MILLIS, nowMillis - firstAtMillis));
-        return decayed(nowMillis) / spanMillis;
+        double spanMillis = Math.min(WINDOW_MILLIS, Math.max(SHORTEST_MILLIS, lastAtMillis - firstAtMillis));
+        return sum / spanMillis;
     }
 
     private double decayed(long nowMillis) {
