Show why the published document cannot be used

Tried on a small fleet of real processes, a document with a fault was published. status then said only that none was readable, as if the configuration service were down, and an operator had to look at the hosts' reasons. It now prints the faults with their lines; a test showed the lack first. A process that has never heard from the configuration service was shown as heard "-1 ms ago"; it says never.

--- a/org.whinwharf.pgm.test/src/test/java/org/whinwharf/pgm/FleetCommandsTest.java
+++ b/org.whinwharf.pgm.test/src/test/java/org/whinwharf/pgm/FleetCommandsTest.java
@@ -24,7 +24,7 @@
              "documentAgeMillis": "120", "addedByANewerVersion": 1}""";
     private static final String LAGGING_STATUS = """
             {"host": "entry-2", "role": "entry", "dataCentre": "martin-a", "generation": "6", "leaving": true,
-             "documentAgeMillis": "90000", "reasons": ["generation 7 refused: f:3:1: tiers: too few entries"]}""";
+             "documentAgeMillis": "-1", "reasons": ["generation 7 refused: f:3:1: tiers: too few entries"]}""";
     private static final String SCHEDULER_STATUS = """
             {"host": "entry-1", "role": "scheduler", "dataCentre": "zilina-a", "generation": "7", "ready": true,
              "documentAgeMillis": "80", "slices": [
@@ -45,6 +45,7 @@
     private static FakeServer scheduler;
     private static FakeServer platform;
     private static volatile boolean documentsDown;
+    private static volatile boolean documentFaulty;
     private String settings;
 
     @BeforeAll
@@ -59,6 +60,7 @@
     @BeforeEach
     void writeSettings() throws IOException {
         documentsDown = false;
+        documentFaulty = false;
         Path file = folder.resolve("operator.json");
         Files.writeString(
                 file,
@@ -93,6 +95,18 @@
         assertThat(run.out(), containsString("entry-1  scheduler"));
     }
 
+    // A document with a fault was published. Every host keeps the one before and says why; an operator who looks at the
+    // status must see the fault with its line at once, and not take the old generation for the new one.
+    @Test
+    void statusPrintsTheFaultsOfAPublishedDocumentThatNobodyTakes() {
+        documentFaulty = true;
+
+        Run run = Run.of("status", "--settings", settings);
+
+        assertThat(run.out(), containsString("generation none readable published, 7 in force"));
+        assertThat(run.out(), containsString(platform.url() + ":17:35: tiers[0].rank: 33 is out of range"));
+    }
+
     @Test
     void statusPrintsTheSameAsJson() throws IOException {
         var json = new com.fasterxml.jackson.databind.ObjectMapper()
@@ -154,7 +168,8 @@
             return Reply.status(503, "down");
         }
         try {
-            return Reply.json(Files.readString(PRODUCTION));
+            String document = Files.readString(PRODUCTION);
+            return Reply.json(documentFaulty ? document.replace("\"rank\": 3", "\"rank\": 33") : document);
         } catch (IOException e) {
             return Reply.status(500, e.toString());
         }
--- a/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/fleet/FleetReader.java
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/fleet/FleetReader.java
@@ -12,6 +12,8 @@
 import org.whinwharf.pgm.internal.Http;
 import org.whinwharf.pgm.internal.HttpAnswer;
 import org.whinwharf.pgm.internal.PgmText;
+import org.whinwharf.schema.Fault;
+import org.whinwharf.schema.Problem;
 import org.whinwharf.schema.ReadResult;
 import org.whinwharf.wire.schema.Document;
 import org.whinwharf.wire.schema.EntryPorts;
@@ -56,16 +58,17 @@
     /**
      * Reads the published document.
      *
-     * @return document; empty when the configuration service does not answer or the document is not valid
+     * @return document, or its faults; the fault is {@link Problem#UNREADABLE} when the configuration service does not
+     *     answer
      */
-    public Optional<Document> document() {
-        HttpAnswer answer = http.get(settings.getConfigurationUrl() + "/v1/documents/" + settings.getEnvironment()
-                + "?above=0&waitMillis=0");
+    public ReadResult<Document> document() {
+        String service = settings.getConfigurationUrl();
+        HttpAnswer answer = http.get(service + "/v1/documents/" + settings.getEnvironment() + "?above=0&waitMillis=0");
         if (answer instanceof HttpAnswer.Answered answered && answered.isOk()) {
-            ReadResult<Document> read = DocumentReader.read(answered.body(), settings.getConfigurationUrl());
-            return read instanceof ReadResult.Valid<Document> valid ? Optional.of(valid.value()) : Optional.empty();
+            return DocumentReader.read(answered.body(), service);
         }
-        return Optional.empty();
+        Fault fault = new Fault(service, 0, 0, "", Problem.UNREADABLE, reason(answer), "");
+        return new ReadResult.Invalid<>(List.of(fault));
     }
 
     /**
--- a/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/fleet/FleetStatus.java
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/fleet/FleetStatus.java
@@ -10,6 +10,8 @@
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.whinwharf.schema.Fault;
+import org.whinwharf.schema.ReadResult;
 import org.whinwharf.wire.schema.DataCentre;
 import org.whinwharf.wire.schema.Document;
 import org.whinwharf.wire.schema.Host;
@@ -30,6 +32,7 @@
     private final String environment;
     private final HostList hosts;
     private final Optional<Document> document;
+    private final List<Fault> documentFaults;
     private final List<Reading> readings;
     private final List<SliceState> slices;
     private final Map<String, TargetState> targets = new TreeMap<>();
@@ -39,13 +42,15 @@
      *
      * @param environment name of the environment
      * @param hosts host list
-     * @param document published document; empty when it could not be read
+     * @param published published document, or why it could not be read
      * @param readings what the processes said
      */
-    public FleetStatus(String environment, HostList hosts, Optional<Document> document, List<Reading> readings) {
+    public FleetStatus(String environment, HostList hosts, ReadResult<Document> published, List<Reading> readings) {
         this.environment = environment;
         this.hosts = hosts;
-        this.document = document;
+        this.document =
+                published instanceof ReadResult.Valid<Document> valid ? Optional.of(valid.value()) : Optional.empty();
+        this.documentFaults = published instanceof ReadResult.Invalid<Document> invalid ? invalid.faults() : List.of();
         this.readings = List.copyOf(readings);
         this.slices = new FleetLoad(hosts, statuses()).slices();
         for (SliceState slice : slices) {
@@ -65,6 +70,7 @@
         return new StatusReport(
                 environment,
                 published,
+                documentFaults.stream().map(Fault::text).toList(),
                 highest,
                 count(host -> host.getState() == HostState.LIVE),
                 count(host -> host.getState() == HostState.LEAVING),
--- a/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/fleet/StatusReport.java
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/fleet/StatusReport.java
@@ -11,6 +11,7 @@
  *
  * @param environment name of the environment
  * @param publishedGeneration generation that the configuration service publishes; 0 when it could not be read
+ * @param publishedFaults why no published document could be read; empty when one was
  * @param highestGeneration highest generation in force at any process that answered
  * @param liveHosts hosts of the list that are live, targets among them
  * @param leavingHosts hosts of the list that are leaving
@@ -24,6 +25,7 @@
 public record StatusReport(
         String environment,
         long publishedGeneration,
+        List<String> publishedFaults,
         long highestGeneration,
         int liveHosts,
         int leavingHosts,
@@ -78,7 +80,7 @@
      * @param generation document generation in force
      * @param ready true when it serves
      * @param leaving true once its planned stop has begun
-     * @param documentAgeMillis age of what it last heard from the configuration service
+     * @param documentAgeMillis age of what it last heard from the configuration service; negative when it never did
      * @param reasons why it is not ready, and faults that it reports
      */
     public record ProcessState(
@@ -97,6 +99,7 @@
         String published =
                 publishedGeneration == 0 ? PgmText.get("status.unpublished") : Long.toString(publishedGeneration);
         lines.add(PgmText.get("status.document", environment, published, Long.toString(highestGeneration)));
+        publishedFaults.forEach(fault -> lines.add(PgmText.get("status.fault", fault)));
         lines.add(PgmText.get("status.hosts", liveHosts, leavingHosts));
         block(lines, centreTable());
         block(lines, serviceTable());
@@ -152,7 +155,9 @@
         Table table = new Table("HOST", "ROLE", "DATA CENTRE", "GENERATION", "STATE", "CONFIGURATION HEARD");
         for (ProcessState each : processes) {
             String state = each.leaving() ? "leaving" : each.ready() ? "ready" : "not-ready";
-            String age = PgmText.get("status.age", Long.toString(each.documentAgeMillis()));
+            String age = each.documentAgeMillis() < 0
+                    ? PgmText.get("status.never")
+                    : PgmText.get("status.age", Long.toString(each.documentAgeMillis()));
             table.row(each.host(), each.role(), each.dataCentre(), each.generation(), state, age);
         }
         return table;
