Close links of hosts that leave the published list; name the exit codes

Cause: the list was asked only when a connection was made, so a host that was taken out kept its link for as long as it kept it alive. The command lines did not say what their exit codes mean.

Ruled out: closing links by address alone, which would miss a host whose name was taken out while its address serves another.

Conclusion: a host's link ends with its listing.

--- a/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/command/DaemonCommandTest.java
+++ b/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/command/DaemonCommandTest.java
@@ -33,7 +33,9 @@
     @Test
     void helpNamesTheOptions() {
         assertThat(prepare("--help").code(), is(ExitCode.OK));
-        assertThat(text(out), allOf(containsString("--settings"), containsString("--version")));
+        assertThat(
+                text(out),
+                allOf(containsString("--settings"), containsString("--version"), containsString("EXIT CODES")));
     }
 
     @Test
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/DaemonCommand.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/DaemonCommand.java
@@ -2,6 +2,7 @@
 
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.ExitCodes;
 import com.github.rvesse.airline.help.Help;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import com.google.protobuf.Message;
@@ -24,6 +25,16 @@
  *
  * @param <S> type of the daemon's settings
  */
+@ExitCodes(
+        codes = {0, 1, 2, 3, 4, 5},
+        descriptions = {
+            "Stopped as asked, or help or version was printed",
+            "Failed for another reason than those below",
+            "The command line is wrong",
+            "The settings are wrong; every fault was printed and no port was opened",
+            "A port or address of the settings could not be used",
+            "Stopped as asked, but work was still in flight when drainMillis had passed"
+        })
 public abstract class DaemonCommand<S extends Message> {
     @Option(
             name = {"--settings"},
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
@@ -389,6 +389,7 @@
         if (answer instanceof PlatformAnswer.Changed<HostList> changed
                 && changed.value().getRevision() >= snapshot.revision()) {
             listedPeers.update(changed.value());
+            network.recheck();
             processes = countProcesses(changed.value());
         }
         duty.offer(each -> each.listAnswered(answer, askedAtMillis, ticker.nowMillis()));
--- a/org.whinwharf.test/src/test/java/org/whinwharf/order/WeightTurnsTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/order/WeightTurnsTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.document.DocumentView;
 import org.whinwharf.membership.Membership;
 import org.whinwharf.wire.schema.Host;
@@ -85,16 +86,17 @@
         assertThat(mostIn10Seconds, lessThanOrEqualTo(2 * (10 + 1) + 1));
     }
 
-    // An operator sets the wall clock of a host back by an hour, again and again. The turns repeat; the tokens bound
-    // what that host can take.
-    @Test
-    void wallClockThatIsSetBackGivesNoMoreThanTheShareAndOneRound() {
+    // The wall clock of a host is set back by a second, again and again, so that the same turns come round each second.
+    // The tokens bound what that host can take.
+    @ParameterizedTest
+    @ValueSource(longs = {0, 500, 1_000, 1_500, 2_000, 2_500, 3_000, 3_500, 4_000, 4_500})
+    void wallClockThatIsSetBackGivesNoMoreThanTheShareAndOneRound(long offsetMillis) {
         List<String> targets = names(10);
         WeightTurns turns = new WeightTurns(2);
         turns.targets(targets, Set.copyOf(targets.subList(0, 2)), 0);
         int taken = 0;
         for (long now = 0; now < 100_000; now += TICK_MILLIS) {
-            long unix = UNIX_MILLIS + now % 5_000;
+            long unix = UNIX_MILLIS + offsetMillis + now % 1_000;
             taken += turns.take(now, unix) ? 1 : 0;
         }
         double shareOf100Seconds = 2.0 * 2 / 10 * 100;
--- a/org.whinwharf.wire.test/src/test/java/org/whinwharf/wire/peer/PeerNetworkTest.java
+++ b/org.whinwharf.wire.test/src/test/java/org/whinwharf/wire/peer/PeerNetworkTest.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.whinwharf.wire.message.DocumentReply;
@@ -36,6 +37,7 @@
             .build();
 
     private final List<PeerNetwork> networks = new ArrayList<>();
+    private final Set<String> unlisted = ConcurrentHashMap.newKeySet();
     private final RecordingListener atA = new RecordingListener();
     private final RecordingListener atB = new RecordingListener();
 
@@ -166,6 +168,23 @@
         assertThat(a.counters().count(PeerEvent.WRONG_PEER), greaterThan(0L));
     }
 
+    // A host is taken out of the published list while its process still runs. Its link must not outlive the listing, or
+    // what it sends would count as long as it keeps the connection open.
+    @Test
+    void linkOfAHostThatLeavesTheListIsClosed() {
+        PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        a.connect(new PeerAddress("host-b", Role.SCHEDULER, ADDRESS_B, b.port()));
+        PeerLink toB = atA.up();
+        atB.up();
+        b.recheck();
+        assertThat(toB.send(request(1)), is(true));
+        assertThat(atB.frame(), equalTo(request(1)));
+        unlisted.add("host-a");
+        b.recheck();
+        assertThat(atB.down(), containsString("no longer"));
+    }
+
     @Test
     void linkStaysWhileOneHolderWantsIt() {
         PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
@@ -215,7 +234,7 @@
                 .build();
     }
 
-    private static final class Listed implements PeerFilter {
+    private final class Listed implements PeerFilter {
         @Override
         public boolean admitsAddress(String address) {
             return Set.of(ADDRESS_A, ADDRESS_B).contains(address);
@@ -223,7 +242,8 @@
 
         @Override
         public boolean admits(Hello hello, String address) {
-            return hello.getHost().equals(address.equals(ADDRESS_A) ? "host-a" : "host-b");
+            String listed = address.equals(ADDRESS_A) ? "host-a" : "host-b";
+            return hello.getHost().equals(listed) && !unlisted.contains(listed);
         }
     }
 }
--- a/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/PeerNetwork.java
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/PeerNetwork.java
@@ -156,6 +156,14 @@
         disconnect(peer, DAEMON);
     }
 
+    /**
+     * Asks the filter again about every connection and closes those that it admits no more. To be called when the
+     * published list has changed.
+     */
+    public void recheck() {
+        gate.recheck();
+    }
+
     /**
      * Returns the counters.
      *
--- a/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/ConnectionGate.java
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/ConnectionGate.java
@@ -47,6 +47,16 @@
         channels.close().awaitUninterruptibly(timeoutMillis);
     }
 
+    /** Closes each link whose peer the filter admits no more. */
+    public void recheck() {
+        for (Channel channel : channels) {
+            LinkHandler handler = channel.pipeline().get(LinkHandler.class);
+            if (handler != null) {
+                channel.eventLoop().execute(handler::recheck);
+            }
+        }
+    }
+
     boolean letIn(Channel channel) {
         if (channels.size() >= maxConnections) {
             shared.counters().add(PeerEvent.TOO_MANY_CONNECTIONS);
--- a/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Link.java
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Link.java
@@ -57,6 +57,10 @@
         }
     }
 
+    Channel channel() {
+        return channel;
+    }
+
     String closeReason(String otherwise) {
         String reason = closeReason.get();
         return reason == null ? otherwise : reason;
--- a/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/LinkHandler.java
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/LinkHandler.java
@@ -54,7 +54,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-        if (reasonGiven(context)) {
+        if (isClosing(context)) {
             return;
         }
         if (link == null) {
@@ -93,6 +93,17 @@
         close(context, kindOf(failure), String.valueOf(failure.getMessage()));
     }
 
+    /** Closes the connection when its peer is admitted no more; called by the connection's thread. */
+    void recheck() {
+        if (link == null || !link.channel().isActive()) {
+            return;
+        }
+        if (!shared.filter().admits(link.peer(), addressOf(link.channel()))) {
+            shared.counters().add(PeerEvent.UNLISTED);
+            link.close("no longer in the host list");
+        }
+    }
+
     private void receiveFirst(ChannelHandlerContext context, Frame frame) {
         if (!frame.hasHello()) {
             close(context, PeerEvent.UNKNOWN_FRAME, "first frame is no hello");
@@ -137,7 +148,7 @@
         context.writeAndFlush(FrameEncoder.encode(context.alloc(), frame));
     }
 
-    private boolean reasonGiven(ChannelHandlerContext context) {
+    private static boolean isClosing(ChannelHandlerContext context) {
         return !context.channel().isActive();
     }
 
