Bind the freshness of a list to its revision

Cause: the node tells that a list was heard of before the steward's thread has taken it over. A process paused between the two would wake with the old list and a fresh time, and could order an engine that ignores fencing numbers although the new list names another steward.

Ruled out: handing time and list over in one event (the last check before the sending has to read the newest time, not the one of the event).

Change: Node.listHeardAtMillis takes the revision that the caller works with and says nothing when another one is in force; the check before the sending also takes the generation in force.

Conclusion: no thread can take the news of one list for news of another.

--- a/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/node/NodeTest.java
+++ b/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/node/NodeTest.java
@@ -112,6 +112,8 @@
             String metrics = client.toBlocking().retrieve("/metrics");
             assertThat(metrics, containsString("whinwharf_document_generation 1.0"));
             assertThat(metrics, containsString("whinwharf_list_revision 3.0"));
+            assertThat(node.listHeardAtMillis(3).isPresent(), is(true));
+            assertThat(node.listHeardAtMillis(2).isPresent(), is(false));
         }
     }
 
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
@@ -206,12 +206,17 @@
     }
 
     /**
-     * Returns when the last successful read of the host list was begun: what it says is at most that old.
+     * Returns when a revision of the host list was last confirmed: what it says is at most that old.
      *
-     * @return monotonic clock; empty when there was none
+     * <p>Bound to the revision, so that who still works with the list before cannot take the news of the next one for
+     * news of its own.
+     *
+     * @param revision revision of the list that the caller works with
+     * @return monotonic clock at the begin of the read; empty when another revision is in force
      */
-    public OptionalLong listHeardAtMillis() {
-        return snapshot.listHeardAtMillis();
+    public OptionalLong listHeardAtMillis(long revision) {
+        Snapshot now = snapshot;
+        return now.revision() == revision ? now.listHeardAtMillis() : OptionalLong.empty();
     }
 
     /**
--- a/org.whinwharf.steward/src/main/java/org/whinwharf/steward/internal/OrderDesk.java
+++ b/org.whinwharf.steward/src/main/java/org/whinwharf/steward/internal/OrderDesk.java
@@ -4,8 +4,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import org.whinwharf.document.DocumentView;
 import org.whinwharf.order.OrderOutcome;
 import org.whinwharf.order.PlannedOrder;
 import org.whinwharf.order.StewardAction;
@@ -62,7 +64,7 @@
         if (leaving != null || !node.isReady()) {
             return;
         }
-        for (StewardAction action : core.tick(now(), System.currentTimeMillis(), node.listHeardAtMillis())) {
+        for (StewardAction action : core.tick(now(), System.currentTimeMillis(), confirmedAt(core.revision()))) {
             if (action instanceof StewardAction.ReadState read) {
                 read(read.target());
             } else if (action instanceof StewardAction.SendOrder send) {
@@ -106,7 +108,8 @@
     private void send(PlannedOrder order) {
         String target = order.target().getName();
         // Asked with a fresh reading of the clock, as the last thing before the sending.
-        Optional<Withheld> withheld = core.withheld(order, now(), node.listHeardAtMillis());
+        Optional<Withheld> withheld =
+                core.withheld(order, now(), confirmedAt(order.fencingNumber()), generationInForce());
         if (withheld.isPresent()) {
             withhold(order, withheld.get());
             return;
@@ -168,6 +171,14 @@
         }
     }
 
+    private OptionalLong confirmedAt(long revision) {
+        return node.listHeardAtMillis(revision);
+    }
+
+    private long generationInForce() {
+        return node.document().map(DocumentView::generation).orElse(0L);
+    }
+
     private long now() {
         return node.ticker().nowMillis();
     }
--- a/org.whinwharf.test/src/test/java/org/whinwharf/order/FakeSteward.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/order/FakeSteward.java
@@ -16,6 +16,7 @@
     private final List<Long> sentAtMillis = new ArrayList<>();
     private final List<Long> fencingNumbers = new ArrayList<>();
     private final List<Withheld> withheld = new ArrayList<>();
+    private long generation;
     private long listHeardAtMillis = Long.MIN_VALUE;
 
     FakeSteward(String host, double loadsPerSecond, Map<String, FakeEngine> engines) {
@@ -29,6 +30,7 @@
 
     void hears(Membership membership, DocumentView document, long nowMillis) {
         core.update(membership, document, nowMillis);
+        generation = document.generation();
         listHeardAtMillis = nowMillis;
     }
 
@@ -68,7 +70,7 @@
 
     private void send(PlannedOrder order, long nowMillis) {
         String name = order.target().getName();
-        var reason = core.withheld(order, nowMillis, heard());
+        var reason = core.withheld(order, nowMillis, heard(), generation);
         if (reason.isPresent()) {
             withheld.add(reason.get());
             core.answered(name, OrderOutcome.WITHHELD, nowMillis);
--- a/org.whinwharf.test/src/test/java/org/whinwharf/order/StewardCoreTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/order/StewardCoreTest.java
@@ -13,6 +13,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -112,20 +114,23 @@
         assertThat(engine.accepted(), empty());
     }
 
-    // The document changes between the decision and the sending: the order would load what nobody wants any more.
+    // List or document change between the decision and the sending, and the thread that decides has not heard of it
+    // yet. The order would load what nobody wants any more, or come from a host that is no longer the steward.
     @Test
-    void orderOfAnEarlierDocumentIsWithheld() {
+    void orderOfAnEarlierListOrDocumentIsWithheld() {
         steward.hears(list(4, "entry-0"), CHECKING, 0);
         steward.tick(0, 0, 0);
-        StewardAction.SendOrder decided =
-                (StewardAction.SendOrder) steward.core().tick(100, 100, java.util.OptionalLong.of(0)).stream()
-                        .filter(StewardAction.SendOrder.class::isInstance)
-                        .findFirst()
-                        .orElseThrow();
-        steward.hears(list(4, "entry-0"), OrderFleet.document(2, "2", true), 110);
-        assertThat(
-                steward.core().withheld(decided.order(), 120, java.util.OptionalLong.of(110)),
-                is(java.util.Optional.of(Withheld.DOCUMENT_CHANGED)));
+        PlannedOrder decided = steward.core().tick(100, 100, OptionalLong.of(0)).stream()
+                .filter(StewardAction.SendOrder.class::isInstance)
+                .map(action -> ((StewardAction.SendOrder) action).order())
+                .findFirst()
+                .orElseThrow();
+        StewardCore core = steward.core();
+        assertThat(core.withheld(decided, 120, OptionalLong.of(0), 1), is(Optional.empty()));
+        assertThat(core.withheld(decided, 120, OptionalLong.of(0), 2), is(Optional.of(Withheld.DOCUMENT_CHANGED)));
+        assertThat(core.withheld(decided, 120, OptionalLong.empty(), 1), is(Optional.of(Withheld.LIST_STALE)));
+        steward.hears(list(5, "entry-0"), CHECKING, 110);
+        assertThat(core.withheld(decided, 120, OptionalLong.of(110), 1), is(Optional.of(Withheld.LIST_CHANGED)));
     }
 
     // A steward is replaced while its last order to an engine that ignores fencing numbers is still on its way. If the
--- a/org.whinwharf/src/main/java/org/whinwharf/order/StewardCore.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/order/StewardCore.java
@@ -84,6 +84,15 @@
         turns.targets(all, own.keySet(), nowMillis);
     }
 
+    /**
+     * Returns the revision that the decisions are based on.
+     *
+     * @return revision of the host list; 0 before the first one
+     */
+    public long revision() {
+        return membership == null ? 0 : membership.revision();
+    }
+
     /**
      * Takes a reading of an engine.
      *
@@ -121,7 +130,8 @@
      *
      * @param nowMillis monotonic clock
      * @param unixMillis wall clock; it only places turns at the weight store
-     * @param listHeardAtMillis monotonic clock when the host list was last asked for successfully; empty for never
+     * @param listHeardAtMillis monotonic clock when the list of {@link #revision} was last confirmed; empty when it is
+     *     not in force any more
      * @return readings and orders
      */
     public List<StewardAction> tick(long nowMillis, long unixMillis, OptionalLong listHeardAtMillis) {
@@ -148,10 +158,13 @@
      *
      * @param order the order
      * @param nowMillis monotonic clock, read for this call
-     * @param listHeardAtMillis monotonic clock when the host list was last asked for successfully; empty for never
+     * @param listHeardAtMillis monotonic clock when the list of the order's fencing number was last confirmed; empty
+     *     when it is not in force any more
+     * @param generationInForce generation of the document in force, read for this call
      * @return why not; empty when it may be sent
      */
-    public Optional<Withheld> withheld(PlannedOrder order, long nowMillis, OptionalLong listHeardAtMillis) {
+    public Optional<Withheld> withheld(
+            PlannedOrder order, long nowMillis, OptionalLong listHeardAtMillis, long generationInForce) {
         if (nowMillis - order.plannedAtMillis() > SEND_MILLIS) {
             return Optional.of(Withheld.TOO_LATE);
         }
@@ -161,7 +174,7 @@
         if (order.fencingNumber() != membership.revision()) {
             return Optional.of(Withheld.LIST_CHANGED);
         }
-        return order.generation() == document.generation() ? Optional.empty() : Optional.of(Withheld.DOCUMENT_CHANGED);
+        return order.generation() == generationInForce ? Optional.empty() : Optional.of(Withheld.DOCUMENT_CHANGED);
     }
 
     /**
