Ask the gate when the request is written, not when it is queued

The gate was asked before the HTTP client had a connection. A request could then wait up to the connect timeout, or be paused with the process, and leave on a grant that had run out. SendGuard, a handler behind the client's codec, now asks the gate in the moment the head is written, and lets each request leave once however often the client writes it. A failure with the gate still open means that no byte left, so such a request queues anew.

Ruled out: a larger pool alone, which bounds the wait but not a pause. Callers no longer get a head for a connection that never came about. Conclusion: what is left is the time between this write and the kernel's.

--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/Targets.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/Targets.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.micronaut.context.ApplicationContext;
 import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.HttpStatus;
@@ -9,7 +10,9 @@
 import io.micronaut.http.MutableHttpRequest;
 import io.micronaut.http.client.DefaultHttpClientConfiguration;
 import io.micronaut.http.client.HttpClient;
+import io.micronaut.http.client.HttpClientRegistry;
 import io.micronaut.http.client.exceptions.HttpClientResponseException;
+import io.micronaut.http.client.netty.NettyClientCustomizer;
 import io.micronaut.http.client.sse.SseClient;
 import io.micronaut.http.sse.Event;
 import java.net.ConnectException;
@@ -40,18 +43,19 @@
     private static final int MAX_CONNECTIONS_PER_TARGET = 4_096;
     private static final Duration CANCEL_RETRY = Duration.ofMillis(250);
     private static final int CANCEL_RETRIES = 3;
-    private static final String REQUEST_ID = "X-Request-Id";
-
     private final Ticker ticker;
     private final HomeDuty home;
     private final Duty<Runnable> duty;
     private final Map<Long, Disposable> connections = new ConcurrentHashMap<>();
+    private final SendGuard guard;
+    private ApplicationContext context;
     private HttpClient client;
     private SseClient streams;
 
     Targets(Ticker ticker, HomeDuty home) {
         this.ticker = ticker;
         this.home = home;
+        guard = new SendGuard(ticker, home);
         duty = Duty.<Runnable>builder()
                 .name("targets")
                 .handler(Runnable::run)
@@ -61,16 +65,17 @@
 
     @Override
     public void start() {
-        DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
+        context = ApplicationContext.builder().banner(false).start();
+        DefaultHttpClientConfiguration configuration = context.getBean(DefaultHttpClientConfiguration.class);
         configuration.setConnectTimeout(CONNECT_TIMEOUT);
         configuration.setReadTimeout(READ_TIMEOUT);
         configuration.setReadIdleTimeout(READ_TIMEOUT);
         configuration.setMaxContentLength(MAX_CONTENT_BYTES);
-        // A request that waited for a free connection after its gate was asked would leave on a grant that ran out.
         // The owners bound what is in flight; this bound only has to lie above theirs.
         configuration.getConnectionPoolConfiguration().setMaxConcurrentHttp1Connections(MAX_CONNECTIONS_PER_TARGET);
-        client = HttpClient.create(null, configuration);
-        streams = SseClient.create(null, configuration);
+        context.getBean(NettyClientCustomizer.Registry.class).register(guard);
+        client = context.getBean(HttpClientRegistry.class).getDefaultClient();
+        streams = (SseClient) client;
         duty.start();
     }
 
@@ -78,8 +83,7 @@
     public void stop() {
         duty.stop();
         connections.values().forEach(Disposable::dispose);
-        client.close();
-        closeStreams();
+        context.close();
     }
 
     /** Sends a request if its gate still lets it. */
@@ -132,25 +136,16 @@
         return connections.size();
     }
 
-    private void closeStreams() {
-        if (streams instanceof HttpClient closeable) {
-            closeable.close();
-        }
-    }
-
     private void send(HomeAction.Dispatch action, String traceParent) {
         long sequence = action.sequence();
-        if (!action.gate().trySend(ticker.nowMillis())) {
-            home.put(new HomeEvent.NotSent(sequence));
-            return;
-        }
-        home.put(new HomeEvent.Sent(sequence));
+        String requestId = action.place().stream();
+        guard.expect(requestId, sequence, action.gate());
         if (action.submission().isEngine()) {
             HttpRequest<?> request = order(action.place(), action.submission(), traceParent);
             Flux<Event<String>> events = Flux.from(streams.eventStream(request, String.class));
-            follow(sequence, events, failure -> home.put(sendFailure(sequence, failure)));
+            follow(sequence, events, failure -> home.put(sendFailure(action, failure)));
         } else {
-            call(sequence, plainCall(action.place(), action.submission(), traceParent));
+            call(action, plainCall(action.place(), action.submission(), traceParent));
         }
     }
 
@@ -163,13 +158,14 @@
                 () -> home.put(new HomeEvent.StreamBroken(sequence, "the stream ended"))));
     }
 
-    private void call(long sequence, HttpRequest<?> request) {
+    private void call(HomeAction.Dispatch action, HttpRequest<?> request) {
+        long sequence = action.sequence();
         Disposable.Swap connection = Disposables.swap();
         connections.put(sequence, connection);
         connection.replace(Mono.from(client.exchange(request, byte[].class))
                 .subscribe(
                         response -> home.put(answered(sequence, response)),
-                        failure -> home.put(callFailure(sequence, failure))));
+                        failure -> home.put(callFailure(action, failure))));
     }
 
     private static HomeEvent answered(long sequence, HttpResponse<byte[]> response) {
@@ -178,7 +174,7 @@
         return new HomeEvent.CallAnswered(sequence, response.code(), contentType, body);
     }
 
-    private static HomeEvent callFailure(long sequence, Throwable failure) {
+    private HomeEvent callFailure(HomeAction.Dispatch action, Throwable failure) {
         if (failure instanceof HttpClientResponseException refused && refused.code() != unavailable()) {
             String contentType = refused.getResponse()
                     .getContentType()
@@ -188,14 +184,17 @@
                     .getBody(byte[].class)
                     .map(ByteString::copyFrom)
                     .orElse(ByteString.EMPTY);
-            return new HomeEvent.CallAnswered(sequence, refused.code(), contentType, body);
+            return new HomeEvent.CallAnswered(action.sequence(), refused.code(), contentType, body);
         }
-        return sendFailure(sequence, failure);
+        return sendFailure(action, failure);
     }
 
-    private static HomeEvent sendFailure(long sequence, Throwable failure) {
-        if (isConnectFailure(failure)) {
-            return new HomeEvent.ConnectFailed(sequence);
+    private HomeEvent sendFailure(HomeAction.Dispatch action, Throwable failure) {
+        long sequence = action.sequence();
+        guard.forget(action.place().stream());
+        // A gate that can still be closed was not passed: not one byte of the request left, whatever went wrong.
+        if (action.gate().close()) {
+            return isConnectFailure(failure) ? new HomeEvent.ConnectFailed(sequence) : new HomeEvent.NotSent(sequence);
         }
         if (failure instanceof HttpClientResponseException refused) {
             int status = refused.code();
@@ -218,7 +217,6 @@
                 : new HomeEvent.StreamBroken(sequence, String.valueOf(failure.getMessage()));
     }
 
-    // The client writes a request only on a connection that stands. So a failure to connect means that no byte left.
     private static boolean isConnectFailure(Throwable failure) {
         for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
             if (cause instanceof ConnectException) {
@@ -237,7 +235,8 @@
                 .build();
         MutableHttpRequest<String> request = HttpRequest.POST(base(place) + "/v1/streams", CallerJson.print(order))
                 .contentType(MediaType.APPLICATION_JSON_TYPE)
-                .accept(MediaType.TEXT_EVENT_STREAM_TYPE);
+                .accept(MediaType.TEXT_EVENT_STREAM_TYPE)
+                .header(SendGuard.REQUEST_ID, place.stream());
         return traced(request, traceParent);
     }
 
@@ -246,7 +245,7 @@
         MutableHttpRequest<String> request = HttpRequest.POST(uri, submission.text())
                 .contentType(MediaType.APPLICATION_JSON_TYPE)
                 .accept(MediaType.ALL_TYPE)
-                .header(REQUEST_ID, place.stream());
+                .header(SendGuard.REQUEST_ID, place.stream());
         return traced(request, traceParent);
     }
 
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Delivery.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Delivery.java
@@ -33,14 +33,11 @@
     }
 
     void connectFailed(Request request) {
-        sent(request);
-        if (request.phase != RequestPhase.SENT) {
-            return;
-        }
-        if (request.resumeAttempts > 0) {
-            streamBroken(request, "no connection");
-        } else {
+        boolean neverLeft = request.phase == RequestPhase.GRANTED && request.gate.close();
+        if (neverLeft || request.phase == RequestPhase.SENT && request.resumeAttempts == 0) {
             queueing.connectFailed(request);
+        } else {
+            streamBroken(request, "no connection");
         }
     }
 
