Move requests that wait long to a slice with room

Trial with real processes: after the engines of one data centre were killed, requests queued there waited until their deadline, while engines elsewhere were free (a load of 300 did not end within 60 s). Cause: the owner goes on taking requests for a slice whose targets are all dead, and the home believed its word. The home now notes how long its own requests wait, counts that above the owner's word, and after 500 ms moves a request to a slice with room.

Ruled out: moving without looking for room, which would send a whole queue after two free slots; the room an owner speaks of now shrinks with each request this host queues there. Conclusion: a dead slice costs its requests half a second; that its owner reports it as unusable is still to be wished for.

--- a/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
@@ -235,6 +235,26 @@
         assertThat(enqueues(), is(2L));
     }
 
+    // All engines of a data centre die. Their owner takes requests and grants none, for longer than callers wait, while
+    // engines elsewhere have room.
+    @Test
+    void requestThatWaitsLongMovesToASliceWithRoomAndFreshOnesFollow() {
+        driver.submit(1, request);
+        assertThat(driver.queuedAt(1), is(HomeDriver.OWNER_A));
+        driver.nowMillis += 500;
+        driver.on(new HomeEvent.StatusHeard(SliceStatus.newBuilder()
+                .setSlice(HomeDriver.SLICE_B)
+                .setFreeSlots(2)
+                .setUsableTargets(1)
+                .build()));
+        driver.on(new HomeEvent.Ticked());
+        assertThat(driver.queuedAt(1), is(HomeDriver.OWNER_B));
+        driver.submit(2, request);
+        assertThat(driver.queuedAt(2), is(HomeDriver.OWNER_B));
+        driver.grant(1, HomeDriver.OWNER_A, driver.nowMillis);
+        assertThat(last(driver.finished()).getKind(), is(FinishKind.UNUSED));
+    }
+
     @Test
     void shedRequestTriesOneOtherSliceWithRoom() {
         driver.on(new HomeEvent.StatusHeard(SliceStatus.newBuilder()
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
@@ -96,6 +96,8 @@
             intake.graceEnded(request);
         } else if (state.nowMillis >= request.retryAtMillis) {
             queueing.retry(request);
+        } else if (state.nowMillis >= request.reconsiderAtMillis) {
+            queueing.reconsider(request);
         }
         if (request.phase != RequestPhase.ENDED) {
             state.schedule(request);
--- a/org.whinwharf/src/main/java/org/whinwharf/home/HomeSettings.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/HomeSettings.java
@@ -86,6 +86,16 @@
         return 50;
     }
 
+    /**
+     * Returns how long a request waits at one owner before the home looks for room elsewhere.
+     *
+     * @return milliseconds
+     */
+    @Value.Default
+    default long reconsiderMillis() {
+        return 500;
+    }
+
     /**
      * Returns when callers are told to come back where no owner said better.
      *
--- a/org.whinwharf/src/main/java/org/whinwharf/home/OwnerLinks.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/OwnerLinks.java
@@ -69,6 +69,10 @@
         }
         request.slice = slice;
         request.owner = owner;
+        request.queuedAtMillis = state.nowMillis;
+        request.reconsiderAtMillis = state.nowMillis + state.settings.reconsiderMillis();
+        state.board.queued(slice);
+        state.schedule(request);
         tell(owner, Frame.newBuilder().setEnqueue(enqueue).build());
         state.note(request, HomeNote.ENQUEUED, owner + " for " + name(slice));
     }
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
@@ -57,7 +57,21 @@
         place(request);
     }
 
+    /** Moves a request that waits long to a slice with room, if there is one. */
+    void reconsider(Request request) {
+        request.reconsiderAtMillis = state.nowMillis + state.settings.reconsiderMillis();
+        long waitedMillis = state.nowMillis - request.queuedAtMillis;
+        state.board.stalled(request.slice, waitedMillis, state.nowMillis);
+        SliceId present = request.slice;
+        Optional<SliceId> other = otherWithRoom(request).filter(slice -> !slice.equals(present));
+        if (other.isPresent() && !state.board.hasRoom(present, state.nowMillis)) {
+            ending.withdraw(request);
+            enqueue(request, other.get());
+        }
+    }
+
     void granted(String owner, Grant grant) {
+        state.board.granted(grant.getSlice());
         Request request = state.live.get(grant.getRequest());
         if (request == null || !isAwaited(request, owner, grant)) {
             owners.returnUnused(owner, grant);
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Request.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Request.java
@@ -36,6 +36,8 @@
 
     boolean triedElsewhere;
     long retryAtMillis = Long.MAX_VALUE;
+    long queuedAtMillis;
+    long reconsiderAtMillis = Long.MAX_VALUE;
     long orphanEndsAtMillis = Long.MAX_VALUE;
 
     Grant grant;
@@ -63,7 +65,8 @@
     }
 
     long nextDueMillis() {
-        return Math.min(deadlineAtMillis, Math.min(retryAtMillis, orphanEndsAtMillis));
+        long placeAtMillis = Math.min(retryAtMillis, reconsiderAtMillis);
+        return Math.min(deadlineAtMillis, Math.min(placeAtMillis, orphanEndsAtMillis));
     }
 
     void beginRound() {
@@ -73,6 +76,7 @@
     }
 
     void leaveQueue() {
+        reconsiderAtMillis = Long.MAX_VALUE;
         slice = null;
         owner = null;
     }
--- a/org.whinwharf/src/main/java/org/whinwharf/routing/SliceBoard.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/routing/SliceBoard.java
@@ -17,6 +17,8 @@
     private static final int MAX_PREFIXES = 4_096;
 
     private final Map<SliceId, Heard> heard = new HashMap<>();
+    private final Map<SliceId, Stall> stalls = new HashMap<>();
+    private final Map<SliceId, Integer> takenSinceHeard = new HashMap<>();
     private final Map<Long, SliceId> sliceOfPrefix = new LinkedHashMap<>(16, 0.75f, true) {
         private static final long serialVersionUID = 1L;
 
@@ -34,6 +36,36 @@
      */
     public void hear(SliceStatus status, long nowMillis) {
         heard.put(status.getSlice(), new Heard(status, nowMillis));
+        takenSinceHeard.remove(status.getSlice());
+    }
+
+    /**
+     * Notes that this host queued a request at a slice, which takes from the room that its owner spoke of.
+     *
+     * @param slice where it was queued
+     */
+    public void queued(SliceId slice) {
+        takenSinceHeard.merge(slice, 1, Integer::sum);
+    }
+
+    /**
+     * Notes that a request of this host got no grant at a slice so far.
+     *
+     * @param slice where it waits
+     * @param waitedMillis how long it has waited
+     * @param nowMillis now
+     */
+    public void stalled(SliceId slice, long waitedMillis, long nowMillis) {
+        stalls.put(slice, new Stall(waitedMillis, nowMillis));
+    }
+
+    /**
+     * Notes that a slice granted a request of this host.
+     *
+     * @param slice the slice
+     */
+    public void granted(SliceId slice) {
+        stalls.remove(slice);
     }
 
     /**
@@ -56,10 +88,11 @@
      */
     public long expectedWaitMillis(SliceId slice, int tierRank, long nowMillis) {
         Heard fact = heard.get(slice);
+        long seenMillis = stalledMillis(slice, nowMillis);
         if (fact == null) {
-            return UNKNOWN_WAIT_MILLIS;
+            return Math.max(seenMillis, UNKNOWN_WAIT_MILLIS);
         }
-        long waitMillis = fact.waitMillis(tierRank);
+        long waitMillis = Math.max(seenMillis, fact.waitMillis(tierRank));
         // An old word of a free slice is what sends a whole fleet to the same slice: everyone still believes it.
         return isFresh(fact, nowMillis) ? waitMillis : Math.max(waitMillis, UNKNOWN_WAIT_MILLIS);
     }
@@ -73,7 +106,7 @@
      */
     public boolean hasRoom(SliceId slice, long nowMillis) {
         Heard fact = heard.get(slice);
-        return fact != null && isFresh(fact, nowMillis) && fact.status().getFreeSlots() > 0;
+        return fact != null && isFresh(fact, nowMillis) && room(slice) > 0;
     }
 
     /**
@@ -89,14 +122,18 @@
     }
 
     /**
-     * Counts the free slots of a slice less those who wait for them.
+     * Counts the free slots of a slice less those who wait for them and what this host queued there since.
      *
      * @param slice the slice
      * @return the difference; 0 when nothing is known
      */
     public int room(SliceId slice) {
         Heard fact = heard.get(slice);
-        return fact == null ? 0 : fact.status().getFreeSlots() - fact.status().getWaiting();
+        if (fact == null) {
+            return 0;
+        }
+        int spoken = fact.status().getFreeSlots() - fact.status().getWaiting();
+        return spoken - takenSinceHeard.getOrDefault(slice, 0);
     }
 
     /**
@@ -115,6 +152,14 @@
         return Optional.empty();
     }
 
+    // What this host sees for itself counts more than a good word: all targets of a slice may be dead while its owner
+    // still expects them to answer.
+    private long stalledMillis(SliceId slice, long nowMillis) {
+        Stall stall = stalls.get(slice);
+        boolean recent = stall != null && nowMillis - stall.atMillis() <= FRESH_MILLIS;
+        return recent ? stall.waitedMillis() : 0;
+    }
+
     private static boolean isFresh(Heard fact, long nowMillis) {
         return nowMillis - fact.atMillis() <= FRESH_MILLIS;
     }
@@ -127,6 +172,8 @@
      */
     public record SharedPrefix(SliceId slice, int tokens) {}
 
+    private record Stall(long waitedMillis, long atMillis) {}
+
     private record Heard(SliceStatus status, long atMillis) {
         long waitMillis(int tierRank) {
             if (status.getFreeSlots() > status.getWaiting()) {
