Lower a target's limit to what it runs when requests wait there

Ruled out: home and queue (head sent within 32 ms of the request). Change: a load reading that shows requests queued at the target lowers the limit to what it ran; growth goes on by single steps from there. The new test failed before (no such input); the owner's tests pass. Conclusion: the reported load corrects the limit downwards only; it never raises it.

--- a/org.whinwharf.test/src/test/java/org/whinwharf/owner/limit/ConcurrencyLimitTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/limit/ConcurrencyLimitTest.java
@@ -30,6 +30,17 @@
         assertThat(limit.value(), greaterThan(1));
     }
 
+    // The limit had grown beyond what the engine runs at once, since long answers hide a wait at the engine. A short
+    // request of the highest tier waited there behind them until its deadline had passed.
+    @Test
+    void fallsToWhatTheTargetRunsWhenRequestsWaitThere() {
+        complete(15, 100, true);
+        limit.queued(4);
+        assertThat(limit.value(), is(4));
+        complete(4, 100, true);
+        assertThat(limit.value(), is(5));
+    }
+
     @Test
     void halvesOnARefusal() {
         complete(15, 100, true);
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/limit/ConcurrencyLimit.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/limit/ConcurrencyLimit.java
@@ -94,6 +94,22 @@
         shrink(HALF);
     }
 
+    /**
+     * Learns that requests wait inside the target, where nobody can put them in order: it runs fewer at once than the
+     * limit allows. Long answers hide such a wait in their own length, so that service time alone shows it late.
+     *
+     * @param running requests that the target ran while others waited there
+     */
+    public void queued(int running) {
+        int bears = Math.max(Math.min(limits.getCold(), limits.getMost()), running);
+        if (value > bears) {
+            value = bears;
+            slowStartUntil = value;
+            credit = 0;
+            sinceStepBack = 0;
+        }
+    }
+
     /**
      * Learns from a completed request.
      *
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/limit/Reading.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/limit/Reading.java
@@ -8,11 +8,13 @@
  *
  * @param startNumber differs after each start of the target
  * @param total requests running and queued there
+ * @param queued requests that the target had admitted but not begun
  * @param earliestMillis earliest instant at which it can have been measured, by the owner's clock
  * @param latestMillis latest instant at which it can have been measured, by the owner's clock
  * @param models models that the target serves; empty when it does not say
  */
-public record Reading(long startNumber, int total, long earliestMillis, long latestMillis, List<String> models) {
+public record Reading(
+        long startNumber, int total, int queued, long earliestMillis, long latestMillis, List<String> models) {
     /**
      * Reads an answer of a target.
      *
@@ -25,6 +27,7 @@
         return new Reading(
                 load.getStartNumber(),
                 load.getRunning() + load.getQueued(),
+                load.getQueued(),
                 askedAtMillis - load.getAgeMillis(),
                 answeredAtMillis - load.getAgeMillis(),
                 List.copyOf(load.getModelsList()));
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/limit/TargetAccount.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/limit/TargetAccount.java
@@ -261,6 +261,9 @@
             restarted();
         }
         last = reading;
+        if (reading.queued() > 0) {
+            limit.queued(reading.total() - reading.queued());
+        }
         foreign.read(reading, slots, timings);
     }
 
