Let the load tool's callers go where a host sends them

Cause: with a data centre taken out, callers of its hosts waited the second that the error names and came back to the same host, though the error listed others; 50 of 219 requests were given up as not run.

An error that sends a caller elsewhere is followed at once, twice at most and outside the retry budget, with addresses and a ticket asked of another host.

Ruled out: a fault of the entry hosts. They answered host-leaving within 0.6 s, named the other host, and the checker found no work sent to that data centre 300 ms after it was taken out.

Tests: 29 run, 29 passed (one new: it goes elsewhere at once and without budget).

--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/AttemptLog.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/AttemptLog.java
@@ -18,6 +18,7 @@
     private long lastTokenNanos;
     private int tokens;
     private int resumes;
+    private boolean sentElsewhere;
     private Outcome outcome = Outcome.BROKEN;
     private EntryTransport.Numbered numbered;
 
@@ -86,6 +87,7 @@
 
     void error(AnswerError error) {
         outcome = Outcome.ERROR;
+        sentElsewhere = error.getAddressesCount() > 0;
         entry.error(error.getError()).ran(error.getRan()).comeBackMillis(error.getComeBackMillis());
         if (!error.getRequestId().isEmpty()) {
             entry.requestId(error.getRequestId());
@@ -103,6 +105,11 @@
         error(error.toBuilder().setError(name).build());
     }
 
+    /** Returns whether the error named other hosts to use instead. */
+    boolean sentElsewhere() {
+        return sentElsewhere;
+    }
+
     boolean open() {
         return outcome == Outcome.BROKEN;
     }
--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/CallerSession.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/CallerSession.java
@@ -1,6 +1,8 @@
 package org.whinwharf.bench.internal;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.whinwharf.wire.caller.Addresses;
 import org.whinwharf.wire.caller.EntryAddress;
@@ -17,6 +19,7 @@
     private final List<String> bootstrap;
     private Addresses addresses = Addresses.getDefaultInstance();
     private long goodUntilMillis = Long.MIN_VALUE;
+    private String left = "";
     private long nextNumber;
     private Mono<Addresses> fetching;
 
@@ -35,7 +38,9 @@
         return fresh().map(ignored -> number());
     }
 
-    synchronized void forget() {
+    /** Asks for addresses anew before the next request, and asks this host last. */
+    synchronized void leave(String url) {
+        left = url;
         goodUntilMillis = Long.MIN_VALUE;
     }
 
@@ -73,9 +78,12 @@
     }
 
     private List<String> candidates() {
-        List<String> known = new java.util.ArrayList<>(others(""));
-        bootstrap.stream().filter(url -> !known.contains(url)).forEach(known::add);
-        return known;
+        Set<String> candidates = new LinkedHashSet<>(others(left));
+        candidates.addAll(bootstrap);
+        if (candidates.remove(left)) {
+            candidates.add(left);
+        }
+        return List.copyOf(candidates);
     }
 
     private Mono<Addresses> ask(String url) {
--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/EntryTransport.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/EntryTransport.java
@@ -63,8 +63,8 @@
     }
 
     private HistoryEntry finish(AttemptLog log, CallerSession session) {
-        if (log.open()) {
-            session.forget();
+        if (log.numbered() != null && (log.open() || log.sentElsewhere())) {
+            session.leave(log.numbered().url());
         }
         return log.finish();
     }
--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/RetryPolicy.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/RetryPolicy.java
@@ -2,6 +2,7 @@
 
 import org.whinwharf.bench.history.HistoryEntry;
 import org.whinwharf.bench.history.HistoryEntry.Outcome;
+import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.errors.Ran;
 
 /**
@@ -11,6 +12,7 @@
 final class RetryPolicy {
     private static final double FIRST_TOKENS = 10;
     private static final long BROKEN_PAUSE_MILLIS = 200;
+    private static final int MAX_ELSEWHERE = 2;
 
     private final double ratio;
     private double tokens = FIRST_TOKENS;
@@ -45,6 +47,9 @@
 
     synchronized Decision decide(HistoryEntry last, long leftMillis) {
         Decision wanted = wanted(last);
+        if (sentElsewhere(last) && last.attempt() < MAX_ELSEWHERE) {
+            return wanted;
+        }
         if (wanted.step() == Step.GIVE_UP || wanted.delayMillis() >= leftMillis || tokens < 1) {
             return Decision.GIVE_UP;
         }
@@ -52,11 +57,20 @@
         return wanted;
     }
 
+    /** Another host has room at once; asking it is part of finding the way and takes nothing from the budget. */
+    private static boolean sentElsewhere(HistoryEntry last) {
+        return last.error().equals(ErrorKind.HOST_LEAVING.wireName())
+                || last.error().equals(ErrorKind.HOST_FULL.wireName());
+    }
+
     private static Decision wanted(HistoryEntry last) {
         if (last.outcome() == Outcome.BROKEN) {
             boolean sent = last.number() >= 0;
             return new Decision(sent ? Step.REPEAT : Step.FRESH, BROKEN_PAUSE_MILLIS);
         }
+        if (sentElsewhere(last)) {
+            return new Decision(Step.FRESH, 0);
+        }
         if (last.outcome() == Outcome.WHOLE || last.comeBackMillis() <= 0) {
             return Decision.GIVE_UP;
         }
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/bench/internal/RetryPolicyTest.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/bench/internal/RetryPolicyTest.java
@@ -31,6 +31,19 @@
         assertThat(policy.decide(error("unknown", 700), LEFT_MILLIS).step(), is(Step.FRESH));
     }
 
+    /*
+     * A data centre is taken out and its hosts send their callers away. A caller that waits instead sees no service.
+     */
+    @Test
+    void goesToAnotherHostAtOnceAndWithoutBudget() {
+        RetryPolicy none = new RetryPolicy(0);
+        for (int i = 0; i < 50; i++) {
+            HistoryEntry leaving =
+                    ImmutableHistoryEntry.copyOf(error("not-run", 1000)).withError("host-leaving");
+            assertThat(none.decide(leaving, LEFT_MILLIS), is(new Decision(Step.FRESH, 0)));
+        }
+    }
+
     @Test
     void givesUpWhenTheDeadlineWouldPass() {
         assertThat(policy.decide(error("not-run", LEFT_MILLIS), LEFT_MILLIS), is(Decision.GIVE_UP));
