Find higher tiers refused under another name than shed

Cause: under nine tenths more load than four engines bear, the owners refused 749 requests as hopeless and none as shed, so that the rule on shedding, which looked at shed alone, had nothing to say.

A further rule takes whatever a request was refused for. It is broken when a request of a lower tier that waited beside it was sent to a target in the first half of the time that the refused one had left. The old rule stays as it was.

Ruled out: counting every hopeless refusal beside a lower waiting request. A short deadline can be past help while a long one is not; only a place that the refused request could have used shows a wrong order.

--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/history/HistoryEntry.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/history/HistoryEntry.java
@@ -81,6 +81,12 @@
     /** Returns the rank of the caller's tier; the highest is shed last. */
     int tierRank();
 
+    /** Returns the time that the caller gave for the whole answer; 0 when it gave none. */
+    @Value.Default
+    default long deadlineMillis() {
+        return 0;
+    }
+
     /** Returns when the attempt was sent. */
     long sentMillis();
 
--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/history/Rule.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/history/Rule.java
@@ -3,7 +3,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.whinwharf.bench.PromptSpec;
+import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.errors.Ran;
 import org.whinwharf.standin.StandInText;
 import org.whinwharf.standin.record.Overload;
@@ -110,6 +112,29 @@
         }
     },
 
+    /**
+     * While a request could still have been answered in time, none of a lower tier that waited with it gets a place.
+     *
+     * <p>It looks at what a request was refused for, whatever the refusal is called: a request that is called hopeless
+     * was shed all the same when a lower one that waited was sent to a target in the first half of the time it had
+     * left.
+     */
+    PLACE_TO_HIGHER_TIER_FIRST {
+        @Override
+        void check(History history, Report report) {
+            LaterAdmissions later = new LaterAdmissions(history);
+            for (HistoryEntry entry : history.entries()) {
+                if (REFUSED_FOR_LOAD.contains(entry.error())) {
+                    later.lowerTierServedInstead(entry)
+                            .ifPresent(lower -> report.add(
+                                    entry.intent(),
+                                    "rank " + entry.tierRank() + " refused as " + entry.error() + " though "
+                                            + lower.intent() + " of rank " + lower.tierRank() + " got a place"));
+                }
+            }
+        }
+    },
+
     /** A data centre or target that is out received no new work once the time for that had passed. */
     NO_WORK_WHEN_OUT {
         @Override
@@ -139,7 +164,9 @@
         }
     };
 
-    private static final String SHED = "shed";
+    private static final String SHED = ErrorKind.SHED.wireName();
+    private static final Set<String> REFUSED_FOR_LOAD = Set.of(
+            SHED, ErrorKind.HOPELESS.wireName(), ErrorKind.HOST_FULL.wireName(), ErrorKind.DEADLINE_WAITING.wireName());
 
     abstract void check(History history, Report report);
 
--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/Plan.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/Plan.java
@@ -30,6 +30,7 @@
                 .maxTokens(kind.maxTokens())
                 .idempotent(kind.idempotent())
                 .organisation(caller.organisation())
-                .tierRank(caller.rank());
+                .tierRank(caller.rank())
+                .deadlineMillis(kind.deadlineMillis());
     }
 }
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/bench/history/HistoryTest.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/bench/history/HistoryTest.java
@@ -180,6 +180,24 @@
         assertThat(rules(), is(empty()));
     }
 
+    /*
+     * An owner calls a ranger's request hopeless and then grants a place to a school's that waited beside it.
+     * It was shed under another name.
+     */
+    @Test
+    void higherTierCalledHopelessWhileALowerOneGetsAPlaceIsFound() {
+        HistoryEntry ranger = ImmutableHistoryEntry.copyOf(shed("ranger", 3, 10_000))
+                .withError("hopeless")
+                .withDeadlineMillis(3000);
+        entries.add(ranger);
+        entries.add(
+                attempt("school", 1, 9000).requestId("h.1.8").endMillis(12_000).build());
+        streamsB.add(stream("h.1.8", "school", 10_200, 1));
+        assertThat(rules(), contains(Rule.PLACE_TO_HIGHER_TIER_FIRST));
+        streamsB.set(0, stream("h.1.8", "school", 11_500, 1));
+        assertThat(rules(), is(empty()));
+    }
+
     /*
      * A host that has not heard of the new document goes on sending work to the data centre that is out.
      */
