--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/node/Node.java
@@ -29,6 +29,7 @@
 import org.whinwharf.runtime.node.internal.NodeLinks;
 import org.whinwharf.runtime.node.internal.NodeMetrics;
 import org.whinwharf.runtime.node.internal.PeerChoice;
+import org.whinwharf.runtime.node.internal.ReadinessLog;
 import org.whinwharf.runtime.node.internal.Snapshot;
 import org.whinwharf.runtime.platform.Pacing;
 import org.whinwharf.runtime.platform.PlatformAnswer;
@@ -76,7 +77,7 @@
     private volatile Snapshot snapshot;
     private volatile boolean leaving;
     private volatile int processes;
-    private boolean wasReady;
+    private final ReadinessLog readiness = new ReadinessLog();
 
     Node(NodeBuilder parts) {
         this.parts = parts;
@@ -204,6 +205,20 @@
         return snapshot.membership();
     }
 
+    /**
+     * Returns when a revision of the host list was last confirmed: what it says is at most that old.
+     *
+     * <p>Bound to the revision, so that who still works with the list before cannot take the news of the next one for
+     * news of its own.
+     *
+     * @param revision revision of the list that the caller works with
+     * @return monotonic clock at the begin of the read; empty when another revision is in force
+     */
+    public OptionalLong listHeardAtMillis(long revision) {
+        Snapshot now = snapshot;
+        return now.revision() == revision ? now.listHeardAtMillis() : OptionalLong.empty();
+    }
+
     /**
      * Returns how old the knowledge of the host list may be.
      *
@@ -379,6 +394,7 @@
         if (answer instanceof PlatformAnswer.Changed<HostList> changed
                 && changed.value().getRevision() >= snapshot.revision()) {
             listedPeers.update(changed.value());
+            network.recheck();
             processes = countProcesses(changed.value());
         }
         duty.offer(each -> each.listAnswered(answer, askedAtMillis, ticker.nowMillis()));
@@ -415,22 +431,7 @@
 
     private void takeSnapshot() {
         snapshot = core.snapshot(ticker.nowMillis());
-        List<String> reasons = reasons();
-        boolean ready = reasons.isEmpty();
-        if (ready == wasReady) {
-            return;
-        }
-        wasReady = ready;
-        if (ready) {
-            EventLog.event(LogEvent.READY)
-                    .with(
-                            EventField.GENERATION,
-                            snapshot.document().orElseThrow().generation())
-                    .with(EventField.REVISION, snapshot.revision())
-                    .call();
-        } else {
-            EventLog.event(LogEvent.NOT_READY).with(EventField.REASONS, reasons).call();
-        }
+        readiness.update(reasons(), snapshot, ticker.nowMillis());
     }
 
     private final class Handler implements DutyHandler<Consumer<NodeCore>> {
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
@@ -9,6 +9,7 @@
 import org.whinwharf.owner.limit.TargetAccount;
 import org.whinwharf.owner.placement.Candidate;
 import org.whinwharf.owner.pledge.PledgeBook;
+import org.whinwharf.owner.pledge.ShareRule;
 import org.whinwharf.owner.queue.DrainRate;
 import org.whinwharf.owner.queue.SliceQueue;
 import org.whinwharf.owner.queue.Waiting;
@@ -26,10 +27,12 @@
 /** Queue, pledges and targets of one slice at the process that owns it or is to own it. */
 final class SliceOwner {
     private static final int HARD_BOUND_FACTOR = 2;
+    private static final double NEARLY_FULL = 0.8;
     private static final double OPTIMISM = 0.5;
     private static final long SHORTEST_COME_BACK_MILLIS = 200;
     private static final long DEFAULT_COME_BACK_MILLIS = 1_000;
     private static final long LONGEST_COME_BACK_MILLIS = 60_000;
+    private static final long HOPELESS_MILLIS = 50;
     private static final long HEARD_MILLIS = 5_000;
 
     private final SliceId slice;
@@ -40,12 +43,13 @@
     private final DrainRate drain = new DrainRate();
     private final Map<HomeId, Long> heardAtMillis = new HashMap<>();
     private long enqueuedAtMillis = Long.MIN_VALUE / 2;
+    private long hopelessAtMillis = Long.MIN_VALUE / 2;
     private boolean holds;
 
     SliceOwner(SliceId slice, Scene scene) {
         this.slice = slice;
         this.scene = scene;
-        this.book = new PledgeBook(slice, scene.views());
+        this.book = new PledgeBook(slice, scene.views(), ShareRule.REST_TO_MAJORITY);
         this.targets = new SliceTargets(slice, scene, book);
         targets.update();
     }
@@ -173,7 +177,10 @@
             evictAll(RefusalReason.NO_TARGET, nowMillis);
             return;
         }
-        evictHopeless(nowMillis);
+        if (nowMillis - hopelessAtMillis >= HOPELESS_MILLIS) {
+            hopelessAtMillis = nowMillis;
+            evictHopeless(nowMillis);
+        }
         trim(nowMillis);
         grant(nowMillis);
     }
@@ -217,7 +224,7 @@
 
     private boolean isHopeless(Waiting waiting, double waitMillis, long nowMillis) {
         double leftMillis = waiting.deadlineMillis() - nowMillis;
-        return leftMillis <= 0 || leftMillis < waitMillis + targets.bestMillis(waiting);
+        return leftMillis <= 0 || leftMillis < waitMillis + targets.bestMillis(waiting, nowMillis);
     }
 
     private void evictHopeless(long nowMillis) {
@@ -265,6 +272,10 @@
             }
             evict(victim, RefusalReason.SHED, nowMillis);
         }
+        // A floor that fell whenever the queue is just not too long would rise again with the next request.
+        if (queue.size() > NEARLY_FULL * bound) {
+            scene.floors().keep(slice.getService(), nowMillis);
+        }
     }
 
     private boolean mayShed(Waiting victim, long nowMillis) {
@@ -274,6 +285,9 @@
     }
 
     private void grant(long nowMillis) {
+        if (queue.size() == 0) {
+            return;
+        }
         List<Candidate> candidates = targets.withRoom(nowMillis);
         boolean granted = true;
         while (granted && !candidates.isEmpty()) {
@@ -282,21 +296,22 @@
     }
 
     private boolean grantOne(List<Candidate> candidates, long nowMillis) {
-        for (Waiting waiting : queue.heads()) {
-            List<Candidate> fitting = candidates.stream()
-                    .filter(candidate -> candidate.account().serves(waiting.model()))
-                    .toList();
-            if (!fitting.isEmpty()) {
-                Candidate chosen = scene.placement().choose(fitting, waiting, scene.placementState());
-                grant(waiting, chosen, nowMillis);
-                candidates.remove(chosen);
-                if (chosen.room() > 1) {
-                    candidates.add(chosen.less());
-                }
-                return true;
-            }
+        Optional<Waiting> next = queue.next(waiting -> waiting.deadlineMillis() > nowMillis
+                && candidates.stream().anyMatch(candidate -> candidate.account().serves(waiting.model())));
+        if (next.isEmpty()) {
+            return false;
         }
-        return false;
+        Waiting waiting = next.get();
+        List<Candidate> fitting = candidates.stream()
+                .filter(candidate -> candidate.account().serves(waiting.model()))
+                .toList();
+        Candidate chosen = scene.placement().choose(fitting, waiting, scene.placementState());
+        grant(waiting, chosen, nowMillis);
+        candidates.remove(chosen);
+        if (chosen.room() > 1) {
+            candidates.add(chosen.less());
+        }
+        return true;
     }
 
     private void grant(Waiting waiting, Candidate chosen, long nowMillis) {
