Check and promote documents whose JSON is larger than a published value

With 31,000 organisations a document is several megabytes of JSON, and the command line refused it by the bound on published values (3,681,300 bytes against 1,000,000), although its compact form fits: the largest fleet could not have been operated. A test showed it first. Files are now read with a bound of their own, 32 MB, and refused when their compact form is above what the platform holds; a process still takes no published value above that.

--- a/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/DocumentFile.java
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/internal/DocumentFile.java
@@ -23,7 +23,7 @@
      */
     public static ReadResult<Document> read(String file) {
         try {
-            return DocumentReader.read(Files.readAllBytes(Path.of(file)), file);
+            return DocumentReader.readSource(Files.readAllBytes(Path.of(file)), file);
         } catch (IOException e) {
             String found = e.getClass().getSimpleName();
             return new ReadResult.Invalid<>(List.of(new Fault(file, 0, 0, "", Problem.UNREADABLE, found, "")));
--- a/org.whinwharf/src/main/java/org/whinwharf/document/DocumentReader.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/document/DocumentReader.java
@@ -25,6 +25,9 @@
     /** Largest published form, in bytes; the smaller reading of the megabyte that the platform's values may have. */
     public static final int MAX_PUBLISHED_BYTES = 1_000_000;
 
+    /** Largest text of a document in a file, in bytes. */
+    public static final int MAX_SOURCE_BYTES = 32_000_000;
+
     /**
      * Largest document behind the compact form, in bytes.
      *
@@ -54,6 +57,32 @@
         return isCompact(published) ? readCompact(published, source) : readText(published, source);
     }
 
+    /**
+     * Reads a document as operators keep it. Its JSON may be larger than what can be published, as long as the compact
+     * form is not.
+     *
+     * @param bytes bytes of the file, in either form
+     * @param source name that the faults carry
+     * @return the document with fallbacks in place, or all its faults
+     */
+    public static ReadResult<Document> readSource(byte[] bytes, String source) {
+        if (isCompact(bytes)) {
+            return read(bytes, source);
+        }
+        if (bytes.length > MAX_SOURCE_BYTES) {
+            return invalid(source, Problem.TOO_LARGE, Integer.toString(bytes.length), maximum(MAX_SOURCE_BYTES));
+        }
+        ReadResult<Document> read = readText(bytes, source);
+        if (read instanceof ReadResult.Valid<Document> valid) {
+            int compactBytes = DocumentWriter.compact(valid.value()).length;
+            if (compactBytes > MAX_PUBLISHED_BYTES) {
+                String found = Integer.toString(compactBytes);
+                return invalid(source, Problem.TOO_LARGE, found, maximum(MAX_PUBLISHED_BYTES));
+            }
+        }
+        return read;
+    }
+
     /**
      * Reads a document from JSON with comments.
      *
