Explain in words, and check a refused document once

explain printed the names of a home's notes.

The keeper now knows the last refused document by its digest and answers without checking. Caching by generation was ruled out: a mended document may come with the same one. Comparing with the document in force no longer copies it.

--- a/org.whinwharf.pgm.test/src/test/java/org/whinwharf/pgm/FleetCommandsTest.java
+++ b/org.whinwharf.pgm.test/src/test/java/org/whinwharf/pgm/FleetCommandsTest.java
@@ -14,7 +14,9 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.whinwharf.home.HomeNote;
 import org.whinwharf.pgm.FakeServer.Reply;
+import org.whinwharf.pgm.internal.PgmText;
 
 class FleetCommandsTest {
     private static final Path PRODUCTION = Run.SAMPLES.resolve("svetlo-spat/production.json");
@@ -137,6 +139,13 @@
         Approvals.verify(golden(Run.of("explain", REQUEST, "--settings", settings)));
     }
 
+    @Test
+    void everyNoteOfAHomeIsExplainedInWords() {
+        for (HomeNote note : HomeNote.values()) {
+            assertThat(note.wireName(), PgmText.has("explain.event." + note.wireName()), is(true));
+        }
+    }
+
     @Test
     void explainSaysWhoseRecordIsGone() {
         Run restarted = Run.of("explain", "entry-1.77.1", "--settings", settings);
@@ -154,10 +163,13 @@
         }
         return Reply.json("""
                 {"requestId": "entry-1.9f3c.2a", "events": [
-                  {"atUnixMillis": "1767225780000", "event": "request-admitted",
-                   "fields": {"service": "escriba", "tierRank": "2"}},
-                  {"atUnixMillis": "1767225780150", "event": "request-refused",
-                   "fields": {"kind": "shed", "ran": "not-run", "comeBackMillis": "2000"}}]}""");
+                  {"atUnixMillis": "1767225780000", "event": "accepted",
+                   "fields": {"detail": "escriba for parque-araripe"}},
+                  {"atUnixMillis": "1767225780001", "event": "enqueued",
+                   "fields": {"detail": "entry-1 for escriba/araripe/0"}},
+                  {"atUnixMillis": "1767225780150", "event": "refused", "fields": {"detail": "HOPELESS by entry-1"}},
+                  {"atUnixMillis": "1767225780151", "event": "ended", "fields": {"detail": "hopeless"}},
+                  {"atUnixMillis": "1767225780152", "event": "of-a-newer-version", "fields": {"size": "3"}}]}""");
     }
 
     private static Reply platformReply(String request) {
--- a/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/Explain.java
+++ b/org.whinwharf.pgm/src/main/java/org/whinwharf/pgm/Explain.java
@@ -88,6 +88,8 @@
     }
 
     private record Step(String at, String event, Map<String, String> fields) {
+        private static final String DETAIL = "detail";
+
         static Step of(ExplainEvent event) {
             String at = Instant.ofEpochMilli(event.getAtUnixMillis()).toString();
             return new Step(at, event.getEvent(), new TreeMap<>(event.getFieldsMap()));
@@ -97,8 +99,15 @@
             String key = "explain.event." + event;
             String text = PgmText.has(key) ? PgmText.get(key) : event;
             StringBuilder line = new StringBuilder(at).append("  ").append(text);
-            fields.forEach(
-                    (name, value) -> line.append("  ").append(name).append('=').append(value));
+            String detail = fields.getOrDefault(DETAIL, "");
+            if (!detail.isEmpty()) {
+                line.append(": ").append(detail);
+            }
+            fields.forEach((name, value) -> {
+                if (!name.equals(DETAIL)) {
+                    line.append("  ").append(name).append('=').append(value);
+                }
+            });
             return line.toString();
         }
     }
--- a/org.whinwharf.test/src/test/java/org/whinwharf/document/DocumentKeeperTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/document/DocumentKeeperTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.sameInstance;
 
 import java.util.OptionalLong;
 import java.util.Set;
@@ -77,6 +78,19 @@
         assertThat(keeper.generation(), is(3L));
     }
 
+    // A large faulty document stays published overnight, and every reading of the configuration service brings it
+    // again.
+    // Checked anew each time, it would keep a processor of every host busy.
+    @Test
+    void aRefusedDocumentThatComesAgainIsNotCheckedAnew() {
+        byte[] faulty = TestDocuments.published(TestDocuments.valid(9).clearTiers());
+        Offer first = keeper.offer(faulty, PLATFORM, 1);
+
+        assertThat(keeper.offer(faulty.clone(), PLATFORM, 2), sameInstance(first));
+        assertThat(keeper.offer(TestDocuments.published(9), PLATFORM, 3), instanceOf(Offer.Adopted.class));
+        assertThat(keeper.offer(faulty, PLATFORM, 4), sameInstance(first));
+    }
+
     // A trial document is published to the production environment by mistake. Its credentials and data centres are
     // not those of production, so every caller would be refused.
     @Test
--- a/org.whinwharf/src/main/java/org/whinwharf/document/DocumentKeeper.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/document/DocumentKeeper.java
@@ -3,7 +3,7 @@
 import com.google.common.hash.HashCode;
 import com.google.common.hash.Hashing;
 import com.google.protobuf.ByteString;
-import java.util.Arrays;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -19,6 +19,10 @@
  * bring a data centre back that operators had taken out; one would notice hosts whose generation falls. Here nothing
  * but a higher generation takes the place of the document in force.
  *
+ * <p>A faulty document stays published until it is mended, and each reading brings it again. Reading a large one takes
+ * a good part of a second, so that the processor would be busy with nothing else; one would notice the load on every
+ * host at once. The keeper knows the last document that it refused by its digest.
+ *
  * <p>Not safe for use by several threads; the views that it hands out are.
  */
 public final class DocumentKeeper {
@@ -26,6 +30,8 @@
     private DocumentView inForce;
     private ByteString published = ByteString.EMPTY;
     private HashCode content;
+    private HashCode refusedDigest;
+    private Offer.Invalid refusal;
     private OptionalLong platformHeardAtMillis = OptionalLong.empty();
 
     /**
@@ -49,9 +55,22 @@
         if (source.kind() == Source.Kind.PLATFORM) {
             heardFromPlatform(nowMillis);
         }
-        if (inForce != null && Arrays.equals(offered, published.toByteArray())) {
+        if (inForce != null && published.asReadOnlyByteBuffer().equals(ByteBuffer.wrap(offered))) {
             return new Offer.Unchanged(inForce.generation());
         }
+        HashCode digest = Hashing.sha256().hashBytes(offered);
+        if (digest.equals(refusedDigest)) {
+            return refusal;
+        }
+        Offer offer = read(offered, source);
+        if (offer instanceof Offer.Invalid invalid) {
+            refusedDigest = digest;
+            refusal = invalid;
+        }
+        return offer;
+    }
+
+    private Offer read(byte[] offered, Source source) {
         ReadResult<Document> read = DocumentReader.read(offered, source.name());
         if (read instanceof ReadResult.Invalid<Document> invalid) {
             return new Offer.Invalid(invalid.faults());
