--- a/org.whinwharf.test/src/test/java/org/whinwharf/owner/SchedulerCoreTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/SchedulerCoreTest.java
@@ -257,6 +257,37 @@
         assertThat(grants(), hasSize(1));
     }
 
+    // The first candidate dies and the list does not say so yet. The next one takes over; while it gathers pledges,
+    // homes
+    // turn to other slices, and without anybody asking it must not give up just before it can grant.
+    @Test
+    void laterCandidateTakesOverAndKeepsTheSliceUntilTheFirstCanBeReached() {
+        hosts = List.of("s0", "a1", "a3", "a4");
+        view();
+        String first = Fixtures.membership(1, document, hosts, targets)
+                .candidates(Fixtures.SLICE)
+                .get(0)
+                .getName();
+        assertThat(first, is(not("s0")));
+        pass(6_000);
+        actions.clear();
+        enqueue(1, 0);
+        pass(7_000);
+        pass(7_000);
+        assertThat(pledgesAsked(), is(true));
+        on(new Event.PeerUp(new HomeId(first, 1)));
+        enqueue(2, 0);
+        assertThat(refusals(2), contains(RefusalReason.NOT_OWNER));
+    }
+
+    private boolean pledgesAsked() {
+        actions.clear();
+        pass(1_000);
+        return actions.stream()
+                .anyMatch(action ->
+                        action instanceof Action.ToPeer send && send.frame().hasPledgeRequest());
+    }
+
     private void growTo(int limit) {
         for (long request = 1_000; request < 1_000 + limit * MAX_WAITING; request += MAX_WAITING) {
             for (int i = 0; i < MAX_WAITING; i++) {
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SliceOwner.java
@@ -84,7 +84,8 @@
         if (scene.isLeaving() || !scene.membership().slices().contains(slice)) {
             return false;
         }
-        boolean asked = nowMillis - enqueuedAtMillis < HEARD_MILLIS;
+        boolean asked = nowMillis - enqueuedAtMillis < HEARD_MILLIS
+                || book.share(nowMillis).pledged() > 0;
         for (Host candidate : scene.membership().candidates(slice)) {
             if (candidate.getName().equals(scene.self().host())) {
                 return true;
