Keep higher tiers where the home itself has to refuse

A full home refused whoever came last, and a request whose target could not be reached was turned away once the retry budget was spent; both shed a high tier while lower ones waited here. A full home now ends the lowest waiting tier (not run) for a higher one, and a request beyond the budget waits before it queues anew.

Ruled out: counting repeats of turned-away requests by their content, which would refuse high tiers at the door. Conclusion: no answer of the home passes over a higher tier for a lower one that waits at the same host. The kind retry-budget is unused at present.

--- a/org.whinwharf/src/main/java/org/whinwharf/home/Intake.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Intake.java
@@ -1,10 +1,12 @@
 package org.whinwharf.home;
 
+import java.util.Comparator;
 import java.util.Optional;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.home.TicketTable.Seen;
 import org.whinwharf.ticket.NumberWindow;
 import org.whinwharf.ticket.Ticket;
+import org.whinwharf.wire.message.FinishKind;
 
 /** Takes requests on, finds the first attempt of a repeat, and handles callers that ask, cancel or go away. */
 final class Intake {
@@ -113,7 +115,7 @@
             tell(caller, 0, state.failed(ErrorKind.TICKET_REQUIRED, "the call may not be repeated"));
             return;
         }
-        Optional<Outcome> obstacle = obstacle();
+        Optional<Outcome> obstacle = obstacle(submission);
         if (obstacle.isPresent()) {
             tell(caller, state.nextSequence(), obstacle.get());
             return;
@@ -136,7 +138,7 @@
             tell(caller, 0, state.failed(ErrorKind.BAD_VALUE, "too many gaps in the numbers; take a new ticket"));
             return;
         }
-        Optional<Outcome> obstacle = obstacle();
+        Optional<Outcome> obstacle = obstacle(submission);
         if (obstacle.isPresent()) {
             // The number is used up by this refusal. A copy of the request that comes late over another path must
             // not run after its caller was told that it did not.
@@ -199,19 +201,30 @@
         return Optional.empty();
     }
 
-    private Optional<Outcome> obstacle() {
+    private Optional<Outcome> obstacle(Submission submission) {
         if (state.leaving) {
             return Optional.of(state.failed(ErrorKind.HOST_LEAVING, "this host is leaving"));
         }
         if (!state.view.isInService(state.settings.dataCentre())) {
             return Optional.of(state.failed(ErrorKind.HOST_LEAVING, "this data centre is out of service"));
         }
-        if (state.live.size() >= state.settings.maxRequests()) {
+        if (state.live.size() >= state.settings.maxRequests() && !makeRoom(submission.tierRank())) {
             return Optional.of(state.failed(ErrorKind.HOST_FULL, "this host holds all the requests it can"));
         }
         return Optional.empty();
     }
 
+    // A full host must not turn a ranger away while it keeps a lower tier waiting. What was sent stays.
+    private boolean makeRoom(int tierRank) {
+        Optional<Request> lowest = state.live.values().stream()
+                .filter(request -> request.phase == RequestPhase.WAITING)
+                .filter(request -> request.submission.tierRank() < tierRank)
+                .min(Comparator.comparingInt(request -> request.submission.tierRank()));
+        lowest.ifPresent(request ->
+                ending.end(request, state.failed(ErrorKind.SHED, "a higher tier needs the room"), FinishKind.UNUSED));
+        return lowest.isPresent();
+    }
+
     private void orphaned(Request request) {
         state.note(request, HomeNote.CALLERS_GONE, "");
         if (mustFinish(request)) {
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
@@ -109,8 +109,10 @@
         if (state.budget.tryRetry(state.view.retryFloorPerSecond(), state.nowMillis)) {
             requeue(request);
         } else {
-            Outcome outcome = state.failed(ErrorKind.RETRY_BUDGET, "the target could not be reached");
-            ending.end(request, outcome, FinishKind.UNUSED);
+            // Turning it away would shed a high tier while lower ones wait. It waits instead, so that many dead targets
+            // at once do not make a storm of messages.
+            request.retryAtMillis = state.nowMillis + state.settings.comeBackMillis();
+            state.schedule(request);
         }
     }
 
