Take what callers read from resource bundles

Texts of the home and the entry stood in the code. Ruled out: an enumeration of texts beside ErrorKind, a second closed list to keep in step. No wording changed, so no test changed.

--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/ActionRunner.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/ActionRunner.java
@@ -129,7 +129,7 @@
         if (answer.isEmpty()) {
             Outcome dropped = Outcome.failed(
                     ErrorKind.ANSWER_DROPPED,
-                    "the answer is no longer kept",
+                    EntryText.get("the-answer-is-no-longer-kept"),
                     0,
                     action.outcome().target());
             tellError(session.get(), action.sequence(), dropped);
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerController.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerController.java
@@ -70,6 +70,7 @@
 
     @Error(global = true, exception = ContentLengthExceededException.class)
     HttpResponse<?> tooLarge(ContentLengthExceededException tooLarge) {
-        return CallerRequests.refusal(ErrorKind.BODY_TOO_LARGE, "the body is larger than this host takes");
+        return CallerRequests.refusal(
+                ErrorKind.BODY_TOO_LARGE, EntryText.get("the-body-is-larger-than-this-host-takes"));
     }
 }
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerRequests.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerRequests.java
@@ -107,7 +107,7 @@
     Publisher<HttpResponse<?>> resume(HttpRequest<?> request, String id, String from) {
         Optional<Integer> fromIndex = index(from);
         if (fromIndex.isEmpty()) {
-            return Mono.just(refuse(ErrorKind.BAD_VALUE, "from: a number from 0"));
+            return Mono.just(refuse(ErrorKind.BAD_VALUE, EntryText.get("from-a-number-from-0")));
         }
         return withOwn(
                 request,
@@ -128,7 +128,7 @@
             }
             Optional<Long> parsed = number(number);
             if (parsed.isEmpty()) {
-                return Mono.just(refuse(ErrorKind.BAD_VALUE, "number: a number from 0"));
+                return Mono.just(refuse(ErrorKind.BAD_VALUE, EntryText.get("number-a-number-from-0")));
             }
             Ticket shown = ((Success<Ticket>) opened).value();
             return lookupNumber(request, who, ticket, new TicketNumber(shown, parsed.get()));
@@ -147,7 +147,7 @@
             Optional<Integer> fromIndex = index(from);
             if (fromIndex.isEmpty() || !shown.organisation().equals(who.caller().organisation())) {
                 ErrorKind kind = fromIndex.isEmpty() ? ErrorKind.BAD_VALUE : ErrorKind.BAD_TICKET;
-                return Mono.just(refuse(kind, "from: a number from 0; the receipt: of this organisation"));
+                return Mono.just(refuse(kind, EntryText.get("from-a-number-from-0-the-receipt-of-this")));
             }
             return resumeAtTarget(request, shown, fromIndex.get());
         });
@@ -196,7 +196,7 @@
             if (!parts.home().tryPut(event.apply(asked.handle))) {
                 // The event never reached the home, so the request was not accepted and cannot run.
                 parts.sessions().remove(asked.handle);
-                tell(session, ErrorKind.HOST_FULL, "this host is busy");
+                tell(session, ErrorKind.HOST_FULL, EntryText.get("this-host-is-busy"));
             }
         });
     }
@@ -217,15 +217,16 @@
             HttpSession[] session = new HttpSession[1];
             Runnable slow = () -> {
                 connection.dispose();
-                tell(session[0], ErrorKind.SLOW_CALLER, "the caller read too slowly");
+                tell(session[0], ErrorKind.SLOW_CALLER, EntryText.get("the-caller-read-too-slowly"));
             };
             session[0] = newSession(request, true, response, slow, connection::dispose);
             connection.replace(parts.targets()
                     .resumeDirectly(place, fromIndex)
                     .subscribe(
                             token -> pass(session[0], token),
-                            failure -> tell(session[0], unknownOrLost(failure), "the stream can't be resumed"),
-                            () -> tell(session[0], ErrorKind.TARGET_LOST, "the stream ended early")));
+                            failure -> tell(
+                                    session[0], unknownOrLost(failure), EntryText.get("the-stream-can-t-be-resumed")),
+                            () -> tell(session[0], ErrorKind.TARGET_LOST, EntryText.get("the-stream-ended-early"))));
         });
     }
 
@@ -273,7 +274,7 @@
                     kind,
                     Errors.of(
                             kind,
-                            "this host is not its home",
+                            EntryText.get("this-host-is-not-its-home"),
                             0,
                             id,
                             parts.addresses().of(host))));
@@ -292,7 +293,8 @@
     private Result<Known> known(HttpRequest<?> request) {
         Optional<DocumentView> document = node.document();
         if (document.isEmpty() || node.membership().isEmpty()) {
-            return new Failure<>(ErrorKind.NOT_READY, "no document is in force here yet", COME_BACK_MILLIS);
+            return new Failure<>(
+                    ErrorKind.NOT_READY, EntryText.get("no-document-is-in-force-here-yet"), COME_BACK_MILLIS);
         }
         String header = request.getHeaders().get("Authorization");
         boolean wellFormed = header != null && header.startsWith(BEARER) && header.length() <= MAX_CREDENTIAL_CHARS;
@@ -302,7 +304,8 @@
                 ? document.get().caller(Credentials.hash(header.substring(BEARER.length())))
                 : Optional.empty();
         return caller.<Result<Known>>map(found -> Result.of(new Known(document.get(), found)))
-                .orElseGet(() -> Result.failure(ErrorKind.UNKNOWN_CREDENTIAL, "the credential is missing or unknown"));
+                .orElseGet(() -> Result.failure(
+                        ErrorKind.UNKNOWN_CREDENTIAL, EntryText.get("the-credential-is-missing-or-unknown")));
     }
 
     private HttpResponse<?> refuse(Failure<?> failure) {
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/RelayClient.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/RelayClient.java
@@ -119,7 +119,7 @@
             pending.values().stream()
                     .filter(each -> each.link == link)
                     .toList()
-                    .forEach(each -> fail(each, "the link to the home broke"));
+                    .forEach(each -> fail(each, EntryText.get("the-link-to-the-home-broke")));
         });
     }
 
@@ -127,7 +127,7 @@
         if (!duty.offer(() -> pass(answer))) {
             // A part of an answer was lost; the caller must not get the rest as if it were whole.
             duty.offer(() -> Optional.ofNullable(pending.get(answer.getRelay()))
-                    .ifPresent(each -> fail(each, "too much to relay")));
+                    .ifPresent(each -> fail(each, EntryText.get("too-much-to-relay"))));
         }
     }
 
@@ -145,14 +145,14 @@
             }
         });
         if (!taken) {
-            unreachable(session, "too much to relay");
+            unreachable(session, EntryText.get("too-much-to-relay"));
         }
     }
 
     private void connect(Pending each) {
         Optional<Host> host = node.membership().flatMap(membership -> membership.host(each.home));
         if (host.isEmpty() || !host.get().hasEntry()) {
-            fail(each, "the home is not in the host list");
+            fail(each, EntryText.get("the-home-is-not-in-the-host-list"));
             return;
         }
         PeerAddress peer = new PeerAddress(
@@ -166,7 +166,7 @@
     private void send(Pending each) {
         each.link = links.get(each.home);
         if (!each.link.send(each.frame)) {
-            fail(each, "the queue to the home is full");
+            fail(each, EntryText.get("the-queue-to-the-home-is-full"));
         }
     }
 
@@ -182,7 +182,7 @@
                         answer.getToken().getIndex(), answer.getToken().getText());
             case CHUNK -> each.body = each.body.concat(answer.getChunk());
             case END -> passEnd(each, answer.getEnd());
-            default -> fail(each, "the home sent an unknown part");
+            default -> fail(each, EntryText.get("the-home-sent-an-unknown-part"));
         }
     }
 
@@ -234,7 +234,7 @@
         try {
             each.session.state(RequestState.parseFrom(each.body));
         } catch (InvalidProtocolBufferException malformed) {
-            unreachable(each.session, "the home's answer is malformed");
+            unreachable(each.session, EntryText.get("the-home-s-answer-is-malformed"));
         }
     }
 
@@ -291,7 +291,7 @@
             pending.values().stream()
                     .filter(each -> each.link == null && nowMillis >= each.linkByMillis)
                     .toList()
-                    .forEach(each -> fail(each, "the home does not answer"));
+                    .forEach(each -> fail(each, EntryText.get("the-home-does-not-answer")));
         }
     }
 }
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/RelayServer.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/RelayServer.java
@@ -36,7 +36,8 @@
         RelaySession session = new RelaySession(link, relay.getRelay(), () -> forget(link, relay.getRelay()));
         Optional<DocumentView> document = node.document();
         if (document.isEmpty()) {
-            Failure<Submission> notReady = new Failure<>(ErrorKind.HOME_UNREACHABLE, "the home has no document", 0);
+            Failure<Submission> notReady =
+                    new Failure<>(ErrorKind.HOME_UNREACHABLE, EntryText.get("the-home-has-no-document"), 0);
             session.error(notReady.kind(), Errors.of(notReady));
             return;
         }
@@ -53,7 +54,7 @@
         RelaySession session = new RelaySession(link, lookup.getRelay(), () -> forget(link, lookup.getRelay()));
         Result<Ticket> ticket = node.document()
                 .map(document -> Ticket.open(lookup.getTicket(), new SealingKeys(document.sealingKeys())))
-                .orElseGet(() -> Result.failure(ErrorKind.HOME_UNREACHABLE, "the home has no document"));
+                .orElseGet(() -> Result.failure(ErrorKind.HOME_UNREACHABLE, EntryText.get("the-home-has-no-document")));
         if (ticket instanceof Failure<Ticket> failure) {
             session.error(failure.kind(), Errors.of(failure));
             return;
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/SubmissionReader.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/SubmissionReader.java
@@ -45,7 +45,7 @@
                     .decode(java.nio.ByteBuffer.wrap(body))
                     .toString();
         } catch (CharacterCodingException malformed) {
-            return Result.failure(ErrorKind.MALFORMED, "the body is not UTF-8");
+            return Result.failure(ErrorKind.MALFORMED, EntryText.get("the-body-is-not-utf-8"));
         }
         ReadResult<SubmitRequest> read = SchemaReader.read(json, "body", SubmitRequest.getDefaultInstance());
         if (read instanceof ReadResult.Invalid<SubmitRequest> invalid) {
@@ -116,7 +116,7 @@
             return Result.of(Optional.empty());
         }
         if (request.getTicket().isEmpty() || !request.hasNumber()) {
-            return Result.failure(ErrorKind.BAD_VALUE, "ticket and number: both or neither");
+            return Result.failure(ErrorKind.BAD_VALUE, EntryText.get("ticket-and-number-both-or-neither"));
         }
         Result<Ticket> ticket = Ticket.open(request.getTicket(), new SealingKeys(document.sealingKeys()));
         if (ticket instanceof Failure<Ticket> failure) {
@@ -129,20 +129,22 @@
     private Result<Submission> checkService(SubmitRequest request, Submission.Builder builder) {
         Optional<ServiceSpec> service = document.service(request.getService());
         if (service.isEmpty()) {
-            return Result.failure(ErrorKind.UNKNOWN_SERVICE, "no service of this name");
+            return Result.failure(ErrorKind.UNKNOWN_SERVICE, EntryText.get("no-service-of-this-name"));
         }
         long bodyBytes =
                 ByteString.copyFromUtf8(request.getPrompt() + request.getBody()).size();
         if (bodyBytes > service.get().getMaxBodyBytes()) {
             return Result.failure(
-                    ErrorKind.BODY_TOO_LARGE, "at most " + service.get().getMaxBodyBytes() + " bytes");
+                    ErrorKind.BODY_TOO_LARGE,
+                    EntryText.get("max-bytes", service.get().getMaxBodyBytes()));
         }
         long leftMillis = request.getDeadlineMillis() == 0
                 ? service.get().getDefaultDeadlineMillis()
                 : request.getDeadlineMillis();
         if (leftMillis < 0 || leftMillis > service.get().getMaxDeadlineMillis()) {
             return Result.failure(
-                    ErrorKind.BAD_DEADLINE, "from 1 to " + service.get().getMaxDeadlineMillis() + " ms");
+                    ErrorKind.BAD_DEADLINE,
+                    EntryText.get("max-deadline", service.get().getMaxDeadlineMillis()));
         }
         builder.service(request.getService()).leftMillis(leftMillis);
         return service.get().getKind() == ServiceKind.ENGINE
@@ -152,13 +154,13 @@
 
     private Result<Submission> checkEngine(SubmitRequest request, ServiceSpec service, Submission.Builder builder) {
         if (!request.getCall().isEmpty() || !request.getBody().isEmpty()) {
-            return Result.failure(ErrorKind.BAD_VALUE, "call and body are for plain services");
+            return Result.failure(ErrorKind.BAD_VALUE, EntryText.get("call-and-body-are-for-plain-services"));
         }
         if (!service.getModelsList().contains(request.getModel())) {
-            return Result.failure(ErrorKind.UNKNOWN_MODEL, "the service does not serve this model");
+            return Result.failure(ErrorKind.UNKNOWN_MODEL, EntryText.get("the-service-does-not-serve-this-model"));
         }
         if (request.getPrompt().isEmpty()) {
-            return Result.failure(ErrorKind.BAD_VALUE, "prompt: must not be empty");
+            return Result.failure(ErrorKind.BAD_VALUE, EntryText.get("prompt-must-not-be-empty"));
         }
         int maxTokens = request.getMaxTokens() > 0 ? request.getMaxTokens() : expectedTokens(request.getModel());
         Submission submission = builder.isEngine(true)
@@ -175,17 +177,17 @@
     private static Result<Submission> checkCall(
             SubmitRequest request, ServiceSpec service, Submission.Builder builder) {
         if (!request.getModel().isEmpty() || !request.getPrompt().isEmpty()) {
-            return Result.failure(ErrorKind.BAD_VALUE, "model and prompt are for engines");
+            return Result.failure(ErrorKind.BAD_VALUE, EntryText.get("model-and-prompt-are-for-engines"));
         }
         Optional<CallSpec> call = service.getCallsList().stream()
                 .filter(each -> each.getName().equals(request.getCall()))
                 .findFirst();
         if (call.isEmpty()) {
-            return Result.failure(ErrorKind.UNKNOWN_CALL, "the service has no such call");
+            return Result.failure(ErrorKind.UNKNOWN_CALL, EntryText.get("the-service-has-no-such-call"));
         }
         boolean numbered = !request.getTicket().isEmpty();
         if (!call.get().getIdempotent() && !numbered) {
-            return Result.failure(ErrorKind.TICKET_REQUIRED, "the call may not be repeated");
+            return Result.failure(ErrorKind.TICKET_REQUIRED, EntryText.get("the-call-may-not-be-repeated"));
         }
         Submission submission = builder.isEngine(false)
                 .callName(request.getCall())
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/Targets.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/Targets.java
@@ -155,7 +155,7 @@
         connection.replace(events.subscribe(
                 event -> home.put(new HomeEvent.TokenArrived(sequence, parse(event.getData()))),
                 whenFailed,
-                () -> home.put(new HomeEvent.StreamBroken(sequence, "the stream ended"))));
+                () -> home.put(new HomeEvent.StreamBroken(sequence, EntryText.get("the-stream-ended")))));
     }
 
     private void call(HomeAction.Dispatch action, HttpRequest<?> request) {
@@ -203,7 +203,7 @@
             }
             boolean known = status == HttpStatus.CONFLICT.getCode();
             return known
-                    ? new HomeEvent.StreamBroken(sequence, "the target has the stream already")
+                    ? new HomeEvent.StreamBroken(sequence, EntryText.get("the-target-has-the-stream-already"))
                     : new HomeEvent.TargetFailed(sequence, status);
         }
         return new HomeEvent.StreamBroken(sequence, String.valueOf(failure.getMessage()));
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Delivery.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Delivery.java
@@ -37,7 +37,7 @@
         if (neverLeft || request.phase == RequestPhase.SENT && request.resumeAttempts == 0) {
             queueing.connectFailed(request);
         } else {
-            streamBroken(request, "no connection");
+            streamBroken(request, HomeText.get("no-connection"));
         }
     }
 
@@ -46,13 +46,17 @@
         if (request.phase != RequestPhase.SENT) {
             return;
         }
-        ending.fail(request, ErrorKind.TARGET_REFUSED, "the target has no room", FinishKind.REFUSED_BY_TARGET);
+        ending.fail(
+                request,
+                ErrorKind.TARGET_REFUSED,
+                HomeText.get("the-target-has-no-room"),
+                FinishKind.REFUSED_BY_TARGET);
     }
 
     void targetFailed(Request request, int status) {
         sent(request);
         if (request.wasSent()) {
-            ending.fail(request, ErrorKind.TARGET_FAILED, "status " + status, FinishKind.FAILED);
+            ending.fail(request, ErrorKind.TARGET_FAILED, HomeText.get("status", status), FinishKind.FAILED);
         }
     }
 
@@ -71,7 +75,7 @@
         } else if (request.assembler.hasGap() && !request.gapResumed) {
             // A token is missing although later ones came. Without asking again the caller would wait for ever.
             request.gapResumed = true;
-            resume(request, 0, "token " + request.assembler.nextIndex() + " is missing");
+            resume(request, 0, HomeText.get("token-missing", request.assembler.nextIndex()));
         }
     }
 
@@ -106,7 +110,7 @@
 
     void streamUnknown(Request request) {
         if (request.wasSent()) {
-            lost(request, "the target does not know the stream");
+            lost(request, HomeText.get("the-target-does-not-know-the-stream"));
         }
     }
 
@@ -138,7 +142,7 @@
             request.firstTokenAtMillis = state.nowMillis;
             request.prefillTokens = first.getPrefillTokens();
             request.promptTokens = Math.max(request.promptTokens, first.getPromptTokens());
-            state.note(request, HomeNote.FIRST_TOKEN, first.getPrefillTokens() + " prefill tokens");
+            state.note(request, HomeNote.FIRST_TOKEN, HomeText.get("prefill", first.getPrefillTokens()));
         }
     }
 
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Ending.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Ending.java
@@ -42,11 +42,11 @@
     /** Ends a request early; what it is told depends on whether it left. */
     void cancel(Request request, ErrorKind whileWaiting, ErrorKind whileRunning) {
         if (stopUnsent(request)) {
-            end(request, state.failed(whileWaiting, "the request waited"), FinishKind.UNUSED);
+            end(request, state.failed(whileWaiting, HomeText.get("the-request-waited")), FinishKind.UNUSED);
             return;
         }
         state.emit(new HomeAction.CancelAtTarget(request.sequence, request.place, request.submission.isEngine()));
-        fail(request, whileRunning, "the target was at work", FinishKind.CANCELLED);
+        fail(request, whileRunning, HomeText.get("the-target-was-at-work"), FinishKind.CANCELLED);
     }
 
     /** Ends a request that was sent. */
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
@@ -183,7 +183,7 @@
 
         @Override
         public void on(HomeEvent.NotSent event) {
-            withLive(event.sequence(), request -> queueing.notSent(request, "it was too late to send"));
+            withLive(event.sequence(), request -> queueing.notSent(request, HomeText.get("it-was-too-late-to-send")));
         }
 
         @Override
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Intake.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Intake.java
@@ -96,7 +96,7 @@
 
     void callerSlow(long caller) {
         if (state.requestOfCaller.containsKey(caller)) {
-            Outcome outcome = state.failed(ErrorKind.SLOW_CALLER, "the caller read too slowly");
+            Outcome outcome = state.failed(ErrorKind.SLOW_CALLER, HomeText.get("the-caller-read-too-slowly"));
             tell(caller, state.requestOfCaller.get(caller), outcome);
             callerGone(caller);
         }
@@ -112,7 +112,7 @@
 
     private void submittedOnce(long caller, Submission submission) {
         if (!submission.isIdempotent()) {
-            tell(caller, 0, state.failed(ErrorKind.TICKET_REQUIRED, "the call may not be repeated"));
+            tell(caller, 0, state.failed(ErrorKind.TICKET_REQUIRED, HomeText.get("the-call-may-not-be-repeated")));
             return;
         }
         Optional<Outcome> obstacle = obstacle(submission);
@@ -126,7 +126,10 @@
     private void submittedUnderTicket(long caller, Submission submission, TicketNumber numbered) {
         Optional<NumberWindow<Seen>> window = state.tickets.open(numbered.ticket());
         if (window.isEmpty()) {
-            tell(caller, 0, state.failed(ErrorKind.HOST_FULL, "too many tickets; ask for addresses again"));
+            tell(
+                    caller,
+                    0,
+                    state.failed(ErrorKind.HOST_FULL, HomeText.get("too-many-tickets-ask-for-addresses-again")));
             return;
         }
         if (window.get().isSeen(numbered.number())) {
@@ -135,7 +138,7 @@
         }
         long sequence = state.nextSequence();
         if (!window.get().take(numbered.number(), new Seen(sequence, submission.contentDigest()))) {
-            tell(caller, 0, state.failed(ErrorKind.BAD_VALUE, "too many gaps in the numbers; take a new ticket"));
+            tell(caller, 0, state.failed(ErrorKind.BAD_VALUE, HomeText.get("too-many-gaps-in-the-numbers-take-a-new")));
             return;
         }
         Optional<Outcome> obstacle = obstacle(submission);
@@ -153,7 +156,8 @@
         Request request = new Request(sequence, submission, state.nowMillis);
         state.live.put(sequence, request);
         state.budget.fresh(state.view.retryRatio());
-        state.note(request, HomeNote.ACCEPTED, submission.service() + " for " + submission.organisation());
+        state.note(
+                request, HomeNote.ACCEPTED, HomeText.get("accepted", submission.service(), submission.organisation()));
         delivery.join(request, caller, submission.fromIndex());
         state.schedule(request);
         queueing.place(request);
@@ -165,7 +169,8 @@
             return;
         }
         if (seen.get().contentDigest() != submission.contentDigest()) {
-            Outcome reused = state.failed(ErrorKind.NUMBER_REUSED, "the number stands for another request");
+            Outcome reused =
+                    state.failed(ErrorKind.NUMBER_REUSED, HomeText.get("the-number-stands-for-another-request"));
             tell(caller, seen.get().sequence(), reused);
             return;
         }
@@ -190,26 +195,28 @@
     private Optional<Outcome> ticketFault(Ticket ticket, String organisation) {
         boolean isOurs = ticket.home().equals(state.settings.host());
         if (!isOurs || !ticket.organisation().equals(organisation)) {
-            return Optional.of(state.failed(ErrorKind.BAD_TICKET, "the ticket belongs to somebody else"));
+            return Optional.of(state.failed(ErrorKind.BAD_TICKET, HomeText.get("the-ticket-belongs-to-somebody-else")));
         }
         if (ticket.incarnation() != state.settings.incarnation()) {
-            return Optional.of(state.failed(ErrorKind.HOME_RESTARTED, "the home was restarted"));
+            return Optional.of(state.failed(ErrorKind.HOME_RESTARTED, HomeText.get("the-home-was-restarted")));
         }
         if (ticket.expiresAtMillis() <= state.nowMillis) {
-            return Optional.of(state.failed(ErrorKind.TICKET_EXPIRED, "the ticket has run out"));
+            return Optional.of(state.failed(ErrorKind.TICKET_EXPIRED, HomeText.get("the-ticket-has-run-out")));
         }
         return Optional.empty();
     }
 
     private Optional<Outcome> obstacle(Submission submission) {
         if (state.leaving) {
-            return Optional.of(state.failed(ErrorKind.HOST_LEAVING, "this host is leaving"));
+            return Optional.of(state.failed(ErrorKind.HOST_LEAVING, HomeText.get("this-host-is-leaving")));
         }
         if (!state.view.isInService(state.settings.dataCentre())) {
-            return Optional.of(state.failed(ErrorKind.HOST_LEAVING, "this data centre is out of service"));
+            return Optional.of(
+                    state.failed(ErrorKind.HOST_LEAVING, HomeText.get("this-data-centre-is-out-of-service")));
         }
         if (state.live.size() >= state.settings.maxRequests() && !makeRoom(submission.tierRank())) {
-            return Optional.of(state.failed(ErrorKind.HOST_FULL, "this host holds all the requests it can"));
+            return Optional.of(
+                    state.failed(ErrorKind.HOST_FULL, HomeText.get("this-host-holds-all-the-requests-it-can")));
         }
         return Optional.empty();
     }
@@ -220,8 +227,10 @@
                 .filter(request -> request.phase == RequestPhase.WAITING)
                 .filter(request -> request.submission.tierRank() < tierRank)
                 .min(Comparator.comparingInt(request -> request.submission.tierRank()));
-        lowest.ifPresent(request ->
-                ending.end(request, state.failed(ErrorKind.SHED, "a higher tier needs the room"), FinishKind.UNUSED));
+        lowest.ifPresent(request -> ending.end(
+                request,
+                state.failed(ErrorKind.SHED, HomeText.get("a-higher-tier-needs-the-room")),
+                FinishKind.UNUSED));
         return lowest.isPresent();
     }
 
@@ -251,7 +260,10 @@
     }
 
     private void tellUnknown(long caller, long sequence) {
-        tell(caller, sequence, state.failed(ErrorKind.UNKNOWN_REQUEST, "nothing is known of this request"));
+        tell(
+                caller,
+                sequence,
+                state.failed(ErrorKind.UNKNOWN_REQUEST, HomeText.get("nothing-is-known-of-this-request")));
     }
 
     private void tell(long caller, long sequence, Outcome outcome) {
--- a/org.whinwharf/src/main/java/org/whinwharf/home/OwnerLinks.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/OwnerLinks.java
@@ -74,7 +74,7 @@
         state.board.queued(slice);
         state.schedule(request);
         tell(owner, Frame.newBuilder().setEnqueue(enqueue).build());
-        state.note(request, HomeNote.ENQUEUED, owner + " for " + name(slice));
+        state.note(request, HomeNote.ENQUEUED, HomeText.get("enqueued", owner, name(slice)));
     }
 
     void returnUnused(String owner, Grant grant) {
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
@@ -33,7 +33,7 @@
         request.retryAtMillis = Long.MAX_VALUE;
         List<SliceId> inService = inService(request);
         if (request.barrenSlices.containsAll(inService)) {
-            Outcome outcome = state.failed(ErrorKind.NO_TARGET, "no target of the service may be used");
+            Outcome outcome = state.failed(ErrorKind.NO_TARGET, HomeText.get("no-target-of-the-service-may-be-used"));
             ending.end(request, outcome, FinishKind.UNUSED);
             return;
         }
@@ -44,7 +44,7 @@
                 .toList();
         if (open.isEmpty()) {
             request.retryAtMillis = state.nowMillis + state.settings.placeRetryMillis();
-            state.note(request, HomeNote.UNPLACED, "no owner can be reached");
+            state.note(request, HomeNote.UNPLACED, HomeText.get("no-owner-can-be-reached"));
             state.schedule(request);
             return;
         }
@@ -119,7 +119,7 @@
     void recalled(Recall recall) {
         Request request = state.live.get(recall.getRequest());
         if (request != null && request.grant != null && request.grant.getGrant() == recall.getGrant()) {
-            notSent(request, "the owner called the grant back");
+            notSent(request, HomeText.get("the-owner-called-the-grant-back"));
         }
     }
 
@@ -132,14 +132,17 @@
         }
         SliceId slice = request.slice;
         request.leaveQueue();
-        state.note(request, HomeNote.REFUSED, refusal.getReason().name() + " by " + owner);
+        state.note(
+                request,
+                HomeNote.REFUSED,
+                HomeText.get("refused", refusal.getReason().name(), owner));
         switch (refusal.getReason()) {
             case NOT_OWNER -> placeElsewhere(request, request.excludedSlices, slice);
             case OWNER_LEAVING -> placeElsewhere(request, request.refusingOwners, owner);
             case NO_TARGET -> placeElsewhere(request, request.barrenSlices, slice);
             case SHED -> shed(request, slice, refusal);
-            case HOPELESS -> turnAway(request, ErrorKind.HOPELESS, "the deadline cannot be met", refusal);
-            case BELOW_FLOOR -> turnAway(request, ErrorKind.SHED, "higher tiers need the room", refusal);
+            case HOPELESS -> turnAway(request, ErrorKind.HOPELESS, HomeText.get("the-deadline-cannot-be-met"), refusal);
+            case BELOW_FLOOR -> turnAway(request, ErrorKind.SHED, HomeText.get("higher-tiers-need-the-room"), refusal);
             default -> placeElsewhere(request, request.excludedSlices, slice);
         }
     }
@@ -163,7 +166,7 @@
         owners.viewChanged();
         for (Request request : state.liveRequests()) {
             if (request.phase == RequestPhase.GRANTED && !state.view.isUsable(request.place.target())) {
-                notSent(request, "the target may not be used any more");
+                notSent(request, HomeText.get("the-target-may-not-be-used-any-more"));
             } else if (request.phase == RequestPhase.WAITING) {
                 moveIfNeeded(request);
             }
@@ -188,13 +191,13 @@
     // all looked at again here, and time once more by the gate right before the request leaves.
     private Optional<String> obstacle(Request request, Grant grant, long grantEndsMillis) {
         if (state.nowMillis >= grantEndsMillis) {
-            return Optional.of("the grant had run out");
+            return Optional.of(HomeText.get("the-grant-had-run-out"));
         }
         if (state.nowMillis >= request.deadlineAtMillis) {
-            return Optional.of("the deadline had passed");
+            return Optional.of(HomeText.get("the-deadline-had-passed"));
         }
         if (!state.view.isUsable(grant.getTarget())) {
-            return Optional.of("the target may not be used");
+            return Optional.of(HomeText.get("the-target-may-not-be-used"));
         }
         return Optional.empty();
     }
@@ -212,7 +215,7 @@
         request.gate = new SendGate(Math.min(grantEndsMillis, request.deadlineAtMillis));
         String stream = state.requestId(request.sequence);
         request.place = new Place(grant.getTarget(), grant.getAddress(), grant.getPort(), stream);
-        state.note(request, HomeNote.GRANTED, grant.getTarget() + " by " + owner);
+        state.note(request, HomeNote.GRANTED, HomeText.get("granted", grant.getTarget(), owner));
         state.emit(new HomeAction.Dispatch(request.sequence, request.place, request.submission, request.gate));
     }
 
@@ -238,7 +241,7 @@
             request.triedElsewhere = true;
             enqueue(request, other.get());
         } else {
-            turnAway(request, ErrorKind.SHED, "no room", refusal);
+            turnAway(request, ErrorKind.SHED, HomeText.get("no-room"), refusal);
         }
     }
 
