--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
@@ -27,6 +27,7 @@
 
 /** Two entry daemons in this process, with a scheduler that grants at once, and stand-ins for the rest. */
 final class EntryFixture {
+    static final int MAX_CONNECTIONS = 64;
     static final String CREDENTIAL = "driver-of-orava";
     static final String OTHER_CREDENTIAL = "keeper-of-liptov";
     static final Host ONE = entryHost("host-1", "127.0.51.1");
@@ -237,7 +238,7 @@
         return Base64.getEncoder().encodeToString(bytes);
     }
 
-    private static EntrySettings settings(Host host) {
+    static EntrySettings settings(Host host) {
         String platform = "http://" + PLATFORM + ":" + PLATFORM_PORT;
         NodeSettings node = NodeSettings.newBuilder()
                 .setHost(host.getName())
@@ -253,6 +254,7 @@
                 .setNode(node)
                 .setCallerPort(CALLER_PORT)
                 .setMaxBodyBytes(40_000)
+                .setMaxConnections(MAX_CONNECTIONS)
                 .build();
         return org.whinwharf.schema.SchemaChecker.complete(given);
     }
--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryPathTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryPathTest.java
@@ -6,8 +6,13 @@
 import static org.hamcrest.Matchers.not;
 
 import com.google.protobuf.util.JsonFormat;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -100,6 +105,7 @@
         assertError(fixture.post(EntryFixture.ONE, oversized(25_000)), 413, "body-too-large");
         assertError(fixture.post(EntryFixture.ONE, oversized(50_000)), 413, "body-too-large");
         assertError(fixture.get(EntryFixture.ONE, "/v1/requests/nothing"), 404, "unknown-request");
+        assertError(fixture.get(EntryFixture.ONE, "/v2/anything"), 400, "malformed");
     }
 
     @Test
@@ -160,7 +166,7 @@
     @Test
     void waitingRequestOfACallerThatWentAwayIsDropped() throws Exception {
         fixture.silenceAll();
-        try (java.net.Socket socket = new java.net.Socket(
+        try (Socket socket = new Socket(
                 EntryFixture.ONE.getAddress(), EntryFixture.ONE.getEntry().getCaller())) {
             String body = engineRequest(1, "");
             String head = "POST /v1/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + EntryFixture.CREDENTIAL
@@ -188,6 +194,45 @@
         assertThat(resumed.body(), containsString("event: end"));
     }
 
+    @Test
+    void oversizedHeaderIsRefused() throws Exception {
+        HttpRequest request = EntryFixture.request(EntryFixture.ONE, "/v1/addresses")
+                .header("X-Filler", "f".repeat(20_000))
+                .build();
+        assertError(fixture.send(request), 413, "body-too-large");
+    }
+
+    // Somebody opens connections without end. Beyond the bound they are closed at once, so that they don't take the
+    // memory that requests in flight need; when they are gone, callers are served again.
+    @Test
+    void connectionsBeyondTheBoundAreClosed() throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < EntryFixture.MAX_CONNECTIONS + 4; i++) {
+            Host host = EntryFixture.TWO;
+            sockets.add(new Socket(host.getAddress(), host.getEntry().getCaller()));
+        }
+        // Which of them are closed depends on the order in which the server's threads register them.
+        EntryFixture.until(
+                "closed", () -> sockets.stream().filter(EntryPathTest::isClosed).count() >= 4);
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        EntryFixture.until(
+                "served again",
+                () -> fixture.get(EntryFixture.TWO, "/v1/addresses").statusCode() == 200);
+    }
+
+    private static boolean isClosed(Socket socket) {
+        try {
+            socket.setSoTimeout(5);
+            return socket.getInputStream().read() == -1;
+        } catch (SocketException reset) {
+            return true;
+        } catch (IOException stillOpen) {
+            return false;
+        }
+    }
+
     @Test
     void numberThatTheHomeNeverSawIsUnknown() throws Exception {
         String ticket = ticket(EntryFixture.ONE);
