Keep late errors of given-up exchanges out of the load's summary

Cause: with an entry host frozen for 8 s, exchanges that had timed out ended in errors that nobody waited for; Reactor logged each on standard output, so that the summary was no JSON any more. Ruled out: not cancelling the exchange, which would keep its connection open and hide from the entry host that its caller has gone. The client drops such errors. Before: a stack trace in the summary.

--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/Exchange.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/internal/Exchange.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Flow;
 import reactor.adapter.JdkFlowAdapter;
 import reactor.core.publisher.Flux;
+import reactor.core.publisher.Hooks;
 import reactor.core.publisher.Mono;
 
 /**
@@ -32,6 +33,16 @@
             .connectTimeout(CONNECT_TIMEOUT)
             .build();
 
+    /**
+     * Creates a client.
+     *
+     * <p>An exchange that its caller gives up ends in a late error that nobody waits for. Reactor would log each on
+     * standard output, in the midst of the summary; what the caller saw is in the history.
+     */
+    Exchange() {
+        Hooks.onErrorDropped(ignored -> {});
+    }
+
     /** Sends a request and returns the events of its answer; an error status ends in {@link RefusedException}. */
     Flux<ServerEvent> events(HttpRequest.Builder request) {
         HttpRequest sent =
