Compare ways to place and the simplest scheduler under one load

Cause: the users weigh goodput by tier, wasted prefill and service; the choice of a target has to be shown to be worth it. Ruled out: a simulator; the measurement runs the real processes and the stand-ins.

--- a/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/SchedulerDaemon.java
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/SchedulerDaemon.java
@@ -6,6 +6,7 @@
 import org.whinwharf.document.DocumentView;
 import org.whinwharf.membership.Membership;
 import org.whinwharf.owner.Rules;
+import org.whinwharf.owner.placement.Placement;
 import org.whinwharf.runtime.command.Daemon;
 import org.whinwharf.runtime.duty.Duty;
 import org.whinwharf.runtime.duty.DutyHandler;
@@ -46,7 +47,8 @@
                 .status(status -> status.addAllSlices(states()))
                 .call();
         poller = new LoadPoller(settings.getLoadPollMillis(), node.ticker(), this::offer);
-        loop = new SchedulerLoop(node, links, poller, new SchedulerMetrics(node.registry()));
+        Placement placement = Placement.named(settings.getPlacement());
+        loop = new SchedulerLoop(node, links, poller, new SchedulerMetrics(node.registry()), placement);
         decisions = Duty.<Consumer<SchedulerLoop>>builder()
                 .name("decisions")
                 .handler(new Handler())
--- a/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/SchedulerLoop.java
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/SchedulerLoop.java
@@ -49,8 +49,10 @@
      * @param links links with other processes
      * @param poller reader of targets
      * @param metrics metrics
+     * @param placement how targets are chosen
      */
-    public SchedulerLoop(Node node, SchedulerLinks links, LoadPoller poller, SchedulerMetrics metrics) {
+    public SchedulerLoop(
+            Node node, SchedulerLinks links, LoadPoller poller, SchedulerMetrics metrics, Placement placement) {
         this.node = node;
         this.ticker = node.ticker();
         this.links = links;
@@ -58,7 +60,7 @@
         this.metrics = metrics;
         this.spans = new SchedulerSpans(node);
         HomeId self = new HomeId(node.settings().getHost(), node.incarnation());
-        this.core = new SchedulerCore(self, Placement.SCORE, ticker.nowMillis());
+        this.core = new SchedulerCore(self, placement, ticker.nowMillis());
     }
 
     /**
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/placement/Placement.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/placement/Placement.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.function.ToDoubleFunction;
 import org.whinwharf.owner.limit.Reading;
 import org.whinwharf.owner.limit.TargetAccount;
@@ -43,6 +44,17 @@
 
     private static final double CROWDING = 0.25;
 
+    /**
+     * Finds a way by its name in the settings.
+     *
+     * @param name name in lower case with hyphens, as the schema allows it
+     * @return the way
+     * @throws IllegalArgumentException when there is none of this name
+     */
+    public static Placement named(String name) {
+        return valueOf(name.toUpperCase(Locale.ROOT).replace('-', '_'));
+    }
+
     /**
      * Chooses a target.
      *
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -1,6 +1,6 @@
 # Read by ./quickstart and tools/measure: starts and stops stand-ins and seven hosts on loopback addresses.
 # The reader sets top, the folder of the checkout. FLEET_NAME, TRACE_RATIO, ENGINE_OPTIONS, PLAIN_OPTIONS and
-# SCHEDULER_OPTIONS change what is started.
+# SCHEDULER_OPTIONS and DOCUMENT (a folder of samples) change what is started.
 # shellcheck shell=bash
 dist="$top/org.whinwharf.dist/target/whinwharf"
 run="$top/org.whinwharf.dist/target/${FLEET_NAME:-quickstart}"
@@ -141,7 +141,7 @@
   stop_all
   rm -rf "$run"
   mkdir -p "$run/logs" "$run/settings" "$run/documents"
-  cp "$top/samples/quickstart/document.json" "$run/documents/trial.json"
+  cp "$top/samples/${DOCUMENT:-quickstart}/document.json" "$run/documents/trial.json"
   write_hosts
   write_settings
 }
