--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/CheckHistory.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/CheckHistory.java
@@ -4,6 +4,7 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.io.IOException;
 import org.whinwharf.bench.history.CheckCommand;
+import org.whinwharf.bench.internal.ProgramHelp;
 
 /** Program {@code whinwharf-check-history}: checks histories against the rules that every run must satisfy. */
 public final class CheckHistory {
@@ -18,10 +19,12 @@
      * @param arguments command line
      */
     public static void main(String[] arguments) {
+        SingleCommand<CheckCommand> program = SingleCommand.singleCommand(CheckCommand.class);
+        if (ProgramHelp.shown(program, arguments)) {
+            return;
+        }
         try {
-            System.exit(SingleCommand.singleCommand(CheckCommand.class)
-                    .parse(arguments)
-                    .call());
+            System.exit(program.parse(arguments).call());
         } catch (ParseException e) {
             System.err.println(e.getMessage());
             System.exit(USAGE_EXIT);
--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/Load.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/Load.java
@@ -3,6 +3,7 @@
 import com.github.rvesse.airline.SingleCommand;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import org.whinwharf.bench.internal.LoadCommand;
+import org.whinwharf.bench.internal.ProgramHelp;
 
 /** Program {@code whinwharf-load}: sends a seeded load through entry hosts or straight to targets. */
 public final class Load {
@@ -16,8 +17,12 @@
      * @param arguments command line
      */
     public static void main(String[] arguments) {
+        SingleCommand<LoadCommand> program = SingleCommand.singleCommand(LoadCommand.class);
+        if (ProgramHelp.shown(program, arguments)) {
+            return;
+        }
         try {
-            SingleCommand.singleCommand(LoadCommand.class).parse(arguments).run();
+            program.parse(arguments).run();
         } catch (ParseException e) {
             System.err.println(e.getMessage());
             System.exit(USAGE_EXIT);
