--- a/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
@@ -57,7 +57,21 @@
         place(request);
     }
 
+    /** Moves a request that waits long to a slice with room, if there is one. */
+    void reconsider(Request request) {
+        request.reconsiderAtMillis = state.nowMillis + state.settings.reconsiderMillis();
+        long waitedMillis = state.nowMillis - request.queuedAtMillis;
+        state.board.stalled(request.slice, waitedMillis, state.nowMillis);
+        SliceId present = request.slice;
+        Optional<SliceId> other = otherWithRoom(request).filter(slice -> !slice.equals(present));
+        if (other.isPresent() && !state.board.hasRoom(present, state.nowMillis)) {
+            ending.withdraw(request);
+            enqueue(request, other.get());
+        }
+    }
+
     void granted(String owner, Grant grant) {
+        state.board.granted(grant.getSlice());
         Request request = state.live.get(grant.getRequest());
         if (request == null || !isAwaited(request, owner, grant)) {
             owners.returnUnused(owner, grant);
@@ -95,8 +109,10 @@
         if (state.budget.tryRetry(state.view.retryFloorPerSecond(), state.nowMillis)) {
             requeue(request);
         } else {
-            Outcome outcome = state.failed(ErrorKind.RETRY_BUDGET, "the target could not be reached");
-            ending.end(request, outcome, FinishKind.UNUSED);
+            // Turning it away would shed a high tier while lower ones wait. It waits instead, so that many dead targets
+            // at once do not make a storm of messages.
+            request.retryAtMillis = state.nowMillis + state.settings.comeBackMillis();
+            state.schedule(request);
         }
     }
 
