Send what is queued before a link is given up

Cause: giving a link up closed its connection at once, so frames that the daemon had queued and been told were taken got lost with it; a home that reports finished requests and then moves to another owner would leave slots taken until they run out.

Ruled out: waiting for the queue without a bound (a peer that does not read would keep the connection for ever); closing a connection that is still being made (it may not be registered with a thread yet, and Netty then refuses to name one).

Change: connections close after what is queued was written, or after two seconds. A connector that is given up while it connects closes the connection when it is made.

--- a/org.whinwharf.wire.test/src/test/java/org/whinwharf/wire/peer/PeerNetworkTest.java
+++ b/org.whinwharf.wire.test/src/test/java/org/whinwharf/wire/peer/PeerNetworkTest.java
@@ -185,6 +185,25 @@
         assertThat(atB.down(), containsString("no longer"));
     }
 
+    // A home gives up a link right after it has reported finished requests on it. If the reports were dropped with the
+    // link, their slots would stay taken until they run out and the target would idle.
+    @Test
+    void whatIsQueuedIsSentBeforeALinkIsGivenUp() {
+        PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        PeerAddress address = new PeerAddress("host-b", Role.SCHEDULER, ADDRESS_B, b.port());
+        a.connect(address);
+        PeerLink link = atA.up();
+        int queued = 0;
+        while (link.send(reply(300_000))) {
+            queued++;
+        }
+        a.disconnect(address);
+        for (int i = 0; i < queued; i++) {
+            assertThat(atB.frame(), equalTo(reply(300_000)));
+        }
+    }
+
     @Test
     void linkStaysWhileOneHolderWantsIt() {
         PeerNetwork a = start("host-a", ADDRESS_A, 0, atA, LIMITS);
--- /dev/null
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Closing.java
@@ -0,0 +1,24 @@
+package org.whinwharf.wire.peer.internal;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.util.concurrent.TimeUnit;
+
+/** Closes connections without losing what is queued. */
+final class Closing {
+    private static final long FLUSH_MILLIS = 2_000;
+
+    private Closing() {}
+
+    /**
+     * Closes a connection once what is queued has been written, or after two seconds when the other side does not read.
+     *
+     * @param channel the connection
+     */
+    static void afterFlush(Channel channel) {
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        var bound = channel.eventLoop().schedule(() -> channel.close(), FLUSH_MILLIS, TimeUnit.MILLISECONDS);
+        channel.closeFuture().addListener(closed -> bound.cancel(false));
+    }
+}
--- a/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/ConnectionGate.java
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/ConnectionGate.java
@@ -1,8 +1,6 @@
 package org.whinwharf.wire.peer.internal;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -41,7 +39,7 @@
      */
     public void closeAll(long timeoutMillis) {
         for (Channel channel : channels) {
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            Closing.afterFlush(channel);
         }
         channels.newCloseFuture().awaitUninterruptibly(timeoutMillis);
         channels.close().awaitUninterruptibly(timeoutMillis);
--- a/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Connector.java
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Connector.java
@@ -64,35 +64,39 @@
         return holders.isEmpty();
     }
 
-    /** Closes the connection and connects no more. */
+    /** Sends what is queued, closes the connection and connects no more. */
     public synchronized void stop() {
         stopped = true;
         if (retry != null) {
             retry.cancel(false);
         }
         if (channel != null) {
-            channel.close();
+            Closing.afterFlush(channel);
         }
     }
 
     private synchronized void attempt() {
-        if (stopped) {
-            return;
+        if (!stopped) {
+            ChannelFuture connecting = bootstrap.connect(peer.address(), peer.port());
+            connecting.addListener(done -> connected(connecting));
         }
-        ChannelFuture connecting = bootstrap.connect(peer.address(), peer.port());
-        channel = connecting.channel();
-        connecting.addListener(done -> connected(connecting));
     }
 
-    private void connected(ChannelFuture connecting) {
-        if (connecting.isSuccess()) {
-            shared.counters().add(PeerEvent.CONNECTED);
-            connecting.channel().closeFuture().addListener(closed -> attemptLater(connecting.channel()));
-        } else {
+    private synchronized void connected(ChannelFuture connecting) {
+        if (!connecting.isSuccess()) {
             shared.counters().add(PeerEvent.CONNECT_FAILED);
             shared.listener().unreachable(peer);
             attemptLater(connecting.channel());
+            return;
         }
+        if (stopped) {
+            // Given up while the connection was being made; before that there was nothing that could be closed.
+            connecting.channel().close();
+            return;
+        }
+        shared.counters().add(PeerEvent.CONNECTED);
+        channel = connecting.channel();
+        channel.closeFuture().addListener(closed -> attemptLater(connecting.channel()));
     }
 
     private synchronized void attemptLater(Channel ended) {
--- a/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Link.java
+++ b/org.whinwharf.wire/src/main/java/org/whinwharf/wire/peer/internal/Link.java
@@ -1,9 +1,7 @@
 package org.whinwharf.wire.peer.internal;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.whinwharf.wire.message.Frame;
@@ -53,7 +51,7 @@
     @Override
     public void close(String reason) {
         if (closeReason.compareAndSet(null, reason)) {
-            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+            Closing.afterFlush(channel);
         }
     }
 
