--- /dev/null
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/EventStream.java
@@ -0,0 +1,139 @@
+package org.whinwharf.system;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** Server-sent events of one answer, read by a thread of their own and kept as they come. */
+final class EventStream {
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private static final String DATA = "data:";
+    private static final String EVENT = "event:";
+
+    private final List<Integer> indices = new ArrayList<>();
+    private final StringBuilder text = new StringBuilder();
+    private JsonNode head = MissingNode.getInstance();
+    private JsonNode error = MissingNode.getInstance();
+    private boolean whole;
+    private boolean closed;
+    private String event = "";
+
+    private EventStream(HttpRequest request) {
+        Thread reader = new Thread(() -> read(request), "event-stream");
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    static EventStream post(String url, String credential, String body) {
+        return new EventStream(request(url, credential)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
+                .build());
+    }
+
+    static EventStream get(String url, String credential) {
+        return new EventStream(request(url, credential).GET().build());
+    }
+
+    synchronized JsonNode head() {
+        return head;
+    }
+
+    synchronized JsonNode error() {
+        return error;
+    }
+
+    synchronized String text() {
+        return text.toString();
+    }
+
+    synchronized List<Integer> indices() {
+        return List.copyOf(indices);
+    }
+
+    synchronized boolean whole() {
+        return whole;
+    }
+
+    synchronized boolean closed() {
+        return closed;
+    }
+
+    EventStream awaitTokens(int count) {
+        Await.until("token " + count, () -> indices().size() >= count || closed(), this::toString);
+        return this;
+    }
+
+    EventStream awaitClosed() {
+        Await.until("the end of the stream", this::closed, this::toString);
+        return this;
+    }
+
+    @Override
+    public synchronized String toString() {
+        return "head " + head + ", " + indices.size() + " tokens, error " + error + ", whole " + whole + ", closed "
+                + closed;
+    }
+
+    private static HttpRequest.Builder request(String url, String credential) {
+        return HttpRequest.newBuilder(URI.create(url))
+                .header("Authorization", "Bearer " + credential)
+                .header("Content-Type", "application/json");
+    }
+
+    private void read(HttpRequest request) {
+        try {
+            HttpResponse<Stream<String>> response = CLIENT.send(request, HttpResponse.BodyHandlers.ofLines());
+            boolean good = response.statusCode() == 200;
+            response.body().forEach(good ? this::line : this::refusal);
+        } catch (IOException | UncheckedIOException e) {
+            broken();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            close();
+        }
+    }
+
+    /** Forgets a half-read event; what came before stays. */
+    private synchronized void broken() {
+        event = "";
+    }
+
+    private synchronized void close() {
+        closed = true;
+    }
+
+    private synchronized void refusal(String line) {
+        error = Caller.json(line);
+    }
+
+    private synchronized void line(String line) {
+        if (line.startsWith(EVENT)) {
+            event = line.substring(EVENT.length()).trim();
+        } else if (line.startsWith(DATA)) {
+            take(Caller.json(line.substring(DATA.length())));
+        }
+    }
+
+    private void take(JsonNode data) {
+        switch (event) {
+            case "head" -> head = data;
+            case "token" -> {
+                indices.add(data.path("index").asInt());
+                text.append(data.path("text").asText());
+            }
+            case "end" -> whole = true;
+            case "error" -> error = data;
+            default -> throw new AssertionError("event " + event);
+        }
+    }
+}
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/Fleet.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/Fleet.java
@@ -11,8 +11,8 @@
 import org.whinwharf.lifecycle.Service;
 
 /**
- * Small fleet of real processes on loopback addresses: the platform, one process of engines and one plain service in
- * each of two data centres, and four hosts with an entry and a scheduler each.
+ * Small fleet of real processes on loopback addresses: the platform, engines and a plain service in each of two data
+ * centres, and four hosts with an entry and a scheduler each.
  */
 final class Fleet implements Service {
     static final int HOSTS = 4;
@@ -50,14 +50,12 @@
         write("hosts.json", hosts(HOSTS));
         write("documents/trial.json", document(generation, true, true));
         add("platform", "org.whinwharf.standin.Main", STANDIN_HEAP_MEGABYTES, platformArguments());
-        for (int i = 0; i < DATA_CENTRES.length; i++) {
-            add("engines-" + i, "org.whinwharf.standin.Main", STANDIN_HEAP_MEGABYTES, engineArguments(i));
-            add("plain-" + i, "org.whinwharf.standin.Main", STANDIN_HEAP_MEGABYTES, plainArguments(i));
-        }
+        add("engines", "org.whinwharf.standin.Main", STANDIN_HEAP_MEGABYTES, engineArguments());
+        add("plain", "org.whinwharf.standin.Main", STANDIN_HEAP_MEGABYTES, plainArguments());
         processes.values().forEach(ManagedProcess::start);
-        Await.until(
-                "the platform answers",
-                () -> Http.get(platform() + "/v1/hosts?after=0").status() == 200);
+        awaitAnswer("the platform", platform() + "/v1/hosts?after=0");
+        awaitAnswer("the engines", engine(0, 0) + "/v1/load");
+        awaitAnswer("the plain service", plain(0) + "/v1/load");
         for (int host = 1; host <= HOSTS; host++) {
             startHost(host);
         }
@@ -131,6 +129,10 @@
         Http.put(platform() + "/admin/hosts", hosts(hosts));
     }
 
+    private static void awaitAnswer(String what, String url) {
+        Await.until(what + " answers", () -> Http.get(url).status() == 200);
+    }
+
     private void start(String name, String main) {
         ManagedProcess process = processes.get(name);
         if (process == null) {
@@ -140,7 +142,10 @@
                     HEAP_MEGABYTES,
                     List.of("--settings", folder.resolve(name + ".json").toString()));
         }
-        process.start();
+        // A second process beside a live one could not listen, and nobody would hold the first one any more.
+        if (!process.alive()) {
+            process.start();
+        }
     }
 
     private ManagedProcess add(String name, String main, int heapMegabytes, List<String> arguments) {
@@ -166,11 +171,11 @@
                 folder.resolve("documents").toString());
     }
 
-    private List<String> engineArguments(int dataCentre) {
+    private List<String> engineArguments() {
         return List.of(
                 "engine",
                 "--address",
-                address(100 + dataCentre),
+                address(100) + "," + address(101),
                 "--port",
                 Integer.toString(ENGINE_PORT),
                 "--count",
@@ -187,11 +192,11 @@
                 "odpad:v1");
     }
 
-    private List<String> plainArguments(int dataCentre) {
+    private List<String> plainArguments() {
         return List.of(
                 "plain",
                 "--address",
-                address(110 + dataCentre),
+                address(110) + "," + address(111),
                 "--port",
                 Integer.toString(PLAIN_PORT),
                 "--slots",
