Believe a queue at a target only when several readings show it

Cause: a request that has just arrived at an engine counts as queued until its next step; the owner lowered the limit to what ran at that instant. Ruled out: the order of the queue. Change: three readings in a row, measured apart, and the most that ran during them. singleReadingOfAQueueDoesNotLowerTheLimitButALastingOneDoes fails without it (limit 1) and passes with it. Conclusion: a lagged gauge is a hint only when it persists.

--- a/org.whinwharf.test/src/test/java/org/whinwharf/owner/SchedulerCoreTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/owner/SchedulerCoreTest.java
@@ -162,6 +162,21 @@
         assertThat(refusals(73), hasSize(0));
     }
 
+    // Requests that have just arrived show as queued for a moment. The owner believed each such reading, and held its
+    // engines at half of what they bear while callers of lower tiers were turned away.
+    @Test
+    void singleReadingOfAQueueDoesNotLowerTheLimitButALastingOneDoes() {
+        growTo(4);
+        int before = core.states(nowMillis).get(0).getTargets(0).getLimit();
+        readQueued(1, 1);
+        assertThat(core.states(nowMillis).get(0).getTargets(0).getLimit(), is(before));
+        for (int i = 0; i < 4; i++) {
+            nowMillis += 250;
+            readQueued(2, 1);
+        }
+        assertThat(core.states(nowMillis).get(0).getTargets(0).getLimit(), is(2));
+    }
+
     // One answer took very long, so everything looks hopeless from then on; nothing is sent, and so nothing can show
     // that
     // the target has recovered. Callers would be turned away for ever.
@@ -359,6 +374,15 @@
         targets.forEach(target -> on(new Event.LoadRead(target, load, nowMillis)));
     }
 
+    private void readQueued(int running, int queued) {
+        TargetLoad load = TargetLoad.newBuilder()
+                .setStartNumber(1)
+                .setRunning(running)
+                .setQueued(queued)
+                .build();
+        targets.forEach(target -> on(new Event.LoadRead(target, load, nowMillis)));
+    }
+
     private void enqueue(long request, int rank) {
         enqueue(Enqueue.newBuilder()
                 .setRequest(request)
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/limit/TargetAccount.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/limit/TargetAccount.java
@@ -16,6 +16,10 @@
 
 /** What the owner of a slice knows of one target: its limit, its speed and what is in flight there. */
 public final class TargetAccount {
+    private static final int QUEUED_READINGS = 3;
+    // Targets report late and may tell the same measurement several times.
+    private static final long SAME_READING_MILLIS = 100;
+
     private static final long NONE = Long.MIN_VALUE;
 
     private final String name;
@@ -25,6 +29,9 @@
     private final List<Slot> slots = new ArrayList<>();
     private final ForeignWork foreign = new ForeignWork();
     private Reading last;
+    private int queuedReadings;
+    private int mostRunning;
+    private long queuedAtMillis;
     private long suspectSinceMillis = NONE;
 
     /**
@@ -261,12 +268,30 @@
             restarted();
         }
         last = reading;
-        if (reading.queued() > 0) {
-            limit.queued(reading.total() - reading.queued());
-        }
+        queueSeen(reading);
         foreign.read(reading, slots, timings);
     }
 
+    // A request that has just arrived shows as queued for a moment although a place is free. Were a single reading
+    // believed, the limit would fall whenever one is taken at such a moment, and engines would stand half idle; so only
+    // a queue that several readings in a row show counts, and the most that ran meanwhile.
+    private void queueSeen(Reading reading) {
+        if (reading.queued() == 0) {
+            queuedReadings = 0;
+            mostRunning = 0;
+            return;
+        }
+        if (queuedReadings > 0 && reading.earliestMillis() - queuedAtMillis < SAME_READING_MILLIS) {
+            return;
+        }
+        queuedAtMillis = reading.earliestMillis();
+        queuedReadings++;
+        mostRunning = Math.max(mostRunning, reading.total() - reading.queued());
+        if (queuedReadings >= QUEUED_READINGS) {
+            limit.queued(mostRunning);
+        }
+    }
+
     /** Notes that the target's load could not be read; nothing is granted until it can be. */
     public void unreadable() {
         if (last != null) {
@@ -280,6 +305,8 @@
     }
 
     private void restarted() {
+        queuedReadings = 0;
+        mostRunning = 0;
         limit.cold();
         prefixes.clear();
         foreign.restarted();
