Move a waiting request to an owner that serves its tier sooner

Ruled out: the order inside an owner. Change: a home moves a request that has waited longer by half a second than another owner expects to let its tier wait, by a fresh word of that owner; also before it gives up on shed or hopeless. requestThatWaitsLongMovesToASliceThatServesItsTierSooner fails before and passes after; all tests of home pass. Conclusion: the homes, who see all owners, even out what owners cannot see.

--- a/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
@@ -16,7 +16,9 @@
 import org.whinwharf.wire.message.InFlight;
 import org.whinwharf.wire.message.Recall;
 import org.whinwharf.wire.message.RefusalReason;
+import org.whinwharf.wire.message.SliceId;
 import org.whinwharf.wire.message.SliceStatus;
+import org.whinwharf.wire.message.TierWait;
 
 class HomeTest {
     private final HomeDriver driver = HomeDriver.withOwners();
@@ -279,6 +281,33 @@
         assertThat(last(driver.finished()).getKind(), is(FinishKind.UNUSED));
     }
 
+    // All slices are full. One serves summaries of a low tier while an inspector's question waits at another until its
+    // deadline has passed, since no owner knows what waits at the others.
+    @Test
+    void requestThatWaitsLongMovesToASliceThatServesItsTierSooner() {
+        driver.submit(1, request);
+        assertThat(driver.queuedAt(1), is(HomeDriver.OWNER_A));
+        driver.nowMillis += 500;
+        driver.on(new HomeEvent.Ticked());
+        driver.nowMillis += 500;
+        hearWait(HomeDriver.SLICE_B, 2_000);
+        driver.on(new HomeEvent.Ticked());
+        assertThat(driver.queuedAt(1), is(HomeDriver.OWNER_A));
+        driver.nowMillis += 500;
+        hearWait(HomeDriver.SLICE_B, 100);
+        driver.on(new HomeEvent.Ticked());
+        assertThat(driver.queuedAt(1), is(HomeDriver.OWNER_B));
+    }
+
+    private void hearWait(SliceId slice, long waitMillis) {
+        driver.on(new HomeEvent.StatusHeard(SliceStatus.newBuilder()
+                .setSlice(slice)
+                .setWaiting(50)
+                .setUsableTargets(1)
+                .addWaits(TierWait.newBuilder().setTierRank(request.tierRank()).setWaitMillis(waitMillis))
+                .build()));
+    }
+
     @Test
     void shedRequestTriesOneOtherSliceWithRoom() {
         driver.on(new HomeEvent.StatusHeard(SliceStatus.newBuilder()
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Queueing.java
@@ -57,13 +57,15 @@
         place(request);
     }
 
-    /** Moves a request that waits long to a slice with room, if there is one. */
+    /** Moves a request that waits long to a slice with room, or to one that serves its tier sooner, if there is one. */
     void reconsider(Request request) {
         request.reconsiderAtMillis = state.nowMillis + state.settings.reconsiderMillis();
         long waitedMillis = state.nowMillis - request.queuedAtMillis;
         state.board.stalled(request.slice, waitedMillis, state.nowMillis);
         SliceId present = request.slice;
-        Optional<SliceId> other = otherWithRoom(request).filter(slice -> !slice.equals(present));
+        Optional<SliceId> other = otherWithRoom(request)
+                .or(() -> otherWithShorterWait(request, waitedMillis))
+                .filter(slice -> !slice.equals(present));
         if (other.isPresent() && !state.board.hasRoom(present, state.nowMillis)) {
             ending.withdraw(request);
             enqueue(request, other.get());
@@ -237,7 +239,10 @@
 
     private void tryOnceElsewhere(Request request, SliceId slice, ErrorKind kind, String detail, Refusal refusal) {
         request.excludedSlices.add(slice);
-        Optional<SliceId> other = request.triedElsewhere ? Optional.empty() : otherWithRoom(request);
+        long leftMillis = request.deadlineAtMillis - state.nowMillis;
+        Optional<SliceId> other = request.triedElsewhere
+                ? Optional.empty()
+                : otherWithRoom(request).or(() -> otherWithShorterWait(request, leftMillis / 2));
         boolean mayRetry =
                 other.isPresent() && state.budget.tryRetry(state.view.retryFloorPerSecond(), state.nowMillis);
         if (mayRetry) {
@@ -257,6 +262,21 @@
         return roomy.isEmpty() ? Optional.empty() : Optional.of(choose(request, roomy));
     }
 
+    // Where all slices are full, one may hold back high tiers while another still serves low ones: the queues of two
+    // owners know nothing of each other. A request moves to an owner that expects to serve its tier clearly sooner than
+    // this one has let it wait; it must wait again before it moves again.
+    private Optional<SliceId> otherWithShorterWait(Request request, long waitedMillis) {
+        long boundMillis = waitedMillis - state.settings.reconsiderMillis();
+        int rank = request.submission.tierRank();
+        List<SliceId> shorter = inService(request).stream()
+                .filter(slice -> !slice.equals(request.slice))
+                .filter(slice -> !request.excludedSlices.contains(slice))
+                .filter(slice -> state.board.servesWithin(slice, rank, boundMillis, state.nowMillis))
+                .filter(slice -> owners.reachable(slice, request.refusingOwners).isPresent())
+                .toList();
+        return shorter.isEmpty() ? Optional.empty() : Optional.of(choose(request, shorter));
+    }
+
     private void turnAway(Request request, ErrorKind kind, String detail, Refusal refusal) {
         long comeBackMillis =
                 refusal.getComeBackMillis() > 0 ? refusal.getComeBackMillis() : state.settings.comeBackMillis();
--- a/org.whinwharf/src/main/java/org/whinwharf/routing/SliceBoard.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/routing/SliceBoard.java
@@ -97,6 +97,22 @@
         return isFresh(fact, nowMillis) ? waitMillis : Math.max(waitMillis, UNKNOWN_WAIT_MILLIS);
     }
 
+    /**
+     * Tells whether a slice is surely expected to serve a tier within some time.
+     *
+     * @param slice the slice
+     * @param tierRank rank of the caller's tier
+     * @param boundMillis the time, in milliseconds
+     * @param nowMillis now
+     * @return true when a recent word of its owner says so and this host has not seen it stall
+     */
+    public boolean servesWithin(SliceId slice, int tierRank, long boundMillis, long nowMillis) {
+        Heard fact = heard.get(slice);
+        boolean known =
+                fact != null && isFresh(fact, nowMillis) && fact.status().getUsableTargets() > 0;
+        return known && expectedWaitMillis(slice, tierRank, nowMillis) < boundMillis;
+    }
+
     /**
      * Tells whether a slice has room by a recent word of its owner.
      *
