Count the baseline among the sample documents

Ruled out: an invalid document (whinwharf check passes on all six). Change: six; the load of the comparisons stands beside the baseline. Conclusion: the check is as strict as before, over one document more.

--- a/org.whinwharf.pgm.test/src/test/java/org/whinwharf/pgm/DocumentCommandsTest.java
+++ b/org.whinwharf.pgm.test/src/test/java/org/whinwharf/pgm/DocumentCommandsTest.java
@@ -46,7 +46,7 @@
                             || name.endsWith("document.json"))
                     .toList();
 
-            assertThat(documents.size(), is(5));
+            assertThat(documents.size(), is(6));
             assertThat(
                     Run.of(Stream.concat(Stream.of("check"), documents.stream()).toArray(String[]::new))
                             .exit(),
