--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
@@ -36,9 +36,11 @@
     static final Host ENGINE = target("engine-1", "127.0.51.8", "lampa-llm");
     static final Host PLAIN = target("plain-1", "127.0.51.9", "zber-app");
     private static final String PLATFORM = "127.0.51.10";
-    private static final int CALLER_PORT = 51_001;
-    private static final int TARGET_PORT = 51_009;
-    private static final int PLATFORM_PORT = 51_010;
+    // Below the ports that the system hands to outgoing connections: the daemons connect from their own addresses, and
+    // a listener that comes up again could find its port taken by such a connection.
+    private static final int CALLER_PORT = 15_001;
+    private static final int TARGET_PORT = 15_009;
+    private static final int PLATFORM_PORT = 15_010;
     private static final long BOUND_SECONDS = 30;
     private static EntryFixture shared;
 
