Give the handler of home events a file of its own

Cause: HomeEvent.java had grown to 507 lines with two jobs, the events and who takes them. Ruled out: merging kinds of events. Change: HomeEventHandler beside it, the same methods.

--- a/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
@@ -19,7 +19,7 @@
     private final Delivery delivery;
     private final Intake intake;
     private final Ending ending;
-    private final HomeEvent.Handler handler = new Dispatcher();
+    private final HomeEventHandler handler = new Dispatcher();
 
     /**
      * Creates a home without requests.
@@ -104,7 +104,7 @@
         }
     }
 
-    private final class Dispatcher implements HomeEvent.Handler {
+    private final class Dispatcher implements HomeEventHandler {
         @Override
         public void on(HomeEvent.Submitted event) {
             intake.submitted(event.caller(), event.submission());
--- a/org.whinwharf/src/main/java/org/whinwharf/home/HomeEvent.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/HomeEvent.java
@@ -14,185 +14,7 @@
      *
      * @param handler the handler
      */
-    void accept(Handler handler);
-
-    /** Takes events. */
-    interface Handler {
-        /**
-         * Handles {@link Submitted}.
-         *
-         * @param event what happens
-         */
-        void on(Submitted event);
-
-        /**
-         * Handles {@link Rejoined}.
-         *
-         * @param event what happens
-         */
-        void on(Rejoined event);
-
-        /**
-         * Handles {@link LookedUp}.
-         *
-         * @param event what happens
-         */
-        void on(LookedUp event);
-
-        /**
-         * Handles {@link NumberLookedUp}.
-         *
-         * @param event what happens
-         */
-        void on(NumberLookedUp event);
-
-        /**
-         * Handles {@link CancelAsked}.
-         *
-         * @param event what happens
-         */
-        void on(CancelAsked event);
-
-        /**
-         * Handles {@link CallerGone}.
-         *
-         * @param event what happens
-         */
-        void on(CallerGone event);
-
-        /**
-         * Handles {@link CallerSlow}.
-         *
-         * @param event what happens
-         */
-        void on(CallerSlow event);
-
-        /**
-         * Handles {@link Granted}.
-         *
-         * @param event what happens
-         */
-        void on(Granted event);
-
-        /**
-         * Handles {@link Refused}.
-         *
-         * @param event what happens
-         */
-        void on(Refused event);
-
-        /**
-         * Handles {@link Recalled}.
-         *
-         * @param event what happens
-         */
-        void on(Recalled event);
-
-        /**
-         * Handles {@link StatusHeard}.
-         *
-         * @param event what happens
-         */
-        void on(StatusHeard event);
-
-        /**
-         * Handles {@link OwnerUp}.
-         *
-         * @param event what happens
-         */
-        void on(OwnerUp event);
-
-        /**
-         * Handles {@link OwnerDown}.
-         *
-         * @param event what happens
-         */
-        void on(OwnerDown event);
-
-        /**
-         * Handles {@link ViewChanged}.
-         *
-         * @param event what happens
-         */
-        void on(ViewChanged event);
-
-        /**
-         * Handles {@link Sent}.
-         *
-         * @param event what happens
-         */
-        void on(Sent event);
-
-        /**
-         * Handles {@link NotSent}.
-         *
-         * @param event what happens
-         */
-        void on(NotSent event);
-
-        /**
-         * Handles {@link ConnectFailed}.
-         *
-         * @param event what happens
-         */
-        void on(ConnectFailed event);
-
-        /**
-         * Handles {@link TargetRefused}.
-         *
-         * @param event what happens
-         */
-        void on(TargetRefused event);
-
-        /**
-         * Handles {@link TargetFailed}.
-         *
-         * @param event what happens
-         */
-        void on(TargetFailed event);
-
-        /**
-         * Handles {@link TokenArrived}.
-         *
-         * @param event what happens
-         */
-        void on(TokenArrived event);
-
-        /**
-         * Handles {@link CallAnswered}.
-         *
-         * @param event what happens
-         */
-        void on(CallAnswered event);
-
-        /**
-         * Handles {@link StreamBroken}.
-         *
-         * @param event what happens
-         */
-        void on(StreamBroken event);
-
-        /**
-         * Handles {@link StreamUnknown}.
-         *
-         * @param event what happens
-         */
-        void on(StreamUnknown event);
-
-        /**
-         * Handles {@link StopAsked}.
-         *
-         * @param event what happens
-         */
-        void on(StopAsked event);
-
-        /**
-         * Handles {@link Ticked}.
-         *
-         * @param event what happens
-         */
-        void on(Ticked event);
-    }
+    void accept(HomeEventHandler handler);
 
     /**
      * A caller submits a request.
@@ -202,7 +24,7 @@
      */
     record Submitted(long caller, Submission submission) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -217,7 +39,7 @@
      */
     record Rejoined(long caller, long sequence, String organisation, int fromIndex) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -231,7 +53,7 @@
      */
     record LookedUp(long caller, long sequence, String organisation) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -245,7 +67,7 @@
      */
     record NumberLookedUp(long caller, TicketNumber ticketNumber, String organisation) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -259,7 +81,7 @@
      */
     record CancelAsked(long caller, long sequence, String organisation) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -271,7 +93,7 @@
      */
     record CallerGone(long caller) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -283,7 +105,7 @@
      */
     record CallerSlow(long caller) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -296,7 +118,7 @@
      */
     record Granted(String owner, Grant grant) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -309,7 +131,7 @@
      */
     record Refused(String owner, Refusal refusal) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -322,7 +144,7 @@
      */
     record Recalled(String owner, Recall recall) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -334,7 +156,7 @@
      */
     record StatusHeard(SliceStatus status) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -346,7 +168,7 @@
      */
     record OwnerUp(String owner) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -358,7 +180,7 @@
      */
     record OwnerDown(String owner) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -370,7 +192,7 @@
      */
     record ViewChanged(HomeView view) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -382,7 +204,7 @@
      */
     record Sent(long sequence) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -394,7 +216,7 @@
      */
     record NotSent(long sequence) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -406,7 +228,7 @@
      */
     record ConnectFailed(long sequence) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -418,7 +240,7 @@
      */
     record TargetRefused(long sequence) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -431,7 +253,7 @@
      */
     record TargetFailed(long sequence, int status) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -444,7 +266,7 @@
      */
     record TokenArrived(long sequence, StreamToken token) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -459,7 +281,7 @@
      */
     record CallAnswered(long sequence, int status, String contentType, ByteString body) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -472,7 +294,7 @@
      */
     record StreamBroken(long sequence, String reason) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -484,7 +306,7 @@
      */
     record StreamUnknown(long sequence) implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -492,7 +314,7 @@
     /** A planned stop begins. */
     record StopAsked() implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
@@ -500,7 +322,7 @@
     /** Time has passed. */
     record Ticked() implements HomeEvent {
         @Override
-        public void accept(Handler handler) {
+        public void accept(HomeEventHandler handler) {
             handler.on(this);
         }
     }
