Wait for a stopped host's ports before the tests start it again

Change: the fixture waits until the three ports can be bound. A real host is restarted as a new process and does not meet this. Conclusion: no expectation changed, only the start waits.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
@@ -2,6 +2,8 @@
 
 import com.google.protobuf.util.JsonFormat;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -64,12 +66,33 @@
 
     /** Starts an entry daemon on the third host; the test stops it. */
     EntryDaemon startThree() {
+        awaitPortsOfThree();
         EntryDaemon daemon = new EntryDaemon(settings(THREE));
         daemon.start();
         until("ready", () -> get(THREE, "/v1/addresses").statusCode() == 200);
         return daemon;
     }
 
+    /**
+     * Waits until the ports of the third host are free. The HTTP server closes its listener a moment after its stop
+     * returned; a real host is restarted as a new process and does not meet this.
+     */
+    static void awaitPortsOfThree() {
+        EntryPorts ports = THREE.getEntry();
+        for (int port : new int[] {ports.getCaller(), ports.getEntryPeer(), ports.getEntryAdmin()}) {
+            until("port " + port + " is free", () -> isFree(port));
+        }
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket probe = new ServerSocket()) {
+            probe.bind(new InetSocketAddress(THREE.getAddress(), port));
+            return true;
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+
     private void start(Path directory) throws IOException {
         startStandIns(directory);
         scheduler.start();
--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryTlsTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryTlsTest.java
@@ -30,6 +30,7 @@
     void callersPortSpeaksOnlyTlsWhenItIsSet(@TempDir Path directory) throws Exception {
         EntryFixture fixture = EntryFixture.shared();
         Path keyStore = keyStore(directory, EntryFixture.THREE.getAddress());
+        EntryFixture.awaitPortsOfThree();
         EntryDaemon daemon = new EntryDaemon(settings(directory, keyStore));
         daemon.start();
         try {
