Hand out no tickets of a host that takes no new requests

A host of that data centre went on answering /v1/addresses with tickets of its own, so that every request under them was relayed back to it and turned away. Ruled out: work at the data centre's targets (0 breaches) and the other hosts. Change: a host that is leaving or out of service answers host-leaving and names the others.

--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/AddressBook.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/AddressBook.java
@@ -25,7 +25,7 @@
 
     Addresses addresses(DocumentView document, String organisation) {
         return Addresses.newBuilder()
-                .addAllAddresses(others(node.isLeaving() ? node.settings().getHost() : ""))
+                .addAllAddresses(others(""))
                 .setGoodMillis(document.timing().getAddressesGoodMillis())
                 .setTicket(ticket(document, organisation))
                 .setTicketMillis(document.timing().getTicketMillis())
@@ -33,6 +33,19 @@
                 .build();
     }
 
+    /** Tells whether this host takes new requests, so that tickets of it are of use. */
+    boolean isHome() {
+        boolean inService = node.membership()
+                .map(membership -> membership.isInService(node.settings().getDataCentre()))
+                .orElse(false);
+        return inService && !node.isLeaving();
+    }
+
+    /** Returns live hosts of data centres in service without this one. */
+    List<EntryAddress> elsewhere() {
+        return others(node.settings().getHost());
+    }
+
     /**
      * Returns live hosts of data centres in service but one, those of the own data centre first, each group shuffled.
      */
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerRequests.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerRequests.java
@@ -62,6 +62,17 @@
             return refuse(failure);
         }
         Known who = ((Success<Known>) known).value();
+        if (!parts.addresses().isHome()) {
+            // A ticket of this host would bring every request under it back here, to be turned away again.
+            return HttpSession.errorResponse(
+                    ErrorKind.HOST_LEAVING,
+                    Errors.of(
+                            ErrorKind.HOST_LEAVING,
+                            EntryText.get("ask-another-host"),
+                            COME_BACK_MILLIS,
+                            "",
+                            parts.addresses().elsewhere()));
+        }
         return HttpSession.json(
                 HttpStatus.OK.getCode(),
                 parts.addresses().addresses(who.document(), who.caller().organisation()));
