--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
@@ -36,6 +36,18 @@
         three.stop();
     }
 
+    // A host that is leaving hands out a ticket of its own. Every request under it comes back to that host, whichever
+    // one
+    // the phone sends it to, and is turned away until the host is gone.
+    @Test
+    void leavingHostHandsOutNoTicketAndNamesOtherHosts() {
+        three.leave();
+        HttpResponse<String> answer = fixture.get(EntryFixture.THREE, "/v1/addresses");
+        assertThat(answer.statusCode(), is(503));
+        assertThat(answer.body(), containsString("\"error\":\"host-leaving\""));
+        assertThat(answer.body(), containsString("\"host\":\"host-1\""));
+    }
+
     // The home of a ticket dies after a booking. The phone repeats it at another host, which can't know whether it
     // ran. "Not run" would make the phone book again.
     @Test
