--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerServer.java
@@ -0,0 +1,98 @@
+package org.whinwharf.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+
+/** Accepts the connections of callers. */
+final class CallerServer {
+    /** Connections that wait to be accepted; a full queue costs a caller seconds. */
+    private static final int BACKLOG = 1_024;
+    /** Answer bytes queued for a slow caller before its target is read no further. */
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1_024, 128 * 1_024);
+
+    private final Front front;
+    private final EventLoopGroup loop;
+    private Channel server;
+
+    CallerServer(Front front, EventLoopGroup loop) {
+        this.front = front;
+        this.loop = loop;
+    }
+
+    void start(String ip, int port) {
+        server = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        CallerConnection connection = new CallerConnection(front);
+                        channel.pipeline()
+                                .addLast(new ArrivalNote(connection))
+                                .addLast(new StrictDecoder(front.limits().maxHeaderBytes()))
+                                .addLast(new HttpResponseEncoder())
+                                .addLast(connection);
+                    }
+                })
+                .bind(ip, port)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Takes no more connections. */
+    void stop() {
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    /** Tells a connection that bytes came, so that an incomplete head is noticed. */
+    private static final class ArrivalNote extends ChannelInboundHandlerAdapter {
+        private final CallerConnection connection;
+
+        ArrivalNote(CallerConnection connection) {
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (message instanceof ByteBuf bytes && bytes.isReadable()) {
+                connection.bytesArrived();
+            }
+            context.fireChannelRead(message);
+        }
+    }
+
+    /** Refuses a message with both a length and chunks, in which a second request could hide. */
+    private static final class StrictDecoder extends HttpRequestDecoder {
+        StrictDecoder(int maxHeaderBytes) {
+            super(new HttpDecoderConfig()
+                    .setMaxInitialLineLength(maxHeaderBytes)
+                    .setMaxHeaderSize(maxHeaderBytes)
+                    .setStrictLineParsing(true)
+                    .setAllowDuplicateContentLengths(false));
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both a content length and a transfer encoding");
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamRelay.java
@@ -0,0 +1,77 @@
+package org.whinwharf.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+
+/**
+ * Cuts an event stream at whole events, so that it can go on at another target after a break.
+ *
+ * <p>A target may stop in the middle of an event. If the half event were passed on, the caller would read two runs
+ * joined into one event; so a piece is held back until the empty line that ends its event.
+ */
+final class EventStreamRelay {
+    private static final String ID_FIELD = "id:";
+
+    private ByteBuf held = Unpooled.buffer(0);
+    private Optional<String> lastEventId = Optional.empty();
+
+    /** Takes a piece and returns the whole events that are ready to go; the result is the caller's to release. */
+    ByteBuf accept(ByteBuf piece) {
+        ByteBuf all = Unpooled.wrappedBuffer(held, piece);
+        int end = lastEventEnd(all);
+        if (end < 0) {
+            held = all;
+            return Unpooled.EMPTY_BUFFER;
+        }
+        ByteBuf whole = all.readRetainedSlice(end);
+        noteIds(whole);
+        held = all.isReadable() ? all.readBytes(all.readableBytes()) : Unpooled.buffer(0);
+        all.release();
+        return whole;
+    }
+
+    /** Returns the id of the last whole event that was passed on. */
+    Optional<String> lastEventId() {
+        return lastEventId;
+    }
+
+    /** Tells whether half an event is held back. */
+    boolean holdsPartOfEvent() {
+        return held.isReadable();
+    }
+
+    /** Drops half an event that was held back. */
+    void reset() {
+        held.release();
+        held = Unpooled.buffer(0);
+    }
+
+    private static int lastEventEnd(ByteBuf all) {
+        int start = all.readerIndex();
+        for (int i = all.writerIndex() - 1; i > start; i--) {
+            if (all.getByte(i) != '\n') {
+                continue;
+            }
+            byte before = all.getByte(i - 1);
+            boolean blank = before == '\n' || before == '\r' && i - 2 >= start && all.getByte(i - 2) == '\n';
+            if (blank) {
+                return i + 1 - start;
+            }
+        }
+        return -1;
+    }
+
+    private void noteIds(ByteBuf whole) {
+        String text = whole.toString(StandardCharsets.UTF_8);
+        int lineBreak = text.lastIndexOf("\n" + ID_FIELD);
+        if (lineBreak < 0 && !text.startsWith(ID_FIELD)) {
+            return;
+        }
+        int at = lineBreak + 1;
+        int end = text.indexOf('\n', at);
+        lastEventId = Optional.of(text.substring(at + ID_FIELD.length(), end < 0 ? text.length() : end)
+                .trim());
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -0,0 +1,545 @@
+package org.whinwharf.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.whinwharf.errors.ErrorKind;
+import org.whinwharf.traffic.catalog.Catalog;
+import org.whinwharf.traffic.catalog.Organisation;
+import org.whinwharf.traffic.catalog.Route;
+import org.whinwharf.traffic.catalog.RouteKind;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.Demand;
+import org.whinwharf.traffic.placement.ImmutableDemand;
+import org.whinwharf.traffic.waiting.Patience;
+import org.whinwharf.traffic.waiting.Waiter;
+
+/**
+ * One request of a caller, from its last byte to the last byte of its answer.
+ *
+ * <p>Once a byte has left for a target, the request has perhaps run: from then on it is answered with the target's
+ * answer or with a failure that promises nothing, never with a refusal that says that it has not run.
+ */
+final class Exchange implements Waiter, TargetListener {
+    /** Silence before a first byte after which a repeatable request goes elsewhere, in objectives. */
+    private static final int SILENT_OBJECTIVES = 4;
+    /** Shortest such silence; below it a short queue at a sound target would count as silence. */
+    private static final long SHORTEST_SILENCE_MILLIS = 600;
+    /** Silence within a stream after which it is resumed elsewhere; callers abandon it at two seconds. */
+    private static final long STREAM_SILENCE_MILLIS = 1_200;
+    /** Time a full target gets nothing after it refused a request. */
+    private static final long FULL_PAUSE_MILLIS = 60;
+    /** Time left below which sending is pointless: a target needs about this for its shortest answer. */
+    private static final long SHORTEST_USEFUL_MILLIS = 15;
+
+    private enum Stage {
+        WAITING,
+        CONNECTING,
+        SENT,
+        ENDED
+    }
+
+    private final Front front;
+    private final CallerConnection caller;
+    private final HttpRequest request;
+    private final ByteBuf body;
+    private final long arrivedAtMillis;
+    private final Set<String> tried = new HashSet<>();
+    private RequestHead head;
+    private Route route;
+    private Optional<Organisation> organisation = Optional.empty();
+    private String service = "";
+    private int tierRank;
+    private long quotaTokens;
+    private long deadlineAtMillis;
+    private long patienceUntilMillis;
+    private Stage stage = Stage.WAITING;
+    private int sends;
+    private int possibleRuns;
+    private Candidate candidate;
+    private TargetEntry entry;
+    private TargetLink link;
+    private long sentAtMillis;
+    private long lastByteAtMillis;
+    private boolean firstByteSeen;
+    private HttpResponse answer;
+    private AnswerHead answerHead;
+    private boolean streamBegun;
+    private CompositeByteBuf collected;
+    private EventStreamRelay relay;
+
+    Exchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
+        this.front = front;
+        this.caller = caller;
+        this.request = request;
+        this.body = body;
+        arrivedAtMillis = front.nowMillis();
+    }
+
+    HttpMethod method() {
+        return request.method();
+    }
+
+    RequestHead head() {
+        return head;
+    }
+
+    /** Reads, authorises and routes the request, and sends it or lets it wait. */
+    void begin() {
+        front.exchangeBegan(this);
+        try {
+            head = front.dialect().readRequest(request);
+        } catch (BadRequestException e) {
+            FrontLog.malformed(ErrorKind.MALFORMED, e.getMessage());
+            refuse(new Refusal(ErrorKind.MALFORMED, 0));
+            return;
+        }
+        Optional<Catalog> catalog = front.catalog();
+        if (catalog.isEmpty()) {
+            refuse(new Refusal(ErrorKind.NOT_READY, Front.NOT_READY_COME_BACK_MILLIS));
+            return;
+        }
+        Optional<ErrorKind> denied = authorise(catalog.get());
+        if (denied.isPresent()) {
+            refuse(new Refusal(denied.get(), 0));
+            return;
+        }
+        long nowMillis = arrivedAtMillis;
+        long allowedMillis =
+                Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
+        deadlineAtMillis = nowMillis + allowedMillis;
+        patienceUntilMillis = nowMillis + Patience.waitMillis(route.kind(), route.objectiveMillis(), allowedMillis);
+        service = front.pickService(route, head.attemptId());
+        quotaTokens = head.countsTokens()
+                ? head.promptTokens() + head.answerTokens()
+                : organisation.map(Organisation::plainRequestTokens).orElse(0L);
+        if (organisation.isPresent()
+                && !front.quotas().tryAdmit(organisation.get().name(), quotaTokens, nowMillis)) {
+            long comeBackMillis =
+                    front.quotas().admitsInMillis(organisation.get().name());
+            quotaTokens = 0;
+            refuse(new Refusal(ErrorKind.OVER_QUOTA, Math.max(comeBackMillis, Front.NOT_READY_COME_BACK_MILLIS)));
+            return;
+        }
+        front.retryBudget(service).request(nowMillis);
+        place(nowMillis);
+    }
+
+    private Optional<ErrorKind> authorise(Catalog catalog) {
+        Optional<Route> found = catalog.route(head.authority(), head.path());
+        if (found.isEmpty()) {
+            return Optional.of(ErrorKind.UNKNOWN_SERVICE);
+        }
+        route = found.get();
+        organisation = head.key().flatMap(catalog::organisationOfKey);
+        if (catalog.asksForKeys() && !route.publicAccess() && organisation.isEmpty()) {
+            return Optional.of(ErrorKind.UNKNOWN_CREDENTIAL);
+        }
+        tierRank = organisation.isPresent() && organisation.get().tierRank().isPresent()
+                ? organisation.get().tierRank().getAsInt()
+                : route.tierRank();
+        return Optional.empty();
+    }
+
+    private void place(long nowMillis) {
+        stage = Stage.WAITING;
+        if (!front.line(service).hasAhead(tierRank) && trySend(nowMillis)) {
+            return;
+        }
+        front.line(service).add(this, nowMillis);
+    }
+
+    @Override
+    public int tierRank() {
+        return tierRank;
+    }
+
+    @Override
+    public long patienceUntilMillis() {
+        return patienceUntilMillis;
+    }
+
+    @Override
+    public boolean trySend(long nowMillis) {
+        Demand demand = ImmutableDemand.builder()
+                .service(service)
+                .model(head.model())
+                .promptTokens(head.promptTokens())
+                .parts(head.parts())
+                .tierRank(tierRank)
+                .tried(tried)
+                .build();
+        Optional<Candidate> chosen = front.choose(demand, nowMillis);
+        if (chosen.isEmpty()) {
+            return false;
+        }
+        connect(chosen.get(), nowMillis);
+        return true;
+    }
+
+    @Override
+    public void refuse(long nowMillis) {
+        ErrorKind kind = tried.isEmpty() ? ErrorKind.SHED : ErrorKind.TARGET_REFUSED;
+        refuse(new Refusal(perhapsRun() ? ErrorKind.TARGET_LOST : kind, front.comeBackMillis(service)));
+    }
+
+    private void connect(Candidate chosen, long nowMillis) {
+        stage = Stage.CONNECTING;
+        candidate = chosen;
+        entry = front.entry(chosen.state().target().id());
+        chosen.state().began(chosen.uncachedTokens());
+        firstByteSeen = false;
+        if (chosen.coldAllowance() > 0) {
+            chosen.state().coldGate().sent(nowMillis);
+        }
+        front.prompts().reads(head.parts(), chosen.state().target().id());
+        entry.pool().acquire(!route.idempotent(), this::connected);
+    }
+
+    private void connected(Optional<TargetLink> acquired) {
+        long nowMillis = front.nowMillis();
+        if (stage != Stage.CONNECTING) {
+            acquired.ifPresent(entry.pool()::giveBack);
+            return;
+        }
+        if (acquired.isEmpty()) {
+            leaveTarget();
+            front.targetFailed(entry, TargetFailure.UNREACHABLE);
+            place(nowMillis);
+            return;
+        }
+        if (deadlineAtMillis - nowMillis < SHORTEST_USEFUL_MILLIS
+                || entry.state().target().draining()) {
+            entry.pool().giveBack(acquired.get());
+            leaveTarget();
+            place(nowMillis);
+            return;
+        }
+        link = acquired.get();
+        stage = Stage.SENT;
+        sends++;
+        possibleRuns++;
+        tried.add(entry.state().target().id());
+        sentAtMillis = nowMillis;
+        lastByteAtMillis = nowMillis;
+        Optional<String> resumeAfter = streamBegun ? relay.lastEventId() : head.resumeAfterEvent();
+        Dispatch dispatch = new Dispatch(
+                entry.state().target().id(),
+                organisation.map(Organisation::name),
+                deadlineAtMillis - nowMillis,
+                resumeAfter);
+        FrontLog.sent(this, entry.state().target(), nowMillis - arrivedAtMillis, candidate);
+        link.send(front.dialect().targetRequest(request, dispatch), body, head.attemptId(), this);
+    }
+
+    @Override
+    public void head(HttpResponse response, AnswerHead read) {
+        noteBytes();
+        answerHead = read;
+        if (read.notExecuted() || read.otherTarget()) {
+            return;
+        }
+        if (!streamBegun) {
+            answer = response;
+        }
+        boolean success = read.status() / 100 == 2;
+        if (route.kind() == RouteKind.STREAMING && success && read.signed()) {
+            if (!streamBegun) {
+                streamBegun = true;
+                relay = new EventStreamRelay();
+                caller.beginStream(response.status(), front.dialect().callerHeaders(response));
+            }
+        } else {
+            collected = Unpooled.compositeBuffer(1024);
+        }
+    }
+
+    @Override
+    public void content(ByteBuf piece) {
+        noteBytes();
+        boolean streaming = streamBegun && collected == null && answerHead.status() / 100 == 2;
+        if (streaming && route.resumable()) {
+            ByteBuf whole = relay.accept(piece);
+            if (whole.isReadable()) {
+                pass(whole);
+            } else {
+                whole.release();
+            }
+        } else if (streaming) {
+            pass(piece);
+        } else if (collected != null && collected.readableBytes() + piece.readableBytes() <= Front.MOST_ANSWER_BYTES) {
+            collected.addComponent(true, piece);
+        } else {
+            piece.release();
+        }
+    }
+
+    private void pass(ByteBuf piece) {
+        caller.stream(piece);
+        if (!caller.writable()) {
+            link.reading(false);
+        }
+    }
+
+    void callerWritable(boolean writable) {
+        if (link != null && stage == Stage.SENT) {
+            link.reading(writable);
+        }
+    }
+
+    private void noteBytes() {
+        long nowMillis = front.nowMillis();
+        lastByteAtMillis = nowMillis;
+        entry.spoke(nowMillis);
+        if (!firstByteSeen) {
+            firstByteSeen = true;
+            candidate.state().prefilled(candidate.uncachedTokens());
+            candidate
+                    .state()
+                    .speed()
+                    .observed(candidate.uncachedTokens(), candidate.occupancy(), nowMillis - sentAtMillis);
+        }
+    }
+
+    @Override
+    public void complete() {
+        link = null;
+        long nowMillis = front.nowMillis();
+        leaveTarget();
+        if (answerHead.otherTarget()) {
+            possibleRuns--;
+            front.targetFailed(entry, TargetFailure.UNREACHABLE);
+            sendElsewhereOrRefuse(nowMillis);
+            return;
+        }
+        if (answerHead.notExecuted()) {
+            possibleRuns--;
+            entry.state().fullUntil(nowMillis + FULL_PAUSE_MILLIS);
+            sendElsewhereOrRefuse(nowMillis);
+            return;
+        }
+        boolean success = answerHead.status() / 100 == 2;
+        if (success && !answerHead.signed() || streamBegun && collected != null) {
+            failedAfterSend(TargetFailure.GARBLED, nowMillis);
+            return;
+        }
+        if (answerHead.status() >= 500) {
+            front.targetAnsweredError(entry);
+            if (canRepeat(nowMillis)) {
+                releaseCollected();
+                place(nowMillis);
+                return;
+            }
+        } else {
+            front.targetAnswered(entry);
+        }
+        deliver();
+    }
+
+    /** Tells whether any target may have run the request, or may yet. */
+    private boolean perhapsRun() {
+        return possibleRuns > 0;
+    }
+
+    private void deliver() {
+        FrontLog.ended(this, entry, "answered", answerHead.status(), front.nowMillis() - arrivedAtMillis);
+        if (streamBegun) {
+            if (route.resumable() && relay.holdsPartOfEvent()) {
+                end();
+                caller.breakOff();
+                return;
+            }
+            end();
+            caller.endStream();
+        } else {
+            ByteBuf whole = collected;
+            collected = null;
+            end();
+            caller.answer(answer.status(), front.dialect().callerHeaders(answer), whole);
+        }
+    }
+
+    @Override
+    public void failed(TargetFailure failure) {
+        link = null;
+        long nowMillis = front.nowMillis();
+        leaveTarget();
+        front.targetFailed(entry, failure);
+        failedAfterSend(failure, nowMillis);
+    }
+
+    private void failedAfterSend(TargetFailure failure, long nowMillis) {
+        releaseCollected();
+        if (canRepeat(nowMillis)) {
+            FrontLog.repeated(this, entry.state().target(), failure.name());
+            if (relay != null) {
+                relay.reset();
+            }
+            patienceUntilMillis = Math.max(patienceUntilMillis, nowMillis + route.objectiveMillis());
+            place(nowMillis);
+            return;
+        }
+        if (streamBegun) {
+            FrontLog.ended(this, entry, "broken-off", answerHead.status(), front.nowMillis() - arrivedAtMillis);
+            end();
+            caller.breakOff();
+            return;
+        }
+        refuse(new Refusal(ErrorKind.TARGET_LOST, 0));
+    }
+
+    private boolean canRepeat(long nowMillis) {
+        boolean resumes =
+                !streamBegun || route.resumable() && relay.lastEventId().isPresent();
+        return route.idempotent()
+                && resumes
+                && sends < route.attempts()
+                && deadlineAtMillis - nowMillis > SHORTEST_USEFUL_MILLIS
+                && front.retryBudget(service).tryRepeat(nowMillis, front.retryAllowance());
+    }
+
+    private void sendElsewhereOrRefuse(long nowMillis) {
+        releaseCollected();
+        boolean budget =
+                sends < route.attempts() && front.retryBudget(service).tryRepeat(nowMillis, front.retryAllowance());
+        if (budget && nowMillis < patienceUntilMillis) {
+            place(nowMillis);
+        } else if (streamBegun) {
+            end();
+            caller.breakOff();
+        } else {
+            ErrorKind kind = perhapsRun() ? ErrorKind.TARGET_LOST : ErrorKind.TARGET_REFUSED;
+            refuse(new Refusal(kind, front.comeBackMillis(service)));
+        }
+    }
+
+    private void leaveTarget() {
+        if (candidate == null) {
+            return;
+        }
+        if (!firstByteSeen) {
+            candidate.state().prefilled(candidate.uncachedTokens());
+        }
+        candidate.state().ended();
+        candidate = null;
+        front.placeFreed(service);
+    }
+
+    /** Looks whether time has run out or the target has fallen silent. */
+    void tick(long nowMillis) {
+        if (stage == Stage.ENDED || route == null) {
+            return;
+        }
+        if (nowMillis >= deadlineAtMillis) {
+            timedOut();
+            return;
+        }
+        if (stage != Stage.SENT) {
+            return;
+        }
+        long silentMillis = nowMillis - Math.max(lastByteAtMillis, entry.lastByteAtMillis());
+        long limitMillis = streamBegun
+                ? STREAM_SILENCE_MILLIS
+                : Math.max(SHORTEST_SILENCE_MILLIS, SILENT_OBJECTIVES * route.objectiveMillis());
+        if (silentMillis > limitMillis) {
+            front.targetFailed(entry, TargetFailure.SILENT);
+        }
+        boolean stuck = nowMillis - lastByteAtMillis > limitMillis;
+        if (stuck && route.idempotent() && sends < route.attempts() && front.hasOther(service, tried)) {
+            link.cancel();
+            link = null;
+            leaveTarget();
+            failedAfterSend(TargetFailure.SILENT, nowMillis);
+        }
+    }
+
+    private void timedOut() {
+        if (stage == Stage.WAITING) {
+            front.line(service).remove(this);
+        }
+        if (streamBegun) {
+            FrontLog.ended(this, entry, "timed-out", answerHead.status(), front.nowMillis() - arrivedAtMillis);
+            abandonTarget();
+            end();
+            caller.breakOff();
+            return;
+        }
+        boolean sent = perhapsRun();
+        abandonTarget();
+        refuse(new Refusal(sent ? ErrorKind.DEADLINE_RUNNING : ErrorKind.HOPELESS, 0));
+    }
+
+    /** Stops all work, since the caller is gone. */
+    void callerLeft() {
+        if (stage == Stage.ENDED) {
+            return;
+        }
+        if (stage == Stage.WAITING && route != null) {
+            front.line(service).remove(this);
+        }
+        abandonTarget();
+        if (route != null) {
+            FrontLog.ended(this, entry, "caller-left", 0, front.nowMillis() - arrivedAtMillis);
+        }
+        end();
+    }
+
+    private void abandonTarget() {
+        if (link != null) {
+            link.cancel();
+            link = null;
+        }
+        leaveTarget();
+    }
+
+    private void refuse(Refusal refusal) {
+        if (stage == Stage.ENDED) {
+            return;
+        }
+        if (organisation.isPresent() && !perhapsRun() && quotaTokens > 0) {
+            front.quotas().giveBack(organisation.get().name(), quotaTokens);
+        }
+        FrontLog.refused(this, refusal);
+        end();
+        if (streamBegun) {
+            caller.breakOff();
+        } else {
+            caller.answer(refusal);
+        }
+    }
+
+    private void releaseCollected() {
+        if (collected != null) {
+            collected.release();
+            collected = null;
+        }
+    }
+
+    private void end() {
+        stage = Stage.ENDED;
+        releaseCollected();
+        if (relay != null) {
+            relay.reset();
+        }
+        body.release();
+        front.exchangeEnded(this);
+    }
+
+    String service() {
+        return service;
+    }
+
+    int sends() {
+        return sends;
+    }
+
+    Optional<Organisation> organisation() {
+        return organisation;
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -0,0 +1,480 @@
+package org.whinwharf.front;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.whinwharf.errors.ErrorKind;
+import org.whinwharf.lifecycle.Service;
+import org.whinwharf.runtime.log.EventField;
+import org.whinwharf.runtime.log.EventLog;
+import org.whinwharf.runtime.log.LogEvent;
+import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.catalog.CallerLimits;
+import org.whinwharf.traffic.catalog.Catalog;
+import org.whinwharf.traffic.catalog.Route;
+import org.whinwharf.traffic.catalog.ServiceWeight;
+import org.whinwharf.traffic.catalog.TargetService;
+import org.whinwharf.traffic.items.ItemMirror;
+import org.whinwharf.traffic.member.Member;
+import org.whinwharf.traffic.member.MemberTable;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.Demand;
+import org.whinwharf.traffic.placement.Placement;
+import org.whinwharf.traffic.placement.RendezvousColdShares;
+import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.retry.RetryBudget;
+import org.whinwharf.traffic.target.PromptCache;
+import org.whinwharf.traffic.target.Target;
+import org.whinwharf.traffic.waiting.Patience;
+import org.whinwharf.traffic.waiting.WaitingLine;
+import org.whinwharf.wire.fleet.MemberPhase;
+import org.whinwharf.wire.fleet.MemberReport;
+
+/** One front process: it joins its parts and owns the thread on which all of them run. */
+public final class Front implements Service {
+    /** Advice to callers of a process that knows no catalog yet: it asks its peers several times within this. */
+    static final long NOT_READY_COME_BACK_MILLIS = 200;
+    /** Most bytes of an answer that is collected before it is passed on. */
+    static final int MOST_ANSWER_BYTES = 4 * 1_024 * 1_024;
+    /** Requests of one service that may wait here; at the size in use more would outwait their patience. */
+    private static final int MOST_WAITING = 256;
+    /** Time between rounds of news; a request holds a slot several times as long. */
+    private static final long GOSSIP_MILLIS = 150;
+    /** Time between looks at waiting and running requests. */
+    private static final long TICK_MILLIS = 20;
+    /** Time between looks at idle connections, probes and silent peers. */
+    private static final long SWEEP_MILLIS = 250;
+    /** Time that callers may still come after a request to stop: what they were told before has then run out. */
+    private static final long LINGER_MILLIS = 2_500;
+    /** Time before the end of the grace period at which the process ends in any case. */
+    private static final long END_MARGIN_MILLIS = 600;
+
+    private final FrontSettings settings;
+    private final HttpDialect dialect;
+    private final Ticker ticker = Ticker.system();
+    private final Random random = new Random();
+    private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MemberTable members;
+    private final Targets targets;
+    private final PromptCache prompts = new PromptCache();
+    private final Placement placement;
+    private final QuotaLedger quotas;
+    private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
+    private final Map<String, WaitingLine> lines = new HashMap<>();
+    private final Set<String> freedServices = new HashSet<>();
+    private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private final Set<Exchange> exchanges = new LinkedHashSet<>();
+    private final CallerServer callers;
+    private final Gossip gossip;
+    private final PeerItems peerItems;
+    private final ItemFeed feed;
+    private Optional<Catalog> catalog = Optional.empty();
+    private MemberPhase phase = MemberPhase.MEMBER_STARTING;
+    private long leavingAtMillis;
+    private Runnable whenEnded = () -> {};
+
+    /**
+     * Creates a process that is not started.
+     *
+     * @param settings its settings
+     * @param dialect names that callers and targets use
+     */
+    public Front(FrontSettings settings, HttpDialect dialect) {
+        this.settings = settings;
+        this.dialect = dialect;
+        members = new MemberTable(MemberReport.newBuilder()
+                .setName(settings.name())
+                .setIncarnation(System.currentTimeMillis())
+                .build());
+        quotas = new QuotaLedger(settings.freshFleet());
+        targets = new Targets(loop, dialect, ticker, () -> catalog);
+        placement = new Placement(
+                settings.dataCentre(),
+                prompts,
+                new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate));
+        ItemMirror mirror = new ItemMirror();
+        peerItems = new PeerItems(loop, mirror);
+        feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
+        gossip = new Gossip(settings, members, ticker, random, this::heard);
+        callers = new CallerServer(this, loop);
+    }
+
+    /**
+     * Returns the thread on which everything of this process runs.
+     *
+     * @return event loop
+     */
+    public EventLoopGroup loop() {
+        return loop;
+    }
+
+    /**
+     * Returns the feed of published items.
+     *
+     * @return feed
+     */
+    public ItemFeed feed() {
+        return feed;
+    }
+
+    /**
+     * Returns the steady clock.
+     *
+     * @return clock
+     */
+    public Ticker ticker() {
+        return ticker;
+    }
+
+    @Override
+    public void start() {
+        peerItems.start(settings.ip(), settings.peerPort());
+        gossip.start(loop);
+        every(GOSSIP_MILLIS, this::gossipRound);
+        every(TICK_MILLIS, this::tick);
+        every(SWEEP_MILLIS, this::sweep);
+        EventLog.event(LogEvent.STARTED)
+                .with(EventField.HOST, settings.name())
+                .with(EventField.ROLE, "front")
+                .with(EventField.INCARNATION, members.own().getIncarnation())
+                .call();
+    }
+
+    private void every(long millis, Runnable duty) {
+        loop.scheduleWithFixedDelay(
+                () -> {
+                    try {
+                        duty.run();
+                    } catch (RuntimeException e) {
+                        FrontLog.malformed(ErrorKind.INTERNAL, duty + ": " + e);
+                    }
+                },
+                millis,
+                millis,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Begins a planned stop: takes no part in news of serving processes and ends once nothing is under way. */
+    @Override
+    public void stop() {
+        loop.execute(() -> {
+            if (phase == MemberPhase.MEMBER_LEAVING) {
+                return;
+            }
+            phase = MemberPhase.MEMBER_LEAVING;
+            leavingAtMillis = ticker.nowMillis();
+            EventLog.event(LogEvent.LEAVING).call();
+            gossipRound();
+        });
+    }
+
+    /**
+     * Sets what is run when a planned stop is done.
+     *
+     * @param action run on the front's thread
+     */
+    public void whenEnded(Runnable action) {
+        whenEnded = action;
+    }
+
+    /**
+     * Tells whether callers should be sent here.
+     *
+     * @return true when it serves
+     */
+    public boolean ready() {
+        return phase == MemberPhase.MEMBER_SERVING;
+    }
+
+    /**
+     * Returns the addresses that callers may connect to, this process's first.
+     *
+     * @return IP numbers and ports
+     */
+    public List<String> callerAddresses() {
+        return members.serving(ticker.nowMillis()).stream()
+                .map(MemberReport::getCallerAddress)
+                .toList();
+    }
+
+    /**
+     * Takes a new catalog; an older version than the one in force changes nothing.
+     *
+     * @param published the catalog
+     */
+    public void publish(Catalog published) {
+        if (catalog.isPresent() && published.version() <= catalog.get().version()) {
+            return;
+        }
+        catalog = Optional.of(published);
+        quotas.update(published, ticker.nowMillis());
+        EventLog.event(LogEvent.CATALOG_IN_FORCE)
+                .with(EventField.VERSION, published.version())
+                .with(EventField.REVISION, feed.revision())
+                .call();
+    }
+
+    /**
+     * Takes a published target.
+     *
+     * @param target the target
+     * @param duringService false while the first copy is read
+     */
+    public void publish(Target target, boolean duringService) {
+        targets.publish(target, duringService);
+    }
+
+    /**
+     * Takes the removal of a target.
+     *
+     * @param targetId id of the target
+     * @param goneAtMillis steady time from which it counts as gone
+     */
+    public void removeTarget(String targetId, long goneAtMillis) {
+        targets.remove(targetId, goneAtMillis);
+    }
+
+    /**
+     * Takes the data centres that must get nothing new.
+     *
+     * @param dataCentres names
+     */
+    public void evacuate(Set<String> dataCentres) {
+        EventLog.event(LogEvent.DATA_CENTRES_OUT)
+                .with(EventField.REASONS, dataCentres)
+                .with(EventField.REVISION, feed.revision())
+                .call();
+        targets.evacuate(dataCentres);
+    }
+
+    private void serveOnceKnown() {
+        if (phase == MemberPhase.MEMBER_STARTING && catalog.isPresent()) {
+            phase = MemberPhase.MEMBER_SERVING;
+            String[] address = settings.callerAddress().split(":");
+            callers.start(address[0], Integer.parseInt(address[1]));
+            EventLog.event(LogEvent.READY)
+                    .with(EventField.REVISION, feed.revision())
+                    .call();
+        }
+    }
+
+    private void gossipRound() {
+        MemberReport.Builder report = MemberReport.newBuilder()
+                .setName(settings.name())
+                .setIp(settings.ip())
+                .setCallerAddress(settings.callerAddress())
+                .setDataCentre(settings.dataCentre())
+                .setPhase(phase)
+                .setRevision(feed.revision())
+                .setWatching(feed.watchWorks());
+        for (TargetEntry entry : targets.all()) {
+            if (entry.state().ownRunning() > 0) {
+                report.addUsesBuilder()
+                        .setTargetDigest(entry.state().target().digest())
+                        .setRunning(entry.state().ownRunning())
+                        .setPrefillTokens((int) entry.state().ownPrefillTokens());
+            }
+        }
+        quotas.admittedTotals()
+                .forEach((digest, total) ->
+                        report.addQuotasBuilder().setOrganisationDigest(digest).setAdmittedTotal(total));
+        members.report(report);
+        gossip.round();
+    }
+
+    private void heard(MemberReport report) {
+        String process = report.getName() + "/" + report.getIncarnation();
+        report.getQuotasList()
+                .forEach(use ->
+                        quotas.heard(process, use.getOrganisationDigest(), use.getAdmittedTotal(), ticker.nowMillis()));
+    }
+
+    private void countOthers(long nowMillis) {
+        Map<Integer, int[]> uses = new HashMap<>();
+        for (Member member : members.alive(nowMillis)) {
+            member.report().getUsesList().forEach(use -> {
+                int[] sums = uses.computeIfAbsent(use.getTargetDigest(), digest -> new int[2]);
+                sums[0] += use.getRunning();
+                sums[1] += use.getPrefillTokens();
+            });
+        }
+        int[] none = new int[2];
+        for (TargetEntry entry : targets.all()) {
+            int[] sums = uses.getOrDefault(entry.state().target().digest(), none);
+            entry.state().others(sums[0], sums[1]);
+        }
+    }
+
+    private void tick() {
+        long nowMillis = ticker.nowMillis();
+        countOthers(nowMillis);
+        List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowMillis));
+        lines.values().forEach(line -> line.advance(nowMillis));
+        if (phase == MemberPhase.MEMBER_LEAVING) {
+            drain(nowMillis);
+        }
+    }
+
+    private void sweep() {
+        long nowMillis = ticker.nowMillis();
+        serveOnceKnown();
+        feed.tick();
+        targets.sweep();
+        List.copyOf(connections).forEach(connection -> connection.sweep(nowMillis));
+        members.forget(nowMillis)
+                .forEach(name -> EventLog.event(LogEvent.MEMBER_FORGOTTEN)
+                        .with(EventField.PEER, name)
+                        .call());
+        quotas.reachableShare(members.reachableShare(nowMillis), nowMillis);
+    }
+
+    private void drain(long nowMillis) {
+        long leftMillis = settings.stopGraceMillis() - (nowMillis - leavingAtMillis);
+        if (nowMillis - leavingAtMillis > LINGER_MILLIS) {
+            callers.stop();
+            List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+        }
+        boolean idle = exchanges.isEmpty() && connections.isEmpty() && nowMillis - leavingAtMillis > LINGER_MILLIS;
+        if (idle || leftMillis < END_MARGIN_MILLIS) {
+            EventLog.event(idle ? LogEvent.DRAINED : LogEvent.DRAIN_TIMEOUT).call();
+            whenEnded.run();
+        }
+    }
+
+    private List<String> servingNames() {
+        return members.serving(ticker.nowMillis()).stream()
+                .map(MemberReport::getName)
+                .collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    private double coldRate(Target target) {
+        return catalog.flatMap(known -> known.service(target.service()))
+                .map(TargetService::coldRequestsPerSecond)
+                .orElse(0.0);
+    }
+
+    long nowMillis() {
+        return ticker.nowMillis();
+    }
+
+    HttpDialect dialect() {
+        return dialect;
+    }
+
+    Optional<Catalog> catalog() {
+        return catalog;
+    }
+
+    CallerLimits limits() {
+        return catalog.map(Catalog::limits).orElse(CallerLimits.DEFAULT);
+    }
+
+    boolean leaving() {
+        return phase == MemberPhase.MEMBER_LEAVING;
+    }
+
+    QuotaLedger quotas() {
+        return quotas;
+    }
+
+    PromptCache prompts() {
+        return prompts;
+    }
+
+    RetryBudget retryBudget(String service) {
+        return retryBudgets.computeIfAbsent(
+                service, name -> new RetryBudget(settings.retryRatio(), settings.retryWindowMillis()));
+    }
+
+    /** Returns this process's part of the fixed allowance of repeats. */
+    double retryAllowance() {
+        return settings.retryAllowance() / (members.all().size() + 2.0);
+    }
+
+    WaitingLine line(String service) {
+        return lines.computeIfAbsent(service, name -> new WaitingLine(MOST_WAITING));
+    }
+
+    Optional<Candidate> choose(Demand demand, long nowMillis) {
+        return placement.choose(demand, targets.ofService(demand.service()), targets.evacuated(), nowMillis);
+    }
+
+    TargetEntry entry(String targetId) {
+        return targets.entry(targetId);
+    }
+
+    /** Tells whether another target of the service could take a request. */
+    boolean hasOther(String service, Set<String> tried) {
+        long nowMillis = ticker.nowMillis();
+        return targets.ofService(service).stream()
+                .anyMatch(state -> state.usable(nowMillis)
+                        && !tried.contains(state.target().id()));
+    }
+
+    /** Picks the service of a split route; the same attempt always goes to the same one. */
+    String pickService(Route route, String attemptId) {
+        List<ServiceWeight> services = route.services();
+        double total = services.stream().mapToDouble(ServiceWeight::weight).sum();
+        double point = (attemptId.hashCode() * 0x9E3779B97F4A7C15L >>> 11) / (double) (1L << 53) * total;
+        for (ServiceWeight service : services) {
+            point -= service.weight();
+            if (point < 0) {
+                return service.service();
+            }
+        }
+        return services.get(services.size() - 1).service();
+    }
+
+    long comeBackMillis(String service) {
+        return Patience.comeBackMillis(line(service).size(), targets.slots(service), random.nextDouble());
+    }
+
+    /** Tries waiting requests after a place was freed, once the present event is done with. */
+    void placeFreed(String service) {
+        if (line(service).size() > 0 && freedServices.add(service)) {
+            loop.execute(() -> {
+                freedServices.remove(service);
+                line(service).advance(ticker.nowMillis());
+            });
+        }
+    }
+
+    void targetFailed(TargetEntry entry, TargetFailure failure) {
+        targets.failed(entry, failure);
+    }
+
+    void targetAnsweredError(TargetEntry entry) {
+        targets.erred(entry);
+    }
+
+    void targetAnswered(TargetEntry entry) {
+        entry.state().health().succeeded();
+    }
+
+    void exchangeBegan(Exchange exchange) {
+        exchanges.add(exchange);
+    }
+
+    void exchangeEnded(Exchange exchange) {
+        exchanges.remove(exchange);
+    }
+
+    void connectionOpened(CallerConnection connection) {
+        connections.add(connection);
+    }
+
+    void connectionClosed(CallerConnection connection) {
+        connections.remove(connection);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -0,0 +1,91 @@
+package org.whinwharf.front;
+
+import org.whinwharf.errors.ErrorKind;
+import org.whinwharf.runtime.log.EventField;
+import org.whinwharf.runtime.log.EventLog;
+import org.whinwharf.runtime.log.LogEvent;
+import org.whinwharf.traffic.catalog.Organisation;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.target.Target;
+
+/** Writes the log lines about requests and targets. */
+final class FrontLog {
+    private FrontLog() {}
+
+    static void malformed(ErrorKind kind, String reason) {
+        EventLog.event(LogEvent.REQUEST_MALFORMED)
+                .with(EventField.KIND, kind.wireName())
+                .with(EventField.REASON, reason)
+                .call();
+    }
+
+    static void sent(Exchange exchange, Target target, long waitedMillis, Candidate candidate) {
+        EventLog.event(LogEvent.REQUEST_SENT)
+                .with(EventField.REQUEST, exchange.head().attemptId())
+                .with(EventField.TARGET, target.id())
+                .with(EventField.WAITED_MILLIS, waitedMillis)
+                .with(EventField.OCCUPANCY, Math.round(candidate.occupancy() * 100) / 100.0)
+                .with(EventField.PREFILL_TOKENS, candidate.uncachedTokens())
+                .with(EventField.PREDICTED_MILLIS, Math.round(candidate.predictedMillis()))
+                .call();
+    }
+
+    static void ended(Exchange exchange, TargetEntry entry, String reason, int status, long totalMillis) {
+        EventLog line = EventLog.event(LogEvent.REQUEST_ENDED)
+                .with(EventField.REQUEST, exchange.head().attemptId())
+                .with(EventField.REASON, reason)
+                .with(EventField.STATUS, status)
+                .with(EventField.TOTAL_MILLIS, totalMillis);
+        if (entry != null) {
+            line.with(EventField.TARGET, entry.state().target().id());
+        }
+        line.call();
+    }
+
+    static void refused(Exchange exchange, Refusal refusal) {
+        EventLog line = EventLog.event(LogEvent.REQUEST_REFUSED)
+                .with(EventField.SERVICE, exchange.service())
+                .with(EventField.TIER_RANK, exchange.tierRank())
+                .with(EventField.KIND, refusal.kind().wireName())
+                .with(EventField.RAN, refusal.kind().ran().wireName())
+                .with(EventField.COME_BACK_MILLIS, refusal.comeBackMillis());
+        if (exchange.head() != null) {
+            line.with(EventField.REQUEST, exchange.head().attemptId());
+        }
+        exchange.organisation().map(Organisation::name).ifPresent(name -> line.with(EventField.ORGANISATION, name));
+        line.call();
+    }
+
+    static void repeated(Exchange exchange, Target target, String reason) {
+        EventLog.event(LogEvent.REQUEST_REPEATED)
+                .with(EventField.REQUEST, exchange.head().attemptId())
+                .with(EventField.TARGET, target.id())
+                .with(EventField.REASON, reason)
+                .call();
+    }
+
+    static void published(Target target, String status) {
+        EventLog.event(LogEvent.TARGET_PUBLISHED)
+                .with(EventField.TARGET, target.id())
+                .with(EventField.SERVICE, target.service())
+                .with(EventField.DATA_CENTRE, target.dataCentre())
+                .with(EventField.STATUS, status)
+                .call();
+    }
+
+    static void ejected(Target target, String reason) {
+        EventLog.event(LogEvent.TARGET_EJECTED)
+                .with(EventField.TARGET, target.id())
+                .with(EventField.SERVICE, target.service())
+                .with(EventField.REASON, reason)
+                .call();
+    }
+
+    static void returned(Target target, long coldMillis) {
+        EventLog.event(LogEvent.TARGET_RETURNED)
+                .with(EventField.TARGET, target.id())
+                .with(EventField.SERVICE, target.service())
+                .with(EventField.LIMIT, coldMillis)
+                .call();
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpEndpoint.java
@@ -0,0 +1,128 @@
+package org.whinwharf.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+
+/** A small HTTP server for short questions with short answers: where to connect, whether ready, metrics. */
+public final class HttpEndpoint {
+    /** Most bytes of a question's body; none of them needs one. */
+    private static final int MOST_BODY_BYTES = 4_096;
+
+    /** Answers one question. */
+    @FunctionalInterface
+    public interface Answerer {
+        /**
+         * Answers a question.
+         *
+         * @param method HTTP method
+         * @param uri path and query
+         * @return the answer
+         */
+        Answer answer(String method, String uri);
+    }
+
+    /**
+     * A whole answer.
+     *
+     * @param status HTTP status
+     * @param contentType media type
+     * @param text the body
+     */
+    public record Answer(int status, String contentType, String text) {}
+
+    private final EventLoopGroup loop;
+    private final Answerer answerer;
+    private Channel server;
+
+    /**
+     * Creates an endpoint that is not yet bound.
+     *
+     * @param loop thread that serves it
+     * @param answerer answers the questions, on that thread
+     */
+    public HttpEndpoint(EventLoopGroup loop, Answerer answerer) {
+        this.loop = loop;
+        this.answerer = answerer;
+    }
+
+    /**
+     * Begins to listen.
+     *
+     * @param ip IPv4 address
+     * @param port TCP port
+     */
+    public void start(String ip, int port) {
+        server = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpRequestDecoder())
+                                .addLast(new HttpResponseEncoder())
+                                .addLast(new HttpObjectAggregator(MOST_BODY_BYTES))
+                                .addLast(new QuestionHandler());
+                    }
+                })
+                .bind(ip, port)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    /** Stops listening. */
+    public void stop() {
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    private final class QuestionHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest question) {
+            Answer answer = question.decoderResult().isFailure()
+                    ? new Answer(400, "text/plain", "")
+                    : answerer.answer(question.method().name(), question.uri());
+            FullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(answer.status()),
+                    Unpooled.copiedBuffer(answer.text(), StandardCharsets.UTF_8));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
+            response.headers()
+                    .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+            boolean keepAlive = HttpUtil.isKeepAlive(question);
+            HttpUtil.setKeepAlive(response, keepAlive);
+            var written = context.writeAndFlush(response);
+            if (!keepAlive) {
+                written.addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -0,0 +1,218 @@
+package org.whinwharf.front;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.whinwharf.runtime.log.EventField;
+import org.whinwharf.runtime.log.EventLog;
+import org.whinwharf.runtime.log.LogEvent;
+import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.items.ItemMirror;
+import org.whinwharf.traffic.items.PublishedValue;
+import org.whinwharf.traffic.member.Member;
+import org.whinwharf.traffic.member.MemberTable;
+import org.whinwharf.wire.fleet.ItemsAnswer;
+
+/**
+ * Keeps the published items up to date, from the publishing service or else from peers.
+ *
+ * <p>A process whose own watch fails would go on with revoked keys and old routes while its peers know better. It asks
+ * them instead, and goes back to its own watch when that works again. In a large fleet only a few processes of each
+ * data centre watch at all, since the service's reads grow more slowly than the fleet; the others ask those.
+ */
+public final class ItemFeed {
+    /** Silence of the own watch after which peers are asked; a watch answers at least this often. */
+    private static final long WATCH_SILENT_MILLIS = 2_200;
+    /** Time a peer may keep a question waiting. */
+    private static final long PEER_WAIT_MILLIS = 1_000;
+    /** Fleet size up to which every process watches. */
+    private static final int SMALL_FLEET = 12;
+    /** Watching processes in each data centre of a larger fleet: one may fail and one be replaced meanwhile. */
+    private static final int WATCHERS = 3;
+
+    /** Takes changes of published items. */
+    public interface Listener {
+        /**
+         * Takes one change.
+         *
+         * @param value the item or its removal
+         * @param duringService false while the first copy is read
+         * @param sourceWasAway true when the service could not be read shortly before
+         */
+        void changed(PublishedValue value, boolean duringService, boolean sourceWasAway);
+    }
+
+    /** Time after an outage in which removals may be those of entries that will come back. */
+    private static final long LAPSED_MILLIS = 3_000;
+
+    private final FrontSettings settings;
+    private final MemberTable members;
+    private final ItemMirror mirror;
+    private final PeerItems peers;
+    private final Ticker ticker;
+    private final Random random;
+    private Listener listener = (value, duringService, sourceWasAway) -> {};
+    private long watchWorkedAtMillis = Long.MIN_VALUE / 2;
+    private long failedAtMillis = Long.MIN_VALUE / 2;
+    private boolean asking;
+    private boolean watching;
+
+    ItemFeed(
+            FrontSettings settings,
+            MemberTable members,
+            ItemMirror mirror,
+            PeerItems peers,
+            Ticker ticker,
+            Random random) {
+        this.settings = settings;
+        this.members = members;
+        this.mirror = mirror;
+        this.peers = peers;
+        this.ticker = ticker;
+        this.random = random;
+    }
+
+    /**
+     * Sets who takes the changes.
+     *
+     * @param taker the listener, called on the front's thread
+     */
+    public void listener(Listener taker) {
+        listener = taker;
+    }
+
+    /**
+     * Returns the revision up to which the items are known.
+     *
+     * @return revision; 0 before the first copy
+     */
+    public long revision() {
+        return mirror.revision();
+    }
+
+    /**
+     * Tells whether this process should watch the service itself.
+     *
+     * @return true when it should
+     */
+    public boolean shouldWatch() {
+        List<Member> alive = members.alive(ticker.nowMillis());
+        if (alive.size() < SMALL_FLEET) {
+            return true;
+        }
+        long ahead = alive.stream()
+                .map(Member::report)
+                .filter(report -> report.getDataCentre().equals(settings.dataCentre()))
+                .filter(report -> report.getName().compareTo(settings.name()) < 0)
+                .count();
+        return ahead < WATCHERS;
+    }
+
+    /**
+     * Takes everything that the service publishes.
+     *
+     * @param all all items
+     * @param revision revision up to which they are complete
+     */
+    public void copied(Collection<PublishedValue> all, long revision) {
+        boolean duringService = mirror.revision() > 0;
+        watchWorked();
+        pass(mirror.replace(all, revision), duringService);
+    }
+
+    /**
+     * Takes what a watch of the service returned; no events mean that nothing changed.
+     *
+     * @param events changes, in order
+     * @param revision revision up to which they are complete
+     */
+    public void watched(Collection<PublishedValue> events, long revision) {
+        watchWorked();
+        pass(mirror.apply(events, revision), true);
+    }
+
+    /**
+     * Takes that the service could not be read.
+     *
+     * @param reason what was seen
+     */
+    public void sourceFailed(String reason) {
+        failedAtMillis = ticker.nowMillis();
+        if (watching) {
+            watching = false;
+            logSource("service", "peers", reason);
+        }
+    }
+
+    /** Tells whether the own watch works. */
+    boolean watchWorks() {
+        return ticker.nowMillis() - watchWorkedAtMillis <= WATCH_SILENT_MILLIS;
+    }
+
+    /** Asks a peer when the own watch does not work. */
+    void tick() {
+        if (asking || watchWorks()) {
+            return;
+        }
+        Optional<Member> peer = bestPeer();
+        if (peer.isEmpty()) {
+            return;
+        }
+        asking = true;
+        peers.ask(peer.get().report().getIp(), settings.peerPort(), PEER_WAIT_MILLIS, answer -> {
+            asking = false;
+            answer.ifPresent(this::takePeerAnswer);
+        });
+    }
+
+    private Optional<Member> bestPeer() {
+        List<Member> candidates = new ArrayList<>(members.alive(ticker.nowMillis()));
+        Collections.shuffle(candidates, random);
+        Comparator<Member> order = Comparator.comparing(
+                        (Member member) -> !member.report().getWatching())
+                .thenComparing(member -> !member.report().getDataCentre().equals(settings.dataCentre()));
+        return candidates.stream()
+                .filter(member -> member.report().getRevision() >= mirror.revision()
+                        && member.report().getRevision() > 0)
+                .min(order);
+    }
+
+    private void takePeerAnswer(ItemsAnswer answer) {
+        boolean duringService = mirror.revision() > 0;
+        List<PublishedValue> values = PeerItems.values(answer.getItemsList());
+        pass(
+                answer.getComplete()
+                        ? mirror.replace(values, answer.getRevision())
+                        : mirror.apply(values, answer.getRevision()),
+                duringService);
+    }
+
+    private void watchWorked() {
+        watchWorkedAtMillis = ticker.nowMillis();
+        if (!watching) {
+            watching = true;
+            logSource("peers", "service", "");
+        }
+    }
+
+    private void logSource(String from, String to, String reason) {
+        EventLog.event(LogEvent.ITEMS_SOURCE)
+                .with(EventField.FROM, from)
+                .with(EventField.TO, to)
+                .with(EventField.REVISION, mirror.revision())
+                .with(EventField.REASON, reason)
+                .call();
+    }
+
+    private void pass(List<PublishedValue> changed, boolean duringService) {
+        boolean away = ticker.nowMillis() - failedAtMillis < LAPSED_MILLIS;
+        changed.forEach(value -> listener.changed(value, duringService, away));
+        if (!changed.isEmpty()) {
+            peers.changed();
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
@@ -0,0 +1,219 @@
+package org.whinwharf.front;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.MessageLite;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.whinwharf.traffic.items.ItemMirror;
+import org.whinwharf.traffic.items.PublishedValue;
+import org.whinwharf.wire.fleet.ItemsAnswer;
+import org.whinwharf.wire.fleet.ItemsRequest;
+import org.whinwharf.wire.fleet.PublishedItem;
+
+/** Hands the published items from process to process, for those that cannot read the publishing service. */
+final class PeerItems {
+    /** Most bytes of a message: a catalog at its largest and all targets. */
+    private static final int MOST_BYTES = 8 * 1_024 * 1_024;
+    /** Length of the frame header. */
+    private static final int LENGTH_BYTES = 4;
+    /** Time to connect to a peer before another one is asked. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 300;
+    /** Time beyond the agreed wait after which a peer counts as silent. */
+    private static final long ANSWER_MARGIN_MILLIS = 500;
+
+    private final EventLoopGroup loop;
+    private final ItemMirror mirror;
+    private final List<Waiting> waiting = new ArrayList<>();
+    private Channel server;
+
+    PeerItems(EventLoopGroup loop, ItemMirror mirror) {
+        this.loop = loop;
+        this.mirror = mirror;
+    }
+
+    private record Waiting(Channel channel, long afterRevision) {}
+
+    void start(String ip, int port) {
+        server = new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(framed(() -> new QuestionHandler()))
+                .bind(ip, port)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    void stop() {
+        if (server != null) {
+            server.close();
+        }
+    }
+
+    /** Answers the peers that wait for a change. */
+    void changed() {
+        List<Waiting> all = List.copyOf(waiting);
+        waiting.clear();
+        all.forEach(this::answer);
+    }
+
+    /** Asks a peer for what changed; the result is empty when it does not answer. */
+    void ask(String ip, int port, long waitMillis, Consumer<Optional<ItemsAnswer>> taker) {
+        AnswerHandler handler = new AnswerHandler(taker);
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(framed(() -> handler))
+                .connect(ip, port);
+        connecting.addListener((ChannelFuture done) -> {
+            if (!done.isSuccess()) {
+                handler.finish(Optional.empty());
+                return;
+            }
+            ItemsRequest request = ItemsRequest.newBuilder()
+                    .setAfterRevision(mirror.revision())
+                    .setWaitMillis(waitMillis)
+                    .build();
+            write(done.channel(), request);
+            loop.schedule(
+                    () -> {
+                        handler.finish(Optional.empty());
+                        done.channel().close();
+                    },
+                    waitMillis + ANSWER_MARGIN_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** Turns a message into items. */
+    static List<PublishedValue> values(Collection<PublishedItem> items) {
+        return items.stream()
+                .map(item -> new PublishedValue(
+                        item.getKey(),
+                        item.getRemoved() ? null : item.getValue().toByteArray(),
+                        item.getRevision()))
+                .toList();
+    }
+
+    private void answer(Waiting asker) {
+        Optional<List<PublishedValue>> changes = mirror.changesAfter(asker.afterRevision());
+        ItemsAnswer.Builder answer =
+                ItemsAnswer.newBuilder().setRevision(mirror.revision()).setComplete(changes.isEmpty());
+        for (PublishedValue value : changes.isPresent() ? changes.get() : mirror.all()) {
+            PublishedItem.Builder item =
+                    PublishedItem.newBuilder().setKey(value.key()).setRevision(value.revision());
+            if (value.removed()) {
+                item.setRemoved(true);
+            } else {
+                item.setValue(ByteString.copyFrom(value.value()));
+            }
+            answer.addItems(item);
+        }
+        write(asker.channel(), answer.build());
+    }
+
+    private static void write(Channel channel, MessageLite message) {
+        channel.writeAndFlush(Unpooled.wrappedBuffer(message.toByteArray()));
+    }
+
+    private interface HandlerFactory {
+        SimpleChannelInboundHandler<ByteBuf> create();
+    }
+
+    private static ChannelInitializer<SocketChannel> framed(HandlerFactory factory) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new LengthFieldBasedFrameDecoder(MOST_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                        .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+                        .addLast(factory.create());
+            }
+        };
+    }
+
+    private final class QuestionHandler extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
+            ItemsRequest request = ItemsRequest.parseFrom(frame.nioBuffer());
+            Waiting asker = new Waiting(context.channel(), request.getAfterRevision());
+            if (request.getAfterRevision() < mirror.revision() || request.getWaitMillis() <= 0) {
+                answer(asker);
+                return;
+            }
+            waiting.add(asker);
+            loop.schedule(
+                    () -> {
+                        if (waiting.remove(asker)) {
+                            answer(asker);
+                        }
+                    },
+                    request.getWaitMillis(),
+                    TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            waiting.removeIf(asker -> asker.channel() == context.channel());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+
+    private static final class AnswerHandler extends SimpleChannelInboundHandler<ByteBuf> {
+        private Consumer<Optional<ItemsAnswer>> taker;
+
+        AnswerHandler(Consumer<Optional<ItemsAnswer>> taker) {
+            this.taker = taker;
+        }
+
+        void finish(Optional<ItemsAnswer> answer) {
+            if (taker != null) {
+                Consumer<Optional<ItemsAnswer>> once = taker;
+                taker = null;
+                once.accept(answer);
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
+            ItemsAnswer answer = ItemsAnswer.parseFrom(frame.nioBuffer());
+            context.close();
+            finish(Optional.of(answer));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            finish(Optional.empty());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
@@ -0,0 +1,33 @@
+package org.whinwharf.front;
+
+import org.whinwharf.traffic.target.TargetState;
+
+/** One target with its connections and what was last seen of it. */
+final class TargetEntry {
+    private final TargetState state;
+    private final TargetPool pool;
+    private long lastByteAtMillis;
+
+    TargetEntry(TargetState state, TargetPool pool) {
+        this.state = state;
+        this.pool = pool;
+    }
+
+    TargetState state() {
+        return state;
+    }
+
+    TargetPool pool() {
+        return pool;
+    }
+
+    /** Notes that bytes came from the target. */
+    void spoke(long nowMillis) {
+        lastByteAtMillis = nowMillis;
+    }
+
+    /** Returns when bytes last came from the target. */
+    long lastByteAtMillis() {
+        return lastByteAtMillis;
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetPool.java
@@ -0,0 +1,117 @@
+package org.whinwharf.front;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.whinwharf.time.Ticker;
+
+/** Connections of this process to one target. */
+final class TargetPool {
+    /** Longest time to connect: two hundred times a round trip, and below the shortest objective's patience. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 600;
+    /** Most bytes of an answer's head. */
+    private static final int MOST_HEADER_BYTES = 32_768;
+    /** Idle time up to which a connection is trusted with a request that must not be lost in a close. */
+    private static final long FRESH_MILLIS = 1_000;
+
+    private final Bootstrap bootstrap;
+    private final Ticker ticker;
+    private final Deque<TargetLink> idle = new ArrayDeque<>();
+    private int open;
+
+    TargetPool(EventLoopGroup loop, HttpDialect dialect, Ticker ticker, String ip, int port) {
+        this.ticker = ticker;
+        TargetPool pool = this;
+        bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .remoteAddress(ip, port)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpRequestEncoder())
+                                .addLast(new HttpResponseDecoder(new HttpDecoderConfig()
+                                        .setMaxHeaderSize(MOST_HEADER_BYTES)
+                                        .setStrictLineParsing(true)))
+                                .addLast(new TargetLink(dialect, pool));
+                    }
+                });
+    }
+
+    /** Hands out a connection, idle or new; nothing when none can be made. */
+    void acquire(boolean mustBeFresh, Consumer<Optional<TargetLink>> taker) {
+        long nowMillis = ticker.nowMillis();
+        while (!idle.isEmpty()) {
+            TargetLink link = idle.pollLast();
+            boolean old = link.stale(nowMillis) || mustBeFresh && link.idleMillis(nowMillis) > FRESH_MILLIS;
+            if (link.usable() && !old) {
+                taker.accept(Optional.of(link));
+                return;
+            }
+            link.close();
+        }
+        open++;
+        bootstrap.connect().addListener((ChannelFuture future) -> {
+            if (future.isSuccess()) {
+                taker.accept(Optional.of(future.channel().pipeline().get(TargetLink.class)));
+            } else {
+                open--;
+                taker.accept(Optional.empty());
+            }
+        });
+    }
+
+    /** Takes back a connection whose answer is in. */
+    void giveBack(TargetLink link) {
+        idle.addLast(link);
+    }
+
+    /** Notes that a connection is closed. */
+    void closed(TargetLink link) {
+        open--;
+        idle.remove(link);
+    }
+
+    /** Closes connections that have been idle for too long. */
+    void closeStale() {
+        long nowMillis = ticker.nowMillis();
+        for (Iterator<TargetLink> links = idle.iterator(); links.hasNext(); ) {
+            TargetLink link = links.next();
+            if (link.stale(nowMillis)) {
+                links.remove();
+                link.close();
+            }
+        }
+    }
+
+    /** Closes all idle connections. */
+    void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.pollLast().close();
+        }
+    }
+
+    /** Returns the open connections. */
+    int open() {
+        return open;
+    }
+
+    long nowMillis() {
+        return ticker.nowMillis();
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Targets.java
@@ -0,0 +1,253 @@
+package org.whinwharf.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.catalog.Catalog;
+import org.whinwharf.traffic.catalog.TargetService;
+import org.whinwharf.traffic.target.Target;
+import org.whinwharf.traffic.target.TargetState;
+
+/** All targets that this process knows, with their connections and health. */
+final class Targets {
+    /** Extra time a target counts as cold after it said it would be warm: its word may be a heartbeat old. */
+    private static final long COLD_MARGIN_MILLIS = 300;
+    /** Share of a service's targets that errors alone may take out of use. */
+    private static final double MOST_EJECTED_SHARE = 0.4;
+    /** Time a health check may take; the shortest service's objective leaves no longer. */
+    private static final long PROBE_TIMEOUT_MILLIS = 500;
+
+    private final EventLoopGroup loop;
+    private final HttpDialect dialect;
+    private final Ticker ticker;
+    private final Supplier<Optional<Catalog>> catalog;
+    private final Map<String, TargetEntry> entries = new HashMap<>();
+    private final Map<String, Map<String, TargetState>> byService = new HashMap<>();
+    private Set<String> evacuated = Set.of();
+
+    Targets(EventLoopGroup loop, HttpDialect dialect, Ticker ticker, Supplier<Optional<Catalog>> catalog) {
+        this.loop = loop;
+        this.dialect = dialect;
+        this.ticker = ticker;
+        this.catalog = catalog;
+    }
+
+    /** Takes a published target; a new lifetime that appears during service counts as cold. */
+    void publish(Target target, boolean duringService) {
+        long nowMillis = ticker.nowMillis();
+        TargetEntry known = entries.get(target.id());
+        boolean moved = known != null && !known.state().target().address().equals(target.address());
+        boolean otherService =
+                known != null && !known.state().target().service().equals(target.service());
+        if (moved || otherService) {
+            drop(target.id());
+            known = null;
+        }
+        boolean reborn = known != null
+                && (known.state().target().bornUnixMillis() != target.bornUnixMillis()
+                        || known.state().gone(nowMillis));
+        if (known == null) {
+            TargetPool pool = new TargetPool(loop, dialect, ticker, target.ip(), target.port());
+            known = new TargetEntry(new TargetState(target), pool);
+            entries.put(target.id(), known);
+            byService.computeIfAbsent(target.service(), name -> new HashMap<>()).put(target.id(), known.state());
+            reborn = duringService;
+            FrontLog.published(target, target.draining() ? "leaving" : "new");
+        } else if (known.state().target().draining() != target.draining() || reborn) {
+            FrontLog.published(target, target.draining() ? "leaving" : "reborn");
+        }
+        known.state().update(target);
+        long coldMillis = target.coldLeftMillis();
+        if (reborn) {
+            coldMillis = Math.max(coldMillis, coldStartMillis(target.service()));
+        }
+        if (coldMillis > 0) {
+            known.state().coldUntil(nowMillis + coldMillis + COLD_MARGIN_MILLIS);
+        }
+        if (target.draining()) {
+            known.pool().closeIdle();
+        }
+    }
+
+    /** Takes the removal of a target's entry; it counts as gone from the given time on. */
+    void remove(String targetId, long goneAtMillis) {
+        TargetEntry entry = entries.get(targetId);
+        if (entry != null) {
+            entry.state().goneAt(goneAtMillis);
+            FrontLog.published(entry.state().target(), "removed");
+        }
+    }
+
+    /** Takes the data centres that must get nothing new; targets of one that returns count as cold. */
+    void evacuate(Set<String> dataCentres) {
+        long nowMillis = ticker.nowMillis();
+        Set<String> returned = new HashSet<>(evacuated);
+        returned.removeAll(dataCentres);
+        evacuated = Set.copyOf(dataCentres);
+        for (TargetEntry entry : entries.values()) {
+            Target target = entry.state().target();
+            if (returned.contains(target.dataCentre())) {
+                entry.state().coldUntil(nowMillis + coldStartMillis(target.service()) + COLD_MARGIN_MILLIS);
+            }
+        }
+    }
+
+    Set<String> evacuated() {
+        return evacuated;
+    }
+
+    TargetEntry entry(String targetId) {
+        return entries.get(targetId);
+    }
+
+    Collection<TargetState> ofService(String service) {
+        Map<String, TargetState> states = byService.get(service);
+        return states == null ? List.of() : states.values();
+    }
+
+    Collection<TargetEntry> all() {
+        return entries.values();
+    }
+
+    /** Returns the slots of a service's usable targets. */
+    int slots(String service) {
+        long nowMillis = ticker.nowMillis();
+        return ofService(service).stream()
+                .filter(state -> state.usable(nowMillis))
+                .mapToInt(state -> state.target().slots())
+                .sum();
+    }
+
+    /** Takes a failure into the target's health. */
+    void failed(TargetEntry entry, TargetFailure failure) {
+        boolean certain = failure == TargetFailure.UNREACHABLE || failure == TargetFailure.SILENT;
+        if (entry.state().health().failed(ticker.nowMillis(), certain)) {
+            entry.pool().closeIdle();
+            FrontLog.ejected(entry.state().target(), failure.name());
+        }
+    }
+
+    /** Takes an error answer into the target's health, unless too many of its peers are out of use already. */
+    void erred(TargetEntry entry) {
+        Collection<TargetState> peers = ofService(entry.state().target().service());
+        long ejected = peers.stream().filter(state -> state.health().ejected()).count();
+        if (ejected + 1 > peers.size() * MOST_EJECTED_SHARE) {
+            return;
+        }
+        if (entry.state().health().erred(ticker.nowMillis())) {
+            FrontLog.ejected(entry.state().target(), "ERRORS");
+        }
+    }
+
+    /** Probes ejected targets, drops those long gone and closes idle connections. */
+    void sweep() {
+        long nowMillis = ticker.nowMillis();
+        for (TargetEntry entry : List.copyOf(entries.values())) {
+            entry.pool().closeStale();
+            TargetState state = entry.state();
+            if (state.gone(nowMillis)) {
+                entry.pool().closeIdle();
+                if (state.ownRunning() == 0) {
+                    drop(state.target().id());
+                }
+            } else if (!state.target().draining() && state.health().beginProbe(nowMillis)) {
+                probe(entry);
+            }
+        }
+    }
+
+    private void drop(String targetId) {
+        TargetEntry entry = entries.remove(targetId);
+        entry.pool().closeIdle();
+        byService.get(entry.state().target().service()).remove(targetId);
+    }
+
+    private long coldStartMillis(String service) {
+        return catalog.get()
+                .flatMap(known -> known.service(service))
+                .map(TargetService::coldStartMillis)
+                .orElse(0L);
+    }
+
+    private void probe(TargetEntry entry) {
+        Target target = entry.state().target();
+        String path = catalog.get()
+                .flatMap(known -> known.service(target.service()))
+                .map(TargetService::healthPath)
+                .orElse("/");
+        FullHttpRequest check = dialect.healthCheck(target.address(), path);
+        Probe probe = new Probe(entry);
+        entry.pool().acquire(true, acquired -> {
+            if (acquired.isEmpty()) {
+                probe.done(OptionalLong.empty());
+                return;
+            }
+            probe.link = acquired.get();
+            loop.schedule(probe::timedOut, PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            acquired.get().send(check, Unpooled.EMPTY_BUFFER, "", probe);
+        });
+    }
+
+    private final class Probe implements TargetListener {
+        private final TargetEntry entry;
+        private TargetLink link;
+        private OptionalLong coldMillis = OptionalLong.empty();
+        private boolean ended;
+
+        Probe(TargetEntry entry) {
+            this.entry = entry;
+        }
+
+        @Override
+        public void head(HttpResponse response, AnswerHead head) {
+            coldMillis = dialect.readHealth(response, entry.state().target().id());
+        }
+
+        @Override
+        public void content(ByteBuf piece) {
+            piece.release();
+        }
+
+        @Override
+        public void complete() {
+            done(coldMillis);
+        }
+
+        @Override
+        public void failed(TargetFailure failure) {
+            done(OptionalLong.empty());
+        }
+
+        void timedOut() {
+            if (!ended) {
+                link.cancel();
+                done(OptionalLong.empty());
+            }
+        }
+
+        void done(OptionalLong cold) {
+            ended = true;
+            long nowMillis = ticker.nowMillis();
+            entry.state().health().probed(nowMillis, cold.isPresent());
+            if (cold.isPresent()) {
+                if (cold.getAsLong() > 0) {
+                    entry.state().coldUntil(nowMillis + cold.getAsLong() + COLD_MARGIN_MILLIS);
+                }
+                FrontLog.returned(entry.state().target(), cold.getAsLong());
+            }
+        }
+    }
+}
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -74,6 +74,10 @@
     TO("to"),
     /** Concurrency limit. */
     LIMIT("limit"),
+    /** Requests at a target over its slots. */
+    OCCUPANCY("occupancy"),
+    /** Predicted time to the first event. */
+    PREDICTED_MILLIS("predictedMillis"),
     /** Rank of a floor. */
     FLOOR_RANK("floorRank"),
     /** Fencing number of an order. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -57,7 +57,15 @@
             EventField.PROMPT_TOKENS,
             EventField.TRACE_ID),
     /** A request was sent to a target. */
-    REQUEST_SENT(Level.INFO, EventField.REQUEST, EventField.TARGET, EventField.GRANT, EventField.WAITED_MILLIS),
+    REQUEST_SENT(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.TARGET,
+            EventField.GRANT,
+            EventField.WAITED_MILLIS,
+            EventField.OCCUPANCY,
+            EventField.PREFILL_TOKENS,
+            EventField.PREDICTED_MILLIS),
     /** A request ended. */
     REQUEST_ENDED(
             Level.INFO,
@@ -69,6 +77,7 @@
             EventField.PREFILL_TOKENS,
             EventField.ANSWER_TOKENS,
             EventField.TOTAL_MILLIS,
+            EventField.STATUS,
             EventField.COME_BACK_MILLIS),
     /** A request was refused before it was admitted. */
     REQUEST_REFUSED(
@@ -118,6 +127,28 @@
             EventField.REASON),
     /** An order was not sent although it was decided. */
     ORDER_WITHHELD(Level.WARN, EventField.TARGET, EventField.FENCING_NUMBER, EventField.REASON, EventField.AGE_MILLIS),
+    /** Another version of the catalog is in force. */
+    CATALOG_IN_FORCE(Level.INFO, EventField.VERSION, EventField.REVISION, EventField.SOURCE),
+    /** A published item was unreadable and changed nothing. */
+    ITEM_REFUSED(Level.WARN, EventField.NAME, EventField.REVISION, EventField.REASON),
+    /** Items are read from another source. */
+    ITEMS_SOURCE(Level.INFO, EventField.FROM, EventField.TO, EventField.REVISION, EventField.REASON),
+    /** Data centres out of service changed. */
+    DATA_CENTRES_OUT(Level.INFO, EventField.REASONS, EventField.REVISION),
+    /** A target was published, changed or removed. */
+    TARGET_PUBLISHED(Level.INFO, EventField.TARGET, EventField.SERVICE, EventField.DATA_CENTRE, EventField.STATUS),
+    /** A target was taken out of use by what its answers show. */
+    TARGET_EJECTED(Level.WARN, EventField.TARGET, EventField.SERVICE, EventField.REASON),
+    /** A target came back into use after a health check. */
+    TARGET_RETURNED(Level.INFO, EventField.TARGET, EventField.SERVICE, EventField.LIMIT),
+    /** A peer was heard for the first time, or in a new lifetime. */
+    MEMBER_HEARD(Level.INFO, EventField.PEER, EventField.INCARNATION, EventField.STATUS),
+    /** A peer was forgotten. */
+    MEMBER_FORGOTTEN(Level.INFO, EventField.PEER),
+    /** A request is sent again, since the first target gave no whole answer. */
+    REQUEST_REPEATED(Level.INFO, EventField.REQUEST, EventField.TARGET, EventField.REASON),
+    /** What a caller sent is no request. */
+    REQUEST_MALFORMED(Level.INFO, EventField.KIND, EventField.REASON),
     /** A span ended. */
     SPAN(
             Level.INFO,
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Catalog.java
@@ -0,0 +1,133 @@
+package org.whinwharf.traffic.catalog;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of what operators publish; immutable, so that a request in flight keeps the version it began with. */
+public final class Catalog {
+    private final long version;
+    private final CallerLimits limits;
+    private final Map<String, List<Route>> routesByHostName = new HashMap<>();
+    private final Map<String, TargetService> services = new HashMap<>();
+    private final Map<String, Organisation> organisations = new HashMap<>();
+    private final Map<String, Organisation> organisationsByKey = new HashMap<>();
+
+    /**
+     * Creates a version.
+     *
+     * @param version version number; the higher is the newer
+     * @param limits what callers may send
+     * @param routes all routes
+     * @param services all services
+     * @param organisations all organisations; empty when no keys are asked for
+     */
+    public Catalog(
+            long version,
+            CallerLimits limits,
+            Collection<Route> routes,
+            Collection<TargetService> services,
+            Collection<Organisation> organisations) {
+        this.version = version;
+        this.limits = limits;
+        routes.forEach(route -> routesByHostName
+                .computeIfAbsent(route.hostName(), name -> new ArrayList<>())
+                .add(route));
+        Comparator<Route> longestFirst = Comparator.comparingInt(
+                        (Route route) -> route.pathPrefix().length())
+                .reversed();
+        routesByHostName.values().forEach(list -> list.sort(longestFirst));
+        services.forEach(service -> this.services.put(service.name(), service));
+        for (Organisation organisation : organisations) {
+            this.organisations.put(organisation.name(), organisation);
+            organisation.keys().forEach(key -> organisationsByKey.put(key, organisation));
+        }
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return version number
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns what callers may send.
+     *
+     * @return limits
+     */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Finds the route with the longest prefix that begins a path.
+     *
+     * @param authority host name as the caller sent it, with or without port
+     * @param path path without query
+     * @return the route; empty when none takes the path
+     */
+    public Optional<Route> route(String authority, String path) {
+        List<Route> routes = routesByHostName.get(hostName(authority));
+        if (routes == null) {
+            return Optional.empty();
+        }
+        for (Route route : routes) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name name of the service
+     * @return the service; empty when the catalog does not have it
+     */
+    public Optional<TargetService> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /**
+     * Finds the organisation that holds a key.
+     *
+     * @param key key that a caller showed
+     * @return the organisation; empty when no organisation holds the key
+     */
+    public Optional<Organisation> organisationOfKey(String key) {
+        return Optional.ofNullable(organisationsByKey.get(key));
+    }
+
+    /**
+     * Returns all organisations.
+     *
+     * @return organisations, in no order
+     */
+    public Collection<Organisation> organisations() {
+        return organisations.values();
+    }
+
+    /**
+     * Tells whether callers must show a key on routes that are not public.
+     *
+     * @return true when the catalog has organisations
+     */
+    public boolean asksForKeys() {
+        return !organisations.isEmpty();
+    }
+
+    private static String hostName(String authority) {
+        int colon = authority.lastIndexOf(':');
+        String name = colon < 0 ? authority : authority.substring(0, colon);
+        return name.toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
@@ -0,0 +1,130 @@
+package org.whinwharf.traffic.items;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * This process's copy of the published items; it never goes back to an older revision.
+ *
+ * <p>It is filled by the publishing service or by a peer, whichever has the higher revision, and serves peers that lost
+ * the service.
+ */
+public final class ItemMirror {
+    /** Changes kept for peers that ask for what is new; older askers get everything. */
+    private static final int MOST_CHANGES = 512;
+
+    private final Map<String, PublishedValue> items = new HashMap<>();
+    private final Deque<PublishedValue> changes = new ArrayDeque<>();
+    private long revision;
+    private long oldestChangeRevision;
+
+    /**
+     * Returns the revision up to which the copy is complete.
+     *
+     * @return revision; 0 before the first copy
+     */
+    public long revision() {
+        return revision;
+    }
+
+    /**
+     * Takes everything that is published.
+     *
+     * @param all all items
+     * @param atRevision revision up to which they are complete
+     * @return what changed, removals included; empty when the copy here is newer
+     */
+    public List<PublishedValue> replace(Collection<PublishedValue> all, long atRevision) {
+        if (atRevision < revision) {
+            return List.of();
+        }
+        List<PublishedValue> changed = new ArrayList<>();
+        Set<String> keys = new HashSet<>();
+        for (PublishedValue item : all) {
+            keys.add(item.key());
+            PublishedValue known = items.get(item.key());
+            if (known == null || known.revision() < item.revision()) {
+                changed.add(item);
+            }
+        }
+        for (PublishedValue known : items.values()) {
+            if (!keys.contains(known.key())) {
+                changed.add(new PublishedValue(known.key(), null, atRevision));
+            }
+        }
+        if (revision == 0) {
+            oldestChangeRevision = atRevision;
+        }
+        changed.forEach(this::put);
+        revision = atRevision;
+        return changed;
+    }
+
+    /**
+     * Takes changes that follow the copy's revision.
+     *
+     * @param events changes in order
+     * @param upToRevision revision up to which they are complete
+     * @return what changed here
+     */
+    public List<PublishedValue> apply(Collection<PublishedValue> events, long upToRevision) {
+        List<PublishedValue> changed = new ArrayList<>();
+        for (PublishedValue event : events) {
+            PublishedValue known = items.get(event.key());
+            boolean newer = event.revision() > revision || known != null && known.revision() < event.revision();
+            if (newer && (known != null || !event.removed())) {
+                put(event);
+                changed.add(event);
+            }
+        }
+        revision = Math.max(revision, upToRevision);
+        return changed;
+    }
+
+    /**
+     * Returns the changes after a revision.
+     *
+     * @param afterRevision revision that the asker holds
+     * @return the changes; empty when they are no longer known and the asker needs everything
+     */
+    public Optional<List<PublishedValue>> changesAfter(long afterRevision) {
+        if (afterRevision < oldestChangeRevision || afterRevision == 0) {
+            return Optional.empty();
+        }
+        return Optional.of(changes.stream()
+                .filter(change -> change.revision() > afterRevision)
+                .toList());
+    }
+
+    /**
+     * Returns everything.
+     *
+     * @return all items
+     */
+    public Collection<PublishedValue> all() {
+        return items.values();
+    }
+
+    private void put(PublishedValue item) {
+        if (item.removed()) {
+            items.remove(item.key());
+        } else {
+            items.put(item.key(), item);
+        }
+        if (revision == 0) {
+            return;
+        }
+        changes.addLast(item);
+        if (changes.size() > MOST_CHANGES) {
+            oldestChangeRevision = changes.removeFirst().revision();
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/package-info.java
@@ -0,0 +1,2 @@
+/** A local copy of the published items. */
+package org.whinwharf.traffic.items;
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -0,0 +1,156 @@
+package org.whinwharf.traffic.member;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.whinwharf.wire.fleet.MemberPhase;
+import org.whinwharf.wire.fleet.MemberReport;
+
+/**
+ * The processes of the fleet, by what they say of themselves and how long ago.
+ *
+ * <p>A process that stops without a word is noticed by silence alone, on the steady clock of whoever listens, so a jump
+ * of anyone's time of day changes nothing. A process that hears an older life of itself spoken of with a higher
+ * incarnation than its own (its time of day stepped back between the lives) takes a higher one, or nobody would believe
+ * it.
+ */
+public final class MemberTable {
+    /** Silence after which a process is named to nobody: seven lost reports in a row. */
+    public static final long SILENT_MILLIS = 1_500;
+    /** Silence after which a process no longer counts as part of the fleet: longer than a restart or a short cut. */
+    public static final long FORGOTTEN_MILLIS = 20_000;
+
+    private final Map<String, Member> others = new TreeMap<>();
+    private MemberReport own;
+
+    /**
+     * Creates a table that holds only this process.
+     *
+     * @param own this process's first report
+     */
+    public MemberTable(MemberReport own) {
+        this.own = own;
+    }
+
+    /**
+     * Returns this process's own report.
+     *
+     * @return the report as last made
+     */
+    public MemberReport own() {
+        return own;
+    }
+
+    /**
+     * Makes the next report of this process.
+     *
+     * @param next report without incarnation and sequence
+     */
+    public void report(MemberReport.Builder next) {
+        own = next.setIncarnation(own.getIncarnation())
+                .setSequence(own.getSequence() + 1)
+                .build();
+    }
+
+    /**
+     * Takes a report.
+     *
+     * @param report what a process said of itself, heard from it or through another
+     * @param nowMillis steady time in milliseconds
+     * @return true when it is news
+     */
+    public boolean hear(MemberReport report, long nowMillis) {
+        if (report.getName().equals(own.getName())) {
+            if (report.getIncarnation() > own.getIncarnation()) {
+                own = own.toBuilder()
+                        .setIncarnation(report.getIncarnation() + 1)
+                        .build();
+            }
+            return false;
+        }
+        Member known = others.get(report.getName());
+        if (known != null && !newer(report, known.report())) {
+            return false;
+        }
+        others.put(report.getName(), new Member(report, nowMillis));
+        return true;
+    }
+
+    /**
+     * Forgets processes that have been silent for long, and at once those that said that they leave.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return names of those forgotten
+     */
+    public List<String> forget(long nowMillis) {
+        List<String> forgotten = new ArrayList<>();
+        others.values().removeIf(member -> {
+            long silentMillis = nowMillis - member.heardAtMillis();
+            boolean left = member.report().getPhase() == MemberPhase.MEMBER_LEAVING && silentMillis > SILENT_MILLIS;
+            boolean drop = left || silentMillis > FORGOTTEN_MILLIS;
+            if (drop) {
+                forgotten.add(member.report().getName());
+            }
+            return drop;
+        });
+        return forgotten;
+    }
+
+    /**
+     * Returns the other processes that are heard from.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return members
+     */
+    public List<Member> alive(long nowMillis) {
+        return others.values().stream()
+                .filter(member -> nowMillis - member.heardAtMillis() <= SILENT_MILLIS)
+                .toList();
+    }
+
+    /**
+     * Returns all other processes, silent ones too.
+     *
+     * @return members
+     */
+    public Collection<Member> all() {
+        return others.values();
+    }
+
+    /**
+     * Returns the processes that callers may be sent to, this one first when it serves.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return reports
+     */
+    public List<MemberReport> serving(long nowMillis) {
+        List<MemberReport> serving = new ArrayList<>();
+        if (own.getPhase() == MemberPhase.MEMBER_SERVING) {
+            serving.add(own);
+        }
+        alive(nowMillis).stream()
+                .map(Member::report)
+                .filter(report -> report.getPhase() == MemberPhase.MEMBER_SERVING)
+                .forEach(serving::add);
+        return serving;
+    }
+
+    /**
+     * Returns which part of the fleet this process hears from.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return share, this process included, above 0 and at most 1
+     */
+    public double reachableShare(long nowMillis) {
+        return (1.0 + alive(nowMillis).size()) / (1.0 + others.size());
+    }
+
+    private static boolean newer(MemberReport report, MemberReport known) {
+        if (report.getIncarnation() != known.getIncarnation()) {
+            return report.getIncarnation() > known.getIncarnation();
+        }
+        return report.getSequence() > known.getSequence();
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Demand.java
@@ -0,0 +1,58 @@
+package org.whinwharf.traffic.placement;
+
+import java.util.List;
+import java.util.Set;
+import org.immutables.value.Value;
+import org.whinwharf.traffic.target.PromptPart;
+
+/** What a request asks of a target. */
+@Value.Immutable
+public interface Demand {
+    /**
+     * Returns the service that takes the request.
+     *
+     * @return name of the service
+     */
+    String service();
+
+    /**
+     * Returns the model it needs.
+     *
+     * @return name; empty when any target of the service will do
+     */
+    @Value.Default
+    default String model() {
+        return "";
+    }
+
+    /**
+     * Returns the length of its prompt.
+     *
+     * @return tokens; 0 for plain services
+     */
+    @Value.Default
+    default long promptTokens() {
+        return 0;
+    }
+
+    /**
+     * Returns the parts of its prompt.
+     *
+     * @return parts, in order; empty for plain services
+     */
+    List<PromptPart> parts();
+
+    /**
+     * Returns its rank.
+     *
+     * @return rank; 0 is served first
+     */
+    int tierRank();
+
+    /**
+     * Returns the targets that it was sent to before.
+     *
+     * @return ids of targets
+     */
+    Set<String> tried();
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -0,0 +1,113 @@
+package org.whinwharf.traffic.placement;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import org.whinwharf.traffic.target.PromptCache;
+import org.whinwharf.traffic.target.PromptPart;
+import org.whinwharf.traffic.target.TargetState;
+
+/**
+ * Chooses the target whose first event is predicted to come soonest.
+ *
+ * <p>Engines admit in order of arrival and know no ranks. So a request is sent only while the target has a free slot by
+ * all that is known, and the lower its rank the more slots must stay free behind it: when a burst fills the fleet, the
+ * last slots go to the highest tier without any word between processes.
+ */
+public final class Placement {
+    /**
+     * Occupancy up to which the highest tier is sent; one waiting request a target bridges the lag of others' counts.
+     */
+    private static final double FULL_OCCUPANCY = 1.0;
+    /** Occupancy kept free for each rank above a request's own: about one slot in twelve. */
+    private static final double RESERVE_PER_RANK = 0.08;
+    /** Most ranks that a reserve is kept for, so that the lowest tier always keeps most of the fleet. */
+    private static final int MOST_RESERVES = 3;
+    /** Price of leaving the own data centre: twice the measured one-way delay there and back. */
+    private static final double OTHER_DATA_CENTRE_MILLIS = 4;
+
+    private final String ownDataCentre;
+    private final PromptCache prompts;
+    private final ColdShares coldShares;
+
+    /**
+     * Creates a placement.
+     *
+     * @param ownDataCentre data centre of this process
+     * @param prompts where prompts were read
+     * @param coldShares what this process may send to cold targets
+     */
+    public Placement(String ownDataCentre, PromptCache prompts, ColdShares coldShares) {
+        this.ownDataCentre = ownDataCentre;
+        this.prompts = prompts;
+        this.coldShares = coldShares;
+    }
+
+    /**
+     * Chooses a target.
+     *
+     * @param demand what the request asks
+     * @param targets all targets of its service
+     * @param evacuated data centres that must get nothing new
+     * @param nowMillis steady time in milliseconds
+     * @return the target; empty when none may take the request now
+     */
+    public Optional<Candidate> choose(
+            Demand demand, Collection<TargetState> targets, Collection<String> evacuated, long nowMillis) {
+        double mostOccupancy = FULL_OCCUPANCY - RESERVE_PER_RANK * Math.min(demand.tierRank(), MOST_RESERVES);
+        Candidate best = null;
+        for (TargetState state : targets) {
+            if (!eligible(state, demand, evacuated, nowMillis)) {
+                continue;
+            }
+            double occupancy = state.occupancy();
+            if (occupancy + 1.0 / state.target().slots() > mostOccupancy + 1e-9 && occupancy > 0) {
+                continue;
+            }
+            int allowance = 0;
+            if (state.cold(nowMillis)) {
+                allowance = coldShares.allowance(state.target());
+                if (allowance == 0 || !state.coldGate().hasRoom(nowMillis, allowance)) {
+                    continue;
+                }
+            }
+            Candidate candidate = rate(state, demand, occupancy, allowance);
+            if (best == null || candidate.predictedMillis() < best.predictedMillis()) {
+                best = candidate;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Tells whether any target could take a request sooner or later.
+     *
+     * @param demand what the request asks
+     * @param targets all targets of its service
+     * @param evacuated data centres that must get nothing new
+     * @param nowMillis steady time in milliseconds
+     * @return false when waiting is pointless
+     */
+    public boolean anyEligible(
+            Demand demand, Collection<TargetState> targets, Collection<String> evacuated, long nowMillis) {
+        return targets.stream().anyMatch(state -> eligible(state, demand, evacuated, nowMillis));
+    }
+
+    private boolean eligible(TargetState state, Demand demand, Collection<String> evacuated, long nowMillis) {
+        return state.usable(nowMillis)
+                && !evacuated.contains(state.target().dataCentre())
+                && !demand.tried().contains(state.target().id())
+                && (demand.model().isEmpty()
+                        || state.target().models().isEmpty()
+                        || state.target().models().contains(demand.model()));
+    }
+
+    private Candidate rate(TargetState state, Demand demand, double occupancy, int allowance) {
+        double far = ownDataCentre.equals(state.target().dataCentre()) ? 0 : OTHER_DATA_CENTRE_MILLIS;
+        List<PromptPart> parts = demand.parts();
+        long uncached = prompts.uncachedTokens(
+                parts, demand.promptTokens(), state.target().id());
+        double predicted = state.speed().firstEventMillis(uncached + state.prefillTokens(), occupancy) + far;
+        return new Candidate(state, uncached, occupancy, predicted, allowance);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/RendezvousColdShares.java
@@ -0,0 +1,64 @@
+package org.whinwharf.traffic.placement;
+
+import java.util.Collection;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.whinwharf.traffic.target.Target;
+
+/**
+ * Gives each cold target to the few processes that rendezvous hashing names.
+ *
+ * <p>Processes may hold different lists of members for a second or two. The share is cut so that one process more than
+ * intended still keeps the sum within what the target bears.
+ */
+public final class RendezvousColdShares implements ColdShares {
+    /** Processes that send to one cold target; more would get less than one request a second each. */
+    private static final int SENDERS = 3;
+
+    private final String ownName;
+    private final Supplier<Collection<String>> memberNames;
+    private final Function<Target, Double> requestsPerSecond;
+
+    /**
+     * Creates the shares.
+     *
+     * @param ownName name of this process
+     * @param memberNames names of all processes that serve, this one included
+     * @param requestsPerSecond what a cold target bears from all processes together
+     */
+    public RendezvousColdShares(
+            String ownName, Supplier<Collection<String>> memberNames, Function<Target, Double> requestsPerSecond) {
+        this.ownName = ownName;
+        this.memberNames = memberNames;
+        this.requestsPerSecond = requestsPerSecond;
+    }
+
+    @Override
+    public int allowance(Target target) {
+        Collection<String> names = memberNames.get();
+        long own = weight(ownName, target.id());
+        long ahead = names.stream()
+                .filter(name -> !name.equals(ownName) && weight(name, target.id()) > own)
+                .count();
+        if (ahead >= SENDERS) {
+            return 0;
+        }
+        double bears = requestsPerSecond.apply(target);
+        return (int) Math.floor(bears / (SENDERS + 1) + 0.5);
+    }
+
+    /**
+     * Ranks a process for a target; the same everywhere.
+     *
+     * @param processName name of a process
+     * @param targetId id of a target
+     * @return weight; the highest come first
+     */
+    static long weight(String processName, String targetId) {
+        long mixed = processName.hashCode() * 0x9E3779B97F4A7C15L + targetId.hashCode() * 0xC2B2AE3D27D4EB4FL;
+        mixed ^= mixed >>> 29;
+        mixed *= 0xBF58476D1CE4E5B9L;
+        mixed ^= mixed >>> 32;
+        return mixed;
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Which target a request goes to. */
+package org.whinwharf.traffic.placement;
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -0,0 +1,111 @@
+package org.whinwharf.traffic.quota;
+
+/**
+ * One organisation's token bucket over all processes, as this process sees it.
+ *
+ * <p>Every process keeps the whole bucket and subtracts what the others say they admitted. News is a fraction of a
+ * second old, so a bucket may go below zero; the debt is then paid off before anything more is admitted, which keeps
+ * the sum over any longer window to the quota. Processes that are not heard from may admit too: their part of the
+ * refill is left to them, so that two halves of a parted fleet together stay within the quota.
+ */
+public final class QuotaAccount {
+    /** Part of the burst that a process begins with when it cannot know what its predecessor admitted. */
+    private static final double RESTART_BURST_SHARE = 0.5;
+
+    private double ratePerSecond;
+    private double burst;
+    private double level;
+    private double reachableShare = 1;
+    private long refilledAtMillis;
+
+    /**
+     * Creates an account.
+     *
+     * @param ratePerSecond refill, above 0
+     * @param burst most that can be saved up
+     * @param freshFleet true when the whole fleet starts for the first time
+     * @param nowMillis steady time in milliseconds
+     */
+    public QuotaAccount(double ratePerSecond, double burst, boolean freshFleet, long nowMillis) {
+        this.ratePerSecond = ratePerSecond;
+        this.burst = burst;
+        this.level = freshFleet ? burst : burst * RESTART_BURST_SHARE;
+        this.refilledAtMillis = nowMillis;
+    }
+
+    /**
+     * Takes a new quota.
+     *
+     * @param newRatePerSecond refill, above 0
+     * @param newBurst most that can be saved up
+     * @param nowMillis steady time in milliseconds
+     */
+    public void update(double newRatePerSecond, double newBurst, long nowMillis) {
+        refill(nowMillis);
+        ratePerSecond = newRatePerSecond;
+        burst = newBurst;
+        level = Math.min(level, burst);
+    }
+
+    /**
+     * Sets which part of the fleet this process hears from, itself included.
+     *
+     * @param share above 0, at most 1
+     * @param nowMillis steady time in milliseconds
+     */
+    public void reachableShare(double share, long nowMillis) {
+        refill(nowMillis);
+        reachableShare = share;
+    }
+
+    /**
+     * Admits a request if the quota allows it.
+     *
+     * @param tokens what the request uses
+     * @param nowMillis steady time in milliseconds
+     * @return true when it is admitted
+     */
+    public boolean tryAdmit(long tokens, long nowMillis) {
+        refill(nowMillis);
+        if (level <= 0) {
+            return false;
+        }
+        level -= tokens;
+        return true;
+    }
+
+    /**
+     * Gives back what a request used that has not run.
+     *
+     * @param tokens what was admitted
+     */
+    public void giveBack(long tokens) {
+        level = Math.min(burst, level + tokens);
+    }
+
+    /**
+     * Takes what another process admitted.
+     *
+     * @param tokens tokens since it was last heard of
+     * @param nowMillis steady time in milliseconds
+     */
+    public void admittedElsewhere(long tokens, long nowMillis) {
+        refill(nowMillis);
+        level -= tokens;
+    }
+
+    /**
+     * Returns when the account admits again.
+     *
+     * @return time in milliseconds; 0 when it admits now
+     */
+    public long admitsInMillis() {
+        return level > 0 ? 0 : (long) (-level / ratePerSecond * 1_000) + 1;
+    }
+
+    private void refill(long nowMillis) {
+        long elapsedMillis = Math.max(0, nowMillis - refilledAtMillis);
+        refilledAtMillis = nowMillis;
+        level = Math.min(burst, level + ratePerSecond * reachableShare * elapsedMillis / 1_000.0);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Usage quotas of organisations over all processes. */
+package org.whinwharf.traffic.quota;
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/package-info.java
@@ -0,0 +1,2 @@
+/** The budget of repeated dispatches. */
+package org.whinwharf.traffic.retry;
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Waiter.java
@@ -0,0 +1,33 @@
+package org.whinwharf.traffic.waiting;
+
+/** A request that waits for a target. */
+public interface Waiter {
+    /**
+     * Returns its rank.
+     *
+     * @return rank; 0 is served first
+     */
+    int tierRank();
+
+    /**
+     * Returns until when it may be kept waiting.
+     *
+     * @return steady time in milliseconds
+     */
+    long patienceUntilMillis();
+
+    /**
+     * Tries to send it.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return true when it no longer waits
+     */
+    boolean trySend(long nowMillis);
+
+    /**
+     * Refuses it, since its patience ended.
+     *
+     * @param nowMillis steady time in milliseconds
+     */
+    void refuse(long nowMillis);
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
@@ -0,0 +1,108 @@
+package org.whinwharf.traffic.waiting;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+
+/**
+ * Requests of one service that wait here, ordered by rank and then by arrival.
+ *
+ * <p>They wait here and not at an engine, because here a later request of a higher tier still goes first and a caller
+ * that leaves costs nothing.
+ */
+public final class WaitingLine {
+    private final TreeMap<Integer, List<Waiter>> byRank = new TreeMap<>();
+    private final int mostWaiting;
+    private int size;
+
+    /**
+     * Creates an empty line.
+     *
+     * @param mostWaiting requests that may wait; the next one pushes out the last of the lowest tier
+     */
+    public WaitingLine(int mostWaiting) {
+        this.mostWaiting = mostWaiting;
+    }
+
+    /**
+     * Returns how many requests wait.
+     *
+     * @return requests
+     */
+    public int size() {
+        return size;
+    }
+
+    /**
+     * Tells whether a request of the same or a higher tier waits.
+     *
+     * @param tierRank rank
+     * @return true when one would have to go first
+     */
+    public boolean hasAhead(int tierRank) {
+        return byRank.headMap(tierRank, true).values().stream().anyMatch(list -> !list.isEmpty());
+    }
+
+    /**
+     * Adds a request.
+     *
+     * @param waiter the request
+     * @param nowMillis steady time in milliseconds
+     */
+    public void add(Waiter waiter, long nowMillis) {
+        byRank.computeIfAbsent(waiter.tierRank(), rank -> new ArrayList<>()).add(waiter);
+        size++;
+        if (size > mostWaiting) {
+            evictLast(nowMillis);
+        }
+    }
+
+    /**
+     * Takes out a request whose caller has left.
+     *
+     * @param waiter the request
+     */
+    public void remove(Waiter waiter) {
+        List<Waiter> list = byRank.get(waiter.tierRank());
+        if (list != null && list.remove(waiter)) {
+            size--;
+        }
+    }
+
+    /**
+     * Sends what can be sent and refuses what has waited long enough.
+     *
+     * <p>A request that finds no target does not hold back those of lower rank that may go elsewhere: their own bound
+     * on occupancy keeps the last slots free.
+     *
+     * @param nowMillis steady time in milliseconds
+     */
+    public void advance(long nowMillis) {
+        for (Integer rank : List.copyOf(byRank.keySet())) {
+            List<Waiter> current = byRank.put(rank, new ArrayList<>());
+            List<Waiter> staying = new ArrayList<>();
+            size -= current.size();
+            // Waiters may add themselves again while they are tried, so the list under way is taken out first.
+            for (Waiter waiter : current) {
+                if (nowMillis >= waiter.patienceUntilMillis()) {
+                    waiter.refuse(nowMillis);
+                } else if (!waiter.trySend(nowMillis)) {
+                    staying.add(waiter);
+                }
+            }
+            byRank.get(rank).addAll(0, staying);
+            size += staying.size();
+        }
+    }
+
+    private void evictLast(long nowMillis) {
+        for (List<Waiter> list : byRank.descendingMap().values()) {
+            if (!list.isEmpty()) {
+                Waiter last = list.remove(list.size() - 1);
+                size--;
+                last.refuse(nowMillis);
+                return;
+            }
+        }
+    }
+}
--- a/org.whinwharf/src/main/java/org/whinwharf/errors/ErrorKind.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/errors/ErrorKind.java
@@ -35,6 +35,12 @@
     UNKNOWN_REQUEST(404, Ran.UNKNOWN, false),
     /** The body is larger than allowed. */
     BODY_TOO_LARGE(413, Ran.NOT_RUN, false),
+    /** The head of the request is longer than allowed. */
+    HEADERS_TOO_LARGE(431, Ran.NOT_RUN, false),
+    /** The request did not arrive in the time allowed. */
+    CALLER_TOO_SLOW(408, Ran.NOT_RUN, false),
+    /** The organisation has used up its quota. */
+    OVER_QUOTA(429, Ran.NOT_RUN, true),
     /** Shed to keep requests of higher tiers or earlier ones. */
     SHED(503, Ran.NOT_RUN, true),
     /** The deadline cannot be met; refused before any work was done. */
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -2,8 +2,8 @@
 # The reader sets top, the folder of the checkout. FLEET_NAME, TRACE_RATIO, ENGINE_OPTIONS, PLAIN_OPTIONS and
 # SCHEDULER_OPTIONS and DOCUMENT (a folder of samples) change what is started.
 # shellcheck shell=bash
-dist="$top/org.whinwharf.dist/target/whinwharf"
-run="$top/org.whinwharf.dist/target/${FLEET_NAME:-quickstart}"
+dist="$top/target/modules/org.whinwharf.dist/whinwharf"
+run="$top/target/modules/org.whinwharf.dist/${FLEET_NAME:-quickstart}"
 platform=127.0.9.1:8500
 weights=127.0.9.2:8600
 trace_ratio=${TRACE_RATIO:-1.0}
