--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpEndpoint.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpEndpoint.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /** A small HTTP server for short questions with short answers: where to connect, whether ready, metrics. */
 public final class HttpEndpoint {
@@ -47,8 +48,20 @@
      * @param status HTTP status
      * @param contentType media type
      * @param text the body
+     * @param headers further headers
      */
-    public record Answer(int status, String contentType, String text) {}
+    public record Answer(int status, String contentType, String text, Map<String, String> headers) {
+        /**
+         * Creates an answer without further headers.
+         *
+         * @param status HTTP status
+         * @param contentType media type
+         * @param text the body
+         */
+        public Answer(int status, String contentType, String text) {
+            this(status, contentType, text, Map.of());
+        }
+    }
 
     private final EventLoopGroup loop;
     private final Answerer answerer;
@@ -109,6 +122,7 @@
                     HttpVersion.HTTP_1_1,
                     HttpResponseStatus.valueOf(answer.status()),
                     Unpooled.copiedBuffer(answer.text(), StandardCharsets.UTF_8));
+            answer.headers().forEach((name, value) -> response.headers().set(name, value));
             response.headers().set(HttpHeaderNames.CONTENT_TYPE, answer.contentType());
             response.headers()
                     .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
