--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerServer.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerServer.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -32,8 +33,9 @@
         this.loop = loop;
     }
 
-    void start(String ip, int port) {
-        server = new ServerBootstrap()
+    /** Begins to listen; the action runs once connections are accepted. */
+    void start(String ip, int port, Runnable whenListening) {
+        new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
@@ -52,8 +54,14 @@
                     }
                 })
                 .bind(ip, port)
-                .syncUninterruptibly()
-                .channel();
+                .addListener((ChannelFuture bound) -> {
+                    if (bound.isSuccess()) {
+                        server = bound.channel();
+                        whenListening.run();
+                    } else {
+                        FrontLog.dutyFailed("listen for callers", bound.cause());
+                    }
+                });
     }
 
     /** Takes no more connections. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.lifecycle.Service;
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
@@ -81,6 +80,7 @@
     private final ItemFeed feed;
     private Optional<Catalog> catalog = Optional.empty();
     private MemberPhase phase = MemberPhase.MEMBER_STARTING;
+    private boolean listening;
     private long leavingAtMillis;
     private Runnable whenEnded = () -> {};
 
@@ -141,9 +141,9 @@
     public void start() {
         peerItems.start(settings.ip(), settings.peerPort());
         gossip.start(loop);
-        every(GOSSIP_MILLIS, this::gossipRound);
-        every(TICK_MILLIS, this::tick);
-        every(SWEEP_MILLIS, this::sweep);
+        every("news for peers", GOSSIP_MILLIS, this::gossipRound);
+        every("requests", TICK_MILLIS, this::tick);
+        every("upkeep", SWEEP_MILLIS, this::sweep);
         EventLog.event(LogEvent.STARTED)
                 .with(EventField.HOST, settings.name())
                 .with(EventField.ROLE, "front")
@@ -151,13 +151,13 @@
                 .call();
     }
 
-    private void every(long millis, Runnable duty) {
+    private void every(String name, long millis, Runnable duty) {
         loop.scheduleWithFixedDelay(
                 () -> {
                     try {
                         duty.run();
                     } catch (RuntimeException e) {
-                        FrontLog.malformed(ErrorKind.INTERNAL, duty + ": " + e);
+                        FrontLog.dutyFailed(name, e);
                     }
                 },
                 millis,
@@ -218,6 +218,7 @@
             return;
         }
         catalog = Optional.of(published);
+        loop.execute(this::serveOnceKnown);
         quotas.update(published, ticker.nowMillis());
         EventLog.event(LogEvent.CATALOG_IN_FORCE)
                 .with(EventField.VERSION, published.version())
@@ -259,10 +260,17 @@
     }
 
     private void serveOnceKnown() {
-        if (phase == MemberPhase.MEMBER_STARTING && catalog.isPresent()) {
-            phase = MemberPhase.MEMBER_SERVING;
+        if (phase == MemberPhase.MEMBER_STARTING && catalog.isPresent() && !listening) {
+            listening = true;
             String[] address = settings.callerAddress().split(":");
-            callers.start(address[0], Integer.parseInt(address[1]));
+            callers.start(address[0], Integer.parseInt(address[1]), this::serve);
+        }
+    }
+
+    private void serve() {
+        if (phase == MemberPhase.MEMBER_STARTING) {
+            phase = MemberPhase.MEMBER_SERVING;
+            gossipRound();
             EventLog.event(LogEvent.READY)
                     .with(EventField.REVISION, feed.revision())
                     .call();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -19,6 +19,13 @@
                 .call();
     }
 
+    static void dutyFailed(String name, Throwable cause) {
+        EventLog.event(LogEvent.DUTY_FAILED)
+                .with(EventField.NAME, name)
+                .with(EventField.REASON, String.valueOf(cause))
+                .call();
+    }
+
     static void sent(Exchange exchange, Target target, long waitedMillis, Candidate candidate) {
         EventLog.event(LogEvent.REQUEST_SENT)
                 .with(EventField.REQUEST, exchange.head().attemptId())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
@@ -17,7 +17,6 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
-import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
@@ -133,7 +132,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            FrontLog.malformed(ErrorKind.MALFORMED, "datagram: " + cause);
+            FrontLog.dutyFailed("datagram of a peer", cause);
         }
     }
 }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -147,6 +147,8 @@
     MEMBER_FORGOTTEN(Level.INFO, EventField.PEER),
     /** A request is sent again, since the first target gave no whole answer. */
     REQUEST_REPEATED(Level.INFO, EventField.REQUEST, EventField.TARGET, EventField.REASON),
+    /** A duty of the process failed once; it goes on. */
+    DUTY_FAILED(Level.ERROR, EventField.NAME, EventField.REASON),
     /** What a caller sent is no request. */
     REQUEST_MALFORMED(Level.INFO, EventField.KIND, EventField.REASON),
     /** A span ended. */
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ItemMirrorTest.java
@@ -0,0 +1,49 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.items.ItemMirror;
+import org.whinwharf.traffic.items.PublishedValue;
+
+class ItemMirrorTest {
+    private final ItemMirror mirror = new ItemMirror();
+
+    /**
+     * The service's history was dropped while a target left, so the watch missed the removal. The copy that replaces it
+     * must show the removal, or the target would get requests after its end.
+     */
+    @Test
+    void copyShowsWhatTheWatchMissed() {
+        mirror.replace(List.of(item("a", 1), item("b", 2)), 2);
+        List<PublishedValue> changed = mirror.replace(List.of(item("a", 1)), 9);
+        assertThat(changed, hasSize(1));
+        assertThat(changed.get(0).removed(), is(true));
+    }
+
+    /** A process reads the service after an outage and gets an answer that is older than what peers told it. */
+    @Test
+    void olderCopyChangesNothing() {
+        mirror.replace(List.of(item("a", 5)), 9);
+        assertThat(mirror.replace(List.of(item("a", 3)), 4), empty());
+        assertThat(mirror.apply(List.of(item("a", 4)), 6), empty());
+        assertThat(mirror.revision(), is(9L));
+    }
+
+    @Test
+    void peersGetChangesOrEverything() {
+        mirror.replace(List.of(item("a", 1)), 3);
+        mirror.apply(List.of(item("b", 4)), 4);
+        assertThat(mirror.changesAfter(3).orElseThrow(), hasSize(1));
+        assertThat(mirror.changesAfter(1).isPresent(), is(false));
+        assertThat(mirror.changesAfter(0).isPresent(), is(false));
+    }
+
+    private static PublishedValue item(String key, long revision) {
+        return new PublishedValue(key, new byte[1], revision);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/MemberTableTest.java
@@ -0,0 +1,55 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.member.MemberTable;
+import org.whinwharf.wire.fleet.MemberPhase;
+
+class MemberTableTest {
+    private final MemberTable table = new MemberTable(Fixtures.report("own", 100, 0));
+
+    @Test
+    void newerReportReplacesTheOlder() {
+        assertThat(table.hear(Fixtures.report("a", 1, 5), 0), is(true));
+        assertThat(table.hear(Fixtures.report("a", 1, 5), 10), is(false));
+        assertThat(table.hear(Fixtures.report("a", 1, 4), 10), is(false));
+        assertThat(table.hear(Fixtures.report("a", 2, 0), 10), is(true));
+    }
+
+    @Test
+    void silentProcessIsNamedToNobodyButStillCounts() {
+        table.hear(Fixtures.report("a", 1, 1), 0);
+        assertThat(table.serving(MemberTable.SILENT_MILLIS), hasSize(2));
+        assertThat(table.serving(MemberTable.SILENT_MILLIS + 1), hasSize(1));
+        assertThat(table.reachableShare(MemberTable.SILENT_MILLIS + 1), closeTo(0.5, 0.001));
+        table.forget(MemberTable.FORGOTTEN_MILLIS + 1);
+        assertThat(table.reachableShare(MemberTable.FORGOTTEN_MILLIS + 1), closeTo(1, 0.001));
+    }
+
+    /**
+     * A process is killed and starts again on a host whose time of day was set back in between. Its new incarnation is
+     * lower than the old one that its peers remember, so they would take its reports for stale ones and leave it out of
+     * the directory for as long as the clock was set back.
+     */
+    @Test
+    void processThatHearsAHigherIncarnationOfItselfTakesAHigherOne() {
+        table.hear(Fixtures.report("own", 5_000, 7), 0);
+        assertThat(table.own().getIncarnation(), greaterThan(5_000L));
+    }
+
+    @Test
+    void leavingProcessIsOutOfServiceAtOnce() {
+        table.hear(Fixtures.report("a", 1, 1), 0);
+        table.hear(
+                Fixtures.report("a", 1, 2).toBuilder()
+                        .setPhase(MemberPhase.MEMBER_LEAVING)
+                        .build(),
+                10);
+        assertThat(table.serving(10), hasSize(1));
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PlacementTest.java
@@ -0,0 +1,123 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.Placement;
+import org.whinwharf.traffic.placement.RendezvousColdShares;
+import org.whinwharf.traffic.target.PromptCache;
+import org.whinwharf.traffic.target.Target;
+import org.whinwharf.traffic.target.TargetState;
+
+class PlacementTest {
+    private static final double COLD_RATE = 11;
+
+    private final PromptCache prompts = new PromptCache();
+    private final Placement placement = new Placement("zilina-a", prompts, target -> 0);
+
+    @Test
+    void promptGoesWhereItWasRead() {
+        List<TargetState> states = states(3);
+        prompts.reads(Fixtures.demand(0, 6_610, "orava").parts(), "t2");
+        assertThat(chosen(0, "orava", states), is(Optional.of("t2")));
+    }
+
+    /**
+     * A burst fills the engines. If every tier may take the last slot, an inspector's summary that comes a moment later
+     * waits behind sorting answers; a lower tier therefore leaves slots free.
+     */
+    @Test
+    void lastSlotsAreKeptForTheHighestTier() {
+        List<TargetState> states = states(1);
+        for (int i = 0; i < 7; i++) {
+            states.get(0).began(0);
+        }
+        assertThat(chosen(2, "bin", states), is(Optional.empty()));
+        assertThat(chosen(0, "orava", states), is(Optional.of("t0")));
+    }
+
+    @Test
+    void fullEngineGetsNothing() {
+        List<TargetState> states = states(1);
+        states.get(0).others(8, 0);
+        assertThat(chosen(0, "orava", states), is(Optional.empty()));
+    }
+
+    @Test
+    void slowEngineIsUsedAfterTheOthers() {
+        List<TargetState> states = states(2);
+        for (int i = 0; i < 10; i++) {
+            states.get(0).speed().observed(6_610, 0, 800);
+        }
+        assertThat(chosen(0, "orava", states), is(Optional.of("t1")));
+    }
+
+    /**
+     * Four engines come back cold together after their data centre was out. Each bears eleven requests in a second; the
+     * seven processes know nothing of each other's requests and hold lists of members that differ by one.
+     */
+    @Test
+    void allProcessesTogetherKeepToWhatAColdTargetBears() {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < 7; i++) {
+            names.add("front-" + i);
+        }
+        for (int cold = 0; cold < 4; cold++) {
+            Target target = Fixtures.target("cold-" + cold, 8);
+            int sum = 0;
+            for (String name : names) {
+                Set<String> known = new HashSet<>(names);
+                known.remove("front-" + cold);
+                known.add(name);
+                sum += new RendezvousColdShares(name, () -> known, any -> COLD_RATE).allowance(target);
+            }
+            assertThat((double) sum, lessThanOrEqualTo(COLD_RATE * 1.5 + 5));
+        }
+    }
+
+    @Test
+    void coldTargetGetsNoMoreThanTheShareInASecond() {
+        Placement sharing = new Placement("zilina-a", prompts, target -> 3);
+        List<TargetState> states = states(1);
+        states.get(0).coldUntil(5_000);
+        int sent = 0;
+        for (long now = 0; now < 1_000; now += 10) {
+            Optional<Candidate> candidate = sharing.choose(Fixtures.demand(0, 100, "s" + now), states, Set.of(), now);
+            if (candidate.isPresent()) {
+                candidate.get().state().coldGate().sent(now);
+                sent++;
+            }
+        }
+        assertThat(sent, is(3));
+    }
+
+    @Test
+    void leavingTargetsAndDataCentresGetNothing() {
+        List<TargetState> states = states(1);
+        assertThat(placement.choose(Fixtures.demand(0, 100, "s"), states, Set.of("zilina-a"), 0), is(Optional.empty()));
+        states.get(0).goneAt(0);
+        assertThat(chosen(0, "s", states), is(Optional.empty()));
+    }
+
+    private Optional<String> chosen(int tierRank, String subject, List<TargetState> states) {
+        return placement
+                .choose(Fixtures.demand(tierRank, 6_610, subject), states, Set.of(), 0)
+                .map(candidate -> candidate.state().target().id());
+    }
+
+    private static List<TargetState> states(int count) {
+        List<TargetState> states = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            states.add(new TargetState(Fixtures.target("t" + i, 8)));
+        }
+        return states;
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -0,0 +1,97 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.quota.QuotaLedger;
+
+/**
+ * One organisation sends six times its quota to seven processes. The figures are those of the smaller deployment: a
+ * quota of 36,000 tokens a second with as much saved up, requests of 1,500 tokens, news every 150 ms, a window of 8 s
+ * in which a quarter and 140,000 tokens more are borne.
+ */
+class QuotaLedgerTest {
+    private static final int PROCESSES = 7;
+    private static final double RATE = 36_000;
+    private static final double BOUND = (RATE * 8 + RATE) * 1.25 + 140_000;
+    private static final long REQUEST_TOKENS = 1_500;
+    private static final long NEWS_MILLIS = 150;
+
+    @Test
+    void allProcessesTogetherKeepToTheQuotaAndUseIt() {
+        List<QuotaLedger> fleet = fleet(true);
+        long admitted = flood(fleet, fleet.size(), 0, 8_000);
+        assertThat((double) admitted, lessThan(BOUND));
+        assertThat((double) admitted, greaterThan(RATE * 9 * 0.97));
+    }
+
+    /**
+     * A network partition parts the processes three to four. Neither half hears what the other admits, and the
+     * organisation sends to both; without a share left to the other half, twice the quota would be admitted.
+     */
+    @Test
+    void halvesThatDoNotHearEachOtherKeepToTheQuotaTogether() {
+        List<QuotaLedger> fleet = fleet(true);
+        flood(fleet, fleet.size(), 0, 8_000);
+        for (int i = 0; i < PROCESSES; i++) {
+            fleet.get(i).reachableShare(i < 3 ? 3.0 / 7 : 4.0 / 7, 8_000);
+        }
+        long admitted = flood(fleet, 3, 8_000, 16_000);
+        assertThat((double) admitted, lessThan(BOUND));
+    }
+
+    /**
+     * All processes are killed at once and start again with empty memories while the organisation keeps sending. Each
+     * would give the whole burst anew; the window then holds the admissions of both lives.
+     */
+    @Test
+    void restartOfAllProcessesKeepsToTheQuota() {
+        long before = flood(fleet(true), PROCESSES, 0, 4_000);
+        long after = flood(fleet(false), PROCESSES, 4_000, 8_000);
+        assertThat((double) (before + after), lessThan(BOUND));
+    }
+
+    private static List<QuotaLedger> fleet(boolean fresh) {
+        List<QuotaLedger> fleet = new ArrayList<>();
+        for (int i = 0; i < PROCESSES; i++) {
+            QuotaLedger ledger = new QuotaLedger(fresh);
+            ledger.update(Fixtures.catalog(1, RATE, RATE), fresh ? 0 : 4_000);
+            fleet.add(ledger);
+        }
+        return fleet;
+    }
+
+    /** Sends six times the quota; the first processes hear only each other, the rest likewise. */
+    private static long flood(List<QuotaLedger> fleet, int firstGroup, long fromMillis, long toMillis) {
+        long admitted = 0;
+        for (long now = fromMillis; now < toMillis; now++) {
+            QuotaLedger ledger = fleet.get((int) (now % fleet.size()));
+            if (now % 7 < 1 && ledger.tryAdmit("obec", REQUEST_TOKENS, now)) {
+                admitted += REQUEST_TOKENS;
+            }
+            if (now % NEWS_MILLIS == 0) {
+                tellAll(fleet, firstGroup, now);
+            }
+        }
+        return admitted;
+    }
+
+    private static void tellAll(List<QuotaLedger> fleet, int firstGroup, long now) {
+        for (int from = 0; from < fleet.size(); from++) {
+            for (int to = 0; to < fleet.size(); to++) {
+                boolean sameGroup = from < firstGroup == to < firstGroup;
+                if (from != to && sameGroup) {
+                    String process = "front-" + from;
+                    QuotaLedger hearer = fleet.get(to);
+                    fleet.get(from)
+                            .admittedTotals()
+                            .forEach((digest, total) -> hearer.heard(process, digest, total, now));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
@@ -0,0 +1,30 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.retry.RetryBudget;
+
+class RetryBudgetTest {
+    /**
+     * Every answer of a service is lost for four seconds. If each request went out twice, the service would get double
+     * its load just when it fails; seven processes together must stay under a fifth of the requests and 54 more.
+     */
+    @Test
+    void sevenProcessesTogetherKeepToTheFleetsBound() {
+        int repeats = 0;
+        int requests = 0;
+        for (int process = 0; process < 7; process++) {
+            RetryBudget budget = new RetryBudget(0.2, 10_000);
+            for (long now = 0; now < 10_000; now += 50) {
+                budget.request(now);
+                requests++;
+                if (budget.tryRepeat(now, 54 / 8.0)) {
+                    repeats++;
+                }
+            }
+        }
+        assertThat((double) repeats, lessThanOrEqualTo(requests * 0.2 + 54));
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetHealthTest.java
@@ -0,0 +1,58 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.target.TargetHealth;
+
+class TargetHealthTest {
+    private final TargetHealth health = new TargetHealth();
+
+    /**
+     * A target answers its health check and fails nearly half of its requests. No two failures in a row need come, so
+     * only their share shows it.
+     */
+    @Test
+    void shareOfErrorsEjects() {
+        boolean ejected = false;
+        for (int i = 0; i < 40 && !ejected; i++) {
+            ejected = health.erred(0);
+            if (i % 5 == 4) {
+                health.succeeded();
+            }
+        }
+        assertThat(ejected, is(true));
+    }
+
+    /** One request in seven of the booking service's look-ups ends with an error of its own on sound targets. */
+    @Test
+    void usualErrorsDoNotEject() {
+        for (int i = 0; i < 700; i++) {
+            if (i % 7 == 0) {
+                assertThat(health.erred(i), is(false));
+            } else {
+                health.succeeded();
+            }
+        }
+    }
+
+    @Test
+    void ejectedTargetReturnsThroughOneProbe() {
+        health.failed(0, true);
+        assertThat(health.beginProbe(100), is(false));
+        assertThat(health.beginProbe(600), is(true));
+        assertThat(health.beginProbe(600), is(false));
+        health.probed(650, true);
+        assertThat(health.ejected(), is(false));
+    }
+
+    @Test
+    void failedProbesComeLessOften() {
+        health.failed(0, true);
+        health.beginProbe(500);
+        health.probed(500, false);
+        assertThat(health.beginProbe(1_000), is(false));
+        assertThat(health.beginProbe(1_500), is(true));
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
@@ -0,0 +1,115 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.waiting.Waiter;
+import org.whinwharf.traffic.waiting.WaitingLine;
+
+class WaitingLineTest {
+    private final List<String> sent = new ArrayList<>();
+    private final List<String> refused = new ArrayList<>();
+    private int places;
+
+    private class Request implements Waiter {
+        private final String name;
+        private final int tierRank;
+        private final long untilMillis;
+
+        Request(String name, int tierRank, long untilMillis) {
+            this.name = name;
+            this.tierRank = tierRank;
+            this.untilMillis = untilMillis;
+        }
+
+        @Override
+        public int tierRank() {
+            return tierRank;
+        }
+
+        @Override
+        public long patienceUntilMillis() {
+            return untilMillis;
+        }
+
+        @Override
+        public boolean trySend(long nowMillis) {
+            if (places == 0) {
+                return false;
+            }
+            places--;
+            sent.add(name);
+            return true;
+        }
+
+        @Override
+        public void refuse(long nowMillis) {
+            refused.add(name);
+        }
+    }
+
+    @Test
+    void higherTierGoesFirstThenTheEarlier() {
+        WaitingLine line = new WaitingLine(10);
+        line.add(new Request("school", 2, 1_000), 0);
+        line.add(new Request("inspector-1", 0, 1_000), 1);
+        line.add(new Request("inspector-2", 0, 1_000), 2);
+        places = 2;
+        line.advance(10);
+        assertThat(sent, contains("inspector-1", "inspector-2"));
+        assertThat(line.size(), is(1));
+    }
+
+    /**
+     * More requests wait than the process keeps. The newcomer may be an inspector's; the one to go is the last of the
+     * lowest tier, or a higher tier would be shed while a lower one is kept.
+     */
+    @Test
+    void overflowPushesOutTheLowestTier() {
+        WaitingLine line = new WaitingLine(2);
+        line.add(new Request("school-1", 2, 1_000), 0);
+        line.add(new Request("school-2", 2, 1_000), 0);
+        line.add(new Request("inspector", 0, 1_000), 0);
+        assertThat(refused, contains("school-2"));
+        assertThat(line.size(), is(2));
+    }
+
+    @Test
+    void endOfPatienceRefusesOnce() {
+        WaitingLine line = new WaitingLine(2);
+        line.add(new Request("school", 2, 100), 0);
+        line.advance(100);
+        line.advance(200);
+        assertThat(refused, contains("school"));
+        assertThat(line.size(), is(0));
+    }
+
+    /**
+     * A request finds its connection refused while the line is being worked off and comes back into it at once. It must
+     * neither be lost nor counted twice.
+     */
+    @Test
+    void requestThatComesBackWhileTheLineAdvancesIsKept() {
+        WaitingLine line = new WaitingLine(10);
+        Waiter returning = new Request("returning", 1, 1_000) {
+            @Override
+            public boolean trySend(long nowMillis) {
+                if (sent.isEmpty()) {
+                    sent.add("returning");
+                    line.add(this, nowMillis);
+                    return true;
+                }
+                return false;
+            }
+        };
+        line.add(returning, 0);
+        line.advance(10);
+        assertThat(line.size(), is(1));
+        line.advance(1_000);
+        assertThat(refused, contains("returning"));
+    }
+}
