--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -114,7 +114,7 @@
         long allowedMillis =
                 Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
         deadlineAtMillis = nowMillis + allowedMillis;
-        patienceUntilMillis = nowMillis + Patience.waitMillis(route.kind(), route.objectiveMillis(), allowedMillis);
+        patienceUntilMillis = nowMillis + Patience.waitMillis(route.objectiveMillis(), allowedMillis);
         service = front.pickService(route, head.attemptId());
         quotaTokens = head.countsTokens()
                 ? head.promptTokens() + head.answerTokens()
@@ -165,6 +165,11 @@
         return patienceUntilMillis;
     }
 
+    @Override
+    public long onTimeUntilMillis() {
+        return arrivedAtMillis + Patience.onTimeMillis(route.objectiveMillis());
+    }
+
     @Override
     public boolean trySend(long nowMillis) {
         Demand demand = ImmutableDemand.builder()
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -59,7 +59,7 @@
     /** Time before the end of the grace period at which the process ends in any case. */
     private static final long END_MARGIN_MILLIS = 600;
 
-    private final FrontSettings settings;
+    private FrontSettings settings;
     private final HttpDialect dialect;
     private final Ticker ticker = Ticker.system();
     private final Random random = new Random();
@@ -188,6 +188,21 @@
         whenEnded = action;
     }
 
+    /**
+     * Takes changed settings; addresses and names stay as they were at the start.
+     *
+     * @param changed the settings
+     */
+    public void reload(FrontSettings changed) {
+        boolean otherBudget = changed.retryRatio() != settings.retryRatio()
+                || changed.retryWindowMillis() != settings.retryWindowMillis();
+        settings = changed;
+        if (otherBudget) {
+            retryBudgets.clear();
+        }
+        EventLog.event(LogEvent.SETTINGS_IN_FORCE).call();
+    }
+
     /**
      * Tells whether callers should be sent here.
      *
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -147,6 +147,10 @@
     MEMBER_FORGOTTEN(Level.INFO, EventField.PEER),
     /** A request is sent again, since the first target gave no whole answer. */
     REQUEST_REPEATED(Level.INFO, EventField.REQUEST, EventField.TARGET, EventField.REASON),
+    /** Changed settings are in force. */
+    SETTINGS_IN_FORCE(Level.INFO),
+    /** Changed settings have faults; those before stay in force. */
+    SETTINGS_REFUSED(Level.ERROR, EventField.REASON),
     /** A duty of the process failed once; it goes on. */
     DUTY_FAILED(Level.ERROR, EventField.NAME, EventField.REASON),
     /** What a caller sent is no request. */
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
@@ -36,6 +36,11 @@
             return untilMillis;
         }
 
+        @Override
+        public long onTimeUntilMillis() {
+            return untilMillis / 2;
+        }
+
         @Override
         public boolean trySend(long nowMillis) {
             if (places == 0) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Patience.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Patience.java
@@ -1,15 +1,16 @@
 package org.whinwharf.traffic.waiting;
 
-import org.whinwharf.traffic.catalog.RouteKind;
-
 /** How long a request is kept waiting, and when a refused caller should come back. */
 public final class Patience {
     /**
-     * Share of the objective that a request may wait: after it, even an idle target would hardly meet the objective.
+     * Objectives that a request may wait. An answer that is late is still worth having, and a caller leaves a silent
+     * stream only after four objectives or more; a burst of two seconds is then served late and not refused.
      */
-    private static final double OBJECTIVE_SHARE = 0.6;
+    private static final double OBJECTIVES = 6;
     /** Share of the time left that waiting may use, so that a refused caller still has time for another attempt. */
-    private static final double REMAINING_SHARE = 0.3;
+    private static final double REMAINING_SHARE = 0.2;
+    /** Share of the objective after which a waiting request can hardly meet it. */
+    private static final double ON_TIME_SHARE = 0.8;
     /** Shortest advice: one round of news between processes. */
     private static final long SOONEST_MILLIS = 250;
     /** Longest advice: about the time a short stream holds a slot. */
@@ -20,13 +21,22 @@
     /**
      * Returns how long a request may wait for a target.
      *
-     * @param kind kind of its route
      * @param objectiveMillis latency objective
      * @param remainingMillis time until its deadline
      * @return time in milliseconds
      */
-    public static long waitMillis(RouteKind kind, long objectiveMillis, long remainingMillis) {
-        return (long) Math.min(objectiveMillis * OBJECTIVE_SHARE, remainingMillis * REMAINING_SHARE);
+    public static long waitMillis(long objectiveMillis, long remainingMillis) {
+        return (long) Math.min(objectiveMillis * OBJECTIVES, remainingMillis * REMAINING_SHARE);
+    }
+
+    /**
+     * Returns until when a waiting request counts as on time and goes before those that are late already.
+     *
+     * @param objectiveMillis latency objective
+     * @return time from its arrival in milliseconds
+     */
+    public static long onTimeMillis(long objectiveMillis) {
+        return (long) (objectiveMillis * ON_TIME_SHARE);
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Waiter.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Waiter.java
@@ -16,6 +16,13 @@
      */
     long patienceUntilMillis();
 
+    /**
+     * Returns until when it may meet its objective.
+     *
+     * @return steady time in milliseconds
+     */
+    long onTimeUntilMillis();
+
     /**
      * Tries to send it.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
@@ -1,11 +1,13 @@
 package org.whinwharf.traffic.waiting;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.TreeMap;
 
 /**
- * Requests of one service that wait here, ordered by rank and then by arrival.
+ * Requests of one service that wait here, ordered by rank; within a rank those that can still meet their objective go
+ * first, then by arrival. A burst then makes some requests late, not all that come after it.
  *
  * <p>They wait here and not at an engine, because here a later request of a higher tier still goes first and a caller
  * that leaves costs nothing.
@@ -82,6 +84,7 @@
             List<Waiter> current = byRank.put(rank, new ArrayList<>());
             List<Waiter> staying = new ArrayList<>();
             size -= current.size();
+            current.sort(Comparator.comparing((Waiter waiter) -> nowMillis > waiter.onTimeUntilMillis()));
             // Waiters may add themselves again while they are tried, so the list under way is taken out first.
             for (Waiter waiter : current) {
                 if (nowMillis >= waiter.patienceUntilMillis()) {
