Keep the traffic module's target package under version control

Cause: .gitignore named target/ at any depth, so the package org.whinwharf.traffic.target was never committed and a clean checkout did not build (found by building a worktree).

--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/AnswerTest.java
@@ -0,0 +1,215 @@
+package org.whinwharf.front;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.notNullValue;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** What callers get when targets fail in every way they can. */
+class AnswerTest {
+    private static final long LONG_MILLIS = 8_000;
+
+    @Test
+    void wholeAnswerIsPassedOn() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            fixture.target(
+                    "t", (request, socket) -> FakeTarget.write(socket, FakeTarget.answer(request, 200, "hello")));
+            fixture.catalog(1, LONG_MILLIS);
+            String answer = fixture.exchange(FrontFixture.request("POST", "/unsafe/x", "a", true));
+            assertThat(answer, startsWith("HTTP/1.1 200"));
+            assertThat(answer, endsWith("\r\n\r\nhello"));
+        }
+    }
+
+    /**
+     * The target runs a booking and its connection is reset before the answer. A refusal that says "not run" would make
+     * the caller book again, and the pickup would be booked twice.
+     */
+    @Test
+    void lostAnswerOfABookingIsNeverARefusal() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            FakeTarget target = fixture.target("t", (request, socket) -> {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            });
+            fixture.target(
+                    "u", (request, socket) -> FakeTarget.write(socket, FakeTarget.answer(request, 200, "twice")));
+            fixture.catalog(2, LONG_MILLIS);
+            int runs = 0;
+            for (int i = 0; i < 4; i++) {
+                int before = target.requests().size();
+                String answer = fixture.exchange(FrontFixture.request("POST", "/unsafe/x", "a" + i, true));
+                if (target.requests().size() > before) {
+                    runs++;
+                    assertThat(answer, startsWith("HTTP/1.1 502"));
+                }
+            }
+            assertThat(runs > 0, is(true));
+        }
+    }
+
+    /**
+     * A look-up is answered with half a body. The caller must get the whole body from another target and never the half
+     * one under a success.
+     */
+    @Test
+    void halfAnswerOfALookUpIsFetchedElsewhere() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            AtomicInteger sent = new AtomicInteger();
+            FakeTarget.Script script = (request, socket) -> {
+                String whole = FakeTarget.answer(request, 200, "hello");
+                if (sent.getAndIncrement() == 0) {
+                    FakeTarget.write(socket, whole.substring(0, whole.length() - 2));
+                    socket.close();
+                } else {
+                    FakeTarget.write(socket, whole);
+                }
+            };
+            fixture.target("t", script);
+            fixture.target("u", script);
+            fixture.catalog(2, LONG_MILLIS);
+            assertThat(fixture.exchange(FrontFixture.request("GET", "/safe/x", "a", true)), endsWith("hello"));
+            assertThat(sent.get(), is(2));
+        }
+    }
+
+    /**
+     * The target sends a second answer to a request after the first. On a kept connection it would be read as the
+     * answer to the next request, of another caller.
+     */
+    @Test
+    void secondAnswerNeverReachesTheNextCaller() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            fixture.target("t", (request, socket) -> {
+                FakeTarget.write(socket, FakeTarget.answer(request, 200, "own-" + FakeTarget.attempt(request)));
+                FakeTarget.write(socket, FakeTarget.answer(request, 200, "extra-" + FakeTarget.attempt(request)));
+            });
+            fixture.catalog(1, LONG_MILLIS);
+            for (int i = 0; i < 20; i++) {
+                String answer = fixture.exchange(FrontFixture.request("GET", "/safe/x", "a" + i, true));
+                assertThat(answer, endsWith("own-a" + i));
+            }
+        }
+    }
+
+    /** An answer without the target's signature did not come from the target's service. */
+    @Test
+    void successWithoutSignatureIsNotPassedOn() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            fixture.target(
+                    "t",
+                    (request, socket) -> FakeTarget.write(
+                            socket, FakeTarget.answer(request, 200, "forged").replace("Signed: yes\r\n", "")));
+            fixture.catalog(1, LONG_MILLIS);
+            String answer = fixture.exchange(FrontFixture.request("POST", "/unsafe/x", "a", true));
+            assertThat(answer, startsWith("HTTP/1.1 502"));
+            assertThat(answer, not(containsString("forged")));
+        }
+    }
+
+    /**
+     * The target is full and says that it did not run the request; the one attempt allowed is used up. The caller is
+     * told so, and when to come back.
+     */
+    @Test
+    void refusalOfATargetTellsTheCallerWhenToComeBack() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            fixture.target(
+                    "t",
+                    (request, socket) -> FakeTarget.write(
+                            socket, FakeTarget.answer(request, 503, "").replace("Signed", "Not-Run: 1\r\nSigned")));
+            fixture.catalog(1, LONG_MILLIS);
+            String answer = fixture.exchange(FrontFixture.request("POST", "/unsafe/x", "a", true));
+            assertThat(answer, startsWith("HTTP/1.1 503"));
+            assertThat(answer.toLowerCase(Locale.ROOT), containsString("retry-after:"));
+        }
+    }
+
+    /**
+     * The target dies in the middle of an event. The caller goes on with the next whole event from another target, and
+     * no event is missing, doubled or joined from two runs.
+     */
+    @Test
+    void resumableStreamGoesOnAtAnotherTarget() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            FakeTarget.Script script = (request, socket) -> {
+                String head = "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attempt(request)
+                        + "\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n";
+                if (request.toLowerCase(Locale.ROOT).contains("resume-after: 2")) {
+                    FakeTarget.write(socket, head + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n");
+                } else {
+                    FakeTarget.write(socket, head + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\n") + chunk("id: 3\nda"));
+                    socket.close();
+                }
+            };
+            fixture.target("t", script);
+            fixture.target("u", script);
+            fixture.catalog(2, LONG_MILLIS);
+            String answer = fixture.exchange(FrontFixture.request("POST", "/resumable/x", "a", true));
+            String events = answer.replaceAll("(?m)^[0-9a-f]+\r\n|\r\n", "");
+            assertThat(events, endsWith("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"));
+        }
+    }
+
+    /** A stream that may not run twice breaks. Its answer must not look whole. */
+    @Test
+    void brokenStreamDoesNotLookWhole() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            FakeTarget target = fixture.target("t", (request, socket) -> {
+                FakeTarget.write(
+                        socket,
+                        "HTTP/1.1 200 X\r\nAttempt: a\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + chunk("id: 1\ndata: a\n\n"));
+                socket.close();
+            });
+            fixture.catalog(2, LONG_MILLIS);
+            String answer = fixture.exchange(FrontFixture.request("POST", "/stream/x", "a", true));
+            assertThat(answer, not(containsString("\r\n0\r\n\r\n")));
+            assertThat(target.requests(), hasSize(1));
+        }
+    }
+
+    /** The caller leaves while the target works. The work is in vain, and the slot is needed. */
+    @Test
+    void leavingCallerStopsTheTarget() throws IOException, InterruptedException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            FakeTarget target = fixture.target("t", (request, socket) -> {});
+            fixture.catalog(1, LONG_MILLIS);
+            try (Socket socket = fixture.connect()) {
+                FakeTarget.write(socket, FrontFixture.request("POST", "/stream/x", "a", false));
+                while (target.requests().isEmpty()) {
+                    Thread.onSpinWait();
+                }
+            }
+            assertThat(target.closed().poll(LONG_MILLIS / 2, TimeUnit.MILLISECONDS), notNullValue());
+        }
+    }
+
+    /**
+     * The target never answers. At the route's timeout the caller gets its final answer, on a connection that stays.
+     */
+    @Test
+    void timeoutOfTheRouteEndsTheWait() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            fixture.target("t", (request, socket) -> {});
+            fixture.catalog(1, 300);
+            String answer = fixture.exchange(FrontFixture.request("POST", "/unsafe/x", "a", true));
+            assertThat(answer, startsWith("HTTP/1.1 504"));
+        }
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
@@ -0,0 +1,119 @@
+package org.whinwharf.front;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/** A target that answers each request as its script says. */
+final class FakeTarget implements AutoCloseable {
+    /** Answers one request; the connection stays open unless the script closes it. */
+    interface Script {
+        void answer(String request, Socket socket) throws IOException;
+    }
+
+    private final ServerSocket server;
+    private final Script script;
+    private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final BlockingQueue<String> closed = new LinkedBlockingQueue<>();
+
+    FakeTarget(String ip, Script script) throws IOException {
+        this.script = script;
+        server = new ServerSocket(0, 50, InetAddress.getByName(ip));
+        Thread acceptor = new Thread(this::accept, "fake-target");
+        acceptor.setDaemon(true);
+        acceptor.start();
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    /** Returns the heads of all requests so far. */
+    List<String> requests() {
+        return requests;
+    }
+
+    /** Connections that the other side closed, in order. */
+    BlockingQueue<String> closed() {
+        return closed;
+    }
+
+    /** Writes text as it is. */
+    static void write(Socket socket, String text) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(text.getBytes(StandardCharsets.US_ASCII));
+        out.flush();
+    }
+
+    /** Makes a whole signed answer. */
+    static String answer(String request, int status, String body) {
+        return "HTTP/1.1 " + status + " X\r\nAttempt: " + attempt(request) + "\r\nSigned: yes\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Returns the attempt that a request names. */
+    static String attempt(String request) {
+        for (String line : request.split("\r\n")) {
+            if (line.regionMatches(true, 0, "Attempt:", 0, 8)) {
+                return line.substring(8).trim();
+            }
+        }
+        return "";
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                Thread worker = new Thread(() -> serve(socket), "fake-target-connection");
+                worker.setDaemon(true);
+                worker.start();
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        String last = "";
+        try (socket) {
+            InputStream in = socket.getInputStream();
+            String head = readHead(in);
+            while (!head.isEmpty()) {
+                last = head;
+                requests.add(head);
+                script.answer(head, socket);
+                head = readHead(in);
+            }
+        } catch (IOException e) {
+            last = last + e.getMessage();
+        }
+        closed.add(last);
+    }
+
+    private static String readHead(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        int next = in.read();
+        while (next >= 0) {
+            head.append((char) next);
+            if (head.length() >= 4 && "\r\n\r\n".contentEquals(head.subSequence(head.length() - 4, head.length()))) {
+                return head.toString();
+            }
+            next = in.read();
+        }
+        return "";
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -0,0 +1,188 @@
+package org.whinwharf.front;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.whinwharf.traffic.catalog.CallerLimits;
+import org.whinwharf.traffic.catalog.Catalog;
+import org.whinwharf.traffic.catalog.ImmutableRoute;
+import org.whinwharf.traffic.catalog.ImmutableTargetService;
+import org.whinwharf.traffic.catalog.Route;
+import org.whinwharf.traffic.catalog.RouteKind;
+import org.whinwharf.traffic.catalog.ServiceWeight;
+import org.whinwharf.traffic.target.ImmutableTarget;
+
+/** One front process with fake targets, on a loopback address of its own. */
+final class FrontFixture implements AutoCloseable {
+    private static final AtomicInteger NEXT_ADDRESS = new AtomicInteger(1);
+    private static final int CALLER_PORT = 18_211;
+    private static final int PEER_PORT = 18_212;
+    private static final int READ_TIMEOUT_MILLIS = 10_000;
+
+    private final String ip = "127.0.71." + NEXT_ADDRESS.getAndIncrement();
+    private final Front front;
+    private final List<FakeTarget> targets = new ArrayList<>();
+
+    FrontFixture() {
+        front = new Front(
+                ImmutableFrontSettings.builder()
+                        .name("front-1")
+                        .ip(ip)
+                        .dataCentre("zilina-a")
+                        .callerAddress(ip + ":" + CALLER_PORT)
+                        .peerPort(PEER_PORT)
+                        .freshFleet(true)
+                        .retryRatio(1)
+                        .retryAllowance(100)
+                        .retryWindowMillis(10_000)
+                        .stopGraceMillis(2_000)
+                        .metricsPort(0)
+                        .build(),
+                new TestDialect());
+        front.start();
+    }
+
+    Front front() {
+        return front;
+    }
+
+    String ip() {
+        return ip;
+    }
+
+    /** Starts a target and publishes it. */
+    FakeTarget target(String id, FakeTarget.Script script) throws IOException {
+        FakeTarget target = new FakeTarget(ip, script);
+        targets.add(target);
+        run(() -> front.publish(
+                ImmutableTarget.builder()
+                        .id(id)
+                        .service("service")
+                        .ip(ip)
+                        .port(target.port())
+                        .dataCentre("zilina-a")
+                        .slots(8)
+                        .draining(false)
+                        .coldLeftMillis(0)
+                        .bornUnixMillis(1)
+                        .build(),
+                false));
+        return target;
+    }
+
+    /** Publishes routes for all kinds of requests and waits until callers are accepted. */
+    void catalog(int attempts, long timeoutMillis) {
+        List<Route> routes = List.of(
+                route("/safe/", RouteKind.SAFE, attempts, timeoutMillis, false),
+                route("/unsafe/", RouteKind.UNSAFE, attempts, timeoutMillis, false),
+                route("/stream/", RouteKind.STREAMING, attempts, timeoutMillis, false),
+                route("/resumable/", RouteKind.STREAMING, attempts, timeoutMillis, true));
+        run(() -> front.publish(new Catalog(
+                1,
+                CallerLimits.DEFAULT,
+                routes,
+                List.of(ImmutableTargetService.builder()
+                        .name("service")
+                        .healthPath("/health")
+                        .maxConnections(10)
+                        .coldStartMillis(0)
+                        .coldRequestsPerSecond(0)
+                        .engine(false)
+                        .build()),
+                List.of())));
+        while (!front.ready()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    private static Route route(String prefix, RouteKind kind, int attempts, long timeoutMillis, boolean resumable) {
+        return ImmutableRoute.builder()
+                .name(prefix)
+                .hostName("h")
+                .pathPrefix(prefix)
+                .kind(kind)
+                .addServices(new ServiceWeight("service", 1))
+                .timeoutMillis(timeoutMillis)
+                .objectiveMillis(200)
+                .tierRank(0)
+                .attempts(attempts)
+                .publicAccess(true)
+                .resumable(resumable)
+                .gapObjectiveMillis(200)
+                .build();
+    }
+
+    /** Opens a connection as a caller. */
+    Socket connect() throws IOException {
+        Socket socket = new Socket(ip, CALLER_PORT);
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    /** Sends text as it is and returns all that comes until the connection ends. */
+    String exchange(String text) throws IOException {
+        try (Socket socket = connect()) {
+            FakeTarget.write(socket, text);
+            return readAll(socket);
+        }
+    }
+
+    static String request(String method, String path, String attempt, boolean close) {
+        return method + " " + path + " HTTP/1.1\r\nHost: h\r\nAttempt: " + attempt + "\r\n"
+                + (method.equals("POST") ? "Content-Length: 0\r\n" : "")
+                + (close ? "Connection: close\r\n" : "") + "\r\n";
+    }
+
+    static String readAll(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder text = new StringBuilder();
+        byte[] buffer = new byte[4_096];
+        try {
+            int count = in.read(buffer);
+            while (count >= 0) {
+                text.append(new String(buffer, 0, count, StandardCharsets.US_ASCII));
+                count = in.read(buffer);
+            }
+        } catch (SocketException e) {
+            text.append("[reset]");
+        }
+        return text.toString();
+    }
+
+    /** Reads until the text ends with what is expected. */
+    static String readUntil(Socket socket, String end) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf(end) < 0) {
+            int next = in.read();
+            if (next < 0) {
+                return text + "[end]";
+            }
+            text.append((char) next);
+        }
+        return text.toString();
+    }
+
+    void run(Runnable action) {
+        try {
+            front.loop().submit(action).get();
+        } catch (InterruptedException | ExecutionException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (FakeTarget target : targets) {
+            target.close();
+        }
+        front.loop().shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -0,0 +1,80 @@
+package org.whinwharf.front;
+
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/** A small dialect of the tests' own. */
+final class TestDialect implements HttpDialect {
+    @Override
+    public RequestHead readRequest(HttpRequest request) throws BadRequestException {
+        String attempt = request.headers().get("Attempt");
+        if (attempt == null) {
+            throw new BadRequestException("no attempt");
+        }
+        return ImmutableRequestHead.builder()
+                .attemptId(attempt)
+                .authority(request.headers().get("Host"))
+                .path(request.uri())
+                .deadlineMillis(OptionalLong.empty())
+                .key(Optional.empty())
+                .model("")
+                .promptTokens(0)
+                .answerTokens(0)
+                .countsTokens(false)
+                .resumeAfterEvent(Optional.empty())
+                .build();
+    }
+
+    @Override
+    public HttpRequest targetRequest(HttpRequest request, Dispatch dispatch) {
+        HttpHeaders headers =
+                new DefaultHttpHeaders().set("Attempt", request.headers().get("Attempt"));
+        headers.set("Expect-Target", dispatch.targetId());
+        dispatch.resumeAfterEvent().ifPresent(id -> headers.set("Resume-After", id));
+        if (request.method().equals(HttpMethod.POST)) {
+            headers.set("Content-Length", 0);
+        }
+        return new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(), headers);
+    }
+
+    @Override
+    public AnswerHead readAnswer(HttpResponse response) {
+        return ImmutableAnswerHead.builder()
+                .status(response.status().code())
+                .attemptId(response.headers().get("Attempt", ""))
+                .notExecuted(response.headers().contains("Not-Run"))
+                .otherTarget(response.status().code() == 421)
+                .signed(response.headers().contains("Signed"))
+                .eventStream(false)
+                .keepAliveMillis(OptionalLong.of(10_000))
+                .build();
+    }
+
+    @Override
+    public HttpHeaders callerHeaders(HttpResponse response) {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        if (response.headers().contains("Signed")) {
+            headers.set("Signed", response.headers().get("Signed"));
+        }
+        return headers;
+    }
+
+    @Override
+    public FullHttpRequest healthCheck(String address, String path) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
+    }
+
+    @Override
+    public OptionalLong readHealth(HttpResponse response, String targetId) {
+        return response.status().code() == 200 ? OptionalLong.of(0) : OptionalLong.empty();
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -50,6 +50,7 @@
     private CompositeByteBuf body;
     private Exchange exchange;
     private boolean closing;
+    private boolean closeAfterAnswer;
     private boolean answerBegun;
     private long quietSinceMillis;
     private boolean midHead;
@@ -160,6 +161,7 @@
             CompositeByteBuf whole = body;
             request = null;
             body = null;
+            closeAfterAnswer = !HttpUtil.isKeepAlive(head);
             exchange = new Exchange(front, this, head, whole);
             exchange.begin();
         }
@@ -202,7 +204,7 @@
         DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         head.headers().set(headers).remove(HttpHeaderNames.CONTENT_LENGTH);
         HttpUtil.setTransferEncodingChunked(head, true);
-        if (front.leaving()) {
+        if (front.leaving() || closeAfterAnswer) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             closing = true;
         }
@@ -257,7 +259,7 @@
 
     private void write(FullHttpResponse full, boolean close) {
         answerBegun = true;
-        closing = closing || close || front.leaving();
+        closing = closing || close || closeAfterAnswer || front.leaving();
         if (closing) {
             full.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/ColdGate.java
@@ -0,0 +1,44 @@
+package org.whinwharf.traffic.target;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/**
+ * Bounds what this process sends to one cold target.
+ *
+ * <p>A cold target falls over when all processes together send it more than it bears in a second, and nobody sees the
+ * sum in time. So a few processes, chosen by rendezvous hashing, may send to it at all, each a fixed share; one more
+ * process that chose itself from an older list of members still leaves the sum within the bound.
+ */
+public final class ColdGate {
+    /** Window of the bound, with 200 ms added for requests of one second that arrive bunched. */
+    private static final long WINDOW_MILLIS = 1_200;
+
+    private final Deque<Long> sentAtMillis = new ArrayDeque<>();
+
+    /**
+     * Tells whether one more request may go to the target now.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @param mostInWindow most requests this process may send in a second
+     * @return true when there is room
+     */
+    public boolean hasRoom(long nowMillis, int mostInWindow) {
+        while (!sentAtMillis.isEmpty() && nowMillis - sentAtMillis.peekFirst() > WINDOW_MILLIS) {
+            sentAtMillis.removeFirst();
+        }
+        return sentAtMillis.size() < mostInWindow;
+    }
+
+    /**
+     * Notes a request that was sent.
+     *
+     * @param nowMillis steady time in milliseconds
+     */
+    public void sent(long nowMillis) {
+        sentAtMillis.addLast(nowMillis);
+        if (sentAtMillis.size() > 64) {
+            sentAtMillis.removeFirst();
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetSpeed.java
@@ -0,0 +1,59 @@
+package org.whinwharf.traffic.target;
+
+/**
+ * Learned speed of one engine, as seen from this process.
+ *
+ * <p>Engines of one service differ by a factor of five and slow down at any moment. A request that is sent by counts
+ * alone waits at the slow ones; first events that come later than predicted show it.
+ */
+public final class TargetSpeed {
+    /** Prompt tokens read in a millisecond before anything was measured: a current engine's published figure. */
+    public static final double ASSUMED_TOKENS_PER_MILLI = 60;
+    /** Time to a first event beside the prompt, before anything was measured. */
+    private static final double ASSUMED_BASE_MILLIS = 20;
+    /** Weight of the newest reading: a change of speed shows after about five requests. */
+    private static final double NEWEST_WEIGHT = 0.2;
+    /** Bounds of the factor, so that one odd reading neither bans a target nor floods it. */
+    private static final double SLOWEST_FACTOR = 12;
+
+    private static final double FASTEST_FACTOR = 0.3;
+
+    private double factor = 1;
+
+    /**
+     * Predicts the time to the first event of a request that need not wait for a slot.
+     *
+     * @param uncachedTokens prompt tokens that the target has to read, those of requests ahead included
+     * @param occupancy requests at the target over its slots
+     * @return time in milliseconds
+     */
+    public double firstEventMillis(long uncachedTokens, double occupancy) {
+        return factor * baselineMillis(uncachedTokens, occupancy);
+    }
+
+    /**
+     * Notes a first event.
+     *
+     * @param uncachedTokens tokens that the prediction was made with
+     * @param occupancy occupancy that the prediction was made with
+     * @param tookMillis time from sending to the first event
+     */
+    public void observed(long uncachedTokens, double occupancy, long tookMillis) {
+        double seen = (tookMillis + 1) / baselineMillis(uncachedTokens, occupancy);
+        double bounded = Math.max(FASTEST_FACTOR, Math.min(SLOWEST_FACTOR, seen));
+        factor += (bounded - factor) * NEWEST_WEIGHT;
+    }
+
+    /**
+     * Returns how slow the target is.
+     *
+     * @return 1 for an engine of the assumed speed, more for a slower one
+     */
+    public double factor() {
+        return factor;
+    }
+
+    private static double baselineMillis(long uncachedTokens, double occupancy) {
+        return (ASSUMED_BASE_MILLIS + uncachedTokens / ASSUMED_TOKENS_PER_MILLI) * (1 + occupancy);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
@@ -0,0 +1,208 @@
+package org.whinwharf.traffic.target;
+
+/** What this process knows of one target; used by one thread only. */
+public final class TargetState {
+    private Target target;
+    private final TargetHealth health = new TargetHealth();
+    private final TargetSpeed speed = new TargetSpeed();
+    private final ColdGate coldGate = new ColdGate();
+    private int ownRunning;
+    private long ownPrefillTokens;
+    private int othersRunning;
+    private long othersPrefillTokens;
+    private long coldUntilMillis;
+    private long goneAtMillis = Long.MAX_VALUE;
+    private long fullUntilMillis;
+
+    /**
+     * Creates the state of a target that was just published.
+     *
+     * @param target the target
+     */
+    public TargetState(Target target) {
+        this.target = target;
+    }
+
+    /**
+     * Returns the target as last published.
+     *
+     * @return the target
+     */
+    public Target target() {
+        return target;
+    }
+
+    /**
+     * Takes a new publication of the same target.
+     *
+     * @param published the target
+     */
+    public void update(Target published) {
+        target = published;
+        goneAtMillis = Long.MAX_VALUE;
+    }
+
+    /**
+     * Returns the target's passive health.
+     *
+     * @return health
+     */
+    public TargetHealth health() {
+        return health;
+    }
+
+    /**
+     * Returns the target's learned speed.
+     *
+     * @return speed
+     */
+    public TargetSpeed speed() {
+        return speed;
+    }
+
+    /**
+     * Returns the bound on requests while the target is cold.
+     *
+     * @return gate
+     */
+    public ColdGate coldGate() {
+        return coldGate;
+    }
+
+    /**
+     * Notes that the target is cold.
+     *
+     * @param untilMillis steady time in milliseconds at which it is warm again
+     */
+    public void coldUntil(long untilMillis) {
+        coldUntilMillis = Math.max(coldUntilMillis, untilMillis);
+    }
+
+    /**
+     * Tells whether the target is cold.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return true while it is cold
+     */
+    public boolean cold(long nowMillis) {
+        return nowMillis < coldUntilMillis;
+    }
+
+    /**
+     * Notes that the target's entry was removed.
+     *
+     * @param atMillis steady time from which it counts as gone
+     */
+    public void goneAt(long atMillis) {
+        goneAtMillis = Math.min(goneAtMillis, atMillis);
+    }
+
+    /**
+     * Tells whether the target's entry was removed.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return true when it counts as gone
+     */
+    public boolean gone(long nowMillis) {
+        return nowMillis >= goneAtMillis;
+    }
+
+    /**
+     * Notes that the target refused a request because it is full.
+     *
+     * @param untilMillis steady time until which it gets nothing
+     */
+    public void fullUntil(long untilMillis) {
+        fullUntilMillis = untilMillis;
+    }
+
+    /**
+     * Tells whether the target may get requests at all, cold or warm.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return true when nothing speaks against it
+     */
+    public boolean usable(long nowMillis) {
+        return !target.draining() && !gone(nowMillis) && !health.ejected() && nowMillis >= fullUntilMillis;
+    }
+
+    /**
+     * Notes a request that this process sends.
+     *
+     * @param uncachedTokens prompt tokens that the target has to read
+     */
+    public void began(long uncachedTokens) {
+        ownRunning++;
+        ownPrefillTokens += uncachedTokens;
+    }
+
+    /**
+     * Notes that a prompt was read: the first event came, or the request ended before.
+     *
+     * @param uncachedTokens tokens given to {@link #began}
+     */
+    public void prefilled(long uncachedTokens) {
+        ownPrefillTokens -= uncachedTokens;
+    }
+
+    /** Notes the end of a request. */
+    public void ended() {
+        ownRunning--;
+    }
+
+    /**
+     * Takes what other processes last said of their requests at the target.
+     *
+     * @param running requests
+     * @param prefillTokens prompt tokens not yet read
+     */
+    public void others(int running, long prefillTokens) {
+        othersRunning = running;
+        othersPrefillTokens = prefillTokens;
+    }
+
+    /**
+     * Returns this process's requests at the target.
+     *
+     * @return requests
+     */
+    public int ownRunning() {
+        return ownRunning;
+    }
+
+    /**
+     * Returns this process's prompt tokens that the target has not read yet.
+     *
+     * @return tokens
+     */
+    public long ownPrefillTokens() {
+        return ownPrefillTokens;
+    }
+
+    /**
+     * Returns all known requests at the target.
+     *
+     * @return requests of this and of other processes
+     */
+    public int running() {
+        return ownRunning + othersRunning;
+    }
+
+    /**
+     * Returns all known prompt tokens that the target has not read yet.
+     *
+     * @return tokens of this and of other processes
+     */
+    public long prefillTokens() {
+        return ownPrefillTokens + othersPrefillTokens;
+    }
+
+    /**
+     * Returns the requests at the target over its slots.
+     *
+     * @return occupancy; above 1 when some wait there
+     */
+    public double occupancy() {
+        return running() / (double) Math.max(1, target.slots());
+    }
+}
