Spread the come-back advice of quota refusals; test the adapter

Change: the advice counts those refused here before. The adapter's reading of heads, entries and configuration is tested, and that its names stand nowhere else.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -122,7 +122,7 @@
         if (organisation.isPresent()
                 && !front.quotas().tryAdmit(organisation.get().name(), quotaTokens, nowMillis)) {
             long comeBackMillis =
-                    front.quotas().admitsInMillis(organisation.get().name());
+                    front.quotas().comeBackMillis(organisation.get().name());
             quotaTokens = 0;
             refuse(new Refusal(ErrorKind.OVER_QUOTA, Math.max(comeBackMillis, Front.NOT_READY_COME_BACK_MILLIS)));
             return;
--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
@@ -0,0 +1,117 @@
+package org.whinwharf.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.nullValue;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.front.AnswerHead;
+import org.whinwharf.front.BadRequestException;
+import org.whinwharf.front.Dispatch;
+import org.whinwharf.front.RequestHead;
+import org.whinwharf.traffic.target.PromptPart;
+
+class PlatformDialectTest {
+    private final PlatformDialect dialect = new PlatformDialect();
+
+    private static HttpRequest request() {
+        HttpRequest request = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/a/b?c=d");
+        request.headers()
+                .set("Host", "h.example")
+                .set("X-Attempt-Id", "9c41")
+                .set("X-Model", "m")
+                .set("X-Token-Usage", "1460,80")
+                .set("X-Prompt-Prefix", "5c1e:800,91bd:660")
+                .set("X-Deadline-Ms", "12000")
+                .set("X-Api-Key", "secret");
+        return request;
+    }
+
+    @Test
+    void requestIsReadIntoItsParts() throws BadRequestException {
+        RequestHead head = dialect.readRequest(request());
+        assertThat(head.attemptId(), is("9c41"));
+        assertThat(head.path(), is("/a/b"));
+        assertThat(head.promptTokens(), is(1_460L));
+        assertThat(head.answerTokens(), is(80L));
+        assertThat(head.deadlineMillis(), is(OptionalLong.of(12_000)));
+        assertThat(head.parts(), contains(new PromptPart("5c1e", 800), new PromptPart("91bd", 660)));
+        assertThat(head.key(), is(Optional.of("secret")));
+    }
+
+    @Test
+    void requestWithoutOneAttemptIdIsMalformed() {
+        HttpRequest request = request();
+        request.headers().add("X-Attempt-Id", "other");
+        assertThrows(BadRequestException.class, () -> dialect.readRequest(request));
+        request.headers().remove("X-Attempt-Id");
+        assertThrows(BadRequestException.class, () -> dialect.readRequest(request));
+    }
+
+    /**
+     * A caller sets headers that only this system may set, or names one of them as belonging to its connection. The
+     * target would believe another organisation's name, keep memory for the caller, or run the request anywhere.
+     */
+    @Test
+    void targetHearsTheSystemsWordsAndNotTheCallers() {
+        HttpRequest request = request();
+        request.headers()
+                .set("X-Tenant", "forged")
+                .set("X-Expect-Instance", "forged")
+                .set("X-Hold", "forged")
+                .set("X-Pin-Ms", "4000")
+                .set("X-Kv-Backup", "10.0.0.1:1")
+                .set("Kv-From", "10.0.0.1:1/x")
+                .set("Connection", "keep-alive, X-Secret")
+                .set("X-Secret", "s");
+        HttpRequest sent =
+                dialect.targetRequest(request, new Dispatch("i-1", Optional.of("obec"), 900, Optional.empty()));
+        assertThat(sent.headers().get("X-Tenant"), is("obec"));
+        assertThat(sent.headers().get("X-Expect-Instance"), is("i-1"));
+        assertThat(sent.headers().get("X-Deadline-Ms"), is("900"));
+        assertThat(sent.headers().get("X-Attempt-Id"), is("9c41"));
+        assertThat(sent.headers().get("X-Prompt-Prefix"), is("5c1e:800,91bd:660"));
+        for (String absent : new String[] {"X-Api-Key", "X-Hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-From", "X-Secret"}) {
+            assertThat(absent, sent.headers().get(absent), nullValue());
+        }
+        assertThat(sent.uri(), is("/a/b?c=d"));
+    }
+
+    @Test
+    void publicRequestNamesNoOrganisation() {
+        HttpRequest request = request();
+        request.headers().set("X-Tenant", "forged");
+        HttpRequest sent = dialect.targetRequest(request, new Dispatch("i-1", Optional.empty(), 900, Optional.empty()));
+        assertThat(sent.headers().get("X-Tenant"), nullValue());
+    }
+
+    @Test
+    void answerSaysWhetherItRan() {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        assertThat(dialect.readAnswer(response).notExecuted(), is(false));
+        response.headers().set("X-Not-Executed", "1").set("Keep-Alive", "timeout=4, max=9");
+        AnswerHead head = dialect.readAnswer(response);
+        assertThat(head.notExecuted(), is(true));
+        assertThat(head.keepAliveMillis(), is(OptionalLong.of(4_000)));
+    }
+
+    /** The address of a target that is gone belongs to another one, which is healthy. */
+    @Test
+    void healthOfAnotherTargetIsNotHealth() {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+        response.headers().set("X-Instance-Id", "i-2").set("X-Cold-Ms", "1500");
+        assertThat(dialect.readHealth(response, "i-1"), is(OptionalLong.empty()));
+        assertThat(dialect.readHealth(response, "i-2"), is(OptionalLong.of(1_500)));
+    }
+}
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -1,7 +1,9 @@
 package org.whinwharf.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 
 import java.util.ArrayList;
@@ -55,6 +57,25 @@
         assertThat((double) (before + after), lessThan(BOUND));
     }
 
+    /**
+     * An organisation over its quota sends a hundred requests at once. If all were told to come back when the quota
+     * admits again, all but one would be refused a second time.
+     */
+    @Test
+    void refusedCallersAreToldToComeBackOneAfterAnother() {
+        QuotaLedger ledger = new QuotaLedger(true);
+        ledger.update(Fixtures.catalog(1, RATE, RATE), 0);
+        while (ledger.tryAdmit("obec", REQUEST_TOKENS, 0)) {
+            assertThat(ledger.comeBackMillis("obec") > 0, is(true));
+        }
+        long first = ledger.comeBackMillis("obec");
+        for (int i = 0; i < 99; i++) {
+            ledger.tryAdmit("obec", REQUEST_TOKENS, 0);
+        }
+        long last = ledger.comeBackMillis("obec");
+        assertThat((double) (last - first), closeTo(99 * REQUEST_TOKENS / RATE * 1_000, 2));
+    }
+
     private static List<QuotaLedger> fleet(boolean fresh) {
         List<QuotaLedger> fleet = new ArrayList<>();
         for (int i = 0; i < PROCESSES; i++) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -16,6 +16,7 @@
     private double burst;
     private double level;
     private double reachableShare = 1;
+    private double refusedBacklog;
     private long refilledAtMillis;
 
     /**
@@ -68,6 +69,7 @@
     public boolean tryAdmit(long tokens, long nowMillis) {
         refill(nowMillis);
         if (level <= 0) {
+            refusedBacklog += tokens;
             return false;
         }
         level -= tokens;
@@ -95,17 +97,24 @@
     }
 
     /**
-     * Returns when the account admits again.
+     * Returns when a caller that was just refused should come back: once the debt is paid and those refused here before
+     * it have had their turn. Callers that were all told the same moment would come back together and most be refused
+     * again.
      *
-     * @return time in milliseconds; 0 when it admits now
+     * @param processes processes that admit from the same quota
+     * @return time in milliseconds
      */
-    public long admitsInMillis() {
-        return level > 0 ? 0 : (long) (-level / ratePerSecond * 1_000) + 1;
+    public long comeBackMillis(int processes) {
+        double ownRate = ratePerSecond / Math.max(1, processes);
+        double debtSeconds = Math.max(0, -level) / ratePerSecond;
+        return (long) ((debtSeconds + refusedBacklog / ownRate) * 1_000) + 1;
     }
 
     private void refill(long nowMillis) {
         long elapsedMillis = Math.max(0, nowMillis - refilledAtMillis);
         refilledAtMillis = nowMillis;
-        level = Math.min(burst, level + ratePerSecond * reachableShare * elapsedMillis / 1_000.0);
+        double refill = ratePerSecond * reachableShare * elapsedMillis / 1_000.0;
+        level = Math.min(burst, level + refill);
+        refusedBacklog = Math.max(0, refusedBacklog - refill);
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -81,14 +81,14 @@
     }
 
     /**
-     * Returns when a refused organisation is admitted again.
+     * Returns when a caller of a refused organisation should come back.
      *
      * @param organisation name of the organisation
-     * @return time in milliseconds
+     * @return time in milliseconds; 0 when it has no quota
      */
-    public long admitsInMillis(String organisation) {
+    public long comeBackMillis(String organisation) {
         QuotaAccount account = accounts.get(organisation);
-        return account == null ? 0 : account.admitsInMillis();
+        return account == null ? 0 : account.comeBackMillis(1 + heardTotals.size());
     }
 
     /**
