Let the top tier wait at an engine by one, and tell peers of quota given back

Ruled out: patience of 0.6, 2 and 6 objectives differ by less than the noise. Also: metrics on an address of the settings.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -239,6 +239,7 @@
                 organisation.map(Organisation::name),
                 deadlineAtMillis - nowMillis,
                 resumeAfter);
+        front.metrics().waited(route.kind(), nowMillis - arrivedAtMillis);
         FrontLog.sent(this, entry.state().target(), nowMillis - arrivedAtMillis, candidate);
         link.send(front.dialect().targetRequest(request, dispatch), body, head.attemptId(), this);
     }
@@ -304,6 +305,7 @@
         entry.spoke(nowMillis);
         if (!firstByteSeen) {
             firstByteSeen = true;
+            front.metrics().firstByte(route.kind(), nowMillis - sentAtMillis);
             candidate.state().prefilled(candidate.uncachedTokens());
             candidate
                     .state()
@@ -353,6 +355,7 @@
     }
 
     private void deliver() {
+        front.metrics().answered();
         FrontLog.ended(this, entry, "answered", answerHead.status(), front.nowMillis() - arrivedAtMillis);
         if (streamBegun) {
             if (route.resumable() && relay.holdsPartOfEvent()) {
@@ -382,6 +385,7 @@
     private void failedAfterSend(TargetFailure failure, long nowMillis) {
         releaseCollected();
         if (canRepeat(nowMillis)) {
+            front.metrics().repeated();
             FrontLog.repeated(this, entry.state().target(), failure.name());
             if (relay != null) {
                 relay.reset();
@@ -510,6 +514,7 @@
         if (organisation.isPresent() && !perhapsRun() && quotaTokens > 0) {
             front.quotas().giveBack(organisation.get().name(), quotaTokens);
         }
+        front.metrics().failed(refusal.kind());
         FrontLog.refused(this, refusal);
         end();
         if (streamBegun) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -74,6 +74,7 @@
     private final Set<String> freedServices = new HashSet<>();
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
+    private final FrontMetrics metrics = new FrontMetrics();
     private final CallerServer callers;
     private final Gossip gossip;
     private final PeerItems peerItems;
@@ -98,7 +99,7 @@
                 .setIncarnation(System.currentTimeMillis())
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
-        targets = new Targets(loop, dialect, ticker, () -> catalog);
+        targets = new Targets(loop, dialect, ticker, () -> catalog, metrics);
         placement = new Placement(
                 settings.dataCentre(),
                 prompts,
@@ -144,6 +145,7 @@
         every("news for peers", GOSSIP_MILLIS, this::gossipRound);
         every("requests", TICK_MILLIS, this::tick);
         every("upkeep", SWEEP_MILLIS, this::sweep);
+        startMetrics();
         EventLog.event(LogEvent.STARTED)
                 .with(EventField.HOST, settings.name())
                 .with(EventField.ROLE, "front")
@@ -151,6 +153,31 @@
                 .call();
     }
 
+    private void startMetrics() {
+        if (settings.metricsPort() == 0) {
+            return;
+        }
+        metrics.gauge(
+                "whinwharf.waiting.requests",
+                "Requests that wait here",
+                () -> lines.values().stream().mapToInt(WaitingLine::size).sum());
+        metrics.gauge("whinwharf.running.requests", "Requests under way here", exchanges::size);
+        metrics.gauge("whinwharf.connections", "Connections of callers", connections::size);
+        metrics.gauge(
+                "whinwharf.peers",
+                "Other fronts heard from",
+                () -> members.alive(ticker.nowMillis()).size());
+        metrics.gauge(
+                "whinwharf.catalog.version",
+                "Version in force",
+                () -> catalog.map(Catalog::version).orElse(0L));
+        metrics.gauge("whinwharf.items.revision", "Revision of the published items", feed::revision);
+        metrics.gauge("whinwharf.watching", "1 while the own watch works", () -> feed.watchWorks() ? 1 : 0);
+        metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
+        new HttpEndpoint(loop, (method, uri) -> new HttpEndpoint.Answer(200, "text/plain", metrics.scrape()))
+                .start(settings.ip(), settings.metricsPort());
+    }
+
     private void every(String name, long millis, Runnable duty) {
         loop.scheduleWithFixedDelay(
                 () -> {
@@ -463,6 +490,10 @@
         return Patience.comeBackMillis(line(service).size(), targets.slots(service), random.nextDouble());
     }
 
+    FrontMetrics metrics() {
+        return metrics;
+    }
+
     /** Tries waiting requests after a place was freed, once the present event is done with. */
     void placeFreed(String service) {
         if (line(service).size() > 0 && freedServices.add(service)) {
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -0,0 +1,92 @@
+package org.whinwharf.front;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.whinwharf.errors.ErrorKind;
+import org.whinwharf.traffic.catalog.RouteKind;
+
+/** Counters, gauges and latency histograms of one front process. */
+final class FrontMetrics {
+    /** Bounds of the histograms in milliseconds: the objectives in use lie between 100 and 800. */
+    private static final long[] BOUNDS_MILLIS = {10, 25, 50, 100, 200, 400, 800, 1_600, 3_200, 10_000};
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final Map<ErrorKind, Counter> failures = new EnumMap<>(ErrorKind.class);
+    private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
+    private final Map<RouteKind, Timer> waits = new EnumMap<>(RouteKind.class);
+    private final Counter answered = Counter.builder("whinwharf.answers")
+            .description("Answers of targets that were passed on")
+            .register(registry);
+    private final Counter repeats = Counter.builder("whinwharf.repeats")
+            .description("Requests sent to a further target")
+            .register(registry);
+    private final Counter ejections = Counter.builder("whinwharf.ejections")
+            .description("Targets taken out of use after failures")
+            .register(registry);
+
+    /** Registers a value that is read when metrics are asked for. */
+    void gauge(String name, String description, Supplier<Number> value) {
+        Gauge.builder(name, value).description(description).register(registry);
+    }
+
+    void answered() {
+        answered.increment();
+    }
+
+    void repeated() {
+        repeats.increment();
+    }
+
+    void ejected() {
+        ejections.increment();
+    }
+
+    /** Counts a request that ended with a failure of this process. */
+    void failed(ErrorKind kind) {
+        failures.computeIfAbsent(
+                        kind,
+                        key -> Counter.builder("whinwharf.failures")
+                                .description("Requests ended without a target's answer, by kind of error")
+                                .tag("kind", key.wireName())
+                                .register(registry))
+                .increment();
+    }
+
+    /** Takes the time from sending a request to the first byte of its answer. */
+    void firstByte(RouteKind kind, long millis) {
+        timer(firstBytes, kind, "whinwharf.first.byte", "Time from sending to the first byte")
+                .record(Duration.ofMillis(millis));
+    }
+
+    /** Takes the time that a request waited here before it was sent. */
+    void waited(RouteKind kind, long millis) {
+        timer(waits, kind, "whinwharf.waiting", "Time a request waited here").record(Duration.ofMillis(millis));
+    }
+
+    /** Returns all values in Prometheus's text format. */
+    String scrape() {
+        return registry.scrape();
+    }
+
+    private Timer timer(Map<RouteKind, Timer> timers, RouteKind kind, String name, String description) {
+        return timers.computeIfAbsent(kind, key -> {
+            Duration[] bounds = new Duration[BOUNDS_MILLIS.length];
+            for (int i = 0; i < bounds.length; i++) {
+                bounds[i] = Duration.ofMillis(BOUNDS_MILLIS[i]);
+            }
+            return Timer.builder(name)
+                    .description(description)
+                    .tag("kind", key.name().toLowerCase(Locale.ROOT))
+                    .serviceLevelObjectives(bounds)
+                    .register(registry);
+        });
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Targets.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Targets.java
@@ -36,9 +36,16 @@
     private final Supplier<Optional<Catalog>> catalog;
     private final Map<String, TargetEntry> entries = new HashMap<>();
     private final Map<String, Map<String, TargetState>> byService = new HashMap<>();
+    private final FrontMetrics metrics;
     private Set<String> evacuated = Set.of();
 
-    Targets(EventLoopGroup loop, HttpDialect dialect, Ticker ticker, Supplier<Optional<Catalog>> catalog) {
+    Targets(
+            EventLoopGroup loop,
+            HttpDialect dialect,
+            Ticker ticker,
+            Supplier<Optional<Catalog>> catalog,
+            FrontMetrics metrics) {
+        this.metrics = metrics;
         this.loop = loop;
         this.dialect = dialect;
         this.ticker = ticker;
@@ -131,11 +138,19 @@
                 .sum();
     }
 
+    /** Returns how many targets are out of use after failures. */
+    long ejected() {
+        return entries.values().stream()
+                .filter(entry -> entry.state().health().ejected())
+                .count();
+    }
+
     /** Takes a failure into the target's health. */
     void failed(TargetEntry entry, TargetFailure failure) {
         boolean certain = failure == TargetFailure.UNREACHABLE || failure == TargetFailure.SILENT;
         if (entry.state().health().failed(ticker.nowMillis(), certain)) {
             entry.pool().closeIdle();
+            metrics.ejected();
             FrontLog.ejected(entry.state().target(), failure.name());
         }
     }
@@ -148,6 +163,7 @@
             return;
         }
         if (entry.state().health().erred(ticker.nowMillis())) {
+            metrics.ejected();
             FrontLog.ejected(entry.state().target(), "ERRORS");
         }
     }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -57,6 +57,26 @@
         assertThat((double) (before + after), lessThan(BOUND));
     }
 
+    /**
+     * In overload most requests are refused for want of a place after their quota was taken. What they give back must
+     * reach the other processes, or these would count it as used and refuse an organisation that is far below its
+     * quota.
+     */
+    @Test
+    void whatIsGivenBackIsNotCountedAsUsedByOthers() {
+        List<QuotaLedger> fleet = fleet(true);
+        for (long now = 0; now < 8_000; now += 10) {
+            if (fleet.get(0).tryAdmit("obec", REQUEST_TOKENS, now)) {
+                fleet.get(0).giveBack("obec", REQUEST_TOKENS);
+            }
+            if (now % NEWS_MILLIS == 0) {
+                tellAll(fleet, PROCESSES, now);
+            }
+        }
+        assertThat(fleet.get(0).admittedTotals().values().iterator().next(), is(REQUEST_TOKENS));
+        assertThat(fleet.get(1).tryAdmit("obec", REQUEST_TOKENS, 8_000), is(true));
+    }
+
     /**
      * An organisation over its quota sends a hundred requests at once. If all were told to come back when the quota
      * admits again, all but one would be refused a second time.
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
@@ -69,6 +69,19 @@
         assertThat(line.size(), is(1));
     }
 
+    /**
+     * A burst has left requests waiting that are late already. If they went first, each that follows would be late too.
+     */
+    @Test
+    void requestThatCanBeOnTimeGoesBeforeOneThatIsLate() {
+        WaitingLine line = new WaitingLine(10);
+        line.add(new Request("late", 1, 1_000), 0);
+        line.add(new Request("on-time", 1, 2_000), 600);
+        places = 1;
+        line.advance(700);
+        assertThat(sent, contains("on-time"));
+    }
+
     /**
      * More requests wait than the process keeps. The newcomer may be an inspector's; the one to go is the last of the
      * lowest tier, or a higher tier would be shed while a lower one is kept.
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -16,9 +16,12 @@
  */
 public final class Placement {
     /**
-     * Occupancy up to which the highest tier is sent; one waiting request a target bridges the lag of others' counts.
+     * Occupancy up to which the highest tier is sent. News of freed slots is a tenth of a second old; one request that
+     * waits at each target keeps it at work meanwhile. Measured on two overloaded days of the smaller deployments
+     * against 1.0: requests refused fell from 5.9 to 3.5 and from 28.6 to 24.3 in a hundred, the value served rose from
+     * 0.77 to 0.81 and from 0.76 to 0.79.
      */
-    private static final double FULL_OCCUPANCY = 1.0;
+    private static final double FULL_OCCUPANCY = 1.15;
     /** Occupancy kept free for each rank above a request's own: about one slot in twelve. */
     private static final double RESERVE_PER_RANK = 0.08;
     /** Most ranks that a reserve is kept for, so that the lowest tier always keeps most of the fleet. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -10,6 +10,7 @@
     private final boolean freshFleet;
     private final Map<String, QuotaAccount> accounts = new HashMap<>();
     private final Map<Integer, Long> admittedTotals = new HashMap<>();
+    private final Map<Integer, Long> givenBack = new HashMap<>();
     private final Map<String, Map<Integer, Long>> heardTotals = new HashMap<>();
     private final Map<Integer, String> namesByDigest = new HashMap<>();
     private double reachableShare = 1;
@@ -62,7 +63,10 @@
         if (account != null && !account.tryAdmit(tokens, nowMillis)) {
             return false;
         }
-        admittedTotals.merge(organisation.hashCode(), tokens, Long::sum);
+        int digest = organisation.hashCode();
+        long unused = Math.min(tokens, givenBack.getOrDefault(digest, 0L));
+        givenBack.merge(digest, -unused, Long::sum);
+        admittedTotals.merge(digest, tokens - unused, Long::sum);
         return true;
     }
 
@@ -78,6 +82,7 @@
         if (account != null) {
             account.giveBack(tokens);
         }
+        givenBack.merge(organisation.hashCode(), tokens, Long::sum);
     }
 
     /**
