--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -339,6 +339,8 @@
         if (answerHead.status() >= 500) {
             front.targetAnsweredError(entry);
             if (canRepeat(nowMillis)) {
+                front.metrics().repeated();
+                FrontLog.repeated(this, entry.state().target(), "status " + answerHead.status());
                 releaseCollected();
                 place(nowMillis);
                 return;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -26,7 +26,7 @@
  */
 public final class ItemFeed {
     /** Silence of the own watch after which peers are asked; a watch answers at least this often. */
-    private static final long WATCH_SILENT_MILLIS = 2_200;
+    private static final long WATCH_SILENT_MILLIS = 2_900;
     /** Time a peer may keep a question waiting. */
     private static final long PEER_WAIT_MILLIS = 1_000;
     /** Fleet size up to which every process watches. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -22,6 +22,9 @@
     /** Silence after which a process no longer counts as part of the fleet: longer than a restart or a short cut. */
     public static final long FORGOTTEN_MILLIS = 20_000;
 
+    /** What is used beyond the strict part while processes are silent. */
+    private static final double SILENT_EXCESS = 1.2;
+
     private final Map<String, Member> others = new TreeMap<>();
     private MemberReport own;
 
@@ -138,13 +141,18 @@
     }
 
     /**
-     * Returns which part of the fleet this process hears from.
+     * Returns which part of the fleet's refill this process and those it hears from may use.
+     *
+     * <p>Processes that are silent may be down and use nothing, or be cut off and use their part. A little more than
+     * the strict part is taken, since most silence is a restart; two halves of a fleet then use a fifth too much
+     * together, which is less than what a window of the quota is allowed to exceed it by.
      *
      * @param nowMillis steady time in milliseconds
      * @return share, this process included, above 0 and at most 1
      */
     public double reachableShare(long nowMillis) {
-        return (1.0 + alive(nowMillis).size()) / (1.0 + others.size());
+        double strict = (1.0 + alive(nowMillis).size()) / (1.0 + others.size());
+        return Math.min(1, strict * SILENT_EXCESS);
     }
 
     private static boolean newer(MemberReport report, MemberReport known) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -26,8 +26,11 @@
     private static final double RESERVE_PER_RANK = 0.08;
     /** Most ranks that a reserve is kept for, so that the lowest tier always keeps most of the fleet. */
     private static final int MOST_RESERVES = 3;
-    /** Price of leaving the own data centre: twice the measured one-way delay there and back. */
-    private static final double OTHER_DATA_CENTRE_MILLIS = 4;
+    /**
+     * Price of leaving the own data centre: the way there and back, and as much again for bytes between data centres,
+     * which are paid for. A tenth of the shortest objective of a plain service.
+     */
+    private static final double OTHER_DATA_CENTRE_MILLIS = 10;
 
     private final String ownDataCentre;
     private final PromptCache prompts;
