--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/AnswerTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/AnswerTest.java
@@ -103,6 +103,26 @@
         }
     }
 
+    /**
+     * The answer to a HEAD request names the length of a body that does not follow. Waiting for it would hold the
+     * caller until its deadline, and read the next answer's head as a body.
+     */
+    @Test
+    void answerToHeadHasNoBody() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            fixture.target(
+                    "t",
+                    (request, socket) -> FakeTarget.write(
+                            socket, FakeTarget.answer(request, 200, "12345").replace("12345", "")));
+            fixture.catalog(1, LONG_MILLIS);
+            for (int i = 0; i < 2; i++) {
+                String answer = fixture.exchange(FrontFixture.request("HEAD", "/safe/x", "a" + i, true));
+                assertThat(answer, startsWith("HTTP/1.1 200"));
+                assertThat(answer, endsWith("\r\n\r\n"));
+            }
+        }
+    }
+
     /** An answer without the target's signature did not come from the target's service. */
     @Test
     void successWithoutSignatureIsNotPassedOn() throws IOException {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -483,7 +483,10 @@
         }
         boolean sent = perhapsRun();
         abandonTarget();
-        refuse(new Refusal(sent ? ErrorKind.DEADLINE_RUNNING : ErrorKind.HOPELESS, 0));
+        refuse(
+                sent
+                        ? new Refusal(ErrorKind.DEADLINE_RUNNING, 0)
+                        : new Refusal(ErrorKind.HOPELESS, front.comeBackMillis(service)));
     }
 
     /** Stops all work, since the caller is gone. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -460,6 +460,12 @@
         return placement.choose(demand, targets.ofService(demand.service()), targets.evacuated(), nowMillis);
     }
 
+    /** Tells whether a target that was chosen a moment ago may still get a request. */
+    boolean mayReceive(TargetEntry entry) {
+        return entry.state().usable(ticker.nowMillis())
+                && !targets.evacuated().contains(entry.state().target().dataCentre());
+    }
+
     TargetEntry entry(String targetId) {
         return targets.entry(targetId);
     }
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetAnswerDecoder.java
@@ -0,0 +1,25 @@
+package org.whinwharf.front;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/** Reads answers of targets; the answer to a HEAD request has no body, whatever length it names. */
+final class TargetAnswerDecoder extends HttpResponseDecoder {
+    private boolean headOnly;
+
+    TargetAnswerDecoder(HttpDecoderConfig config) {
+        super(config);
+    }
+
+    /** Notes the method of the request whose answer comes next. */
+    void expectAnswerTo(HttpMethod method) {
+        headOnly = method.equals(HttpMethod.HEAD);
+    }
+
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return headOnly || super.isContentAlwaysEmpty(message);
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetLink.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetLink.java
@@ -68,6 +68,7 @@
         if (body.isReadable() || HttpUtil.isContentLengthSet(request)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
+        channel.pipeline().get(TargetAnswerDecoder.class).expectAnswerTo(request.method());
         channel.write(request);
         if (body.isReadable()) {
             channel.write(new DefaultHttpContent(body.retainedDuplicate()));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetPool.java
@@ -9,7 +9,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
@@ -45,7 +44,7 @@
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
                                 .addLast(new HttpRequestEncoder())
-                                .addLast(new HttpResponseDecoder(new HttpDecoderConfig()
+                                .addLast(new TargetAnswerDecoder(new HttpDecoderConfig()
                                         .setMaxHeaderSize(MOST_HEADER_BYTES)
                                         .setStrictLineParsing(true)))
                                 .addLast(new TargetLink(dialect, pool));
