--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -10,7 +10,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.whinwharf.errors.ErrorKind;
-import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
 import org.whinwharf.traffic.catalog.RouteKind;
@@ -90,7 +89,7 @@
         return head;
     }
 
-    /** Reads, authorises and routes the request, and sends it or lets it wait. */
+    /** Reads the request, has it let in, and sends it or lets it wait. */
     void begin() {
         front.exchangeBegan(this);
         try {
@@ -100,51 +99,25 @@
             refuse(new Refusal(ErrorKind.MALFORMED, 0));
             return;
         }
-        Optional<Catalog> catalog = front.catalog();
-        if (catalog.isEmpty()) {
-            refuse(new Refusal(ErrorKind.NOT_READY, Front.NOT_READY_COME_BACK_MILLIS));
-            return;
-        }
-        Optional<ErrorKind> denied = authorise(catalog.get());
-        if (denied.isPresent()) {
-            refuse(new Refusal(denied.get(), 0));
-            return;
-        }
-        long nowMillis = arrivedAtMillis;
-        long allowedMillis =
-                Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
-        deadlineAtMillis = nowMillis + allowedMillis;
-        patienceUntilMillis = nowMillis + Patience.waitMillis(route.objectiveMillis(), allowedMillis);
-        service = front.pickService(route, head.attemptId());
-        quotaTokens = head.countsTokens()
-                ? head.promptTokens() + head.answerTokens()
-                : organisation.map(Organisation::plainRequestTokens).orElse(0L);
-        if (organisation.isPresent()
-                && !front.quotas().tryAdmit(organisation.get().name(), quotaTokens, nowMillis)) {
-            long comeBackMillis =
-                    front.quotas().comeBackMillis(organisation.get().name());
-            quotaTokens = 0;
-            refuse(new Refusal(ErrorKind.OVER_QUOTA, Math.max(comeBackMillis, Front.NOT_READY_COME_BACK_MILLIS)));
-            return;
-        }
-        front.retryBudget(service).request(nowMillis);
-        place(nowMillis);
-    }
-
-    private Optional<ErrorKind> authorise(Catalog catalog) {
-        Optional<Route> found = catalog.route(head.authority(), head.path());
-        if (found.isEmpty()) {
-            return Optional.of(ErrorKind.UNKNOWN_SERVICE);
-        }
-        route = found.get();
-        organisation = head.key().flatMap(catalog::organisationOfKey);
-        if (catalog.asksForKeys() && !route.publicAccess() && organisation.isEmpty()) {
-            return Optional.of(ErrorKind.UNKNOWN_CREDENTIAL);
-        }
-        tierRank = organisation.isPresent() && organisation.get().tierRank().isPresent()
-                ? organisation.get().tierRank().getAsInt()
-                : route.tierRank();
-        return Optional.empty();
+        Admission.Result result = front.admission().decide(head, arrivedAtMillis);
+        if (result instanceof Admission.Refused refused) {
+            organisation = refused.organisation();
+            refuse(refused.refusal());
+        } else if (result instanceof Admission.Admitted admitted) {
+            begin(admitted);
+        }
+    }
+
+    private void begin(Admission.Admitted admitted) {
+        route = admitted.route();
+        organisation = admitted.organisation();
+        service = admitted.service();
+        tierRank = admitted.tierRank();
+        quotaTokens = admitted.quotaTokens();
+        deadlineAtMillis = admitted.deadlineAtMillis();
+        patienceUntilMillis = admitted.patienceUntilMillis();
+        front.retryBudget(service).request(arrivedAtMillis);
+        place(arrivedAtMillis);
     }
 
     private void place(long nowMillis) {
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
@@ -0,0 +1,84 @@
+package org.whinwharf.front;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.member.Member;
+import org.whinwharf.traffic.member.MemberTable;
+import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.wire.fleet.MemberPhase;
+import org.whinwharf.wire.fleet.MemberReport;
+
+/** Puts what this process does into its reports, and what others do into its targets and quotas. */
+final class FleetNews {
+    private final FrontSettings settings;
+    private final MemberTable members;
+    private final Targets targets;
+    private final QuotaLedger quotas;
+    private final ItemFeed feed;
+    private final Ticker ticker;
+
+    FleetNews(
+            FrontSettings settings,
+            MemberTable members,
+            Targets targets,
+            QuotaLedger quotas,
+            ItemFeed feed,
+            Ticker ticker) {
+        this.settings = settings;
+        this.members = members;
+        this.targets = targets;
+        this.quotas = quotas;
+        this.feed = feed;
+        this.ticker = ticker;
+    }
+
+    /** Makes this process's next report. */
+    void report(MemberPhase phase) {
+        MemberReport.Builder report = MemberReport.newBuilder()
+                .setName(settings.name())
+                .setIp(settings.ip())
+                .setCallerAddress(settings.callerAddress())
+                .setDataCentre(settings.dataCentre())
+                .setPhase(phase)
+                .setRevision(feed.revision())
+                .setWatching(feed.watchWorks());
+        for (TargetEntry entry : targets.all()) {
+            if (entry.state().ownRunning() > 0) {
+                report.addUsesBuilder()
+                        .setTargetDigest(entry.state().target().digest())
+                        .setRunning(entry.state().ownRunning())
+                        .setPrefillTokens((int) entry.state().ownPrefillTokens());
+            }
+        }
+        quotas.admittedTotals()
+                .forEach((digest, total) ->
+                        report.addQuotasBuilder().setOrganisationDigest(digest).setAdmittedTotal(total));
+        members.report(report);
+    }
+
+    /** Takes what another process admitted. */
+    void heard(MemberReport report) {
+        String process = report.getName() + "/" + report.getIncarnation();
+        report.getQuotasList()
+                .forEach(use ->
+                        quotas.heard(process, use.getOrganisationDigest(), use.getAdmittedTotal(), ticker.nowMillis()));
+    }
+
+    /** Sums up the requests of all others at each target. */
+    void countOthers(long nowMillis) {
+        Map<Integer, int[]> uses = new HashMap<>();
+        for (Member member : members.alive(nowMillis)) {
+            member.report().getUsesList().forEach(use -> {
+                int[] sums = uses.computeIfAbsent(use.getTargetDigest(), digest -> new int[2]);
+                sums[0] += use.getRunning();
+                sums[1] += use.getPrefillTokens();
+            });
+        }
+        int[] none = new int[2];
+        for (TargetEntry entry : targets.all()) {
+            int[] sums = uses.getOrDefault(entry.state().target().digest(), none);
+            entry.state().others(sums[0], sums[1]);
+        }
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -25,7 +25,6 @@
 import org.whinwharf.traffic.catalog.ServiceWeight;
 import org.whinwharf.traffic.catalog.TargetService;
 import org.whinwharf.traffic.items.ItemMirror;
-import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
@@ -76,7 +75,9 @@
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private final FrontMetrics metrics = new FrontMetrics();
     private final CallerServer callers;
+    private final FleetNews news;
     private final Gossip gossip;
+    private final Admission admission = new Admission(this);
     private final PeerItems peerItems;
     private final ItemFeed feed;
     private Optional<Catalog> catalog = Optional.empty();
@@ -107,7 +108,8 @@
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
-        gossip = new Gossip(settings, members, ticker, random, this::heard);
+        news = new FleetNews(settings, members, targets, quotas, feed, ticker);
+        gossip = new Gossip(settings, members, ticker, random, news::heard);
         callers = new CallerServer(this, loop);
     }
 
@@ -320,55 +322,13 @@
     }
 
     private void gossipRound() {
-        MemberReport.Builder report = MemberReport.newBuilder()
-                .setName(settings.name())
-                .setIp(settings.ip())
-                .setCallerAddress(settings.callerAddress())
-                .setDataCentre(settings.dataCentre())
-                .setPhase(phase)
-                .setRevision(feed.revision())
-                .setWatching(feed.watchWorks());
-        for (TargetEntry entry : targets.all()) {
-            if (entry.state().ownRunning() > 0) {
-                report.addUsesBuilder()
-                        .setTargetDigest(entry.state().target().digest())
-                        .setRunning(entry.state().ownRunning())
-                        .setPrefillTokens((int) entry.state().ownPrefillTokens());
-            }
-        }
-        quotas.admittedTotals()
-                .forEach((digest, total) ->
-                        report.addQuotasBuilder().setOrganisationDigest(digest).setAdmittedTotal(total));
-        members.report(report);
+        news.report(phase);
         gossip.round();
     }
 
-    private void heard(MemberReport report) {
-        String process = report.getName() + "/" + report.getIncarnation();
-        report.getQuotasList()
-                .forEach(use ->
-                        quotas.heard(process, use.getOrganisationDigest(), use.getAdmittedTotal(), ticker.nowMillis()));
-    }
-
-    private void countOthers(long nowMillis) {
-        Map<Integer, int[]> uses = new HashMap<>();
-        for (Member member : members.alive(nowMillis)) {
-            member.report().getUsesList().forEach(use -> {
-                int[] sums = uses.computeIfAbsent(use.getTargetDigest(), digest -> new int[2]);
-                sums[0] += use.getRunning();
-                sums[1] += use.getPrefillTokens();
-            });
-        }
-        int[] none = new int[2];
-        for (TargetEntry entry : targets.all()) {
-            int[] sums = uses.getOrDefault(entry.state().target().digest(), none);
-            entry.state().others(sums[0], sums[1]);
-        }
-    }
-
     private void tick() {
         long nowMillis = ticker.nowMillis();
-        countOthers(nowMillis);
+        news.countOthers(nowMillis);
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowMillis));
         lines.values().forEach(line -> line.advance(nowMillis));
         if (phase == MemberPhase.MEMBER_LEAVING) {
@@ -496,6 +456,10 @@
         return Patience.comeBackMillis(line(service).size(), targets.slots(service), random.nextDouble());
     }
 
+    Admission admission() {
+        return admission;
+    }
+
     FrontMetrics metrics() {
         return metrics;
     }
