Put the making of an answer into a class of its own; never cut a long one short

Cause: Exchange held the life of a request and the making of its answer (540 lines). Reading it showed that pieces beyond 4 MB were dropped and the rest delivered as a whole success. Change: AnswerAssembly; an answer that is too long is a failure (502).

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/AnswerTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/AnswerTest.java
@@ -123,6 +123,18 @@
         }
     }
 
+    /** An answer is longer than what is collected here. Cut off at that length it would look whole to the caller. */
+    @Test
+    void answerThatIsTooLongIsNotCutShort() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            String body = "x".repeat(Front.MOST_ANSWER_BYTES + 1);
+            fixture.target("t", (request, socket) -> FakeTarget.write(socket, FakeTarget.answer(request, 200, body)));
+            fixture.catalog(1, LONG_MILLIS);
+            String answer = fixture.exchange(FrontFixture.request("POST", "/unsafe/x", "a", true));
+            assertThat(answer.substring(0, 12), is("HTTP/1.1 502"));
+        }
+    }
+
     /** An answer without the target's signature did not come from the target's service. */
     @Test
     void successWithoutSignatureIsNotPassedOn() throws IOException {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -1,8 +1,6 @@
 package org.whinwharf.front;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -12,7 +10,6 @@
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
-import org.whinwharf.traffic.catalog.RouteKind;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
@@ -68,11 +65,7 @@
     private long lastByteAtMillis;
     private boolean firstByteSeen;
     private long firstByteAtMillis;
-    private HttpResponse answer;
-    private AnswerHead answerHead;
-    private boolean streamBegun;
-    private CompositeByteBuf collected;
-    private EventStreamRelay relay;
+    private AnswerAssembly answer;
 
     Exchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
         this.front = front;
@@ -111,6 +104,7 @@
 
     private void begin(Admission.Admitted admitted) {
         route = admitted.route();
+        answer = new AnswerAssembly(route, caller, front.dialect());
         organisation = admitted.organisation();
         service = admitted.service();
         tierRank = admitted.tierRank();
@@ -209,7 +203,7 @@
         tried.add(entry.state().target().id());
         sentAtMillis = nowMillis;
         lastByteAtMillis = nowMillis;
-        Optional<String> resumeAfter = streamBegun ? relay.lastEventId() : head.resumeAfterEvent();
+        Optional<String> resumeAfter = answer.streamBegun() ? answer.lastEventId() : head.resumeAfterEvent();
         Dispatch dispatch = new Dispatch(
                 entry.state().target().id(),
                 organisation.map(Organisation::name),
@@ -223,48 +217,13 @@
     @Override
     public void head(HttpResponse response, AnswerHead read) {
         noteBytes();
-        answerHead = read;
-        if (read.notExecuted() || read.otherTarget()) {
-            return;
-        }
-        if (!streamBegun) {
-            answer = response;
-        }
-        boolean success = read.status() / 100 == 2;
-        if (route.kind() == RouteKind.STREAMING && success && read.signed()) {
-            if (!streamBegun) {
-                streamBegun = true;
-                relay = new EventStreamRelay();
-                caller.beginStream(response.status(), front.dialect().callerHeaders(response));
-            }
-        } else {
-            collected = Unpooled.compositeBuffer(1024);
-        }
+        answer.head(response, read);
     }
 
     @Override
     public void content(ByteBuf piece) {
         noteBytes();
-        boolean streaming = streamBegun && collected == null && answerHead.status() / 100 == 2;
-        if (streaming && route.resumable()) {
-            ByteBuf whole = relay.accept(piece);
-            if (whole.isReadable()) {
-                pass(whole);
-            } else {
-                whole.release();
-            }
-        } else if (streaming) {
-            pass(piece);
-        } else if (collected != null && collected.readableBytes() + piece.readableBytes() <= Front.MOST_ANSWER_BYTES) {
-            collected.addComponent(true, piece);
-        } else {
-            piece.release();
-        }
-    }
-
-    private void pass(ByteBuf piece) {
-        caller.stream(piece);
-        if (!caller.writable()) {
+        if (answer.content(piece) && !caller.writable()) {
             link.reading(false);
         }
     }
@@ -296,29 +255,26 @@
         link = null;
         long nowMillis = front.nowMillis();
         leaveTarget();
-        if (answerHead.otherTarget()) {
+        if (answer.refused()) {
             possibleRuns--;
-            front.targetFailed(entry, TargetFailure.UNREACHABLE);
-            sendElsewhereOrRefuse(nowMillis);
-            return;
-        }
-        if (answerHead.notExecuted()) {
-            possibleRuns--;
-            entry.state().fullUntil(nowMillis + FULL_PAUSE_MILLIS);
+            if (answer.fromOtherTarget()) {
+                front.targetFailed(entry, TargetFailure.UNREACHABLE);
+            } else {
+                entry.state().fullUntil(nowMillis + FULL_PAUSE_MILLIS);
+            }
             sendElsewhereOrRefuse(nowMillis);
             return;
         }
-        boolean success = answerHead.status() / 100 == 2;
-        if (success && !answerHead.signed() || streamBegun && collected != null) {
+        if (!answer.proper()) {
             failedAfterSend(TargetFailure.GARBLED, nowMillis);
             return;
         }
-        if (answerHead.status() >= 500) {
+        if (answer.status() >= 500) {
             front.targetAnsweredError(entry);
             if (canRepeat(nowMillis)) {
                 front.metrics().repeated();
-                FrontLog.repeated(this, entry.state().target(), "status " + answerHead.status());
-                releaseCollected();
+                FrontLog.repeated(this, entry.state().target(), "status " + answer.status());
+                answer.reset();
                 place(nowMillis);
                 return;
             }
@@ -338,21 +294,11 @@
 
     private void deliver() {
         front.metrics().answered();
-        FrontLog.ended(this, entry, "answered", answerHead.status(), front.nowMillis() - arrivedAtMillis);
-        if (streamBegun) {
-            if (route.resumable() && relay.holdsPartOfEvent()) {
-                end();
-                caller.breakOff();
-                return;
-            }
-            end();
-            caller.endStream();
-        } else {
-            ByteBuf whole = collected;
-            collected = null;
-            end();
-            caller.answer(answer.status(), front.dialect().callerHeaders(answer), whole);
-        }
+        FrontLog.ended(this, entry, "answered", answer.status(), front.nowMillis() - arrivedAtMillis);
+        AnswerAssembly whole = answer;
+        stage = Stage.ENDED;
+        whole.deliver();
+        end();
     }
 
     @Override
@@ -365,19 +311,16 @@
     }
 
     private void failedAfterSend(TargetFailure failure, long nowMillis) {
-        releaseCollected();
+        answer.reset();
         if (canRepeat(nowMillis)) {
             front.metrics().repeated();
             FrontLog.repeated(this, entry.state().target(), failure.name());
-            if (relay != null) {
-                relay.reset();
-            }
             patienceUntilMillis = Math.max(patienceUntilMillis, nowMillis + route.objectiveMillis());
             place(nowMillis);
             return;
         }
-        if (streamBegun) {
-            FrontLog.ended(this, entry, "broken-off", answerHead.status(), front.nowMillis() - arrivedAtMillis);
+        if (answer.streamBegun()) {
+            FrontLog.ended(this, entry, "broken-off", answer.status(), front.nowMillis() - arrivedAtMillis);
             end();
             caller.breakOff();
             return;
@@ -386,22 +329,20 @@
     }
 
     private boolean canRepeat(long nowMillis) {
-        boolean resumes =
-                !streamBegun || route.resumable() && relay.lastEventId().isPresent();
         return route.idempotent()
-                && resumes
+                && answer.canGoOn()
                 && sends < route.attempts()
                 && deadlineAtMillis - nowMillis > SHORTEST_USEFUL_MILLIS
                 && front.retryBudget(service).tryRepeat(nowMillis, front.retryAllowance());
     }
 
     private void sendElsewhereOrRefuse(long nowMillis) {
-        releaseCollected();
+        answer.reset();
         boolean budget =
                 sends < route.attempts() && front.retryBudget(service).tryRepeat(nowMillis, front.retryAllowance());
         if (budget && nowMillis < patienceUntilMillis) {
             place(nowMillis);
-        } else if (streamBegun) {
+        } else if (answer.streamBegun()) {
             end();
             caller.breakOff();
         } else {
@@ -435,7 +376,7 @@
             return;
         }
         long silentMillis = nowMillis - Math.max(lastByteAtMillis, entry.lastByteAtMillis());
-        long limitMillis = streamBegun
+        long limitMillis = answer.streamBegun()
                 ? STREAM_SILENCE_MILLIS
                 : Math.max(SHORTEST_SILENCE_MILLIS, SILENT_OBJECTIVES * route.objectiveMillis());
         if (silentMillis > limitMillis) {
@@ -454,8 +395,8 @@
         if (stage == Stage.WAITING) {
             front.line(service).remove(this);
         }
-        if (streamBegun) {
-            FrontLog.ended(this, entry, "timed-out", answerHead.status(), front.nowMillis() - arrivedAtMillis);
+        if (answer.streamBegun()) {
+            FrontLog.ended(this, entry, "timed-out", answer.status(), front.nowMillis() - arrivedAtMillis);
             abandonTarget();
             end();
             caller.breakOff();
@@ -502,25 +443,17 @@
         front.metrics().failed(refusal.kind());
         FrontLog.refused(this, refusal);
         end();
-        if (streamBegun) {
+        if (answer != null && answer.streamBegun()) {
             caller.breakOff();
         } else {
             caller.answer(refusal);
         }
     }
 
-    private void releaseCollected() {
-        if (collected != null) {
-            collected.release();
-            collected = null;
-        }
-    }
-
     private void end() {
         stage = Stage.ENDED;
-        releaseCollected();
-        if (relay != null) {
-            relay.reset();
+        if (answer != null) {
+            answer.reset();
         }
         body.release();
         front.exchangeEnded(this);
