--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/AnswerTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/AnswerTest.java
@@ -161,6 +161,40 @@
         }
     }
 
+    /**
+     * A target hangs on one booking and answers everything else and its health checks. The booking must be waited for
+     * to its end; if its silence counted again and again, the sound target would be out of use until then.
+     */
+    @Test
+    void oneHungRequestDoesNotKeepATargetOut() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            FakeTarget target = fixture.target("t", (request, socket) -> {
+                if (!"hung".equals(FakeTarget.attempt(request))) {
+                    FakeTarget.write(socket, FakeTarget.answer(request, 200, "whole"));
+                }
+            });
+            fixture.catalog(1, 30_000);
+            try (Socket hung = fixture.connect()) {
+                FakeTarget.write(hung, FrontFixture.request("POST", "/unsafe/x", "hung", false));
+                while (target.requests().isEmpty()) {
+                    Thread.onSpinWait();
+                }
+                long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+                while (!fixture.front().metrics().scrape().contains("whinwharf_ejections_total 1.0")) {
+                    assertThat("ejected in time", System.nanoTime() < endNanos, is(true));
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(50));
+                }
+                int attempt = 0;
+                int whole = 0;
+                while (whole < 10) {
+                    assertThat("served in time", System.nanoTime() < endNanos, is(true));
+                    String answer = fixture.exchange(FrontFixture.request("POST", "/unsafe/x", "a" + attempt++, true));
+                    whole += answer.endsWith("whole") ? 1 : 0;
+                }
+            }
+        }
+    }
+
     /** An answer without the target's signature did not come from the target's service. */
     @Test
     void successWithoutSignatureIsNotPassedOn() throws IOException {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -54,7 +54,6 @@
                 .notExecuted(response.headers().contains("Not-Run"))
                 .otherTarget(response.status().code() == 421)
                 .signed(response.headers().contains("Signed"))
-                .eventStream(false)
                 .keepAliveMillis(OptionalLong.of(10_000))
                 .build();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/AnswerHead.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/AnswerHead.java
@@ -41,13 +41,6 @@
      */
     boolean signed();
 
-    /**
-     * Tells whether the body is an event stream.
-     *
-     * @return true for an event stream
-     */
-    boolean eventStream();
-
     /**
      * Returns how long the target keeps the idle connection.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -51,7 +51,6 @@
     private Exchange exchange;
     private boolean closing;
     private boolean closeAfterAnswer;
-    private boolean answerBegun;
     private long quietSinceMillis;
     private boolean midHead;
 
@@ -208,7 +207,6 @@
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             closing = true;
         }
-        answerBegun = true;
         channel.writeAndFlush(head);
     }
 
@@ -258,7 +256,6 @@
     }
 
     private void write(FullHttpResponse full, boolean close) {
-        answerBegun = true;
         closing = closing || close || closeAfterAnswer || front.leaving();
         if (closing) {
             full.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
@@ -268,7 +265,6 @@
 
     private void finished() {
         exchange = null;
-        answerBegun = false;
         quietSinceMillis = front.nowMillis();
         if (closing) {
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
@@ -303,11 +299,6 @@
         }
     }
 
-    /** Tells whether a request is under way or being read. */
-    boolean busy() {
-        return exchange != null || request != null || answerBegun;
-    }
-
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -64,6 +64,7 @@
     private long sentAtMillis;
     private long lastByteAtMillis;
     private boolean firstByteSeen;
+    private boolean silenceNoted;
     private long firstByteAtMillis;
     private AnswerAssembly answer;
 
@@ -170,6 +171,7 @@
         entry = front.entry(chosen.state().target().id());
         chosen.state().began(chosen.uncachedTokens());
         firstByteSeen = false;
+        silenceNoted = false;
         if (chosen.coldAllowance() > 0) {
             chosen.state().coldGate().sent(nowMillis);
         }
@@ -383,7 +385,10 @@
         long limitMillis = answer.streamBegun()
                 ? STREAM_SILENCE_MILLIS
                 : Math.max(SHORTEST_SILENCE_MILLIS, SILENT_OBJECTIVES * route.objectiveMillis());
-        if (silentMillis > limitMillis) {
+        if (silentMillis > limitMillis && !silenceNoted) {
+            // Once for each send: a target that is sound again would be ejected anew as long as this request hangs
+            // there.
+            silenceNoted = true;
             front.targetFailed(entry, TargetFailure.SILENT);
         }
         boolean stuck = nowMillis - lastByteAtMillis > limitMillis;
@@ -467,10 +472,6 @@
         return service;
     }
 
-    int sends() {
-        return sends;
-    }
-
     Optional<Organisation> organisation() {
         return organisation;
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
@@ -59,10 +59,13 @@
 
     /** Takes what another process admitted. */
     void heard(MemberReport report) {
-        String process = report.getName() + "/" + report.getIncarnation();
         report.getQuotasList()
-                .forEach(use ->
-                        quotas.heard(process, use.getOrganisationDigest(), use.getAdmittedTotal(), ticker.nowMillis()));
+                .forEach(use -> quotas.heard(
+                        report.getName(),
+                        report.getIncarnation(),
+                        use.getOrganisationDigest(),
+                        use.getAdmittedTotal(),
+                        ticker.nowMillis()));
     }
 
     /** Sums up the requests of all others at each target. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetPool.java
@@ -28,7 +28,6 @@
     private final Bootstrap bootstrap;
     private final Ticker ticker;
     private final Deque<TargetLink> idle = new ArrayDeque<>();
-    private int open;
 
     TargetPool(EventLoopGroup loop, HttpDialect dialect, Ticker ticker, String ip, int port) {
         this.ticker = ticker;
@@ -64,12 +63,10 @@
             }
             link.close();
         }
-        open++;
         bootstrap.connect().addListener((ChannelFuture future) -> {
             if (future.isSuccess()) {
                 taker.accept(Optional.of(future.channel().pipeline().get(TargetLink.class)));
             } else {
-                open--;
                 taker.accept(Optional.empty());
             }
         });
@@ -82,7 +79,6 @@
 
     /** Notes that a connection is closed. */
     void closed(TargetLink link) {
-        open--;
         idle.remove(link);
     }
 
@@ -105,11 +101,6 @@
         }
     }
 
-    /** Returns the open connections. */
-    int open() {
-        return open;
-    }
-
     long nowMillis() {
         return ticker.nowMillis();
     }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ItemMirrorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ItemMirrorTest.java
@@ -34,6 +34,20 @@
         assertThat(mirror.revision(), is(9L));
     }
 
+    /**
+     * Pages of a copy are read one after another, so an item of a later page may be newer than the revision from which
+     * the watch goes on. The watch then repeats older changes of it; taking them would bring back a revoked key, or
+     * call a target gone that has come back.
+     */
+    @Test
+    void watchThatBeginsBeforeAnItemDoesNotTakeItBack() {
+        mirror.replace(List.of(item("a", 10)), 8);
+        assertThat(mirror.apply(List.of(item("a", 9)), 9), empty());
+        assertThat(mirror.apply(List.of(new PublishedValue("a", null, 9)), 9), empty());
+        assertThat(mirror.all().iterator().next().revision(), is(10L));
+        assertThat(mirror.apply(List.of(item("a", 11)), 11), hasSize(1));
+    }
+
     @Test
     void peersGetChangesOrEverything() {
         mirror.replace(List.of(item("a", 1)), 3);
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -96,6 +96,27 @@
         assertThat((double) (last - first), closeTo(99 * REQUEST_TOKENS / RATE * 1_000, 2));
     }
 
+    /**
+     * A peer is restarted many times a day. Each lifetime counted as one more process would divide the quota among dead
+     * ones, and refused callers would be told to stay away ever longer.
+     */
+    @Test
+    void restartsOfAPeerDoNotLengthenTheAdvice() {
+        QuotaLedger ledger = new QuotaLedger(true);
+        ledger.update(Fixtures.catalog(1, RATE, RATE), 0);
+        ledger.heard("front-1", 1, "obec".hashCode(), 0, 0);
+        while (ledger.tryAdmit("obec", REQUEST_TOKENS, 0)) {
+            assertThat(ledger.comeBackMillis("obec") > 0, is(true));
+        }
+        long before = ledger.comeBackMillis("obec");
+        for (long incarnation = 2; incarnation < 80; incarnation++) {
+            ledger.heard("front-1", incarnation, "obec".hashCode(), 0, 0);
+        }
+        assertThat(ledger.comeBackMillis("obec"), is(before));
+        ledger.heard("front-1", 80, "obec".hashCode(), 36_000, 0);
+        assertThat((double) (ledger.comeBackMillis("obec") - before), closeTo(1_000, 2));
+    }
+
     private static List<QuotaLedger> fleet(boolean fresh) {
         List<QuotaLedger> fleet = new ArrayList<>();
         for (int i = 0; i < PROCESSES; i++) {
@@ -130,7 +151,7 @@
                     QuotaLedger hearer = fleet.get(to);
                     fleet.get(from)
                             .admittedTotals()
-                            .forEach((digest, total) -> hearer.heard(process, digest, total, now));
+                            .forEach((digest, total) -> hearer.heard(process, 1, digest, total, now));
                 }
             }
         }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
@@ -79,8 +79,9 @@
         List<PublishedValue> changed = new ArrayList<>();
         for (PublishedValue event : events) {
             PublishedValue known = items.get(event.key());
-            boolean newer = event.revision() > revision || known != null && known.revision() < event.revision();
-            if (newer && (known != null || !event.removed())) {
+            // What is held may be newer than the copy's revision, since pages of a copy are read one after another.
+            long heldRevision = known == null ? revision : known.revision();
+            if (event.revision() > heldRevision && (known != null || !event.removed())) {
                 put(event);
                 changed.add(event);
             }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -93,20 +93,6 @@
         return Optional.ofNullable(best);
     }
 
-    /**
-     * Tells whether any target could take a request sooner or later.
-     *
-     * @param demand what the request asks
-     * @param targets all targets of its service
-     * @param evacuated data centres that must get nothing new
-     * @param nowMillis steady time in milliseconds
-     * @return false when waiting is pointless
-     */
-    public boolean anyEligible(
-            Demand demand, Collection<TargetState> targets, Collection<String> evacuated, long nowMillis) {
-        return targets.stream().anyMatch(state -> eligible(state, demand, evacuated, nowMillis));
-    }
-
     private boolean eligible(TargetState state, Demand demand, Collection<String> evacuated, long nowMillis) {
         return state.usable(nowMillis)
                 && !evacuated.contains(state.target().dataCentre())
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -11,10 +11,13 @@
     private final Map<String, QuotaAccount> accounts = new HashMap<>();
     private final Map<Integer, Long> admittedTotals = new HashMap<>();
     private final Map<Integer, Long> givenBack = new HashMap<>();
-    private final Map<String, Map<Integer, Long>> heardTotals = new HashMap<>();
+    private final Map<String, Heard> heardByProcess = new HashMap<>();
     private final Map<Integer, String> namesByDigest = new HashMap<>();
     private double reachableShare = 1;
 
+    /** What the present lifetime of one process said that it admitted, by digest of the organisation's name. */
+    private record Heard(long incarnation, Map<Integer, Long> totals) {}
+
     /**
      * Creates an empty ledger.
      *
@@ -93,7 +96,7 @@
      */
     public long comeBackMillis(String organisation) {
         QuotaAccount account = accounts.get(organisation);
-        return account == null ? 0 : account.comeBackMillis(1 + heardTotals.size());
+        return account == null ? 0 : account.comeBackMillis(1 + heardByProcess.size());
     }
 
     /**
@@ -106,20 +109,26 @@
     }
 
     /**
-     * Takes another process's total.
+     * Takes another process's total. A new lifetime of the process replaces the one before, whose use is counted
+     * already.
      *
-     * @param process name and incarnation of the process
+     * @param process name of the process
+     * @param incarnation its lifetime
      * @param organisationDigest digest of the organisation's name
      * @param total what it admitted since its start
      * @param nowMillis steady time in milliseconds
      */
-    public void heard(String process, int organisationDigest, long total, long nowMillis) {
-        Map<Integer, Long> totals = heardTotals.computeIfAbsent(process, name -> new HashMap<>());
-        long before = totals.getOrDefault(organisationDigest, 0L);
+    public void heard(String process, long incarnation, int organisationDigest, long total, long nowMillis) {
+        Heard heard = heardByProcess.get(process);
+        if (heard == null || heard.incarnation() != incarnation) {
+            heard = new Heard(incarnation, new HashMap<>());
+            heardByProcess.put(process, heard);
+        }
+        long before = heard.totals().getOrDefault(organisationDigest, 0L);
         if (total <= before) {
             return;
         }
-        totals.put(organisationDigest, total);
+        heard.totals().put(organisationDigest, total);
         String name = namesByDigest.get(organisationDigest);
         QuotaAccount account = name == null ? null : accounts.get(name);
         if (account != null) {
