--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FleetTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FleetTest.java
@@ -7,7 +7,6 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
-import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -15,7 +14,6 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 import org.whinwharf.traffic.items.PublishedValue;
 
@@ -29,7 +27,7 @@
                 FrontFixture two = new FrontFixture(List.of(one.ip()))) {
             one.catalog(1, 1_000);
             two.catalog(1, 1_000);
-            await(() -> addresses(one) == 2 && addresses(two) == 2);
+            FrontFixture.await(() -> one.addresses() == 2 && two.addresses() == 2);
         }
     }
 
@@ -60,19 +58,19 @@
         try (FrontFixture one = new FrontFixture();
                 FrontFixture two = new FrontFixture(List.of(one.ip()))) {
             FakeTarget target = one.target("t", (request, socket) -> {
-                awaitLatch(answerNow);
+                FrontFixture.awaitLatch(answerNow);
                 FakeTarget.write(socket, FakeTarget.answer(request, 200, "whole"));
             });
             one.catalog(1, 15_000);
             two.catalog(1, 1_000);
-            await(() -> addresses(two) == 2);
+            FrontFixture.await(() -> two.addresses() == 2);
             try (Socket early = one.connect()) {
                 FakeTarget.write(early, FrontFixture.request("POST", "/unsafe/x", "a", false));
-                await(() -> target.requests().size() == 1);
+                FrontFixture.await(() -> target.requests().size() == 1);
                 CountDownLatch ended = new CountDownLatch(1);
                 one.front().whenEnded(ended::countDown);
                 one.front().stop();
-                await(() -> addresses(two) == 1 && !one.front().ready());
+                FrontFixture.await(() -> two.addresses() == 1 && !one.front().ready());
                 answerNow.countDown();
                 assertThat(FrontFixture.readAll(early), endsWith("whole"));
                 String late = one.exchange(FrontFixture.request("POST", "/unsafe/x", "b", false));
@@ -90,38 +88,14 @@
             two.catalog(1, 1_000);
             try (FrontFixture one = new FrontFixture(List.of(two.ip()))) {
                 one.catalog(1, 1_000);
-                await(() -> addresses(two) == 2);
+                FrontFixture.await(() -> two.addresses() == 2);
             }
-            await(() -> addresses(two) == 1);
+            FrontFixture.await(() -> two.addresses() == 1);
             assertThat(two.front().callerAddresses(), contains(startsWith(two.ip() + ":")));
         }
     }
 
-    private static int addresses(FrontFixture fixture) {
-        int[] count = new int[1];
-        fixture.run(() -> count[0] = fixture.front().callerAddresses().size());
-        return count[0];
-    }
-
     private static PublishedValue item(String key, long revision) {
         return new PublishedValue(key, key.getBytes(StandardCharsets.US_ASCII), revision);
     }
-
-    private static void awaitLatch(CountDownLatch latch) throws IOException {
-        try {
-            if (!latch.await(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
-                throw new IOException("not released in time");
-            }
-        } catch (InterruptedException e) {
-            throw new IOException(e);
-        }
-    }
-
-    private static void await(BooleanSupplier condition) throws InterruptedException {
-        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
-        while (!condition.getAsBoolean()) {
-            assertThat("in time", System.nanoTime() < endNanos, is(true));
-            Thread.sleep(20);
-        }
-    }
 }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -1,5 +1,8 @@
 package org.whinwharf.front;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -7,9 +10,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
 import org.whinwharf.traffic.catalog.CallerLimits;
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.ImmutableRoute;
@@ -24,6 +29,7 @@
     private static final AtomicInteger NEXT_ADDRESS = new AtomicInteger(1);
     private static final int CALLER_PORT = 18_211;
     private static final int PEER_PORT = 18_212;
+    private static final long PATIENCE_SECONDS = 20;
     private static final int READ_TIMEOUT_MILLIS = 10_000;
 
     /** Two test runs at once must not meet on an address; no two processes share an id. */
@@ -71,24 +77,34 @@
     FakeTarget target(String id, FakeTarget.Script script) throws IOException {
         FakeTarget target = new FakeTarget(ip, script);
         targets.add(target);
+        publish(id, ip, target.port(), 8);
+        return target;
+    }
+
+    /** Publishes a target that was started elsewhere. */
+    void publish(String id, String targetIp, int port, int slots) {
         run(() -> front.publish(
                 ImmutableTarget.builder()
                         .id(id)
                         .service("service")
-                        .ip(ip)
-                        .port(target.port())
+                        .ip(targetIp)
+                        .port(port)
                         .dataCentre("zilina-a")
-                        .slots(8)
+                        .slots(slots)
                         .draining(false)
                         .coldLeftMillis(0)
                         .bornUnixMillis(1)
                         .build(),
                 false));
-        return target;
     }
 
     /** Publishes routes for all kinds of requests and waits until callers are accepted. */
     void catalog(int attempts, long timeoutMillis) {
+        catalog(attempts, timeoutMillis, false);
+    }
+
+    /** Does the same for a service whose targets are engines, if so asked. */
+    void catalog(int attempts, long timeoutMillis, boolean engine) {
         List<Route> routes = List.of(
                 route("/safe/", RouteKind.SAFE, attempts, timeoutMillis, false),
                 route("/unsafe/", RouteKind.UNSAFE, attempts, timeoutMillis, false),
@@ -104,7 +120,7 @@
                         .maxConnections(10)
                         .coldStartMillis(0)
                         .coldRequestsPerSecond(0)
-                        .engine(false)
+                        .engine(engine)
                         .build()),
                 List.of())));
         while (!front.ready()) {
@@ -180,6 +196,33 @@
         return text.toString();
     }
 
+    /** Returns how many fronts this one names to callers. */
+    int addresses() {
+        int[] count = new int[1];
+        run(() -> count[0] = front.callerAddresses().size());
+        return count[0];
+    }
+
+    /** Waits within a target's script until a test goes on. */
+    static void awaitLatch(CountDownLatch latch) throws IOException {
+        try {
+            if (!latch.await(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
+                throw new IOException("not released in time");
+            }
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    /** Waits until something holds; fails when that takes far too long. */
+    static void await(BooleanSupplier condition) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        while (!condition.getAsBoolean()) {
+            assertThat("in time", System.nanoTime() < endNanos, is(true));
+            Thread.sleep(20);
+        }
+    }
+
     void run(Runnable action) {
         try {
             front.loop().submit(action).get();
@@ -188,6 +231,11 @@
         }
     }
 
+    /** Ends the process's thread at once, as a kill does; nobody is told. */
+    void stopWithoutAWord() {
+        front.loop().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
     @Override
     public void close() throws IOException {
         for (FakeTarget target : targets) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Admission.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Admission.java
@@ -19,7 +19,8 @@
      * @param organisation who sends it; empty on public routes
      * @param service service that takes it
      * @param tierRank its rank; 0 is served first
-     * @param quotaTokens what was taken from the organisation's quota
+     * @param quotaTokens what it uses of the organisation's quota
+     * @param quotaTaken true when that was taken; otherwise the coordinator takes it
      * @param deadlineAtMillis steady time by which it has its final answer
      * @param patienceUntilMillis steady time until which it may wait for a target
      */
@@ -29,6 +30,7 @@
             String service,
             int tierRank,
             long quotaTokens,
+            boolean quotaTaken,
             long deadlineAtMillis,
             long patienceUntilMillis)
             implements Result {}
@@ -62,18 +64,33 @@
             return refused(ErrorKind.UNKNOWN_CREDENTIAL, 0, organisation);
         }
         long tokens = tokens(head, organisation);
-        if (organisation.isPresent()) {
-            String name = organisation.get().name();
-            if (!front.quotas().tryAdmit(name, tokens, nowMillis)) {
-                long comeBackMillis = Math.max(front.quotas().comeBackMillis(name), Front.NOT_READY_COME_BACK_MILLIS);
-                return refused(ErrorKind.OVER_QUOTA, comeBackMillis, organisation);
-            }
+        String service = front.pickService(route, head.attemptId());
+        boolean elsewhere = organisation.isPresent() && front.coordination().asksElsewhere(service);
+        Optional<Refusal> refusal = elsewhere ? Optional.empty() : takeQuota(organisation, tokens, nowMillis);
+        if (refusal.isPresent()) {
+            return new Refused(refusal.get(), organisation);
         }
-        return admitted(head, route, organisation, tokens, nowMillis);
+        return admitted(head, route, organisation, service, tokens, !elsewhere, nowMillis);
+    }
+
+    /** Takes a request's use from its organisation's quota, or returns why that cannot be. */
+    Optional<Refusal> takeQuota(Optional<Organisation> organisation, long tokens, long nowMillis) {
+        if (organisation.isEmpty() || front.quotas().tryAdmit(organisation.get().name(), tokens, nowMillis)) {
+            return Optional.empty();
+        }
+        long comeBackMillis = front.quotas().comeBackMillis(organisation.get().name());
+        return Optional.of(
+                new Refusal(ErrorKind.OVER_QUOTA, Math.max(comeBackMillis, Front.NOT_READY_COME_BACK_MILLIS)));
     }
 
     private Admitted admitted(
-            RequestHead head, Route route, Optional<Organisation> organisation, long tokens, long nowMillis) {
+            RequestHead head,
+            Route route,
+            Optional<Organisation> organisation,
+            String service,
+            long tokens,
+            boolean quotaTaken,
+            long nowMillis) {
         long allowedMillis =
                 Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
         int tierRank = organisation.isPresent() && organisation.get().tierRank().isPresent()
@@ -82,9 +99,10 @@
         return new Admitted(
                 route,
                 organisation,
-                front.pickService(route, head.attemptId()),
+                service,
                 tierRank,
                 tokens,
+                quotaTaken,
                 nowMillis + allowedMillis,
                 nowMillis + Patience.waitMillis(route.objectiveMillis(), allowedMillis));
     }
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -0,0 +1,383 @@
+package org.whinwharf.front;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import org.whinwharf.runtime.log.EventField;
+import org.whinwharf.runtime.log.EventLog;
+import org.whinwharf.runtime.log.LogEvent;
+import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.coordination.Ask;
+import org.whinwharf.traffic.coordination.Coordinator;
+import org.whinwharf.traffic.coordination.CoordinatorRanking;
+import org.whinwharf.traffic.coordination.Outbox;
+import org.whinwharf.traffic.coordination.RunningRequests;
+import org.whinwharf.traffic.member.MemberTable;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.target.TargetState;
+import org.whinwharf.wire.fleet.FleetDatagram;
+import org.whinwharf.wire.fleet.MemberReport;
+import org.whinwharf.wire.fleet.PlacementAsk;
+import org.whinwharf.wire.fleet.PlacementOutcome;
+import org.whinwharf.wire.fleet.PlacementReply;
+import org.whinwharf.wire.fleet.RunEvent;
+import org.whinwharf.wire.fleet.RunProgress;
+import org.whinwharf.wire.fleet.RunUnderWay;
+import org.whinwharf.wire.fleet.RunsUnderWay;
+
+/**
+ * This process's part in the common placement of requests: it asks the coordinator of a service for targets, and
+ * answers the others where it coordinates itself.
+ *
+ * <p>Each ask is answered at once, if only with the word that the request waits. A coordinator that does not answer is
+ * dead, frozen, cut off or overloaded; then the next in rank is asked, and after that the process chooses on its own.
+ * So a lost coordinator costs its requests a fifth of a second at most.
+ */
+final class Coordination {
+    /** Time after which an unanswered ask is sent again: ten times the way there and back, a datagram may be lost. */
+    private static final long RESEND_MILLIS = 40;
+    /** Silence after which a coordinator is passed over; two asks were lost or it is late by its own doing. */
+    private static final long SILENT_MILLIS = 120;
+    /** Time for which a silent coordinator is passed over: about what a restart takes. */
+    private static final long PASSED_OVER_MILLIS = 2_000;
+    /** Time between asks of a request that waits; they show that the coordinator still has it. */
+    private static final long WAITING_ASK_MILLIS = 300;
+    /** Time between lists of what is under way. */
+    private static final long LIST_MILLIS = 1_000;
+    /** Processes that get these lists: the coordinator, and one that is ready to take over from it. */
+    private static final int LISTENERS = 2;
+    /** Coordinators that one request is put to. */
+    private static final int MOST_ASKED = 2;
+
+    private final FrontSettings settings;
+    private final MemberTable members;
+    private final Targets targets;
+    private final PeerDatagrams datagrams;
+    private final Ticker ticker;
+    private final Coordinator coordinator;
+    private final Predicate<String> covered;
+    private final Map<Long, PlacementTicket> tickets = new LinkedHashMap<>();
+    private final Map<String, Long> passedOverUntilMillis = new HashMap<>();
+    private final Map<String, String> lastCoordinators = new HashMap<>();
+    private final Map<String, String> askerIps = new HashMap<>();
+    private long nextId;
+    private long listedAtMillis;
+
+    /**
+     * Creates this process's part.
+     *
+     * @param settings settings of this process
+     * @param members the fleet
+     * @param targets all targets
+     * @param datagrams ways to the others
+     * @param ticker steady clock
+     * @param coordinators builds the coordinator, given who takes its decisions
+     * @param covered tells which services are coordinated
+     */
+    Coordination(
+            FrontSettings settings,
+            MemberTable members,
+            Targets targets,
+            PeerDatagrams datagrams,
+            Ticker ticker,
+            Function<Outbox, Coordinator> coordinators,
+            Predicate<String> covered) {
+        this.settings = settings;
+        this.members = members;
+        this.targets = targets;
+        this.datagrams = datagrams;
+        this.ticker = ticker;
+        this.covered = covered;
+        coordinator = coordinators.apply(new Replies());
+        nextId = members.own().getIncarnation() << 20;
+        datagrams.listen(this::received);
+    }
+
+    /** Tells whether requests to a service are placed by a coordinator. */
+    boolean covers(String service) {
+        return covered.test(service);
+    }
+
+    /** Tells whether another process has to be asked for the quota of requests to a service. */
+    boolean asksElsewhere(String service) {
+        return coordinatorOf(service)
+                .filter(report -> !report.getName().equals(settings.name()))
+                .isPresent();
+    }
+
+    /** Returns the addresses of the coordinators of all services with requests under way here. */
+    Collection<String> coordinatorIps() {
+        Set<String> ips = new LinkedHashSet<>();
+        services()
+                .forEach(service ->
+                        ranking(service).stream().limit(LISTENERS).forEach(report -> ips.add(report.getIp())));
+        return ips;
+    }
+
+    /** Returns how many requests of all processes wait here. */
+    int waiting() {
+        return coordinator.waiting();
+    }
+
+    /** Asks for a target. */
+    void ask(String service, PlacementListener listener) {
+        PlacementTicket ticket = new PlacementTicket(this, nextId++, service, listener);
+        tickets.put(ticket.id(), ticket);
+        listener.asked(ticket);
+        putToCoordinator(ticket);
+    }
+
+    /** Notes a request that this process places on its own; coordinators hear of it with the next list. */
+    PlacementTicket placedHere(String service, Candidate candidate) {
+        PlacementTicket ticket = new PlacementTicket(this, nextId++, service, null);
+        ticket.placed(candidate.state().target().id(), candidate.uncachedTokens());
+        if (covered.test(service)) {
+            tickets.put(ticket.id(), ticket);
+        }
+        return ticket;
+    }
+
+    private void putToCoordinator(PlacementTicket ticket) {
+        Optional<MemberReport> best =
+                ticket.coordinatorsAsked() >= MOST_ASKED ? Optional.empty() : coordinatorOf(ticket.service());
+        if (best.isEmpty()) {
+            tickets.remove(ticket.id());
+            ticket.listener().noCoordinator();
+            return;
+        }
+        ticket.askedOf(best.get().getName(), best.get().getIp(), ticker.nowMillis());
+        noteCoordinator(ticket.service(), best.get().getName());
+        sendAsk(ticket);
+    }
+
+    private void sendAsk(PlacementTicket ticket) {
+        PlacementAsk ask = ticket.listener().ask(ticket.id());
+        if (ticket.coordinatorName().equals(settings.name())) {
+            asked(settings.name(), ask, ticker.nowMillis());
+        } else {
+            datagrams.send(datagram().addAsks(ask).build(), ticket.coordinatorIp());
+        }
+    }
+
+    private void noteCoordinator(String service, String name) {
+        String before = lastCoordinators.put(service, name);
+        if (!name.equals(before)) {
+            sendLists(service);
+            EventLog.event(LogEvent.COORDINATOR_CHANGED)
+                    .with(EventField.SERVICE, service)
+                    .with(EventField.FROM, before == null ? "" : before)
+                    .with(EventField.TO, name)
+                    .call();
+        }
+    }
+
+    /** Sends unanswered asks again, turns away from silent coordinators, and does the own coordinator's duty. */
+    void tick() {
+        long nowMillis = ticker.nowMillis();
+        coordinator.advance(nowMillis);
+        for (PlacementTicket ticket : List.copyOf(tickets.values())) {
+            if (!ticket.settled() && !ticket.coordinatorName().equals(settings.name())) {
+                follow(ticket, nowMillis);
+            }
+        }
+        if (nowMillis - listedAtMillis >= LIST_MILLIS) {
+            listedAtMillis = nowMillis;
+            services().forEach(this::sendLists);
+        }
+    }
+
+    private void follow(PlacementTicket ticket, long nowMillis) {
+        if (ticket.waiting()) {
+            if (nowMillis - ticket.askedAtMillis() >= WAITING_ASK_MILLIS) {
+                ticket.askedAgain(nowMillis);
+                sendAsk(ticket);
+            }
+            return;
+        }
+        if (nowMillis - ticket.askedAtMillis() >= SILENT_MILLIS) {
+            passedOverUntilMillis.put(ticket.coordinatorName(), nowMillis + PASSED_OVER_MILLIS);
+            FrontLog.passedOver(ticket, nowMillis - ticket.askedAtMillis());
+            report(ticket, RunEvent.RUN_GIVEN_UP, 0);
+            putToCoordinator(ticket);
+        } else if (nowMillis - ticket.sentAtMillis() >= RESEND_MILLIS) {
+            ticket.sentAgain(nowMillis);
+            sendAsk(ticket);
+        }
+    }
+
+    /** Tells a ticket's coordinator what became of it. */
+    void report(PlacementTicket ticket, RunEvent event, long tookMillis) {
+        report(ticket.coordinatorName(), ticket.coordinatorIp(), ticket.id(), event, tookMillis);
+    }
+
+    private void report(String name, String ip, long id, RunEvent event, long tookMillis) {
+        if (name.isEmpty()) {
+            return;
+        }
+        if (name.equals(settings.name())) {
+            coordinator.progress(name, id, event, tookMillis, ticker.nowMillis());
+            return;
+        }
+        RunProgress progress = RunProgress.newBuilder()
+                .setId(id)
+                .setEvent(event)
+                .setTookMillis((int) tookMillis)
+                .build();
+        datagrams.send(datagram().addProgress(progress).build(), ip);
+    }
+
+    void forget(PlacementTicket ticket) {
+        tickets.remove(ticket.id());
+    }
+
+    private Set<String> services() {
+        Set<String> services = new LinkedHashSet<>();
+        tickets.values().forEach(ticket -> services.add(ticket.service()));
+        return services;
+    }
+
+    private void sendLists(String service) {
+        List<RunUnderWay> runs = new ArrayList<>();
+        tickets.values().stream()
+                .filter(ticket -> ticket.service().equals(service))
+                .forEach(ticket -> ticket.addTo(runs));
+        RunsUnderWay list =
+                RunsUnderWay.newBuilder().setService(service).addAllRuns(runs).build();
+        FleetDatagram message = datagram().addRuns(list).build();
+        ranking(service).stream().limit(LISTENERS).forEach(report -> {
+            if (report.getName().equals(settings.name())) {
+                underWay(settings.name(), list);
+            } else {
+                datagrams.send(message, report.getIp());
+            }
+        });
+    }
+
+    private Optional<MemberReport> coordinatorOf(String service) {
+        return covered.test(service) ? ranking(service).stream().findFirst() : Optional.empty();
+    }
+
+    private List<MemberReport> ranking(String service) {
+        long nowMillis = ticker.nowMillis();
+        passedOverUntilMillis.values().removeIf(untilMillis -> nowMillis >= untilMillis);
+        List<MemberReport> serving = members.serving(nowMillis).stream()
+                .filter(report -> !passedOverUntilMillis.containsKey(report.getName()))
+                .toList();
+        return CoordinatorRanking.rank(service, serving);
+    }
+
+    private FleetDatagram.Builder datagram() {
+        return FleetDatagram.newBuilder().setFrom(settings.name());
+    }
+
+    private void received(FleetDatagram datagram, String fromIp) {
+        long nowMillis = ticker.nowMillis();
+        String from = datagram.getFrom();
+        if (datagram.getAsksCount() > 0) {
+            askerIps.put(from, fromIp);
+            datagram.getAsksList().forEach(ask -> asked(from, ask, nowMillis));
+        }
+        datagram.getProgressList()
+                .forEach(progress -> coordinator.progress(
+                        from, progress.getId(), progress.getEvent(), progress.getTookMillis(), nowMillis));
+        datagram.getRunsList().forEach(list -> underWay(from, list));
+        datagram.getRepliesList().forEach(reply -> replied(from, fromIp, reply));
+    }
+
+    private void underWay(String from, RunsUnderWay list) {
+        Map<Long, RunningRequests.Run> runs = new HashMap<>();
+        list.getRunsList()
+                .forEach(
+                        run -> runs.put(run.getId(), new RunningRequests.Run(run.getTarget(), run.getPrefillTokens())));
+        coordinator.underWay(from, list.getService(), runs, ticker.nowMillis());
+    }
+
+    private void replied(String from, String fromIp, PlacementReply reply) {
+        PlacementTicket ticket = tickets.get(reply.getId());
+        boolean granted = reply.getOutcome() == PlacementOutcome.PLACEMENT_GRANTED;
+        boolean current = ticket != null && ticket.coordinatorName().equals(from);
+        if (!current || ticket.settled()) {
+            if (granted && !(current && ticket.isAt(reply.getTarget()))) {
+                // The grant came too late; the place must not stay taken until the next list.
+                report(from, fromIp, reply.getId(), RunEvent.RUN_GIVEN_UP, 0);
+            }
+            return;
+        }
+        switch (reply.getOutcome()) {
+            case PLACEMENT_GRANTED -> granted(ticket, reply);
+            case PLACEMENT_WAITING -> ticket.waits(ticker.nowMillis());
+            case PLACEMENT_SHED -> {
+                ticket.refused();
+                ticket.listener().shed(reply.getComeBackMillis());
+            }
+            case PLACEMENT_OVER_QUOTA -> {
+                ticket.refused();
+                ticket.listener().overQuota(reply.getComeBackMillis());
+            }
+            default ->
+                FrontLog.dutyFailed(
+                        "reply of a coordinator",
+                        new IllegalArgumentException("unknown outcome " + reply.getOutcome()));
+        }
+    }
+
+    private void granted(PlacementTicket ticket, PlacementReply reply) {
+        TargetEntry entry = targets.entry(reply.getTarget());
+        boolean coldUnknown = entry != null && entry.state().cold(ticker.nowMillis()) && !reply.getCold();
+        if (entry == null || coldUnknown || !targets.mayReceive(entry)) {
+            // This process knows better than the coordinator, by items that are newer here.
+            report(ticket, RunEvent.RUN_GIVEN_UP, 0);
+            tickets.remove(ticket.id());
+            ticket.listener().noCoordinator();
+            return;
+        }
+        TargetState state = entry.state();
+        ticket.placed(reply.getTarget(), reply.getUncachedTokens());
+        ticket.listener()
+                .granted(new Candidate(
+                        state, reply.getUncachedTokens(), reply.getOccupancy(), reply.getPredictedMillis(), 0));
+    }
+
+    private void asked(String from, PlacementAsk ask, long nowMillis) {
+        coordinator.ask(PlacementMessages.ask(from, ask, nowMillis), nowMillis);
+    }
+
+    /** Sends the own coordinator's decisions to those who asked. */
+    private final class Replies implements Outbox {
+        @Override
+        public void granted(Ask ask, Candidate candidate) {
+            reply(ask, PlacementMessages.granted(ask, candidate));
+        }
+
+        @Override
+        public void waiting(Ask ask) {
+            reply(ask, PlacementMessages.reply(ask, PlacementOutcome.PLACEMENT_WAITING, 0));
+        }
+
+        @Override
+        public void shed(Ask ask, long comeBackMillis) {
+            reply(ask, PlacementMessages.reply(ask, PlacementOutcome.PLACEMENT_SHED, comeBackMillis));
+        }
+
+        @Override
+        public void overQuota(Ask ask, long comeBackMillis) {
+            reply(ask, PlacementMessages.reply(ask, PlacementOutcome.PLACEMENT_OVER_QUOTA, comeBackMillis));
+        }
+
+        private void reply(Ask ask, PlacementReply reply) {
+            if (ask.requester().equals(settings.name())) {
+                replied(settings.name(), settings.ip(), reply);
+                return;
+            }
+            datagrams.send(datagram().addReplies(reply).build(), askerIps.get(ask.requester()));
+        }
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -13,8 +13,11 @@
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
+import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.waiting.Patience;
 import org.whinwharf.traffic.waiting.Waiter;
+import org.whinwharf.wire.fleet.PlacementAsk;
+import org.whinwharf.wire.fleet.RunEvent;
 
 /**
  * One request of a caller, from its last byte to the last byte of its answer.
@@ -22,20 +25,23 @@
  * <p>Once a byte has left for a target, the request has perhaps run: from then on it is answered with the target's
  * answer or with a failure that promises nothing, never with a refusal that says that it has not run.
  */
-final class Exchange implements Waiter, TargetListener {
+final class Exchange implements Waiter, PlacementListener, TargetListener {
     /** Silence before a first byte after which a repeatable request goes elsewhere, in objectives. */
     private static final int SILENT_OBJECTIVES = 4;
     /** Shortest such silence; below it a short queue at a sound target would count as silence. */
     private static final long SHORTEST_SILENCE_MILLIS = 600;
     /** Silence within a stream after which it is resumed elsewhere; callers abandon it at two seconds. */
     private static final long STREAM_SILENCE_MILLIS = 1_200;
-    /** Time a full target gets nothing after it refused a request. */
-    private static final long FULL_PAUSE_MILLIS = 60;
+    /** Time beyond its patience that a request leaves a coordinator to refuse it; then it is refused here. */
+    private static final long COORDINATOR_MARGIN_MILLIS = 150;
     /** Time left below which sending is pointless: a target needs about this for its shortest answer. */
     private static final long SHORTEST_USEFUL_MILLIS = 15;
 
     private enum Stage {
+        /** In the line of this process. */
         WAITING,
+        /** A coordinator was asked for a target. */
+        ASKING,
         CONNECTING,
         SENT,
         ENDED
@@ -58,14 +64,12 @@
     private Stage stage = Stage.WAITING;
     private int sends;
     private int possibleRuns;
-    private Candidate candidate;
-    private TargetEntry entry;
+    private boolean quotaTaken;
+    private PlacementTicket ticket;
+    private TargetVisit visit;
     private TargetLink link;
-    private long sentAtMillis;
     private long lastByteAtMillis;
-    private boolean firstByteSeen;
     private boolean silenceNoted;
-    private long firstByteAtMillis;
     private AnswerAssembly answer;
 
     Exchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
@@ -110,6 +114,7 @@
         service = admitted.service();
         tierRank = admitted.tierRank();
         quotaTokens = admitted.quotaTokens();
+        quotaTaken = admitted.quotaTaken();
         deadlineAtMillis = admitted.deadlineAtMillis();
         patienceUntilMillis = admitted.patienceUntilMillis();
         front.retryBudget(service).request(arrivedAtMillis);
@@ -117,6 +122,15 @@
     }
 
     private void place(long nowMillis) {
+        if (front.coordination().covers(service)) {
+            stage = Stage.ASKING;
+            front.coordination().ask(service, this);
+        } else {
+            placeHere(nowMillis);
+        }
+    }
+
+    private void placeHere(long nowMillis) {
         stage = Stage.WAITING;
         if (!front.line(service).hasAhead(tierRank) && trySend(nowMillis)) {
             return;
@@ -124,6 +138,70 @@
         front.line(service).add(this, nowMillis);
     }
 
+    private Demand demand(long nowMillis) {
+        return ImmutableDemand.builder()
+                .service(service)
+                .dataCentre(front.dataCentre())
+                .model(head.model())
+                .promptTokens(head.promptTokens())
+                .answerTokens(head.answerTokens())
+                .remainingMillis(deadlineAtMillis - nowMillis)
+                .parts(head.parts())
+                .tierRank(tierRank)
+                .tried(tried)
+                .build();
+    }
+
+    @Override
+    public PlacementAsk ask(long id) {
+        long nowMillis = front.nowMillis();
+        return PlacementMessages.ask(
+                id,
+                demand(nowMillis),
+                patienceUntilMillis - nowMillis,
+                onTimeUntilMillis() - nowMillis,
+                organisation.filter(known -> !quotaTaken).map(Organisation::name),
+                quotaTokens);
+    }
+
+    @Override
+    public void asked(PlacementTicket asked) {
+        ticket = asked;
+    }
+
+    @Override
+    public void granted(Candidate chosen) {
+        if (!quotaTaken) {
+            organisation.ifPresent(
+                    known -> front.quotas().admittedByCoordinator(known.name(), quotaTokens, front.nowMillis()));
+            quotaTaken = true;
+        }
+        connect(chosen, ticket, front.nowMillis());
+    }
+
+    @Override
+    public void shed(long comeBackMillis) {
+        refuseUnplaced(comeBackMillis);
+    }
+
+    @Override
+    public void overQuota(long comeBackMillis) {
+        refuse(new Refusal(ErrorKind.OVER_QUOTA, Math.max(comeBackMillis, Front.NOT_READY_COME_BACK_MILLIS)));
+    }
+
+    @Override
+    public void noCoordinator() {
+        Optional<Refusal> refusal = quotaTaken
+                ? Optional.empty()
+                : front.admission().takeQuota(organisation, quotaTokens, front.nowMillis());
+        if (refusal.isPresent()) {
+            refuse(refusal.get());
+            return;
+        }
+        quotaTaken = true;
+        placeHere(front.nowMillis());
+    }
+
     @Override
     public int tierRank() {
         return tierRank;
@@ -141,77 +219,74 @@
 
     @Override
     public boolean trySend(long nowMillis) {
-        Demand demand = ImmutableDemand.builder()
-                .service(service)
-                .model(head.model())
-                .promptTokens(head.promptTokens())
-                .answerTokens(head.answerTokens())
-                .remainingMillis(deadlineAtMillis - nowMillis)
-                .parts(head.parts())
-                .tierRank(tierRank)
-                .tried(tried)
-                .build();
-        Optional<Candidate> chosen = front.choose(demand, nowMillis);
+        Optional<Candidate> chosen = front.choose(demand(nowMillis), nowMillis);
         if (chosen.isEmpty()) {
             return false;
         }
-        connect(chosen.get(), nowMillis);
+        Candidate candidate = chosen.get();
+        if (candidate.coldAllowance() > 0) {
+            candidate.state().coldGate().sent(nowMillis);
+        }
+        connect(candidate, front.coordination().placedHere(service, candidate), nowMillis);
         return true;
     }
 
     @Override
     public void refuse(long nowMillis) {
+        refuseUnplaced(front.comeBackMillis(service));
+    }
+
+    private void refuseUnplaced(long comeBackMillis) {
         ErrorKind kind = tried.isEmpty() ? ErrorKind.SHED : ErrorKind.TARGET_REFUSED;
-        refuse(new Refusal(perhapsRun() ? ErrorKind.TARGET_LOST : kind, front.comeBackMillis(service)));
+        refuse(new Refusal(perhapsRun() ? ErrorKind.TARGET_LOST : kind, comeBackMillis));
     }
 
-    private void connect(Candidate chosen, long nowMillis) {
+    private void connect(Candidate chosen, PlacementTicket placement, long nowMillis) {
         stage = Stage.CONNECTING;
-        candidate = chosen;
-        entry = front.entry(chosen.state().target().id());
-        chosen.state().began(chosen.uncachedTokens());
-        firstByteSeen = false;
+        ticket = placement;
+        String targetId = chosen.state().target().id();
+        visit = new TargetVisit(front.entry(targetId), chosen, placement);
         silenceNoted = false;
-        if (chosen.coldAllowance() > 0) {
-            chosen.state().coldGate().sent(nowMillis);
-        }
-        front.prompts().reads(head.parts(), chosen.state().target().id());
-        entry.pool().acquire(!route.idempotent(), this::connected);
+        front.prompts().reads(head.parts(), targetId);
+        visit.entry().pool().acquire(!route.idempotent(), this::connected);
     }
 
     private void connected(Optional<TargetLink> acquired) {
         long nowMillis = front.nowMillis();
+        TargetVisit current = visit;
         if (stage != Stage.CONNECTING) {
-            acquired.ifPresent(entry.pool()::giveBack);
+            acquired.ifPresent(unused -> current.entry().pool().giveBack(unused));
             return;
         }
         if (acquired.isEmpty()) {
-            leaveTarget();
-            front.targetFailed(entry, TargetFailure.UNREACHABLE);
+            leaveTarget(RunEvent.RUN_UNREACHABLE);
+            front.targetFailed(current.entry(), TargetFailure.UNREACHABLE);
             place(nowMillis);
             return;
         }
-        if (deadlineAtMillis - nowMillis < SHORTEST_USEFUL_MILLIS || !front.mayReceive(entry)) {
-            entry.pool().giveBack(acquired.get());
-            leaveTarget();
+        if (deadlineAtMillis - nowMillis < SHORTEST_USEFUL_MILLIS || !front.mayReceive(current.entry())) {
+            current.entry().pool().giveBack(acquired.get());
+            leaveTarget(RunEvent.RUN_GIVEN_UP);
             place(nowMillis);
             return;
         }
         link = acquired.get();
+        send(nowMillis);
+    }
+
+    private void send(long nowMillis) {
+        Target target = visit.entry().state().target();
         stage = Stage.SENT;
         sends++;
         possibleRuns++;
-        tried.add(entry.state().target().id());
-        sentAtMillis = nowMillis;
+        tried.add(target.id());
+        visit.sent(nowMillis);
         lastByteAtMillis = nowMillis;
         Optional<String> resumeAfter = answer.streamBegun() ? answer.lastEventId() : head.resumeAfterEvent();
         Dispatch dispatch = new Dispatch(
-                entry.state().target().id(),
-                organisation.map(Organisation::name),
-                deadlineAtMillis - nowMillis,
-                resumeAfter);
+                target.id(), organisation.map(Organisation::name), deadlineAtMillis - nowMillis, resumeAfter);
         front.metrics().waited(route.kind(), nowMillis - arrivedAtMillis);
-        FrontLog.sent(this, entry.state().target(), nowMillis - arrivedAtMillis, candidate);
+        FrontLog.sent(this, target, nowMillis - arrivedAtMillis, visit.candidate());
         link.send(front.dialect().targetRequest(request, dispatch), body, head.attemptId(), this);
     }
 
@@ -220,12 +295,7 @@
         noteBytes();
         answer.head(response, read);
         if (read.status() / 100 == 2) {
-            // Refusals and errors come sooner than answers; counted, they would make a failing target look like the
-            // fastest.
-            candidate
-                    .state()
-                    .speed()
-                    .observed(candidate.uncachedTokens(), candidate.occupancy(), lastByteAtMillis - sentAtMillis);
+            visit.succeeded();
         }
     }
 
@@ -246,12 +316,10 @@
     private void noteBytes() {
         long nowMillis = front.nowMillis();
         lastByteAtMillis = nowMillis;
-        entry.spoke(nowMillis);
-        if (!firstByteSeen) {
-            firstByteSeen = true;
-            firstByteAtMillis = nowMillis;
-            front.metrics().firstByte(route.kind(), nowMillis - sentAtMillis);
-            candidate.state().prefilled(candidate.uncachedTokens());
+        visit.entry().spoke(nowMillis);
+        if (!visit.firstByteSeen()) {
+            visit.firstByte(nowMillis);
+            front.metrics().firstByte(route.kind(), visit.firstByteMillis());
         }
     }
 
@@ -259,38 +327,41 @@
     public void complete() {
         link = null;
         long nowMillis = front.nowMillis();
-        leaveTarget();
+        TargetEntry entry = visit.entry();
         if (answer.refused()) {
             possibleRuns--;
             if (answer.fromOtherTarget()) {
+                leaveTarget(RunEvent.RUN_UNREACHABLE);
                 front.targetFailed(entry, TargetFailure.UNREACHABLE);
             } else {
-                entry.state().fullUntil(nowMillis + FULL_PAUSE_MILLIS);
+                leaveTarget(RunEvent.RUN_REFUSED);
                 front.targetAnsweredError(entry);
             }
             sendElsewhereOrRefuse(nowMillis);
-            return;
-        }
-        if (!answer.proper()) {
+        } else if (!answer.proper()) {
+            leaveTarget(RunEvent.RUN_BROKEN);
             failedAfterSend(TargetFailure.GARBLED, nowMillis);
-            return;
-        }
-        if (answer.status() >= 500) {
+        } else if (answer.status() >= 500) {
+            leaveTarget(RunEvent.RUN_ERRED);
             front.targetAnsweredError(entry);
-            if (canRepeat(nowMillis)) {
-                front.metrics().repeated();
-                FrontLog.repeated(this, entry.state().target(), "status " + answer.status());
-                answer.reset();
-                place(nowMillis);
-                return;
-            }
+            repeatOrDeliverError(nowMillis);
         } else {
             front.targetAnswered(entry);
-            if (head.answerTokens() > 0 && sends == 1) {
-                entry.state().speed().answered(head.answerTokens(), lastByteAtMillis - firstByteAtMillis);
-            }
+            visit.end(RunEvent.RUN_ANSWERED, sends == 1 ? head.answerTokens() : 0, lastByteAtMillis);
+            leaveTarget(RunEvent.RUN_ANSWERED);
+            deliver();
         }
-        deliver();
+    }
+
+    private void repeatOrDeliverError(long nowMillis) {
+        if (!canRepeat(nowMillis)) {
+            deliver();
+            return;
+        }
+        front.metrics().repeated();
+        FrontLog.repeated(this, visit.entry().state().target(), "status " + answer.status());
+        answer.reset();
+        place(nowMillis);
     }
 
     /** Tells whether any target may have run the request, or may yet. */
@@ -300,7 +371,7 @@
 
     private void deliver() {
         front.metrics().answered();
-        FrontLog.ended(this, entry, "answered", answer.status(), front.nowMillis() - arrivedAtMillis);
+        FrontLog.ended(this, entry(), "answered", answer.status(), front.nowMillis() - arrivedAtMillis);
         AnswerAssembly whole = answer;
         stage = Stage.ENDED;
         whole.deliver();
@@ -310,23 +381,22 @@
     @Override
     public void failed(TargetFailure failure) {
         link = null;
-        long nowMillis = front.nowMillis();
-        leaveTarget();
-        front.targetFailed(entry, failure);
-        failedAfterSend(failure, nowMillis);
+        leaveTarget(failure.event());
+        front.targetFailed(visit.entry(), failure);
+        failedAfterSend(failure, front.nowMillis());
     }
 
     private void failedAfterSend(TargetFailure failure, long nowMillis) {
         answer.reset();
         if (canRepeat(nowMillis)) {
             front.metrics().repeated();
-            FrontLog.repeated(this, entry.state().target(), failure.name());
+            FrontLog.repeated(this, visit.entry().state().target(), failure.name());
             patienceUntilMillis = Math.max(patienceUntilMillis, nowMillis + route.objectiveMillis());
             place(nowMillis);
             return;
         }
         if (answer.streamBegun()) {
-            FrontLog.ended(this, entry, "broken-off", answer.status(), front.nowMillis() - arrivedAtMillis);
+            FrontLog.ended(this, entry(), "broken-off", answer.status(), front.nowMillis() - arrivedAtMillis);
             end();
             caller.breakOff();
             return;
@@ -357,16 +427,15 @@
         }
     }
 
-    private void leaveTarget() {
-        if (candidate == null) {
-            return;
-        }
-        if (!firstByteSeen) {
-            candidate.state().prefilled(candidate.uncachedTokens());
+    private TargetEntry entry() {
+        return visit == null ? null : visit.entry();
+    }
+
+    private void leaveTarget(RunEvent event) {
+        if (visit != null) {
+            visit.end(event, 0, front.nowMillis());
+            front.placeFreed(service);
         }
-        candidate.state().ended();
-        candidate = null;
-        front.placeFreed(service);
     }
 
     /** Looks whether time has run out or the target has fallen silent. */
@@ -378,9 +447,14 @@
             timedOut();
             return;
         }
+        if (stage == Stage.ASKING && nowMillis > patienceUntilMillis + COORDINATOR_MARGIN_MILLIS) {
+            refuseUnplaced(front.comeBackMillis(service));
+            return;
+        }
         if (stage != Stage.SENT) {
             return;
         }
+        TargetEntry entry = visit.entry();
         long silentMillis = nowMillis - Math.max(lastByteAtMillis, entry.lastByteAtMillis());
         long limitMillis = answer.streamBegun()
                 ? STREAM_SILENCE_MILLIS
@@ -395,7 +469,7 @@
         if (stuck && route.idempotent() && sends < route.attempts() && front.hasOther(service, tried)) {
             link.cancel();
             link = null;
-            leaveTarget();
+            leaveTarget(RunEvent.RUN_SILENT);
             failedAfterSend(TargetFailure.SILENT, nowMillis);
         }
     }
@@ -405,7 +479,7 @@
             front.line(service).remove(this);
         }
         if (answer.streamBegun()) {
-            FrontLog.ended(this, entry, "timed-out", answer.status(), front.nowMillis() - arrivedAtMillis);
+            FrontLog.ended(this, entry(), "timed-out", answer.status(), front.nowMillis() - arrivedAtMillis);
             abandonTarget();
             end();
             caller.breakOff();
@@ -429,7 +503,7 @@
         }
         abandonTarget();
         if (route != null) {
-            FrontLog.ended(this, entry, "caller-left", 0, front.nowMillis() - arrivedAtMillis);
+            FrontLog.ended(this, entry(), "caller-left", 0, front.nowMillis() - arrivedAtMillis);
         }
         end();
     }
@@ -439,15 +513,15 @@
             link.cancel();
             link = null;
         }
-        leaveTarget();
+        leaveTarget(RunEvent.RUN_GIVEN_UP);
     }
 
     private void refuse(Refusal refusal) {
         if (stage == Stage.ENDED) {
             return;
         }
-        if (organisation.isPresent() && !perhapsRun() && quotaTokens > 0) {
-            front.quotas().giveBack(organisation.get().name(), quotaTokens);
+        if (quotaTaken && !perhapsRun()) {
+            organisation.ifPresent(known -> front.quotas().giveBack(known.name(), quotaTokens));
         }
         front.metrics().failed(refusal.kind());
         FrontLog.refused(this, refusal);
@@ -461,6 +535,9 @@
 
     private void end() {
         stage = Stage.ENDED;
+        if (ticket != null) {
+            ticket.ended(RunEvent.RUN_GIVEN_UP, 0);
+        }
         if (answer != null) {
             answer.reset();
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
@@ -33,8 +33,13 @@
         this.ticker = ticker;
     }
 
-    /** Makes this process's next report. */
-    void report(MemberPhase phase) {
+    /**
+     * Makes this process's next report.
+     *
+     * @param phase what the process does
+     * @param settled true when it has served for long enough to know the fleet
+     */
+    void report(MemberPhase phase, boolean settled) {
         MemberReport.Builder report = MemberReport.newBuilder()
                 .setName(settings.name())
                 .setIp(settings.ip())
@@ -42,9 +47,12 @@
                 .setDataCentre(settings.dataCentre())
                 .setPhase(phase)
                 .setRevision(feed.revision())
-                .setWatching(feed.watchWorks());
+                .setWatching(feed.watchWorks())
+                .setProcessorPercent(settings.processorPercent())
+                .setSettled(settled);
         for (TargetEntry entry : targets.all()) {
-            if (entry.state().ownRunning() > 0) {
+            // In a large fleet this news is too old to place requests by; a coordinator has the counts there.
+            if (entry.state().ownRunning() > 0 && !members.large()) {
                 report.addUsesBuilder()
                         .setTargetDigest(entry.state().target().digest())
                         .setRunning(entry.state().ownRunning())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -24,6 +24,8 @@
 import org.whinwharf.traffic.catalog.Route;
 import org.whinwharf.traffic.catalog.ServiceWeight;
 import org.whinwharf.traffic.catalog.TargetService;
+import org.whinwharf.traffic.coordination.Coordinator;
+import org.whinwharf.traffic.coordination.Outbox;
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.traffic.placement.Candidate;
@@ -55,6 +57,13 @@
     private static final long SWEEP_MILLIS = 250;
     /** Time that callers may still come after a request to stop: what they were told before has then run out. */
     private static final long LINGER_MILLIS = 2_500;
+    /** Time of service after which a process knows the fleet and its load, and may coordinate before younger ones. */
+    private static final long SETTLED_MILLIS = 5_000;
+    /**
+     * Part by which predictions are spread when this process places alone in a large fleet: more than engines of one
+     * generation differ, less than generations do.
+     */
+    private static final double BLIND_SPREAD = 0.5;
     /** Time before the end of the grace period at which the process ends in any case. */
     private static final long END_MARGIN_MILLIS = 600;
 
@@ -76,7 +85,9 @@
     private final FrontMetrics metrics = new FrontMetrics();
     private final CallerServer callers;
     private final FleetNews news;
+    private final PeerDatagrams datagrams;
     private final Gossip gossip;
+    private final Coordination coordination;
     private final Admission admission = new Admission(this);
     private final PeerItems peerItems;
     private final ItemFeed feed;
@@ -84,6 +95,7 @@
     private MemberPhase phase = MemberPhase.MEMBER_STARTING;
     private boolean listening;
     private long leavingAtMillis;
+    private long servingSinceMillis;
     private Runnable whenEnded = () -> {};
 
     /**
@@ -102,14 +114,17 @@
         quotas = new QuotaLedger(settings.freshFleet());
         targets = new Targets(loop, dialect, ticker, () -> catalog, metrics);
         placement = new Placement(
-                settings.dataCentre(),
                 prompts,
-                new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate));
+                new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate),
+                () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0);
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
         news = new FleetNews(settings, members, targets, quotas, feed, ticker);
-        gossip = new Gossip(settings, members, ticker, random, news::heard);
+        datagrams = new PeerDatagrams(settings);
+        coordination =
+                new Coordination(settings, members, targets, datagrams, ticker, this::coordinator, this::coordinated);
+        gossip = new Gossip(settings, members, ticker, random, datagrams, news::heard, coordination::coordinatorIps);
         callers = new CallerServer(this, loop);
     }
 
@@ -143,7 +158,7 @@
     @Override
     public void start() {
         peerItems.start(settings.ip(), settings.peerPort());
-        gossip.start(loop);
+        datagrams.start(loop);
         every("news for peers", GOSSIP_MILLIS, this::gossipRound);
         every("requests", TICK_MILLIS, this::tick);
         every("upkeep", SWEEP_MILLIS, this::sweep);
@@ -164,6 +179,7 @@
                 "Requests that wait here",
                 () -> lines.values().stream().mapToInt(WaitingLine::size).sum());
         metrics.gauge("whinwharf.running.requests", "Requests under way here", exchanges::size);
+        metrics.gauge("whinwharf.coordinated.waiting", "Requests of all fronts that wait here", coordination::waiting);
         metrics.gauge("whinwharf.connections", "Connections of callers", connections::size);
         metrics.gauge(
                 "whinwharf.peers",
@@ -204,7 +220,7 @@
             phase = MemberPhase.MEMBER_LEAVING;
             leavingAtMillis = ticker.nowMillis();
             EventLog.event(LogEvent.LEAVING).call();
-            gossipRound();
+            phaseChanged();
         });
     }
 
@@ -314,7 +330,8 @@
     private void serve() {
         if (phase == MemberPhase.MEMBER_STARTING) {
             phase = MemberPhase.MEMBER_SERVING;
-            gossipRound();
+            servingSinceMillis = ticker.nowMillis();
+            phaseChanged();
             EventLog.event(LogEvent.READY)
                     .with(EventField.REVISION, feed.revision())
                     .call();
@@ -322,13 +339,19 @@
     }
 
     private void gossipRound() {
-        news.report(phase);
+        news.report(phase, ready() && ticker.nowMillis() - servingSinceMillis > SETTLED_MILLIS);
         gossip.round();
     }
 
+    private void phaseChanged() {
+        news.report(phase, false);
+        gossip.urgentRound();
+    }
+
     private void tick() {
         long nowMillis = ticker.nowMillis();
         news.countOthers(nowMillis);
+        coordination.tick();
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowMillis));
         lines.values().forEach(line -> line.advance(nowMillis));
         if (phase == MemberPhase.MEMBER_LEAVING) {
@@ -362,6 +385,29 @@
         }
     }
 
+    private Coordinator coordinator(Outbox decisions) {
+        Placement common = new Placement(prompts, this::coordinatorColdShare, () -> 0);
+        return new Coordinator.Builder()
+                .ownName(settings.name())
+                .placement(common, prompts)
+                .targets(targets::ofService, targets::evacuated)
+                .quotas(quotas)
+                .listeners(decisions, targets, targets::underWay)
+                .random(random::nextDouble)
+                .build();
+    }
+
+    /** Half of what a cold target bears: for a moment two processes may each take themselves for the coordinator. */
+    private int coordinatorColdShare(Target target) {
+        return (int) Math.max(1, coldRate(target) / 2);
+    }
+
+    private boolean coordinated(String service) {
+        return catalog.flatMap(known -> known.service(service))
+                .map(TargetService::engine)
+                .orElse(false);
+    }
+
     private List<String> servingNames() {
         return members.serving(ticker.nowMillis()).stream()
                 .map(MemberReport::getName)
@@ -422,8 +468,7 @@
 
     /** Tells whether a target that was chosen a moment ago may still get a request. */
     boolean mayReceive(TargetEntry entry) {
-        return entry.state().usable(ticker.nowMillis())
-                && !targets.evacuated().contains(entry.state().target().dataCentre());
+        return targets.mayReceive(entry);
     }
 
     TargetEntry entry(String targetId) {
@@ -456,6 +501,14 @@
         return Patience.comeBackMillis(line(service).size(), targets.slots(service), random.nextDouble());
     }
 
+    Coordination coordination() {
+        return coordination;
+    }
+
+    String dataCentre() {
+        return settings.dataCentre();
+    }
+
     Admission admission() {
         return admission;
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -71,6 +71,14 @@
                 .call();
     }
 
+    static void passedOver(PlacementTicket ticket, long silentMillis) {
+        EventLog.event(LogEvent.COORDINATOR_SILENT)
+                .with(EventField.PEER, ticket.coordinatorName())
+                .with(EventField.SERVICE, ticket.service())
+                .with(EventField.AGE_MILLIS, silentMillis)
+                .call();
+    }
+
     static void published(Target target, String status) {
         EventLog.event(LogEvent.TARGET_PUBLISHED)
                 .with(EventField.TARGET, target.id())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
@@ -89,4 +89,14 @@
      * @return TCP port; 0 for none
      */
     int metricsPort();
+
+    /**
+     * Returns the processor time that this process may use.
+     *
+     * @return hundredths of a core; 0 when it is not known
+     */
+    @Value.Default
+    default int processorPercent() {
+        return 0;
+    }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
@@ -1,23 +1,15 @@
 package org.whinwharf.front;
 
-import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.member.Beat;
 import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.wire.fleet.FleetDatagram;
@@ -26,16 +18,19 @@
 /**
  * Tells the other processes what this one does, and hears of them.
  *
- * <p>In a small fleet each process tells each other one directly. In a larger one it tells a few at random and passes
- * on what it heard last, so that the cost for a node stays the same while news takes a few rounds more.
+ * <p>In a small fleet each process tells each other one directly. In a larger one it tells its coordinators and a few
+ * others at random, and adds the newest signs of life of all processes, which are a dozen bytes each. A process that
+ * hears of one that it does not know asks for the reports of all.
  */
 final class Gossip {
-    /** Processes up to which each tells each other one directly. */
-    private static final int SMALL_FLEET = 12;
-    /** Peers told in one round of a larger fleet. */
-    private static final int FAN_OUT = 3;
+    /** Peers told in one round of a larger fleet; with signs of life of ninety processes that is 9 KB/s. */
+    private static final int FAN_OUT = 2;
+    /** Rounds of a small fleet for one of a larger. */
+    private static final int LARGE_FLEET_ROUNDS = 2;
     /** Most bytes of a datagram, below the usual MTU. */
     private static final int MOST_DATAGRAM_BYTES = 1_300;
+    /** Signs of life in a datagram; with a report or two they fill it. */
+    private static final int MOST_BEATS = 90;
     /** Share of rounds in which a seed is told too, so that two halves that lost each other meet again. */
     private static final double SEED_SHARE = 0.1;
 
@@ -49,90 +44,136 @@
     private final MemberTable members;
     private final Ticker ticker;
     private final Random random;
+    private final PeerDatagrams datagrams;
     private final Listener listener;
-    private Channel channel;
+    private final Supplier<Collection<String>> coordinatorIps;
+    private boolean heardOfStrangers;
+    private int round;
 
-    Gossip(FrontSettings settings, MemberTable members, Ticker ticker, Random random, Listener listener) {
+    Gossip(
+            FrontSettings settings,
+            MemberTable members,
+            Ticker ticker,
+            Random random,
+            PeerDatagrams datagrams,
+            Listener listener,
+            Supplier<Collection<String>> coordinatorIps) {
         this.settings = settings;
         this.members = members;
         this.ticker = ticker;
         this.random = random;
+        this.datagrams = datagrams;
         this.listener = listener;
+        this.coordinatorIps = coordinatorIps;
+        datagrams.listen(this::received);
     }
 
-    void start(EventLoopGroup loop) {
-        channel = new Bootstrap()
-                .group(loop)
-                .channel(NioDatagramChannel.class)
-                .handler(new Receiver())
-                .bind(settings.ip(), settings.peerPort())
-                .syncUninterruptibly()
-                .channel();
+    /** Tells peers the own state, and what was heard last as far as room allows. */
+    void round() {
+        round++;
+        if (members.large()) {
+            if (round % LARGE_FLEET_ROUNDS == 0) {
+                largeRound();
+            }
+        } else {
+            smallRound();
+        }
     }
 
-    void stop() {
-        if (channel != null) {
-            channel.close();
-        }
+    /** Tells peers at once, since a change of the own phase cannot wait for the next round. */
+    void urgentRound() {
+        round = -1;
+        round();
     }
 
-    /** Tells peers the own state, and what was heard last as far as room allows. */
-    void round() {
+    private void smallRound() {
         Set<String> ips = new LinkedHashSet<>();
-        List<Member> known = new ArrayList<>(members.all());
-        boolean small = known.size() < SMALL_FLEET;
-        Collections.shuffle(known, random);
-        known.stream()
-                .limit(small ? SMALL_FLEET : FAN_OUT)
-                .forEach(member -> ips.add(member.report().getIp()));
-        if (known.size() < 2 || random.nextDouble() < SEED_SHARE) {
+        members.all().forEach(member -> ips.add(member.report().getIp()));
+        boolean alone = ips.size() < 2;
+        addSeeds(ips, alone);
+        FleetDatagram.Builder datagram = start().addMembers(members.own());
+        addReports(datagram, shuffled());
+        send(datagram.setRosterWanted(alone || heardOfStrangers).build(), ips);
+    }
+
+    private void largeRound() {
+        Set<String> ips = new LinkedHashSet<>(coordinatorIps.get());
+        List<Member> alive = shuffled();
+        alive.stream().limit(FAN_OUT).forEach(member -> ips.add(member.report().getIp()));
+        addSeeds(ips, false);
+        FleetDatagram.Builder datagram = start().addMembers(members.own());
+        for (Beat beat : members.beats(MOST_BEATS, ticker.nowMillis())) {
+            datagram.addBeatMembers(beat.nameDigest())
+                    .addBeatIncarnations(beat.incarnationDigest())
+                    .addBeatSequences((int) beat.sequence())
+                    .addBeatPhases(beat.phase());
+        }
+        send(datagram.setRosterWanted(heardOfStrangers).build(), ips);
+    }
+
+    private void addSeeds(Set<String> ips, boolean certainly) {
+        if (certainly || random.nextDouble() < SEED_SHARE) {
             ips.addAll(settings.seedIps());
         }
         ips.remove(settings.ip());
-        if (ips.isEmpty()) {
-            return;
-        }
-        byte[] datagram = datagram(known);
-        for (String ip : ips) {
-            channel.writeAndFlush(
-                    new DatagramPacket(
-                            Unpooled.wrappedBuffer(datagram), new InetSocketAddress(ip, settings.peerPort())),
-                    channel.voidPromise());
-        }
     }
 
-    private byte[] datagram(List<Member> known) {
-        FleetDatagram.Builder datagram =
-                FleetDatagram.newBuilder().setFrom(settings.name()).addMembers(members.own());
-        int room = MOST_DATAGRAM_BYTES - members.own().getSerializedSize();
-        long nowMillis = ticker.nowMillis();
-        known.sort(Comparator.comparingLong(Member::heardAtMillis).reversed());
-        for (Member member : known) {
-            boolean fresh = nowMillis - member.heardAtMillis() < MemberTable.SILENT_MILLIS;
-            int size = member.report().getSerializedSize() + 4;
-            if (fresh && room >= size) {
-                datagram.addMembers(member.report());
-                room -= size;
+    private void send(FleetDatagram datagram, Set<String> ips) {
+        heardOfStrangers = false;
+        ips.forEach(ip -> datagrams.send(datagram, ip));
+    }
+
+    private FleetDatagram.Builder start() {
+        return FleetDatagram.newBuilder().setFrom(settings.name());
+    }
+
+    private List<Member> shuffled() {
+        List<Member> alive = new ArrayList<>(members.alive(ticker.nowMillis()));
+        Collections.shuffle(alive, random);
+        return alive;
+    }
+
+    /** Adds reports while there is room, and returns those that found none. */
+    private static List<Member> addReports(FleetDatagram.Builder datagram, List<Member> reports) {
+        int room = MOST_DATAGRAM_BYTES - datagram.build().getSerializedSize();
+        for (int i = 0; i < reports.size(); i++) {
+            MemberReport report = reports.get(i).report();
+            room -= report.getSerializedSize() + 4;
+            if (room < 0) {
+                return reports.subList(i, reports.size());
             }
+            datagram.addMembers(report);
         }
-        return datagram.build().toByteArray();
+        return List.of();
     }
 
-    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet)
-                throws InvalidProtocolBufferException {
-            FleetDatagram datagram = FleetDatagram.parseFrom(packet.content().nioBuffer());
-            for (MemberReport report : datagram.getMembersList()) {
-                if (members.hear(report, ticker.nowMillis())) {
-                    listener.heard(report);
-                }
+    private void received(FleetDatagram datagram, String fromIp) {
+        long nowMillis = ticker.nowMillis();
+        for (MemberReport report : datagram.getMembersList()) {
+            if (members.hear(report, nowMillis)) {
+                listener.heard(report);
             }
         }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            FrontLog.dutyFailed("datagram of a peer", cause);
+        for (int i = 0; i < datagram.getBeatMembersCount(); i++) {
+            Beat beat = new Beat(
+                    datagram.getBeatMembers(i),
+                    datagram.getBeatIncarnations(i),
+                    datagram.getBeatSequences(i),
+                    datagram.getBeatPhases(i));
+            heardOfStrangers |= !members.hear(beat, nowMillis);
         }
+        if (datagram.getRosterWanted()) {
+            sendRoster(fromIp);
+        }
+    }
+
+    private void sendRoster(String ip) {
+        List<Member> left = shuffled();
+        do {
+            FleetDatagram.Builder datagram = start().addMembers(members.own());
+            List<Member> rest = addReports(datagram, left);
+            datagrams.send(datagram.build(), ip);
+            left = rest.size() < left.size() ? rest : List.of();
+        } while (!left.isEmpty());
     }
 }
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerDatagrams.java
@@ -0,0 +1,74 @@
+package org.whinwharf.front;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import org.whinwharf.wire.fleet.FleetDatagram;
+
+/** Datagrams between the front processes of one fleet; they may be lost, and each use bears that. */
+final class PeerDatagrams {
+    /** Takes datagrams. */
+    interface Listener {
+        /** Takes one datagram that came from the given address. */
+        void received(FleetDatagram datagram, String fromIp);
+    }
+
+    private final FrontSettings settings;
+    private final List<Listener> listeners = new ArrayList<>();
+    private Channel channel;
+
+    PeerDatagrams(FrontSettings settings) {
+        this.settings = settings;
+    }
+
+    void listen(Listener listener) {
+        listeners.add(listener);
+    }
+
+    void start(EventLoopGroup loop) {
+        channel = new Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel.class)
+                .handler(new Receiver())
+                .bind(settings.ip(), settings.peerPort())
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    void stop() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    /** Sends a datagram to the process on a host. */
+    void send(FleetDatagram datagram, String ip) {
+        InetSocketAddress address = new InetSocketAddress(ip, settings.peerPort());
+        channel.writeAndFlush(
+                new DatagramPacket(Unpooled.wrappedBuffer(datagram.toByteArray()), address), channel.voidPromise());
+    }
+
+    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet)
+                throws InvalidProtocolBufferException {
+            FleetDatagram datagram = FleetDatagram.parseFrom(packet.content().nioBuffer());
+            String fromIp = packet.sender().getAddress().getHostAddress();
+            listeners.forEach(listener -> listener.received(datagram, fromIp));
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            FrontLog.dutyFailed("datagram of a peer", cause);
+        }
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
@@ -1,24 +1,33 @@
 package org.whinwharf.front;
 
+import org.whinwharf.wire.fleet.RunEvent;
+
 /** Why a target gave no whole answer. */
 enum TargetFailure {
     /** No connection could be made: the request was not sent. */
-    UNREACHABLE(false),
+    UNREACHABLE(true, RunEvent.RUN_UNREACHABLE),
     /** The connection ended after the request was sent. */
-    CLOSED(true),
+    CLOSED(false, RunEvent.RUN_BROKEN),
     /** What came is no answer to the request. */
-    GARBLED(true),
+    GARBLED(false, RunEvent.RUN_BROKEN),
     /** Nothing came for too long. */
-    SILENT(true);
+    SILENT(true, RunEvent.RUN_SILENT);
+
+    private final boolean certain;
+    private final RunEvent event;
 
-    private final boolean perhapsRun;
+    TargetFailure(boolean certain, RunEvent event) {
+        this.certain = certain;
+        this.event = event;
+    }
 
-    TargetFailure(boolean perhapsRun) {
-        this.perhapsRun = perhapsRun;
+    /** Tells whether one such failure shows that the target is out of use. */
+    boolean certain() {
+        return certain;
     }
 
-    /** Tells whether the target may have run the request. */
-    boolean perhapsRun() {
-        return perhapsRun;
+    /** Returns what a coordinator is told. */
+    RunEvent event() {
+        return event;
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Targets.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Targets.java
@@ -18,11 +18,13 @@
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.TargetService;
+import org.whinwharf.traffic.coordination.RunningRequests;
+import org.whinwharf.traffic.coordination.TargetReports;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.target.TargetState;
 
 /** All targets that this process knows, with their connections and health. */
-final class Targets {
+final class Targets implements TargetReports {
     /** Extra time a target counts as cold after it said it would be warm: its word may be a heartbeat old. */
     private static final long COLD_MARGIN_MILLIS = 300;
     /** Share of a service's targets that errors alone may take out of use. */
@@ -116,6 +118,12 @@
         return evacuated;
     }
 
+    /** Tells whether a target that was chosen a moment ago may still get a request. */
+    boolean mayReceive(TargetEntry entry) {
+        return entry.state().usable(ticker.nowMillis())
+                && !evacuated.contains(entry.state().target().dataCentre());
+    }
+
     TargetEntry entry(String targetId) {
         return entries.get(targetId);
     }
@@ -147,11 +155,14 @@
 
     /** Takes a failure into the target's health. */
     void failed(TargetEntry entry, TargetFailure failure) {
-        boolean certain = failure == TargetFailure.UNREACHABLE || failure == TargetFailure.SILENT;
+        failed(entry, failure.certain(), failure.name());
+    }
+
+    private void failed(TargetEntry entry, boolean certain, String reason) {
         if (entry.state().health().failed(ticker.nowMillis(), certain)) {
             entry.pool().closeIdle();
             metrics.ejected();
-            FrontLog.ejected(entry.state().target(), failure.name());
+            FrontLog.ejected(entry.state().target(), reason);
         }
     }
 
@@ -168,6 +179,38 @@
         }
     }
 
+    @Override
+    public void answered(String targetId) {
+        TargetEntry entry = entries.get(targetId);
+        if (entry != null) {
+            entry.state().health().succeeded();
+        }
+    }
+
+    @Override
+    public void erred(String targetId) {
+        TargetEntry entry = entries.get(targetId);
+        if (entry != null) {
+            erred(entry);
+        }
+    }
+
+    @Override
+    public void failed(String targetId, boolean certain) {
+        TargetEntry entry = entries.get(targetId);
+        if (entry != null) {
+            failed(entry, certain, "REPORTED");
+        }
+    }
+
+    /** Takes what all processes have under way at a target. */
+    void underWay(String targetId, RunningRequests.Load load) {
+        TargetEntry entry = entries.get(targetId);
+        if (entry != null) {
+            entry.state().coordinated(load.running(), load.prefillTokens());
+        }
+    }
+
     /** Probes ejected targets, drops those long gone and closes idle connections. */
     void sweep() {
         long nowMillis = ticker.nowMillis();
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -143,6 +143,10 @@
     TARGET_RETURNED(Level.INFO, EventField.TARGET, EventField.SERVICE, EventField.LIMIT),
     /** A peer was heard for the first time, or in a new lifetime. */
     MEMBER_HEARD(Level.INFO, EventField.PEER, EventField.INCARNATION, EventField.STATUS),
+    /** A process turned to another coordinator of a service. */
+    COORDINATOR_CHANGED(Level.INFO, EventField.SERVICE, EventField.FROM, EventField.TO),
+    /** A coordinator did not answer in time and is passed over for a while. */
+    COORDINATOR_SILENT(Level.WARN, EventField.PEER, EventField.SERVICE, EventField.AGE_MILLIS),
     /** A peer was forgotten. */
     MEMBER_FORGOTTEN(Level.INFO, EventField.PEER),
     /** A request is sent again, since the first target gave no whole answer. */
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/BeatSpreadTest.java
@@ -0,0 +1,127 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.member.Beat;
+import org.whinwharf.traffic.member.Member;
+import org.whinwharf.traffic.member.MemberTable;
+import org.whinwharf.wire.fleet.MemberPhase;
+import org.whinwharf.wire.fleet.MemberReport;
+
+/**
+ * Signs of life that go from hand to hand through a fleet of ninety, each process telling two others four times a
+ * second.
+ */
+class BeatSpreadTest {
+    private static final int PROCESSES = 90;
+    private static final int FAN_OUT = 2;
+    private static final long ROUND_MILLIS = 300;
+    /** Loss on a bad link, as measured where links are disturbed. */
+    private static final double LOSS = 0.025;
+
+    private final Random random = new Random(11);
+    private final List<MemberTable> tables = new ArrayList<>();
+    private long nowMillis;
+
+    BeatSpreadTest() {
+        for (int i = 0; i < PROCESSES; i++) {
+            MemberTable table = new MemberTable(report(i));
+            for (int other = 0; other < PROCESSES; other++) {
+                table.hear(report(other), 0);
+            }
+            tables.add(table);
+        }
+    }
+
+    /**
+     * A sound process is taken for dead where its signs of life are too old. Callers are then kept away from it, and
+     * its part of quotas is given to others.
+     */
+    @Test
+    void noSoundProcessIsEverTakenForDead() {
+        for (int round = 0; round < 100; round++) {
+            round(PROCESSES);
+            for (MemberTable table : tables) {
+                assertThat(table.alive(nowMillis), hasSize(PROCESSES - 1));
+            }
+        }
+    }
+
+    /** A process is killed. Others go on telling each other of it and must not keep it alive among themselves. */
+    @Test
+    void deadProcessIsSilentEverywhereSoon() {
+        for (int round = 0; round < 20; round++) {
+            round(PROCESSES);
+        }
+        long killedAtMillis = nowMillis;
+        int living = PROCESSES - 1;
+        while (aliveSomewhere(living)) {
+            round(living);
+        }
+        assertThat(nowMillis - killedAtMillis, greaterThan(MemberTable.LARGE_SILENT_MILLIS - 1));
+        assertThat(nowMillis - killedAtMillis, lessThan(MemberTable.LARGE_SILENT_MILLIS + 3_000));
+    }
+
+    @Test
+    void phaseTravelsWithTheSignOfLife() {
+        MemberTable one = tables.get(0);
+        one.hear(new Beat("front-7".hashCode(), 1, 50, MemberPhase.MEMBER_LEAVING), 10);
+        assertThat(one.serving(10).stream().anyMatch(report -> report.getName().equals("front-7")), is(false));
+    }
+
+    /** A process was restarted between two rounds. Its new lifetime has to be asked for, not taken for the old one. */
+    @Test
+    void signOfLifeOfAnUnknownLifetimeIsNotTaken() {
+        assertThat(tables.get(0).hear(new Beat("front-7".hashCode(), 2, 1, MemberPhase.MEMBER_SERVING), 10), is(false));
+        assertThat(tables.get(0).hear(new Beat(12_345, 1, 1, MemberPhase.MEMBER_SERVING), 10), is(false));
+    }
+
+    /** A report that was passed on slowly comes after younger signs of life. It is news, but not of life. */
+    @Test
+    void olderReportDoesNotTakeBackAYoungerSignOfLife() {
+        MemberTable one = tables.get(0);
+        one.hear(new Beat("front-7".hashCode(), 1, 50, MemberPhase.MEMBER_LEAVING), 10);
+        assertThat(one.hear(report(7).toBuilder().setSequence(40).setRevision(9).build(), 20), is(true));
+        Member member = one.all().stream()
+                .filter(known -> known.report().getName().equals("front-7"))
+                .findFirst()
+                .orElseThrow();
+        assertThat(member.report().getRevision(), is(9L));
+        assertThat(member.report().getPhase(), is(MemberPhase.MEMBER_LEAVING));
+        assertThat(member.heardAtMillis(), is(10L));
+    }
+
+    private boolean aliveSomewhere(int living) {
+        String dead = "front-" + living;
+        return tables.subList(0, living).stream()
+                .flatMap(table -> table.alive(nowMillis).stream())
+                .anyMatch(member -> member.report().getName().equals(dead));
+    }
+
+    private void round(int living) {
+        nowMillis += ROUND_MILLIS;
+        for (int from = 0; from < living; from++) {
+            MemberTable table = tables.get(from);
+            table.report(report(from).toBuilder());
+            List<Beat> beats = table.beats(90, nowMillis);
+            for (int i = 0; i < FAN_OUT; i++) {
+                MemberTable hearer = tables.get(random.nextInt(living));
+                if (random.nextDouble() >= LOSS) {
+                    beats.forEach(beat -> hearer.hear(beat, nowMillis));
+                }
+            }
+        }
+    }
+
+    private static MemberReport report(int process) {
+        return Fixtures.report("front-" + process, 1, 1);
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -0,0 +1,240 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.coordination.Ask;
+import org.whinwharf.traffic.coordination.Coordinator;
+import org.whinwharf.traffic.coordination.ImmutableAsk;
+import org.whinwharf.traffic.coordination.Outbox;
+import org.whinwharf.traffic.coordination.RunningRequests;
+import org.whinwharf.traffic.coordination.TargetReports;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.Placement;
+import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.target.PromptCache;
+import org.whinwharf.traffic.target.TargetState;
+import org.whinwharf.wire.fleet.RunEvent;
+
+class CoordinatorTest {
+    private static final String SERVICE = "summaries";
+
+    private final Map<String, TargetState> targets = new LinkedHashMap<>();
+    private final List<String> granted = new ArrayList<>();
+    private final List<String> waiting = new ArrayList<>();
+    private final List<String> refused = new ArrayList<>();
+    private final List<String> reports = new ArrayList<>();
+    private final QuotaLedger quotas = new QuotaLedger(true);
+    private final Coordinator coordinator = coordinator();
+
+    private Coordinator coordinator() {
+        PromptCache prompts = new PromptCache();
+        return new Coordinator.Builder()
+                .ownName("front-0")
+                .placement(new Placement(prompts, target -> 1, () -> 0), prompts)
+                .targets(service -> targets.values(), Set::of)
+                .quotas(quotas)
+                .listeners(
+                        new Decisions(),
+                        new Reports(),
+                        (id, load) -> targets.get(id).coordinated(load.running(), load.prefillTokens()))
+                .build();
+    }
+
+    /**
+     * Two fronts each hold a request back for the next free slot. An inspector's came second, at the other front. Where
+     * each front keeps a line of its own, the slot goes to whoever looks first.
+     */
+    @Test
+    void oneLineOrdersTheRequestsOfAllProcesses() {
+        engine("engine", 1);
+        coordinator.ask(ask("front-1", 1, 2, 0), 0);
+        coordinator.ask(ask("front-1", 2, 2, 0), 0);
+        coordinator.ask(ask("front-2", 1, 0, 0), 10);
+        assertThat(granted, contains("front-1/1@engine"));
+        assertThat(waiting, contains("front-1/2", "front-2/1"));
+        coordinator.progress("front-1", 1, RunEvent.RUN_ANSWERED, 0, 20);
+        assertThat(granted, contains("front-1/1@engine", "front-2/1@engine"));
+    }
+
+    /**
+     * The datagram with a grant is lost and the front asks again. A second grant would take a second slot that nobody
+     * uses until the next list.
+     */
+    @Test
+    void sameAskAgainGetsTheSameGrant() {
+        engine("one", 4);
+        engine("two", 4);
+        coordinator.ask(ask("front-1", 1, 0, 0), 0);
+        coordinator.ask(ask("front-1", 1, 0, 40), 40);
+        assertThat(granted, hasSize(2));
+        assertThat(granted.get(1), is(granted.get(0)));
+        assertThat(running(), is(1));
+    }
+
+    /**
+     * The word that a request has ended is lost. Its slot would stay taken for ever, and the engine would get less and
+     * less work until it stood idle; the front's next list leaves the request out.
+     */
+    @Test
+    void listOfWhatIsUnderWayFreesWhatEndedUnheard() {
+        engine("engine", 1);
+        coordinator.ask(ask("front-1", 1, 0, 0), 0);
+        coordinator.ask(ask("front-2", 1, 0, 0), 0);
+        coordinator.underWay("front-1", SERVICE, Map.of(), 500);
+        coordinator.advance(500);
+        assertThat(granted, contains("front-1/1@engine", "front-2/1@engine"));
+    }
+
+    /** A grant and a list cross on their way: the list was made before the grant came and must not free its slot. */
+    @Test
+    void listThatCrossesAGrantLeavesItsSlotTaken() {
+        engine("engine", 2);
+        coordinator.ask(ask("front-1", 1, 0, 0), 0);
+        coordinator.underWay("front-1", SERVICE, Map.of(), 100);
+        assertThat(running(), is(1));
+    }
+
+    /** A front is killed with requests under way. Nobody will ever say that they have ended. */
+    @Test
+    void requestsOfASilentProcessAreDropped() {
+        engine("engine", 1);
+        coordinator.ask(ask("front-1", 1, 0, 0), 0);
+        coordinator.advance(3_000);
+        assertThat(running(), is(1));
+        coordinator.advance(4_000);
+        assertThat(running(), is(0));
+    }
+
+    /**
+     * The coordinator is killed and another front takes over. It has granted nothing itself; without the lists of the
+     * others it would take every engine for idle and send each its slots a second time.
+     */
+    @Test
+    void newCoordinatorCountsWhatOthersHaveUnderWay() {
+        engine("engine", 2);
+        RunningRequests.Run run = new RunningRequests.Run("engine", 0);
+        coordinator.underWay("front-1", SERVICE, Map.of(7L, run, 8L, run), 0);
+        coordinator.ask(ask("front-2", 1, 1, 0), 10);
+        assertThat(granted, empty());
+        assertThat(waiting, contains("front-2/1"));
+    }
+
+    @Test
+    void endOfPatienceRefusesAndGivesTheQuotaBack() {
+        quotas.update(Fixtures.catalog(1, 1, 1_000), 0);
+        engine("engine", 1);
+        coordinator.ask(ask("front-1", 1, 0, 0), 0);
+        coordinator.ask(withQuota(ask("front-1", 2, 0, 0), 1_000), 0);
+        coordinator.ask(withQuota(ask("front-1", 3, 0, 0), 1_000), 0);
+        assertThat(refused, contains("front-1/3 over quota"));
+        coordinator.advance(1_000);
+        assertThat(refused, contains("front-1/3 over quota", "front-1/2 shed"));
+        coordinator.progress("front-1", 1, RunEvent.RUN_ANSWERED, 0, 1_000);
+        coordinator.ask(withQuota(ask("front-1", 4, 0, 1_000), 1_000), 1_000);
+        assertThat(granted, contains("front-1/1@engine", "front-1/4@engine"));
+    }
+
+    /** The caller leaves while its request waits. The slot must go to one whose caller is still there. */
+    @Test
+    void requestGivenUpLeavesTheLine() {
+        engine("engine", 1);
+        coordinator.ask(ask("front-1", 1, 0, 0), 0);
+        coordinator.ask(ask("front-1", 2, 0, 0), 0);
+        coordinator.ask(ask("front-2", 3, 0, 0), 0);
+        coordinator.progress("front-1", 2, RunEvent.RUN_GIVEN_UP, 0, 5);
+        coordinator.progress("front-1", 1, RunEvent.RUN_ANSWERED, 0, 10);
+        assertThat(granted, contains("front-1/1@engine", "front-2/3@engine"));
+    }
+
+    @Test
+    void whatOthersSawOfATargetReachesItsHealthButNotWhatThisProcessSaw() {
+        engine("engine", 4);
+        coordinator.ask(ask("front-0", 1, 0, 0), 0);
+        coordinator.ask(ask("front-1", 1, 0, 0), 0);
+        coordinator.ask(ask("front-1", 2, 0, 0), 0);
+        coordinator.progress("front-0", 1, RunEvent.RUN_BROKEN, 0, 5);
+        coordinator.progress("front-1", 1, RunEvent.RUN_SILENT, 0, 5);
+        coordinator.progress("front-1", 2, RunEvent.RUN_ERRED, 0, 5);
+        assertThat(reports, containsInAnyOrder("engine failed true", "engine erred"));
+    }
+
+    private TargetState engine(String id, int slots) {
+        TargetState state = new TargetState(Fixtures.target(id, slots));
+        targets.put(id, state);
+        return state;
+    }
+
+    private int running() {
+        return targets.values().stream().mapToInt(TargetState::running).sum();
+    }
+
+    private static Ask ask(String requester, long id, int tierRank, long nowMillis) {
+        return ImmutableAsk.builder()
+                .requester(requester)
+                .id(id)
+                .demand(Fixtures.demand(tierRank, 1_000, "subject"))
+                .deadlineAtMillis(nowMillis + 10_000)
+                .patienceUntilMillis(nowMillis + 600)
+                .onTimeUntilMillis(nowMillis + 300)
+                .build();
+    }
+
+    private static Ask withQuota(Ask ask, long tokens) {
+        return ImmutableAsk.copyOf(ask).withOrganisation(Optional.of("obec")).withQuotaTokens(tokens);
+    }
+
+    private static String name(Ask ask) {
+        return ask.requester() + "/" + ask.id();
+    }
+
+    private final class Decisions implements Outbox {
+        @Override
+        public void granted(Ask ask, Candidate candidate) {
+            granted.add(name(ask) + "@" + candidate.state().target().id());
+        }
+
+        @Override
+        public void waiting(Ask ask) {
+            waiting.add(name(ask));
+        }
+
+        @Override
+        public void shed(Ask ask, long comeBackMillis) {
+            refused.add(name(ask) + " shed");
+        }
+
+        @Override
+        public void overQuota(Ask ask, long comeBackMillis) {
+            refused.add(name(ask) + " over quota");
+        }
+    }
+
+    private final class Reports implements TargetReports {
+        @Override
+        public void answered(String targetId) {
+            reports.add(targetId + " answered");
+        }
+
+        @Override
+        public void erred(String targetId) {
+            reports.add(targetId + " erred");
+        }
+
+        @Override
+        public void failed(String targetId, boolean certain) {
+            reports.add(targetId + " failed " + certain);
+        }
+    }
+}
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/Fixtures.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/Fixtures.java
@@ -37,6 +37,7 @@
     public static Demand demand(int tierRank, long promptTokens, String subject) {
         return ImmutableDemand.builder()
                 .service("summaries")
+                .dataCentre("zilina-a")
                 .promptTokens(promptTokens)
                 .addParts(new PromptPart("shared", 60), new PromptPart(subject, promptTokens - 60))
                 .tierRank(tierRank)
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PlacementTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PlacementTest.java
@@ -23,7 +23,7 @@
     private static final double COLD_RATE = 11;
 
     private final PromptCache prompts = new PromptCache();
-    private final Placement placement = new Placement("zilina-a", prompts, target -> 0);
+    private final Placement placement = new Placement(prompts, target -> 0, () -> 0);
 
     @Test
     void promptGoesWhereItWasRead() {
@@ -118,7 +118,7 @@
 
     @Test
     void coldTargetGetsNoMoreThanTheShareInASecond() {
-        Placement sharing = new Placement("zilina-a", prompts, target -> 3);
+        Placement sharing = new Placement(prompts, target -> 3, () -> 0);
         List<TargetState> states = states(1);
         states.get(0).coldUntil(5_000);
         int sent = 0;
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -117,6 +117,36 @@
         assertThat((double) (ledger.comeBackMillis("obec") - before), closeTo(1_000, 2));
     }
 
+    /**
+     * A front is restarted in the middle of a day and hears what its peers have admitted since their start. Taken for
+     * use of this moment, that would be a debt of half a minute's quota, and the front would refuse everybody.
+     */
+    @Test
+    void totalsFromBeforeTheOwnStartAreNoDebt() {
+        QuotaLedger ledger = new QuotaLedger(false);
+        ledger.update(Fixtures.catalog(1, RATE, RATE), 0);
+        ledger.heard("front-1", 1, "obec".hashCode(), 30 * (long) RATE, 0);
+        assertThat(ledger.tryAdmit("obec", REQUEST_TOKENS, 10), is(true));
+        ledger.heard("front-1", 1, "obec".hashCode(), 31 * (long) RATE, 20);
+        assertThat(ledger.tryAdmit("obec", REQUEST_TOKENS, 30), is(false));
+    }
+
+    /**
+     * A coordinator admits for another front, and that front says later what it admitted. Counted twice, half of the
+     * quota would be lost.
+     */
+    @Test
+    void useAdmittedForAnotherProcessIsCountedOnce() {
+        QuotaLedger ledger = new QuotaLedger(true);
+        ledger.update(Fixtures.catalog(1, RATE, RATE), 0);
+        ledger.heard("front-1", 1, "obec".hashCode(), 0, 0);
+        long half = (long) RATE / 2;
+        assertThat(ledger.tryAdmitFor("front-1", "obec", half, 0), is(true));
+        ledger.heard("front-1", 1, "obec".hashCode(), half, 0);
+        assertThat(ledger.tryAdmitFor("front-1", "obec", half, 0), is(true));
+        assertThat(ledger.tryAdmitFor("front-1", "obec", 1, 0), is(false));
+    }
+
     private static List<QuotaLedger> fleet(boolean fresh) {
         List<QuotaLedger> fleet = new ArrayList<>();
         for (int i = 0; i < PROCESSES; i++) {
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -0,0 +1,408 @@
+package org.whinwharf.traffic.coordination;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.ImmutableDemand;
+import org.whinwharf.traffic.placement.Placement;
+import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.target.PromptCache;
+import org.whinwharf.traffic.target.TargetState;
+import org.whinwharf.traffic.waiting.Patience;
+import org.whinwharf.traffic.waiting.Waiter;
+import org.whinwharf.traffic.waiting.WaitingLine;
+import org.whinwharf.wire.fleet.RunEvent;
+
+/**
+ * Places the requests of services for all processes of the fleet.
+ *
+ * <p>Sixty processes that each place a few requests a second on their own counts pick the same engine together, read
+ * each prompt on many engines, and learn an engine's speed too late. One that places all of them sees every request at
+ * every engine, keeps one waiting line by tier, and remembers where each prompt was read. It holds nothing that must
+ * not be lost: another process takes over with what the others tell it they have under way.
+ */
+public final class Coordinator {
+    /** Requests that wait for one service. At the rate of a fleet of ninety, more would outwait their patience. */
+    private static final int MOST_WAITING = 1_024;
+
+    private final String ownName;
+    private final Placement placement;
+    private final Function<String, Collection<TargetState>> targets;
+    private final Supplier<Set<String>> evacuated;
+    private final PromptCache prompts;
+    private final QuotaLedger quotas;
+    private final TargetReports reports;
+    private final Outbox outbox;
+    private final DoubleSupplier random;
+    private final LoadListener loads;
+    private final Map<String, ServiceDesk> desks = new HashMap<>();
+
+    private record AskKey(String requester, long id) {}
+
+    private record Grant(Ask ask, Candidate candidate) {}
+
+    private Coordinator(Builder builder) {
+        ownName = builder.ownName;
+        placement = builder.placement;
+        targets = builder.targets;
+        evacuated = builder.evacuated;
+        prompts = builder.prompts;
+        quotas = builder.quotas;
+        reports = builder.reports;
+        outbox = builder.outbox;
+        random = builder.random;
+        loads = builder.loads;
+    }
+
+    /**
+     * Takes an ask; the same ask again gets the same decision again.
+     *
+     * @param ask the ask
+     * @param nowMillis steady time in milliseconds
+     */
+    public void ask(Ask ask, long nowMillis) {
+        desk(ask.demand().service()).ask(ask, nowMillis);
+    }
+
+    /**
+     * Takes what became of a request.
+     *
+     * @param process who sent it
+     * @param id id of its ask
+     * @param event what happened
+     * @param tookMillis time to the first event, or from the first event to the last; 0 when it says nothing
+     * @param nowMillis steady time in milliseconds
+     */
+    public void progress(String process, long id, RunEvent event, long tookMillis, long nowMillis) {
+        AskKey key = new AskKey(process, id);
+        desks.values().forEach(desk -> desk.progress(key, event, tookMillis, nowMillis));
+    }
+
+    /**
+     * Takes everything that a process has under way at the targets of a service.
+     *
+     * @param process who says it
+     * @param service name of the service
+     * @param runs its requests, by the ids of their asks
+     * @param nowMillis steady time in milliseconds
+     */
+    public void underWay(String process, String service, Map<Long, RunningRequests.Run> runs, long nowMillis) {
+        desk(service).underWay(process, runs, nowMillis);
+    }
+
+    /**
+     * Sends and refuses what waits, and drops the requests of processes that fell silent.
+     *
+     * @param nowMillis steady time in milliseconds
+     */
+    public void advance(long nowMillis) {
+        desks.values().forEach(desk -> {
+            desk.running.dropSilent(nowMillis).forEach(desk::dropGrants);
+            desk.line.advance(nowMillis);
+        });
+    }
+
+    /**
+     * Returns how many requests wait.
+     *
+     * @return requests of all services
+     */
+    public int waiting() {
+        return desks.values().stream().mapToInt(desk -> desk.line.size()).sum();
+    }
+
+    private ServiceDesk desk(String service) {
+        return desks.computeIfAbsent(service, ServiceDesk::new);
+    }
+
+    /** What is known of one service. */
+    private final class ServiceDesk {
+        private final String service;
+        private final WaitingLine line = new WaitingLine(MOST_WAITING);
+        private final RunningRequests running = new RunningRequests(loads);
+        private final Map<AskKey, QueuedAsk> waiting = new HashMap<>();
+        private final Map<AskKey, Grant> grants = new LinkedHashMap<>();
+
+        ServiceDesk(String service) {
+            this.service = service;
+        }
+
+        void ask(Ask ask, long nowMillis) {
+            AskKey key = new AskKey(ask.requester(), ask.id());
+            Grant grant = grants.get(key);
+            if (grant != null) {
+                outbox.granted(ask, grant.candidate());
+                return;
+            }
+            if (waiting.containsKey(key)) {
+                outbox.waiting(ask);
+                return;
+            }
+            if (!admit(ask, nowMillis)) {
+                outbox.overQuota(ask, quotas.comeBackMillis(ask.organisation().orElseThrow()));
+                return;
+            }
+            QueuedAsk queued = new QueuedAsk(ask, key);
+            if (!line.hasAhead(ask.demand().tierRank()) && queued.trySend(nowMillis)) {
+                return;
+            }
+            waiting.put(key, queued);
+            outbox.waiting(ask);
+            line.add(queued, nowMillis);
+        }
+
+        void underWay(String process, Map<Long, RunningRequests.Run> runs, long nowMillis) {
+            running.replace(process, runs, nowMillis);
+            dropGrants(process);
+        }
+
+        /** Forgets the grants of a process whose requests are no longer under way. */
+        void dropGrants(String process) {
+            grants.keySet()
+                    .removeIf(key -> key.requester().equals(process)
+                            && running.find(process, key.id()).isEmpty());
+        }
+
+        private boolean admit(Ask ask, long nowMillis) {
+            return ask.organisation().isEmpty()
+                    || quotas.tryAdmitFor(ask.requester(), ask.organisation().get(), ask.quotaTokens(), nowMillis);
+        }
+
+        void progress(AskKey key, RunEvent event, long tookMillis, long nowMillis) {
+            QueuedAsk queued = waiting.remove(key);
+            if (queued != null) {
+                line.remove(queued);
+                queued.refund();
+            }
+            Grant grant = grants.get(key);
+            if (event == RunEvent.RUN_FIRST_EVENT) {
+                running.prefilled(key.requester(), key.id());
+                if (grant != null) {
+                    firstEvent(key, grant, tookMillis);
+                }
+                return;
+            }
+            grants.remove(key);
+            Optional<RunningRequests.Run> run = running.ended(key.requester(), key.id());
+            if (run.isPresent() && !key.requester().equals(ownName)) {
+                judge(run.get().targetId(), event);
+            }
+            if (grant != null) {
+                ended(key, grant, event, tookMillis, nowMillis);
+            }
+            line.advance(nowMillis);
+        }
+
+        private void firstEvent(AskKey key, Grant grant, long tookMillis) {
+            if (tookMillis > 0 && !key.requester().equals(ownName)) {
+                Candidate candidate = grant.candidate();
+                candidate.state().speed().observed(candidate.uncachedTokens(), candidate.occupancy(), tookMillis);
+            }
+        }
+
+        private void ended(AskKey key, Grant grant, RunEvent event, long tookMillis, long nowMillis) {
+            TargetState state = grant.candidate().state();
+            long answerTokens = grant.ask().demand().answerTokens();
+            if (event == RunEvent.RUN_ANSWERED
+                    && tookMillis > 0
+                    && answerTokens > 0
+                    && !key.requester().equals(ownName)) {
+                state.speed().answered(answerTokens, tookMillis);
+            }
+            if (event == RunEvent.RUN_REFUSED) {
+                state.refusedAsFull(nowMillis);
+            }
+        }
+
+        private void judge(String targetId, RunEvent event) {
+            switch (event) {
+                case RUN_ANSWERED -> reports.answered(targetId);
+                case RUN_REFUSED, RUN_ERRED -> reports.erred(targetId);
+                case RUN_UNREACHABLE, RUN_SILENT -> reports.failed(targetId, true);
+                case RUN_BROKEN -> reports.failed(targetId, false);
+                default -> {
+                    // The caller left, or nothing is known: no word on the target.
+                }
+            }
+        }
+
+        private long comeBackMillis(long nowMillis) {
+            int slots = targets.apply(service).stream()
+                    .filter(state -> state.usable(nowMillis))
+                    .mapToInt(state -> state.target().slots())
+                    .sum();
+            return Patience.comeBackMillis(line.size(), slots, random.getAsDouble());
+        }
+
+        /** One ask that waits. */
+        private final class QueuedAsk implements Waiter {
+            private final Ask ask;
+            private final AskKey key;
+
+            QueuedAsk(Ask ask, AskKey key) {
+                this.ask = ask;
+                this.key = key;
+            }
+
+            @Override
+            public int tierRank() {
+                return ask.demand().tierRank();
+            }
+
+            @Override
+            public long patienceUntilMillis() {
+                return ask.patienceUntilMillis();
+            }
+
+            @Override
+            public long onTimeUntilMillis() {
+                return ask.onTimeUntilMillis();
+            }
+
+            @Override
+            public boolean trySend(long nowMillis) {
+                ImmutableDemand demand =
+                        ImmutableDemand.copyOf(ask.demand()).withRemainingMillis(ask.deadlineAtMillis() - nowMillis);
+                Optional<Candidate> chosen =
+                        placement.choose(demand, targets.apply(service), evacuated.get(), nowMillis);
+                if (chosen.isEmpty()) {
+                    return false;
+                }
+                grant(chosen.get(), nowMillis);
+                return true;
+            }
+
+            private void grant(Candidate candidate, long nowMillis) {
+                waiting.remove(key);
+                String targetId = candidate.state().target().id();
+                running.granted(
+                        key.requester(),
+                        key.id(),
+                        new RunningRequests.Run(targetId, candidate.uncachedTokens()),
+                        nowMillis);
+                if (candidate.coldAllowance() > 0) {
+                    candidate.state().coldGate().sent(nowMillis);
+                }
+                prompts.reads(ask.demand().parts(), targetId);
+                grants.put(key, new Grant(ask, candidate));
+                outbox.granted(ask, candidate);
+            }
+
+            @Override
+            public void refuse(long nowMillis) {
+                waiting.remove(key);
+                refund();
+                outbox.shed(ask, comeBackMillis(nowMillis));
+            }
+
+            void refund() {
+                ask.organisation().ifPresent(name -> quotas.refundFor(ask.requester(), name, ask.quotaTokens()));
+            }
+        }
+    }
+
+    /** Builds a coordinator. */
+    public static final class Builder {
+        private String ownName = "";
+        private Placement placement;
+        private Function<String, Collection<TargetState>> targets;
+        private Supplier<Set<String>> evacuated = Set::of;
+        private PromptCache prompts;
+        private QuotaLedger quotas;
+        private TargetReports reports;
+        private Outbox outbox;
+        private DoubleSupplier random = () -> 0.5;
+        private LoadListener loads;
+
+        /**
+         * Sets the name of the process that coordinates; what its own requests show reaches the targets without this.
+         *
+         * @param name name of the process
+         * @return this
+         */
+        public Builder ownName(String name) {
+            ownName = name;
+            return this;
+        }
+
+        /**
+         * Sets how targets are chosen.
+         *
+         * @param how placement, with the shares of cold targets that a coordinator may use
+         * @param cache where prompts were read
+         * @return this
+         */
+        public Builder placement(Placement how, PromptCache cache) {
+            placement = how;
+            prompts = cache;
+            return this;
+        }
+
+        /**
+         * Sets what is known of targets.
+         *
+         * @param byService states of a service's targets
+         * @param dataCentresOut data centres that must get nothing new
+         * @return this
+         */
+        public Builder targets(
+                Function<String, Collection<TargetState>> byService, Supplier<Set<String>> dataCentresOut) {
+            targets = byService;
+            evacuated = dataCentresOut;
+            return this;
+        }
+
+        /**
+         * Sets the quotas.
+         *
+         * @param ledger quotas of all organisations
+         * @return this
+         */
+        public Builder quotas(QuotaLedger ledger) {
+            quotas = ledger;
+            return this;
+        }
+
+        /**
+         * Sets who hears of decisions, of what targets did, and of their load.
+         *
+         * @param decisions takes decisions
+         * @param targetReports takes what processes saw of targets
+         * @param loadListener takes what is under way at targets
+         * @return this
+         */
+        public Builder listeners(Outbox decisions, TargetReports targetReports, LoadListener loadListener) {
+            outbox = decisions;
+            reports = targetReports;
+            loads = loadListener;
+            return this;
+        }
+
+        /**
+         * Sets the source of random numbers that spread the advice to callers.
+         *
+         * @param numbers numbers from 0 to 1
+         * @return this
+         */
+        public Builder random(DoubleSupplier numbers) {
+            random = numbers;
+            return this;
+        }
+
+        /**
+         * Builds it.
+         *
+         * @return the coordinator
+         */
+        public Coordinator build() {
+            return new Coordinator(this);
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Outbox.java
@@ -0,0 +1,37 @@
+package org.whinwharf.traffic.coordination;
+
+import org.whinwharf.traffic.placement.Candidate;
+
+/** Takes what a coordinator decides. */
+public interface Outbox {
+    /**
+     * Takes a grant: the asker may send its request to the target now.
+     *
+     * @param ask the ask
+     * @param candidate the target
+     */
+    void granted(Ask ask, Candidate candidate);
+
+    /**
+     * Takes that a request waits for a target.
+     *
+     * @param ask the ask
+     */
+    void waiting(Ask ask);
+
+    /**
+     * Takes that a request found no target in time, or made way for one of a higher tier.
+     *
+     * @param ask the ask
+     * @param comeBackMillis time after which its caller should come back
+     */
+    void shed(Ask ask, long comeBackMillis);
+
+    /**
+     * Takes that a request is over its organisation's quota.
+     *
+     * @param ask the ask
+     * @param comeBackMillis time after which its caller should come back
+     */
+    void overQuota(Ask ask, long comeBackMillis);
+}
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -19,6 +21,10 @@
 public final class MemberTable {
     /** Silence after which a process is named to nobody: seven lost reports in a row. */
     public static final long SILENT_MILLIS = 1_500;
+    /** The same in a large fleet, where a sign of life goes from hand to hand some five times. */
+    public static final long LARGE_SILENT_MILLIS = 3_000;
+    /** Processes from which on a fleet is large: below, each tells each other one directly. */
+    public static final int LARGE_FLEET = 12;
     /** Silence after which a process no longer counts as part of the fleet: longer than a restart or a short cut. */
     public static final long FORGOTTEN_MILLIS = 20_000;
 
@@ -26,6 +32,7 @@
     private static final double SILENT_EXCESS = 1.2;
 
     private final Map<String, Member> others = new TreeMap<>();
+    private final Map<Integer, Member> byDigest = new HashMap<>();
     private MemberReport own;
 
     /**
@@ -74,13 +81,76 @@
             return false;
         }
         Member known = others.get(report.getName());
-        if (known != null && !newer(report, known.report())) {
+        if (known == null || report.getIncarnation() > known.report().getIncarnation()) {
+            put(new Member(report, report.getSequence(), nowMillis));
+            return true;
+        }
+        boolean older = report.getIncarnation() < known.report().getIncarnation()
+                || report.getSequence() <= known.report().getSequence();
+        if (older) {
             return false;
         }
-        others.put(report.getName(), new Member(report, nowMillis));
+        if (report.getSequence() > known.beatSequence()) {
+            put(new Member(report, report.getSequence(), nowMillis));
+        } else {
+            MemberPhase newest = known.report().getPhase();
+            MemberReport merged = report.toBuilder().setPhase(newest).build();
+            put(new Member(merged, known.beatSequence(), known.heardAtMillis()));
+        }
         return true;
     }
 
+    /**
+     * Takes a sign of life that came without a report.
+     *
+     * @param beat the sign of life
+     * @param nowMillis steady time in milliseconds
+     * @return false when the lifetime that it is of is not known
+     */
+    public boolean hear(Beat beat, long nowMillis) {
+        if (beat.nameDigest() == own.getName().hashCode()) {
+            return true;
+        }
+        Member known = byDigest.get(beat.nameDigest());
+        if (known == null || (int) known.report().getIncarnation() != beat.incarnationDigest()) {
+            return false;
+        }
+        if (beat.sequence() > known.beatSequence()) {
+            MemberReport report = known.report();
+            if (report.getPhase() != beat.phase()) {
+                report = report.toBuilder().setPhase(beat.phase()).build();
+            }
+            put(new Member(report, beat.sequence(), nowMillis));
+        }
+        return true;
+    }
+
+    /**
+     * Returns the newest signs of life, this process's first.
+     *
+     * @param most longest list
+     * @param nowMillis steady time in milliseconds
+     * @return signs of life
+     */
+    public List<Beat> beats(int most, long nowMillis) {
+        List<Beat> beats = new ArrayList<>();
+        beats.add(beat(own, own.getSequence()));
+        alive(nowMillis).stream()
+                .sorted(Comparator.comparingLong(Member::heardAtMillis).reversed())
+                .limit(most - 1L)
+                .forEach(member -> beats.add(beat(member.report(), member.beatSequence())));
+        return beats;
+    }
+
+    private static Beat beat(MemberReport report, long sequence) {
+        return new Beat(report.getName().hashCode(), (int) report.getIncarnation(), sequence, report.getPhase());
+    }
+
+    private void put(Member member) {
+        others.put(member.report().getName(), member);
+        byDigest.put(member.report().getName().hashCode(), member);
+    }
+
     /**
      * Forgets processes that have been silent for long, and at once those that said that they leave.
      *
@@ -95,6 +165,7 @@
             boolean drop = left || silentMillis > FORGOTTEN_MILLIS;
             if (drop) {
                 forgotten.add(member.report().getName());
+                byDigest.remove(member.report().getName().hashCode());
             }
             return drop;
         });
@@ -108,11 +179,21 @@
      * @return members
      */
     public List<Member> alive(long nowMillis) {
+        long limitMillis = large() ? LARGE_SILENT_MILLIS : SILENT_MILLIS;
         return others.values().stream()
-                .filter(member -> nowMillis - member.heardAtMillis() <= SILENT_MILLIS)
+                .filter(member -> nowMillis - member.heardAtMillis() <= limitMillis)
                 .toList();
     }
 
+    /**
+     * Tells whether the fleet is too large for each to tell each other one directly.
+     *
+     * @return true in a large fleet
+     */
+    public boolean large() {
+        return others.size() + 1 >= LARGE_FLEET;
+    }
+
     /**
      * Returns all other processes, silent ones too.
      *
@@ -154,11 +235,4 @@
         double strict = (1.0 + alive(nowMillis).size()) / (1.0 + others.size());
         return Math.min(1, strict * SILENT_EXCESS);
     }
-
-    private static boolean newer(MemberReport report, MemberReport known) {
-        if (report.getIncarnation() != known.getIncarnation()) {
-            return report.getIncarnation() > known.getIncarnation();
-        }
-        return report.getSequence() > known.getSequence();
-    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Demand.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Demand.java
@@ -15,6 +15,13 @@
      */
     String service();
 
+    /**
+     * Returns where the request comes from.
+     *
+     * @return name of the data centre of the process that sends it
+     */
+    String dataCentre();
+
     /**
      * Returns the model it needs.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.DoubleSupplier;
 import org.whinwharf.traffic.target.PromptCache;
 import org.whinwharf.traffic.target.PromptPart;
 import org.whinwharf.traffic.target.TargetState;
@@ -40,21 +41,22 @@
     /** Share of the time left within which an answer should be predicted to end: predictions are off by a tenth. */
     private static final double SAFE_TIME_SHARE = 0.85;
 
-    private final String ownDataCentre;
     private final PromptCache prompts;
     private final ColdShares coldShares;
+    private final DoubleSupplier spread;
 
     /**
      * Creates a placement.
      *
-     * @param ownDataCentre data centre of this process
      * @param prompts where prompts were read
      * @param coldShares what this process may send to cold targets
+     * @param spread part by which a prediction for an engine is made worse at random, drawn for each; processes that
+     *     choose without knowing of each other would all take the fastest engine together
      */
-    public Placement(String ownDataCentre, PromptCache prompts, ColdShares coldShares) {
-        this.ownDataCentre = ownDataCentre;
+    public Placement(PromptCache prompts, ColdShares coldShares, DoubleSupplier spread) {
         this.prompts = prompts;
         this.coldShares = coldShares;
+        this.spread = spread;
     }
 
     /**
@@ -103,14 +105,15 @@
     }
 
     private Candidate rate(TargetState state, Demand demand, double occupancy, int allowance) {
-        double far = ownDataCentre.equals(state.target().dataCentre()) ? 0 : OTHER_DATA_CENTRE_MILLIS;
+        double far = demand.dataCentre().equals(state.target().dataCentre()) ? 0 : OTHER_DATA_CENTRE_MILLIS;
         List<PromptPart> parts = demand.parts();
         long uncached = prompts.uncachedTokens(
                 parts, demand.promptTokens(), state.target().id());
         double predicted = state.speed().firstEventMillis(uncached + state.prefillTokens(), occupancy) + far;
         double answerMillis = state.speed().answerMillis(demand.answerTokens());
         double beyondMillis = Math.max(0, predicted + answerMillis - demand.remainingMillis() * SAFE_TIME_SHARE);
-        return new Candidate(
-                state, uncached, occupancy, predicted + answerMillis * ANSWER_WEIGHT + beyondMillis, allowance);
+        double rating = predicted + answerMillis * ANSWER_WEIGHT + beyondMillis;
+        double spreadFactor = demand.promptTokens() > 0 ? 1 + spread.getAsDouble() : 1;
+        return new Candidate(state, uncached, occupancy, rating * spreadFactor, allowance);
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/RendezvousColdShares.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/RendezvousColdShares.java
@@ -36,9 +36,9 @@
     @Override
     public int allowance(Target target) {
         Collection<String> names = memberNames.get();
-        long own = weight(ownName, target.id());
+        long own = Rendezvous.weight(ownName, target.id());
         long ahead = names.stream()
-                .filter(name -> !name.equals(ownName) && weight(name, target.id()) > own)
+                .filter(name -> !name.equals(ownName) && Rendezvous.weight(name, target.id()) > own)
                 .count();
         if (ahead >= SENDERS) {
             return 0;
@@ -46,19 +46,4 @@
         double bears = requestsPerSecond.apply(target);
         return (int) Math.floor(bears / (SENDERS + 1) + 0.5);
     }
-
-    /**
-     * Ranks a process for a target; the same everywhere.
-     *
-     * @param processName name of a process
-     * @param targetId id of a target
-     * @return weight; the highest come first
-     */
-    static long weight(String processName, String targetId) {
-        long mixed = processName.hashCode() * 0x9E3779B97F4A7C15L + targetId.hashCode() * 0xC2B2AE3D27D4EB4FL;
-        mixed ^= mixed >>> 29;
-        mixed *= 0xBF58476D1CE4E5B9L;
-        mixed ^= mixed >>> 32;
-        return mixed;
-    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -7,16 +7,26 @@
 
 /** Quota accounts of all organisations, with the totals that this process tells the others. */
 public final class QuotaLedger {
+    private static final long NO_BASELINE = -1;
+
     private final boolean freshFleet;
     private final Map<String, QuotaAccount> accounts = new HashMap<>();
     private final Map<Integer, Long> admittedTotals = new HashMap<>();
     private final Map<Integer, Long> givenBack = new HashMap<>();
     private final Map<String, Heard> heardByProcess = new HashMap<>();
+    private final Map<Advance, Long> advances = new HashMap<>();
     private final Map<Integer, String> namesByDigest = new HashMap<>();
     private double reachableShare = 1;
 
-    /** What the present lifetime of one process said that it admitted, by digest of the organisation's name. */
-    private record Heard(long incarnation, Map<Integer, Long> totals) {}
+    /**
+     * What the present lifetime of one process said that it admitted, by digest of the organisation's name.
+     *
+     * @param baselineAtMillis time at which its totals date from before this process knew it; negative for none
+     */
+    private record Heard(long incarnation, long baselineAtMillis, Map<Integer, Long> totals) {}
+
+    /** Use that was taken from an account here for a process that will say later that it admitted it. */
+    private record Advance(String process, int organisationDigest) {}
 
     /**
      * Creates an empty ledger.
@@ -66,11 +76,14 @@
         if (account != null && !account.tryAdmit(tokens, nowMillis)) {
             return false;
         }
-        int digest = organisation.hashCode();
+        addToTotal(organisation.hashCode(), tokens);
+        return true;
+    }
+
+    private void addToTotal(int digest, long tokens) {
         long unused = Math.min(tokens, givenBack.getOrDefault(digest, 0L));
         givenBack.merge(digest, -unused, Long::sum);
         admittedTotals.merge(digest, tokens - unused, Long::sum);
-        return true;
     }
 
     /**
@@ -110,7 +123,8 @@
 
     /**
      * Takes another process's total. A new lifetime of the process replaces the one before, whose use is counted
-     * already.
+     * already. The first totals of a process that was not known are those of its whole life: a restarted process that
+     * took them for news would owe half a minute's quota and refuse everybody until that is paid off.
      *
      * @param process name of the process
      * @param incarnation its lifetime
@@ -120,20 +134,80 @@
      */
     public void heard(String process, long incarnation, int organisationDigest, long total, long nowMillis) {
         Heard heard = heardByProcess.get(process);
-        if (heard == null || heard.incarnation() != incarnation) {
-            heard = new Heard(incarnation, new HashMap<>());
+        if (heard == null) {
+            heard = new Heard(incarnation, nowMillis, new HashMap<>());
+            heardByProcess.put(process, heard);
+        } else if (heard.incarnation() != incarnation) {
+            heard = new Heard(incarnation, NO_BASELINE, new HashMap<>());
             heardByProcess.put(process, heard);
+            advances.keySet().removeIf(advance -> advance.process().equals(process));
         }
         long before = heard.totals().getOrDefault(organisationDigest, 0L);
         if (total <= before) {
             return;
         }
         heard.totals().put(organisationDigest, total);
+        if (before == 0 && heard.baselineAtMillis() == nowMillis) {
+            return;
+        }
         String name = namesByDigest.get(organisationDigest);
         QuotaAccount account = name == null ? null : accounts.get(name);
         if (account != null) {
-            account.admittedElsewhere(total - before, nowMillis);
+            long taken = Math.min(total - before, advances.getOrDefault(new Advance(process, organisationDigest), 0L));
+            advances.merge(new Advance(process, organisationDigest), -taken, Long::sum);
+            account.admittedElsewhere(total - before - taken, nowMillis);
+        }
+    }
+
+    /**
+     * Admits a request of another process, for which this one coordinates.
+     *
+     * @param process name of the process
+     * @param organisation name of the organisation
+     * @param tokens what the request uses
+     * @param nowMillis steady time in milliseconds
+     * @return true when it is admitted
+     */
+    public boolean tryAdmitFor(String process, String organisation, long tokens, long nowMillis) {
+        QuotaAccount account = accounts.get(organisation);
+        if (account == null) {
+            return true;
+        }
+        if (!account.tryAdmit(tokens, nowMillis)) {
+            return false;
+        }
+        advances.merge(new Advance(process, organisation.hashCode()), tokens, Long::sum);
+        return true;
+    }
+
+    /**
+     * Gives back what a request of another process used that is not sent.
+     *
+     * @param process name of the process
+     * @param organisation name of the organisation
+     * @param tokens what was admitted
+     */
+    public void refundFor(String process, String organisation, long tokens) {
+        QuotaAccount account = accounts.get(organisation);
+        if (account != null) {
+            account.giveBack(tokens);
+            advances.merge(new Advance(process, organisation.hashCode()), -tokens, Long::sum);
+        }
+    }
+
+    /**
+     * Notes a request of this process that a coordinator elsewhere admitted, so that all others hear of it too.
+     *
+     * @param organisation name of the organisation
+     * @param tokens what it uses
+     * @param nowMillis steady time in milliseconds
+     */
+    public void admittedByCoordinator(String organisation, long tokens, long nowMillis) {
+        QuotaAccount account = accounts.get(organisation);
+        if (account != null) {
+            account.admittedElsewhere(tokens, nowMillis);
         }
+        addToTotal(organisation.hashCode(), tokens);
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
@@ -2,6 +2,9 @@
 
 /** What this process knows of one target; used by one thread only. */
 public final class TargetState {
+    /** Time a full target gets nothing after it refused a request: about one in ten of its slots frees meanwhile. */
+    private static final long FULL_PAUSE_MILLIS = 60;
+
     private Target target;
     private final TargetHealth health = new TargetHealth();
     private final TargetSpeed speed = new TargetSpeed();
@@ -10,6 +13,8 @@
     private long ownPrefillTokens;
     private int othersRunning;
     private long othersPrefillTokens;
+    private int coordinatedRunning;
+    private long coordinatedPrefillTokens;
     private long coldUntilMillis;
     private long goneAtMillis = Long.MAX_VALUE;
     private long fullUntilMillis;
@@ -108,12 +113,12 @@
     }
 
     /**
-     * Notes that the target refused a request because it is full.
+     * Notes that the target refused a request as full; it gets nothing for a moment.
      *
-     * @param untilMillis steady time until which it gets nothing
+     * @param nowMillis steady time in milliseconds
      */
-    public void fullUntil(long untilMillis) {
-        fullUntilMillis = untilMillis;
+    public void refusedAsFull(long nowMillis) {
+        fullUntilMillis = nowMillis + FULL_PAUSE_MILLIS;
     }
 
     /**
@@ -180,12 +185,24 @@
     }
 
     /**
-     * Returns all known requests at the target.
+     * Takes what all processes have under way at the target, as the coordinator of its service counts it.
+     *
+     * @param running requests
+     * @param prefillTokens prompt tokens not yet read
+     */
+    public void coordinated(int running, long prefillTokens) {
+        coordinatedRunning = running;
+        coordinatedPrefillTokens = prefillTokens;
+    }
+
+    /**
+     * Returns all known requests at the target: the coordinator's count, or where it is new and knows less, what the
+     * processes say themselves.
      *
      * @return requests of this and of other processes
      */
     public int running() {
-        return ownRunning + othersRunning;
+        return Math.max(coordinatedRunning, ownRunning + othersRunning);
     }
 
     /**
@@ -194,7 +211,7 @@
      * @return tokens of this and of other processes
      */
     public long prefillTokens() {
-        return ownPrefillTokens + othersPrefillTokens;
+        return Math.max(coordinatedPrefillTokens, ownPrefillTokens + othersPrefillTokens);
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
@@ -13,6 +13,13 @@
  * that leaves costs nothing.
  */
 public final class WaitingLine {
+    /**
+     * Requests of one rank that find no target before the rest of the rank is left for the next look. What keeps one
+     * from being sent keeps nearly all of them; trying each of several hundred at each freed slot would take a
+     * coordinator's whole processor. Three allow for one whose targets were all tried and one whose model is rare.
+     */
+    private static final int MOST_FAILURES = 3;
+
     private final TreeMap<Integer, List<Waiter>> byRank = new TreeMap<>();
     private final int mostWaiting;
     private int size;
@@ -86,10 +93,12 @@
             size -= current.size();
             current.sort(Comparator.comparing((Waiter waiter) -> nowMillis > waiter.onTimeUntilMillis()));
             // Waiters may add themselves again while they are tried, so the list under way is taken out first.
+            int failures = 0;
             for (Waiter waiter : current) {
                 if (nowMillis >= waiter.patienceUntilMillis()) {
                     waiter.refuse(nowMillis);
-                } else if (!waiter.trySend(nowMillis)) {
+                } else if (failures >= MOST_FAILURES || !waiter.trySend(nowMillis)) {
+                    failures++;
                     staying.add(waiter);
                 }
             }
