--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Admission.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Admission.java
@@ -66,7 +66,7 @@
         long tokens = tokens(head, organisation);
         String service = front.pickService(route, head.attemptId());
         boolean elsewhere = organisation.isPresent() && front.coordination().asksElsewhere(service);
-        Optional<Refusal> refusal = elsewhere ? Optional.empty() : takeQuota(organisation, tokens, nowMillis);
+        Optional<Refusal> refusal = elsewhere ? Optional.empty() : takeQuota(organisation, service, tokens, nowMillis);
         if (refusal.isPresent()) {
             return new Refused(refusal.get(), organisation);
         }
@@ -74,8 +74,8 @@
     }
 
     /** Takes a request's use from its organisation's quota, or returns why that cannot be. */
-    Optional<Refusal> takeQuota(Optional<Organisation> organisation, long tokens, long nowMillis) {
-        if (organisation.isEmpty() || front.quotas().tryAdmit(organisation.get().name(), tokens, nowMillis)) {
+    Optional<Refusal> takeQuota(Optional<Organisation> organisation, String service, long tokens, long nowMillis) {
+        if (organisation.isEmpty() || admit(organisation.get().name(), service, tokens, nowMillis)) {
             return Optional.empty();
         }
         long comeBackMillis = front.quotas().comeBackMillis(organisation.get().name());
@@ -83,6 +83,12 @@
                 new Refusal(ErrorKind.OVER_QUOTA, Math.max(comeBackMillis, Front.NOT_READY_COME_BACK_MILLIS)));
     }
 
+    private boolean admit(String organisation, String service, long tokens, long nowMillis) {
+        return front.coordination().coordinates(service)
+                ? front.quotas().tryAdmit(organisation, tokens, nowMillis)
+                : front.quotas().tryAdmitAlone(organisation, tokens, nowMillis);
+    }
+
     private Admitted admitted(
             RequestHead head,
             Route route,
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -54,6 +54,8 @@
     private static final long LIST_MILLIS = 1_000;
     /** Processes that get these lists: the coordinator, and one that is ready to take over from it. */
     private static final int LISTENERS = 2;
+    /** Age up to which a ranking is used again; sorting ninety processes for each request would cost more than it. */
+    private static final long RANKING_MILLIS = 100;
     /** Coordinators that one request is put to. */
     private static final int MOST_ASKED = 2;
 
@@ -68,6 +70,8 @@
     private final Map<String, Long> passedOverUntilMillis = new HashMap<>();
     private final Map<String, String> lastCoordinators = new HashMap<>();
     private final Map<String, String> askerIps = new HashMap<>();
+    private final Map<String, List<MemberReport>> rankings = new HashMap<>();
+    private long rankedAtMillis;
     private long nextId;
     private long listedAtMillis;
 
@@ -106,6 +110,13 @@
         return covered.test(service);
     }
 
+    /** Tells whether this process is the coordinator of a service. */
+    boolean coordinates(String service) {
+        return coordinatorOf(service)
+                .filter(report -> report.getName().equals(settings.name()))
+                .isPresent();
+    }
+
     /** Tells whether another process has to be asked for the quota of requests to a service. */
     boolean asksElsewhere(String service) {
         return coordinatorOf(service)
@@ -122,6 +133,11 @@
         return ips;
     }
 
+    /** Tells whether a request of this process, or one of another here, has no target yet. */
+    boolean someWait() {
+        return coordinator.waiting() > 0 || tickets.values().stream().anyMatch(ticket -> !ticket.settled());
+    }
+
     /** Returns how many requests of all processes wait here. */
     int waiting() {
         return coordinator.waiting();
@@ -204,6 +220,7 @@
         }
         if (nowMillis - ticket.askedAtMillis() >= SILENT_MILLIS) {
             passedOverUntilMillis.put(ticket.coordinatorName(), nowMillis + PASSED_OVER_MILLIS);
+            rankings.clear();
             FrontLog.passedOver(ticket, nowMillis - ticket.askedAtMillis());
             report(ticket, RunEvent.RUN_GIVEN_UP, 0);
             putToCoordinator(ticket);
@@ -267,6 +284,14 @@
 
     private List<MemberReport> ranking(String service) {
         long nowMillis = ticker.nowMillis();
+        if (nowMillis - rankedAtMillis >= RANKING_MILLIS) {
+            rankedAtMillis = nowMillis;
+            rankings.clear();
+        }
+        return rankings.computeIfAbsent(service, name -> rank(name, nowMillis));
+    }
+
+    private List<MemberReport> rank(String service, long nowMillis) {
         passedOverUntilMillis.values().removeIf(untilMillis -> nowMillis >= untilMillis);
         List<MemberReport> serving = members.serving(nowMillis).stream()
                 .filter(report -> !passedOverUntilMillis.containsKey(report.getName()))
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -193,7 +193,7 @@
     public void noCoordinator() {
         Optional<Refusal> refusal = quotaTaken
                 ? Optional.empty()
-                : front.admission().takeQuota(organisation, quotaTokens, front.nowMillis());
+                : front.admission().takeQuota(organisation, service, quotaTokens, front.nowMillis());
         if (refusal.isPresent()) {
             refuse(refusal.get());
             return;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
@@ -17,6 +17,8 @@
     private final QuotaLedger quotas;
     private final ItemFeed feed;
     private final Ticker ticker;
+    private boolean usesChanged;
+    private long countedAtMillis;
 
     FleetNews(
             FrontSettings settings,
@@ -65,8 +67,9 @@
         members.report(report);
     }
 
-    /** Takes what another process admitted. */
+    /** Takes what another process admitted and has under way. */
     void heard(MemberReport report) {
+        usesChanged = true;
         report.getQuotasList()
                 .forEach(use -> quotas.heard(
                         report.getName(),
@@ -78,6 +81,12 @@
 
     /** Sums up the requests of all others at each target. */
     void countOthers(long nowMillis) {
+        long pauseMillis = usesChanged && !members.large() ? 0 : MemberTable.SILENT_MILLIS;
+        if (nowMillis - countedAtMillis < pauseMillis) {
+            return;
+        }
+        usesChanged = false;
+        countedAtMillis = nowMillis;
         Map<Integer, int[]> uses = new HashMap<>();
         for (Member member : members.alive(nowMillis)) {
             member.report().getUsesList().forEach(use -> {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -29,6 +29,7 @@
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.ColdShares;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.Placement;
 import org.whinwharf.traffic.placement.RendezvousColdShares;
@@ -51,8 +52,10 @@
     private static final int MOST_WAITING = 256;
     /** Time between rounds of news; a request holds a slot several times as long. */
     private static final long GOSSIP_MILLIS = 150;
-    /** Time between looks at waiting and running requests. */
+    /** Time between looks at requests while some wait: an eighth of the shortest objective of a plain service. */
     private static final long TICK_MILLIS = 20;
+    /** Time between looks while none waits; what runs is judged by times of half a second and more. */
+    private static final long CALM_TICK_MILLIS = 60;
     /** Time between looks at idle connections, probes and silent peers. */
     private static final long SWEEP_MILLIS = 250;
     /** Time that callers may still come after a request to stop: what they were told before has then run out. */
@@ -75,6 +78,7 @@
     private final MemberTable members;
     private final Targets targets;
     private final PromptCache prompts = new PromptCache();
+    private final ColdShares coldShares;
     private final Placement placement;
     private final QuotaLedger quotas;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
@@ -113,10 +117,9 @@
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
         targets = new Targets(loop, dialect, ticker, () -> catalog, metrics);
+        coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
         placement = new Placement(
-                prompts,
-                new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate),
-                () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0);
+                prompts, this::ownColdShare, () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0);
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
@@ -160,7 +163,7 @@
         peerItems.start(settings.ip(), settings.peerPort());
         datagrams.start(loop);
         every("news for peers", GOSSIP_MILLIS, this::gossipRound);
-        every("requests", TICK_MILLIS, this::tick);
+        loop.execute(this::tickAndScheduleNext);
         every("upkeep", SWEEP_MILLIS, this::sweep);
         startMetrics();
         EventLog.event(LogEvent.STARTED)
@@ -197,17 +200,22 @@
     }
 
     private void every(String name, long millis, Runnable duty) {
-        loop.scheduleWithFixedDelay(
-                () -> {
-                    try {
-                        duty.run();
-                    } catch (RuntimeException e) {
-                        FrontLog.dutyFailed(name, e);
-                    }
-                },
-                millis,
-                millis,
-                TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(() -> run(name, duty), millis, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private static void run(String name, Runnable duty) {
+        try {
+            duty.run();
+        } catch (RuntimeException e) {
+            FrontLog.dutyFailed(name, e);
+        }
+    }
+
+    private void tickAndScheduleNext() {
+        run("requests", this::tick);
+        boolean someWait = coordination.someWait() || lines.values().stream().anyMatch(line -> line.size() > 0);
+        long pauseMillis = someWait ? TICK_MILLIS : CALM_TICK_MILLIS;
+        loop.schedule(this::tickAndScheduleNext, pauseMillis, TimeUnit.MILLISECONDS);
     }
 
     /** Begins a planned stop: takes no part in news of serving processes and ends once nothing is under way. */
@@ -369,6 +377,7 @@
                 .forEach(name -> EventLog.event(LogEvent.MEMBER_FORGOTTEN)
                         .with(EventField.PEER, name)
                         .call());
+        quotas.fleet(1 + members.alive(nowMillis).size());
         quotas.reachableShare(members.reachableShare(nowMillis), nowMillis);
     }
 
@@ -385,6 +394,14 @@
         }
     }
 
+    /**
+     * Where a coordinator shares out what cold targets bear, a process that chooses alone sends them nothing: two
+     * coordinators for a moment use up the whole already.
+     */
+    private int ownColdShare(Target target) {
+        return coordinated(target.service()) ? 0 : coldShares.allowance(target);
+    }
+
     private Coordinator coordinator(Outbox decisions) {
         Placement common = new Placement(prompts, this::coordinatorColdShare, () -> 0);
         return new Coordinator.Builder()
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CommonPlacementLoadTest.java
@@ -0,0 +1,190 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThan;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.coordination.Ask;
+import org.whinwharf.traffic.coordination.Coordinator;
+import org.whinwharf.traffic.coordination.ImmutableAsk;
+import org.whinwharf.traffic.coordination.Outbox;
+import org.whinwharf.traffic.coordination.TargetReports;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.Placement;
+import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.target.PromptCache;
+import org.whinwharf.traffic.target.TargetState;
+import org.whinwharf.wire.fleet.RunEvent;
+
+/**
+ * Load pattern: steady arrivals at sixty fronts that take 85 of 100 slots of sixty-three engines, as in the larger of
+ * the fleets in use. A request holds a slot for a second; an engine with all slots taken keeps it waiting inside.
+ */
+class CommonPlacementLoadTest {
+    private static final int FRONTS = 60;
+    private static final int ENGINES = 63;
+    private static final int SLOTS = 6;
+    private static final double LOAD = 0.85;
+    private static final double HOLD_MILLIS = 1_000;
+    private static final int REQUESTS = 20_000;
+    /** The first requests find an empty fleet. */
+    private static final int WARM_UP = 2_000;
+
+    private final Random random = new Random(5);
+    private final Map<String, Integer> inside = new HashMap<>();
+    private int sent;
+    private int sentToFull;
+
+    private record End(long atMillis, Runnable action) {}
+
+    private final PriorityQueue<End> ends = new PriorityQueue<>((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
+
+    /**
+     * Each front sees a sixtieth of the requests and takes engines for free that others have filled. One that sees all
+     * requests sends none to a full engine while there is a free one: some free slot is nearly always to be had at this
+     * load. What is asked is one in a hundred at most, and one in ten and more for fronts that choose alone.
+     */
+    @Test
+    void oneCoordinatorSendsNothingToFullEnginesWhereLoneFrontsDo() {
+        assertThat(shareSentToFullByOneCoordinator(), lessThan(0.01));
+        inside.clear();
+        ends.clear();
+        sent = 0;
+        sentToFull = 0;
+        assertThat(shareSentToFullByFrontsAlone(), greaterThan(0.1));
+    }
+
+    private double shareSentToFullByOneCoordinator() {
+        Map<String, TargetState> targets = engines();
+        PromptCache prompts = new PromptCache();
+        Sender sender = new Sender();
+        Coordinator coordinator = new Coordinator.Builder()
+                .ownName("front-0")
+                .placement(new Placement(prompts, target -> 0, () -> 0), prompts)
+                .targets(service -> targets.values(), Set::of)
+                .quotas(new QuotaLedger(true))
+                .listeners(
+                        sender, sender, (id, load) -> targets.get(id).coordinated(load.running(), load.prefillTokens()))
+                .build();
+        sender.coordinator = coordinator;
+        arrivals((request, nowMillis) -> coordinator.ask(ask(request, nowMillis), nowMillis));
+        return sentToFull / (double) sent;
+    }
+
+    private double shareSentToFullByFrontsAlone() {
+        Map<Integer, Map<String, TargetState>> views = new HashMap<>();
+        Map<Integer, Placement> placements = new HashMap<>();
+        for (int front = 0; front < FRONTS; front++) {
+            views.put(front, engines());
+            placements.put(front, new Placement(new PromptCache(), target -> 0, () -> random.nextDouble() * 0.5));
+        }
+        arrivals((request, nowMillis) -> {
+            int front = request % FRONTS;
+            Optional<Candidate> chosen = placements
+                    .get(front)
+                    .choose(
+                            Fixtures.demand(0, 600, "s" + request),
+                            views.get(front).values(),
+                            Set.of(),
+                            nowMillis);
+            chosen.ifPresent(candidate -> {
+                candidate.state().began(candidate.uncachedTokens());
+                run(candidate.state().target().id(), nowMillis, () -> {
+                    candidate.state().prefilled(candidate.uncachedTokens());
+                    candidate.state().ended();
+                });
+            });
+        });
+        return sentToFull / (double) sent;
+    }
+
+    private interface Arrival {
+        void at(int request, long nowMillis);
+    }
+
+    private void arrivals(Arrival arrival) {
+        double gapMillis = HOLD_MILLIS / (ENGINES * SLOTS * LOAD);
+        double atMillis = 0;
+        for (int request = 0; request < REQUESTS; request++) {
+            atMillis += -Math.log(1 - random.nextDouble()) * gapMillis;
+            while (!ends.isEmpty() && ends.peek().atMillis() <= atMillis) {
+                ends.poll().action().run();
+            }
+            if (request == WARM_UP) {
+                sent = 0;
+                sentToFull = 0;
+            }
+            arrival.at(request, (long) atMillis);
+        }
+    }
+
+    private void run(String engine, long nowMillis, Runnable whenEnded) {
+        int before = inside.merge(engine, 1, Integer::sum) - 1;
+        sent++;
+        sentToFull += before >= SLOTS ? 1 : 0;
+        // An engine with more requests than slots works them off at the same pace, so each holds its place longer.
+        double factor = Math.max(1, (before + 1) / (double) SLOTS);
+        ends.add(new End(nowMillis + (long) (HOLD_MILLIS * factor), () -> {
+            inside.merge(engine, -1, Integer::sum);
+            whenEnded.run();
+        }));
+    }
+
+    private static Map<String, TargetState> engines() {
+        Map<String, TargetState> engines = new LinkedHashMap<>();
+        for (int i = 0; i < ENGINES; i++) {
+            engines.put("engine-" + i, new TargetState(Fixtures.target("engine-" + i, SLOTS)));
+        }
+        return engines;
+    }
+
+    private static Ask ask(int request, long nowMillis) {
+        return ImmutableAsk.builder()
+                .requester("front-" + request % FRONTS)
+                .id(request)
+                .demand(Fixtures.demand(0, 600, "s" + request))
+                .deadlineAtMillis(nowMillis + 10_000)
+                .patienceUntilMillis(nowMillis + 600)
+                .onTimeUntilMillis(nowMillis + 300)
+                .build();
+    }
+
+    private final class Sender implements Outbox, TargetReports {
+        private Coordinator coordinator;
+
+        @Override
+        public void granted(Ask ask, Candidate candidate) {
+            long nowMillis = ask.deadlineAtMillis() - 10_000;
+            run(
+                    candidate.state().target().id(),
+                    nowMillis,
+                    () -> coordinator.progress(ask.requester(), ask.id(), RunEvent.RUN_ANSWERED, 0, nowMillis));
+        }
+
+        @Override
+        public void waiting(Ask ask) {}
+
+        @Override
+        public void shed(Ask ask, long comeBackMillis) {}
+
+        @Override
+        public void overQuota(Ask ask, long comeBackMillis) {}
+
+        @Override
+        public void answered(String targetId) {}
+
+        @Override
+        public void erred(String targetId) {}
+
+        @Override
+        public void failed(String targetId, boolean certain) {}
+    }
+}
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -147,6 +147,25 @@
         assertThat(ledger.tryAdmitFor("front-1", "obec", 1, 0), is(false));
     }
 
+    /**
+     * An organisation sends seven times its quota to ninety fronts at once, and no coordinator can be asked. For the
+     * second until they hear of each other, each front has the whole bucket before it.
+     */
+    @Test
+    void largeFleetWithoutNewsOverspendsByLittle() {
+        int processes = 90;
+        long admitted = 0;
+        for (int process = 0; process < processes; process++) {
+            QuotaLedger ledger = new QuotaLedger(true);
+            ledger.update(Fixtures.catalog(1, 90 * RATE, 90 * RATE), 0);
+            ledger.fleet(processes);
+            for (long now = 0; now < 1_000; now += 50) {
+                admitted += ledger.tryAdmitAlone("obec", REQUEST_TOKENS, now) ? REQUEST_TOKENS : 0;
+            }
+        }
+        assertThat((double) admitted, lessThan(2.6 * 90 * RATE));
+    }
+
     private static List<QuotaLedger> fleet(boolean fresh) {
         List<QuotaLedger> fleet = new ArrayList<>();
         for (int i = 0; i < PROCESSES; i++) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -11,6 +11,14 @@
 public final class QuotaAccount {
     /** Part of the burst that a process begins with when it cannot know what its predecessor admitted. */
     private static final double RESTART_BURST_SHARE = 0.5;
+    /**
+     * Even parts of the rate that a process may use alone: callers spread unevenly over processes, and what all
+     * overspend in a second of old news, some one and a half seconds' rate, is within what a window of eight seconds
+     * may exceed the quota by.
+     */
+    private static final double PACE_SHARES = 2;
+    /** Time for which unused pace is saved up. */
+    private static final double PACE_SAVED_SECONDS = 0.25;
 
     private double ratePerSecond;
     private double burst;
@@ -18,6 +26,8 @@
     private double reachableShare = 1;
     private double refusedBacklog;
     private long refilledAtMillis;
+    private double aloneLevel = Double.MAX_VALUE;
+    private long aloneAtMillis;
 
     /**
      * Creates an account.
@@ -76,6 +86,32 @@
         return true;
     }
 
+    /**
+     * Admits a request without a coordinator, if the quota and this process's own pace allow it. In a large fleet news
+     * of what the others admit is a second old or more; when one organisation floods all processes at once, each would
+     * take the same tokens from its bucket before it hears of the rest.
+     *
+     * @param tokens what the request uses
+     * @param processes processes that admit
+     * @param nowMillis steady time in milliseconds
+     * @return true when it is admitted
+     */
+    public boolean tryAdmitAlone(long tokens, int processes, long nowMillis) {
+        double pacePerSecond = ratePerSecond * PACE_SHARES / processes;
+        aloneLevel = Math.min(
+                pacePerSecond * PACE_SAVED_SECONDS, aloneLevel + pacePerSecond * (nowMillis - aloneAtMillis) / 1_000.0);
+        aloneAtMillis = nowMillis;
+        if (aloneLevel <= 0) {
+            refusedBacklog += tokens;
+            return false;
+        }
+        if (!tryAdmit(tokens, nowMillis)) {
+            return false;
+        }
+        aloneLevel -= tokens;
+        return true;
+    }
+
     /**
      * Gives back what a request used that has not run.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.Organisation;
+import org.whinwharf.traffic.member.MemberTable;
 
 /** Quota accounts of all organisations, with the totals that this process tells the others. */
 public final class QuotaLedger {
@@ -17,6 +18,7 @@
     private final Map<Advance, Long> advances = new HashMap<>();
     private final Map<Integer, String> namesByDigest = new HashMap<>();
     private double reachableShare = 1;
+    private int processes = 1;
 
     /**
      * What the present lifetime of one process said that it admitted, by digest of the organisation's name.
@@ -80,6 +82,26 @@
         return true;
     }
 
+    /**
+     * Admits a request for which no coordinator can be asked, in a large fleet at this process's own pace.
+     *
+     * @param organisation name of the organisation
+     * @param tokens what the request uses
+     * @param nowMillis steady time in milliseconds
+     * @return true when it is admitted
+     */
+    public boolean tryAdmitAlone(String organisation, long tokens, long nowMillis) {
+        if (processes < MemberTable.LARGE_FLEET) {
+            return tryAdmit(organisation, tokens, nowMillis);
+        }
+        QuotaAccount account = accounts.get(organisation);
+        if (account != null && !account.tryAdmitAlone(tokens, processes, nowMillis)) {
+            return false;
+        }
+        addToTotal(organisation.hashCode(), tokens);
+        return true;
+    }
+
     private void addToTotal(int digest, long tokens) {
         long unused = Math.min(tokens, givenBack.getOrDefault(digest, 0L));
         givenBack.merge(digest, -unused, Long::sum);
@@ -210,6 +232,15 @@
         addToTotal(organisation.hashCode(), tokens);
     }
 
+    /**
+     * Sets how many processes admit requests.
+     *
+     * @param count processes that are heard from, this one included
+     */
+    public void fleet(int count) {
+        processes = count;
+    }
+
     /**
      * Sets which part of the fleet this process hears from, itself included.
      *
