--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -247,7 +247,7 @@
         String targetId = chosen.state().target().id();
         visit = new TargetVisit(front.entry(targetId), chosen, placement);
         silenceNoted = false;
-        front.prompts().reads(head.parts(), targetId);
+        front.prompts().reads(head.parts(), targetId, nowMillis);
         visit.entry().pool().acquire(!route.idempotent(), this::connected);
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
@@ -18,9 +18,10 @@
 /**
  * Tells the other processes what this one does, and hears of them.
  *
- * <p>In a small fleet each process tells each other one directly. In a larger one it tells its coordinators and a few
- * others at random, and adds the newest signs of life of all processes, which are a dozen bytes each. A process that
- * hears of one that it does not know asks for the reports of all.
+ * <p>In a small fleet each process tells each other one directly. In a larger one it tells a few at random, and adds
+ * the newest signs of life of all processes, which are a dozen bytes each. Its coordinators hear of it directly, but
+ * only its own report: signs of life from everybody would take a fifth of their processor. A process that hears of one
+ * that it does not know asks for the reports of all.
  */
 final class Gossip {
     /** Peers told in one round of a larger fleet; with signs of life of ninety processes that is 9 KB/s. */
@@ -97,7 +98,9 @@
     }
 
     private void largeRound() {
-        Set<String> ips = new LinkedHashSet<>(coordinatorIps.get());
+        FleetDatagram report = start().addMembers(members.own()).build();
+        coordinatorIps.get().stream().filter(ip -> !ip.equals(settings.ip())).forEach(ip -> datagrams.send(report, ip));
+        Set<String> ips = new LinkedHashSet<>();
         List<Member> alive = shuffled();
         alive.stream().limit(FAN_OUT).forEach(member -> ips.add(member.report().getIp()));
         addSeeds(ips, false);
--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/LogRingTest.java
@@ -0,0 +1,92 @@
+package org.whinwharf.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.is;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.core.LogEvent;
+import org.apache.logging.log4j.core.impl.Log4jLogEvent;
+import org.apache.logging.log4j.core.layout.PatternLayout;
+import org.apache.logging.log4j.message.SimpleMessage;
+import org.junit.jupiter.api.Test;
+
+class LogRingTest {
+    private static final int LINES = 10_000;
+    private static final long PATIENCE_SECONDS = 20;
+
+    /**
+     * Whoever reads the log stops reading, and the pipe is full. The thread that serves requests goes on writing lines
+     * and must never wait; how many lines were lost is written once the reader is back.
+     */
+    @Test
+    void fullPipeHoldsUpNobodyAndLostLinesAreCounted() throws Exception {
+        CountDownLatch readerBack = new CountDownLatch(1);
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        LogRing ring = new LogRing(layout(), new PrintStream(new StuckPipe(readerBack, read)));
+        ring.start();
+        for (int i = 0; i < LINES; i++) {
+            ring.append(event("line"));
+        }
+        readerBack.countDown();
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        while (!text(read).contains("log-lines-dropped")) {
+            assertThat("in time", System.nanoTime() < endNanos, is(true));
+            Thread.sleep(10);
+        }
+        ring.stop(0, TimeUnit.MILLISECONDS);
+    }
+
+    /** The process ends in order. Its last lines say why, and must not stay in the ring. */
+    @Test
+    void lastLinesAreWrittenAtTheEnd() {
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        LogRing ring = new LogRing(layout(), new PrintStream(read));
+        ring.start();
+        ring.append(event("drained"));
+        ring.stop(0, TimeUnit.MILLISECONDS);
+        assertThat(text(read), containsString("drained"));
+    }
+
+    private static PatternLayout layout() {
+        return PatternLayout.newBuilder().withPattern("%m%n").build();
+    }
+
+    private static LogEvent event(String text) {
+        return Log4jLogEvent.newBuilder().setMessage(new SimpleMessage(text)).build();
+    }
+
+    private static String text(ByteArrayOutputStream bytes) {
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+
+    private static final class StuckPipe extends OutputStream {
+        private final CountDownLatch readerBack;
+        private final OutputStream read;
+
+        StuckPipe(CountDownLatch readerBack, OutputStream read) {
+            this.readerBack = readerBack;
+            this.read = read;
+        }
+
+        @Override
+        public void write(int oneByte) {
+            write(new byte[] {(byte) oneByte}, 0, 1);
+        }
+
+        @Override
+        public void write(byte[] bytes, int offset, int length) {
+            try {
+                readerBack.await();
+                read.write(bytes, offset, length);
+            } catch (InterruptedException | java.io.IOException e) {
+                throw new IllegalStateException(e);
+            }
+        }
+    }
+}
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PlacementTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PlacementTest.java
@@ -28,7 +28,7 @@
     @Test
     void promptGoesWhereItWasRead() {
         List<TargetState> states = states(3);
-        prompts.reads(Fixtures.demand(0, 6_610, "orava").parts(), "t2");
+        prompts.reads(Fixtures.demand(0, 6_610, "orava").parts(), "t2", 0);
         assertThat(chosen(0, "orava", states), is(Optional.of("t2")));
     }
 
@@ -157,4 +157,32 @@
         }
         return states;
     }
+
+    /**
+     * Requests on one subject come every second and the engine that read it last is full each time. Sent to the next
+     * idle engine, each would read 6,610 tokens again; another that read the subject some seconds ago is free.
+     */
+    @Test
+    void promptGoesToAnyTargetThatReadItLately() {
+        TargetState full = new TargetState(Fixtures.target("a-full", 1));
+        full.began(0);
+        TargetState idle = new TargetState(Fixtures.target("b-idle", 4));
+        TargetState earlier = new TargetState(Fixtures.target("c-earlier", 4));
+        Demand demand = Fixtures.demand(0, 6_610, "orava");
+        prompts.reads(demand.parts(), "c-earlier", 0);
+        prompts.reads(demand.parts(), "a-full", 5_000);
+        List<TargetState> targets = List.of(full, idle, earlier);
+        Candidate soon = placement.choose(demand, targets, Set.of(), 6_000).orElseThrow();
+        assertThat(soon.state().target().id(), is("c-earlier"));
+        assertThat(soon.uncachedTokens(), is(0L));
+    }
+
+    /** An engine keeps a prompt for a while only; one that was read long ago is no reason to go there. */
+    @Test
+    void promptReadLongAgoCountsAsForgotten() {
+        Demand demand = Fixtures.demand(0, 6_610, "orava");
+        prompts.reads(demand.parts(), "a", 0);
+        assertThat(prompts.uncachedTokens(demand.parts(), 6_610, "a", 20_000), is(0L));
+        assertThat(prompts.uncachedTokens(demand.parts(), 6_610, "a", 20_001), is(6_550L));
+    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -290,7 +290,7 @@
                 if (candidate.coldAllowance() > 0) {
                     candidate.state().coldGate().sent(nowMillis);
                 }
-                prompts.reads(ask.demand().parts(), targetId);
+                prompts.reads(ask.demand().parts(), targetId, nowMillis);
                 grants.put(key, new Grant(ask, candidate));
                 outbox.granted(ask, candidate);
             }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -87,7 +87,7 @@
                     continue;
                 }
             }
-            Candidate candidate = rate(state, demand, occupancy, allowance);
+            Candidate candidate = rate(state, demand, occupancy, allowance, nowMillis);
             if (best == null || candidate.predictedMillis() < best.predictedMillis()) {
                 best = candidate;
             }
@@ -104,11 +104,11 @@
                         || state.target().models().contains(demand.model()));
     }
 
-    private Candidate rate(TargetState state, Demand demand, double occupancy, int allowance) {
+    private Candidate rate(TargetState state, Demand demand, double occupancy, int allowance, long nowMillis) {
         double far = demand.dataCentre().equals(state.target().dataCentre()) ? 0 : OTHER_DATA_CENTRE_MILLIS;
         List<PromptPart> parts = demand.parts();
         long uncached = prompts.uncachedTokens(
-                parts, demand.promptTokens(), state.target().id());
+                parts, demand.promptTokens(), state.target().id(), nowMillis);
         double predicted = state.speed().firstEventMillis(uncached + state.prefillTokens(), occupancy) + far;
         double answerMillis = state.speed().answerMillis(demand.answerTokens());
         double beyondMillis = Math.max(0, predicted + answerMillis - demand.remainingMillis() * SAFE_TIME_SHARE);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/PromptCache.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/PromptCache.java
@@ -5,32 +5,53 @@
 import java.util.Map;
 
 /**
- * Where each prompt was last read, as far as this process sent it.
+ * Where each prompt was read, as far as this process knows.
  *
- * <p>Bounded: a lost entry costs one prompt that is read again, nothing more.
+ * <p>At high load the one engine that read a prompt last mostly has no free slot, so all that read it lately are
+ * remembered. Bounded: a lost entry costs one prompt that is read again, nothing more.
  */
 public final class PromptCache {
-    /** Prompts remembered; ten times the subjects one process sees in a minute at the size in use. */
+    /** Prompts remembered; ten times the subjects that a fleet of ninety sees within the time of keeping. */
     private static final int MOST_PROMPTS = 4_000;
+    /** Targets remembered for each prompt: at one free slot in six, some of eight is free four times in five. */
+    private static final int MOST_TARGETS = 8;
+    /**
+     * Time for which an engine is taken to keep a prompt: its memory holds some seventy of the longest, and at full
+     * load it reads three a second.
+     */
+    private static final long KEPT_MILLIS = 20_000;
 
-    private final Map<String, String> targetByPart = new LinkedHashMap<>(16, 0.75f, true) {
+    private final Map<String, Map<String, Long>> readAtMillis = new Bounded<>(MOST_PROMPTS);
+
+    /** A map that drops what was used least recently. */
+    private static final class Bounded<V> extends LinkedHashMap<String, V> {
         private static final long serialVersionUID = 1L;
 
+        private final int most;
+
+        Bounded(int most) {
+            super(16, 0.75f, true);
+            this.most = most;
+        }
+
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, String> eldest) {
-            return size() > MOST_PROMPTS;
+        protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+            return size() > most;
         }
-    };
+    }
 
     /**
      * Notes that a target reads a prompt.
      *
      * @param parts the prompt's parts, in order
      * @param targetId id of the target
+     * @param nowMillis steady time in milliseconds
      */
-    public void reads(List<PromptPart> parts, String targetId) {
+    public void reads(List<PromptPart> parts, String targetId, long nowMillis) {
         if (!parts.isEmpty()) {
-            targetByPart.put(last(parts).id(), targetId);
+            readAtMillis
+                    .computeIfAbsent(last(parts).id(), id -> new Bounded<>(MOST_TARGETS))
+                    .put(targetId, nowMillis);
         }
     }
 
@@ -40,13 +61,15 @@
      * @param parts the prompt's parts, in order
      * @param promptTokens length of the whole prompt
      * @param targetId id of the target
+     * @param nowMillis steady time in milliseconds
      * @return tokens
      */
-    public long uncachedTokens(List<PromptPart> parts, long promptTokens, String targetId) {
+    public long uncachedTokens(List<PromptPart> parts, long promptTokens, String targetId, long nowMillis) {
         if (parts.isEmpty()) {
             return promptTokens;
         }
-        if (targetId.equals(targetByPart.get(last(parts).id()))) {
+        Long atMillis = readAtMillis.getOrDefault(last(parts).id(), Map.of()).get(targetId);
+        if (atMillis != null && nowMillis - atMillis <= KEPT_MILLIS) {
             return 0;
         }
         long shared = parts.size() > 1 ? parts.get(0).tokens() : 0;
