Refuse on arrival what would wait in vain, and send callers back later under pressure

Callers come back once; bursts of the sites last three to five seconds.

Change: the coordinator compares who is ahead with its pace of the last second; who cannot be placed within its patience is told so at once. The longest advice is four seconds. Test: a burst at one engine; the inspector is still kept.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -44,8 +44,6 @@
 final class Coordination {
     /** Time after which an unanswered ask is sent again: ten times the way there and back, a datagram may be lost. */
     private static final long RESEND_MILLIS = 40;
-    /** Silence after which a coordinator is passed over; two asks were lost or it is late by its own doing. */
-    private static final long SILENT_MILLIS = 120;
     /** Time for which a silent coordinator is passed over: about what a restart takes. */
     private static final long PASSED_OVER_MILLIS = 2_000;
     /** Time between asks of a request that waits; they show that the coordinator still has it. */
@@ -218,7 +216,7 @@
             }
             return;
         }
-        if (nowMillis - ticket.askedAtMillis() >= SILENT_MILLIS) {
+        if (nowMillis - ticket.askedAtMillis() >= settings.coordinatorSilentMillis()) {
             passedOverUntilMillis.put(ticket.coordinatorName(), nowMillis + PASSED_OVER_MILLIS);
             rankings.clear();
             FrontLog.passedOver(ticket, nowMillis - ticket.askedAtMillis());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
@@ -99,4 +99,14 @@
     default int processorPercent() {
         return 0;
     }
+
+    /**
+     * Returns after which silence a coordinator is passed over: three asks of 40 ms, of which two may be lost.
+     *
+     * @return time in milliseconds
+     */
+    @Value.Default
+    default long coordinatorSilentMillis() {
+        return 120;
+    }
 }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
@@ -146,6 +147,27 @@
         assertThat(granted, contains("front-1/1@engine", "front-1/4@engine"));
     }
 
+    /**
+     * A burst brings far more than the engines work off within a request's patience. Who cannot be served in time waits
+     * for nothing and is told so at once; an inspector still goes before all of them and is kept.
+     */
+    @Test
+    void requestThatWouldWaitInVainIsRefusedOnArrival() {
+        engine("engine", 1);
+        long nowMillis = 0;
+        for (long id = 1; id <= 5; id++) {
+            coordinator.ask(ask("front-1", id, 2, nowMillis), nowMillis);
+            nowMillis += 200;
+            coordinator.progress("front-1", id, RunEvent.RUN_ANSWERED, 0, nowMillis);
+        }
+        for (long id = 10; id < 30; id++) {
+            coordinator.ask(ask("front-1", id, 2, nowMillis), nowMillis);
+        }
+        assertThat(refused, hasItem("front-1/29 shed"));
+        coordinator.ask(ask("front-2", 1, 0, nowMillis), nowMillis);
+        assertThat(waiting, hasItem("front-2/1"));
+    }
+
     /** The caller leaves while its request waits. The slot must go to one whose caller is still there. */
     @Test
     void requestGivenUpLeavesTheLine() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -15,6 +15,7 @@
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.target.PromptCache;
 import org.whinwharf.traffic.target.TargetState;
+import org.whinwharf.traffic.waiting.Pace;
 import org.whinwharf.traffic.waiting.Patience;
 import org.whinwharf.traffic.waiting.Waiter;
 import org.whinwharf.traffic.waiting.WaitingLine;
@@ -31,6 +32,8 @@
 public final class Coordinator {
     /** Requests that wait for one service. At the rate of a fleet of ninety, more would outwait their patience. */
     private static final int MOST_WAITING = 1_024;
+    /** Requests ahead below which none is refused on arrival: so few are worked off in a few tens of milliseconds. */
+    private static final int FEW_WAITING = 8;
 
     private final String ownName;
     private final Placement placement;
@@ -126,6 +129,7 @@
     private final class ServiceDesk {
         private final String service;
         private final WaitingLine line = new WaitingLine(MOST_WAITING);
+        private final Pace pace = new Pace();
         private final RunningRequests running = new RunningRequests(loads);
         private final Map<AskKey, QueuedAsk> waiting = new HashMap<>();
         private final Map<AskKey, Grant> grants = new LinkedHashMap<>();
@@ -145,6 +149,10 @@
                 outbox.waiting(ask);
                 return;
             }
+            if (hopeless(ask, nowMillis)) {
+                outbox.shed(ask, comeBackMillis(nowMillis));
+                return;
+            }
             if (!admit(ask, nowMillis)) {
                 outbox.overQuota(ask, quotas.comeBackMillis(ask.organisation().orElseThrow()));
                 return;
@@ -158,6 +166,15 @@
             line.add(queued, nowMillis);
         }
 
+        /**
+         * Tells whether a request would only wait to be refused. It is refused on arrival then: its caller can come
+         * back the sooner, and a long line of such requests keeps nobody who has a chance.
+         */
+        private boolean hopeless(Ask ask, long nowMillis) {
+            int ahead = line.ahead(ask.demand().tierRank(), nowMillis);
+            return ahead >= FEW_WAITING && pace.waitMillis(ahead, nowMillis) > ask.patienceUntilMillis() - nowMillis;
+        }
+
         void underWay(String process, Map<Long, RunningRequests.Run> runs, long nowMillis) {
             running.replace(process, runs, nowMillis);
             dropGrants(process);
@@ -281,6 +298,7 @@
 
             private void grant(Candidate candidate, long nowMillis) {
                 waiting.remove(key);
+                pace.placed(nowMillis);
                 String targetId = candidate.state().target().id();
                 running.granted(
                         key.requester(),
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Patience.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Patience.java
@@ -15,8 +15,11 @@
     private static final double ON_TIME_SHARE = 0.8;
     /** Shortest advice: one round of news between processes. */
     private static final long SOONEST_MILLIS = 250;
-    /** Longest advice: about the time a short stream holds a slot. */
-    private static final long LATEST_MILLIS = 1_500;
+    /**
+     * Longest advice. Callers come back once or twice, and bursts last three to five seconds: who is sent back into the
+     * same burst is refused for good.
+     */
+    private static final long LATEST_MILLIS = 4_000;
 
     private Patience() {}
 
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
@@ -52,6 +52,24 @@
         return byRank.headMap(tierRank, true).values().stream().anyMatch(list -> !list.isEmpty());
     }
 
+    /**
+     * Returns how many requests go before a new one.
+     *
+     * @param tierRank rank of the new one
+     * @param nowMillis steady time in milliseconds
+     * @return those of higher tiers, and those of its own that can still be on time
+     */
+    public int ahead(int tierRank, long nowMillis) {
+        int ahead = 0;
+        for (List<Waiter> list : byRank.headMap(tierRank).values()) {
+            ahead += list.size();
+        }
+        for (Waiter waiter : byRank.getOrDefault(tierRank, List.of())) {
+            ahead += nowMillis <= waiter.onTimeUntilMillis() ? 1 : 0;
+        }
+        return ahead;
+    }
+
     /**
      * Adds a request.
      *
