Let requests for a full model hold up only those for the same model

Cause, read from the code: a rank's line was left after three requests that found no target, which keeps a coordinator from trying hundreds at each freed slot. On a deployment with several models three requests for a saturated model would have kept all others of the rank waiting. The count is now kept by model; the test failed on the old code by reading (the line would not have sent the fourth kind) and both new tests pass on this one.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -217,6 +217,11 @@
         return arrivedAtMillis + Patience.onTimeMillis(route.objectiveMillis());
     }
 
+    @Override
+    public String needs() {
+        return head.model();
+    }
+
     @Override
     public boolean trySend(long nowMillis) {
         Optional<Candidate> chosen = front.choose(demand(nowMillis), nowMillis);
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
@@ -41,6 +41,11 @@
             return untilMillis / 2;
         }
 
+        @Override
+        public String needs() {
+            return name.startsWith("rare") ? "rare" : "usual";
+        }
+
         @Override
         public boolean trySend(long nowMillis) {
             if (places == 0) {
@@ -130,4 +135,52 @@
         line.advance(1_000);
         assertThat(refused, contains("returning"));
     }
+
+    /**
+     * The few engines of a rare model are all full and its requests fill the head of the line. Requests for other
+     * models have free engines and must not wait behind them until those run out of patience.
+     */
+    @Test
+    void requestsForAFullModelDoNotHoldUpThoseForAnother() {
+        WaitingLine line = new WaitingLine(100);
+        for (int i = 0; i < 10; i++) {
+            line.add(new FullModelRequest("rare-" + i), 0);
+        }
+        line.add(new Request("usual", 1, 1_000), 5);
+        places = 1;
+        line.advance(10);
+        assertThat(sent, contains("usual"));
+    }
+
+    /** Hundreds wait for full engines. Trying each of them at each freed slot would take the whole processor. */
+    @Test
+    void fewOfManyAlikeAreTriedAtOnce() {
+        WaitingLine line = new WaitingLine(1_000);
+        int[] tries = new int[1];
+        for (int i = 0; i < 500; i++) {
+            line.add(
+                    new Request("usual-" + i, 1, 1_000) {
+                        @Override
+                        public boolean trySend(long nowMillis) {
+                            tries[0]++;
+                            return false;
+                        }
+                    },
+                    0);
+        }
+        line.advance(10);
+        assertThat(tries[0], is(3));
+        assertThat(line.size(), is(500));
+    }
+
+    private final class FullModelRequest extends Request {
+        FullModelRequest(String name) {
+            super(name, 1, 1_000);
+        }
+
+        @Override
+        public boolean trySend(long nowMillis) {
+            return false;
+        }
+    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -283,6 +283,11 @@
                 return ask.onTimeUntilMillis();
             }
 
+            @Override
+            public String needs() {
+                return ask.demand().model();
+            }
+
             @Override
             public boolean trySend(long nowMillis) {
                 ImmutableDemand demand =
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Waiter.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Waiter.java
@@ -23,6 +23,13 @@
      */
     long onTimeUntilMillis();
 
+    /**
+     * Returns what it needs of a target; requests with the same needs and rank mostly find one together or not at all.
+     *
+     * @return name of the model; empty when any target will do
+     */
+    String needs();
+
     /**
      * Tries to send it.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
@@ -2,7 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.TreeMap;
 
 /**
@@ -14,9 +16,9 @@
  */
 public final class WaitingLine {
     /**
-     * Requests of one rank that find no target before the rest of the rank is left for the next look. What keeps one
-     * from being sent keeps nearly all of them; trying each of several hundred at each freed slot would take a
-     * coordinator's whole processor. Three allow for one whose targets were all tried and one whose model is rare.
+     * Requests of one rank and the same needs that find no target before the rest of them is left for the next look.
+     * What keeps one from being sent keeps nearly all of them; trying each of several hundred at each freed slot would
+     * take a coordinator's whole processor. Three allow for two that have tried the targets that are free.
      */
     private static final int MOST_FAILURES = 3;
 
@@ -111,12 +113,12 @@
             size -= current.size();
             current.sort(Comparator.comparing((Waiter waiter) -> nowMillis > waiter.onTimeUntilMillis()));
             // Waiters may add themselves again while they are tried, so the list under way is taken out first.
-            int failures = 0;
+            Map<String, Integer> failures = new HashMap<>();
             for (Waiter waiter : current) {
                 if (nowMillis >= waiter.patienceUntilMillis()) {
                     waiter.refuse(nowMillis);
-                } else if (failures >= MOST_FAILURES || !waiter.trySend(nowMillis)) {
-                    failures++;
+                } else if (failures.getOrDefault(waiter.needs(), 0) >= MOST_FAILURES || !waiter.trySend(nowMillis)) {
+                    failures.merge(waiter.needs(), 1, Integer::sum);
                     staying.add(waiter);
                 }
             }
