--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Admission.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Admission.java
@@ -1,10 +1,12 @@
 package org.whinwharf.front;
 
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
+import org.whinwharf.traffic.catalog.TierRank;
 import org.whinwharf.traffic.waiting.Patience;
 
 /** Decides on arrival whether a request is let in, by routes, keys and quotas. */
@@ -99,9 +101,8 @@
             long nowMillis) {
         long allowedMillis =
                 Math.min(route.timeoutMillis(), head.deadlineMillis().orElse(route.timeoutMillis()));
-        int tierRank = organisation.isPresent() && organisation.get().tierRank().isPresent()
-                ? organisation.get().tierRank().getAsInt()
-                : route.tierRank();
+        OptionalInt organisationRank = organisation.map(Organisation::tierRank).orElse(OptionalInt.empty());
+        int tierRank = TierRank.of(organisationRank, route.tierRank());
         return new Admitted(
                 route,
                 organisation,
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import org.whinwharf.traffic.catalog.TierRank;
 import org.whinwharf.traffic.target.PromptCache;
 import org.whinwharf.traffic.target.PromptPart;
 import org.whinwharf.traffic.target.TargetState;
@@ -70,7 +71,8 @@
      */
     public Optional<Candidate> choose(
             Demand demand, Collection<TargetState> targets, Collection<String> evacuated, long nowMillis) {
-        double mostOccupancy = FULL_OCCUPANCY - RESERVE_PER_RANK * Math.min(demand.tierRank(), MOST_RESERVES);
+        double mostOccupancy =
+                FULL_OCCUPANCY - RESERVE_PER_RANK * Math.min(TierRank.ofRoute(demand.tierRank()), MOST_RESERVES);
         Candidate best = null;
         for (TargetState state : targets) {
             if (!eligible(state, demand, evacuated, nowMillis)) {
