Stand behind Log4j's interface in place of its core in the front

The timeline of a start on one core (875 ms until the first ask of the store, beside other work) shows 330 ms in Log4j's core: 600 classes, half of them plugins that its default configuration looks up before ours replaces it.

Change: the front's log implements Log4j's own interface (provider, context, logger) over the ring that was there; the core is no longer set up. Lines and levels are the same; LogRing no longer needs a layout. FrontLoggingTest found that Log4j's shutdown asks for a context before it ends one, without which the last lines stayed in the ring; mended.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/FrontLoggingTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/FrontLoggingTest.java
@@ -42,5 +42,6 @@
         String text = written.toString(StandardCharsets.UTF_8);
         assertThat(text, containsString("\"text\":\"a line of a library\""));
         assertThat(text, not(containsString("Exception")));
+        assertThat(LogManager.getContext(false).getLogger("io.netty.channel").isWarnEnabled(), is(false));
     }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/LogRingTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/LogRingTest.java
@@ -9,10 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.core.LogEvent;
-import org.apache.logging.log4j.core.impl.Log4jLogEvent;
-import org.apache.logging.log4j.core.layout.PatternLayout;
-import org.apache.logging.log4j.message.SimpleMessage;
 import org.junit.jupiter.api.Test;
 
 class LogRingTest {
@@ -27,14 +23,14 @@
     void fullPipeHoldsUpNobodyAndLostLinesAreCounted() throws Exception {
         CountDownLatch readerBack = new CountDownLatch(1);
         ByteArrayOutputStream read = new ByteArrayOutputStream();
-        LogRing ring = new LogRing(layout(), new PrintStream(new StuckPipe(readerBack, read)));
+        LogRing ring = new LogRing(new PrintStream(new StuckPipe(readerBack, read)));
         ring.start();
         for (int i = 0; i < LINES; i++) {
-            ring.append(event("line"));
+            ring.append("line\n");
         }
         readerBack.countDown();
         awaitText(read, "log-lines-dropped");
-        ring.stop(0, TimeUnit.MILLISECONDS);
+        ring.stop();
     }
 
     /**
@@ -45,10 +41,10 @@
     void lastLinesAreWrittenAtTheEnd() throws Exception {
         for (int i = 0; i < 50; i++) {
             ByteArrayOutputStream read = new ByteArrayOutputStream();
-            LogRing ring = new LogRing(layout(), new PrintStream(read));
+            LogRing ring = new LogRing(new PrintStream(read));
             ring.start();
-            ring.append(event("drained"));
-            ring.stop(0, TimeUnit.MILLISECONDS);
+            ring.append("drained\n");
+            ring.stop();
             awaitText(read, "drained");
         }
     }
@@ -61,14 +57,6 @@
         }
     }
 
-    private static PatternLayout layout() {
-        return PatternLayout.newBuilder().withPattern("%m%n").build();
-    }
-
-    private static LogEvent event(String text) {
-        return Log4jLogEvent.newBuilder().setMessage(new SimpleMessage(text)).build();
-    }
-
     private static String text(ByteArrayOutputStream bytes) {
         return bytes.toString(StandardCharsets.UTF_8);
     }
