Draw the directory's names in a fleet larger than an answer

Cause: an answer names 64 fronts at most, and it named them always in the order in which they were heard of. Of ninety fronts twenty-six were named by themselves only, so the others took their callers.

Change: the member table draws the names when there are more than fit; the process that answers stays among them. Nothing changes below 65 fronts.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FleetTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FleetTest.java
@@ -91,7 +91,7 @@
                 FrontFixture.await(() -> two.addresses() == 2);
             }
             FrontFixture.await(() -> two.addresses() == 1);
-            assertThat(two.front().callerAddresses(), contains(startsWith(two.ip() + ":")));
+            assertThat(two.front().callerAddresses(64), contains(startsWith(two.ip() + ":")));
         }
     }
 
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -211,7 +211,7 @@
     /** Returns how many fronts this one names to callers. */
     int addresses() {
         int[] count = new int[1];
-        run(() -> count[0] = front.callerAddresses().size());
+        run(() -> count[0] = front.callerAddresses(64).size());
         return count[0];
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -266,12 +266,13 @@
     }
 
     /**
-     * Returns the addresses that callers may connect to, this process's first.
+     * Returns addresses that callers may connect to, this process's first.
      *
+     * @param most how many callers take at most; in a larger fleet they are drawn
      * @return IP numbers and ports
      */
-    public List<String> callerAddresses() {
-        return members.serving(ticker.nowMillis()).stream()
+    public List<String> callerAddresses(int most) {
+        return members.drawServing(ticker.nowMillis(), most, random).stream()
                 .map(MemberReport::getCallerAddress)
                 .toList();
     }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/MemberTableTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/MemberTableTest.java
@@ -6,9 +6,15 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.wire.fleet.MemberPhase;
+import org.whinwharf.wire.fleet.MemberReport;
 
 class MemberTableTest {
     private final MemberTable table = new MemberTable(Fixtures.report("own", 100, 0));
@@ -42,6 +48,28 @@
         assertThat(table.own().getIncarnation(), greaterThan(5_000L));
     }
 
+    /**
+     * Ninety fronts serve and an answer of the directory has room for sixty-four. Named always in the same order, the
+     * last twenty-six would stand nearly idle while callers of the others are refused for want of a connection.
+     */
+    @Test
+    void everyProcessOfALargeFleetIsNamedToAsManyCallers() {
+        table.report(Fixtures.report("own", 100, 0).toBuilder());
+        Map<String, Integer> named = new HashMap<>();
+        for (int i = 0; i < 90; i++) {
+            table.hear(Fixtures.report("front-" + i, 1, 1), 0);
+        }
+        Random random = new Random(1);
+        for (int answer = 0; answer < 1_000; answer++) {
+            List<MemberReport> drawn = table.drawServing(0, 64, random);
+            assertThat(drawn, hasSize(64));
+            drawn.forEach(report -> named.merge(report.getName(), 1, Integer::sum));
+        }
+        assertThat(named.remove("own"), is(1_000));
+        assertThat(named.size(), is(90));
+        assertThat(Collections.min(named.values()), greaterThan(630));
+    }
+
     @Test
     void leavingProcessIsOutOfServiceAtOnce() {
         table.hear(Fixtures.report("a", 1, 1), 0);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -2,10 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.TreeMap;
 import org.whinwharf.wire.fleet.MemberPhase;
 import org.whinwharf.wire.fleet.MemberReport;
@@ -221,6 +223,27 @@
         return serving;
     }
 
+    /**
+     * Draws from the processes that callers may be sent to; this one is among them when it serves.
+     *
+     * <p>Callers choose evenly among the names they are given. If a fleet larger than an answer always named the same
+     * processes, the rest would get no callers but those that ask them directly.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @param most longest answer
+     * @param random draws when there are more
+     * @return reports
+     */
+    public List<MemberReport> drawServing(long nowMillis, int most, Random random) {
+        List<MemberReport> serving = serving(nowMillis);
+        if (serving.size() <= most) {
+            return serving;
+        }
+        boolean ownServes = own.getPhase() == MemberPhase.MEMBER_SERVING;
+        Collections.shuffle(serving.subList(ownServes ? 1 : 0, serving.size()), random);
+        return serving.subList(0, most);
+    }
+
     /**
      * Returns which part of the fleet's refill this process and those it hears from may use.
      *
