Hold long prompts for a fast engine while they can still be on time

The log of a small twin shows where: 48 of 93 late summaries at eight of twenty-one engines, those that are three times as slow. The first in line took whatever slot freed first.

Change: a request that would be late at the best target that is free, and on time at one that is full, is held; those behind it are tried all the same. A held one is no failure for the bound on tries. Predictions are learned from the same tokens that they are made with: what waits ahead at an engine was counted into its speed and then added again. The line of a request's end tells the time to its first byte, which is what the analysis needed.

The new tests of the coordinator were not run on the code before (types changed).

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -366,7 +366,13 @@
         ticket.placed(reply.getTarget(), reply.getUncachedTokens());
         ticket.listener()
                 .granted(new Candidate(
-                        state, reply.getUncachedTokens(), reply.getOccupancy(), reply.getPredictedMillis(), 0));
+                        state,
+                        reply.getUncachedTokens(),
+                        reply.getTokensAhead(),
+                        reply.getOccupancy(),
+                        reply.getPredictedMillis(),
+                        reply.getPredictedMillis(),
+                        0));
     }
 
     private void asked(String from, PlacementAsk ask, long nowMillis) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.traffic.catalog.Organisation;
@@ -14,6 +15,7 @@
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.traffic.target.Target;
+import org.whinwharf.traffic.waiting.Attempt;
 import org.whinwharf.traffic.waiting.Patience;
 import org.whinwharf.traffic.waiting.Waiter;
 import org.whinwharf.wire.fleet.PlacementAsk;
@@ -132,7 +134,7 @@
 
     private void placeHere(long nowMillis) {
         stage = Stage.WAITING;
-        if (!front.line(service).hasAhead(tierRank) && trySend(nowMillis)) {
+        if (!front.line(service).hasAhead(tierRank) && !trySend(nowMillis).waits()) {
             return;
         }
         front.line(service).add(this, nowMillis);
@@ -223,17 +225,17 @@
     }
 
     @Override
-    public boolean trySend(long nowMillis) {
+    public Attempt trySend(long nowMillis) {
         Optional<Candidate> chosen = front.choose(demand(nowMillis), nowMillis);
         if (chosen.isEmpty()) {
-            return false;
+            return Attempt.NO_TARGET;
         }
         Candidate candidate = chosen.get();
         if (candidate.coldAllowance() > 0) {
             candidate.state().coldGate().sent(nowMillis);
         }
         connect(candidate, front.coordination().placedHere(service, candidate), nowMillis);
-        return true;
+        return Attempt.SENT;
     }
 
     @Override
@@ -550,6 +552,11 @@
         front.exchangeEnded(this);
     }
 
+    /** Returns the time from the last sending to the first byte of its answer, if that came. */
+    OptionalLong firstByteMillis() {
+        return visit != null && visit.firstByteSeen() ? OptionalLong.of(visit.firstByteMillis()) : OptionalLong.empty();
+    }
+
     String service() {
         return service;
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -33,7 +33,7 @@
                 .with(EventField.WAITED_MILLIS, waitedMillis)
                 .with(EventField.OCCUPANCY, Math.round(candidate.occupancy() * 100) / 100.0)
                 .with(EventField.PREFILL_TOKENS, candidate.uncachedTokens())
-                .with(EventField.PREDICTED_MILLIS, Math.round(candidate.predictedMillis()))
+                .with(EventField.PREDICTED_MILLIS, Math.round(candidate.firstEventMillis()))
                 .call();
     }
 
@@ -46,6 +46,7 @@
         if (entry != null) {
             line.with(EventField.TARGET, entry.state().target().id());
         }
+        exchange.firstByteMillis().ifPresent(millis -> line.with(EventField.FIRST_BYTE_MILLIS, millis));
         line.call();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
@@ -72,8 +72,9 @@
                 .setOutcome(PlacementOutcome.PLACEMENT_GRANTED)
                 .setTarget(candidate.state().target().id())
                 .setUncachedTokens((int) candidate.uncachedTokens())
+                .setTokensAhead((int) candidate.tokensAhead())
                 .setOccupancy((float) candidate.occupancy())
-                .setPredictedMillis((float) candidate.predictedMillis())
+                .setPredictedMillis((float) candidate.firstEventMillis())
                 .setCold(candidate.coldAllowance() > 0)
                 .build();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetVisit.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetVisit.java
@@ -54,7 +54,7 @@
      * failing target look like the fastest.
      */
     void succeeded() {
-        state().speed().observed(candidate.uncachedTokens(), candidate.occupancy(), firstByteMillis());
+        state().speed().observed(candidate.tokensAhead(), candidate.occupancy(), firstByteMillis());
         ticket.firstEvent(firstByteMillis());
     }
 
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -62,6 +62,8 @@
     ANSWER_TOKENS("answerTokens"),
     /** Milliseconds that the request waited. */
     WAITED_MILLIS("waitedMillis"),
+    /** Milliseconds from sending to the first byte of the answer. */
+    FIRST_BYTE_MILLIS("firstByteMillis"),
     /** Milliseconds from start to end. */
     TOTAL_MILLIS("totalMillis"),
     /** Milliseconds after which to come back. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -76,6 +76,7 @@
             EventField.REASON,
             EventField.PREFILL_TOKENS,
             EventField.ANSWER_TOKENS,
+            EventField.FIRST_BYTE_MILLIS,
             EventField.TOTAL_MILLIS,
             EventField.STATUS,
             EventField.COME_BACK_MILLIS),
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -192,6 +192,45 @@
         assertThat(reports, containsInAnyOrder("engine failed true", "engine erred"));
     }
 
+    /**
+     * One engine is six times as slow as the other, which is full for a moment. Sent to the slow one, a long summary
+     * comes too late for the inspector; held for some ten milliseconds, it comes in time. A short note goes to the slow
+     * engine meanwhile.
+     */
+    @Test
+    void longPromptWaitsForAFastEngineAndAShortOneTakesTheSlow() {
+        engine("fast", 1);
+        coordinator.ask(ask("front-1", 1, 1, 0), 0);
+        TargetState slow = engine("slow", 4);
+        for (int i = 0; i < 40; i++) {
+            slow.speed().observed(6_000, 0, 720);
+        }
+        coordinator.ask(summary("front-1", 2), 0);
+        coordinator.ask(ask("front-2", 3, 1, 0), 0);
+        coordinator.advance(5);
+        assertThat(granted, contains("front-1/1@fast", "front-2/3@slow"));
+        coordinator.progress("front-1", 1, RunEvent.RUN_ANSWERED, 0, 10);
+        assertThat(granted, hasItem("front-1/2@fast"));
+    }
+
+    /** All engines are as slow as that, and nothing is gained by waiting: a late summary is better than a later one. */
+    @Test
+    void longPromptGoesToASlowEngineWhereNoneIsFaster() {
+        TargetState slow = engine("slow", 4);
+        for (int i = 0; i < 40; i++) {
+            slow.speed().observed(6_000, 0, 720);
+        }
+        coordinator.ask(summary("front-1", 1), 0);
+        assertThat(granted, contains("front-1/1@slow"));
+    }
+
+    private static Ask summary(String requester, long id) {
+        return ImmutableAsk.copyOf(ask(requester, id, 0, 0))
+                .withDemand(Fixtures.demand(0, 6_610, "summary"))
+                .withPatienceUntilMillis(1_600)
+                .withOnTimeUntilMillis(650);
+    }
+
     private TargetState engine(String id, int slots) {
         TargetState state = new TargetState(Fixtures.target(id, slots));
         targets.put(id, state);
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.waiting.Attempt;
 import org.whinwharf.traffic.waiting.Waiter;
 import org.whinwharf.traffic.waiting.WaitingLine;
 
@@ -47,13 +48,13 @@
         }
 
         @Override
-        public boolean trySend(long nowMillis) {
+        public Attempt trySend(long nowMillis) {
             if (places == 0) {
-                return false;
+                return Attempt.NO_TARGET;
             }
             places--;
             sent.add(name);
-            return true;
+            return Attempt.SENT;
         }
 
         @Override
@@ -120,13 +121,13 @@
         WaitingLine line = new WaitingLine(10);
         Waiter returning = new Request("returning", 1, 1_000) {
             @Override
-            public boolean trySend(long nowMillis) {
+            public Attempt trySend(long nowMillis) {
                 if (sent.isEmpty()) {
                     sent.add("returning");
                     line.add(this, nowMillis);
-                    return true;
+                    return Attempt.SENT;
                 }
-                return false;
+                return Attempt.NO_TARGET;
             }
         };
         line.add(returning, 0);
@@ -161,9 +162,9 @@
             line.add(
                     new Request("usual-" + i, 1, 1_000) {
                         @Override
-                        public boolean trySend(long nowMillis) {
+                        public Attempt trySend(long nowMillis) {
                             tries[0]++;
-                            return false;
+                            return Attempt.NO_TARGET;
                         }
                     },
                     0);
@@ -173,14 +174,38 @@
         assertThat(line.size(), is(500));
     }
 
+    /**
+     * Some long prompts wait for the slot of a fast engine. A shorter one behind them could go to a slow engine that
+     * stands free, and must not be passed over because of them.
+     */
+    @Test
+    void requestsThatWaitForABetterTargetDoNotHoldUpThoseBehindThem() {
+        WaitingLine line = new WaitingLine(100);
+        for (int i = 0; i < 10; i++) {
+            line.add(
+                    new Request("long-" + i, 1, 1_000) {
+                        @Override
+                        public Attempt trySend(long nowMillis) {
+                            return Attempt.HELD;
+                        }
+                    },
+                    0);
+        }
+        line.add(new Request("short", 1, 1_000), 5);
+        places = 1;
+        line.advance(10);
+        assertThat(sent, contains("short"));
+        assertThat(line.size(), is(10));
+    }
+
     private final class FullModelRequest extends Request {
         FullModelRequest(String name) {
             super(name, 1, 1_000);
         }
 
         @Override
-        public boolean trySend(long nowMillis) {
-            return false;
+        public Attempt trySend(long nowMillis) {
+            return Attempt.NO_TARGET;
         }
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -17,6 +17,7 @@
 import org.whinwharf.traffic.target.PromptCache;
 import org.whinwharf.traffic.target.TargetSpeed;
 import org.whinwharf.traffic.target.TargetState;
+import org.whinwharf.traffic.waiting.Attempt;
 import org.whinwharf.traffic.waiting.JoinedRanks;
 import org.whinwharf.traffic.waiting.Pace;
 import org.whinwharf.traffic.waiting.Patience;
@@ -162,7 +163,7 @@
                 outbox.overQuota(ask, quotas.comeBackMillis(ask.organisation().orElseThrow()));
                 return;
             }
-            if (!line.hasAhead(queued.tierRank()) && queued.trySend(nowMillis)) {
+            if (!line.hasAhead(queued.tierRank()) && !queued.trySend(nowMillis).waits()) {
                 return;
             }
             waiting.put(key, queued);
@@ -232,7 +233,7 @@
         private void firstEvent(AskKey key, Grant grant, long tookMillis) {
             if (tookMillis > 0 && !key.requester().equals(ownName)) {
                 Candidate candidate = grant.candidate();
-                candidate.state().speed().observed(candidate.uncachedTokens(), candidate.occupancy(), tookMillis);
+                candidate.state().speed().observed(candidate.tokensAhead(), candidate.occupancy(), tookMillis);
             }
         }
 
@@ -305,17 +306,33 @@
             }
 
             @Override
-            public boolean trySend(long nowMillis) {
+            public Attempt trySend(long nowMillis) {
                 ImmutableDemand demand = ImmutableDemand.copyOf(ask.demand())
                         .withTierRank(lineRank)
                         .withRemainingMillis(ask.deadlineAtMillis() - nowMillis);
                 Optional<Candidate> chosen =
                         placement.choose(demand, targets.apply(service), evacuated.get(), nowMillis);
                 if (chosen.isEmpty()) {
-                    return false;
+                    return Attempt.NO_TARGET;
+                }
+                if (missesObjective(chosen.get(), demand, nowMillis)) {
+                    return Attempt.HELD;
                 }
                 grant(chosen.get(), nowMillis);
-                return true;
+                return Attempt.SENT;
+            }
+
+            /**
+             * Tells whether the request would be late at the best target that is free, and on time at one that is not.
+             * A slow engine reads a long prompt for a second; at a fast one a slot frees within some ten milliseconds,
+             * and the slow one is as good as any other for a short prompt.
+             */
+            private boolean missesObjective(Candidate candidate, Demand demand, long nowMillis) {
+                long leftMillis = ask.onTimeUntilMillis() - nowMillis;
+                return leftMillis > 0
+                        && candidate.firstEventMillis() > leftMillis
+                        && placement.somewhereWithin(
+                                demand, targets.apply(service), evacuated.get(), leftMillis, nowMillis);
             }
 
             private void grant(Candidate candidate, long nowMillis) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Candidate.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Candidate.java
@@ -7,9 +7,17 @@
  *
  * @param state the target
  * @param uncachedTokens prompt tokens it has to read
+ * @param tokensAhead prompt tokens it reads until the first event, those of requests ahead included
  * @param occupancy its requests over its slots when chosen
- * @param predictedMillis predicted time to the first event
+ * @param firstEventMillis predicted time to the first event
+ * @param ratingMillis what the choice was made by: the predicted time, and weights for what follows the first event
  * @param coldAllowance requests a second this process may send it; 0 when it is warm
  */
 public record Candidate(
-        TargetState state, long uncachedTokens, double occupancy, double predictedMillis, int coldAllowance) {}
+        TargetState state,
+        long uncachedTokens,
+        long tokensAhead,
+        double occupancy,
+        double firstEventMillis,
+        double ratingMillis,
+        int coldAllowance) {}
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -39,6 +39,8 @@
      * engines, where they hold a slot for less time, and short ones leave these free.
      */
     private static final double ANSWER_WEIGHT = 0.1;
+    /** Time in which a slot of one of several fast targets frees: each holds a request for about a second. */
+    private static final double SLOT_FREES_MILLIS = 50;
     /** Share of the time left within which an answer should be predicted to end: predictions are off by a tenth. */
     private static final double SAFE_TIME_SHARE = 0.85;
 
@@ -90,13 +92,40 @@
                 }
             }
             Candidate candidate = rate(state, demand, occupancy, allowance, nowMillis);
-            if (best == null || candidate.predictedMillis() < best.predictedMillis()) {
+            if (best == null || candidate.ratingMillis() < best.ratingMillis()) {
                 best = candidate;
             }
         }
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Tells whether a target that is full now would bring the first event in time once a slot frees.
+     *
+     * @param demand what the request asks
+     * @param targets all targets of its service
+     * @param evacuated data centres that must get nothing new
+     * @param withinMillis time in which the first event must come
+     * @param nowMillis steady time in milliseconds
+     * @return true when waiting for it is worth while
+     */
+    public boolean somewhereWithin(
+            Demand demand,
+            Collection<TargetState> targets,
+            Collection<String> evacuated,
+            long withinMillis,
+            long nowMillis) {
+        return targets.stream()
+                .filter(state -> eligible(state, demand, evacuated, nowMillis) && !state.cold(nowMillis))
+                .anyMatch(state -> firstEventOnceFree(state, demand, nowMillis) <= withinMillis);
+    }
+
+    private double firstEventOnceFree(TargetState state, Demand demand, long nowMillis) {
+        long uncached = prompts.uncachedTokens(
+                demand.parts(), demand.promptTokens(), state.target().id(), nowMillis);
+        return state.speed().firstEventMillis(uncached, 1) + SLOT_FREES_MILLIS;
+    }
+
     private boolean eligible(TargetState state, Demand demand, Collection<String> evacuated, long nowMillis) {
         return state.usable(nowMillis)
                 && !evacuated.contains(state.target().dataCentre())
@@ -111,11 +140,12 @@
         List<PromptPart> parts = demand.parts();
         long uncached = prompts.uncachedTokens(
                 parts, demand.promptTokens(), state.target().id(), nowMillis);
-        double predicted = state.speed().firstEventMillis(uncached + state.prefillTokens(), occupancy) + far;
+        long ahead = uncached + state.prefillTokens();
+        double predicted = state.speed().firstEventMillis(ahead, occupancy) + far;
         double answerMillis = state.speed().answerMillis(demand.answerTokens());
         double beyondMillis = Math.max(0, predicted + answerMillis - demand.remainingMillis() * SAFE_TIME_SHARE);
         double rating = predicted + answerMillis * ANSWER_WEIGHT + beyondMillis;
         double spreadFactor = demand.promptTokens() > 0 ? 1 + spread.getAsDouble() : 1;
-        return new Candidate(state, uncached, occupancy, rating * spreadFactor, allowance);
+        return new Candidate(state, uncached, ahead, occupancy, predicted, rating * spreadFactor, allowance);
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Waiter.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Waiter.java
@@ -34,9 +34,9 @@
      * Tries to send it.
      *
      * @param nowMillis steady time in milliseconds
-     * @return true when it no longer waits
+     * @return what came of it
      */
-    boolean trySend(long nowMillis);
+    Attempt trySend(long nowMillis);
 
     /**
      * Refuses it, since its patience ended.
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
@@ -117,9 +117,16 @@
             for (Waiter waiter : current) {
                 if (nowMillis >= waiter.patienceUntilMillis()) {
                     waiter.refuse(nowMillis);
-                } else if (failures.getOrDefault(waiter.needs(), 0) >= MOST_FAILURES || !waiter.trySend(nowMillis)) {
-                    failures.merge(waiter.needs(), 1, Integer::sum);
+                } else if (failures.getOrDefault(waiter.needs(), 0) >= MOST_FAILURES) {
                     staying.add(waiter);
+                } else {
+                    Attempt attempt = waiter.trySend(nowMillis);
+                    if (attempt == Attempt.NO_TARGET) {
+                        failures.merge(waiter.needs(), 1, Integer::sum);
+                    }
+                    if (attempt.waits()) {
+                        staying.add(waiter);
+                    }
                 }
             }
             byRank.get(rank).addAll(0, staying);
