Let a target that returns prove itself by one request at a time

Change: after a probe a target is on trial until one of its requests begins to be answered; on trial it gets one every half second.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -231,9 +231,7 @@
             return Attempt.NO_TARGET;
         }
         Candidate candidate = chosen.get();
-        if (candidate.coldAllowance() > 0) {
-            candidate.state().coldGate().sent(nowMillis);
-        }
+        candidate.sent(nowMillis);
         connect(candidate, front.coordination().placedHere(service, candidate), nowMillis);
         return Attempt.SENT;
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetVisit.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetVisit.java
@@ -54,6 +54,7 @@
      * failing target look like the fastest.
      */
     void succeeded() {
+        state().health().answering();
         state().speed().observed(candidate.tokensAhead(), candidate.occupancy(), firstByteMillis());
         ticket.firstEvent(firstByteMillis());
     }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetHealthTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetHealthTest.java
@@ -47,6 +47,24 @@
         assertThat(health.ejected(), is(false));
     }
 
+    /**
+     * An engine hangs and passes its health checks all the same. Each time it comes back into use it would be filled to
+     * its last slot, and all these summaries would wait for nothing until their deadline.
+     */
+    @Test
+    void targetOnTrialGetsOneRequestAtATimeUntilOneIsAnswered() {
+        health.failed(0, true);
+        health.beginProbe(600);
+        health.probed(650, true);
+        assertThat(health.admits(650), is(true));
+        health.sent(650);
+        assertThat(health.admits(660), is(false));
+        assertThat(health.admits(1_150), is(true));
+        health.sent(1_150);
+        health.answering();
+        assertThat(health.admits(1_151), is(true));
+    }
+
     @Test
     void failedProbesComeLessOften() {
         health.failed(0, true);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -233,6 +233,7 @@
         private void firstEvent(AskKey key, Grant grant, long tookMillis) {
             if (tookMillis > 0 && !key.requester().equals(ownName)) {
                 Candidate candidate = grant.candidate();
+                candidate.state().health().answering();
                 candidate.state().speed().observed(candidate.tokensAhead(), candidate.occupancy(), tookMillis);
             }
         }
@@ -344,9 +345,7 @@
                         key.id(),
                         new RunningRequests.Run(targetId, candidate.uncachedTokens()),
                         nowMillis);
-                if (candidate.coldAllowance() > 0) {
-                    candidate.state().coldGate().sent(nowMillis);
-                }
+                candidate.sent(nowMillis);
                 prompts.reads(ask.demand().parts(), targetId, nowMillis);
                 grants.put(key, new Grant(ask, candidate));
                 outbox.granted(ask, candidate);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Candidate.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Candidate.java
@@ -20,4 +20,16 @@
         double occupancy,
         double firstEventMillis,
         double ratingMillis,
-        int coldAllowance) {}
+        int coldAllowance) {
+    /**
+     * Notes that the request is sent.
+     *
+     * @param nowMillis steady time in milliseconds
+     */
+    public void sent(long nowMillis) {
+        state.health().sent(nowMillis);
+        if (coldAllowance > 0) {
+            state.coldGate().sent(nowMillis);
+        }
+    }
+}
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -128,6 +128,7 @@
 
     private boolean eligible(TargetState state, Demand demand, Collection<String> evacuated, long nowMillis) {
         return state.usable(nowMillis)
+                && state.health().admits(nowMillis)
                 && !evacuated.contains(state.target().dataCentre())
                 && !demand.tried().contains(state.target().id())
                 && (demand.model().isEmpty()
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
@@ -5,7 +5,9 @@
  *
  * <p>A target that answers health checks may still fail requests, so only requests count against it. After a series of
  * failures it is ejected for a while that doubles up to a bound, and it returns through one probe, since a target that
- * was restarted in between is cold and would fall over under its full share.
+ * was restarted in between is cold and would fall over under its full share. A target that hangs may pass its probe:
+ * until one of its requests begins to be answered, it gets one at a time, so that each return costs a request or two
+ * and not a full set of slots.
  */
 public final class TargetHealth {
     /** Failures in a row that eject; two, since one lost connection happens to sound targets. */
@@ -16,6 +18,8 @@
     private static final double NEWEST_WEIGHT = 0.12;
     /** First time out of use; about the time a crashed target needs to come back. */
     private static final long FIRST_EJECTION_MILLIS = 500;
+    /** Time between requests to a target on trial: most first events come within it. */
+    private static final long TRIAL_MILLIS = 500;
     /** Longest time out of use: a recovered target is back within this. */
     private static final long LONGEST_EJECTION_MILLIS = 4_000;
 
@@ -25,9 +29,12 @@
     private boolean ejected;
     private long probeAtMillis;
     private boolean probing;
+    private boolean onTrial;
+    private long trialAtMillis;
 
     /** Notes a request that the target answered properly, whatever the answer says. */
     public void succeeded() {
+        onTrial = false;
         failuresInRow = 0;
         failureShare *= 1 - NEWEST_WEIGHT;
         if (failureShare < EJECT_SHARE / 4) {
@@ -60,6 +67,30 @@
         return eject(nowMillis, false);
     }
 
+    /** Notes that a request begins to be answered with success. */
+    public void answering() {
+        onTrial = false;
+    }
+
+    /**
+     * Tells whether the target may get another request.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return false while it is ejected, or on trial with a request just sent
+     */
+    public boolean admits(long nowMillis) {
+        return !ejected && (!onTrial || nowMillis >= trialAtMillis + TRIAL_MILLIS);
+    }
+
+    /**
+     * Notes a request that is sent.
+     *
+     * @param nowMillis steady time in milliseconds
+     */
+    public void sent(long nowMillis) {
+        trialAtMillis = nowMillis;
+    }
+
     private boolean eject(long nowMillis, boolean certain) {
         if (ejected || !certain && failureShare < EJECT_SHARE) {
             return false;
@@ -103,6 +134,8 @@
         probing = false;
         if (healthy) {
             ejected = false;
+            onTrial = true;
+            trialAtMillis = nowMillis - TRIAL_MILLIS;
             failuresInRow = 0;
             failureShare = EJECT_SHARE / 2;
         } else {
