--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -31,7 +31,6 @@
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.ColdShares;
 import org.whinwharf.traffic.placement.Demand;
-import org.whinwharf.traffic.placement.FillLimit;
 import org.whinwharf.traffic.placement.Placement;
 import org.whinwharf.traffic.placement.RendezvousColdShares;
 import org.whinwharf.traffic.quota.QuotaLedger;
@@ -120,10 +119,7 @@
         targets = new Targets(loop, dialect, ticker, () -> catalog, metrics);
         coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
         placement = new Placement(
-                prompts,
-                this::ownColdShare,
-                () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0,
-                FillLimit.OWN_COUNT);
+                prompts, this::ownColdShare, () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0);
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
@@ -408,7 +404,7 @@
     }
 
     private Coordinator coordinator(Outbox decisions) {
-        Placement common = new Placement(prompts, this::coordinatorColdShare, () -> 0, FillLimit.COMMON_COUNT);
+        Placement common = new Placement(prompts, this::coordinatorColdShare, () -> 0);
         return new Coordinator.Builder()
                 .ownName(settings.name())
                 .placement(common, prompts)
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CommonPlacementLoadTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CommonPlacementLoadTest.java
@@ -18,7 +18,6 @@
 import org.whinwharf.traffic.coordination.Outbox;
 import org.whinwharf.traffic.coordination.TargetReports;
 import org.whinwharf.traffic.placement.Candidate;
-import org.whinwharf.traffic.placement.FillLimit;
 import org.whinwharf.traffic.placement.Placement;
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.target.PromptCache;
@@ -69,7 +68,7 @@
         Sender sender = new Sender();
         Coordinator coordinator = new Coordinator.Builder()
                 .ownName("front-0")
-                .placement(new Placement(prompts, target -> 0, () -> 0, FillLimit.COMMON_COUNT), prompts)
+                .placement(new Placement(prompts, target -> 0, () -> 0), prompts)
                 .targets(service -> targets.values(), Set::of)
                 .quotas(new QuotaLedger(true))
                 .listeners(
@@ -85,10 +84,7 @@
         Map<Integer, Placement> placements = new HashMap<>();
         for (int front = 0; front < FRONTS; front++) {
             views.put(front, engines());
-            placements.put(
-                    front,
-                    new Placement(
-                            new PromptCache(), target -> 0, () -> random.nextDouble() * 0.5, FillLimit.OWN_COUNT));
+            placements.put(front, new Placement(new PromptCache(), target -> 0, () -> random.nextDouble() * 0.5));
         }
         arrivals((request, nowMillis) -> {
             int front = request % FRONTS;
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -22,7 +22,6 @@
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.coordination.TargetReports;
 import org.whinwharf.traffic.placement.Candidate;
-import org.whinwharf.traffic.placement.FillLimit;
 import org.whinwharf.traffic.placement.Placement;
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.target.PromptCache;
@@ -44,7 +43,7 @@
         PromptCache prompts = new PromptCache();
         return new Coordinator.Builder()
                 .ownName("front-0")
-                .placement(new Placement(prompts, target -> 1, () -> 0, FillLimit.COMMON_COUNT), prompts)
+                .placement(new Placement(prompts, target -> 1, () -> 0), prompts)
                 .targets(service -> targets.values(), Set::of)
                 .quotas(quotas)
                 .listeners(
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PlacementTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PlacementTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.api.Test;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
-import org.whinwharf.traffic.placement.FillLimit;
 import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.traffic.placement.Placement;
 import org.whinwharf.traffic.placement.RendezvousColdShares;
@@ -24,7 +23,7 @@
     private static final double COLD_RATE = 11;
 
     private final PromptCache prompts = new PromptCache();
-    private final Placement placement = new Placement(prompts, target -> 0, () -> 0, FillLimit.OWN_COUNT);
+    private final Placement placement = new Placement(prompts, target -> 0, () -> 0);
 
     @Test
     void promptGoesWhereItWasRead() {
@@ -119,7 +118,7 @@
 
     @Test
     void coldTargetGetsNoMoreThanTheShareInASecond() {
-        Placement sharing = new Placement(prompts, target -> 3, () -> 0, FillLimit.OWN_COUNT);
+        Placement sharing = new Placement(prompts, target -> 3, () -> 0);
         List<TargetState> states = states(1);
         states.get(0).coldUntil(5_000);
         int sent = 0;
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TierOverloadTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TierOverloadTest.java
@@ -19,7 +19,6 @@
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.coordination.TargetReports;
 import org.whinwharf.traffic.placement.Candidate;
-import org.whinwharf.traffic.placement.FillLimit;
 import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.traffic.placement.Placement;
 import org.whinwharf.traffic.quota.QuotaLedger;
@@ -86,7 +85,7 @@
         Decisions decisions = new Decisions();
         coordinator = new Coordinator.Builder()
                 .ownName("front-0")
-                .placement(new Placement(prompts, target -> 0, () -> 0, FillLimit.COMMON_COUNT), prompts)
+                .placement(new Placement(prompts, target -> 0, () -> 0), prompts)
                 .targets(service -> targets.values(), Set::of)
                 .quotas(new QuotaLedger(true))
                 .listeners(
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import org.whinwharf.traffic.catalog.TierRank;
 import org.whinwharf.traffic.target.PromptCache;
 import org.whinwharf.traffic.target.PromptPart;
 import org.whinwharf.traffic.target.TargetState;
@@ -12,9 +13,21 @@
  * Chooses the target whose first event is predicted to come soonest.
  *
  * <p>Engines admit in order of arrival and know no ranks. So a request is sent only while the target has a free slot by
- * all that is known.
+ * all that is known, and the lower its rank the more slots must stay free behind it: when a burst fills the fleet, the
+ * last slots go to the highest tier without any word between processes.
  */
 public final class Placement {
+    /**
+     * Occupancy up to which the highest tier is sent. News of freed slots is a tenth of a second old; one request that
+     * waits at each target keeps it at work meanwhile. Measured on two overloaded days of the smaller deployments
+     * against 1.0: requests refused fell from 5.9 to 3.5 and from 28.6 to 24.3 in a hundred, the value served rose from
+     * 0.77 to 0.81 and from 0.76 to 0.79.
+     */
+    private static final double FULL_OCCUPANCY = 1.15;
+    /** Occupancy kept free for each rank above a request's own: about one slot in twelve. */
+    private static final double RESERVE_PER_RANK = 0.08;
+    /** Most ranks that a reserve is kept for, so that the lowest tier always keeps most of the fleet. */
+    private static final int MOST_RESERVES = 3;
     /**
      * Price of leaving the own data centre: the way there and back, and as much again for bytes between data centres,
      * which are paid for. A tenth of the shortest objective of a plain service.
@@ -34,7 +47,6 @@
     private final PromptCache prompts;
     private final ColdShares coldShares;
     private final DoubleSupplier spread;
-    private final FillLimit limit;
 
     /**
      * Creates a placement.
@@ -43,13 +55,11 @@
      * @param coldShares what this process may send to cold targets
      * @param spread part by which a prediction for an engine is made worse at random, drawn for each; processes that
      *     choose without knowing of each other would all take the fastest engine together
-     * @param limit up to where targets are filled
      */
-    public Placement(PromptCache prompts, ColdShares coldShares, DoubleSupplier spread, FillLimit limit) {
+    public Placement(PromptCache prompts, ColdShares coldShares, DoubleSupplier spread) {
         this.prompts = prompts;
         this.coldShares = coldShares;
         this.spread = spread;
-        this.limit = limit;
     }
 
     /**
@@ -63,7 +73,8 @@
      */
     public Optional<Candidate> choose(
             Demand demand, Collection<TargetState> targets, Collection<String> evacuated, long nowMillis) {
-        double mostOccupancy = limit.mostOccupancy(demand.tierRank());
+        double mostOccupancy =
+                FULL_OCCUPANCY - RESERVE_PER_RANK * Math.min(TierRank.ofRoute(demand.tierRank()), MOST_RESERVES);
         Candidate best = null;
         for (TargetState state : targets) {
             if (!eligible(state, demand, evacuated, nowMillis)) {
