--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -277,7 +277,7 @@
     }
 
     private Optional<MemberReport> coordinatorOf(String service) {
-        return covered.test(service) ? CoordinatorRanking.first(ranking(service)) : Optional.empty();
+        return covered.test(service) ? ranking(service).stream().findFirst() : Optional.empty();
     }
 
     private List<MemberReport> ranking(String service) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -60,6 +60,8 @@
     private static final long SWEEP_MILLIS = 250;
     /** Time that callers may still come after a request to stop: what they were told before has then run out. */
     private static final long LINGER_MILLIS = 2_500;
+    /** Time of service after which a process knows the fleet and its load, and may coordinate before younger ones. */
+    private static final long SETTLED_MILLIS = 5_000;
     /**
      * Part by which predictions are spread when this process places alone in a large fleet: more than engines of one
      * generation differ, less than generations do.
@@ -346,19 +348,15 @@
     }
 
     private void gossipRound() {
-        news.report(phase, settled());
+        news.report(phase, ready() && ticker.nowMillis() - servingSinceMillis > SETTLED_MILLIS);
         gossip.round();
     }
 
     private void phaseChanged() {
-        news.report(phase, settled());
+        news.report(phase, false);
         gossip.urgentRound();
     }
 
-    private boolean settled() {
-        return ready() && ticker.nowMillis() - servingSinceMillis >= settings.coordinatorSettledMillis();
-    }
-
     private void tick() {
         long nowMillis = ticker.nowMillis();
         news.countOthers(nowMillis);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
@@ -109,16 +109,4 @@
     default long coordinatorSilentMillis() {
         return 120;
     }
-
-    /**
-     * Returns after which time of service a process may coordinate: by then it has heard a list of what is under way
-     * from everybody, which come each second, and its code is compiled. In its first second a process needs several
-     * times as long for an answer, and its peers' own.
-     *
-     * @return time in milliseconds
-     */
-    @Value.Default
-    default long coordinatorSettledMillis() {
-        return 1_500;
-    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorRanking.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorRanking.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Optional;
 import org.whinwharf.traffic.placement.Rendezvous;
 import org.whinwharf.wire.fleet.MemberReport;
 
@@ -33,19 +32,4 @@
                         .thenComparing(MemberReport::getName))
                 .toList();
     }
-
-    /**
-     * Returns who coordinates.
-     *
-     * <p>Nobody does while all have just started, as after a loss of all processes. A coordinator whose code is not
-     * compiled yet answers later than its peers wait; they pass it over, ask the next that is no faster, and each
-     * request costs several times the work just when there is least time for it. Each process then places alone for a
-     * moment.
-     *
-     * @param ranked reports as ranked
-     * @return the first, if it has served for a while
-     */
-    public static Optional<MemberReport> first(List<MemberReport> ranked) {
-        return ranked.stream().findFirst().filter(MemberReport::getSettled);
-    }
 }
