--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Admission.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Admission.java
@@ -66,7 +66,7 @@
             return refused(ErrorKind.UNKNOWN_CREDENTIAL, 0, organisation);
         }
         long tokens = tokens(head, organisation);
-        String service = front.pickService(route, head.attemptId());
+        String service = route.serviceOf(head.attemptId());
         boolean elsewhere = organisation.isPresent() && front.coordination().asksElsewhere(service);
         Optional<Refusal> refusal = elsewhere ? Optional.empty() : takeQuota(organisation, service, tokens, nowMillis);
         if (refusal.isPresent()) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -134,10 +134,10 @@
 
     private void placeHere(long nowMillis) {
         stage = Stage.WAITING;
-        if (!front.line(service).hasAhead(tierRank) && !trySend(nowMillis).waits()) {
+        if (!front.lines().of(service).hasAhead(tierRank) && !trySend(nowMillis).waits()) {
             return;
         }
-        front.line(service).add(this, nowMillis);
+        front.lines().of(service).add(this, nowMillis);
     }
 
     private Demand demand(long nowMillis) {
@@ -238,7 +238,7 @@
 
     @Override
     public void refuse(long nowMillis) {
-        refuseUnplaced(front.comeBackMillis(service));
+        refuseUnplaced(front.lines().comeBackMillis(service));
     }
 
     private void refuseUnplaced(long comeBackMillis) {
@@ -428,7 +428,7 @@
             caller.breakOff();
         } else {
             ErrorKind kind = perhapsRun() ? ErrorKind.TARGET_LOST : ErrorKind.TARGET_REFUSED;
-            refuse(new Refusal(kind, front.comeBackMillis(service)));
+            refuse(new Refusal(kind, front.lines().comeBackMillis(service)));
         }
     }
 
@@ -439,7 +439,7 @@
     private void leaveTarget(RunEvent event) {
         if (visit != null) {
             visit.end(event, 0, front.nowMillis());
-            front.placeFreed(service);
+            front.lines().placeFreed(service);
         }
     }
 
@@ -453,7 +453,7 @@
             return;
         }
         if (stage == Stage.ASKING && nowMillis > patienceUntilMillis + COORDINATOR_MARGIN_MILLIS) {
-            refuseUnplaced(front.comeBackMillis(service));
+            refuseUnplaced(front.lines().comeBackMillis(service));
             return;
         }
         if (stage != Stage.SENT) {
@@ -481,7 +481,7 @@
 
     private void timedOut() {
         if (stage == Stage.WAITING) {
-            front.line(service).remove(this);
+            front.lines().of(service).remove(this);
         }
         if (answer.streamBegun()) {
             FrontLog.ended(this, entry(), "timed-out", answer.status(), front.nowMillis() - arrivedAtMillis);
@@ -495,7 +495,7 @@
         refuse(
                 sent
                         ? new Refusal(ErrorKind.DEADLINE_RUNNING, 0)
-                        : new Refusal(ErrorKind.HOPELESS, front.comeBackMillis(service)));
+                        : new Refusal(ErrorKind.HOPELESS, front.lines().comeBackMillis(service)));
     }
 
     /** Stops all work, since the caller is gone. */
@@ -504,7 +504,7 @@
             return;
         }
         if (stage == Stage.WAITING && route != null) {
-            front.line(service).remove(this);
+            front.lines().of(service).remove(this);
         }
         abandonTarget();
         if (route != null) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -5,7 +5,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -21,8 +20,6 @@
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.catalog.CallerLimits;
 import org.whinwharf.traffic.catalog.Catalog;
-import org.whinwharf.traffic.catalog.Route;
-import org.whinwharf.traffic.catalog.ServiceWeight;
 import org.whinwharf.traffic.catalog.TargetService;
 import org.whinwharf.traffic.coordination.Coordinator;
 import org.whinwharf.traffic.coordination.Outbox;
@@ -37,8 +34,6 @@
 import org.whinwharf.traffic.retry.RetryBudget;
 import org.whinwharf.traffic.target.PromptCache;
 import org.whinwharf.traffic.target.Target;
-import org.whinwharf.traffic.waiting.Patience;
-import org.whinwharf.traffic.waiting.WaitingLine;
 import org.whinwharf.wire.fleet.MemberPhase;
 import org.whinwharf.wire.fleet.MemberReport;
 
@@ -48,8 +43,6 @@
     static final long NOT_READY_COME_BACK_MILLIS = 200;
     /** Most bytes of an answer that is collected before it is passed on. */
     static final int MOST_ANSWER_BYTES = 4 * 1_024 * 1_024;
-    /** Requests of one service that may wait here; at the size in use more would outwait their patience. */
-    private static final int MOST_WAITING = 256;
     /** Time between rounds of news; a request holds a slot several times as long. */
     private static final long GOSSIP_MILLIS = 150;
     /** Time between looks at requests while some wait: an eighth of the shortest objective of a plain service. */
@@ -82,8 +75,7 @@
     private final Placement placement;
     private final QuotaLedger quotas;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
-    private final Map<String, WaitingLine> lines = new HashMap<>();
-    private final Set<String> freedServices = new HashSet<>();
+    private final OwnLines lines;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private final Set<Exchange> exchanges = new LinkedHashSet<>();
     private final FrontMetrics metrics = new FrontMetrics();
@@ -117,6 +109,7 @@
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
         targets = new Targets(loop, dialect, ticker, () -> catalog, metrics);
+        lines = new OwnLines(loop, ticker, targets, random::nextDouble);
         coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
         placement = new Placement(
                 prompts, this::ownColdShare, () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0);
@@ -177,10 +170,7 @@
         if (settings.metricsPort() == 0) {
             return;
         }
-        metrics.gauge(
-                "whinwharf.waiting.requests",
-                "Requests that wait here",
-                () -> lines.values().stream().mapToInt(WaitingLine::size).sum());
+        metrics.gauge("whinwharf.waiting.requests", "Requests that wait here", lines::size);
         metrics.gauge("whinwharf.running.requests", "Requests under way here", exchanges::size);
         metrics.gauge("whinwharf.coordinated.waiting", "Requests of all fronts that wait here", coordination::waiting);
         metrics.gauge("whinwharf.connections", "Connections of callers", connections::size);
@@ -213,7 +203,7 @@
 
     private void tickAndScheduleNext() {
         run("requests", this::tick);
-        boolean someWait = coordination.someWait() || lines.values().stream().anyMatch(line -> line.size() > 0);
+        boolean someWait = coordination.someWait() || lines.size() > 0;
         long pauseMillis = someWait ? TICK_MILLIS : CALM_TICK_MILLIS;
         loop.schedule(this::tickAndScheduleNext, pauseMillis, TimeUnit.MILLISECONDS);
     }
@@ -362,7 +352,7 @@
         news.countOthers(nowMillis);
         coordination.tick();
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowMillis));
-        lines.values().forEach(line -> line.advance(nowMillis));
+        lines.advance(nowMillis);
         if (phase == MemberPhase.MEMBER_LEAVING) {
             drain(nowMillis);
         }
@@ -476,8 +466,8 @@
         return settings.retryAllowance() / (members.all().size() + 2.0);
     }
 
-    WaitingLine line(String service) {
-        return lines.computeIfAbsent(service, name -> new WaitingLine(MOST_WAITING));
+    OwnLines lines() {
+        return lines;
     }
 
     Optional<Candidate> choose(Demand demand, long nowMillis) {
@@ -501,24 +491,6 @@
                         && !tried.contains(state.target().id()));
     }
 
-    /** Picks the service of a split route; the same attempt always goes to the same one. */
-    String pickService(Route route, String attemptId) {
-        List<ServiceWeight> services = route.services();
-        double total = services.stream().mapToDouble(ServiceWeight::weight).sum();
-        double point = (attemptId.hashCode() * 0x9E3779B97F4A7C15L >>> 11) / (double) (1L << 53) * total;
-        for (ServiceWeight service : services) {
-            point -= service.weight();
-            if (point < 0) {
-                return service.service();
-            }
-        }
-        return services.get(services.size() - 1).service();
-    }
-
-    long comeBackMillis(String service) {
-        return Patience.comeBackMillis(line(service).size(), targets.slots(service), random.nextDouble());
-    }
-
     Coordination coordination() {
         return coordination;
     }
@@ -535,16 +507,6 @@
         return metrics;
     }
 
-    /** Tries waiting requests after a place was freed, once the present event is done with. */
-    void placeFreed(String service) {
-        if (line(service).size() > 0 && freedServices.add(service)) {
-            loop.execute(() -> {
-                freedServices.remove(service);
-                line(service).advance(ticker.nowMillis());
-            });
-        }
-    }
-
     void targetFailed(TargetEntry entry, TargetFailure failure) {
         targets.failed(entry, failure);
     }
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/OwnLines.java
@@ -0,0 +1,60 @@
+package org.whinwharf.front;
+
+import io.netty.channel.EventLoopGroup;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.DoubleSupplier;
+import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.waiting.Patience;
+import org.whinwharf.traffic.waiting.WaitingLine;
+
+/** Requests that wait in this process, one line for each service; those that a coordinator places wait there. */
+final class OwnLines {
+    /** Requests of one service that may wait here; at the size in use more would outwait their patience. */
+    private static final int MOST_WAITING = 256;
+
+    private final EventLoopGroup loop;
+    private final Ticker ticker;
+    private final Targets targets;
+    private final DoubleSupplier random;
+    private final Map<String, WaitingLine> lines = new HashMap<>();
+    private final Set<String> freedServices = new HashSet<>();
+
+    OwnLines(EventLoopGroup loop, Ticker ticker, Targets targets, DoubleSupplier random) {
+        this.loop = loop;
+        this.ticker = ticker;
+        this.targets = targets;
+        this.random = random;
+    }
+
+    WaitingLine of(String service) {
+        return lines.computeIfAbsent(service, name -> new WaitingLine(MOST_WAITING));
+    }
+
+    /** Returns how many requests wait. */
+    int size() {
+        return lines.values().stream().mapToInt(WaitingLine::size).sum();
+    }
+
+    /** Sends and refuses what waits. */
+    void advance(long nowMillis) {
+        lines.values().forEach(line -> line.advance(nowMillis));
+    }
+
+    /** Tries waiting requests after a place was freed, once the present event is done with. */
+    void placeFreed(String service) {
+        if (of(service).size() > 0 && freedServices.add(service)) {
+            loop.execute(() -> {
+                freedServices.remove(service);
+                of(service).advance(ticker.nowMillis());
+            });
+        }
+    }
+
+    /** Returns when a refused caller should come back. */
+    long comeBackMillis(String service) {
+        return Patience.comeBackMillis(of(service).size(), targets.slots(service), random.getAsDouble());
+    }
+}
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Route.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Route.java
@@ -6,6 +6,13 @@
 /** One route of the catalog. */
 @Value.Immutable
 public interface Route {
+    /** Odd factor close to the golden ratio of 2^64, which spreads neighbouring hash codes over all bits. */
+    long SPREADING_FACTOR = 0x9E3779B97F4A7C15L;
+    /** Bits of a number that a double holds exactly. */
+    int DOUBLE_BITS = 53;
+    /** Bits of a long beyond these. */
+    int UNUSED_BITS = 64 - DOUBLE_BITS;
+
     /**
      * Returns the route's name.
      *
@@ -98,4 +105,22 @@
     default boolean idempotent() {
         return kind().idempotent(resumable());
     }
+
+    /**
+     * Picks the service of one request by the weights; the same request always goes to the same one.
+     *
+     * @param attemptId id of the request
+     * @return name of the service
+     */
+    default String serviceOf(String attemptId) {
+        double total = services().stream().mapToDouble(ServiceWeight::weight).sum();
+        double point = (attemptId.hashCode() * SPREADING_FACTOR >>> UNUSED_BITS) / (double) (1L << DOUBLE_BITS) * total;
+        for (ServiceWeight service : services()) {
+            point -= service.weight();
+            if (point < 0) {
+                return service.service();
+            }
+        }
+        return services().get(services().size() - 1).service();
+    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/JoinedRanks.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/JoinedRanks.java
@@ -11,7 +11,10 @@
  * note. Joined with the rank above, both are turned away in equal shares. Ranks of organisations are never joined.
  */
 public final class JoinedRanks {
-    /** How many times as long the requests of the rank above hold their slots, at least, for a rank to join it. */
+    /**
+     * How many times as long the requests of the rank above hold their slots, at least, for a rank to join it. At four,
+     * as many requests of both ranks give the joined one a fifth of the slots; checks and notes in use differ by eight.
+     */
     private static final double MUCH_LONGER = 4;
     /** Weight of the newest request: the memory is about fifty, so that a few odd ones do not part a rank. */
     private static final double NEWEST_WEIGHT = 0.02;
