Ask peers at once when the own watch ends, and those that say they know more

A front that has just started knows nobody and watches the service; once it knows the fleet it stops, and for 2.9 s more it took its watch for working and asked nobody. After that it may ask a peer that was cut off itself, which keeps the question for a second.

Change: a watch that does not go on does not count as working; a peer whose report names a newer revision is asked at once, beside a question that another keeps; among peers those with newer items are asked first. Of the two new tests the first was run on the code before and failed there; the second needs a method that is new.

--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -0,0 +1,117 @@
+package org.whinwharf.front;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.items.ItemMirror;
+import org.whinwharf.traffic.member.MemberTable;
+import org.whinwharf.wire.fleet.ItemsAnswer;
+import org.whinwharf.wire.fleet.MemberPhase;
+import org.whinwharf.wire.fleet.MemberReport;
+
+class ItemFeedTest {
+    private static final int FLEET = 20;
+
+    private final MemberTable members = new MemberTable(report("front-50", 0, false));
+    private final Peers peers = new Peers();
+    private long nowMillis;
+    private final ItemFeed feed = new ItemFeed(
+            ImmutableFrontSettings.builder()
+                    .name("front-50")
+                    .ip("10.0.0.50")
+                    .dataCentre("a")
+                    .callerAddress("10.0.0.50:1")
+                    .peerPort(2)
+                    .freshFleet(false)
+                    .retryRatio(0)
+                    .retryAllowance(0)
+                    .retryWindowMillis(1)
+                    .stopGraceMillis(1)
+                    .metricsPort(0)
+                    .build(),
+            members,
+            new ItemMirror(),
+            peers,
+            () -> nowMillis,
+            new Random(1));
+
+    /**
+     * A front is added to a large fleet. It knows nobody yet and watches the service; then it hears of the others and
+     * stops. Until its last watch is three seconds old it would ask nobody, and serve by the configuration of that
+     * moment.
+     */
+    @Test
+    void frontThatStopsWatchingAsksPeersAtOnce() {
+        feed.watched(List.of(), 41);
+        feed.tick();
+        assertThat(peers.asked, is(empty()));
+        hearFleet(41);
+        feed.tick();
+        assertThat(peers.asked.size(), is(1));
+    }
+
+    /**
+     * The peer that was asked is cut off from the service and keeps the question for a second, having nothing to tell.
+     * All the while others say in their reports that they know better.
+     */
+    @Test
+    void peerThatKnowsNewerItemsIsAskedAtOnce() {
+        hearFleet(41);
+        feed.watched(List.of(), 41);
+        feed.tick();
+        peers.asked.clear();
+        feed.heard(report("front-07", 44, false));
+        assertThat(peers.asked, contains("10.0.0.7 0"));
+        feed.heard(report("front-08", 44, false));
+        assertThat(peers.asked, contains("10.0.0.7 0"));
+        peers.answerLast(44);
+        assertThat(feed.revision(), is(44L));
+    }
+
+    private void hearFleet(long revision) {
+        for (int i = 1; i <= FLEET; i++) {
+            members.hear(report(String.format("front-%02d", i), revision, i <= 3), nowMillis);
+        }
+    }
+
+    private static MemberReport report(String name, long revision, boolean watching) {
+        int number = Integer.parseInt(name.substring(name.length() - 2));
+        return MemberReport.newBuilder()
+                .setName(name)
+                .setIp("10.0.0." + number)
+                .setDataCentre("a")
+                .setPhase(MemberPhase.MEMBER_SERVING)
+                .setIncarnation(1)
+                .setSequence(1)
+                .setRevision(revision)
+                .setWatching(watching)
+                .build();
+    }
+
+    private static final class Peers implements PeerSource {
+        private final List<String> asked = new ArrayList<>();
+        private Consumer<Optional<ItemsAnswer>> last;
+
+        @Override
+        public void ask(String ip, int port, long waitMillis, Consumer<Optional<ItemsAnswer>> taker) {
+            asked.add(ip + " " + waitMillis);
+            last = taker;
+        }
+
+        @Override
+        public void changed() {}
+
+        void answerLast(long revision) {
+            last.accept(
+                    Optional.of(ItemsAnswer.newBuilder().setRevision(revision).build()));
+        }
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
@@ -70,6 +70,7 @@
     /** Takes what another process admitted and has under way. */
     void heard(MemberReport report) {
         usesChanged = true;
+        feed.heard(report);
         report.getQuotasList()
                 .forEach(use -> quotas.heard(
                         report.getName(),
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -16,6 +16,7 @@
 import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.wire.fleet.ItemsAnswer;
+import org.whinwharf.wire.fleet.MemberReport;
 
 /**
  * Keeps the published items up to date, from the publishing service or else from peers.
@@ -52,20 +53,21 @@
     private final FrontSettings settings;
     private final MemberTable members;
     private final ItemMirror mirror;
-    private final PeerItems peers;
+    private final PeerSource peers;
     private final Ticker ticker;
     private final Random random;
     private Listener listener = (value, duringService, sourceWasAway) -> {};
     private long watchWorkedAtMillis = Long.MIN_VALUE / 2;
     private long failedAtMillis = Long.MIN_VALUE / 2;
     private boolean asking;
+    private boolean catchingUp;
     private boolean watching;
 
     ItemFeed(
             FrontSettings settings,
             MemberTable members,
             ItemMirror mirror,
-            PeerItems peers,
+            PeerSource peers,
             Ticker ticker,
             Random random) {
         this.settings = settings;
@@ -148,9 +150,27 @@
         }
     }
 
-    /** Tells whether the own watch works. */
+    /**
+     * Tells whether the own watch works and goes on. A process that was the third of its data centre and is no longer
+     * has just heard from the service, and hears nothing more.
+     */
     boolean watchWorks() {
-        return ticker.nowMillis() - watchWorkedAtMillis <= WATCH_SILENT_MILLIS;
+        return ticker.nowMillis() - watchWorkedAtMillis <= WATCH_SILENT_MILLIS && shouldWatch();
+    }
+
+    /**
+     * Takes a peer's report. The peer that this process waits for may itself be cut off from the service and know no
+     * better; one that says that it knows newer items is asked at once.
+     */
+    void heard(MemberReport report) {
+        if (catchingUp || report.getRevision() <= mirror.revision() || watchWorks()) {
+            return;
+        }
+        catchingUp = true;
+        peers.ask(report.getIp(), settings.peerPort(), 0, answer -> {
+            catchingUp = false;
+            answer.ifPresent(this::takePeerAnswer);
+        });
     }
 
     /** Asks a peer when the own watch does not work. */
@@ -173,7 +193,8 @@
         List<Member> candidates = new ArrayList<>(members.alive(ticker.nowMillis()));
         Collections.shuffle(candidates, random);
         Comparator<Member> order = Comparator.comparing(
-                        (Member member) -> !member.report().getWatching())
+                        (Member member) -> member.report().getRevision() <= mirror.revision())
+                .thenComparing(member -> !member.report().getWatching())
                 .thenComparing(member -> !member.report().getDataCentre().equals(settings.dataCentre()));
         return candidates.stream()
                 .filter(member -> member.report().getRevision() >= mirror.revision()
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
@@ -31,7 +31,7 @@
 import org.whinwharf.wire.fleet.PublishedItem;
 
 /** Hands the published items from process to process, for those that cannot read the publishing service. */
-final class PeerItems {
+final class PeerItems implements PeerSource {
     /** Most bytes of a message: a catalog at its largest and all targets. */
     private static final int MOST_BYTES = 8 * 1_024 * 1_024;
     /** Length of the frame header. */
@@ -71,14 +71,15 @@
     }
 
     /** Answers the peers that wait for a change. */
-    void changed() {
+    @Override
+    public void changed() {
         List<Waiting> all = List.copyOf(waiting);
         waiting.clear();
         all.forEach(this::answer);
     }
 
-    /** Asks a peer for what changed; the result is empty when it does not answer. */
-    void ask(String ip, int port, long waitMillis, Consumer<Optional<ItemsAnswer>> taker) {
+    @Override
+    public void ask(String ip, int port, long waitMillis, Consumer<Optional<ItemsAnswer>> taker) {
         AnswerHandler handler = new AnswerHandler(taker);
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
