--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/EventStream.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/EventStream.java
@@ -119,7 +119,9 @@
     /** Forgets a half-read event; what came before stays. */
     private synchronized void broken(Exception cause) {
         event = "";
-        broken = cause + ", caused by " + cause.getCause();
+        for (Throwable next = cause; next != null; next = next.getCause()) {
+            broken += next + "; ";
+        }
     }
 
     private synchronized void close() {
