Await the first heartbeat before the queue of a stuck peer is filled

Cause: the first heartbeat goes out by the connection's thread right after the link is up, and is a send like any other; the test filled the queue in 12 ms, before it. The test now awaits that heartbeat and lets no other come; that exactly one send is refused stays asserted.

--- a/org.whinwharf.wire.test/src/test/java/org/whinwharf/wire/peer/PeerNetworkTest.java
+++ b/org.whinwharf.wire.test/src/test/java/org/whinwharf/wire/peer/PeerNetworkTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.whinwharf.wire.message.DocumentReply;
 import org.whinwharf.wire.message.DocumentRequest;
 import org.whinwharf.wire.message.Frame;
@@ -114,14 +115,20 @@
     // A peer says hello and then reads nothing more, as a process that is stopped. If frames for it were kept without
     // bound, the sender would run out of memory and every request that it holds would be lost.
     @Test
+    @Timeout(30)
     void sendIsRefusedOnceThePeerHasNotReadForLong() throws IOException {
-        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, LIMITS);
+        // Heartbeats are sends too and are refused like others: the first, at once, is awaited, and no other comes.
+        PeerLimits oneHeartbeat = LIMITS.toBuilder().setHeartbeatMillis(60_000).build();
+        PeerNetwork b = start("host-b", ADDRESS_B, 0, atB, oneHeartbeat);
         try (Socket stuck = connect(ADDRESS_A, b.port())) {
             Hello hello = hello("host-a").toBuilder()
                     .setProtocol(PeerNetwork.PROTOCOL_VERSION)
                     .build();
             Frame.newBuilder().setHello(hello).build().writeDelimitedTo(stuck.getOutputStream());
             PeerLink link = atB.up();
+            while (b.counters().count(PeerEvent.FRAMES_OUT) == 0) {
+                Thread.onSpinWait();
+            }
             int taken = 0;
             while (taken < 10_000 && link.send(reply(100_000))) {
                 taken++;
