Judge an engine's silence by what it says to all fronts

A front has a request or two at an engine; a long prompt behind others of other fronts is longer silent than the 2 s allowed, while the engine answers everybody else.

Ruled out: hung engines; request-ended lines of other fronts at the same engine lie within the same seconds.

Change: the front tells the coordinator, which hears of all first events and ends, and a target that spoke with anybody within a second only counts an error. The time allowed also follows the predicted first event. Lines of the log say rank, length and time held, which the search for causes needed.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -30,6 +30,8 @@
 final class Exchange implements Waiter, PlacementListener, TargetListener {
     /** Silence before a first byte after which a repeatable request goes elsewhere, in objectives. */
     private static final int SILENT_OBJECTIVES = 4;
+    /** The same in predicted times to the first event, which tell of long prompts ahead at a slow engine. */
+    private static final double SILENT_PREDICTIONS = 4;
     /** Shortest such silence; below it a short queue at a sound target would count as silence. */
     private static final long SHORTEST_SILENCE_MILLIS = 600;
     /** Silence within a stream after which it is resumed elsewhere; callers abandon it at two seconds. */
@@ -376,7 +378,7 @@
 
     private void deliver() {
         front.metrics().answered();
-        FrontLog.ended(this, entry(), "answered", answer.status(), front.nowMillis() - arrivedAtMillis);
+        FrontLog.ended(this, entry(), "answered", answer.status(), ageMillis());
         AnswerAssembly whole = answer;
         stage = Stage.ENDED;
         whole.deliver();
@@ -401,7 +403,7 @@
             return;
         }
         if (answer.streamBegun()) {
-            FrontLog.ended(this, entry(), "broken-off", answer.status(), front.nowMillis() - arrivedAtMillis);
+            FrontLog.ended(this, entry(), "broken-off", answer.status(), ageMillis());
             end();
             caller.breakOff();
             return;
@@ -461,14 +463,14 @@
         }
         TargetEntry entry = visit.entry();
         long silentMillis = nowMillis - Math.max(lastByteAtMillis, entry.lastByteAtMillis());
-        long limitMillis = answer.streamBegun()
-                ? STREAM_SILENCE_MILLIS
-                : Math.max(SHORTEST_SILENCE_MILLIS, SILENT_OBJECTIVES * route.objectiveMillis());
+        long limitMillis = answer.streamBegun() ? STREAM_SILENCE_MILLIS : firstByteLimitMillis();
         if (silentMillis > limitMillis && !silenceNoted) {
             // Once for each send: a target that is sound again would be ejected anew as long as this request hangs
             // there.
             silenceNoted = true;
-            front.targetFailed(entry, TargetFailure.SILENT);
+            if (!visit.stalled()) {
+                front.targetFailed(entry, TargetFailure.SILENT);
+            }
         }
         boolean stuck = nowMillis - lastByteAtMillis > limitMillis;
         if (stuck && route.idempotent() && sends < route.attempts() && front.hasOther(service, tried)) {
@@ -479,12 +481,18 @@
         }
     }
 
+    private long firstByteLimitMillis() {
+        long byObjective = Math.max(SHORTEST_SILENCE_MILLIS, SILENT_OBJECTIVES * route.objectiveMillis());
+        return Math.max(
+                byObjective, Math.round(SILENT_PREDICTIONS * visit.candidate().firstEventMillis()));
+    }
+
     private void timedOut() {
         if (stage == Stage.WAITING) {
             front.lines().of(service).remove(this);
         }
         if (answer.streamBegun()) {
-            FrontLog.ended(this, entry(), "timed-out", answer.status(), front.nowMillis() - arrivedAtMillis);
+            FrontLog.ended(this, entry(), "timed-out", answer.status(), ageMillis());
             abandonTarget();
             end();
             caller.breakOff();
@@ -508,7 +516,7 @@
         }
         abandonTarget();
         if (route != null) {
-            FrontLog.ended(this, entry(), "caller-left", 0, front.nowMillis() - arrivedAtMillis);
+            FrontLog.ended(this, entry(), "caller-left", 0, ageMillis());
         }
         end();
     }
@@ -559,6 +567,11 @@
         return service;
     }
 
+    /** Returns the time since the request arrived. */
+    long ageMillis() {
+        return front.nowMillis() - arrivedAtMillis;
+    }
+
     Optional<Organisation> organisation() {
         return organisation;
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -30,6 +30,8 @@
         EventLog.event(LogEvent.REQUEST_SENT)
                 .with(EventField.REQUEST, exchange.head().attemptId())
                 .with(EventField.TARGET, target.id())
+                .with(EventField.TIER_RANK, exchange.tierRank())
+                .with(EventField.ANSWER_TOKENS, exchange.head().answerTokens())
                 .with(EventField.WAITED_MILLIS, waitedMillis)
                 .with(EventField.OCCUPANCY, Math.round(candidate.occupancy() * 100) / 100.0)
                 .with(EventField.PREFILL_TOKENS, candidate.uncachedTokens())
@@ -56,6 +58,7 @@
                 .with(EventField.TIER_RANK, exchange.tierRank())
                 .with(EventField.KIND, refusal.kind().wireName())
                 .with(EventField.RAN, refusal.kind().ran().wireName())
+                .with(EventField.WAITED_MILLIS, exchange.ageMillis())
                 .with(EventField.COME_BACK_MILLIS, refusal.comeBackMillis());
         if (exchange.head() != null) {
             line.with(EventField.REQUEST, exchange.head().attemptId());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -141,6 +141,19 @@
         coordination.report(this, RunEvent.RUN_FIRST_EVENT, tookMillis);
     }
 
+    /**
+     * Tells the coordinator that nothing has come from the target for long.
+     *
+     * @return false when there is no coordinator that could judge it
+     */
+    boolean stalled() {
+        if (coordinatorName.isEmpty()) {
+            return false;
+        }
+        coordination.report(this, RunEvent.RUN_STALLED, 0);
+        return true;
+    }
+
     /** Tells the coordinator that the request waits or runs no more. */
     void ended(RunEvent event, long tookMillis) {
         if (stage != Stage.ENDED) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetVisit.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetVisit.java
@@ -59,6 +59,15 @@
         ticket.firstEvent(firstByteMillis());
     }
 
+    /**
+     * Notes that nothing has come for long.
+     *
+     * @return false when this process has to judge the target itself
+     */
+    boolean stalled() {
+        return ticket.stalled();
+    }
+
     /**
      * Notes the end of the request at this target.
      *
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -62,6 +62,8 @@
             EventField.REQUEST,
             EventField.TARGET,
             EventField.GRANT,
+            EventField.TIER_RANK,
+            EventField.ANSWER_TOKENS,
             EventField.WAITED_MILLIS,
             EventField.OCCUPANCY,
             EventField.PREFILL_TOKENS,
@@ -90,6 +92,7 @@
             EventField.KIND,
             EventField.RAN,
             EventField.REASON,
+            EventField.WAITED_MILLIS,
             EventField.COME_BACK_MILLIS),
     /** A request was relayed to its home. */
     REQUEST_RELAYED(Level.INFO, EventField.REQUEST, EventField.PEER),
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -192,6 +192,35 @@
         assertThat(reports, containsInAnyOrder("engine failed true", "engine erred"));
     }
 
+    /**
+     * Two data centres are gone and a slow engine is part of what is left. One front's long prompt waits there behind
+     * those of others, and the front hears nothing for two seconds. The engine answers the others all the while; taken
+     * out of use, its slots would be lost when callers are already refused for want of them.
+     */
+    @Test
+    void engineThatSpeaksWithOthersIsNotEjectedForOneSilence() {
+        engine("engine", 4);
+        coordinator.ask(ask("front-1", 1, 0, 0), 0);
+        coordinator.ask(ask("front-2", 1, 0, 0), 0);
+        coordinator.progress("front-2", 1, RunEvent.RUN_FIRST_EVENT, 1_500, 1_500);
+        coordinator.progress("front-1", 1, RunEvent.RUN_STALLED, 0, 2_000);
+        assertThat(reports, contains("engine erred"));
+        assertThat(running(), is(2));
+    }
+
+    /**
+     * An engine hangs: it accepts connections and says nothing to anybody. Each slot filled there is a lost request.
+     */
+    @Test
+    void engineThatIsSilentToAllIsEjectedAtTheFirstWord() {
+        engine("engine", 4);
+        coordinator.ask(ask("front-1", 1, 0, 0), 0);
+        coordinator.ask(ask("front-2", 1, 0, 0), 0);
+        coordinator.progress("front-2", 1, RunEvent.RUN_FIRST_EVENT, 100, 100);
+        coordinator.progress("front-1", 1, RunEvent.RUN_STALLED, 0, 2_000);
+        assertThat(reports, contains("engine failed true"));
+    }
+
     /**
      * One engine is six times as slow as the other, which is full for a moment. Sent to the slow one, a long summary
      * comes too late for the inspector; held for some ten milliseconds, it comes in time. A short note goes to the slow
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -38,6 +38,11 @@
     private static final int MOST_WAITING = 1_024;
     /** Requests ahead below which none is refused on arrival: so few are worked off in a few tens of milliseconds. */
     private static final int FEW_WAITING = 8;
+    /**
+     * Time since a target last began or ended an answer, for whomever, within which it does not hang. A full engine
+     * ends some ten answers in it, a slow one three.
+     */
+    private static final long SPOKE_LATELY_MILLIS = 1_000;
 
     private final String ownName;
     private final Placement placement;
@@ -138,6 +143,7 @@
         private final RunningRequests running = new RunningRequests(loads);
         private final Map<AskKey, QueuedAsk> waiting = new HashMap<>();
         private final Map<AskKey, Grant> grants = new LinkedHashMap<>();
+        private final Map<String, Long> spokeAtMillis = new HashMap<>();
 
         ServiceDesk(String service) {
             this.service = service;
@@ -206,6 +212,14 @@
         }
 
         void progress(AskKey key, RunEvent event, long tookMillis, long nowMillis) {
+            Optional<RunningRequests.Run> known = running.find(key.requester(), key.id());
+            if (event == RunEvent.RUN_STALLED) {
+                known.ifPresent(run -> judgeSilence(run.targetId(), nowMillis));
+                return;
+            }
+            if (event == RunEvent.RUN_FIRST_EVENT || event == RunEvent.RUN_ANSWERED) {
+                known.ifPresent(run -> spokeAtMillis.put(run.targetId(), nowMillis));
+            }
             QueuedAsk queued = waiting.remove(key);
             if (queued != null) {
                 line.remove(queued);
@@ -221,7 +235,9 @@
             }
             grants.remove(key);
             Optional<RunningRequests.Run> run = running.ended(key.requester(), key.id());
-            if (run.isPresent() && !key.requester().equals(ownName)) {
+            if (run.isPresent() && event == RunEvent.RUN_SILENT) {
+                judgeSilence(run.get().targetId(), nowMillis);
+            } else if (run.isPresent() && !key.requester().equals(ownName)) {
                 judge(run.get().targetId(), event);
             }
             if (grant != null) {
@@ -252,11 +268,25 @@
             }
         }
 
+        /**
+         * Takes a target that hangs out of use. One process has a request or two at a target and hears nothing for
+         * seconds where a long prompt waits behind others at a slow engine; ejected by that word alone, an engine that
+         * works would be lost when its slots are needed most. If it speaks with others, the silence counts as an error.
+         */
+        private void judgeSilence(String targetId, long nowMillis) {
+            Long spokeMillis = spokeAtMillis.get(targetId);
+            if (spokeMillis != null && nowMillis - spokeMillis <= SPOKE_LATELY_MILLIS) {
+                reports.erred(targetId);
+            } else {
+                reports.failed(targetId, true);
+            }
+        }
+
         private void judge(String targetId, RunEvent event) {
             switch (event) {
                 case RUN_ANSWERED -> reports.answered(targetId);
                 case RUN_REFUSED, RUN_ERRED -> reports.erred(targetId);
-                case RUN_UNREACHABLE, RUN_SILENT -> reports.failed(targetId, true);
+                case RUN_UNREACHABLE -> reports.failed(targetId, true);
                 case RUN_BROKEN -> reports.failed(targetId, false);
                 default -> {
                     // The caller left, or nothing is known: no word on the target.
