Keep requests for a short time only in a line that does not empty

Hypothesis: a line that has stood for a second fills every slot whatever its length, so a short one costs nothing; the pace that counts for a rank is what its own and lower ranks got; an overload that has lasted lasts on, so advice follows its age.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -216,6 +216,12 @@
         return patienceUntilMillis;
     }
 
+    @Override
+    public long standingUntilMillis() {
+        long onTimeMillis = Patience.onTimeMillis(route.objectiveMillis());
+        return sends > 0 ? patienceUntilMillis : arrivedAtMillis + Patience.standingMillis(onTimeMillis);
+    }
+
     @Override
     public long onTimeUntilMillis() {
         return arrivedAtMillis + Patience.onTimeMillis(route.objectiveMillis());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -109,7 +109,7 @@
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
         targets = new Targets(loop, dialect, ticker, () -> catalog, metrics);
-        lines = new OwnLines(loop, ticker, targets, random::nextDouble);
+        lines = new OwnLines(loop, ticker, random::nextDouble);
         coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
         placement = new Placement(
                 prompts, this::ownColdShare, () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/OwnLines.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/OwnLines.java
@@ -17,15 +17,13 @@
 
     private final EventLoopGroup loop;
     private final Ticker ticker;
-    private final Targets targets;
     private final DoubleSupplier random;
     private final Map<String, WaitingLine> lines = new HashMap<>();
     private final Set<String> freedServices = new HashSet<>();
 
-    OwnLines(EventLoopGroup loop, Ticker ticker, Targets targets, DoubleSupplier random) {
+    OwnLines(EventLoopGroup loop, Ticker ticker, DoubleSupplier random) {
         this.loop = loop;
         this.ticker = ticker;
-        this.targets = targets;
         this.random = random;
     }
 
@@ -55,6 +53,6 @@
 
     /** Returns when a refused caller should come back. */
     long comeBackMillis(String service) {
-        return Patience.comeBackMillis(of(service).size(), targets.slots(service), random.getAsDouble());
+        return Patience.comeBackMillis(of(service).standingMillis(ticker.nowMillis()), random.getAsDouble());
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Targets.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Targets.java
@@ -137,15 +137,6 @@
         return entries.values();
     }
 
-    /** Returns the slots of a service's usable targets. */
-    int slots(String service) {
-        long nowMillis = ticker.nowMillis();
-        return ofService(service).stream()
-                .filter(state -> state.usable(nowMillis))
-                .mapToInt(state -> state.target().slots())
-                .sum();
-    }
-
     /** Returns how many targets are out of use after failures. */
     long ejected() {
         return entries.values().stream()
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.is;
 
 import java.util.ArrayList;
@@ -37,6 +38,11 @@
             return untilMillis;
         }
 
+        @Override
+        public long standingUntilMillis() {
+            return untilMillis / 4;
+        }
+
         @Override
         public long onTimeUntilMillis() {
             return untilMillis / 2;
@@ -102,6 +108,40 @@
         assertThat(line.size(), is(2));
     }
 
+    /**
+     * More is asked than the targets bear, for twenty seconds. Each request that is kept for its whole patience and
+     * refused then has lost that second, and its caller comes back a second later into the same line.
+     */
+    @Test
+    void standingLineKeepsRequestsForAShortTimeOnly() {
+        WaitingLine line = new WaitingLine(10);
+        line.add(new Request("first", 1, 1_000), 0);
+        line.add(new Request("second", 1, 3_800), 900);
+        line.advance(949);
+        assertThat(refused, is(List.of()));
+        line.add(new Request("third", 1, 5_000), 949);
+        line.advance(1_000);
+        assertThat(refused, containsInAnyOrder("first", "second"));
+        line.advance(1_249);
+        assertThat(line.size(), is(1));
+        line.advance(1_250);
+        assertThat(refused, containsInAnyOrder("first", "second", "third"));
+    }
+
+    /** A short burst leaves some requests waiting. The line has emptied since, so the next ones get their full time. */
+    @Test
+    void lineThatWasWorkedOffStandsNoMore() {
+        WaitingLine line = new WaitingLine(10);
+        line.add(new Request("first", 1, 5_000), 0);
+        line.advance(900);
+        places = 1;
+        line.advance(910);
+        line.add(new Request("second", 1, 2_400), 1_300);
+        line.advance(1_400);
+        assertThat(refused, is(List.of()));
+        assertThat(line.standingMillis(1_400), is(100L));
+    }
+
     @Test
     void endOfPatienceRefusesOnce() {
         WaitingLine line = new WaitingLine(2);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -36,8 +36,8 @@
 public final class Coordinator {
     /** Requests that wait for one service. At the rate of a fleet of ninety, more would outwait their patience. */
     private static final int MOST_WAITING = 1_024;
-    /** Requests ahead below which none is refused on arrival: so few are worked off in a few tens of milliseconds. */
-    private static final int FEW_WAITING = 8;
+    /** Requests ahead below which none is refused on arrival: the pace of so few says little. */
+    private static final int FEW_WAITING = 4;
     /**
      * Time since a target last began or ended an answer, for whomever, within which it does not hang. A full engine
      * ends some ten answers in it, a slow one three.
@@ -162,7 +162,7 @@
             }
             QueuedAsk queued = new QueuedAsk(ask, key, place(ask, nowMillis), nowMillis);
             if (hopeless(queued, nowMillis)) {
-                outbox.shed(ask, comeBackMillis(nowMillis));
+                outbox.shed(ask, comeBackMillis(queued.tierRank(), nowMillis));
                 return;
             }
             if (!admit(ask, nowMillis)) {
@@ -183,7 +183,8 @@
          */
         private boolean hopeless(QueuedAsk queued, long nowMillis) {
             int ahead = line.ahead(queued.tierRank(), nowMillis);
-            return ahead >= FEW_WAITING && pace.waitMillis(ahead, nowMillis) > queued.patienceUntilMillis() - nowMillis;
+            long keptMillis = line.keptUntilMillis(queued, nowMillis) - nowMillis;
+            return ahead >= FEW_WAITING && pace.waitMillis(ahead, queued.tierRank(), nowMillis) > keptMillis;
         }
 
         private JoinedRanks.Place place(Ask ask, long nowMillis) {
@@ -294,12 +295,8 @@
             }
         }
 
-        private long comeBackMillis(long nowMillis) {
-            int slots = targets.apply(service).stream()
-                    .filter(state -> state.usable(nowMillis))
-                    .mapToInt(state -> state.target().slots())
-                    .sum();
-            return Patience.comeBackMillis(line.size(), slots, random.getAsDouble());
+        private long comeBackMillis(int rank, long nowMillis) {
+            return Patience.comeBackMillis(line.standingMillis(rank, nowMillis), random.getAsDouble());
         }
 
         /** One ask that waits. */
@@ -308,12 +305,23 @@
             private final AskKey key;
             private final int lineRank;
             private final long onTimeUntilMillis;
+            private final long standingUntilMillis;
 
             QueuedAsk(Ask ask, AskKey key, JoinedRanks.Place place, long nowMillis) {
                 this.ask = ask;
                 this.key = key;
                 lineRank = place.rank();
                 onTimeUntilMillis = nowMillis + place.onTimeMillis();
+                // A request that failed at a target was accepted once and is late already; it is not turned away
+                // lightly.
+                standingUntilMillis = place.onTimeMillis() <= 0
+                        ? ask.patienceUntilMillis()
+                        : nowMillis + Patience.standingMillis(place.onTimeMillis());
+            }
+
+            @Override
+            public long standingUntilMillis() {
+                return standingUntilMillis;
             }
 
             @Override
@@ -368,7 +376,7 @@
 
             private void grant(Candidate candidate, long nowMillis) {
                 waiting.remove(key);
-                pace.placed(nowMillis);
+                pace.placed(lineRank, nowMillis);
                 String targetId = candidate.state().target().id();
                 running.granted(
                         key.requester(),
@@ -385,7 +393,7 @@
             public void refuse(long nowMillis) {
                 waiting.remove(key);
                 refund();
-                outbox.shed(ask, comeBackMillis(nowMillis));
+                outbox.shed(ask, comeBackMillis(lineRank, nowMillis));
             }
 
             void refund() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Pace.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Pace.java
@@ -2,39 +2,54 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.TreeMap;
 
-/** How many requests found a target within the last second. */
+/** How many requests found a target within the last second, by rank. */
 public final class Pace {
     /** Time looked back on: long enough for a steady figure, short enough to show the loss of targets. */
     private static final long WINDOW_MILLIS = 1_000;
 
-    private final Deque<Long> placedAtMillis = new ArrayDeque<>();
+    private final Deque<Placed> latest = new ArrayDeque<>();
+    private final TreeMap<Integer, Integer> countsByRank = new TreeMap<>();
+
+    private record Placed(int rank, long atMillis) {}
 
     /**
      * Notes a request that found a target.
      *
+     * @param rank its rank in the waiting line
      * @param nowMillis steady time in milliseconds
      */
-    public void placed(long nowMillis) {
-        placedAtMillis.addLast(nowMillis);
+    public void placed(int rank, long nowMillis) {
+        latest.addLast(new Placed(rank, nowMillis));
+        countsByRank.merge(rank, 1, Integer::sum);
         expire(nowMillis);
     }
 
     /**
-     * Predicts how long a request waits.
+     * Predicts how long a request waits. What higher ranks got in the last second they will take in the next one too,
+     * so only what its own rank and those below got counts: by the pace of all, a line would look short that hardly
+     * moves, and its requests would be kept for nothing.
      *
      * @param ahead requests that go before it
+     * @param rank its rank
      * @param nowMillis steady time in milliseconds
-     * @return time in milliseconds; 0 when nothing was placed lately, so that nothing is known
+     * @return time in milliseconds; 0 when nothing at all was placed lately, so that nothing is known
      */
-    public long waitMillis(int ahead, long nowMillis) {
+    public long waitMillis(int ahead, int rank, long nowMillis) {
         expire(nowMillis);
-        return placedAtMillis.isEmpty() ? 0 : ahead * WINDOW_MILLIS / placedAtMillis.size();
+        if (latest.isEmpty()) {
+            return 0;
+        }
+        int placed = countsByRank.tailMap(rank, true).values().stream()
+                .mapToInt(Integer::intValue)
+                .sum();
+        return ahead * WINDOW_MILLIS / Math.max(1, placed);
     }
 
     private void expire(long nowMillis) {
-        while (!placedAtMillis.isEmpty() && nowMillis - placedAtMillis.peekFirst() > WINDOW_MILLIS) {
-            placedAtMillis.removeFirst();
+        while (!latest.isEmpty() && nowMillis - latest.peekFirst().atMillis() > WINDOW_MILLIS) {
+            countsByRank.merge(latest.removeFirst().rank(), -1, Integer::sum);
         }
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Patience.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Patience.java
@@ -13,13 +13,16 @@
     private static final double REMAINING_SHARE = 0.2;
     /** Share of the objective after which a waiting request can hardly meet it. */
     private static final double ON_TIME_SHARE = 0.8;
-    /** Shortest advice: one round of news between processes. */
-    private static final long SOONEST_MILLIS = 250;
     /**
-     * Longest advice. Callers come back once or twice, and bursts last three to five seconds: who is sent back into the
-     * same burst is refused for good.
+     * Share of the time in which a request can be on time that it may wait in a standing line. A line that never
+     * empties fills every slot whatever its length, so a longer one only makes those who are served later and keeps
+     * those who are not from coming back.
      */
-    private static final long LATEST_MILLIS = 4_000;
+    private static final double STANDING_SHARE = 0.5;
+    /** Shortest advice: one round of news between processes. */
+    private static final long SOONEST_MILLIS = 250;
+    /** Longest advice: a caller that waits longer has mostly run out of its own time. */
+    private static final long LATEST_MILLIS = 8_000;
 
     private Patience() {}
 
@@ -45,17 +48,26 @@
     }
 
     /**
-     * Returns when a refused caller should come back: later the longer the line, and spread so that callers refused
-     * together do not return together.
+     * Returns how long a request may wait in a line that has not emptied for long.
+     *
+     * @param onTimeMillis time for which it goes before those that are late
+     * @return time in milliseconds
+     */
+    public static long standingMillis(long onTimeMillis) {
+        return (long) (onTimeMillis * STANDING_SHARE);
+    }
+
+    /**
+     * Returns when a refused caller should come back. How long an overload lasts is not known, but one that has lasted
+     * for long mostly goes on for about as long again: who is sent back into it is refused for good. Spread, so that
+     * callers refused together do not return together.
      *
-     * @param waiting requests that wait here
-     * @param slots slots of the service's targets
+     * @param standingMillis time for which the line has not emptied
      * @param spread random number from 0 to 1
      * @return time in milliseconds
      */
-    public static long comeBackMillis(int waiting, int slots, double spread) {
-        double pressure = Math.min(1, waiting / (double) Math.max(1, slots));
-        double middle = SOONEST_MILLIS + (LATEST_MILLIS - SOONEST_MILLIS) * pressure;
+    public static long comeBackMillis(long standingMillis, double spread) {
+        long middle = Math.min(LATEST_MILLIS, SOONEST_MILLIS + standingMillis);
         return (long) (middle * (0.75 + 0.5 * spread));
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Waiter.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Waiter.java
@@ -16,6 +16,13 @@
      */
     long patienceUntilMillis();
 
+    /**
+     * Returns until when it may be kept waiting in a line that has not emptied for long.
+     *
+     * @return steady time in milliseconds
+     */
+    long standingUntilMillis();
+
     /**
      * Returns until when it may meet its objective.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
@@ -21,8 +21,11 @@
      * take a coordinator's whole processor. Three allow for two that have tried the targets that are free.
      */
     private static final int MOST_FAILURES = 3;
+    /** Time without an empty line after which it stands: shorter bursts are worked off late and nobody is refused. */
+    private static final long STANDING_MILLIS = 1_000;
 
     private final TreeMap<Integer, List<Waiter>> byRank = new TreeMap<>();
+    private final Map<Integer, Standing> standingByRank = new HashMap<>();
     private final int mostWaiting;
     private int size;
 
@@ -72,6 +75,44 @@
         return ahead;
     }
 
+    /**
+     * Tells for how long requests of a rank have waited without a pause.
+     *
+     * @param tierRank rank
+     * @param nowMillis steady time in milliseconds
+     * @return time in milliseconds; 0 when the line was worked off a moment ago
+     */
+    public long standingMillis(int tierRank, long nowMillis) {
+        Standing standing = standingByRank.get(tierRank);
+        return standing == null ? 0 : standing.millis(nowMillis);
+    }
+
+    /**
+     * Tells for how long requests of any rank have waited without a pause.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return time in milliseconds; 0 when all lines were worked off a moment ago
+     */
+    public long standingMillis(long nowMillis) {
+        return standingByRank.values().stream()
+                .mapToLong(standing -> standing.millis(nowMillis))
+                .max()
+                .orElse(0);
+    }
+
+    /**
+     * Returns until when a request is kept waiting.
+     *
+     * @param waiter the request
+     * @param nowMillis steady time in milliseconds
+     * @return steady time in milliseconds
+     */
+    public long keptUntilMillis(Waiter waiter, long nowMillis) {
+        return standingMillis(waiter.tierRank(), nowMillis) >= STANDING_MILLIS
+                ? Math.min(waiter.patienceUntilMillis(), waiter.standingUntilMillis())
+                : waiter.patienceUntilMillis();
+    }
+
     /**
      * Adds a request.
      *
@@ -80,6 +121,9 @@
      */
     public void add(Waiter waiter, long nowMillis) {
         byRank.computeIfAbsent(waiter.tierRank(), rank -> new ArrayList<>()).add(waiter);
+        standingByRank
+                .computeIfAbsent(waiter.tierRank(), rank -> new Standing())
+                .waits(nowMillis);
         size++;
         if (size > mostWaiting) {
             evictLast(nowMillis);
@@ -115,7 +159,7 @@
             // Waiters may add themselves again while they are tried, so the list under way is taken out first.
             Map<String, Integer> failures = new HashMap<>();
             for (Waiter waiter : current) {
-                if (nowMillis >= waiter.patienceUntilMillis()) {
+                if (nowMillis >= keptUntilMillis(waiter, nowMillis)) {
                     waiter.refuse(nowMillis);
                 } else if (failures.getOrDefault(waiter.needs(), 0) >= MOST_FAILURES) {
                     staying.add(waiter);
@@ -130,6 +174,9 @@
                 }
             }
             byRank.get(rank).addAll(0, staying);
+            if (byRank.get(rank).isEmpty() && standingByRank.containsKey(rank)) {
+                standingByRank.get(rank).emptied(nowMillis);
+            }
             size += staying.size();
         }
     }
