--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WaitingLineTest.java
@@ -128,6 +128,27 @@
         assertThat(refused, containsInAnyOrder("first", "second", "third"));
     }
 
+    /**
+     * A long summary waits for a fast engine while slow ones have room. However long the line has stood, it is not
+     * refused for want of slots: it goes to a slow engine once it cannot be on time any more.
+     */
+    @Test
+    void requestHeldForABetterTargetIsNotRefusedByAStandingLine() {
+        WaitingLine line = new WaitingLine(10);
+        line.add(new Request("usual", 1, 1_500), 0);
+        line.add(
+                new Request("held", 1, 4_000) {
+                    @Override
+                    public Attempt trySend(long nowMillis) {
+                        return Attempt.HELD;
+                    }
+                },
+                0);
+        line.advance(1_100);
+        assertThat(refused, contains("usual"));
+        assertThat(line.size(), is(1));
+    }
+
     /** A short burst leaves some requests waiting. The line has emptied since, so the next ones get their full time. */
     @Test
     void lineThatWasWorkedOffStandsNoMore() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
@@ -159,18 +159,19 @@
             // Waiters may add themselves again while they are tried, so the list under way is taken out first.
             Map<String, Integer> failures = new HashMap<>();
             for (Waiter waiter : current) {
-                if (nowMillis >= keptUntilMillis(waiter, nowMillis)) {
+                if (nowMillis >= waiter.patienceUntilMillis()) {
                     waiter.refuse(nowMillis);
-                } else if (failures.getOrDefault(waiter.needs(), 0) >= MOST_FAILURES) {
+                    continue;
+                }
+                boolean tried = failures.getOrDefault(waiter.needs(), 0) < MOST_FAILURES;
+                Attempt attempt = tried ? waiter.trySend(nowMillis) : Attempt.NO_TARGET;
+                if (tried && attempt == Attempt.NO_TARGET) {
+                    failures.merge(waiter.needs(), 1, Integer::sum);
+                }
+                if (attempt == Attempt.NO_TARGET && nowMillis >= keptUntilMillis(waiter, nowMillis)) {
+                    waiter.refuse(nowMillis);
+                } else if (attempt.waits()) {
                     staying.add(waiter);
-                } else {
-                    Attempt attempt = waiter.trySend(nowMillis);
-                    if (attempt == Attempt.NO_TARGET) {
-                        failures.merge(waiter.needs(), 1, Integer::sum);
-                    }
-                    if (attempt.waits()) {
-                        staying.add(waiter);
-                    }
                 }
             }
             byRank.get(rank).addAll(0, staying);
