Rank coordinators by signs of life, which reach everyone in a second or two

The log shows coordinator-changed lines from five seconds after each loss of all fronts on: 78, 51, 23, 22, 35, 23 a second after the first and 81, 44, 32, 21 after the second. "Served for five seconds" went round in reports, which reach each other front of a large fleet only every ten seconds or so, so fronts named different coordinators for many seconds, and each filled every engine. One request waited 2.7 s inside an engine.

Change: the age of a process is the number of its signs of life, and counts only against processes that are three seconds older; a fleet that starts together keeps its first coordinator.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -20,6 +20,7 @@
 import org.whinwharf.traffic.coordination.CoordinatorRanking;
 import org.whinwharf.traffic.coordination.Outbox;
 import org.whinwharf.traffic.coordination.RunningRequests;
+import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.target.TargetState;
@@ -291,8 +292,9 @@
 
     private List<MemberReport> rank(String service, long nowMillis) {
         passedOverUntilMillis.values().removeIf(untilMillis -> nowMillis >= untilMillis);
-        List<MemberReport> serving = members.serving(nowMillis).stream()
-                .filter(report -> !passedOverUntilMillis.containsKey(report.getName()))
+        List<Member> serving = members.servingMembers(nowMillis).stream()
+                .filter(member ->
+                        !passedOverUntilMillis.containsKey(member.report().getName()))
                 .toList();
         return CoordinatorRanking.rank(service, serving);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetNews.java
@@ -39,9 +39,8 @@
      * Makes this process's next report.
      *
      * @param phase what the process does
-     * @param settled true when it has served for long enough to know the fleet
      */
-    void report(MemberPhase phase, boolean settled) {
+    void report(MemberPhase phase) {
         MemberReport.Builder report = MemberReport.newBuilder()
                 .setName(settings.name())
                 .setIp(settings.ip())
@@ -50,8 +49,7 @@
                 .setPhase(phase)
                 .setRevision(feed.revision())
                 .setWatching(feed.watchWorks())
-                .setProcessorPercent(settings.processorPercent())
-                .setSettled(settled);
+                .setProcessorPercent(settings.processorPercent());
         for (TargetEntry entry : targets.all()) {
             // In a large fleet this news is too old to place requests by; a coordinator has the counts there.
             if (entry.state().ownRunning() > 0 && !members.large()) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -53,8 +53,6 @@
     private static final long SWEEP_MILLIS = 250;
     /** Time that callers may still come after a request to stop: what they were told before has then run out. */
     private static final long LINGER_MILLIS = 2_500;
-    /** Time of service after which a process knows the fleet and its load, and may coordinate before younger ones. */
-    private static final long SETTLED_MILLIS = 5_000;
     /**
      * Part by which predictions are spread when this process places alone in a large fleet: more than engines of one
      * generation differ, less than generations do.
@@ -91,7 +89,6 @@
     private MemberPhase phase = MemberPhase.MEMBER_STARTING;
     private boolean listening;
     private long leavingAtMillis;
-    private long servingSinceMillis;
     private Runnable whenEnded = () -> {};
 
     /**
@@ -329,7 +326,6 @@
     private void serve() {
         if (phase == MemberPhase.MEMBER_STARTING) {
             phase = MemberPhase.MEMBER_SERVING;
-            servingSinceMillis = ticker.nowMillis();
             phaseChanged();
             EventLog.event(LogEvent.READY)
                     .with(EventField.REVISION, feed.revision())
@@ -338,12 +334,12 @@
     }
 
     private void gossipRound() {
-        news.report(phase, ready() && ticker.nowMillis() - servingSinceMillis > SETTLED_MILLIS);
+        news.report(phase);
         gossip.round();
     }
 
     private void phaseChanged() {
-        news.report(phase, false);
+        news.report(phase);
         gossip.urgentRound();
     }
 
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorRankingTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorRankingTest.java
@@ -12,13 +12,14 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.whinwharf.traffic.coordination.CoordinatorRanking;
+import org.whinwharf.traffic.member.Member;
 import org.whinwharf.wire.fleet.MemberReport;
 
 class CoordinatorRankingTest {
     @Test
     void orderInWhichMembersWereHeardChangesNothing() {
-        List<MemberReport> fleet = fleet(30);
-        List<MemberReport> shuffled = new ArrayList<>(fleet);
+        List<Member> fleet = fleet(30);
+        List<Member> shuffled = new ArrayList<>(fleet);
         Collections.shuffle(shuffled, new Random(7));
         assertThat(CoordinatorRanking.rank("s", shuffled), is(CoordinatorRanking.rank("s", fleet)));
     }
@@ -29,28 +30,44 @@
      */
     @Test
     void processThatWasJustStartedComesLast() {
-        List<MemberReport> fleet = fleet(5);
+        List<Member> fleet = fleet(5);
         MemberReport first = CoordinatorRanking.rank("s", fleet).get(0);
-        fleet.remove(first);
-        fleet.add(first.toBuilder().setSettled(false).build());
+        fleet.removeIf(member -> member.report().equals(first));
+        fleet.add(new Member(first, 3, 0));
         List<MemberReport> ranked = CoordinatorRanking.rank("s", fleet);
         assertThat(ranked.get(ranked.size() - 1).getName(), is(first.getName()));
     }
 
+    /**
+     * All processes of a fleet were killed and are back within a second of each other. Their signs of life reach each
+     * at other times. While each of them ranked by its own idea of who has run for long enough, dozens coordinated at
+     * once: every engine got several times what it bears, and all callers waited more than a second.
+     */
+    @Test
+    void fleetThatStartedTogetherKeepsOneCoordinatorWhileItSettles() {
+        Set<String> coordinators = new HashSet<>();
+        Random random = new Random(5);
+        for (long beats = 1; beats < 100; beats++) {
+            List<Member> seen = new ArrayList<>();
+            for (Member member : fleet(82)) {
+                seen.add(new Member(member.report(), Math.max(1, beats - random.nextInt(18)), 0));
+            }
+            coordinators.add(CoordinatorRanking.rank("s", seen).get(0).getName());
+        }
+        assertThat(coordinators.size(), is(1));
+    }
+
     @Test
     void hostWithMoreProcessorTimeComesFirst() {
-        List<MemberReport> fleet = fleet(5);
-        fleet.add(fleet.get(0).toBuilder()
-                .setName("strong")
-                .setProcessorPercent(150)
-                .build());
+        List<Member> fleet = fleet(5);
+        fleet.add(member(Fixtures.report("strong", 1, 1).toBuilder().setProcessorPercent(150)));
         assertThat(CoordinatorRanking.rank("s", fleet).get(0).getName(), is("strong"));
     }
 
     @Test
     void servicesAreSpreadOverHosts() {
         Set<String> coordinators = new HashSet<>();
-        List<MemberReport> fleet = fleet(10);
+        List<Member> fleet = fleet(10);
         for (int service = 0; service < 19; service++) {
             coordinators.add(
                     CoordinatorRanking.rank("service-" + service, fleet).get(0).getName());
@@ -58,14 +75,15 @@
         assertThat(coordinators.size(), greaterThan(5));
     }
 
-    private static List<MemberReport> fleet(int size) {
-        List<MemberReport> fleet = new ArrayList<>();
+    private static List<Member> fleet(int size) {
+        List<Member> fleet = new ArrayList<>();
         for (int i = 0; i < size; i++) {
-            fleet.add(Fixtures.report("front-" + i, 1, 1).toBuilder()
-                    .setSettled(true)
-                    .setProcessorPercent(36)
-                    .build());
+            fleet.add(member(Fixtures.report("front-" + i, 1, 1).toBuilder().setProcessorPercent(36)));
         }
         return fleet;
     }
+
+    private static Member member(MemberReport.Builder report) {
+        return new Member(report.build(), 1_000, 0);
+    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorRanking.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorRanking.java
@@ -3,33 +3,51 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.placement.Rendezvous;
 import org.whinwharf.wire.fleet.MemberReport;
 
 /**
  * Ranks the processes that may coordinate a service; all that know the same members rank alike, without a word.
  *
- * <p>Processes that served for a while go first, since one that was just started knows nothing of the load; then those
- * on hosts with more processor time, which answer sooner; then rendezvous hashing spreads the services. Two processes
- * that rank differently for a moment make two coordinators. That costs queues at targets and breaks nothing, since
- * bounds that must hold are kept by every sender.
+ * <p>Processes that have run for a while go first, since one that was just started knows nothing of the load; then
+ * those on hosts with more processor time, which answer sooner; then rendezvous hashing spreads the services. Two
+ * processes that rank differently for a moment make two coordinators. That costs queues at targets and breaks nothing,
+ * since bounds that must hold are kept by every sender.
+ *
+ * <p>How long a process has run is told by its signs of life, which reach everyone within a second or two. Its reports
+ * reach each other process of a large fleet only every ten seconds or so; ranked by what they say, a fleet that had
+ * just been restarted fell apart into dozens of coordinators, each of which filled every engine.
  */
 public final class CoordinatorRanking {
+    /** Signs of life after which a process knows the fleet and its load: five seconds' worth. */
+    private static final long SETTLED_BEATS = 33;
+    /**
+     * Signs of life by which a process must be behind the oldest to count as just started: three seconds' worth, more
+     * than news takes. Without it, a fleet whose processes all started together would change its coordinator with each
+     * one that settles.
+     */
+    private static final long NEWER_BEATS = 20;
+
     private CoordinatorRanking() {}
 
     /**
      * Ranks processes for a service.
      *
      * @param service name of the service
-     * @param serving reports of the processes that serve
+     * @param serving the processes that serve
      * @return reports, the first coordinates and each stands by for those before it
      */
-    public static List<MemberReport> rank(String service, Collection<MemberReport> serving) {
+    public static List<MemberReport> rank(String service, Collection<Member> serving) {
+        long oldest = serving.stream().mapToLong(Member::beatSequence).max().orElse(0);
+        long settledBeats = Math.min(SETTLED_BEATS, oldest - NEWER_BEATS);
         return serving.stream()
-                .sorted(Comparator.comparing((MemberReport report) -> !report.getSettled())
-                        .thenComparing(report -> -report.getProcessorPercent())
-                        .thenComparing(report -> -Rendezvous.weight(report.getName(), service))
-                        .thenComparing(MemberReport::getName))
+                .sorted(Comparator.comparing((Member member) -> member.beatSequence() < settledBeats)
+                        .thenComparing(member -> -member.report().getProcessorPercent())
+                        .thenComparing(
+                                member -> -Rendezvous.weight(member.report().getName(), service))
+                        .thenComparing(member -> member.report().getName()))
+                .map(Member::report)
                 .toList();
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.whinwharf.wire.fleet.MemberPhase;
 import org.whinwharf.wire.fleet.MemberReport;
 
@@ -212,14 +213,20 @@
      * @return reports
      */
     public List<MemberReport> serving(long nowMillis) {
-        List<MemberReport> serving = new ArrayList<>();
-        if (own.getPhase() == MemberPhase.MEMBER_SERVING) {
-            serving.add(own);
-        }
-        alive(nowMillis).stream()
-                .map(Member::report)
-                .filter(report -> report.getPhase() == MemberPhase.MEMBER_SERVING)
-                .forEach(serving::add);
+        return servingMembers(nowMillis).stream().map(Member::report).collect(Collectors.toCollection(ArrayList::new));
+    }
+
+    /**
+     * Returns the processes that serve, with their signs of life, this one first when it does.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return members
+     */
+    public List<Member> servingMembers(long nowMillis) {
+        List<Member> serving = new ArrayList<>();
+        serving.add(new Member(own, own.getSequence(), nowMillis));
+        serving.addAll(alive(nowMillis));
+        serving.removeIf(member -> member.report().getPhase() != MemberPhase.MEMBER_SERVING);
         return serving;
     }
 
