--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
@@ -145,7 +144,6 @@
         private final Map<AskKey, QueuedAsk> waiting = new HashMap<>();
         private final Map<AskKey, Grant> grants = new LinkedHashMap<>();
         private final Map<String, Long> spokeAtMillis = new HashMap<>();
-        private final RefusedAsks refused = new RefusedAsks();
 
         ServiceDesk(String service) {
             this.service = service;
@@ -164,11 +162,10 @@
             }
             QueuedAsk queued = new QueuedAsk(ask, key, place(ask, nowMillis), nowMillis);
             if (hopeless(queued, nowMillis)) {
-                shed(ask, queued.tierRank(), nowMillis);
+                outbox.shed(ask, comeBackMillis(queued.tierRank(), nowMillis));
                 return;
             }
             if (!admit(ask, nowMillis)) {
-                refused.refused(ask);
                 outbox.overQuota(ask, quotas.comeBackMillis(ask.organisation().orElseThrow()));
                 return;
             }
@@ -298,10 +295,8 @@
             }
         }
 
-        private void shed(Ask ask, int lineRank, long nowMillis) {
-            refused.refused(ask);
-            long standingMillis = line.standingMillis(lineRank, nowMillis);
-            outbox.shed(ask, Patience.comeBackMillis(standingMillis, random.getAsDouble()));
+        private long comeBackMillis(int rank, long nowMillis) {
+            return Patience.comeBackMillis(line.standingMillis(rank, nowMillis), random.getAsDouble());
         }
 
         /** One ask that waits. */
@@ -309,7 +304,6 @@
             private final Ask ask;
             private final AskKey key;
             private final int lineRank;
-            private final long objectiveUntilMillis;
             private final long onTimeUntilMillis;
             private final long standingUntilMillis;
 
@@ -317,9 +311,7 @@
                 this.ask = ask;
                 this.key = key;
                 lineRank = place.rank();
-                OptionalLong firstOnTime = refused.onTimeUntilMillis(ask);
-                objectiveUntilMillis = firstOnTime.orElse(ask.onTimeUntilMillis());
-                onTimeUntilMillis = firstOnTime.orElse(nowMillis + place.onTimeMillis());
+                onTimeUntilMillis = nowMillis + place.onTimeMillis();
                 // A request that failed at a target was accepted once and is late already; it is not turned away
                 // lightly.
                 standingUntilMillis = place.onTimeMillis() <= 0
@@ -375,7 +367,7 @@
              * and the slow one is as good as any other for a short prompt.
              */
             private boolean missesObjective(Candidate candidate, Demand demand, long nowMillis) {
-                long leftMillis = objectiveUntilMillis - nowMillis;
+                long leftMillis = ask.onTimeUntilMillis() - nowMillis;
                 return leftMillis > 0
                         && candidate.firstEventMillis() > leftMillis
                         && placement.somewhereWithin(
@@ -401,7 +393,7 @@
             public void refuse(long nowMillis) {
                 waiting.remove(key);
                 refund();
-                shed(ask, lineRank, nowMillis);
+                outbox.shed(ask, comeBackMillis(lineRank, nowMillis));
             }
 
             void refund() {
