--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -106,10 +106,13 @@
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
         targets = new Targets(loop, dialect, ticker, () -> catalog, metrics);
-        lines = new OwnLines(loop, ticker, random::nextDouble);
+        lines = new OwnLines(loop, ticker, random::nextDouble, settings.policy());
         coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
         placement = new Placement(
-                prompts, this::ownColdShare, () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0);
+                prompts,
+                this::ownColdShare,
+                () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0,
+                settings.policy());
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
@@ -390,7 +393,7 @@
     }
 
     private Coordinator coordinator(Outbox decisions) {
-        Placement common = new Placement(prompts, this::coordinatorColdShare, () -> 0);
+        Placement common = new Placement(prompts, this::coordinatorColdShare, () -> 0, settings.policy());
         return new Coordinator.Builder()
                 .ownName(settings.name())
                 .placement(common, prompts)
@@ -398,6 +401,7 @@
                 .quotas(quotas)
                 .listeners(decisions, targets, targets::underWay)
                 .random(random::nextDouble)
+                .policy(settings.policy())
                 .build();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.immutables.value.Value;
+import org.whinwharf.traffic.policy.Policy;
 
 /** Settings of one front process. */
 @Value.Immutable
@@ -100,6 +101,16 @@
         return 0;
     }
 
+    /**
+     * Returns which parts of the policy are in use.
+     *
+     * @return the whole policy unless something is switched off
+     */
+    @Value.Default
+    default Policy policy() {
+        return Policy.WHOLE;
+    }
+
     /**
      * Returns after which silence a coordinator is passed over: three asks of 40 ms, of which two may be lost.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/OwnLines.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/OwnLines.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.waiting.Patience;
 import org.whinwharf.traffic.waiting.WaitingLine;
 
@@ -18,17 +19,19 @@
     private final EventLoopGroup loop;
     private final Ticker ticker;
     private final DoubleSupplier random;
+    private final Policy policy;
     private final Map<String, WaitingLine> lines = new HashMap<>();
     private final Set<String> freedServices = new HashSet<>();
 
-    OwnLines(EventLoopGroup loop, Ticker ticker, DoubleSupplier random) {
+    OwnLines(EventLoopGroup loop, Ticker ticker, DoubleSupplier random, Policy policy) {
         this.loop = loop;
         this.ticker = ticker;
         this.random = random;
+        this.policy = policy;
     }
 
     WaitingLine of(String service) {
-        return lines.computeIfAbsent(service, name -> new WaitingLine(MOST_WAITING));
+        return lines.computeIfAbsent(service, name -> new WaitingLine(MOST_WAITING, policy));
     }
 
     /** Returns how many requests wait. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -13,6 +13,8 @@
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.traffic.placement.Placement;
+import org.whinwharf.traffic.policy.Mechanism;
+import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.target.PromptCache;
 import org.whinwharf.traffic.target.TargetSpeed;
@@ -54,6 +56,7 @@
     private final Outbox outbox;
     private final DoubleSupplier random;
     private final LoadListener loads;
+    private final Policy policy;
     private final Map<String, ServiceDesk> desks = new HashMap<>();
 
     private record AskKey(String requester, long id) {}
@@ -71,6 +74,7 @@
         outbox = builder.outbox;
         random = builder.random;
         loads = builder.loads;
+        policy = builder.policy;
     }
 
     /**
@@ -137,7 +141,7 @@
     /** What is known of one service. */
     private final class ServiceDesk {
         private final String service;
-        private final WaitingLine line = new WaitingLine(MOST_WAITING);
+        private final WaitingLine line = new WaitingLine(MOST_WAITING, policy);
         private final Pace pace = new Pace();
         private final JoinedRanks ranks = new JoinedRanks();
         private final RunningRequests running = new RunningRequests(loads);
@@ -184,15 +188,22 @@
         private boolean hopeless(QueuedAsk queued, long nowMillis) {
             int ahead = line.ahead(queued.tierRank(), nowMillis);
             long keptMillis = line.keptUntilMillis(queued, nowMillis) - nowMillis;
-            return ahead >= FEW_WAITING && pace.waitMillis(ahead, queued.tierRank(), nowMillis) > keptMillis;
+            int paceRank = policy.uses(Mechanism.PACE_BY_RANK) ? queued.tierRank() : 0;
+            return policy.uses(Mechanism.REFUSAL_ON_ARRIVAL)
+                    && ahead >= FEW_WAITING
+                    && pace.waitMillis(ahead, paceRank, nowMillis) > keptMillis;
         }
 
         private JoinedRanks.Place place(Ask ask, long nowMillis) {
             Demand demand = ask.demand();
+            long onTimeMillis = ask.onTimeUntilMillis() - nowMillis;
+            if (!policy.uses(Mechanism.JOINED_RANKS)) {
+                return new JoinedRanks.Place(demand.tierRank(), onTimeMillis);
+            }
             return ranks.place(
                     demand.tierRank(),
                     TargetSpeed.assumedHoldMillis(demand.promptTokens(), demand.answerTokens()),
-                    ask.onTimeUntilMillis() - nowMillis);
+                    onTimeMillis);
         }
 
         void underWay(String process, Map<Long, RunningRequests.Run> runs, long nowMillis) {
@@ -275,7 +286,7 @@
          * works would be lost when its slots are needed most. If it speaks with others, the silence counts as an error.
          */
         private void judgeSilence(String targetId, long nowMillis) {
-            Long spokeMillis = spokeAtMillis.get(targetId);
+            Long spokeMillis = policy.uses(Mechanism.SILENCE_TO_ALL) ? spokeAtMillis.get(targetId) : null;
             if (spokeMillis != null && nowMillis - spokeMillis <= SPOKE_LATELY_MILLIS) {
                 reports.erred(targetId);
             } else {
@@ -296,7 +307,8 @@
         }
 
         private long comeBackMillis(int rank, long nowMillis) {
-            return Patience.comeBackMillis(line.standingMillis(rank, nowMillis), random.getAsDouble());
+            long standingMillis = policy.uses(Mechanism.ADVICE_BY_STANDING) ? line.standingMillis(rank, nowMillis) : 0;
+            return Patience.comeBackMillis(standingMillis, random.getAsDouble());
         }
 
         /** One ask that waits. */
@@ -414,6 +426,7 @@
         private Outbox outbox;
         private DoubleSupplier random = () -> 0.5;
         private LoadListener loads;
+        private Policy policy = Policy.WHOLE;
 
         /**
          * Sets the name of the process that coordinates; what its own requests show reaches the targets without this.
@@ -490,6 +503,17 @@
             return this;
         }
 
+        /**
+         * Sets which parts of the policy are in use.
+         *
+         * @param parts what is in use; all of it unless set
+         * @return this
+         */
+        public Builder policy(Policy parts) {
+            policy = parts;
+            return this;
+        }
+
         /**
          * Builds it.
          *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -1,12 +1,13 @@
 package org.whinwharf.traffic.placement;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
 import org.whinwharf.traffic.catalog.TierRank;
+import org.whinwharf.traffic.policy.Mechanism;
+import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.target.PromptCache;
-import org.whinwharf.traffic.target.PromptPart;
+import org.whinwharf.traffic.target.TargetSpeed;
 import org.whinwharf.traffic.target.TargetState;
 
 /**
@@ -44,9 +45,13 @@
     /** Share of the time left within which an answer should be predicted to end: predictions are off by a tenth. */
     private static final double SAFE_TIME_SHARE = 0.85;
 
+    /** The speed of a target that has shown none yet. */
+    private static final TargetSpeed ASSUMED_SPEED = new TargetSpeed();
+
     private final PromptCache prompts;
     private final ColdShares coldShares;
     private final DoubleSupplier spread;
+    private final Policy policy;
 
     /**
      * Creates a placement.
@@ -57,9 +62,22 @@
      *     choose without knowing of each other would all take the fastest engine together
      */
     public Placement(PromptCache prompts, ColdShares coldShares, DoubleSupplier spread) {
+        this(prompts, coldShares, spread, Policy.WHOLE);
+    }
+
+    /**
+     * Creates a placement that uses a part of the policy.
+     *
+     * @param prompts where prompts were read
+     * @param coldShares what this process may send to cold targets
+     * @param spread part by which a prediction for an engine is made worse at random
+     * @param policy what is in use
+     */
+    public Placement(PromptCache prompts, ColdShares coldShares, DoubleSupplier spread, Policy policy) {
         this.prompts = prompts;
         this.coldShares = coldShares;
         this.spread = spread;
+        this.policy = policy;
     }
 
     /**
@@ -73,8 +91,7 @@
      */
     public Optional<Candidate> choose(
             Demand demand, Collection<TargetState> targets, Collection<String> evacuated, long nowMillis) {
-        double mostOccupancy =
-                FULL_OCCUPANCY - RESERVE_PER_RANK * Math.min(TierRank.ofRoute(demand.tierRank()), MOST_RESERVES);
+        double mostOccupancy = mostOccupancy(demand.tierRank());
         Candidate best = null;
         for (TargetState state : targets) {
             if (!eligible(state, demand, evacuated, nowMillis)) {
@@ -99,6 +116,23 @@
         return Optional.ofNullable(best);
     }
 
+    private double mostOccupancy(int tierRank) {
+        double full = policy.uses(Mechanism.BEYOND_SLOTS) ? FULL_OCCUPANCY : 1;
+        int reserves = Math.min(TierRank.ofRoute(tierRank), MOST_RESERVES);
+        return policy.uses(Mechanism.RESERVE_BY_RANK) ? full - RESERVE_PER_RANK * reserves : full;
+    }
+
+    private long uncachedTokens(Demand demand, TargetState state, long nowMillis) {
+        return policy.uses(Mechanism.PROMPT_MEMORY)
+                ? prompts.uncachedTokens(
+                        demand.parts(), demand.promptTokens(), state.target().id(), nowMillis)
+                : demand.promptTokens();
+    }
+
+    private TargetSpeed speed(TargetState state) {
+        return policy.uses(Mechanism.LEARNED_SPEED) ? state.speed() : ASSUMED_SPEED;
+    }
+
     /**
      * Tells whether a target that is full now would bring the first event in time once a slot frees.
      *
@@ -121,9 +155,7 @@
     }
 
     private double firstEventOnceFree(TargetState state, Demand demand, long nowMillis) {
-        long uncached = prompts.uncachedTokens(
-                demand.parts(), demand.promptTokens(), state.target().id(), nowMillis);
-        return state.speed().firstEventMillis(uncached, 1) + SLOT_FREES_MILLIS;
+        return speed(state).firstEventMillis(uncachedTokens(demand, state, nowMillis), 1) + SLOT_FREES_MILLIS;
     }
 
     private boolean eligible(TargetState state, Demand demand, Collection<String> evacuated, long nowMillis) {
@@ -138,14 +170,17 @@
 
     private Candidate rate(TargetState state, Demand demand, double occupancy, int allowance, long nowMillis) {
         double far = demand.dataCentre().equals(state.target().dataCentre()) ? 0 : OTHER_DATA_CENTRE_MILLIS;
-        List<PromptPart> parts = demand.parts();
-        long uncached = prompts.uncachedTokens(
-                parts, demand.promptTokens(), state.target().id(), nowMillis);
+        long uncached = uncachedTokens(demand, state, nowMillis);
         long ahead = uncached + state.prefillTokens();
-        double predicted = state.speed().firstEventMillis(ahead, occupancy) + far;
-        double answerMillis = state.speed().answerMillis(demand.answerTokens());
-        double beyondMillis = Math.max(0, predicted + answerMillis - demand.remainingMillis() * SAFE_TIME_SHARE);
-        double rating = predicted + answerMillis * ANSWER_WEIGHT + beyondMillis;
+        double predicted = speed(state).firstEventMillis(ahead, occupancy) + far;
+        double answerMillis = speed(state).answerMillis(demand.answerTokens());
+        double rating = predicted;
+        if (policy.uses(Mechanism.ANSWER_LENGTH)) {
+            rating += answerMillis * ANSWER_WEIGHT;
+        }
+        if (policy.uses(Mechanism.DEADLINE_FIT)) {
+            rating += Math.max(0, predicted + answerMillis - demand.remainingMillis() * SAFE_TIME_SHARE);
+        }
         double spreadFactor = demand.promptTokens() > 0 ? 1 + spread.getAsDouble() : 1;
         return new Candidate(state, uncached, ahead, occupancy, predicted, rating * spreadFactor, allowance);
     }
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Policy.java
@@ -0,0 +1,28 @@
+package org.whinwharf.traffic.policy;
+
+import java.util.Set;
+import org.immutables.value.Value;
+
+/** The parts of the policy that are in use. */
+@Value.Immutable
+public interface Policy {
+    /** Everything is in use. */
+    Policy WHOLE = ImmutablePolicy.builder().build();
+
+    /**
+     * Returns what is switched off.
+     *
+     * @return mechanisms; empty in normal service
+     */
+    Set<Mechanism> disabled();
+
+    /**
+     * Tells whether a mechanism is in use.
+     *
+     * @param mechanism the mechanism
+     * @return false when it is switched off
+     */
+    default boolean uses(Mechanism mechanism) {
+        return !disabled().contains(mechanism);
+    }
+}
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitingLine.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.whinwharf.traffic.policy.Mechanism;
+import org.whinwharf.traffic.policy.Policy;
 
 /**
  * Requests of one service that wait here, ordered by rank; within a rank those that can still meet their objective go
@@ -27,6 +29,7 @@
     private final TreeMap<Integer, List<Waiter>> byRank = new TreeMap<>();
     private final Map<Integer, Standing> standingByRank = new HashMap<>();
     private final int mostWaiting;
+    private final Policy policy;
     private int size;
 
     /**
@@ -35,7 +38,18 @@
      * @param mostWaiting requests that may wait; the next one pushes out the last of the lowest tier
      */
     public WaitingLine(int mostWaiting) {
+        this(mostWaiting, Policy.WHOLE);
+    }
+
+    /**
+     * Creates an empty line that uses a part of the policy.
+     *
+     * @param mostWaiting requests that may wait
+     * @param policy what is in use
+     */
+    public WaitingLine(int mostWaiting, Policy policy) {
         this.mostWaiting = mostWaiting;
+        this.policy = policy;
     }
 
     /**
@@ -108,7 +122,8 @@
      * @return steady time in milliseconds
      */
     public long keptUntilMillis(Waiter waiter, long nowMillis) {
-        return standingMillis(waiter.tierRank(), nowMillis) >= STANDING_MILLIS
+        return policy.uses(Mechanism.SHORT_STANDING_LINE)
+                        && standingMillis(waiter.tierRank(), nowMillis) >= STANDING_MILLIS
                 ? Math.min(waiter.patienceUntilMillis(), waiter.standingUntilMillis())
                 : waiter.patienceUntilMillis();
     }
@@ -155,7 +170,9 @@
             List<Waiter> current = byRank.put(rank, new ArrayList<>());
             List<Waiter> staying = new ArrayList<>();
             size -= current.size();
-            current.sort(Comparator.comparing((Waiter waiter) -> nowMillis > waiter.onTimeUntilMillis()));
+            if (policy.uses(Mechanism.ON_TIME_FIRST)) {
+                current.sort(Comparator.comparing((Waiter waiter) -> nowMillis > waiter.onTimeUntilMillis()));
+            }
             // Waiters may add themselves again while they are tried, so the list under way is taken out first.
             Map<String, Integer> failures = new HashMap<>();
             for (Waiter waiter : current) {
