Open the port of callers at the first moment of a start

Change: the port is opened before anything else and connections wait in its queue; a front that knows no catalog after 0.6 s accepts and tells callers to come back, as it did before.

The first test of StartTest fails on the code before (port closed).

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -67,10 +68,19 @@
                         .stopGraceMillis(8_000)
                         .metricsPort(0)
                         .build(),
-                new TestDialect());
+                new TestDialect(),
+                callerPort(ip));
         front.start();
     }
 
+    private static CallerPort callerPort(String ip) {
+        try {
+            return CallerPort.open(ip + ":" + CALLER_PORT);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     Front front() {
         return front;
     }
--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StartTest.java
@@ -0,0 +1,41 @@
+package org.whinwharf.front;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Locale;
+import org.junit.jupiter.api.Test;
+
+class StartTest {
+    /**
+     * All fronts were killed and are starting again. A caller that finds every port closed gives up at once, although
+     * the first front serves a few hundred milliseconds later.
+     */
+    @Test
+    void callerThatConnectsBeforeTheCatalogIsKnownIsServed() throws IOException {
+        try (FrontFixture fixture = new FrontFixture();
+                Socket caller = fixture.connect()) {
+            fixture.target(
+                    "t", (request, socket) -> FakeTarget.write(socket, FakeTarget.answer(request, 200, "hello")));
+            fixture.catalog(1, 5_000);
+            FakeTarget.write(caller, FrontFixture.request("GET", "/safe/x", "a", true));
+            assertThat(FrontFixture.readAll(caller), startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    /**
+     * The publishing service is away while all fronts start. A caller whose connection nobody reads loses a second of
+     * its time; one that is told to come back soon keeps it.
+     */
+    @Test
+    void callerIsToldToComeBackWhenTheCatalogStaysUnknown() throws IOException {
+        try (FrontFixture fixture = new FrontFixture()) {
+            String answer = fixture.exchange(FrontFixture.request("GET", "/safe/x", "a", true));
+            assertThat(answer, startsWith("HTTP/1.1 503"));
+            assertThat(answer.toLowerCase(Locale.ROOT), containsString("retry-after"));
+        }
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerServer.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerServer.java
@@ -19,27 +19,25 @@
 
 /** Accepts the connections of callers. */
 final class CallerServer {
-    /** Connections that wait to be accepted; a full queue costs a caller seconds. */
-    private static final int BACKLOG = 1_024;
     /** Answer bytes queued for a slow caller before its target is read no further. */
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 * 1_024, 128 * 1_024);
 
     private final Front front;
     private final EventLoopGroup loop;
+    private final CallerPort port;
     private Channel server;
 
-    CallerServer(Front front, EventLoopGroup loop) {
+    CallerServer(Front front, EventLoopGroup loop, CallerPort port) {
         this.front = front;
         this.loop = loop;
+        this.port = port;
     }
 
-    /** Begins to listen; the action runs once connections are accepted. */
-    void start(String ip, int port, Runnable whenListening) {
+    /** Begins to accept connections, those that wait already first; the action runs once it does. */
+    void start(Runnable whenAccepting) {
         new ServerBootstrap()
                 .group(loop)
-                .channel(NioServerSocketChannel.class)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .option(ChannelOption.SO_REUSEADDR, true)
+                .channelFactory(() -> new NioServerSocketChannel(port.channel()))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
@@ -53,13 +51,13 @@
                                 .addLast(connection);
                     }
                 })
-                .bind(ip, port)
-                .addListener((ChannelFuture bound) -> {
-                    if (bound.isSuccess()) {
-                        server = bound.channel();
-                        whenListening.run();
+                .register()
+                .addListener((ChannelFuture registered) -> {
+                    if (registered.isSuccess()) {
+                        server = registered.channel();
+                        whenAccepting.run();
                     } else {
-                        FrontLog.dutyFailed("listen for callers", bound.cause());
+                        FrontLog.dutyFailed("accept callers", registered.cause());
                     }
                 });
     }
@@ -68,6 +66,8 @@
     void stop() {
         if (server != null) {
             server.close();
+        } else {
+            port.close();
         }
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -58,6 +58,11 @@
      * generation differ, less than generations do.
      */
     private static final double BLIND_SPREAD = 0.5;
+    /**
+     * Time from a start for which callers wait in the port's queue for the catalog. A caller gives an attempt up that
+     * is not read within a second; one that is told to come back keeps the rest of its time.
+     */
+    private static final long HOLD_CALLERS_MILLIS = 600;
     /** Time before the end of the grace period at which the process ends in any case. */
     private static final long END_MARGIN_MILLIS = 600;
 
@@ -87,7 +92,9 @@
     private final ItemFeed feed;
     private Optional<Catalog> catalog = Optional.empty();
     private MemberPhase phase = MemberPhase.MEMBER_STARTING;
-    private boolean listening;
+    private boolean accepting;
+    private boolean accepted;
+    private long startedAtMillis;
     private long leavingAtMillis;
     private Runnable whenEnded = () -> {};
 
@@ -96,8 +103,9 @@
      *
      * @param settings its settings
      * @param dialect names that callers and targets use
+     * @param callerPort where callers connect
      */
-    public Front(FrontSettings settings, HttpDialect dialect) {
+    public Front(FrontSettings settings, HttpDialect dialect, CallerPort callerPort) {
         this.settings = settings;
         this.dialect = dialect;
         members = new MemberTable(MemberReport.newBuilder()
@@ -121,7 +129,7 @@
         coordination =
                 new Coordination(settings, members, targets, datagrams, ticker, this::coordinator, this::coordinated);
         gossip = new Gossip(settings, members, ticker, random, datagrams, news::heard, coordination::coordinatorIps);
-        callers = new CallerServer(this, loop);
+        callers = new CallerServer(this, loop, callerPort);
     }
 
     /**
@@ -153,6 +161,7 @@
 
     @Override
     public void start() {
+        startedAtMillis = ticker.nowMillis();
         peerItems.start(settings.ip(), settings.peerPort());
         datagrams.start(loop);
         every("news for peers", GOSSIP_MILLIS, this::gossipRound);
@@ -318,16 +327,21 @@
         targets.evacuate(dataCentres);
     }
 
+    /** Accepts callers once the catalog is known, or after a while to tell them to come back. */
     private void serveOnceKnown() {
-        if (phase == MemberPhase.MEMBER_STARTING && catalog.isPresent() && !listening) {
-            listening = true;
-            String[] address = settings.callerAddress().split(":");
-            callers.start(address[0], Integer.parseInt(address[1]), this::serve);
+        boolean heldForLong = ticker.nowMillis() - startedAtMillis > HOLD_CALLERS_MILLIS;
+        if (!accepting && phase == MemberPhase.MEMBER_STARTING && (catalog.isPresent() || heldForLong)) {
+            accepting = true;
+            callers.start(() -> {
+                accepted = true;
+                serve();
+            });
         }
+        serve();
     }
 
     private void serve() {
-        if (phase == MemberPhase.MEMBER_STARTING) {
+        if (phase == MemberPhase.MEMBER_STARTING && accepted && catalog.isPresent()) {
             phase = MemberPhase.MEMBER_SERVING;
             phaseChanged();
             EventLog.event(LogEvent.READY)
