Say in the log what a refusal was based on

Cause: a refusal by a coordinator could not be told from its inputs: the line of the front had neither the length of the line nor the predicted wait, nor the quota's level. The reply carries them now, and the one line that the front writes for each refusal has them, with the coordinator's name.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -19,6 +19,7 @@
 import org.whinwharf.traffic.coordination.Coordinator;
 import org.whinwharf.traffic.coordination.CoordinatorRanking;
 import org.whinwharf.traffic.coordination.Outbox;
+import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
@@ -341,11 +342,11 @@
             case PLACEMENT_WAITING -> ticket.waits(ticker.nowMillis());
             case PLACEMENT_SHED -> {
                 ticket.refused();
-                ticket.listener().shed(reply.getComeBackMillis());
+                ticket.listener().shed(PlacementMessages.grounds(reply));
             }
             case PLACEMENT_OVER_QUOTA -> {
                 ticket.refused();
-                ticket.listener().overQuota(reply.getComeBackMillis());
+                ticket.listener().overQuota(PlacementMessages.grounds(reply));
             }
             default ->
                 FrontLog.dutyFailed(
@@ -390,17 +391,17 @@
 
         @Override
         public void waiting(Ask ask) {
-            reply(ask, PlacementMessages.reply(ask, PlacementOutcome.PLACEMENT_WAITING, 0));
+            reply(ask, PlacementMessages.waiting(ask));
         }
 
         @Override
-        public void shed(Ask ask, long comeBackMillis) {
-            reply(ask, PlacementMessages.reply(ask, PlacementOutcome.PLACEMENT_SHED, comeBackMillis));
+        public void shed(Ask ask, RefusalGrounds grounds) {
+            reply(ask, PlacementMessages.refused(ask, PlacementOutcome.PLACEMENT_SHED, grounds));
         }
 
         @Override
-        public void overQuota(Ask ask, long comeBackMillis) {
-            reply(ask, PlacementMessages.reply(ask, PlacementOutcome.PLACEMENT_OVER_QUOTA, comeBackMillis));
+        public void overQuota(Ask ask, RefusalGrounds grounds) {
+            reply(ask, PlacementMessages.refused(ask, PlacementOutcome.PLACEMENT_OVER_QUOTA, grounds));
         }
 
         private void reply(Ask ask, PlacementReply reply) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -11,6 +11,7 @@
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
+import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
@@ -184,13 +185,14 @@
     }
 
     @Override
-    public void shed(long comeBackMillis) {
-        refuseUnplaced(comeBackMillis);
+    public void shed(RefusalGrounds grounds) {
+        refuseUnplaced(grounds.comeBackMillis(), Optional.of(grounds));
     }
 
     @Override
-    public void overQuota(long comeBackMillis) {
-        refuse(new Refusal(ErrorKind.OVER_QUOTA, Math.max(comeBackMillis, Front.NOT_READY_COME_BACK_MILLIS)));
+    public void overQuota(RefusalGrounds grounds) {
+        long comeBackMillis = Math.max(grounds.comeBackMillis(), Front.NOT_READY_COME_BACK_MILLIS);
+        refuse(new Refusal(ErrorKind.OVER_QUOTA, comeBackMillis, Optional.of(grounds)));
     }
 
     @Override
@@ -246,12 +248,12 @@
 
     @Override
     public void refuse(long nowMillis) {
-        refuseUnplaced(front.lines().comeBackMillis(service));
+        refuseUnplaced(front.lines().comeBackMillis(service), Optional.empty());
     }
 
-    private void refuseUnplaced(long comeBackMillis) {
+    private void refuseUnplaced(long comeBackMillis, Optional<RefusalGrounds> grounds) {
         ErrorKind kind = tried.isEmpty() ? ErrorKind.SHED : ErrorKind.TARGET_REFUSED;
-        refuse(new Refusal(perhapsRun() ? ErrorKind.TARGET_LOST : kind, comeBackMillis));
+        refuse(new Refusal(perhapsRun() ? ErrorKind.TARGET_LOST : kind, comeBackMillis, grounds));
     }
 
     private void connect(Candidate chosen, PlacementTicket placement, long nowMillis) {
@@ -461,7 +463,7 @@
             return;
         }
         if (stage == Stage.ASKING && nowMillis > patienceUntilMillis + COORDINATOR_MARGIN_MILLIS) {
-            refuseUnplaced(front.lines().comeBackMillis(service));
+            refuseUnplaced(front.lines().comeBackMillis(service), Optional.empty());
             return;
         }
         if (stage != Stage.SENT) {
@@ -573,6 +575,16 @@
         return service;
     }
 
+    /** Returns what the request uses of its organisation's quota. */
+    long quotaTokens() {
+        return quotaTokens;
+    }
+
+    /** Returns who decided on its placement; empty when that was this process. */
+    String coordinatorName() {
+        return ticket == null ? "" : ticket.coordinatorName();
+    }
+
     /** Returns the time since the request arrived. */
     long ageMillis() {
         return front.nowMillis() - arrivedAtMillis;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -5,6 +5,7 @@
 import org.whinwharf.runtime.log.EventLog;
 import org.whinwharf.runtime.log.LogEvent;
 import org.whinwharf.traffic.catalog.Organisation;
+import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.target.Target;
 
@@ -64,9 +65,25 @@
             line.with(EventField.REQUEST, exchange.head().attemptId());
         }
         exchange.organisation().map(Organisation::name).ifPresent(name -> line.with(EventField.ORGANISATION, name));
+        if (refusal.kind() == ErrorKind.OVER_QUOTA) {
+            line.with(EventField.QUOTA_TOKENS, exchange.quotaTokens());
+        }
+        refusal.grounds().ifPresent(grounds -> addGrounds(line, exchange, grounds));
         line.call();
     }
 
+    /** Adds what the coordinator knew when it decided; its news of the line is its own and has no age. */
+    private static void addGrounds(EventLog line, Exchange exchange, RefusalGrounds grounds) {
+        line.with(EventField.PEER, exchange.coordinatorName());
+        if (grounds.quotaLevelTokens() != 0) {
+            line.with(EventField.QUOTA_LEVEL, grounds.quotaLevelTokens());
+            return;
+        }
+        line.with(EventField.AHEAD, grounds.ahead())
+                .with(EventField.PREDICTED_MILLIS, grounds.predictedMillis())
+                .with(EventField.STANDING_MILLIS, grounds.standingMillis());
+    }
+
     static void repeated(Exchange exchange, Target target, String reason) {
         EventLog.event(LogEvent.REQUEST_REPEATED)
                 .with(EventField.REQUEST, exchange.head().attemptId())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementListener.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementListener.java
@@ -1,5 +1,6 @@
 package org.whinwharf.front;
 
+import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.wire.fleet.PlacementAsk;
 
@@ -15,10 +16,10 @@
     void granted(Candidate candidate);
 
     /** Takes that no target was found in time. */
-    void shed(long comeBackMillis);
+    void shed(RefusalGrounds grounds);
 
     /** Takes that the organisation's quota is used up. */
-    void overQuota(long comeBackMillis);
+    void overQuota(RefusalGrounds grounds);
 
     /** Takes that no coordinator answers: this process has to choose on its own. */
     void noCoordinator();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.whinwharf.traffic.coordination.Ask;
 import org.whinwharf.traffic.coordination.ImmutableAsk;
+import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
@@ -79,11 +80,31 @@
                 .build();
     }
 
-    static PlacementReply reply(Ask ask, PlacementOutcome outcome, long comeBackMillis) {
+    static PlacementReply waiting(Ask ask) {
+        return PlacementReply.newBuilder()
+                .setId(ask.id())
+                .setOutcome(PlacementOutcome.PLACEMENT_WAITING)
+                .build();
+    }
+
+    static PlacementReply refused(Ask ask, PlacementOutcome outcome, RefusalGrounds grounds) {
         return PlacementReply.newBuilder()
                 .setId(ask.id())
                 .setOutcome(outcome)
-                .setComeBackMillis((int) comeBackMillis)
+                .setComeBackMillis((int) grounds.comeBackMillis())
+                .setAhead(grounds.ahead())
+                .setPredictedWaitMillis((int) grounds.predictedMillis())
+                .setStandingMillis((int) grounds.standingMillis())
+                .setQuotaLevelTokens(grounds.quotaLevelTokens())
                 .build();
     }
+
+    static RefusalGrounds grounds(PlacementReply reply) {
+        return new RefusalGrounds(
+                reply.getComeBackMillis(),
+                reply.getAhead(),
+                reply.getPredictedWaitMillis(),
+                reply.getStandingMillis(),
+                reply.getQuotaLevelTokens());
+    }
 }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -101,7 +101,15 @@
     /** Duration of a span. */
     DURATION_MICROS("durationMicros"),
     /** Attributes of a span. */
-    ATTRIBUTES("attributes");
+    ATTRIBUTES("attributes"),
+    /** Requests that went before it in a waiting line. */
+    AHEAD("ahead"),
+    /** Milliseconds for which a waiting line had not emptied. */
+    STANDING_MILLIS("standingMillis"),
+    /** What a request uses of its organisation's quota. */
+    QUOTA_TOKENS("quotaTokens"),
+    /** What was left of the quota, below 0 a debt. */
+    QUOTA_LEVEL("quotaLevel");
 
     private final String jsonName;
 
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -93,7 +93,13 @@
             EventField.RAN,
             EventField.REASON,
             EventField.WAITED_MILLIS,
-            EventField.COME_BACK_MILLIS),
+            EventField.COME_BACK_MILLIS,
+            EventField.PEER,
+            EventField.AHEAD,
+            EventField.PREDICTED_MILLIS,
+            EventField.STANDING_MILLIS,
+            EventField.QUOTA_TOKENS,
+            EventField.QUOTA_LEVEL),
     /** A request was relayed to its home. */
     REQUEST_RELAYED(Level.INFO, EventField.REQUEST, EventField.PEER),
     /** A grant came too late. */
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CommonPlacementLoadTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CommonPlacementLoadTest.java
@@ -16,6 +16,7 @@
 import org.whinwharf.traffic.coordination.Coordinator;
 import org.whinwharf.traffic.coordination.ImmutableAsk;
 import org.whinwharf.traffic.coordination.Outbox;
+import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.coordination.TargetReports;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Placement;
@@ -173,10 +174,10 @@
         public void waiting(Ask ask) {}
 
         @Override
-        public void shed(Ask ask, long comeBackMillis) {}
+        public void shed(Ask ask, RefusalGrounds grounds) {}
 
         @Override
-        public void overQuota(Ask ask, long comeBackMillis) {}
+        public void overQuota(Ask ask, RefusalGrounds grounds) {}
 
         @Override
         public void answered(String targetId) {}
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -19,6 +19,7 @@
 import org.whinwharf.traffic.coordination.Coordinator;
 import org.whinwharf.traffic.coordination.ImmutableAsk;
 import org.whinwharf.traffic.coordination.Outbox;
+import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.coordination.TargetReports;
 import org.whinwharf.traffic.placement.Candidate;
@@ -301,12 +302,12 @@
         }
 
         @Override
-        public void shed(Ask ask, long comeBackMillis) {
+        public void shed(Ask ask, RefusalGrounds grounds) {
             refused.add(name(ask) + " shed");
         }
 
         @Override
-        public void overQuota(Ask ask, long comeBackMillis) {
+        public void overQuota(Ask ask, RefusalGrounds grounds) {
             refused.add(name(ask) + " over quota");
         }
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -166,11 +166,14 @@
             }
             QueuedAsk queued = new QueuedAsk(ask, key, place(ask, nowMillis), nowMillis);
             if (hopeless(queued, nowMillis)) {
-                outbox.shed(ask, comeBackMillis(queued.tierRank(), nowMillis));
+                outbox.shed(ask, grounds(queued.tierRank(), nowMillis));
                 return;
             }
             if (!admit(ask, nowMillis)) {
-                outbox.overQuota(ask, quotas.comeBackMillis(ask.organisation().orElseThrow()));
+                String organisation = ask.organisation().orElseThrow();
+                long comeBackMillis = quotas.comeBackMillis(organisation);
+                outbox.overQuota(
+                        ask, new RefusalGrounds(comeBackMillis, 0, 0, 0, quotas.levelTokens(organisation, nowMillis)));
                 return;
             }
             if (!line.hasAhead(queued.tierRank()) && !queued.trySend(nowMillis).waits()) {
@@ -188,10 +191,9 @@
         private boolean hopeless(QueuedAsk queued, long nowMillis) {
             int ahead = line.ahead(queued.tierRank(), nowMillis);
             long keptMillis = line.keptUntilMillis(queued, nowMillis) - nowMillis;
-            int paceRank = policy.uses(Mechanism.PACE_BY_RANK) ? queued.tierRank() : 0;
             return policy.uses(Mechanism.REFUSAL_ON_ARRIVAL)
                     && ahead >= FEW_WAITING
-                    && pace.waitMillis(ahead, paceRank, nowMillis) > keptMillis;
+                    && predictedWaitMillis(ahead, queued.tierRank(), nowMillis) > keptMillis;
         }
 
         private JoinedRanks.Place place(Ask ask, long nowMillis) {
@@ -306,9 +308,20 @@
             }
         }
 
-        private long comeBackMillis(int rank, long nowMillis) {
-            long standingMillis = policy.uses(Mechanism.ADVICE_BY_STANDING) ? line.standingMillis(rank, nowMillis) : 0;
-            return Patience.comeBackMillis(standingMillis, random.getAsDouble());
+        private RefusalGrounds grounds(int rank, long nowMillis) {
+            long standingMillis = line.standingMillis(rank, nowMillis);
+            long adviceMillis = policy.uses(Mechanism.ADVICE_BY_STANDING) ? standingMillis : 0;
+            int ahead = line.ahead(rank, nowMillis);
+            return new RefusalGrounds(
+                    Patience.comeBackMillis(adviceMillis, random.getAsDouble()),
+                    ahead,
+                    predictedWaitMillis(ahead, rank, nowMillis),
+                    standingMillis,
+                    0);
+        }
+
+        private long predictedWaitMillis(int ahead, int rank, long nowMillis) {
+            return pace.waitMillis(ahead, policy.uses(Mechanism.PACE_BY_RANK) ? rank : 0, nowMillis);
         }
 
         /** One ask that waits. */
@@ -405,7 +418,7 @@
             public void refuse(long nowMillis) {
                 waiting.remove(key);
                 refund();
-                outbox.shed(ask, comeBackMillis(lineRank, nowMillis));
+                outbox.shed(ask, grounds(lineRank, nowMillis));
             }
 
             void refund() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Outbox.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Outbox.java
@@ -23,15 +23,15 @@
      * Takes that a request found no target in time, or made way for one of a higher tier.
      *
      * @param ask the ask
-     * @param comeBackMillis time after which its caller should come back
+     * @param grounds why, and when its caller should come back
      */
-    void shed(Ask ask, long comeBackMillis);
+    void shed(Ask ask, RefusalGrounds grounds);
 
     /**
      * Takes that a request is over its organisation's quota.
      *
      * @param ask the ask
-     * @param comeBackMillis time after which its caller should come back
+     * @param grounds why, and when its caller should come back
      */
-    void overQuota(Ask ask, long comeBackMillis);
+    void overQuota(Ask ask, RefusalGrounds grounds);
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -146,6 +146,17 @@
         return (long) ((debtSeconds + refusedBacklog / ownRate) * 1_000) + 1;
     }
 
+    /**
+     * Returns what is left.
+     *
+     * @param nowMillis steady time in milliseconds
+     * @return tokens; below 0 a debt that is paid off first
+     */
+    public long levelTokens(long nowMillis) {
+        refill(nowMillis);
+        return (long) level;
+    }
+
     private void refill(long nowMillis) {
         long elapsedMillis = Math.max(0, nowMillis - refilledAtMillis);
         refilledAtMillis = nowMillis;
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -134,6 +134,18 @@
         return account == null ? 0 : account.comeBackMillis(1 + heardByProcess.size());
     }
 
+    /**
+     * Returns what is left of an organisation's quota.
+     *
+     * @param organisation name of the organisation
+     * @param nowMillis steady time in milliseconds
+     * @return tokens, below 0 a debt; 0 when it has no quota
+     */
+    public long levelTokens(String organisation, long nowMillis) {
+        QuotaAccount account = accounts.get(organisation);
+        return account == null ? 0 : account.levelTokens(nowMillis);
+    }
+
     /**
      * Returns what this process admitted since its start.
      *
