--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatedFleet.java
@@ -0,0 +1,121 @@
+package org.whinwharf.traffic;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import org.whinwharf.traffic.coordination.Ask;
+import org.whinwharf.traffic.coordination.Coordinator;
+import org.whinwharf.traffic.coordination.Outbox;
+import org.whinwharf.traffic.coordination.RefusalGrounds;
+import org.whinwharf.traffic.coordination.RunningRequests;
+import org.whinwharf.traffic.coordination.TargetReports;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.Placement;
+import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.target.PromptCache;
+import org.whinwharf.traffic.target.TargetState;
+import org.whinwharf.wire.fleet.RunEvent;
+
+/**
+ * A coordinator with engines that hold a slot for each request for a given time, on a clock that the test drives. The
+ * front that asks is {@code front-1}; it says once a second what it has under way.
+ */
+final class CoordinatedFleet implements Outbox, TargetReports {
+    static final String FRONT = "front-1";
+    private static final long TICK_MILLIS = 20;
+    private static final long LIST_MILLIS = 1_000;
+
+    private final Map<String, TargetState> targets = new LinkedHashMap<>();
+    private final PriorityQueue<End> ends = new PriorityQueue<>((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
+    private final Map<Long, Long> holdMillis = new HashMap<>();
+    private final Map<Long, String> engineOf = new HashMap<>();
+    private final Map<Long, Long> grantedAtMillis = new HashMap<>();
+    private final Map<Long, Long> refusedAtMillis = new HashMap<>();
+    private final Coordinator coordinator;
+    private long nowMillis;
+
+    private record End(long atMillis, long id) {}
+
+    CoordinatedFleet(int engines, int slots) {
+        for (int i = 0; i < engines; i++) {
+            targets.put("engine-" + i, new TargetState(Fixtures.target("engine-" + i, slots)));
+        }
+        PromptCache prompts = new PromptCache();
+        coordinator = new Coordinator.Builder()
+                .ownName("front-0")
+                .placement(new Placement(prompts, target -> 0, () -> 0), prompts)
+                .targets(service -> targets.values(), Set::of)
+                .quotas(new QuotaLedger(true))
+                .listeners(this, this, (id, load) -> targets.get(id).coordinated(load.running(), load.prefillTokens()))
+                .build();
+    }
+
+    /** Moves the clock: requests end, the line is looked at, and the front says what it has under way. */
+    void advance(long toMillis) {
+        nowMillis = toMillis;
+        while (!ends.isEmpty() && ends.peek().atMillis() <= nowMillis) {
+            coordinator.progress(FRONT, ends.poll().id(), RunEvent.RUN_ANSWERED, 0, nowMillis);
+        }
+        if (nowMillis % TICK_MILLIS == 0) {
+            coordinator.advance(nowMillis);
+        }
+        if (nowMillis % LIST_MILLIS == LIST_MILLIS - 1) {
+            coordinator.underWay(FRONT, "summaries", underWay(), nowMillis);
+        }
+    }
+
+    private Map<Long, RunningRequests.Run> underWay() {
+        Map<Long, RunningRequests.Run> runs = new HashMap<>();
+        ends.forEach(end -> runs.put(end.id(), new RunningRequests.Run(engineOf.get(end.id()), 0)));
+        return runs;
+    }
+
+    /** Asks for a target; the request will hold its slot for the given time. */
+    void ask(Ask ask, long slotMillis) {
+        holdMillis.put(ask.id(), slotMillis);
+        coordinator.ask(ask, nowMillis);
+    }
+
+    long nowMillis() {
+        return nowMillis;
+    }
+
+    /** Returns when each request got a target. */
+    Map<Long, Long> grantedAtMillis() {
+        return grantedAtMillis;
+    }
+
+    /** Returns when each request was refused. */
+    Map<Long, Long> refusedAtMillis() {
+        return refusedAtMillis;
+    }
+
+    @Override
+    public void granted(Ask ask, Candidate candidate) {
+        grantedAtMillis.put(ask.id(), nowMillis);
+        engineOf.put(ask.id(), candidate.state().target().id());
+        ends.add(new End(nowMillis + holdMillis.get(ask.id()), ask.id()));
+    }
+
+    @Override
+    public void waiting(Ask ask) {}
+
+    @Override
+    public void shed(Ask ask, RefusalGrounds grounds) {
+        refusedAtMillis.put(ask.id(), nowMillis);
+    }
+
+    @Override
+    public void overQuota(Ask ask, RefusalGrounds grounds) {}
+
+    @Override
+    public void answered(String targetId) {}
+
+    @Override
+    public void erred(String targetId) {}
+
+    @Override
+    public void failed(String targetId, boolean certain) {}
+}
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/LongOverloadTest.java
@@ -0,0 +1,112 @@
+package org.whinwharf.traffic;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.coordination.ImmutableAsk;
+import org.whinwharf.traffic.placement.ImmutableDemand;
+
+/**
+ * Load pattern: for twelve seconds twice as many notes and checks as six engines of eleven slots bear, as the smaller
+ * fleets in use see it when a few organisations send many times their usual. Notes hold a slot for 1.2 s and checks for
+ * 0.15 s, of which three fifths and two fifths are asked; both have an objective of half a second.
+ */
+class LongOverloadTest {
+    private static final int ENGINES = 6;
+    private static final int SLOTS = 11;
+    private static final long[] HOLD_MILLIS = {1_200, 150};
+    private static final long[] ANSWER_TOKENS = {2_940, 228};
+    private static final double NOTE_SHARE = 0.6;
+    private static final long OBJECTIVE_MILLIS = 500;
+    private static final long LASTS_MILLIS = 12_000;
+    /** From here on the line has stood for long enough that both its length and what it keeps have settled. */
+    private static final long SETTLED_MILLIS = 3_000;
+
+    private final CoordinatedFleet fleet = new CoordinatedFleet(ENGINES, SLOTS);
+    private final Map<Long, Long> arrivedAtMillis = new HashMap<>();
+    private final Map<Long, Long> holdMillis = new HashMap<>();
+
+    @BeforeEach
+    void overload() {
+        double meanHoldMillis = NOTE_SHARE * HOLD_MILLIS[0] + (1 - NOTE_SHARE) * HOLD_MILLIS[1];
+        double perMilli = 2 * ENGINES * SLOTS / meanHoldMillis;
+        Random random = new Random(11);
+        double nextMillis = 0;
+        long id = 0;
+        for (long nowMillis = 0; nowMillis < LASTS_MILLIS; nowMillis++) {
+            fleet.advance(nowMillis);
+            while (nextMillis <= nowMillis) {
+                nextMillis += -Math.log(1 - random.nextDouble()) / perMilli;
+                ask(id++, random.nextDouble() < NOTE_SHARE ? 0 : 1);
+            }
+        }
+    }
+
+    private void ask(long id, int kind) {
+        long nowMillis = fleet.nowMillis();
+        arrivedAtMillis.put(id, nowMillis);
+        holdMillis.put(id, HOLD_MILLIS[kind]);
+        fleet.ask(
+                ImmutableAsk.builder()
+                        .requester(CoordinatedFleet.FRONT)
+                        .id(id)
+                        .demand(ImmutableDemand.copyOf(Fixtures.demand(kind + 1, 600, "s" + id))
+                                .withAnswerTokens(ANSWER_TOKENS[kind]))
+                        .deadlineAtMillis(nowMillis + 12_000)
+                        .patienceUntilMillis(nowMillis + 2 * OBJECTIVE_MILLIS)
+                        .onTimeUntilMillis(nowMillis + OBJECTIVE_MILLIS * 4 / 5)
+                        .build(),
+                HOLD_MILLIS[kind]);
+    }
+
+    /**
+     * Half of all callers have to be turned away. Each second that one is kept before it hears so is lost to it; nine
+     * in ten hear it within half of their objective.
+     */
+    @Test
+    void whoIsRefusedHearsItSoon() {
+        assertThat(ninth(waits(fleet.refusedAtMillis())), lessThanOrEqualTo(OBJECTIVE_MILLIS / 2));
+    }
+
+    /** Who is served waits no longer than the objective leaves time for a first event: nine in ten half of it. */
+    @Test
+    void whoIsServedIsServedOnTime() {
+        assertThat(ninth(waits(fleet.grantedAtMillis())), lessThanOrEqualTo(OBJECTIVE_MILLIS / 2));
+    }
+
+    /** A line that is kept short must not run dry: no slot may stand idle while callers are turned away. */
+    @Test
+    void slotsStayTaken() {
+        long usedMillis = fleet.grantedAtMillis().entrySet().stream()
+                .filter(granted -> granted.getValue() >= SETTLED_MILLIS)
+                .mapToLong(granted -> Math.min(holdMillis.get(granted.getKey()), LASTS_MILLIS - granted.getValue()))
+                .sum();
+        double usable = ENGINES * SLOTS * (double) (LASTS_MILLIS - SETTLED_MILLIS);
+        // What began before and still runs is not counted, which is half a second's work of the nine.
+        assertThat(usedMillis / usable, greaterThan(0.9));
+    }
+
+    private List<Long> waits(Map<Long, Long> atMillis) {
+        List<Long> waits = new ArrayList<>();
+        atMillis.forEach((id, at) -> {
+            if (arrivedAtMillis.get(id) >= SETTLED_MILLIS) {
+                waits.add(at - arrivedAtMillis.get(id));
+            }
+        });
+        Collections.sort(waits);
+        return waits;
+    }
+
+    private static long ninth(List<Long> sorted) {
+        return sorted.get(sorted.size() * 9 / 10);
+    }
+}
