--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -22,6 +22,7 @@
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.TargetService;
 import org.whinwharf.traffic.coordination.Coordinator;
+import org.whinwharf.traffic.coordination.ImmutableCoordinatorParts;
 import org.whinwharf.traffic.coordination.Outbox;
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.member.MemberTable;
@@ -408,15 +409,19 @@
 
     private Coordinator coordinator(Outbox decisions) {
         Placement common = new Placement(prompts, this::coordinatorColdShare, () -> 0, settings.policy());
-        return new Coordinator.Builder()
+        return new Coordinator(ImmutableCoordinatorParts.builder()
                 .ownName(settings.name())
-                .placement(common, prompts)
-                .targets(targets::ofService, targets::evacuated)
+                .placement(common)
+                .prompts(prompts)
+                .targets(targets::ofService)
+                .evacuated(targets::evacuated)
                 .quotas(quotas)
-                .listeners(decisions, targets, targets::underWay)
+                .outbox(decisions)
+                .reports(targets)
+                .loads(targets::underWay)
                 .random(random::nextDouble)
                 .policy(settings.policy())
-                .build();
+                .build());
     }
 
     /** Half of what a cold target bears: for a moment two processes may each take themselves for the coordinator. */
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CommonPlacementLoadTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CommonPlacementLoadTest.java
@@ -15,6 +15,7 @@
 import org.whinwharf.traffic.coordination.Ask;
 import org.whinwharf.traffic.coordination.Coordinator;
 import org.whinwharf.traffic.coordination.ImmutableAsk;
+import org.whinwharf.traffic.coordination.ImmutableCoordinatorParts;
 import org.whinwharf.traffic.coordination.Outbox;
 import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.coordination.TargetReports;
@@ -67,14 +68,17 @@
         Map<String, TargetState> targets = engines();
         PromptCache prompts = new PromptCache();
         Sender sender = new Sender();
-        Coordinator coordinator = new Coordinator.Builder()
+        Coordinator coordinator = new Coordinator(ImmutableCoordinatorParts.builder()
                 .ownName("front-0")
-                .placement(new Placement(prompts, target -> 0, () -> 0), prompts)
-                .targets(service -> targets.values(), Set::of)
+                .placement(new Placement(prompts, target -> 0, () -> 0))
+                .prompts(prompts)
+                .targets(service -> targets.values())
+                .evacuated(Set::of)
                 .quotas(new QuotaLedger(true))
-                .listeners(
-                        sender, sender, (id, load) -> targets.get(id).coordinated(load.running(), load.prefillTokens()))
-                .build();
+                .outbox(sender)
+                .reports(sender)
+                .loads((id, load) -> targets.get(id).coordinated(load.running(), load.prefillTokens()))
+                .build());
         sender.coordinator = coordinator;
         arrivals((request, nowMillis) -> coordinator.ask(ask(request, nowMillis), nowMillis));
         return sentToFull / (double) sent;
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatedFleet.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatedFleet.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.whinwharf.traffic.coordination.Ask;
 import org.whinwharf.traffic.coordination.Coordinator;
+import org.whinwharf.traffic.coordination.ImmutableCoordinatorParts;
 import org.whinwharf.traffic.coordination.Outbox;
 import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.coordination.RunningRequests;
@@ -43,13 +44,17 @@
             targets.put("engine-" + i, new TargetState(Fixtures.target("engine-" + i, slots)));
         }
         PromptCache prompts = new PromptCache();
-        coordinator = new Coordinator.Builder()
+        coordinator = new Coordinator(ImmutableCoordinatorParts.builder()
                 .ownName("front-0")
-                .placement(new Placement(prompts, target -> 0, () -> 0), prompts)
-                .targets(service -> targets.values(), Set::of)
+                .placement(new Placement(prompts, target -> 0, () -> 0))
+                .prompts(prompts)
+                .targets(service -> targets.values())
+                .evacuated(Set::of)
                 .quotas(new QuotaLedger(true))
-                .listeners(this, this, (id, load) -> targets.get(id).coordinated(load.running(), load.prefillTokens()))
-                .build();
+                .outbox(this)
+                .reports(this)
+                .loads((id, load) -> targets.get(id).coordinated(load.running(), load.prefillTokens()))
+                .build());
     }
 
     /** Moves the clock: requests end, the line is looked at, and the front says what it has under way. */
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -18,6 +18,7 @@
 import org.whinwharf.traffic.coordination.Ask;
 import org.whinwharf.traffic.coordination.Coordinator;
 import org.whinwharf.traffic.coordination.ImmutableAsk;
+import org.whinwharf.traffic.coordination.ImmutableCoordinatorParts;
 import org.whinwharf.traffic.coordination.Outbox;
 import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.coordination.RunningRequests;
@@ -42,16 +43,17 @@
 
     private Coordinator coordinator() {
         PromptCache prompts = new PromptCache();
-        return new Coordinator.Builder()
+        return new Coordinator(ImmutableCoordinatorParts.builder()
                 .ownName("front-0")
-                .placement(new Placement(prompts, target -> 1, () -> 0), prompts)
-                .targets(service -> targets.values(), Set::of)
+                .placement(new Placement(prompts, target -> 1, () -> 0))
+                .prompts(prompts)
+                .targets(service -> targets.values())
+                .evacuated(Set::of)
                 .quotas(quotas)
-                .listeners(
-                        new Decisions(),
-                        new Reports(),
-                        (id, load) -> targets.get(id).coordinated(load.running(), load.prefillTokens()))
-                .build();
+                .outbox(new Decisions())
+                .reports(new Reports())
+                .loads((id, load) -> targets.get(id).coordinated(load.running(), load.prefillTokens()))
+                .build());
     }
 
     /**
