--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilenceWatchTest.java
@@ -0,0 +1,57 @@
+package org.whinwharf.front;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.target.ImmutableTarget;
+import org.whinwharf.traffic.target.TargetState;
+
+class SilenceWatchTest {
+    private static final long OBJECTIVE_MILLIS = 500;
+
+    private final TargetEntry entry = new TargetEntry(new TargetState(target()), null);
+
+    /**
+     * A note waits behind three long prompts at a slow engine, which takes nearly a second for them as was predicted.
+     * Taken for hung after two seconds, the engine would be ejected and the note read a second time elsewhere.
+     */
+    @Test
+    void engineThatWasPredictedToBeSlowMayBeSilentForLonger() {
+        SilenceWatch watch = new SilenceWatch(OBJECTIVE_MILLIS, 900, 0);
+        assertThat(watch.beginsToBeSilent(entry, false, 2_500), is(false));
+        assertThat(watch.stuck(false, 2_500), is(false));
+        assertThat(watch.stuck(false, 3_601), is(true));
+    }
+
+    @Test
+    void silenceIsToldOnce() {
+        SilenceWatch watch = new SilenceWatch(OBJECTIVE_MILLIS, 100, 0);
+        assertThat(watch.beginsToBeSilent(entry, false, 2_000), is(false));
+        assertThat(watch.beginsToBeSilent(entry, false, 2_001), is(true));
+        assertThat(watch.beginsToBeSilent(entry, false, 2_100), is(false));
+    }
+
+    /** The target answers another request of this front; this one may still be lost, but the target is not. */
+    @Test
+    void targetThatSpeaksWithAnotherRequestIsNotSilent() {
+        SilenceWatch watch = new SilenceWatch(OBJECTIVE_MILLIS, 100, 0);
+        entry.spoke(1_900);
+        assertThat(watch.beginsToBeSilent(entry, false, 2_500), is(false));
+        assertThat(watch.stuck(false, 2_500), is(true));
+    }
+
+    private static ImmutableTarget target() {
+        return ImmutableTarget.builder()
+                .id("t")
+                .service("s")
+                .ip("10.0.0.1")
+                .port(8_000)
+                .dataCentre("z")
+                .slots(4)
+                .draining(false)
+                .coldLeftMillis(0)
+                .bornUnixMillis(1)
+                .build();
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -29,14 +29,6 @@
  * answer or with a failure that promises nothing, never with a refusal that says that it has not run.
  */
 final class Exchange implements Waiter, PlacementListener, TargetListener {
-    /** Silence before a first byte after which a repeatable request goes elsewhere, in objectives. */
-    private static final int SILENT_OBJECTIVES = 4;
-    /** The same in predicted times to the first event, which tell of long prompts ahead at a slow engine. */
-    private static final double SILENT_PREDICTIONS = 4;
-    /** Shortest such silence; below it a short queue at a sound target would count as silence. */
-    private static final long SHORTEST_SILENCE_MILLIS = 600;
-    /** Silence within a stream after which it is resumed elsewhere; callers abandon it at two seconds. */
-    private static final long STREAM_SILENCE_MILLIS = 1_200;
     /** Time beyond its patience that a request leaves a coordinator to refuse it; then it is refused here. */
     private static final long COORDINATOR_MARGIN_MILLIS = 150;
     /** Time left below which sending is pointless: a target needs about this for its shortest answer. */
@@ -73,8 +65,7 @@
     private PlacementTicket ticket;
     private TargetVisit visit;
     private TargetLink link;
-    private long lastByteAtMillis;
-    private boolean silenceNoted;
+    private SilenceWatch silence;
     private AnswerAssembly answer;
 
     Exchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
@@ -261,7 +252,6 @@
         ticket = placement;
         String targetId = chosen.state().target().id();
         visit = new TargetVisit(front.entry(targetId), chosen, placement);
-        silenceNoted = false;
         front.prompts().reads(head.parts(), targetId, nowMillis);
         visit.entry().pool().acquire(!route.idempotent(), this::connected);
     }
@@ -296,7 +286,7 @@
         possibleRuns++;
         tried.add(target.id());
         visit.sent(nowMillis);
-        lastByteAtMillis = nowMillis;
+        silence = new SilenceWatch(route.objectiveMillis(), visit.candidate().firstEventMillis(), nowMillis);
         Optional<String> resumeAfter = answer.streamBegun() ? answer.lastEventId() : head.resumeAfterEvent();
         Dispatch dispatch = new Dispatch(
                 target.id(), organisation.map(Organisation::name), deadlineAtMillis - nowMillis, resumeAfter);
@@ -330,7 +320,7 @@
 
     private void noteBytes() {
         long nowMillis = front.nowMillis();
-        lastByteAtMillis = nowMillis;
+        silence.bytesCame(nowMillis);
         visit.entry().spoke(nowMillis);
         if (!visit.firstByteSeen()) {
             visit.firstByte(nowMillis);
@@ -362,7 +352,7 @@
             repeatOrDeliverError(nowMillis);
         } else {
             front.targetAnswered(entry);
-            visit.end(RunEvent.RUN_ANSWERED, sends == 1 ? head.answerTokens() : 0, lastByteAtMillis);
+            visit.end(RunEvent.RUN_ANSWERED, sends == 1 ? head.answerTokens() : 0, silence.lastByteAtMillis());
             leaveTarget(RunEvent.RUN_ANSWERED);
             deliver();
         }
@@ -469,18 +459,10 @@
         if (stage != Stage.SENT) {
             return;
         }
-        TargetEntry entry = visit.entry();
-        long silentMillis = nowMillis - Math.max(lastByteAtMillis, entry.lastByteAtMillis());
-        long limitMillis = answer.streamBegun() ? STREAM_SILENCE_MILLIS : firstByteLimitMillis();
-        if (silentMillis > limitMillis && !silenceNoted) {
-            // Once for each send: a target that is sound again would be ejected anew as long as this request hangs
-            // there.
-            silenceNoted = true;
-            if (!visit.stalled()) {
-                front.targetFailed(entry, TargetFailure.SILENT);
-            }
+        if (silence.beginsToBeSilent(visit.entry(), answer.streamBegun(), nowMillis) && !visit.stalled()) {
+            front.targetFailed(visit.entry(), TargetFailure.SILENT);
         }
-        boolean stuck = nowMillis - lastByteAtMillis > limitMillis;
+        boolean stuck = silence.stuck(answer.streamBegun(), nowMillis);
         if (stuck && route.idempotent() && sends < route.attempts() && front.hasOther(service, tried)) {
             link.cancel();
             link = null;
@@ -489,12 +471,6 @@
         }
     }
 
-    private long firstByteLimitMillis() {
-        long byObjective = Math.max(SHORTEST_SILENCE_MILLIS, SILENT_OBJECTIVES * route.objectiveMillis());
-        return Math.max(
-                byObjective, Math.round(SILENT_PREDICTIONS * visit.candidate().firstEventMillis()));
-    }
-
     private void timedOut() {
         if (stage == Stage.WAITING) {
             front.lines().of(service).remove(this);
