--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -40,11 +40,6 @@
      * engines, where they hold a slot for less time, and short ones leave these free.
      */
     private static final double ANSWER_WEIGHT = 0.1;
-    /**
-     * Price of a target that has to read the beginning which prompts share: its reading takes a millisecond, but it
-     * takes the place of other parts in the target's memory. Less than what a data centre's way costs twice over.
-     */
-    private static final double SHARED_READ_MILLIS = 15;
     /** Time in which a slot of one of several fast targets frees: each holds a request for about a second. */
     private static final double SLOT_FREES_MILLIS = 50;
     /** Share of the time left within which an answer should be predicted to end: predictions are off by a tenth. */
@@ -180,10 +175,6 @@
         double predicted = speed(state).firstEventMillis(ahead, occupancy) + far;
         double answerMillis = speed(state).answerMillis(demand.answerTokens());
         double rating = predicted;
-        boolean keepsFirst = prompts.keepsFirst(demand.parts(), state.target().id(), nowMillis);
-        if (policy.uses(Mechanism.PROMPT_MEMORY) && !keepsFirst) {
-            rating += SHARED_READ_MILLIS;
-        }
         if (policy.uses(Mechanism.ANSWER_LENGTH)) {
             rating += answerMillis * ANSWER_WEIGHT;
         }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/PromptCache.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/PromptCache.java
@@ -5,17 +5,15 @@
 import java.util.Map;
 
 /**
- * Where each part of a prompt was read, as far as this process knows.
+ * Where each prompt was read, as far as this process knows.
  *
- * <p>An engine keeps a part that it has read, and does not read it again behind the same parts. Some prompts share
- * their first part only, those of one session all but their last. At high load the one engine that read a part last
- * mostly has no free slot, so all that read it lately are remembered. Bounded: a lost entry costs one part that is read
- * again.
+ * <p>At high load the one engine that read a prompt last mostly has no free slot, so all that read it lately are
+ * remembered. Bounded: a lost entry costs one prompt that is read again, nothing more.
  */
 public final class PromptCache {
-    /** Parts remembered, those used last; parts that many prompts share are used often and stay. */
-    private static final int MOST_PARTS = 4_000;
-    /** Targets remembered for each part: at one free slot in six, some of eight is free four times in five. */
+    /** Prompts remembered; ten times the subjects that a fleet of ninety sees within the time of keeping. */
+    private static final int MOST_PROMPTS = 4_000;
+    /** Targets remembered for each prompt: at one free slot in six, some of eight is free four times in five. */
     private static final int MOST_TARGETS = 8;
     /**
      * Time for which an engine is taken to keep a prompt: its memory holds some seventy of the longest, and at full
@@ -23,7 +21,7 @@
      */
     private static final long KEPT_MILLIS = 20_000;
 
-    private final Map<String, Map<String, Long>> readAtMillis = new Bounded<>(MOST_PARTS);
+    private final Map<String, Map<String, Long>> readAtMillis = new Bounded<>(MOST_PROMPTS);
 
     /** A map that drops what was used least recently. */
     private static final class Bounded<V> extends LinkedHashMap<String, V> {
@@ -50,9 +48,9 @@
      * @param nowMillis steady time in milliseconds
      */
     public void reads(List<PromptPart> parts, String targetId, long nowMillis) {
-        for (PromptPart part : parts) {
+        if (!parts.isEmpty()) {
             readAtMillis
-                    .computeIfAbsent(part.id(), id -> new Bounded<>(MOST_TARGETS))
+                    .computeIfAbsent(last(parts).id(), id -> new Bounded<>(MOST_TARGETS))
                     .put(targetId, nowMillis);
         }
     }
@@ -67,30 +65,18 @@
      * @return tokens
      */
     public long uncachedTokens(List<PromptPart> parts, long promptTokens, String targetId, long nowMillis) {
-        long uncached = promptTokens;
-        for (PromptPart part : parts) {
-            if (!keeps(targetId, part, nowMillis)) {
-                break;
-            }
-            uncached -= part.tokens();
+        if (parts.isEmpty()) {
+            return promptTokens;
         }
-        return Math.max(0, uncached);
-    }
-
-    /**
-     * Tells whether a target is taken to keep the part that a prompt begins with.
-     *
-     * @param parts the prompt's parts, in order
-     * @param targetId id of the target
-     * @param nowMillis steady time in milliseconds
-     * @return true when it was read there lately, or there are no parts
-     */
-    public boolean keepsFirst(List<PromptPart> parts, String targetId, long nowMillis) {
-        return parts.isEmpty() || keeps(targetId, parts.get(0), nowMillis);
+        Long atMillis = readAtMillis.getOrDefault(last(parts).id(), Map.of()).get(targetId);
+        if (atMillis != null && nowMillis - atMillis <= KEPT_MILLIS) {
+            return 0;
+        }
+        long shared = parts.size() > 1 ? parts.get(0).tokens() : 0;
+        return Math.max(0, promptTokens - shared);
     }
 
-    private boolean keeps(String targetId, PromptPart part, long nowMillis) {
-        Long atMillis = readAtMillis.getOrDefault(part.id(), Map.of()).get(targetId);
-        return atMillis != null && nowMillis - atMillis <= KEPT_MILLIS;
+    private static PromptPart last(List<PromptPart> parts) {
+        return parts.get(parts.size() - 1);
     }
 }
