--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CommonPlacementLoadTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CommonPlacementLoadTest.java
@@ -16,9 +16,6 @@
 import org.whinwharf.traffic.coordination.Coordinator;
 import org.whinwharf.traffic.coordination.ImmutableAsk;
 import org.whinwharf.traffic.coordination.ImmutableCoordinatorParts;
-import org.whinwharf.traffic.coordination.Outbox;
-import org.whinwharf.traffic.coordination.RefusalGrounds;
-import org.whinwharf.traffic.coordination.TargetReports;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Placement;
 import org.whinwharf.traffic.quota.QuotaLedger;
@@ -162,7 +159,7 @@
                 .build();
     }
 
-    private final class Sender implements Outbox, TargetReports {
+    private final class Sender extends GrantsOnly {
         private Coordinator coordinator;
 
         @Override
@@ -173,23 +170,5 @@
                     nowMillis,
                     () -> coordinator.progress(ask.requester(), ask.id(), RunEvent.RUN_ANSWERED, 0, nowMillis));
         }
-
-        @Override
-        public void waiting(Ask ask) {}
-
-        @Override
-        public void shed(Ask ask, RefusalGrounds grounds) {}
-
-        @Override
-        public void overQuota(Ask ask, RefusalGrounds grounds) {}
-
-        @Override
-        public void answered(String targetId) {}
-
-        @Override
-        public void erred(String targetId) {}
-
-        @Override
-        public void failed(String targetId, boolean certain) {}
     }
 }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatedFleet.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatedFleet.java
@@ -8,10 +8,8 @@
 import org.whinwharf.traffic.coordination.Ask;
 import org.whinwharf.traffic.coordination.Coordinator;
 import org.whinwharf.traffic.coordination.ImmutableCoordinatorParts;
-import org.whinwharf.traffic.coordination.Outbox;
 import org.whinwharf.traffic.coordination.RefusalGrounds;
 import org.whinwharf.traffic.coordination.RunningRequests;
-import org.whinwharf.traffic.coordination.TargetReports;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Placement;
 import org.whinwharf.traffic.quota.QuotaLedger;
@@ -23,7 +21,7 @@
  * A coordinator with engines that hold a slot for each request for a given time, on a clock that the test drives. The
  * front that asks is {@code front-1}; it says once a second what it has under way.
  */
-final class CoordinatedFleet implements Outbox, TargetReports {
+final class CoordinatedFleet extends GrantsOnly {
     static final String FRONT = "front-1";
     private static final long TICK_MILLIS = 20;
     private static final long LIST_MILLIS = 1_000;
@@ -104,23 +102,8 @@
         ends.add(new End(nowMillis + holdMillis.get(ask.id()), ask.id()));
     }
 
-    @Override
-    public void waiting(Ask ask) {}
-
     @Override
     public void shed(Ask ask, RefusalGrounds grounds) {
         refusedAtMillis.put(ask.id(), nowMillis);
     }
-
-    @Override
-    public void overQuota(Ask ask, RefusalGrounds grounds) {}
-
-    @Override
-    public void answered(String targetId) {}
-
-    @Override
-    public void erred(String targetId) {}
-
-    @Override
-    public void failed(String targetId, boolean certain) {}
 }
