Read the change as a newcomer would

Comments no longer tell how a constant was found. A refusal for a quota has its grounds made in one place. No decision changes.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceDesk.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceDesk.java
@@ -8,6 +8,7 @@
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.traffic.policy.Mechanism;
+import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.target.TargetSpeed;
 import org.whinwharf.traffic.target.TargetState;
 import org.whinwharf.traffic.waiting.Attempt;
@@ -80,13 +81,7 @@
             return;
         }
         if (!admit(ask, nowMillis)) {
-            String organisation = ask.organisation().orElseThrow();
-            long comeBackMillis = parts.quotas().comeBackMillis(organisation);
-            parts.outbox()
-                    .overQuota(
-                            ask,
-                            new RefusalGrounds(
-                                    comeBackMillis, 0, 0, 0, parts.quotas().levelTokens(organisation, nowMillis)));
+            parts.outbox().overQuota(ask, quotaGrounds(ask.organisation().orElseThrow(), nowMillis));
             return;
         }
         if (!line.hasAhead(queued.tierRank()) && !queued.trySend(nowMillis).waits()) {
@@ -235,6 +230,12 @@
                 0);
     }
 
+    private RefusalGrounds quotaGrounds(String organisation, long nowMillis) {
+        QuotaLedger quotas = parts.quotas();
+        return new RefusalGrounds(
+                quotas.comeBackMillis(organisation), 0, 0, 0, quotas.levelTokens(organisation, nowMillis));
+    }
+
     private long predictedWaitMillis(int ahead, int rank, long nowMillis) {
         return pace.waitMillis(ahead, parts.policy().uses(Mechanism.PACE_BY_RANK) ? rank : 0, nowMillis);
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Placement.java
@@ -20,9 +20,7 @@
 public final class Placement {
     /**
      * Occupancy up to which the highest tier is sent. News of freed slots is a tenth of a second old; one request that
-     * waits at each target keeps it at work meanwhile. Measured on two overloaded days of the smaller deployments
-     * against 1.0: requests refused fell from 5.9 to 3.5 and from 28.6 to 24.3 in a hundred, the value served rose from
-     * 0.77 to 0.81 and from 0.76 to 0.79.
+     * waits at each target keeps it at work meanwhile.
      */
     private static final double FULL_OCCUPANCY = 1.15;
     /** Occupancy kept free for each rank above a request's own: about one slot in twelve. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetSpeed.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetSpeed.java
@@ -7,9 +7,9 @@
  * alone waits at the slow ones; first events that come later than predicted show it.
  */
 public final class TargetSpeed {
-    /** Prompt tokens read in a millisecond before anything was measured: a current engine's published figure. */
+    /** Prompt tokens read in a millisecond before any reading: a current engine's published figure. */
     public static final double ASSUMED_TOKENS_PER_MILLI = 60;
-    /** Time to a first event beside the prompt, before anything was measured. */
+    /** Time to a first event beside the prompt, before any reading. */
     private static final double ASSUMED_BASE_MILLIS = 20;
     /** Weight of the newest reading: a change of speed shows after about five requests. */
     private static final double NEWEST_WEIGHT = 0.2;
@@ -18,7 +18,7 @@
 
     private static final double FASTEST_FACTOR = 0.3;
 
-    /** Time for a token of an answer's bound before anything was measured: a current engine's published step. */
+    /** Time for a token of an answer's bound before any reading: a current engine's published step. */
     private static final double ASSUMED_MILLIS_PER_ANSWER_TOKEN = 3.3;
 
     private double factor = 1;
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Patience.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/Patience.java
@@ -4,9 +4,7 @@
 public final class Patience {
     /**
      * Objectives that a request may wait. An answer that is late is still worth having, so a burst of a second is
-     * served late and not refused; but whoever is served late takes the slot of one who could be on time. On an
-     * overloaded day of the larger deployment two objectives instead of six brought 1,176 notes on time instead of
-     * 1,071, with 341 late instead of 431.
+     * served late and not refused; but whoever is served late takes the slot of one who could be on time.
      */
     private static final double OBJECTIVES = 2;
     /** Share of the time left that waiting may use, so that a refused caller still has time for another attempt. */
@@ -15,8 +13,8 @@
     private static final double ON_TIME_SHARE = 0.8;
     /**
      * Share of the time in which a request can be on time that it may wait in a standing line. A line that never
-     * empties fills every slot whatever its length, so a longer one only makes those who are served later and keeps
-     * those who are not from coming back.
+     * empties fills every slot whatever its length. A longer one serves nobody more: those who are served are served
+     * later, and those who are refused hear it later.
      */
     private static final double STANDING_SHARE = 0.5;
     /** Shortest advice: one round of news between processes. */
