Count the grace of removed entries from the return of the service

Ruled out: late news (all fronts logged the removal within 10 ms), a choice made before and sent later.

Change: the grace runs from the return of the service, as the platform tells it. The first new test of ItemFeedTest cannot be compiled on the code before; there the listener heard only that the service had been away, and two seconds from the removal on followed.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -12,10 +12,12 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.whinwharf.traffic.items.ItemMirror;
+import org.whinwharf.traffic.items.PublishedValue;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.wire.fleet.ItemsAnswer;
 import org.whinwharf.wire.fleet.MemberPhase;
 import org.whinwharf.wire.fleet.MemberReport;
+import org.whinwharf.wire.fleet.PublishedItem;
 
 class ItemFeedTest {
     private static final int FLEET = 20;
@@ -76,6 +78,41 @@
         assertThat(feed.revision(), is(44L));
     }
 
+    /**
+     * A front was cut off from the service for eight seconds and reads it again. A second and a half later an engine's
+     * entry is removed, since it leaves. Taken for one that lapsed in an outage and may come back for two seconds from
+     * now on, the engine would get requests later than two seconds after it left.
+     */
+    @Test
+    void removalIsJudgedByTheReturnOfTheServiceAndNotByItsOwnTime() {
+        List<Long> readableForMillis = new ArrayList<>();
+        feed.listener((value, duringService, readable) -> readableForMillis.add(readable));
+        feed.copied(List.of(new PublishedValue("servers/e", new byte[0], 40)), 40);
+        nowMillis = 10_000;
+        feed.sourceFailed("cut");
+        nowMillis = 10_400;
+        feed.watched(List.of(), 41);
+        nowMillis = 11_900;
+        feed.watched(List.of(new PublishedValue("servers/e", null, 42)), 42);
+        assertThat(readableForMillis, contains(Long.MAX_VALUE, 1_500L));
+    }
+
+    /**
+     * Entries lapse while the service is away, and their targets live: as long as it is away nothing counts as gone.
+     */
+    @Test
+    void removalWhileTheServiceIsAwayMayBeALapse() {
+        List<Long> readableForMillis = new ArrayList<>();
+        feed.copied(List.of(new PublishedValue("servers/e", new byte[0], 40)), 40);
+        feed.listener((value, duringService, readable) -> readableForMillis.add(readable));
+        nowMillis = 10_000;
+        hearFleet(42);
+        feed.sourceFailed("down");
+        feed.tick();
+        peers.answerLast(42, "servers/e");
+        assertThat(readableForMillis, contains(0L));
+    }
+
     private void hearFleet(long revision) {
         for (int i = 1; i <= FLEET; i++) {
             members.hear(report(String.format("front-%02d", i), revision, i <= 3), nowMillis);
@@ -109,6 +146,19 @@
         @Override
         public void changed() {}
 
+        /** Answers that an item was removed. */
+        void answerLast(long revision, String removedKey) {
+            PublishedItem removed = PublishedItem.newBuilder()
+                    .setKey(removedKey)
+                    .setRevision(revision)
+                    .setRemoved(true)
+                    .build();
+            last.accept(Optional.of(ItemsAnswer.newBuilder()
+                    .setRevision(revision)
+                    .addItems(removed)
+                    .build()));
+        }
+
         void answerLast(long revision) {
             last.accept(
                     Optional.of(ItemsAnswer.newBuilder().setRevision(revision).build()));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -42,9 +42,10 @@
          *
          * @param value the item or its removal
          * @param duringService false while the first copy is read
-         * @param sourceWasAway true when the service could not be read shortly before
+         * @param readableForMillis time for which the service has been readable again, 0 while it is not;
+         *     {@link Long#MAX_VALUE} when it always was, or that is long ago
          */
-        void changed(PublishedValue value, boolean duringService, boolean sourceWasAway);
+        void changed(PublishedValue value, boolean duringService, long readableForMillis);
     }
 
     /** Time after an outage in which removals may be those of entries that will come back. */
@@ -56,9 +57,10 @@
     private final PeerSource peers;
     private final Ticker ticker;
     private final Random random;
-    private Listener listener = (value, duringService, sourceWasAway) -> {};
+    private Listener listener = (value, duringService, readableForMillis) -> {};
     private long watchWorkedAtMillis = Long.MIN_VALUE / 2;
     private long failedAtMillis = Long.MIN_VALUE / 2;
+    private long returnedAtMillis = Long.MIN_VALUE / 2;
     private boolean asking;
     private boolean catchingUp;
     private boolean watching;
@@ -216,10 +218,24 @@
         watchWorkedAtMillis = ticker.nowMillis();
         if (!watching) {
             watching = true;
+            returnedAtMillis = ticker.nowMillis();
             logSource("peers", "service", "");
         }
     }
 
+    /**
+     * Tells for how long the service has been readable. What was removed long after its return did not lapse while it
+     * was away: a process that had been cut off took each removal for a lapse, and sent requests to a target that had
+     * left for two seconds more.
+     */
+    private long readableForMillis() {
+        long nowMillis = ticker.nowMillis();
+        if (nowMillis - failedAtMillis >= LAPSED_MILLIS) {
+            return Long.MAX_VALUE;
+        }
+        return watching ? nowMillis - returnedAtMillis : 0;
+    }
+
     private void logSource(String from, String to, String reason) {
         EventLog.event(LogEvent.ITEMS_SOURCE)
                 .with(EventField.FROM, from)
@@ -230,8 +246,8 @@
     }
 
     private void pass(List<PublishedValue> changed, boolean duringService) {
-        boolean away = ticker.nowMillis() - failedAtMillis < LAPSED_MILLIS;
-        changed.forEach(value -> listener.changed(value, duringService, away));
+        long readableForMillis = readableForMillis();
+        changed.forEach(value -> listener.changed(value, duringService, readableForMillis));
         if (!changed.isEmpty()) {
             peers.changed();
         }
