Look whether the caller is still there right before a request is sent on

Cause: on a thread that is late (a host just started, with a small share of a core), the close of a caller waits unread in its socket behind the request itself, or behind the datagram or answer that frees a target for it. Ruled out: a slow coordinator alone; both orders of events send a request on with one front and no coordinator elsewhere. Change: a request begins outside the read that completed it, and before it is sent its caller's connection is read once more. One read of a socket for each send. After: both pass, with the other tests of the front's connections.

--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LateCloseTest.java
@@ -0,0 +1,107 @@
+package org.whinwharf.front;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.endsWith;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Callers that leave while the front's thread is busy with something else. */
+class LateCloseTest {
+    private static final long TIMEOUT_MILLIS = 100_000;
+    /** Long enough that no request is refused while the test looks at it. */
+    private static final long OBJECTIVE_MILLIS = 10_000;
+
+    private final CountDownLatch answerNow = new CountDownLatch(1);
+    private FrontFixture front;
+    private FakeTarget target;
+
+    @BeforeEach
+    void startFront() throws IOException {
+        front = new FrontFixture();
+        target = new FakeTarget("127.0.0.1", (request, socket) -> {
+            if (FakeTarget.attempt(request).equals("slow")) {
+                FrontFixture.awaitLatch(answerNow);
+            }
+            FakeTarget.write(socket, FakeTarget.answer(request, 200, "whole"));
+        });
+    }
+
+    @AfterEach
+    void stopFront() throws IOException {
+        front.close();
+        target.close();
+    }
+
+    /** Guards against sending a request on whose caller closed its connection before the request was read. */
+    @Test
+    void requestAndCloseThatAreReadTogetherReachNoTarget() throws Exception {
+        front.catalog(2, TIMEOUT_MILLIS);
+        front.publish("target", "127.0.0.1", target.port(), 8);
+        try (Socket caller = front.connect()) {
+            FakeTarget.write(caller, FrontFixture.request("POST", "/safe/x", "first", false));
+            FrontFixture.readUntil(caller, "whole");
+            CountDownLatch goOn = holdUpThread();
+            FakeTarget.write(caller, FrontFixture.request("POST", "/safe/x", "left", false));
+            caller.close();
+            goOn.countDown();
+        }
+        front.exchange(FrontFixture.request("POST", "/safe/x", "last", true));
+        assertThat(attempts(), contains("first", "last"));
+    }
+
+    /** Guards against giving a freed slot to a request whose caller's close waits to be read behind it. */
+    @Test
+    void slotThatIsFreedBesideACloseGoesToTheNext() throws Exception {
+        front.catalog(2, TIMEOUT_MILLIS, true, OBJECTIVE_MILLIS);
+        front.publish("engine", "127.0.0.1", target.port(), 1);
+        try (Socket first = front.connect();
+                Socket caller = front.connect()) {
+            FakeTarget.write(first, FrontFixture.request("POST", "/safe/x", "slow", true));
+            FrontFixture.await(() -> target.requests().size() == 1);
+            FakeTarget.write(caller, FrontFixture.request("POST", "/safe/x", "left", false));
+            FrontFixture.await(() -> waiting() == 1);
+            CountDownLatch goOn = holdUpThread();
+            answerNow.countDown();
+            // The answer must be there before the close, so that it is read first.
+            Thread.sleep(100);
+            caller.close();
+            goOn.countDown();
+            assertThat(FrontFixture.readAll(first), endsWith("whole"));
+        }
+        front.exchange(FrontFixture.request("POST", "/safe/x", "last", true));
+        assertThat(attempts(), contains("slow", "last"));
+    }
+
+    /** Holds the front's only thread until the returned latch is opened. */
+    private CountDownLatch holdUpThread() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        front.front().loop().execute(() -> {
+            held.countDown();
+            try {
+                FrontFixture.awaitLatch(goOn);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        held.await();
+        return goOn;
+    }
+
+    private int waiting() {
+        int[] count = new int[1];
+        front.run(() -> count[0] = front.front().coordination().waiting());
+        return count[0];
+    }
+
+    private List<String> attempts() {
+        return target.requests().stream().map(FakeTarget::attempt).toList();
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -164,8 +165,16 @@
             request = null;
             body = null;
             closeAfterAnswer = !HttpUtil.isKeepAlive(head);
-            exchange = new Exchange(front, this, head, whole);
-            exchange.begin();
+            Exchange next = new Exchange(front, this, head, whole);
+            exchange = next;
+            // Not from within the read: what follows looks whether the caller has closed the connection since.
+            channel.eventLoop().execute(() -> begin(next));
+        }
+    }
+
+    private void begin(Exchange next) {
+        if (exchange == next) {
+            next.begin();
         }
     }
 
@@ -230,6 +239,21 @@
         channel.close();
     }
 
+    /**
+     * Reads what has arrived and tells whether the caller is still there.
+     *
+     * <p>On a thread that is late, a close waits in the socket while what came before it is worked on; a request sent
+     * on meanwhile would run for nobody. Must not be called from within a read of this connection.
+     */
+    boolean callerStays() {
+        if (channel.isActive()
+                && channel.config().isAutoRead()
+                && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+        return channel.isActive();
+    }
+
     /** Tells whether the caller reads as fast as the answer comes. */
     boolean writable() {
         return channel.isWritable();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -275,6 +275,11 @@
             place(nowMillis);
             return;
         }
+        if (!caller.callerStays()) {
+            // The connection's end, which is about to be told, ends this exchange too.
+            current.entry().pool().giveBack(acquired.get());
+            return;
+        }
         link = acquired.get();
         send(nowMillis);
     }
