--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamRelay.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamRelay.java
@@ -14,20 +14,25 @@
 final class EventStreamRelay {
     private static final String ID_FIELD = "id:";
 
-    private ByteBuf held = Unpooled.buffer(0);
+    private ByteBuf held = Unpooled.EMPTY_BUFFER;
     private Optional<String> lastEventId = Optional.empty();
 
     /** Takes a piece and returns the whole events that are ready to go; the result is the caller's to release. */
     ByteBuf accept(ByteBuf piece) {
-        ByteBuf all = Unpooled.wrappedBuffer(held, piece);
+        ByteBuf all = held.isReadable() ? Unpooled.wrappedBuffer(held, piece) : piece;
         int end = lastEventEnd(all);
+        if (end == all.readableBytes()) {
+            noteIds(all);
+            held = Unpooled.EMPTY_BUFFER;
+            return all;
+        }
         if (end < 0) {
             held = all;
             return Unpooled.EMPTY_BUFFER;
         }
         ByteBuf whole = all.readRetainedSlice(end);
         noteIds(whole);
-        held = all.isReadable() ? all.readBytes(all.readableBytes()) : Unpooled.buffer(0);
+        held = all.readBytes(all.readableBytes());
         all.release();
         return whole;
     }
@@ -45,7 +50,7 @@
     /** Drops half an event that was held back. */
     void reset() {
         held.release();
-        held = Unpooled.buffer(0);
+        held = Unpooled.EMPTY_BUFFER;
     }
 
     private static int lastEventEnd(ByteBuf all) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorRanking.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorRanking.java
@@ -1,7 +1,8 @@
 package org.whinwharf.traffic.coordination;
 
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.List;
 import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.placement.Rendezvous;
@@ -39,15 +40,38 @@
      * @return reports, the first coordinates and each stands by for those before it
      */
     public static List<MemberReport> rank(String service, Collection<Member> serving) {
-        long oldest = serving.stream().mapToLong(Member::beatSequence).max().orElse(0);
+        long oldest = 0;
+        for (Member member : serving) {
+            oldest = Math.max(oldest, member.beatSequence());
+        }
         long settledBeats = Math.min(SETTLED_BEATS, oldest - NEWER_BEATS);
-        return serving.stream()
-                .sorted(Comparator.comparing((Member member) -> member.beatSequence() < settledBeats)
-                        .thenComparing(member -> -member.report().getProcessorPercent())
-                        .thenComparing(
-                                member -> -Rendezvous.weight(member.report().getName(), service))
-                        .thenComparing(member -> member.report().getName()))
-                .map(Member::report)
-                .toList();
+        List<Ranked> ranked = new ArrayList<>(serving.size());
+        for (Member member : serving) {
+            MemberReport report = member.report();
+            long weight = Rendezvous.weight(report.getName(), service);
+            ranked.add(new Ranked(report, member.beatSequence() < settledBeats, weight));
+        }
+        Collections.sort(ranked);
+        List<MemberReport> reports = new ArrayList<>(ranked.size());
+        for (Ranked each : ranked) {
+            reports.add(each.report);
+        }
+        return reports;
+    }
+
+    /** A process with what it is ranked by, so that a sort of a large fleet weighs each process once. */
+    private record Ranked(MemberReport report, boolean unsettled, long weight) implements Comparable<Ranked> {
+        @Override
+        public int compareTo(Ranked other) {
+            if (unsettled != other.unsettled) {
+                return unsettled ? 1 : -1;
+            }
+            int byProcessor = Integer.compare(other.report.getProcessorPercent(), report.getProcessorPercent());
+            if (byProcessor != 0) {
+                return byProcessor;
+            }
+            int byWeight = Long.compare(other.weight, weight);
+            return byWeight != 0 ? byWeight : report.getName().compareTo(other.report.getName());
+        }
     }
 }
