--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -66,6 +66,8 @@
      * is not read within a second; one that is told to come back keeps the rest of its time.
      */
     private static final long HOLD_CALLERS_MILLIS = 600;
+    /** Time from a start after which metrics are served; requests are served before them. */
+    private static final long METRICS_AFTER_MILLIS = 2_000;
     /** Time before the end of the grace period at which the process ends in any case. */
     private static final long END_MARGIN_MILLIS = 600;
 
@@ -174,7 +176,7 @@
         every("news for peers", GOSSIP_MILLIS, this::gossipRound);
         loop.execute(this::tickAndScheduleNext);
         every("upkeep", SWEEP_MILLIS, this::sweep);
-        startMetrics();
+        loop.schedule(() -> run("metrics", this::startMetrics), METRICS_AFTER_MILLIS, TimeUnit.MILLISECONDS);
         EventLog.event(LogEvent.STARTED)
                 .with(EventField.HOST, settings.name())
                 .with(EventField.ROLE, "front")
