Bind the port of metrics without waiting on the front's own thread

Cause: since metrics begin two seconds after the start, their port was bound on the thread that has to bind it; the wait threw, and each start logged duty-failed (seen in the logs of a rig, not by a test). The port was bound all the same. Change: HttpEndpoint.bind returns at once, and a port that cannot be bound is logged.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -30,6 +30,7 @@
     private static final AtomicInteger NEXT_ADDRESS = new AtomicInteger(1);
     private static final int CALLER_PORT = 18_211;
     private static final int PEER_PORT = 18_212;
+    private static final int METRICS_PORT = 18_213;
     private static final long PATIENCE_SECONDS = 20;
     private static final int READ_TIMEOUT_MILLIS = 10_000;
 
@@ -66,7 +67,7 @@
                         .retryAllowance(100)
                         .retryWindowMillis(10_000)
                         .stopGraceMillis(8_000)
-                        .metricsPort(0)
+                        .metricsPort(METRICS_PORT)
                         .build(),
                 new TestDialect(),
                 callerPort(ip));
@@ -167,6 +168,13 @@
                 .build();
     }
 
+    /** Opens a connection to the port of metrics. */
+    Socket connectToMetrics() throws IOException {
+        Socket socket = new Socket(ip, METRICS_PORT);
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
     /** Opens a connection as a caller. */
     Socket connect() throws IOException {
         Socket socket = new Socket(ip, CALLER_PORT);
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StartTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StartTest.java
@@ -26,6 +26,23 @@
         }
     }
 
+    /** Guards against metrics that are never served: they begin on the front's own thread, which must not wait. */
+    @Test
+    void metricsAreServedOnceTheFrontHasStarted() throws Exception {
+        try (FrontFixture fixture = new FrontFixture()) {
+            FrontFixture.await(() -> metrics(fixture).contains("whinwharf_connections"));
+        }
+    }
+
+    private static String metrics(FrontFixture fixture) {
+        try (Socket socket = fixture.connectToMetrics()) {
+            FakeTarget.write(socket, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+            return FrontFixture.readAll(socket);
+        } catch (IOException e) {
+            return "not yet: " + e;
+        }
+    }
+
     /**
      * The publishing service is away while all fronts start. A caller whose connection nobody reads loses a second of
      * its time; one that is told to come back soon keeps it.
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -204,7 +204,12 @@
         metrics.gauge("whinwharf.watching", "1 while the own watch works", () -> feed.watchWorks() ? 1 : 0);
         metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
         new HttpEndpoint(loop, (method, uri) -> new HttpEndpoint.Answer(200, "text/plain", metrics.scrape()))
-                .start(settings.ip(), settings.metricsPort());
+                .bind(settings.ip(), settings.metricsPort())
+                .addListener(bound -> {
+                    if (!bound.isSuccess()) {
+                        FrontLog.dutyFailed("metrics", bound.cause());
+                    }
+                });
     }
 
     private void every(String name, long millis, Runnable duty) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpEndpoint.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpEndpoint.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -79,13 +80,24 @@
     }
 
     /**
-     * Begins to listen.
+     * Begins to listen and waits until it does; not to be called on the thread that serves it.
      *
      * @param ip IPv4 address
      * @param port TCP port
      */
     public void start(String ip, int port) {
-        server = new ServerBootstrap()
+        bind(ip, port).syncUninterruptibly();
+    }
+
+    /**
+     * Begins to listen.
+     *
+     * @param ip IPv4 address
+     * @param port TCP port
+     * @return done once it listens, or cannot
+     */
+    public ChannelFuture bind(String ip, int port) {
+        ChannelFuture bound = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -100,9 +112,9 @@
                                 .addLast(new QuestionHandler());
                     }
                 })
-                .bind(ip, port)
-                .syncUninterruptibly()
-                .channel();
+                .bind(ip, port);
+        server = bound.channel();
+        return bound;
     }
 
     /** Stops listening. */
