Log what version a request was decided by, and peers' item questions that fail

Each question that ends without a whole answer is now a line (peer, revision held, outcome, bytes, time) and all questions are counted by outcome, with the bytes they brought. FrontMetrics makes its counters by one function. No decision is changed; tests of the front passed (PeerItemsTest, ItemFeedTest, FleetTest, AnswerTest).

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -9,6 +9,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.whinwharf.errors.ErrorKind;
+import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
 import org.whinwharf.traffic.coordination.RefusalGrounds;
@@ -49,6 +50,11 @@
     private final HttpRequest request;
     private final ByteBuf body;
     private final long arrivedAtMillis;
+    /** Version of the catalog by which it was let in or turned away; 0 when none was known. */
+    private final long catalogVersion;
+    /** How long ago the published items were known to be the newest, when it arrived. */
+    private final long itemsAgeMillis;
+
     private final Set<String> tried = new HashSet<>();
     private RequestHead head;
     private Route route;
@@ -74,6 +80,8 @@
         this.request = request;
         this.body = body;
         arrivedAtMillis = front.nowMillis();
+        catalogVersion = front.catalog().map(Catalog::version).orElse(0L);
+        itemsAgeMillis = front.feed().ageMillis();
     }
 
     HttpMethod method() {
@@ -585,6 +593,14 @@
         return ticket == null ? "" : ticket.coordinatorName();
     }
 
+    long catalogVersion() {
+        return catalogVersion;
+    }
+
+    long itemsAgeMillis() {
+        return itemsAgeMillis;
+    }
+
     /** Returns the time since the request arrived. */
     long ageMillis() {
         return front.nowMillis() - arrivedAtMillis;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -37,6 +37,8 @@
                 .with(EventField.OCCUPANCY, Math.round(candidate.occupancy() * 100) / 100.0)
                 .with(EventField.PREFILL_TOKENS, candidate.uncachedTokens())
                 .with(EventField.PREDICTED_MILLIS, Math.round(candidate.firstEventMillis()))
+                .with(EventField.VERSION, exchange.catalogVersion())
+                .with(EventField.AGE_MILLIS, exchange.itemsAgeMillis())
                 .call();
     }
 
@@ -71,7 +73,9 @@
                 .with(EventField.KIND, refusal.kind().wireName())
                 .with(EventField.RAN, refusal.kind().ran().wireName())
                 .with(EventField.WAITED_MILLIS, exchange.ageMillis())
-                .with(EventField.COME_BACK_MILLIS, refusal.comeBackMillis());
+                .with(EventField.COME_BACK_MILLIS, refusal.comeBackMillis())
+                .with(EventField.VERSION, exchange.catalogVersion())
+                .with(EventField.AGE_MILLIS, exchange.itemsAgeMillis());
         if (exchange.head() != null) {
             line.with(EventField.REQUEST, exchange.head().attemptId());
         }
@@ -111,6 +115,17 @@
                 .call();
     }
 
+    static void itemsQuestionFailed(
+            String peerIp, long heldRevision, QuestionOutcome outcome, long receivedBytes, long tookMillis) {
+        EventLog.event(LogEvent.ITEMS_QUESTION_FAILED)
+                .with(EventField.PEER, peerIp)
+                .with(EventField.REVISION, heldRevision)
+                .with(EventField.REASON, outcome.tag())
+                .with(EventField.RECEIVED_BYTES, receivedBytes)
+                .with(EventField.TOTAL_MILLIS, tookMillis)
+                .call();
+    }
+
     static void published(Target target, String status) {
         EventLog.event(LogEvent.TARGET_PUBLISHED)
                 .with(EventField.TARGET, target.id())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -21,6 +21,7 @@
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
     private final Map<ErrorKind, Counter> failures = new EnumMap<>(ErrorKind.class);
     private final Map<CutCause, Counter> cuts = new EnumMap<>(CutCause.class);
+    private final Map<QuestionOutcome, Counter> questions = new EnumMap<>(QuestionOutcome.class);
     private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
     private final Map<RouteKind, Timer> waits = new EnumMap<>(RouteKind.class);
     private final Counter answered = Counter.builder("whinwharf.answers")
@@ -32,6 +33,10 @@
     private final Counter ejections = Counter.builder("whinwharf.ejections")
             .description("Targets taken out of use after failures")
             .register(registry);
+    private final Counter receivedItemBytes = Counter.builder("whinwharf.items.received")
+            .description("Bytes of published items that peers sent, incomplete answers included")
+            .baseUnit("bytes")
+            .register(registry);
 
     /** Registers a value that is read when metrics are asked for. */
     void gauge(String name, String description, Supplier<Number> value) {
@@ -54,10 +59,11 @@
     void failed(ErrorKind kind) {
         failures.computeIfAbsent(
                         kind,
-                        key -> Counter.builder("whinwharf.failures")
-                                .description("Requests ended without a target's answer, by kind of error")
-                                .tag("kind", key.wireName())
-                                .register(registry))
+                        key -> counter(
+                                "whinwharf.failures",
+                                "Requests ended without a target's answer, by kind of error",
+                                "kind",
+                                key.wireName()))
                 .increment();
     }
 
@@ -65,13 +71,36 @@
     void answerCut(CutCause cause) {
         cuts.computeIfAbsent(
                         cause,
-                        key -> Counter.builder("whinwharf.answers.cut")
-                                .description("Streams that ended without their last event, by cause")
-                                .tag("cause", key.tag())
-                                .register(registry))
+                        key -> counter(
+                                "whinwharf.answers.cut",
+                                "Streams that ended without their last event, by cause",
+                                "cause",
+                                key.tag()))
+                .increment();
+    }
+
+    /** Counts a question for published items to a peer. */
+    void itemsAsked(QuestionOutcome outcome) {
+        questions
+                .computeIfAbsent(
+                        outcome,
+                        key -> counter(
+                                "whinwharf.items.questions",
+                                "Questions for published items to peers, by outcome",
+                                "outcome",
+                                key.tag()))
                 .increment();
     }
 
+    /** Counts bytes of an answer to such a question. */
+    void itemsReceived(long bytes) {
+        receivedItemBytes.increment(bytes);
+    }
+
+    private Counter counter(String name, String description, String tag, String value) {
+        return Counter.builder(name).description(description).tag(tag, value).register(registry);
+    }
+
     /** Takes the time from sending a request to the first byte of its answer. */
     void firstByte(RouteKind kind, long millis) {
         timer(firstBytes, kind, "whinwharf.first.byte", "Time from sending to the first byte")
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -60,6 +60,7 @@
     private long watchWorkedAtMillis = Long.MIN_VALUE / 2;
     private long failedAtMillis = Long.MIN_VALUE / 2;
     private long returnedAtMillis = Long.MIN_VALUE / 2;
+    private long confirmedAtMillis;
     private boolean asking;
     private boolean catchingUp;
     private String lastPeerIp = "";
@@ -98,6 +99,15 @@
         return mirror.revision();
     }
 
+    /**
+     * Returns how long ago the service or a peer last said what is newest.
+     *
+     * @return milliseconds; since the start of the clock before the first answer
+     */
+    long ageMillis() {
+        return ticker.nowMillis() - confirmedAtMillis;
+    }
+
     /**
      * Tells whether this process should watch the service itself.
      *
@@ -210,6 +220,7 @@
     }
 
     private void takePeerAnswer(ItemsAnswer answer) {
+        confirmedAtMillis = ticker.nowMillis();
         boolean duringService = mirror.revision() > 0;
         List<PublishedValue> values = PeerItems.values(answer.getItemsList());
         pass(
@@ -221,6 +232,7 @@
 
     private void watchWorked() {
         watchWorkedAtMillis = ticker.nowMillis();
+        confirmedAtMillis = watchWorkedAtMillis;
         if (!watching) {
             watching = true;
             returnedAtMillis = ticker.nowMillis();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
@@ -8,7 +8,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -44,14 +46,16 @@
 
     private final EventLoopGroup loop;
     private final ItemMirror mirror;
+    private final FrontMetrics metrics;
     private final List<Waiting> waiting = new ArrayList<>();
     private Channel server;
     /** The connection over which a peer answered last; null for none. */
     private Asker idle;
 
-    PeerItems(EventLoopGroup loop, ItemMirror mirror) {
+    PeerItems(EventLoopGroup loop, ItemMirror mirror, FrontMetrics metrics) {
         this.loop = loop;
         this.mirror = mirror;
+        this.metrics = metrics;
     }
 
     private record Waiting(Channel channel, long afterRevision) {}
@@ -61,7 +65,7 @@
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .childHandler(framed(() -> new QuestionHandler()))
+                .childHandler(framed(QuestionHandler::new))
                 .bind(ip, port)
                 .syncUninterruptibly()
                 .channel();
@@ -94,21 +98,33 @@
             return;
         }
         Asker asker = new Asker(ip);
+        long connectingAtNanos = System.nanoTime();
         new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(framed(() -> asker))
+                .handler(framed(() -> asker, asker.counter()))
                 .connect(ip, port)
                 .addListener((ChannelFuture done) -> {
                     if (done.isSuccess()) {
                         asker.ask(question, taker);
                     } else {
+                        ended(QuestionOutcome.UNREACHABLE, ip, question, 0, connectingAtNanos);
                         taker.accept(Optional.empty());
                     }
                 });
     }
 
+    private void ended(
+            QuestionOutcome outcome, String ip, ItemsRequest question, long receivedBytes, long beganAtNanos) {
+        metrics.itemsAsked(outcome);
+        metrics.itemsReceived(receivedBytes);
+        if (outcome != QuestionOutcome.ANSWERED) {
+            long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganAtNanos);
+            FrontLog.itemsQuestionFailed(ip, question.getAfterRevision(), outcome, receivedBytes, tookMillis);
+        }
+    }
+
     /** Keeps a connection for the next question, in place of the one that was kept before. */
     private void keep(Asker asker) {
         if (idle != null && idle != asker) {
@@ -152,11 +168,12 @@
         SimpleChannelInboundHandler<ByteBuf> create();
     }
 
-    private static ChannelInitializer<SocketChannel> framed(HandlerFactory factory) {
+    private static ChannelInitializer<SocketChannel> framed(HandlerFactory factory, ChannelHandler... first) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
+                        .addLast(first)
                         .addLast(new LengthFieldBasedFrameDecoder(MOST_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
                         .addLast(new LengthFieldPrepender(LENGTH_BYTES))
                         .addLast(factory.create());
@@ -200,6 +217,9 @@
         private final String ip;
         private Channel channel;
         private Consumer<Optional<ItemsAnswer>> taker;
+        private ItemsRequest question;
+        private long askedAtNanos;
+        private long receivedBytes;
         private ScheduledFuture<?> timeout;
 
         Asker(String ip) {
@@ -211,23 +231,38 @@
             channel = context.channel();
         }
 
-        void ask(ItemsRequest question, Consumer<Optional<ItemsAnswer>> follower) {
+        /** Returns a handler that counts the bytes of answers before they are whole. */
+        ChannelHandler counter() {
+            return new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelRead(ChannelHandlerContext context, Object message) {
+                    receivedBytes += ((ByteBuf) message).readableBytes();
+                    context.fireChannelRead(message);
+                }
+            };
+        }
+
+        void ask(ItemsRequest asked, Consumer<Optional<ItemsAnswer>> follower) {
+            question = asked;
             taker = follower;
-            write(channel, question);
+            askedAtNanos = System.nanoTime();
+            receivedBytes = 0;
+            write(channel, asked);
             timeout = loop.schedule(
                     () -> {
+                        finish(QuestionOutcome.TIMED_OUT, Optional.empty());
                         channel.close();
-                        finish(Optional.empty());
                     },
-                    question.getWaitMillis() + ANSWER_MARGIN_MILLIS,
+                    asked.getWaitMillis() + ANSWER_MARGIN_MILLIS,
                     TimeUnit.MILLISECONDS);
         }
 
-        private void finish(Optional<ItemsAnswer> answer) {
+        private void finish(QuestionOutcome outcome, Optional<ItemsAnswer> answer) {
             if (taker != null) {
                 Consumer<Optional<ItemsAnswer>> once = taker;
                 taker = null;
                 timeout.cancel(false);
+                ended(outcome, ip, question, receivedBytes, askedAtNanos);
                 once.accept(answer);
             }
         }
@@ -236,7 +271,7 @@
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
             ItemsAnswer answer = ItemsAnswer.parseFrom(frame.nioBuffer());
             keep(this);
-            finish(Optional.of(answer));
+            finish(QuestionOutcome.ANSWERED, Optional.of(answer));
         }
 
         @Override
@@ -244,7 +279,7 @@
             if (idle == this) {
                 idle = null;
             }
-            finish(Optional.empty());
+            finish(QuestionOutcome.CLOSED, Optional.empty());
         }
 
         @Override
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -62,6 +62,8 @@
     ANSWER_TOKENS("answerTokens"),
     /** Bytes of an answer that the caller's connection had not taken. */
     UNREAD_BYTES("unreadBytes"),
+    /** Bytes that came before something ended. */
+    RECEIVED_BYTES("receivedBytes"),
     /** Milliseconds that the request waited. */
     WAITED_MILLIS("waitedMillis"),
     /** Milliseconds from sending to the first byte of the answer. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -67,7 +67,9 @@
             EventField.WAITED_MILLIS,
             EventField.OCCUPANCY,
             EventField.PREFILL_TOKENS,
-            EventField.PREDICTED_MILLIS),
+            EventField.PREDICTED_MILLIS,
+            EventField.VERSION,
+            EventField.AGE_MILLIS),
     /** A request ended. */
     REQUEST_ENDED(
             Level.INFO,
@@ -101,7 +103,9 @@
             EventField.PREDICTED_MILLIS,
             EventField.STANDING_MILLIS,
             EventField.QUOTA_TOKENS,
-            EventField.QUOTA_LEVEL),
+            EventField.QUOTA_LEVEL,
+            EventField.VERSION,
+            EventField.AGE_MILLIS),
     /** A request was relayed to its home. */
     REQUEST_RELAYED(Level.INFO, EventField.REQUEST, EventField.PEER),
     /** A grant came too late. */
@@ -145,6 +149,14 @@
     ITEM_REFUSED(Level.WARN, EventField.NAME, EventField.REVISION, EventField.REASON),
     /** Items are read from another source. */
     ITEMS_SOURCE(Level.INFO, EventField.FROM, EventField.TO, EventField.REVISION, EventField.REASON),
+    /** A peer that was asked for items did not give a whole answer. */
+    ITEMS_QUESTION_FAILED(
+            Level.WARN,
+            EventField.PEER,
+            EventField.REVISION,
+            EventField.REASON,
+            EventField.RECEIVED_BYTES,
+            EventField.TOTAL_MILLIS),
     /** Data centres out of service changed. */
     DATA_CENTRES_OUT(Level.INFO, EventField.REASONS, EventField.REVISION),
     /** A target was published, changed or removed. */
