Keep and pass on the newest state of each item, not every version of it

Cause: the mirror kept the last 512 changes with their values and gave all of them to a peer that asked. A front three versions of a 250 KB document behind was sent 750 KB, four versions behind 1 MB; the further behind, the less likely it got a whole answer in time. At 512 versions kept, the values alone would have been 128 MB in a heap of 48. Evidence: baturite-8 took versions 41 and 44 from one answer; ibiapaba-12 received 8.8 MB in twelve seconds and took nothing. Change: the mirror keeps items and bounded removals; what changed after a revision is the newest state of each item and the removals, by revision. Nobody needs the versions between, since only a higher one takes force.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
@@ -1,15 +1,17 @@
 package org.whinwharf.traffic.items;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Deque;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * This process's copy of the published items; it never goes back to an older revision.
@@ -18,13 +20,16 @@
  * the service.
  */
 public final class ItemMirror {
-    /** Changes kept for peers that ask for what is new; older askers get everything. */
-    private static final int MOST_CHANGES = 512;
+    /** Removals kept for peers that ask for what is new; older askers get everything. */
+    private static final int MOST_REMOVALS = 512;
 
     private final Map<String, PublishedValue> items = new HashMap<>();
-    private final Deque<PublishedValue> changes = new ArrayDeque<>();
+    /** Removals by key, oldest first. */
+    private final Map<String, PublishedValue> removals = new LinkedHashMap<>();
+
     private long revision;
-    private long oldestChangeRevision;
+    /** Revision from which on all removals are known. */
+    private long oldestRemovalRevision;
 
     /**
      * Returns the revision up to which the copy is complete.
@@ -61,7 +66,7 @@
             }
         }
         if (revision == 0) {
-            oldestChangeRevision = atRevision;
+            oldestRemovalRevision = atRevision;
         }
         changed.forEach(this::put);
         revision = atRevision;
@@ -91,17 +96,18 @@
     }
 
     /**
-     * Returns the changes after a revision.
+     * Returns what changed after a revision: of each item the newest state only.
      *
      * @param afterRevision revision that the asker holds
-     * @return the changes; empty when they are no longer known and the asker needs everything
+     * @return items and removals by revision; empty when they are no longer known and the asker needs everything
      */
     public Optional<List<PublishedValue>> changesAfter(long afterRevision) {
-        if (afterRevision < oldestChangeRevision || afterRevision == 0) {
+        if (afterRevision < oldestRemovalRevision || afterRevision == 0) {
             return Optional.empty();
         }
-        return Optional.of(changes.stream()
+        return Optional.of(Stream.concat(items.values().stream(), removals.values().stream())
                 .filter(change -> change.revision() > afterRevision)
+                .sorted(Comparator.comparingLong(PublishedValue::revision))
                 .toList());
     }
 
@@ -115,17 +121,17 @@
     }
 
     private void put(PublishedValue item) {
-        if (item.removed()) {
-            items.remove(item.key());
-        } else {
+        removals.remove(item.key());
+        if (!item.removed()) {
             items.put(item.key(), item);
-        }
-        if (revision == 0) {
             return;
         }
-        changes.addLast(item);
-        if (changes.size() > MOST_CHANGES) {
-            oldestChangeRevision = changes.removeFirst().revision();
+        items.remove(item.key());
+        removals.put(item.key(), item);
+        if (removals.size() > MOST_REMOVALS) {
+            Iterator<PublishedValue> oldestFirst = removals.values().iterator();
+            oldestRemovalRevision = oldestFirst.next().revision();
+            oldestFirst.remove();
         }
     }
 }
