Give an answer up when its bytes stop coming, not when the whole of it takes long

Cause: questions to peers (0.5 and 1.5 s) and calls to the store (0.7 s, 2.7 s for a watch) were timed from the question to the last byte. What had come by then was thrown away and asked for again, which kept the link full; a host with 7 Mbit/s could never read a value of the size that may be published (1 MiB, 1.4 MB in the store's base64, 1.6 s), so after a loss of all hosts it would never serve. Ruled out: longer limits, which only move the size at which it happens. Change: AnswerTimeout asks for the first byte within the old limit, then for a byte a second, and for the whole within 10 s, when another source may be faster.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
@@ -10,7 +10,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -20,7 +19,6 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
@@ -41,8 +39,8 @@
     private static final int LENGTH_BYTES = 4;
     /** Time to connect to a peer before another one is asked. */
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
-    /** Time beyond the agreed wait after which a peer counts as silent. */
-    private static final long ANSWER_MARGIN_MILLIS = 500;
+    /** Time beyond the agreed wait within which an answer must begin. */
+    private static final long FIRST_BYTE_MARGIN_MILLIS = 500;
 
     private final EventLoopGroup loop;
     private final ItemMirror mirror;
@@ -103,24 +101,23 @@
                 .group(loop)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                .handler(framed(() -> asker, asker.counter()))
+                .handler(framed(() -> asker, asker.timeout.handler()))
                 .connect(ip, port)
                 .addListener((ChannelFuture done) -> {
                     if (done.isSuccess()) {
                         asker.ask(question, taker);
                     } else {
-                        ended(QuestionOutcome.UNREACHABLE, ip, question, 0, connectingAtNanos);
+                        long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - connectingAtNanos);
+                        ended(QuestionOutcome.UNREACHABLE, ip, question, 0, tookMillis);
                         taker.accept(Optional.empty());
                     }
                 });
     }
 
-    private void ended(
-            QuestionOutcome outcome, String ip, ItemsRequest question, long receivedBytes, long beganAtNanos) {
+    private void ended(QuestionOutcome outcome, String ip, ItemsRequest question, long receivedBytes, long tookMillis) {
         metrics.itemsAsked(outcome);
         metrics.itemsReceived(receivedBytes);
         if (outcome != QuestionOutcome.ANSWERED) {
-            long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganAtNanos);
             FrontLog.itemsQuestionFailed(ip, question.getAfterRevision(), outcome, receivedBytes, tookMillis);
         }
     }
@@ -215,12 +212,10 @@
     /** One connection to a peer, with at most one question under way. */
     private final class Asker extends SimpleChannelInboundHandler<ByteBuf> {
         private final String ip;
+        private final AnswerTimeout timeout = new AnswerTimeout(loop);
         private Channel channel;
-        private Consumer<Optional<ItemsAnswer>> taker;
         private ItemsRequest question;
-        private long askedAtNanos;
-        private long receivedBytes;
-        private ScheduledFuture<?> timeout;
+        private Consumer<Optional<ItemsAnswer>> taker;
 
         Asker(String ip) {
             this.ip = ip;
@@ -231,38 +226,24 @@
             channel = context.channel();
         }
 
-        /** Returns a handler that counts the bytes of answers before they are whole. */
-        ChannelHandler counter() {
-            return new ChannelInboundHandlerAdapter() {
-                @Override
-                public void channelRead(ChannelHandlerContext context, Object message) {
-                    receivedBytes += ((ByteBuf) message).readableBytes();
-                    context.fireChannelRead(message);
-                }
-            };
-        }
-
         void ask(ItemsRequest asked, Consumer<Optional<ItemsAnswer>> follower) {
             question = asked;
             taker = follower;
-            askedAtNanos = System.nanoTime();
-            receivedBytes = 0;
+            timeout.begin(asked.getWaitMillis() + FIRST_BYTE_MARGIN_MILLIS, this::late);
             write(channel, asked);
-            timeout = loop.schedule(
-                    () -> {
-                        finish(QuestionOutcome.TIMED_OUT, Optional.empty());
-                        channel.close();
-                    },
-                    asked.getWaitMillis() + ANSWER_MARGIN_MILLIS,
-                    TimeUnit.MILLISECONDS);
+        }
+
+        private void late() {
+            finish(QuestionOutcome.TIMED_OUT, Optional.empty());
+            channel.close();
         }
 
         private void finish(QuestionOutcome outcome, Optional<ItemsAnswer> answer) {
             if (taker != null) {
                 Consumer<Optional<ItemsAnswer>> once = taker;
                 taker = null;
-                timeout.cancel(false);
-                ended(outcome, ip, question, receivedBytes, askedAtNanos);
+                timeout.end();
+                ended(outcome, ip, question, timeout.receivedBytes(), timeout.waitedMillis());
                 once.accept(answer);
             }
         }
