Deflate answers with published items between fronts

What callers saw: a revoked key works at the fronts that get a document last, also when nobody asks twice for anything. Cause: a change of one key is published as the whole configuration. Change: an asker says that it reads deflated answers, and a larger answer is sent deflated, packed once for all that ask at the same revision. Askers of the release before are answered as they were (askerThatReadsNoDeflatedAnswersGetsItemsAsTheyAre). Weighed: differences to the version that the asker holds.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LargeItemsTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LargeItemsTest.java
@@ -7,7 +7,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,6 +23,7 @@
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.items.PublishedValue;
 import org.whinwharf.wire.fleet.ItemsAnswer;
+import org.whinwharf.wire.fleet.ItemsRequest;
 
 /** Large items that go from front to front over links of small hosts. */
 class LargeItemsTest {
@@ -106,6 +110,21 @@
         }
     }
 
+    /** Guards against sending an asker of an earlier release what it can't read. */
+    @Test
+    void askerThatReadsNoDeflatedAnswersGetsItemsAsTheyAre() throws Exception {
+        publish(routes(35), 35);
+        try (Socket socket = new Socket(IP, serverPort)) {
+            byte[] question = ItemsRequest.newBuilder().build().toByteArray();
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            out.writeInt(question.length);
+            out.write(question);
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            ItemsAnswer answer = ItemsAnswer.parseFrom(in.readNBytes(in.readInt()));
+            assertThat(answer.getItems(0).getValue().toByteArray(), is(routes(35)));
+        }
+    }
+
     private void publish(byte[] value, long revision) throws Exception {
         PublishedValue item = new PublishedValue(KEY, value, revision);
         serverLoop
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SlowLink.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SlowLink.java
@@ -24,7 +24,6 @@
     private final double nanosPerByte;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private long freeAtNanos = System.nanoTime();
-    private long carriedBytes;
 
     SlowLink(String ip, String toIp, int toPort, long bytesPerSecond) throws IOException {
         this.toIp = toIp;
@@ -38,11 +37,6 @@
         return server.getLocalPort();
     }
 
-    /** Returns how many bytes of answers the link has carried. */
-    synchronized long carriedBytes() {
-        return carriedBytes;
-    }
-
     private void accept() throws IOException {
         while (!server.isClosed()) {
             Socket near = server.accept();
@@ -76,7 +70,6 @@
     private void waitForTheLink(int bytes) {
         long untilNanos;
         synchronized (this) {
-            carriedBytes += bytes;
             freeAtNanos = Math.max(freeAtNanos, System.nanoTime()) + (long) (bytes * nanosPerByte);
             untilNanos = freeAtNanos;
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
@@ -47,6 +47,7 @@
     private final FrontMetrics metrics;
     private final List<Waiting> waiting = new ArrayList<>();
     private Channel server;
+    private Packed lastPacked = new Packed(-1, -1, ItemsAnswer.getDefaultInstance());
     /** The connection over which a peer answered last; null for none. */
     private Asker idle;
 
@@ -56,7 +57,10 @@
         this.metrics = metrics;
     }
 
-    private record Waiting(Channel channel, long afterRevision) {}
+    private record Waiting(Channel channel, long afterRevision, boolean deflate) {}
+
+    /** An answer as it was last sent, since a change is asked for by many at the same revision. */
+    private record Packed(long afterRevision, long revision, ItemsAnswer answer) {}
 
     void start(String ip, int port) {
         server = new ServerBootstrap()
@@ -88,6 +92,7 @@
         ItemsRequest question = ItemsRequest.newBuilder()
                 .setAfterRevision(mirror.revision())
                 .setWaitMillis(waitMillis)
+                .setDeflate(true)
                 .build();
         Asker kept = idle;
         if (kept != null && kept.ip.equals(ip) && kept.channel.isActive()) {
@@ -141,7 +146,18 @@
     }
 
     private void answer(Waiting asker) {
-        Optional<List<PublishedValue>> changes = mirror.changesAfter(asker.afterRevision());
+        write(asker.channel(), asker.deflate() ? packed(asker.afterRevision()) : answerAfter(asker.afterRevision()));
+    }
+
+    private ItemsAnswer packed(long afterRevision) {
+        if (lastPacked.afterRevision() != afterRevision || lastPacked.revision() != mirror.revision()) {
+            lastPacked = new Packed(afterRevision, mirror.revision(), AnswerCodec.pack(answerAfter(afterRevision)));
+        }
+        return lastPacked.answer();
+    }
+
+    private ItemsAnswer answerAfter(long afterRevision) {
+        Optional<List<PublishedValue>> changes = mirror.changesAfter(afterRevision);
         ItemsAnswer.Builder answer =
                 ItemsAnswer.newBuilder().setRevision(mirror.revision()).setComplete(changes.isEmpty());
         for (PublishedValue value : changes.isPresent() ? changes.get() : mirror.all()) {
@@ -154,7 +170,7 @@
             }
             answer.addItems(item);
         }
-        write(asker.channel(), answer.build());
+        return answer.build();
     }
 
     private static void write(Channel channel, MessageLite message) {
@@ -182,7 +198,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
             ItemsRequest request = ItemsRequest.parseFrom(frame.nioBuffer());
-            Waiting asker = new Waiting(context.channel(), request.getAfterRevision());
+            Waiting asker = new Waiting(context.channel(), request.getAfterRevision(), request.getDeflate());
             if (request.getAfterRevision() < mirror.revision() || request.getWaitMillis() <= 0) {
                 answer(asker);
                 return;
@@ -250,7 +266,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) throws Exception {
-            ItemsAnswer answer = ItemsAnswer.parseFrom(frame.nioBuffer());
+            ItemsAnswer answer = AnswerCodec.unpack(ItemsAnswer.parseFrom(frame.nioBuffer()), MOST_BYTES);
             keep(this);
             finish(QuestionOutcome.ANSWERED, Optional.of(answer));
         }
