Ask a peer that knows newer items whether the own watch seems to work or not

A front that loses the store right after an answer serves by the old configuration for nearly the whole of the 3 s in which a change must be in force. Cause: the watch counted as working for 2.9 s after its last answer, also when it had failed in so many words, and as long as it did, reports of peers that knew more were dropped and nobody was asked. Change: a watch that failed does not work. A report that names a newer revision is kept; if the own watch has not brought that revision within 400 ms, or does not work, the peer that named it is asked.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -27,6 +27,11 @@
 public final class ItemFeed {
     /** Silence of the own watch after which peers are asked; a watch answers at least this often. */
     private static final long WATCH_SILENT_MILLIS = 2_900;
+    /**
+     * Time within which a watch that works brings what a peer knows already: twice the pause between watches. What is
+     * left of the bound on a change has to do for the question to that peer, on a host that is slow.
+     */
+    private static final long WATCH_BEHIND_MILLIS = 400;
     /** Time a peer may keep a question waiting. */
     private static final long PEER_WAIT_MILLIS = 1_000;
     /** Fleet size up to which every process watches. */
@@ -64,6 +69,13 @@
     private boolean asking;
     private boolean catchingUp;
     private String lastPeerIp = "";
+    /** A peer that knows newer items; empty when none is known. */
+    private String aheadIp = "";
+    /** Revision that it holds. */
+    private long aheadRevision;
+    /** Steady time since which peers have known more. */
+    private long behindSinceMillis;
+
     private boolean watching;
 
     ItemFeed(
@@ -170,26 +182,49 @@
      * has just heard from the service, and hears nothing more.
      */
     boolean watchWorks() {
-        return ticker.nowMillis() - watchWorkedAtMillis <= WATCH_SILENT_MILLIS && shouldWatch();
+        return watching && ticker.nowMillis() - watchWorkedAtMillis <= WATCH_SILENT_MILLIS && shouldWatch();
     }
 
     /**
      * Takes a peer's report. The peer that this process waits for may itself be cut off from the service and know no
-     * better; one that says that it knows newer items is asked at once.
+     * better; one that says that it knows newer items is asked for them.
      */
     void heard(MemberReport report) {
-        if (catchingUp || report.getRevision() <= mirror.revision() || watchWorks()) {
+        if (report.getRevision() <= mirror.revision()) {
+            return;
+        }
+        if (aheadRevision <= mirror.revision()) {
+            behindSinceMillis = ticker.nowMillis();
+        }
+        aheadIp = report.getIp();
+        aheadRevision = report.getRevision();
+        catchUp();
+    }
+
+    /** Asks a peer that knows newer items, unless the own watch may bring them any moment. */
+    private void catchUp() {
+        if (catchingUp || aheadIp.isEmpty() || aheadRevision <= mirror.revision()) {
+            return;
+        }
+        long behindMillis = ticker.nowMillis() - behindSinceMillis;
+        if (behindMillis < WATCH_BEHIND_MILLIS && watchWorks()) {
             return;
         }
         catchingUp = true;
-        peers.ask(report.getIp(), settings.peerPort(), 0, answer -> {
+        String askedIp = aheadIp;
+        peers.ask(askedIp, settings.peerPort(), 0, answer -> {
             catchingUp = false;
             answer.ifPresent(this::takePeerAnswer);
+            if (answer.isEmpty() && askedIp.equals(aheadIp)) {
+                // The next report of any peer that knows more names another.
+                aheadIp = "";
+            }
         });
     }
 
-    /** Asks a peer when the own watch does not work. */
+    /** Asks peers when they know more, or when the own watch does not work. */
     void tick() {
+        catchUp();
         if (asking || watchWorks()) {
             return;
         }
