Tell askers how old a peer's items are, and ask those that are in touch

Cause: a peer that is cut off from the service answers each question in full peace, with nothing new, and an answer made its asker take its own items for fresh. So the age in the lines of requests was that of the last answer from anybody, and a front kept to the peer that answered last however little it knew; only a third front's report led it away. Change: answers carry the age of the sender's own knowledge, which grows from its watch's answers or those of peers, age included. An asker counts its own age from that, and asks peers that have heard nothing for longer than a watch may be silent after all others. Peers of the release before name no age and count as fresh, as until now.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -23,6 +23,8 @@
 
 class ItemFeedTest {
     private static final int FLEET = 20;
+    /** Longer than any watch that works is silent. */
+    private static final int STALE_MILLIS = 5_000;
     /** Shortest time in use within which a change must be in force. */
     private static final long SHORTEST_BOUND_MILLIS = 2_000;
 
@@ -179,6 +181,32 @@
         assertThat(peers.asked, is(empty()));
     }
 
+    /** Guards against keeping to a peer that answers and is cut off from the service itself. */
+    @Test
+    void peerThatKnowsNothingNewerForLongIsNotPreferred() {
+        hearFleet(41);
+        feed.watched(List.of(), 41);
+        for (int i = 0; i < 3; i++) {
+            feed.tick();
+            peers.answerLast(41, STALE_MILLIS);
+        }
+        assertThat(new HashSet<>(peers.asked).size(), is(3));
+    }
+
+    /** Guards against taking any answer for news: a peer that is cut off says what it knew long ago. */
+    @Test
+    void itemsAreAsOldAsWhatThePeerKnows() {
+        hearFleet(41);
+        feed.tick();
+        nowMillis = 10_000;
+        peers.answerLast(41, STALE_MILLIS);
+        assertThat(feed.ageMillis(), is((long) STALE_MILLIS));
+        feed.tick();
+        peers.answerLast(41, 100);
+        nowMillis = 10_500;
+        assertThat(feed.ageMillis(), is(600L));
+    }
+
     /** Hears of a fleet in which this front is one of those that watch. */
     private void hearWatchersBehind() {
         for (int i = 60; i < 60 + FLEET; i++) {
@@ -233,8 +261,14 @@
         }
 
         void answerLast(long revision) {
-            last.accept(
-                    Optional.of(ItemsAnswer.newBuilder().setRevision(revision).build()));
+            answerLast(revision, 0);
+        }
+
+        void answerLast(long revision, int ageMillis) {
+            last.accept(Optional.of(ItemsAnswer.newBuilder()
+                    .setRevision(revision)
+                    .setAgeMillis(ageMillis)
+                    .build()));
         }
     }
 }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
@@ -344,7 +344,9 @@
         }
 
         private ItemsAnswer answerAfter(long afterRevision) {
-            ItemsAnswer.Builder answer = ItemsAnswer.newBuilder().setRevision(mirror.revision());
+            ItemsAnswer.Builder answer = ItemsAnswer.newBuilder()
+                    .setRevision(mirror.revision())
+                    .setAgeMillis((int) mirror.ageMillis(nowMillis));
             mirror.changesAfter(afterRevision)
                     .orElseThrow()
                     .forEach(value -> answer.addItems(
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LargeItemsTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LargeItemsTest.java
@@ -35,6 +35,9 @@
     private static final long APPLY_MILLIS = 3_000;
 
     private static final long PATIENCE_SECONDS = 20;
+    /** Steady time at the front that answers, whose items were confirmed at 0. */
+    private static final long SERVED_AT_MILLIS = 700;
+
     private static final int ROUTES = 1_848;
     /** Largest value that may be published. */
     private static final int MOST_VALUE_BYTES = 1_048_576;
@@ -42,7 +45,7 @@
     private final EventLoopGroup serverLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoopGroup askerLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ItemMirror published = new ItemMirror();
-    private final PeerItems server = new PeerItems(serverLoop, published, new FrontMetrics());
+    private final PeerItems server = new PeerItems(serverLoop, published, new FrontMetrics(), () -> SERVED_AT_MILLIS);
     private final int serverPort = freePort();
     private final Random random = new Random(27);
 
@@ -71,6 +74,7 @@
             long beganAtNanos = System.nanoTime();
             Optional<ItemsAnswer> answer = asker.ask(link, 1_000).get(PATIENCE_SECONDS, TimeUnit.SECONDS);
             assertThat(answer.map(ItemsAnswer::getRevision), is(Optional.of(44L)));
+            assertThat((long) answer.get().getAgeMillis(), is(SERVED_AT_MILLIS));
             assertThat(millisSince(beganAtNanos), lessThan(APPLY_MILLIS));
         }
     }
@@ -164,7 +168,7 @@
     /** A front that asks. */
     private final class Asker {
         private final ItemMirror mirror = new ItemMirror();
-        private final PeerItems items = new PeerItems(askerLoop, mirror, new FrontMetrics());
+        private final PeerItems items = new PeerItems(askerLoop, mirror, new FrontMetrics(), () -> 0);
 
         void holds(long revision) {
             mirror.replace(published.all(), revision);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/AnswerCodec.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/AnswerCodec.java
@@ -59,7 +59,9 @@
             if (bytes.length > mostBytes) {
                 throw new InvalidProtocolBufferException("over " + mostBytes + " bytes");
             }
-            return ItemsAnswer.parseFrom(bytes);
+            return ItemsAnswer.parseFrom(bytes).toBuilder()
+                    .setAgeMillis(received.getAgeMillis())
+                    .build();
         }
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -127,7 +127,7 @@
                 () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0,
                 settings.policy());
         ItemMirror mirror = new ItemMirror();
-        peerItems = new PeerItems(loop, mirror, metrics);
+        peerItems = new PeerItems(loop, mirror, metrics, ticker);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
         news = new FleetNews(settings, members, targets, quotas, feed, ticker);
         datagrams = new PeerDatagrams(settings);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -3,9 +3,11 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
 import org.whinwharf.runtime.log.LogEvent;
@@ -65,10 +67,11 @@
     private long watchWorkedAtMillis = Long.MIN_VALUE / 2;
     private long failedAtMillis = Long.MIN_VALUE / 2;
     private long returnedAtMillis = Long.MIN_VALUE / 2;
-    private long confirmedAtMillis;
     private boolean asking;
     private boolean catchingUp;
     private String lastPeerIp = "";
+    /** Peers that last said that they had not heard of the service for long. */
+    private final Set<String> outOfTouchIps = new HashSet<>();
     /** A peer that knows newer items; empty when none is known. */
     private String aheadIp = "";
     /** Revision that it holds. */
@@ -112,12 +115,13 @@
     }
 
     /**
-     * Returns how long ago the service or a peer last said what is newest.
+     * Returns how long ago the items were known to be the newest, by the own watch or by a peer that knew it of its
+     * own.
      *
      * @return milliseconds; since the start of the clock before the first answer
      */
     long ageMillis() {
-        return ticker.nowMillis() - confirmedAtMillis;
+        return mirror.ageMillis(ticker.nowMillis());
     }
 
     /**
@@ -234,17 +238,29 @@
         }
         asking = true;
         lastPeerIp = peer.get().report().getIp();
-        peers.ask(lastPeerIp, settings.peerPort(), PEER_WAIT_MILLIS, answer -> {
+        String askedIp = lastPeerIp;
+        peers.ask(askedIp, settings.peerPort(), PEER_WAIT_MILLIS, answer -> {
             asking = false;
             answer.ifPresentOrElse(this::takePeerAnswer, () -> lastPeerIp = "");
+            answer.ifPresent(taken -> noteAge(askedIp, taken.getAgeMillis()));
         });
     }
 
+    /** Notes how fresh a peer's items are; once one is in touch, the others may be as well. */
+    private void noteAge(String peerIp, long ageMillis) {
+        if (ageMillis > WATCH_SILENT_MILLIS) {
+            outOfTouchIps.add(peerIp);
+        } else {
+            outOfTouchIps.clear();
+        }
+    }
+
     private Optional<Member> bestPeer() {
         List<Member> candidates = members.alive(ticker.nowMillis());
         Collections.shuffle(candidates, random);
         Comparator<Member> order = Comparator.comparing(
                         (Member member) -> member.report().getRevision() <= mirror.revision())
+                .thenComparing(member -> outOfTouchIps.contains(member.report().getIp()))
                 .thenComparing(member -> !member.report().getWatching())
                 .thenComparing(member -> !member.report().getDataCentre().equals(settings.dataCentre()))
                 .thenComparing(member -> !member.report().getIp().equals(lastPeerIp));
@@ -255,7 +271,7 @@
     }
 
     private void takePeerAnswer(ItemsAnswer answer) {
-        confirmedAtMillis = ticker.nowMillis();
+        mirror.confirmed(ticker.nowMillis() - answer.getAgeMillis());
         boolean duringService = mirror.revision() > 0;
         List<PublishedValue> values = PeerItems.values(answer.getItemsList());
         pass(
@@ -267,7 +283,7 @@
 
     private void watchWorked() {
         watchWorkedAtMillis = ticker.nowMillis();
-        confirmedAtMillis = watchWorkedAtMillis;
+        mirror.confirmed(watchWorkedAtMillis);
         if (!watching) {
             watching = true;
             returnedAtMillis = ticker.nowMillis();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
@@ -25,6 +25,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.items.PublishedValue;
 import org.whinwharf.wire.fleet.ItemsAnswer;
@@ -45,16 +46,18 @@
     private final EventLoopGroup loop;
     private final ItemMirror mirror;
     private final FrontMetrics metrics;
+    private final Ticker ticker;
     private final List<Waiting> waiting = new ArrayList<>();
     private Channel server;
     private Packed lastPacked = new Packed(-1, -1, ItemsAnswer.getDefaultInstance());
     /** The connection over which a peer answered last; null for none. */
     private Asker idle;
 
-    PeerItems(EventLoopGroup loop, ItemMirror mirror, FrontMetrics metrics) {
+    PeerItems(EventLoopGroup loop, ItemMirror mirror, FrontMetrics metrics, Ticker ticker) {
         this.loop = loop;
         this.mirror = mirror;
         this.metrics = metrics;
+        this.ticker = ticker;
     }
 
     private record Waiting(Channel channel, long afterRevision, boolean deflate) {}
@@ -146,7 +149,9 @@
     }
 
     private void answer(Waiting asker) {
-        write(asker.channel(), asker.deflate() ? packed(asker.afterRevision()) : answerAfter(asker.afterRevision()));
+        ItemsAnswer answer = asker.deflate() ? packed(asker.afterRevision()) : answerAfter(asker.afterRevision());
+        int ageMillis = (int) Math.min(Integer.MAX_VALUE, mirror.ageMillis(ticker.nowMillis()));
+        write(asker.channel(), answer.toBuilder().setAgeMillis(ageMillis).build());
     }
 
     private ItemsAnswer packed(long afterRevision) {
