Watch the service when all that should are out of touch

What callers would see: with the first three fronts of each data centre cut off from the store, all others serve by old routes and keys, and send to targets that have left, for as long as the cut lasts, though they could read the store themselves. Change: a front whose items have not been confirmed for 3.5 s, by anybody, takes over for ten seconds, the next in the data centre half a second later, until one has an answer; the age comes with peers' answers. A front without a first copy goes on as before.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.items.PublishedValue;
+import org.whinwharf.traffic.member.Beat;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.wire.fleet.ItemsAnswer;
 import org.whinwharf.wire.fleet.MemberPhase;
@@ -207,6 +208,43 @@
         assertThat(feed.ageMillis(), is(600L));
     }
 
+    /** Guards against a fleet in which nobody watches, since those whose turn it is are cut off. */
+    @Test
+    void frontWatchesItselfWhenNobodyElseIsInTouch() {
+        hearFleet(41);
+        feed.tick();
+        peers.answerLast(41, 0);
+        assertThat(feed.shouldWatch(), is(false));
+        nowMillis = 20_000;
+        hearFleetAgain();
+        feed.tick();
+        assertThat(feed.shouldWatch(), is(true));
+        feed.watched(List.of(), 42);
+        nowMillis = 22_000;
+        hearFleetAgain();
+        assertThat(feed.shouldWatch(), is(true));
+    }
+
+    /** Guards against a whole fleet that calls the service in the moment in which its watchers are silent. */
+    @Test
+    void frontsBeginToWatchOneAfterTheOther() {
+        hearFleet(41);
+        feed.tick();
+        peers.answerLast(41, 0);
+        nowMillis = STALE_MILLIS;
+        hearFleetAgain();
+        feed.tick();
+        assertThat(feed.shouldWatch(), is(false));
+    }
+
+    /** Hears signs of life of the same fleet, which say nothing of its revisions. */
+    private void hearFleetAgain() {
+        for (int i = 1; i <= FLEET; i++) {
+            String name = String.format("front-%02d", i);
+            members.hear(new Beat(name.hashCode(), 1, nowMillis, MemberPhase.MEMBER_SERVING), nowMillis);
+        }
+    }
+
     /** Hears of a fleet in which this front is one of those that watch. */
     private void hearWatchersBehind() {
         for (int i = 60; i < 60 + FLEET; i++) {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
@@ -12,6 +12,7 @@
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.whinwharf.traffic.items.ItemMirror;
@@ -35,6 +36,8 @@
     private static final int DATA_CENTRES = 5;
     /** Time within which a change must be in force. */
     private static final long APPLY_MILLIS = 3_000;
+    /** The same for the largest fleet that is designed for. */
+    private static final long LARGEST_FLEET_APPLY_MILLIS = 6_000;
 
     private static final long CUT_AT_MILLIS = 10_000;
     /** Time from the cut until the first change is on its way. */
@@ -63,10 +66,12 @@
         }
     }
 
-    /** How the service answers fronts that are cut off from it. */
+    /** Who is cut off from the service, and how it answers them. */
     enum Cut {
         RESET,
-        SILENT
+        SILENT,
+        /** Nobody but those whose turn it is to watch, and without a word. */
+        ALL_WATCHERS
     }
 
     /** Guards against fronts that go on by an old configuration, since they or those they ask are cut off. */
@@ -82,6 +87,15 @@
         }
     }
 
+    /** Guards against a fleet that hears nothing more, since all that watch are cut off and the others are not. */
+    @Test
+    void changesArriveThoughAllWatchersAreCutOff() {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            long[] worst = play(Cut.ALL_WATCHERS, 100, 65, seed);
+            assertThat("seed " + seed, max(worst), lessThanOrEqualTo(LARGEST_FLEET_APPLY_MILLIS));
+        }
+    }
+
     private static long max(long[] values) {
         return Arrays.stream(values).max().orElseThrow();
     }
@@ -170,7 +184,10 @@
             dataCentre = "dc" + number % DATA_CENTRES;
             name = "front-" + dataCentre + "-" + number / DATA_CENTRES;
             ip = "10.0.0." + number;
-            cutOff = random.nextDouble() < CUT_SHARE;
+            int inDataCentre = number / DATA_CENTRES;
+            // The first three by name are 0, 1 and 10.
+            boolean watcher = inDataCentre < 2 || inDataCentre == 10;
+            cutOff = cut == Cut.ALL_WATCHERS ? watcher : random.nextDouble() < CUT_SHARE;
             members = new MemberTable(report());
             Arrays.fill(hadAtMillis, Long.MAX_VALUE / 2);
             feed = new ItemFeed(settings(), members, mirror, this, () -> nowMillis, random);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -41,6 +41,13 @@
     /** Watching processes in each data centre of a larger fleet: one may fail and one be replaced meanwhile. */
     private static final int WATCHERS = 3;
 
+    /** Age of the items that a watch, the pause after it and a peer's question together do not explain. */
+    private static final long NOBODY_WATCHES_MILLIS = 3_500;
+    /** Time after which the next process takes over too, longer than a first answer takes to reach it. */
+    private static final long TAKE_OVER_PAUSE_MILLIS = 500;
+    /** Time for which a process that took over watches. */
+    private static final long TAKE_OVER_MILLIS = 10_000;
+
     /** Takes changes of published items. */
     public interface Listener {
         /**
@@ -67,6 +74,7 @@
     private long watchWorkedAtMillis = Long.MIN_VALUE / 2;
     private long failedAtMillis = Long.MIN_VALUE / 2;
     private long returnedAtMillis = Long.MIN_VALUE / 2;
+    private long takenOverUntilMillis = Long.MIN_VALUE;
     private boolean asking;
     private boolean catchingUp;
     private String lastPeerIp = "";
@@ -130,9 +138,14 @@
      * @return true when it should
      */
     public boolean shouldWatch() {
+        return ticker.nowMillis() < takenOverUntilMillis || ahead() < WATCHERS;
+    }
+
+    /** Returns how many processes of this data centre watch before this one does; 0 in a small fleet. */
+    private int ahead() {
         List<Member> alive = members.alive(ticker.nowMillis());
         if (alive.size() < SMALL_FLEET) {
-            return true;
+            return 0;
         }
         int ahead = 0;
         for (Member member : alive) {
@@ -142,7 +155,21 @@
                 ahead++;
             }
         }
-        return ahead < WATCHERS;
+        return ahead;
+    }
+
+    /**
+     * Begins to watch when nobody seems to. Those whose turn it is by name may all be cut off; the next ones begin one
+     * after the other, until one has an answer.
+     */
+    private void takeOverWhenNobodyWatches() {
+        if (mirror.revision() == 0 || ageMillis() <= NOBODY_WATCHES_MILLIS) {
+            return;
+        }
+        int turn = Math.max(0, ahead() - WATCHERS);
+        if (ageMillis() > NOBODY_WATCHES_MILLIS + turn * TAKE_OVER_PAUSE_MILLIS) {
+            takenOverUntilMillis = ticker.nowMillis() + TAKE_OVER_MILLIS;
+        }
     }
 
     /**
@@ -228,6 +255,7 @@
 
     /** Asks peers when they know more, or when the own watch does not work. */
     void tick() {
+        takeOverWhenNobodyWatches();
         catchUp();
         if (asking || watchWorks()) {
             return;
