Judge a removal by what the peer that tells it saw of the service

What callers would see: requests sent to a target that has left without a word for up to two seconds more, by fronts that are cut off from the store; and, after an outage, targets that live and are dropped by fronts that hear of lapsed entries from peers. Cause: whether a removal may be a lapse was decided by the asker's own failures, a belief about the wrong process. A front that is cut off alone took every removal for a lapse (2 s of a bound of 3 s); one that never watches took none for one. Change: answers carry for how long the service has been readable to the sender, or to whom it heard from; an asker without a working watch goes by that. Peers of the release before do not say it, and then the old rule holds. The freshness of items is asked of the feed by one interface; the cache of packed answers is dropped with each change. Tests: removalThatAPeerInTouchTellsIsNoLapse, removalRightAfterAnOutageThatAPeerSawMayBeALapse and frontPassesOnForHowLongTheServiceWasReadable, red before (run).

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -145,6 +145,46 @@
         assertThat(readableForMillis, contains(0L));
     }
 
+    /** Guards against sending to a target that left, since this front alone was cut off from the service. */
+    @Test
+    void removalThatAPeerInTouchTellsIsNoLapse() {
+        List<Long> readableForMillis = new ArrayList<>();
+        feed.copied(List.of(new PublishedValue("servers/e", new byte[0], 40)), 40);
+        feed.listener((value, duringService, readable) -> readableForMillis.add(readable));
+        nowMillis = 10_000;
+        hearFleet(42);
+        feed.sourceFailed("reset");
+        feed.tick();
+        peers.answerLast(removal(42, "servers/e").setReadableMillis(60_000));
+        assertThat(readableForMillis, contains(Long.MAX_VALUE));
+    }
+
+    /** Guards against dropping targets whose entries lapsed in an outage that this front did not see itself. */
+    @Test
+    void removalRightAfterAnOutageThatAPeerSawMayBeALapse() {
+        List<Long> readableForMillis = new ArrayList<>();
+        hearFleet(42);
+        feed.tick();
+        peers.answerLast(40);
+        feed.listener((value, duringService, readable) -> readableForMillis.add(readable));
+        feed.watched(List.of(new PublishedValue("servers/e", new byte[0], 41)), 41);
+        nowMillis = 10_000;
+        hearFleet(42);
+        feed.tick();
+        peers.answerLast(removal(42, "servers/e").setReadableMillis(500));
+        assertThat(readableForMillis.get(readableForMillis.size() - 1), is(500L));
+    }
+
+    /** Guards against losing what a peer saw of an outage on the way over a second front. */
+    @Test
+    void frontPassesOnForHowLongTheServiceWasReadable() {
+        hearFleet(42);
+        feed.tick();
+        peers.answerLast(ItemsAnswer.newBuilder().setRevision(42).setReadableMillis(500));
+        nowMillis = 300;
+        assertThat(feed.readableForMillis(), is(800L));
+    }
+
     /** Guards against a front that was cut off from the service and asks nobody until its last watch is old. */
     @Test
     void frontWhoseWatchFailedAsksPeersAtOnce() {
@@ -258,6 +298,15 @@
         }
     }
 
+    private static ItemsAnswer.Builder removal(long revision, String key) {
+        PublishedItem removed = PublishedItem.newBuilder()
+                .setKey(key)
+                .setRevision(revision)
+                .setRemoved(true)
+                .build();
+        return ItemsAnswer.newBuilder().setRevision(revision).addItems(removed);
+    }
+
     private static MemberReport report(String name, long revision, boolean watching) {
         int number = Integer.parseInt(name.substring(name.length() - 2));
         return MemberReport.newBuilder()
@@ -287,15 +336,11 @@
 
         /** Answers that an item was removed. */
         void answerLast(long revision, String removedKey) {
-            PublishedItem removed = PublishedItem.newBuilder()
-                    .setKey(removedKey)
-                    .setRevision(revision)
-                    .setRemoved(true)
-                    .build();
-            last.accept(Optional.of(ItemsAnswer.newBuilder()
-                    .setRevision(revision)
-                    .addItems(removed)
-                    .build()));
+            answerLast(removal(revision, removedKey));
+        }
+
+        void answerLast(ItemsAnswer.Builder answer) {
+            last.accept(Optional.of(answer.build()));
         }
 
         void answerLast(long revision) {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
@@ -361,9 +361,8 @@
         }
 
         private ItemsAnswer answerAfter(long afterRevision) {
-            ItemsAnswer.Builder answer = ItemsAnswer.newBuilder()
-                    .setRevision(mirror.revision())
-                    .setAgeMillis((int) mirror.ageMillis(nowMillis));
+            ItemsAnswer.Builder answer =
+                    ItemsAnswer.newBuilder().setRevision(mirror.revision()).setAgeMillis((int) feed.ageMillis());
             mirror.changesAfter(afterRevision)
                     .orElseThrow()
                     .forEach(value -> answer.addItems(
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LargeItemsTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LargeItemsTest.java
@@ -35,8 +35,8 @@
     private static final long APPLY_MILLIS = 3_000;
 
     private static final long PATIENCE_SECONDS = 20;
-    /** Steady time at the front that answers, whose items were confirmed at 0. */
-    private static final long SERVED_AT_MILLIS = 700;
+    /** Age of what the front that answers knows. */
+    private static final long SERVED_AGE_MILLIS = 700;
 
     private static final int ROUTES = 1_848;
     /** Largest value that may be published. */
@@ -45,12 +45,12 @@
     private final EventLoopGroup serverLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoopGroup askerLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final ItemMirror published = new ItemMirror();
-    private final PeerItems server = new PeerItems(serverLoop, published, new FrontMetrics(), () -> SERVED_AT_MILLIS);
+    private final PeerItems server = new PeerItems(serverLoop, published, new FrontMetrics());
     private final int serverPort = freePort();
     private final Random random = new Random(27);
 
     LargeItemsTest() throws Exception {
-        server.start(IP, serverPort);
+        server.start(IP, serverPort, new KnownSince());
     }
 
     @AfterEach
@@ -74,7 +74,8 @@
             long beganAtNanos = System.nanoTime();
             Optional<ItemsAnswer> answer = asker.ask(link, 1_000).get(PATIENCE_SECONDS, TimeUnit.SECONDS);
             assertThat(answer.map(ItemsAnswer::getRevision), is(Optional.of(44L)));
-            assertThat((long) answer.get().getAgeMillis(), is(SERVED_AT_MILLIS));
+            assertThat((long) answer.get().getAgeMillis(), is(SERVED_AGE_MILLIS));
+            assertThat(answer.get().getReadableMillis(), is(60_000));
             assertThat(millisSince(beganAtNanos), lessThan(APPLY_MILLIS));
         }
     }
@@ -165,10 +166,22 @@
         }
     }
 
+    private static final class KnownSince implements Freshness {
+        @Override
+        public long ageMillis() {
+            return SERVED_AGE_MILLIS;
+        }
+
+        @Override
+        public long readableForMillis() {
+            return Long.MAX_VALUE;
+        }
+    }
+
     /** A front that asks. */
     private final class Asker {
         private final ItemMirror mirror = new ItemMirror();
-        private final PeerItems items = new PeerItems(askerLoop, mirror, new FrontMetrics(), () -> 0);
+        private final PeerItems items = new PeerItems(askerLoop, mirror, new FrontMetrics());
 
         void holds(long revision) {
             mirror.replace(published.all(), revision);
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PeerItemsTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PeerItemsTest.java
@@ -29,7 +29,7 @@
     private static final long PATIENCE_SECONDS = 20;
 
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final PeerItems items = new PeerItems(loop, new ItemMirror(), new FrontMetrics(), () -> 0);
+    private final PeerItems items = new PeerItems(loop, new ItemMirror(), new FrontMetrics());
 
     @AfterEach
     void stop() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/AnswerCodec.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/AnswerCodec.java
@@ -59,8 +59,9 @@
             if (bytes.length > mostBytes) {
                 throw new InvalidProtocolBufferException("over " + mostBytes + " bytes");
             }
-            return ItemsAnswer.parseFrom(bytes).toBuilder()
-                    .setAgeMillis(received.getAgeMillis())
+            return received.toBuilder()
+                    .clearDeflated()
+                    .mergeFrom(ItemsAnswer.parseFrom(bytes))
                     .build();
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -127,7 +127,7 @@
                 () -> members.large() ? random.nextDouble() * BLIND_SPREAD : 0,
                 settings.policy());
         ItemMirror mirror = new ItemMirror();
-        peerItems = new PeerItems(loop, mirror, metrics, ticker);
+        peerItems = new PeerItems(loop, mirror, metrics);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
         news = new FleetNews(settings, members, targets, quotas, feed, ticker);
         datagrams = new PeerDatagrams(settings);
@@ -167,7 +167,7 @@
     @Override
     public void start() {
         startedAtMillis = ticker.nowMillis();
-        peerItems.start(settings.ip(), settings.peerPort());
+        peerItems.start(settings.ip(), settings.peerPort(), feed);
         try {
             datagrams.start(loop);
         } catch (IOException e) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -26,7 +26,7 @@
  * them instead, and goes back to its own watch when that works again. In a large fleet only a few processes of each
  * data centre watch at all, since the service's reads grow more slowly than the fleet; the others ask those.
  */
-public final class ItemFeed {
+public final class ItemFeed implements Freshness {
     /** Silence of the own watch after which peers are asked; a watch answers at least this often. */
     private static final long WATCH_SILENT_MILLIS = 2_900;
     /**
@@ -74,6 +74,12 @@
     private long watchWorkedAtMillis = Long.MIN_VALUE / 2;
     private long failedAtMillis = Long.MIN_VALUE / 2;
     private long returnedAtMillis = Long.MIN_VALUE / 2;
+    private long confirmedAtMillis;
+    /** True once a peer said whether the service could be read; those of earlier releases do not. */
+    private boolean peerSaidReadable;
+
+    private boolean peerReadable;
+    private long peerReadableSinceMillis;
     private long takenOverUntilMillis = Long.MIN_VALUE;
     private boolean asking;
     private boolean catchingUp;
@@ -122,14 +128,9 @@
         return mirror.revision();
     }
 
-    /**
-     * Returns how long ago the items were known to be the newest, by the own watch or by a peer that knew it of its
-     * own.
-     *
-     * @return milliseconds; since the start of the clock before the first answer
-     */
-    long ageMillis() {
-        return mirror.ageMillis(ticker.nowMillis());
+    @Override
+    public long ageMillis() {
+        return ticker.nowMillis() - confirmedAtMillis;
     }
 
     /**
@@ -299,7 +300,13 @@
     }
 
     private void takePeerAnswer(ItemsAnswer answer) {
-        mirror.confirmed(ticker.nowMillis() - answer.getAgeMillis());
+        long nowMillis = ticker.nowMillis();
+        confirmedAtMillis = Math.max(confirmedAtMillis, nowMillis - answer.getAgeMillis());
+        if (answer.hasReadableMillis()) {
+            peerSaidReadable = true;
+            peerReadable = answer.getReadableMillis() > 0;
+            peerReadableSinceMillis = nowMillis - answer.getReadableMillis();
+        }
         boolean duringService = mirror.revision() > 0;
         List<PublishedValue> values = PeerItems.values(answer.getItemsList());
         pass(
@@ -311,7 +318,7 @@
 
     private void watchWorked() {
         watchWorkedAtMillis = ticker.nowMillis();
-        mirror.confirmed(watchWorkedAtMillis);
+        confirmedAtMillis = watchWorkedAtMillis;
         if (!watching) {
             watching = true;
             returnedAtMillis = ticker.nowMillis();
@@ -322,16 +329,24 @@
     /**
      * Tells for how long the service has been readable. What was removed long after its return did not lapse while it
      * was away: a process that had been cut off took each removal for a lapse, and sent requests to a target that had
-     * left for two seconds more.
+     * left for two seconds more. One that hears from peers goes by what they saw, since it may be cut off alone.
      */
-    private long readableForMillis() {
+    @Override
+    public long readableForMillis() {
         long nowMillis = ticker.nowMillis();
+        if (peerSaidReadable && !watchWorks()) {
+            return peerReadable ? unlessLongAgo(nowMillis - peerReadableSinceMillis) : 0;
+        }
         if (nowMillis - failedAtMillis >= LAPSED_MILLIS) {
             return Long.MAX_VALUE;
         }
         return watching ? nowMillis - returnedAtMillis : 0;
     }
 
+    private static long unlessLongAgo(long millis) {
+        return millis >= LAPSED_MILLIS ? Long.MAX_VALUE : millis;
+    }
+
     private void logSource(String from, String to, String reason) {
         EventLog.event(LogEvent.ITEMS_SOURCE)
                 .with(EventField.FROM, from)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
@@ -25,7 +25,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.items.PublishedValue;
 import org.whinwharf.wire.fleet.ItemsAnswer;
@@ -43,21 +42,23 @@
     /** Time beyond the agreed wait within which an answer must begin. */
     private static final long FIRST_BYTE_MARGIN_MILLIS = 500;
 
+    /** Longest time that is told as it is; beyond it the difference means nothing to an asker. */
+    private static final long LONGEST_TOLD_MILLIS = 60_000;
+
     private final EventLoopGroup loop;
     private final ItemMirror mirror;
     private final FrontMetrics metrics;
-    private final Ticker ticker;
     private final List<Waiting> waiting = new ArrayList<>();
+    private Freshness freshness;
     private Channel server;
-    private Packed lastPacked = new Packed(-1, -1, ItemsAnswer.getDefaultInstance());
+    private Packed lastPacked = NOTHING_PACKED;
     /** The connection over which a peer answered last; null for none. */
     private Asker idle;
 
-    PeerItems(EventLoopGroup loop, ItemMirror mirror, FrontMetrics metrics, Ticker ticker) {
+    PeerItems(EventLoopGroup loop, ItemMirror mirror, FrontMetrics metrics) {
         this.loop = loop;
         this.mirror = mirror;
         this.metrics = metrics;
-        this.ticker = ticker;
     }
 
     private record Waiting(Channel channel, long afterRevision, boolean deflate) {}
@@ -65,7 +66,11 @@
     /** An answer as it was last sent, since a change is asked for by many at the same revision. */
     private record Packed(long afterRevision, long revision, ItemsAnswer answer) {}
 
-    void start(String ip, int port) {
+    private static final Packed NOTHING_PACKED = new Packed(-1, -1, ItemsAnswer.getDefaultInstance());
+
+    /** Begins to answer peers, with how fresh the items are. */
+    void start(String ip, int port, Freshness itemsFreshness) {
+        freshness = itemsFreshness;
         server = new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -85,6 +90,7 @@
     /** Answers the peers that wait for a change. */
     @Override
     public void changed() {
+        lastPacked = NOTHING_PACKED;
         List<Waiting> all = List.copyOf(waiting);
         waiting.clear();
         all.forEach(this::answer);
@@ -150,8 +156,16 @@
 
     private void answer(Waiting asker) {
         ItemsAnswer answer = asker.deflate() ? packed(asker.afterRevision()) : answerAfter(asker.afterRevision());
-        int ageMillis = (int) Math.min(Integer.MAX_VALUE, mirror.ageMillis(ticker.nowMillis()));
-        write(asker.channel(), answer.toBuilder().setAgeMillis(ageMillis).build());
+        write(
+                asker.channel(),
+                answer.toBuilder()
+                        .setAgeMillis(bounded(freshness.ageMillis()))
+                        .setReadableMillis(bounded(freshness.readableForMillis()))
+                        .build());
+    }
+
+    private static int bounded(long millis) {
+        return (int) Math.max(0, Math.min(LONGEST_TOLD_MILLIS, millis));
     }
 
     private ItemsAnswer packed(long afterRevision) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
@@ -30,8 +30,6 @@
     private long revision;
     /** Revision from which on all removals are known. */
     private long oldestRemovalRevision;
-    /** Steady time at which the copy was known to be the newest; before the first copy the start of the clock. */
-    private long newestAtMillis;
 
     /**
      * Returns the revision up to which the copy is complete.
@@ -42,25 +40,6 @@
         return revision;
     }
 
-    /**
-     * Notes that the copy is the newest.
-     *
-     * @param atMillis steady time in milliseconds at which it was known to be
-     */
-    public void confirmed(long atMillis) {
-        newestAtMillis = Math.max(newestAtMillis, atMillis);
-    }
-
-    /**
-     * Returns how long ago the copy was last known to be the newest.
-     *
-     * @param nowMillis steady time in milliseconds
-     * @return milliseconds, 0 or more
-     */
-    public long ageMillis(long nowMillis) {
-        return nowMillis - newestAtMillis;
-    }
-
     /**
      * Takes everything that is published.
      *
