Move what is known of the service's outages out of the item feed

No change of behaviour: ServiceView holds the own failures and peers' word, ItemFeed asks it. ItemFeedTest, LargeItemsTest and FleetTest pass as before.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -61,25 +61,16 @@
         void changed(PublishedValue value, boolean duringService, long readableForMillis);
     }
 
-    /** Time after an outage in which removals may be those of entries that will come back. */
-    private static final long LAPSED_MILLIS = 3_000;
-
     private final FrontSettings settings;
     private final MemberTable members;
     private final ItemMirror mirror;
     private final PeerSource peers;
     private final Ticker ticker;
     private final Random random;
+    private final ServiceView service = new ServiceView();
     private Listener listener = (value, duringService, readableForMillis) -> {};
     private long watchWorkedAtMillis = Long.MIN_VALUE / 2;
-    private long failedAtMillis = Long.MIN_VALUE / 2;
-    private long returnedAtMillis = Long.MIN_VALUE / 2;
     private long confirmedAtMillis;
-    /** True once a peer said whether the service could be read; those of earlier releases do not. */
-    private boolean peerSaidReadable;
-
-    private boolean peerReadable;
-    private long peerReadableSinceMillis;
     private long takenOverUntilMillis = Long.MIN_VALUE;
     private boolean asking;
     private boolean catchingUp;
@@ -93,8 +84,6 @@
     /** Steady time since which peers have known more. */
     private long behindSinceMillis;
 
-    private boolean watching;
-
     ItemFeed(
             FrontSettings settings,
             MemberTable members,
@@ -202,9 +191,7 @@
      * @param reason what was seen
      */
     public void sourceFailed(String reason) {
-        failedAtMillis = ticker.nowMillis();
-        if (watching) {
-            watching = false;
+        if (service.failed(ticker.nowMillis())) {
             logSource("service", "peers", reason);
         }
     }
@@ -214,7 +201,7 @@
      * has just heard from the service, and hears nothing more.
      */
     boolean watchWorks() {
-        return watching && ticker.nowMillis() - watchWorkedAtMillis <= WATCH_SILENT_MILLIS && shouldWatch();
+        return service.reading() && ticker.nowMillis() - watchWorkedAtMillis <= WATCH_SILENT_MILLIS && shouldWatch();
     }
 
     /**
@@ -302,11 +289,7 @@
     private void takePeerAnswer(ItemsAnswer answer) {
         long nowMillis = ticker.nowMillis();
         confirmedAtMillis = Math.max(confirmedAtMillis, nowMillis - answer.getAgeMillis());
-        if (answer.hasReadableMillis()) {
-            peerSaidReadable = true;
-            peerReadable = answer.getReadableMillis() > 0;
-            peerReadableSinceMillis = nowMillis - answer.getReadableMillis();
-        }
+        service.peerSaid(answer, nowMillis);
         boolean duringService = mirror.revision() > 0;
         List<PublishedValue> values = PeerItems.values(answer.getItemsList());
         pass(
@@ -319,32 +302,14 @@
     private void watchWorked() {
         watchWorkedAtMillis = ticker.nowMillis();
         confirmedAtMillis = watchWorkedAtMillis;
-        if (!watching) {
-            watching = true;
-            returnedAtMillis = ticker.nowMillis();
+        if (service.read(watchWorkedAtMillis)) {
             logSource("peers", "service", "");
         }
     }
 
-    /**
-     * Tells for how long the service has been readable. What was removed long after its return did not lapse while it
-     * was away: a process that had been cut off took each removal for a lapse, and sent requests to a target that had
-     * left for two seconds more. One that hears from peers goes by what they saw, since it may be cut off alone.
-     */
     @Override
     public long readableForMillis() {
-        long nowMillis = ticker.nowMillis();
-        if (peerSaidReadable && !watchWorks()) {
-            return peerReadable ? unlessLongAgo(nowMillis - peerReadableSinceMillis) : 0;
-        }
-        if (nowMillis - failedAtMillis >= LAPSED_MILLIS) {
-            return Long.MAX_VALUE;
-        }
-        return watching ? nowMillis - returnedAtMillis : 0;
-    }
-
-    private static long unlessLongAgo(long millis) {
-        return millis >= LAPSED_MILLIS ? Long.MAX_VALUE : millis;
+        return service.readableForMillis(ticker.nowMillis(), watchWorks());
     }
 
     private void logSource(String from, String to, String reason) {
