Find a route by the prefixes of its path, not by trying all of them

What a request costs must not grow with the configuration. Change: the routes of a host name by prefix; a path is looked up once for each of its separators, up to those of the longest prefix.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Catalog.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Catalog.java
@@ -1,10 +1,7 @@
 package org.whinwharf.traffic.catalog;
 
-import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -13,7 +10,7 @@
 public final class Catalog {
     private final long version;
     private final CallerLimits limits;
-    private final Map<String, List<Route>> routesByHostName = new HashMap<>();
+    private final Map<String, HostRoutes> routesByHostName = new HashMap<>();
     private final Map<String, TargetService> services = new HashMap<>();
     private final Map<String, Organisation> organisations = new HashMap<>();
     private final Map<String, Organisation> organisationsByKey = new HashMap<>();
@@ -36,12 +33,8 @@
         this.version = version;
         this.limits = limits;
         routes.forEach(route -> routesByHostName
-                .computeIfAbsent(route.hostName(), name -> new ArrayList<>())
+                .computeIfAbsent(route.hostName(), name -> new HostRoutes())
                 .add(route));
-        Comparator<Route> longestFirst = Comparator.comparingInt(
-                        (Route route) -> route.pathPrefix().length())
-                .reversed();
-        routesByHostName.values().forEach(list -> list.sort(longestFirst));
         services.forEach(service -> this.services.put(service.name(), service));
         for (Organisation organisation : organisations) {
             this.organisations.put(organisation.name(), organisation);
@@ -75,16 +68,8 @@
      * @return the route; empty when none takes the path
      */
     public Optional<Route> route(String authority, String path) {
-        List<Route> routes = routesByHostName.get(hostName(authority));
-        if (routes == null) {
-            return Optional.empty();
-        }
-        for (Route route : routes) {
-            if (path.startsWith(route.pathPrefix())) {
-                return Optional.of(route);
-            }
-        }
-        return Optional.empty();
+        HostRoutes routes = routesByHostName.get(hostName(authority));
+        return routes == null ? Optional.empty() : routes.find(path);
     }
 
     /**
