Take over watches only when nobody watches; know who watches by their own word

Cause: a watcher's own knowledge is up to 2.2 s old, each hop adds up to 1.25 s and what loops are late by; and whom to ask went by reports of up to a quarter of a minute ago, by which everybody watched. Change: answers say whether the sender watches, which goes before its last report; the age from which on others take over is 4.75 s. The model's watches now follow the copy at once, as in the store's watch; until then they began up to 2 s later. Knowledge holds what a request was decided by; FeedFixture the settings that two tests had twice.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -33,19 +33,7 @@
     private final Peers peers = new Peers();
     private long nowMillis;
     private final ItemFeed feed = new ItemFeed(
-            ImmutableFrontSettings.builder()
-                    .name("front-50")
-                    .ip("10.0.0.50")
-                    .dataCentre("a")
-                    .callerAddress("10.0.0.50:1")
-                    .peerPort(2)
-                    .freshFleet(false)
-                    .retryRatio(0)
-                    .retryAllowance(0)
-                    .retryWindowMillis(1)
-                    .stopGraceMillis(1)
-                    .metricsPort(0)
-                    .build(),
+            FeedFixture.settings("front-50", "10.0.0.50", "a"),
             members,
             new ItemMirror(),
             peers,
@@ -234,6 +222,21 @@
         assertThat(new HashSet<>(peers.asked).size(), is(3));
     }
 
+    /** Guards against asking a peer that only asks others itself, by a report of the time in which it watched. */
+    @Test
+    void peerThatWatchesIsPreferredByItsOwnWord() {
+        hearFleet(41);
+        feed.watched(List.of(), 41);
+        for (int i = 0; i < 3; i++) {
+            feed.tick();
+            peers.answerLast(ItemsAnswer.newBuilder().setRevision(41).setWatching(i == 2));
+        }
+        String watcher = peers.asked.get(2);
+        feed.tick();
+        assertThat(new HashSet<>(peers.asked).size(), is(3));
+        assertThat(peers.asked.get(3), is(watcher));
+    }
+
     /** Guards against taking any answer for news: a peer that is cut off says what it knew long ago. */
     @Test
     void itemsAreAsOldAsWhatThePeerKnows() {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
@@ -1,6 +1,7 @@
 package org.whinwharf.front;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.items.PublishedValue;
 import org.whinwharf.traffic.member.Beat;
@@ -51,12 +53,13 @@
     private static final double LINK_BYTES_PER_MILLI = 875;
 
     private final PriorityQueue<Event> events = new PriorityQueue<>();
-    private final List<Front> fronts = new ArrayList<>();
-    private final Map<String, Front> byIp = new HashMap<>();
+    private final List<ModelFront> fronts = new ArrayList<>();
+    private final Map<String, ModelFront> byIp = new HashMap<>();
     private final List<PublishedValue> published = new ArrayList<>();
     private Random random;
     private long nowMillis;
     private long nextEvent;
+    private int watchesOutOfTurn;
 
     private record Event(long atMillis, long number, Runnable action) implements Comparable<Event> {
         @Override
@@ -70,6 +73,7 @@
     enum Cut {
         RESET,
         SILENT,
+        NOBODY,
         /** Nobody but those whose turn it is to watch, and without a word. */
         ALL_WATCHERS
     }
@@ -96,6 +100,18 @@
         }
     }
 
+    /**
+     * Guards against more watches than agreed, which the service counts, in a fleet that hears of no change for long.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 100, 250})
+    void nobodyElseWatchesWhileThoseWhoseTurnItIsAreInTouch(int lateMillis) {
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            play(Cut.NOBODY, lateMillis, 65, seed);
+            assertThat("seed " + seed, watchesOutOfTurn, is(0));
+        }
+    }
+
     private static long max(long[] values) {
         return Arrays.stream(values).max().orElseThrow();
     }
@@ -104,17 +120,18 @@
     private long[] play(Cut cut, int lateMillis, long confirmedAfterMillis, int seed) {
         random = new Random(seed);
         nowMillis = 0;
+        watchesOutOfTurn = 0;
         events.clear();
         fronts.clear();
         byIp.clear();
         published.clear();
         published.add(document(1));
         for (int i = 0; i < FRONTS; i++) {
-            Front front = new Front(i, cut, lateMillis);
+            ModelFront front = new ModelFront(i, cut, lateMillis);
             fronts.add(front);
             byIp.put(front.ip, front);
         }
-        fronts.forEach(Front::start);
+        fronts.forEach(ModelFront::start);
         long[] confirmedAtMillis = new long[VERSIONS];
         for (int i = 0; i < VERSIONS; i++) {
             int version = i;
@@ -128,7 +145,7 @@
             nowMillis = event.atMillis();
             event.action().run();
         }
-        for (Front front : fronts) {
+        for (ModelFront front : fronts) {
             for (int i = 0; i < VERSIONS; i++) {
                 worst[i] = Math.max(worst[i], front.hadAtMillis[i] - confirmedAtMillis[i]);
             }
@@ -138,7 +155,7 @@
 
     private void publish(PublishedValue value) {
         published.add(value);
-        fronts.forEach(Front::servicePublished);
+        fronts.forEach(ModelFront::servicePublished);
     }
 
     private static PublishedValue document(long revision) {
@@ -154,7 +171,7 @@
     }
 
     /** One front: its part of the news, its watch and its questions, as the processes have them. */
-    private final class Front implements PeerSource {
+    private final class ModelFront implements PeerSource {
         private static final long ROUND_MILLIS = 300;
         private static final long SWEEP_MILLIS = 250;
         private static final long WATCH_MILLIS = 2_000;
@@ -167,6 +184,7 @@
         private final String name;
         private final String ip;
         private final String dataCentre;
+        private final boolean watchesByTurn;
         private final boolean cutOff;
         private final Cut cut;
         private final int lateMillis;
@@ -178,7 +196,7 @@
         private Runnable watchAnswer = () -> {};
         private double linkFreeAtMillis;
 
-        Front(int number, Cut cut, int lateMillis) {
+        ModelFront(int number, Cut cut, int lateMillis) {
             this.cut = cut;
             this.lateMillis = lateMillis;
             dataCentre = "dc" + number % DATA_CENTRES;
@@ -187,10 +205,16 @@
             int inDataCentre = number / DATA_CENTRES;
             // The first three by name are 0, 1 and 10.
             boolean watcher = inDataCentre < 2 || inDataCentre == 10;
-            cutOff = cut == Cut.ALL_WATCHERS ? watcher : random.nextDouble() < CUT_SHARE;
+            watchesByTurn = watcher;
+            cutOff = switch (cut) {
+                case NOBODY -> false;
+                case ALL_WATCHERS -> watcher;
+                case RESET, SILENT -> random.nextDouble() < CUT_SHARE;
+            };
             members = new MemberTable(report());
             Arrays.fill(hadAtMillis, Long.MAX_VALUE / 2);
-            feed = new ItemFeed(settings(), members, mirror, this, () -> nowMillis, random);
+            feed = new ItemFeed(
+                    FeedFixture.settings(name, ip, dataCentre), members, mirror, this, () -> nowMillis, random);
             feed.listener((value, duringService, readable) -> {
                 for (int version = 0; version < VERSIONS && version + 2 <= value.revision(); version++) {
                     hadAtMillis[version] = Math.min(hadAtMillis[version], nowMillis);
@@ -198,22 +222,6 @@
             });
         }
 
-        private FrontSettings settings() {
-            return ImmutableFrontSettings.builder()
-                    .name(name)
-                    .ip(ip)
-                    .dataCentre(dataCentre)
-                    .callerAddress(ip + ":1")
-                    .peerPort(2)
-                    .freshFleet(false)
-                    .retryRatio(0)
-                    .retryAllowance(0)
-                    .retryWindowMillis(1)
-                    .stopGraceMillis(1)
-                    .metricsPort(0)
-                    .build();
-        }
-
         private MemberReport report() {
             return MemberReport.newBuilder()
                     .setName(name)
@@ -227,13 +235,12 @@
         }
 
         void start() {
-            for (Front other : fronts) {
+            for (ModelFront other : fronts) {
                 members.hear(other.report(), 0);
             }
-            feed.copied(published, newestRevision());
             at(random.nextInt((int) ROUND_MILLIS), this::round);
             at(random.nextInt((int) SWEEP_MILLIS), this::sweep);
-            at(random.nextInt((int) WATCH_MILLIS), this::watch);
+            at(random.nextInt((int) WATCH_MILLIS), this::copy);
         }
 
         private long later() {
@@ -246,7 +253,7 @@
             List<Beat> beats = members.beats(90, nowMillis);
             List<Member> alive = members.alive(nowMillis);
             for (int i = 0; i < 2 && !alive.isEmpty(); i++) {
-                Front hearer = byIp.get(
+                ModelFront hearer = byIp.get(
                         alive.get(random.nextInt(alive.size())).report().getIp());
                 if (random.nextDouble() >= LOSS) {
                     at(later(), () -> hearer.hear(own, beats));
@@ -271,11 +278,19 @@
             return cutOff && nowMillis >= CUT_AT_MILLIS;
         }
 
+        private void copy() {
+            feed.copied(published, newestRevision());
+            watch();
+        }
+
         private void watch() {
             if (!feed.shouldWatch()) {
                 at(nowMillis + PAUSE_MILLIS, this::watch);
                 return;
             }
+            if (!watchesByTurn) {
+                watchesOutOfTurn++;
+            }
             if (unreachable()) {
                 at(nowMillis + (cut == Cut.RESET ? WAY_MILLIS : WATCH_MILLIS + WATCH_MARGIN_MILLIS), this::watchFailed);
                 return;
@@ -337,13 +352,14 @@
                     taker.accept(answer);
                 }
             };
-            Front peer = byIp.get(peerIp);
+            ModelFront peer = byIp.get(peerIp);
             long afterRevision = mirror.revision();
             at(later(), () -> peer.asked(this, afterRevision, waitMillis, once));
             at(nowMillis + waitMillis + ANSWER_MARGIN_MILLIS, () -> once.accept(Optional.empty()));
         }
 
-        private void asked(Front asker, long afterRevision, long waitMillis, Consumer<Optional<ItemsAnswer>> taker) {
+        private void asked(
+                ModelFront asker, long afterRevision, long waitMillis, Consumer<Optional<ItemsAnswer>> taker) {
             boolean[] answered = new boolean[1];
             Runnable answer = () -> {
                 if (!answered[0]) {
@@ -361,12 +377,15 @@
         }
 
         private ItemsAnswer answerAfter(long afterRevision) {
-            ItemsAnswer.Builder answer =
-                    ItemsAnswer.newBuilder().setRevision(mirror.revision()).setAgeMillis((int) feed.ageMillis());
-            mirror.changesAfter(afterRevision)
-                    .orElseThrow()
-                    .forEach(value -> answer.addItems(
-                            PublishedItem.newBuilder().setKey(value.key()).setRevision(value.revision())));
+            Optional<List<PublishedValue>> changes = mirror.changesAfter(afterRevision);
+            ItemsAnswer.Builder answer = ItemsAnswer.newBuilder()
+                    .setRevision(mirror.revision())
+                    .setComplete(changes.isEmpty())
+                    .setAgeMillis((int) feed.ageMillis())
+                    .setWatching(feed.watchWorks());
+            for (PublishedValue value : changes.isPresent() ? changes.get() : mirror.all()) {
+                answer.addItems(PublishedItem.newBuilder().setKey(value.key()).setRevision(value.revision()));
+            }
             return answer.build();
         }
 
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LargeItemsTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LargeItemsTest.java
@@ -176,6 +176,11 @@
         public long readableForMillis() {
             return Long.MAX_VALUE;
         }
+
+        @Override
+        public boolean watchWorks() {
+            return true;
+        }
     }
 
     /** A front that asks. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Exchange.java
@@ -9,7 +9,6 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.whinwharf.errors.ErrorKind;
-import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
 import org.whinwharf.traffic.coordination.RefusalGrounds;
@@ -50,10 +49,7 @@
     private final HttpRequest request;
     private final ByteBuf body;
     private final long arrivedAtMillis;
-    /** Version of the catalog by which it was let in or turned away; 0 when none was known. */
-    private final long catalogVersion;
-    /** How long ago the published items were known to be the newest, when it arrived. */
-    private final long itemsAgeMillis;
+    private final Knowledge knowledge;
 
     private final Set<String> tried = new HashSet<>();
     private RequestHead head;
@@ -80,8 +76,7 @@
         this.request = request;
         this.body = body;
         arrivedAtMillis = front.nowMillis();
-        catalogVersion = front.catalog().map(Catalog::version).orElse(0L);
-        itemsAgeMillis = front.feed().ageMillis();
+        knowledge = front.knowledge();
     }
 
     HttpMethod method() {
@@ -593,12 +588,9 @@
         return ticket == null ? "" : ticket.coordinatorName();
     }
 
-    long catalogVersion() {
-        return catalogVersion;
-    }
-
-    long itemsAgeMillis() {
-        return itemsAgeMillis;
+    /** Returns what was known when the request arrived. */
+    Knowledge knowledge() {
+        return knowledge;
     }
 
     /** Returns the time since the request arrived. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Freshness.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Freshness.java
@@ -15,4 +15,11 @@
      * @return milliseconds; 0 while it is not, {@link Long#MAX_VALUE} when it always was, or that is long ago
      */
     long readableForMillis();
+
+    /**
+     * Tells whether the own watch works and goes on.
+     *
+     * @return true when it does
+     */
+    boolean watchWorks();
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -472,6 +472,10 @@
         return catalog;
     }
 
+    Knowledge knowledge() {
+        return new Knowledge(catalog.map(Catalog::version).orElse(0L), feed.ageMillis());
+    }
+
     CallerLimits limits() {
         return catalog.map(Catalog::limits).orElse(CallerLimits.DEFAULT);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -42,7 +44,7 @@
     private static final int WATCHERS = 3;
 
     /** Age of the items that a watch, the pause after it and a peer's question together do not explain. */
-    private static final long NOBODY_WATCHES_MILLIS = 3_500;
+    private static final long NOBODY_WATCHES_MILLIS = 4_750;
     /** Time after which the next process takes over too, longer than a first answer takes to reach it. */
     private static final long TAKE_OVER_PAUSE_MILLIS = 500;
     /** Time for which a process that took over watches. */
@@ -75,6 +77,8 @@
     private boolean asking;
     private boolean catchingUp;
     private String lastPeerIp = "";
+    /** Whether peers watch, as they said in answers since their last report. */
+    private final Map<String, Boolean> watchingByIp = new HashMap<>();
     /** Peers that last said that they had not heard of the service for long. */
     private final Set<String> outOfTouchIps = new HashSet<>();
     /** A peer that knows newer items; empty when none is known. */
@@ -200,7 +204,8 @@
      * Tells whether the own watch works and goes on. A process that was the third of its data centre and is no longer
      * has just heard from the service, and hears nothing more.
      */
-    boolean watchWorks() {
+    @Override
+    public boolean watchWorks() {
         return service.reading() && ticker.nowMillis() - watchWorkedAtMillis <= WATCH_SILENT_MILLIS && shouldWatch();
     }
 
@@ -209,6 +214,7 @@
      * better; one that says that it knows newer items is asked for them.
      */
     void heard(MemberReport report) {
+        watchingByIp.remove(report.getIp());
         if (report.getRevision() <= mirror.revision()) {
             return;
         }
@@ -258,26 +264,33 @@
         peers.ask(askedIp, settings.peerPort(), PEER_WAIT_MILLIS, answer -> {
             asking = false;
             answer.ifPresentOrElse(this::takePeerAnswer, () -> lastPeerIp = "");
-            answer.ifPresent(taken -> noteAge(askedIp, taken.getAgeMillis()));
+            answer.ifPresent(taken -> judge(askedIp, taken));
         });
     }
 
-    /** Notes how fresh a peer's items are; once one is in touch, the others may be as well. */
-    private void noteAge(String peerIp, long ageMillis) {
-        if (ageMillis > WATCH_SILENT_MILLIS) {
+    /** Notes how good a source a peer is; once one is in touch, the others may be as well. */
+    private void judge(String peerIp, ItemsAnswer answer) {
+        if (answer.hasWatching()) {
+            watchingByIp.put(peerIp, answer.getWatching());
+        }
+        if (answer.getAgeMillis() > WATCH_SILENT_MILLIS) {
             outOfTouchIps.add(peerIp);
         } else {
             outOfTouchIps.clear();
         }
     }
 
+    private boolean watches(MemberReport peer) {
+        return watchingByIp.getOrDefault(peer.getIp(), peer.getWatching());
+    }
+
     private Optional<Member> bestPeer() {
         List<Member> candidates = members.alive(ticker.nowMillis());
         Collections.shuffle(candidates, random);
         Comparator<Member> order = Comparator.comparing(
                         (Member member) -> member.report().getRevision() <= mirror.revision())
                 .thenComparing(member -> outOfTouchIps.contains(member.report().getIp()))
-                .thenComparing(member -> !member.report().getWatching())
+                .thenComparing(member -> !watches(member.report()))
                 .thenComparing(member -> !member.report().getDataCentre().equals(settings.dataCentre()))
                 .thenComparing(member -> !member.report().getIp().equals(lastPeerIp));
         return candidates.stream()
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerItems.java
@@ -161,6 +161,7 @@
                 answer.toBuilder()
                         .setAgeMillis(bounded(freshness.ageMillis()))
                         .setReadableMillis(bounded(freshness.readableForMillis()))
+                        .setWatching(freshness.watchWorks())
                         .build());
     }
 
