One request waits at a full target of any size

Cause: the number of requests beyond the slots was a share of the slots, 15%, which rounds to none for six slots or fewer, so the mechanism was off on all deployments but those with seven slots or more. A freed slot of such a target stayed idle until its report had reached the coordinator and the next grant the target, and requests of the highest rank that found no slot went to slow targets, where their answers were cut off at the deadline.

Change: at least one request beyond the slots for the highest rank; lower ranks as before. TargetSelectorTest oneRequestWaitsAtFullEngineOfAnySize fails without it for 1 to 6 slots.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetSelectorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetSelectorTest.java
@@ -1,7 +1,9 @@
 package org.whinwharf.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.util.ArrayList;
@@ -10,6 +12,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
@@ -58,6 +62,41 @@
         assertThat(selectedId(1, "orava", states), is(Optional.empty()));
     }
 
+    /** Guards against a share of the slots that rounds to no request beyond them on engines with few slots. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6, 7, 8, 12, 13, 16, 20, 32, 64})
+    void oneRequestWaitsAtFullEngineOfAnySize(int slots) {
+        TargetState state = new TargetState(Fixtures.target("t0", slots));
+        state.updateRemoteLoad(slots, 0);
+        assertThat(selectedId(0, "orava", List.of(state)), is(Optional.of("t0")));
+        state.updateRemoteLoad(slots + Math.max(1, slots * 15 / 100), 0);
+        assertThat(selectedId(0, "orava", List.of(state)), is(Optional.empty()));
+    }
+
+    /** Guards against a reserve that rounds to nothing, or to more slots than a lower rank leaves on other engines. */
+    @Test
+    void lowerRanksNeverUseMoreSlotsThanHigherOnes() {
+        for (int slots = 1; slots <= 64; slots++) {
+            int used = Integer.MAX_VALUE;
+            for (int rank = 0; rank <= 3; rank++) {
+                int usable = usableSlots(slots, rank);
+                assertThat("slots " + slots + ", rank " + rank, usable, lessThanOrEqualTo(used));
+                assertThat("slots " + slots + ", rank " + rank, usable, greaterThanOrEqualTo(Math.max(1, slots / 2)));
+                used = usable;
+            }
+            assertThat("slots " + slots, usableSlots(slots, 1), lessThan(usableSlots(slots, 0)));
+        }
+    }
+
+    private int usableSlots(int slots, int rank) {
+        TargetState state = new TargetState(Fixtures.target("t0", slots));
+        int used = 0;
+        while (selectedId(rank, "orava", List.of(state)).isPresent()) {
+            state.updateRemoteLoad(++used, 0);
+        }
+        return used;
+    }
+
     @Test
     void fullEngineGetsNothing() {
         List<TargetState> states = states(1);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
@@ -19,8 +19,8 @@
  */
 public final class TargetSelector {
     /**
-     * Maximum occupancy for requests of the highest tier. Reports of freed slots are a tenth of a second old. One
-     * request that waits at each target keeps the target busy in the meantime.
+     * Maximum occupancy for requests of the highest tier. Requests that wait at a target start as soon as a slot frees,
+     * which keeps the slot in use until the coordinator learns of it. A target with few slots gets one such request.
      */
     private static final double MAX_OCCUPANCY = 1.15;
     /** Occupancy reserved for each rank above that of the request: about one slot in twelve. */
@@ -43,6 +43,9 @@
     /** Share of the remaining time that a predicted answer may use, because predictions are off by a tenth. */
     private static final double DEADLINE_SAFETY_SHARE = 0.85;
 
+    /** Tolerance for the rounding errors of shares of slots. */
+    private static final double ROUNDING_TOLERANCE = 1e-9;
+
     /** Speed assumed for a target without measurements. */
     private static final TargetSpeed ASSUMED_SPEED = new TargetSpeed();
 
@@ -89,14 +92,12 @@
      */
     public Optional<Candidate> select(
             Demand demand, Collection<TargetState> targets, Collection<String> evacuatedDataCentres, long nowMillis) {
-        double maxOccupancy = maxOccupancy(demand.tierRank());
         Candidate best = null;
         for (TargetState state : targets) {
             if (!eligible(state, demand, evacuatedDataCentres, nowMillis)) {
                 continue;
             }
-            double occupancy = state.occupancy();
-            if (occupancy + 1.0 / state.target().slots() > maxOccupancy + 1e-9 && occupancy > 0) {
+            if (state.inFlight() >= maxInFlight(state.target().slots(), demand.tierRank())) {
                 continue;
             }
             int allowance = 0;
@@ -106,7 +107,7 @@
                     continue;
                 }
             }
-            Candidate candidate = score(state, demand, occupancy, allowance, nowMillis);
+            Candidate candidate = score(state, demand, state.occupancy(), allowance, nowMillis);
             if (best == null || candidate.scoreMillis() < best.scoreMillis()) {
                 best = candidate;
             }
@@ -114,10 +115,15 @@
         return Optional.ofNullable(best);
     }
 
-    private double maxOccupancy(int tierRank) {
-        double full = policy.isEnabled(Mechanism.BEYOND_SLOTS) ? MAX_OCCUPANCY : 1;
-        int reserves = Math.min(TierRank.routeRank(tierRank), MAX_RESERVE_RANKS);
-        return policy.isEnabled(Mechanism.RESERVE_BY_RANK) ? full - RESERVE_PER_RANK * reserves : full;
+    /** Returns the number of requests up to which a target gets requests of a rank; an idle target gets one always. */
+    private int maxInFlight(int slots, int tierRank) {
+        boolean beyondSlots = policy.isEnabled(Mechanism.BEYOND_SLOTS);
+        int reserves = policy.isEnabled(Mechanism.RESERVE_BY_RANK)
+                ? Math.min(TierRank.routeRank(tierRank), MAX_RESERVE_RANKS)
+                : 0;
+        double maxOccupancy = (beyondSlots ? MAX_OCCUPANCY : 1) - RESERVE_PER_RANK * reserves;
+        int byOccupancy = Math.max(1, (int) (slots * maxOccupancy + ROUNDING_TOLERANCE));
+        return beyondSlots && reserves == 0 ? Math.max(slots + 1, byOccupancy) : byOccupancy;
     }
 
     private long uncachedTokens(Demand demand, TargetState state, long nowMillis) {
