Take the length of an answer from the caller's estimate, and hold a request that would be cut off

In the logs of the landed code the time per declared token of one engine spreads over two decades.

Change: the estimate that requests carry travels with the placement request (a new field; 0 from processes that do not know it) and takes the place of the maximum in the learned speed, the predicted end, and the hold time. A request whose answer would not end in time at the best free target waits, while it can be on time, for a target where it would. The switch HELD_FOR_FASTER, which had lost its effect, has it again.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -15,6 +15,7 @@
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
+import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.waiting.DispatchResult;
 import org.whinwharf.traffic.waiting.QueueTimeouts;
@@ -149,6 +150,7 @@
                 .model(head.model())
                 .promptTokens(head.promptTokens())
                 .maxAnswerTokens(head.maxAnswerTokens())
+                .estimatedAnswerTokens(estimatedAnswerTokens())
                 .remainingMillis(deadlineAtMillis - nowMillis)
                 .promptParts(head.promptParts())
                 .tierRank(tierRank)
@@ -156,6 +158,12 @@
                 .build();
     }
 
+    private OptionalLong estimatedAnswerTokens() {
+        return front.policy().isEnabled(Mechanism.EXPECTED_LENGTH)
+                ? head.estimatedAnswerTokens()
+                : OptionalLong.empty();
+    }
+
     @Override
     public PlacementAsk placementRequest(long id) {
         long nowMillis = front.nowMillis();
@@ -372,7 +380,7 @@
             front.targetAnswered(entry);
             targetRun.end(
                     RunEvent.RUN_ANSWERED,
-                    dispatchCount == 1 ? head.maxAnswerTokens() : 0,
+                    dispatchCount == 1 ? estimatedAnswerTokens().orElse(head.maxAnswerTokens()) : 0,
                     silenceWatch.lastByteAtMillis());
             endRun(RunEvent.RUN_ANSWERED);
             deliver();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -33,6 +33,7 @@
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.RendezvousColdShares;
 import org.whinwharf.traffic.placement.TargetSelector;
+import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.retry.RetryBudget;
 import org.whinwharf.traffic.target.PromptCacheIndex;
@@ -490,6 +491,10 @@
         return phase == MemberPhase.MEMBER_LEAVING;
     }
 
+    Policy policy() {
+        return settings.policy();
+    }
+
     QuotaLedger quotas() {
         return quotas;
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
@@ -1,6 +1,7 @@
 package org.whinwharf.front;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.whinwharf.traffic.coordination.ImmutablePlacementRequest;
 import org.whinwharf.traffic.coordination.PlacementRequest;
 import org.whinwharf.traffic.coordination.RejectionDetails;
@@ -31,6 +32,7 @@
                 .setModel(demand.model())
                 .setPromptTokens((int) demand.promptTokens())
                 .setAnswerTokens((int) demand.maxAnswerTokens())
+                .setExpectedAnswerTokens((int) demand.estimatedAnswerTokens().orElse(0))
                 .setTierRank(demand.tierRank())
                 .setRemainingMillis((int) Math.max(0, demand.remainingMillis()))
                 .setPatienceMillis((int) Math.max(0, queueTimeoutMillis))
@@ -50,6 +52,7 @@
                 .model(request.getModel())
                 .promptTokens(request.getPromptTokens())
                 .maxAnswerTokens(request.getAnswerTokens())
+                .estimatedAnswerTokens(estimatedAnswerTokens(request))
                 .tierRank(request.getTierRank())
                 .remainingMillis(request.getRemainingMillis())
                 .dataCentre(request.getDataCentre())
@@ -67,6 +70,12 @@
                 .build();
     }
 
+    private static OptionalLong estimatedAnswerTokens(PlacementAsk request) {
+        return request.getExpectedAnswerTokens() > 0
+                ? OptionalLong.of(request.getExpectedAnswerTokens())
+                : OptionalLong.empty();
+    }
+
     static PlacementReply granted(PlacementRequest request, Candidate candidate) {
         return PlacementReply.newBuilder()
                 .setId(request.id())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestHead.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestHead.java
@@ -66,6 +66,13 @@
      */
     long maxAnswerTokens();
 
+    /**
+     * Returns the caller's estimate of the length of the response.
+     *
+     * @return tokens, accurate at the median; empty when the caller gives no estimate
+     */
+    OptionalLong estimatedAnswerTokens();
+
     /**
      * Returns whether the request specifies its token counts.
      *
--- /dev/null
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WorkloadSimulation.java
@@ -0,0 +1,435 @@
+package org.whinwharf.traffic;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.whinwharf.traffic.coordination.Coordinator;
+import org.whinwharf.traffic.coordination.ImmutableCoordinatorDependencies;
+import org.whinwharf.traffic.coordination.ImmutablePlacementRequest;
+import org.whinwharf.traffic.coordination.PlacementRequest;
+import org.whinwharf.traffic.coordination.RejectionDetails;
+import org.whinwharf.traffic.coordination.RunningRequests;
+import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.ImmutableDemand;
+import org.whinwharf.traffic.placement.TargetSelector;
+import org.whinwharf.traffic.policy.Policy;
+import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.target.PromptCacheIndex;
+import org.whinwharf.traffic.target.TargetState;
+import org.whinwharf.traffic.waiting.QueueTimeouts;
+import org.whinwharf.wire.fleet.RunEvent;
+
+/**
+ * Simulates callers, a coordinator and batching engines of different speeds on a simulated clock, without a network.
+ *
+ * <p>Lengths of prompts and answers are log-normal. An engine admits requests in order of arrival, generates one token
+ * of each running answer per step, and reads prompts in chunks between these tokens. A rejected caller retries once
+ * after the Retry-After delay, but waits at most a third of its remaining time.
+ */
+final class WorkloadSimulation extends NoOpCoordinatorListener {
+    private static final String FRONT = "front-1";
+    private static final double ONE_WAY_MILLIS = 2;
+    private static final double CALLER_ONE_WAY_MILLIS = 3;
+    private static final double STEP_MILLIS = 3.1;
+    private static final double PREFILL_TOKENS_PER_MILLI = 62;
+    private static final int PREFILL_CHUNK_TOKENS = 1_024;
+    private static final int TOKENS_PER_EVENT = 9;
+    private static final double ADVANCE_INTERVAL_MILLIS = 20;
+    private static final double REPORT_INTERVAL_MILLIS = 1_000;
+    /** Standard deviation of the logarithm of the callers' estimates of the length of an answer. */
+    private static final double HINT_SIGMA = 0.5;
+
+    private final Map<String, TargetState> targets = new LinkedHashMap<>();
+    private final Map<String, Engine> engines = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<Long, Attempt> attempts = new HashMap<>();
+    private final Map<Kind, Result> results = new LinkedHashMap<>();
+    private final Random random;
+    private final Coordinator coordinator;
+    private double nowMillis;
+    private long nextEvent;
+    private long nextAttempt;
+
+    /**
+     * One kind of request.
+     *
+     * @param routeRank rank of its route
+     * @param perSecond mean arrival rate
+     * @param promptTokens mean length of the prompt
+     * @param promptVariation coefficient of variation of that length
+     * @param answerTokens mean length of the answer
+     * @param answerVariation coefficient of variation of that length
+     * @param maxAnswerTokens maximum length of the answer, the same for all requests of the kind
+     * @param objectiveMillis objective for the time to the first event
+     * @param deadlineMillis time within which the answer must be complete
+     * @param worth value of an answer on time; a late one has three tenths of it
+     */
+    record Kind(
+            int routeRank,
+            double perSecond,
+            double promptTokens,
+            double promptVariation,
+            double answerTokens,
+            double answerVariation,
+            long maxAnswerTokens,
+            long objectiveMillis,
+            long deadlineMillis,
+            double worth) {}
+
+    /** Phase of the load: until a time, all rates are multiplied by a factor. */
+    record Phase(double untilMillis, double factor) {}
+
+    /** What became of the requests of one kind. */
+    static final class Result {
+        private int asked;
+        private int onTime;
+        private int late;
+        private int longAsked;
+        private int longServed;
+
+        int asked() {
+            return asked;
+        }
+
+        int onTime() {
+            return onTime;
+        }
+
+        int late() {
+            return late;
+        }
+
+        double servedShare() {
+            return (onTime + late) / (double) asked;
+        }
+
+        /** Returns the share that was served of the tenth of the requests with the longest answers. */
+        double longServedShare() {
+            return longServed / (double) Math.max(1, longAsked);
+        }
+
+        /** Returns the earned share of the worth of all requests. */
+        double worthShare() {
+            return (onTime + 0.3 * late) / asked;
+        }
+    }
+
+    private record Event(double atMillis, long number, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Double.compare(atMillis, other.atMillis);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    /** One request of a caller with all its attempts. */
+    private static final class Call {
+        private final Kind kind;
+        private final double startedAtMillis;
+        private final long promptTokens;
+        private final long answerTokens;
+        private final long hintTokens;
+        private final boolean longAnswer;
+        private boolean retried;
+
+        Call(Kind kind, double startedAtMillis, long promptTokens, long answerTokens, long hintTokens) {
+            this.kind = kind;
+            this.startedAtMillis = startedAtMillis;
+            this.promptTokens = promptTokens;
+            this.answerTokens = answerTokens;
+            this.hintTokens = hintTokens;
+            longAnswer = answerTokens > 2.3 * kind.answerTokens();
+        }
+    }
+
+    /** One attempt of a call. */
+    private static final class Attempt {
+        private final long id;
+        private final Call call;
+        private Engine engine;
+        private double sentAtMillis;
+        private double firstEventAtMillis;
+        private long prefillLeft;
+        private long made;
+        private boolean ended;
+
+        Attempt(long id, Call call) {
+            this.id = id;
+            this.call = call;
+        }
+    }
+
+    /** An engine that batches the requests in its slots. */
+    private final class Engine {
+        private final String id;
+        private final int slots;
+        private final double slowness;
+        private final Deque<Attempt> waiting = new ArrayDeque<>();
+        private final List<Attempt> running = new ArrayList<>();
+        private boolean stepping;
+
+        Engine(String id, int slots, double slowness) {
+            this.id = id;
+            this.slots = slots;
+            this.slowness = slowness;
+        }
+
+        void receive(Attempt attempt) {
+            waiting.add(attempt);
+            if (!stepping) {
+                step();
+            }
+        }
+
+        void cancel(Attempt attempt) {
+            waiting.remove(attempt);
+            running.remove(attempt);
+        }
+
+        private void step() {
+            while (running.size() < slots && !waiting.isEmpty()) {
+                running.add(waiting.poll());
+            }
+            stepping = !running.isEmpty();
+            if (!stepping) {
+                return;
+            }
+            long chunkLeft = PREFILL_CHUNK_TOKENS;
+            List<Attempt> generating = new ArrayList<>();
+            for (Attempt attempt : running) {
+                if (attempt.prefillLeft == 0) {
+                    generating.add(attempt);
+                } else {
+                    long read = Math.min(chunkLeft, attempt.prefillLeft);
+                    attempt.prefillLeft -= read;
+                    chunkLeft -= read;
+                }
+            }
+            double readMillis = (PREFILL_CHUNK_TOKENS - chunkLeft) / PREFILL_TOKENS_PER_MILLI;
+            schedule(slowness * (STEP_MILLIS + readMillis), () -> {
+                generating.forEach(this::generate);
+                step();
+            });
+        }
+
+        private void generate(Attempt attempt) {
+            attempt.made++;
+            boolean complete = attempt.made >= attempt.call.answerTokens;
+            if (attempt.made == TOKENS_PER_EVENT || complete && attempt.made < TOKENS_PER_EVENT) {
+                schedule(ONE_WAY_MILLIS, () -> firstEvent(attempt));
+            }
+            if (complete) {
+                running.remove(attempt);
+                schedule(ONE_WAY_MILLIS, () -> complete(attempt));
+            }
+        }
+    }
+
+    WorkloadSimulation(long seed, Policy policy, int slots, double... slowness) {
+        random = new Random(seed);
+        for (int i = 0; i < slowness.length; i++) {
+            String id = "engine-" + i;
+            targets.put(id, new TargetState(Fixtures.target(id, slots)));
+            engines.put(id, new Engine(id, slots, slowness[i]));
+        }
+        PromptCacheIndex promptCache = new PromptCacheIndex();
+        coordinator = new Coordinator(ImmutableCoordinatorDependencies.builder()
+                .localName("front-0")
+                .targetSelector(new TargetSelector(promptCache, target -> 0, () -> 0, policy))
+                .promptCache(promptCache)
+                .targets(service -> targets.values())
+                .evacuatedDataCentres(Set::of)
+                .quotas(new QuotaLedger(true))
+                .decisionListener(this)
+                .targetOutcomeListener(this)
+                .loadListener((id, load) -> targets.get(id).updateCoordinatedLoad(load.running(), load.prefillTokens()))
+                .random(random::nextDouble)
+                .policy(policy)
+                .build());
+    }
+
+    /**
+     * Runs the load and returns the results by kind.
+     *
+     * @param kinds kinds of requests
+     * @param phases phases of the load in order
+     * @return results of the requests that started in any phase
+     */
+    Map<Kind, Result> run(List<Kind> kinds, List<Phase> phases) {
+        double endMillis = phases.get(phases.size() - 1).untilMillis();
+        for (Kind kind : kinds) {
+            results.put(kind, new Result());
+            scheduleArrival(kind, phases, 0);
+        }
+        schedule(ADVANCE_INTERVAL_MILLIS, this::advanceRepeatedly);
+        schedule(REPORT_INTERVAL_MILLIS, this::reportRepeatedly);
+        double drainedMillis =
+                endMillis + kinds.stream().mapToLong(Kind::deadlineMillis).max().orElse(0);
+        while (!events.isEmpty() && events.peek().atMillis() <= drainedMillis) {
+            Event event = events.poll();
+            nowMillis = event.atMillis();
+            event.action().run();
+        }
+        return results;
+    }
+
+    private void schedule(double inMillis, Runnable action) {
+        events.add(new Event(nowMillis + inMillis, nextEvent++, action));
+    }
+
+    private void scheduleArrival(Kind kind, List<Phase> phases, double fromMillis) {
+        for (Phase phase : phases) {
+            if (fromMillis < phase.untilMillis()) {
+                double gapMillis = -Math.log(1 - random.nextDouble()) * 1_000 / (kind.perSecond() * phase.factor());
+                double atMillis = fromMillis + gapMillis;
+                if (atMillis >= phase.untilMillis()) {
+                    scheduleArrival(kind, phases, phase.untilMillis());
+                } else {
+                    schedule(atMillis - nowMillis, () -> {
+                        arrive(kind);
+                        scheduleArrival(kind, phases, nowMillis);
+                    });
+                }
+                return;
+            }
+        }
+    }
+
+    private void arrive(Kind kind) {
+        long prompt = Math.max(8, Math.round(logNormal(kind.promptTokens(), kind.promptVariation())));
+        long answer = Math.max(1, Math.round(logNormal(kind.answerTokens(), kind.answerVariation())));
+        long bounded = Math.min(answer, kind.maxAnswerTokens());
+        long hint = Math.max(1, Math.round(bounded * Math.exp(HINT_SIGMA * random.nextGaussian())));
+        Call call = new Call(kind, nowMillis, prompt, bounded, hint);
+        results.get(kind).asked++;
+        results.get(kind).longAsked += call.longAnswer ? 1 : 0;
+        attempt(call);
+    }
+
+    private double logNormal(double mean, double variation) {
+        double variance = Math.log(1 + variation * variation);
+        return mean * Math.exp(Math.sqrt(variance) * random.nextGaussian() - variance / 2);
+    }
+
+    private void attempt(Call call) {
+        Attempt attempt = new Attempt(nextAttempt++, call);
+        attempt.prefillLeft = call.promptTokens;
+        attempts.put(attempt.id, attempt);
+        double remainingMillis = call.startedAtMillis + call.kind.deadlineMillis() - nowMillis;
+        schedule(CALLER_ONE_WAY_MILLIS + ONE_WAY_MILLIS, () -> requestPlacement(attempt, remainingMillis));
+        schedule(remainingMillis, () -> timedOut(attempt));
+    }
+
+    private void requestPlacement(Attempt attempt, double remainingMillis) {
+        Call call = attempt.call;
+        long now = (long) nowMillis;
+        long objectiveMillis = call.kind.objectiveMillis();
+        coordinator.requestPlacement(
+                ImmutablePlacementRequest.builder()
+                        .requester(FRONT)
+                        .id(attempt.id)
+                        .demand(ImmutableDemand.copyOf(Fixtures.demand(
+                                        call.kind.routeRank(), call.promptTokens, "subject-" + attempt.id))
+                                .withMaxAnswerTokens(call.kind.maxAnswerTokens())
+                                .withEstimatedAnswerTokens(call.hintTokens)
+                                .withRemainingMillis((long) remainingMillis))
+                        .deadlineAtMillis(now + (long) remainingMillis)
+                        .queueTimeoutAtMillis(
+                                now + QueueTimeouts.queueTimeoutMillis(objectiveMillis, (long) remainingMillis))
+                        .onTimeUntilMillis(now + QueueTimeouts.onTimeMillis(objectiveMillis))
+                        .build(),
+                now);
+    }
+
+    @Override
+    public void granted(PlacementRequest request, Candidate candidate) {
+        Attempt attempt = attempts.get(request.id());
+        attempt.engine = engines.get(candidate.state().target().id());
+        schedule(2 * ONE_WAY_MILLIS, () -> {
+            if (!attempt.ended) {
+                attempt.sentAtMillis = nowMillis - ONE_WAY_MILLIS;
+                attempt.engine.receive(attempt);
+            }
+        });
+    }
+
+    @Override
+    public void shed(PlacementRequest request, RejectionDetails details) {
+        Attempt attempt = attempts.remove(request.id());
+        attempt.ended = true;
+        Call call = attempt.call;
+        if (call.retried) {
+            return;
+        }
+        call.retried = true;
+        double leftMillis = call.startedAtMillis + call.kind.deadlineMillis() - nowMillis;
+        schedule(Math.min(details.retryAfterMillis(), leftMillis / 3), () -> attempt(call));
+    }
+
+    private void firstEvent(Attempt attempt) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.firstEventAtMillis = nowMillis;
+        long tookMillis = (long) (nowMillis - attempt.sentAtMillis);
+        report(attempt, RunEvent.RUN_FIRST_EVENT, tookMillis);
+    }
+
+    private void complete(Attempt attempt) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
+        Call call = attempt.call;
+        Result result = results.get(call.kind);
+        double firstAfterMillis = attempt.firstEventAtMillis + CALLER_ONE_WAY_MILLIS - call.startedAtMillis;
+        if (firstAfterMillis <= call.kind.objectiveMillis()) {
+            result.onTime++;
+        } else {
+            result.late++;
+        }
+        result.longServed += call.longAnswer ? 1 : 0;
+        report(attempt, RunEvent.RUN_ANSWERED, (long) (nowMillis - attempt.firstEventAtMillis));
+    }
+
+    private void timedOut(Attempt attempt) {
+        if (attempt.ended) {
+            return;
+        }
+        attempt.ended = true;
+        if (attempt.engine != null) {
+            attempt.engine.cancel(attempt);
+        }
+        report(attempt, RunEvent.RUN_GIVEN_UP, 0);
+    }
+
+    private void report(Attempt attempt, RunEvent event, long tookMillis) {
+        schedule(
+                ONE_WAY_MILLIS,
+                () -> coordinator.reportProgress(FRONT, attempt.id, event, tookMillis, (long) nowMillis));
+    }
+
+    private void advanceRepeatedly() {
+        coordinator.advance((long) nowMillis);
+        schedule(ADVANCE_INTERVAL_MILLIS, this::advanceRepeatedly);
+    }
+
+    private void reportRepeatedly() {
+        Map<Long, RunningRequests.Run> inFlight = attempts.values().stream()
+                .filter(attempt -> attempt.engine != null && !attempt.ended)
+                .collect(Collectors.toMap(
+                        attempt -> attempt.id,
+                        attempt -> new RunningRequests.Run(attempt.engine.id, attempt.prefillLeft)));
+        coordinator.reportInFlight(FRONT, "summaries", inFlight, (long) nowMillis);
+        attempts.values().removeIf(attempt -> attempt.ended);
+        schedule(REPORT_INTERVAL_MILLIS, this::reportRepeatedly);
+    }
+}
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -1,12 +1,15 @@
 package org.whinwharf.traffic.coordination;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
+import org.whinwharf.traffic.placement.TargetSelector;
 import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.target.TargetSpeed;
@@ -115,7 +118,7 @@
         }
         return joinedRanks.assign(
                 demand.tierRank(),
-                TargetSpeed.assumedSlotMillis(demand.promptTokens(), demand.maxAnswerTokens()),
+                TargetSpeed.assumedSlotMillis(demand.promptTokens(), demand.expectedAnswerTokens()),
                 onTimeMillis);
     }
 
@@ -185,7 +188,7 @@
 
     private void recordEnd(RequestKey key, Grant grant, RunEvent event, long tookMillis, long nowMillis) {
         TargetState state = grant.candidate().state();
-        long answerTokens = grant.request().demand().maxAnswerTokens();
+        long answerTokens = grant.request().demand().expectedAnswerTokens();
         if (event == RunEvent.RUN_ANSWERED
                 && tookMillis > 0
                 && answerTokens > 0
@@ -317,22 +320,26 @@
         }
 
         /**
-         * Tells whether the request would be late at the best free target but on time at a full one. A slow engine
-         * takes a second to read a long prompt, while a slot of a fast engine frees within tens of milliseconds. The
-         * slow engine stays free for short prompts, for which it is as good as any other.
+         * Tells whether the request would be late or cut off at the best free target but not at a full one. A slow
+         * engine takes a second to read a long prompt, while a slot of a fast engine frees within tens of milliseconds.
+         * The slow engine stays free for short requests, for which it is as good as any other.
          */
         private boolean shouldWaitForFasterTarget(Candidate candidate, Demand demand, long nowMillis) {
-            long remainingMillis = request.onTimeUntilMillis() - nowMillis;
-            return remainingMillis > 0
-                    && candidate.firstEventMillis() > remainingMillis
-                    && dependencies
-                            .targetSelector()
-                            .anyTargetWithin(
-                                    demand,
-                                    dependencies.targets().apply(service),
-                                    dependencies.evacuatedDataCentres().get(),
-                                    remainingMillis,
-                                    nowMillis);
+            long onTimeLeftMillis = request.onTimeUntilMillis() - nowMillis;
+            if (onTimeLeftMillis <= 0) {
+                return false;
+            }
+            TargetSelector selector = dependencies.targetSelector();
+            Collection<TargetState> targets = dependencies.targets().apply(service);
+            Set<String> evacuated = dependencies.evacuatedDataCentres().get();
+            if (dependencies.policy().isEnabled(Mechanism.HELD_TO_END_IN_TIME)
+                    && !selector.endsInTime(demand, candidate)
+                    && selector.anyTargetEndsInTime(demand, targets, evacuated, nowMillis)) {
+                return true;
+            }
+            return dependencies.policy().isEnabled(Mechanism.HELD_FOR_FASTER)
+                    && candidate.firstEventMillis() > onTimeLeftMillis
+                    && selector.anyTargetWithin(demand, targets, evacuated, onTimeLeftMillis, nowMillis);
         }
 
         private void grant(Candidate candidate, long nowMillis) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Demand.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Demand.java
@@ -1,6 +1,7 @@
 package org.whinwharf.traffic.placement;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.immutables.value.Value;
 import org.whinwharf.traffic.target.PromptPart;
@@ -52,6 +53,22 @@
         return 0;
     }
 
+    /**
+     * Returns the caller's estimate of the length of the answer.
+     *
+     * @return tokens; empty if there is no estimate
+     */
+    OptionalLong estimatedAnswerTokens();
+
+    /**
+     * Returns the length of the answer that placement and queue order are based on.
+     *
+     * @return tokens; the maximum length if there is no estimate
+     */
+    default long expectedAnswerTokens() {
+        return estimatedAnswerTokens().orElse(maxAnswerTokens());
+    }
+
     /**
      * Returns the time left until the deadline of the request.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
@@ -161,6 +161,38 @@
                 .anyMatch(state -> firstEventMillisOnceFree(state, demand, nowMillis) <= withinMillis);
     }
 
+    /**
+     * Tells whether a target is predicted to complete the answer with a margin before its deadline.
+     *
+     * @param demand requirements of the request
+     * @param candidate selected target
+     * @return false if the answer would probably be cut off at the deadline
+     */
+    public boolean endsInTime(Demand demand, Candidate candidate) {
+        return endsInTime(demand, candidate.state(), candidate.firstEventMillis());
+    }
+
+    private boolean endsInTime(Demand demand, TargetState state, double firstEventMillis) {
+        double answerMillis = speed(state).estimatedAnswerMillis(demand.expectedAnswerTokens());
+        return firstEventMillis + answerMillis <= demand.remainingMillis() * DEADLINE_SAFETY_SHARE;
+    }
+
+    /**
+     * Tells whether any target, even a full one, is predicted to complete the answer in time once a slot is free.
+     *
+     * @param demand requirements of the request
+     * @param targets all targets of the service
+     * @param evacuatedDataCentres data centres that must not receive new requests
+     * @param nowMillis monotonic time in milliseconds
+     * @return true if the request should wait for such a target
+     */
+    public boolean anyTargetEndsInTime(
+            Demand demand, Collection<TargetState> targets, Collection<String> evacuatedDataCentres, long nowMillis) {
+        return targets.stream()
+                .filter(state -> eligible(state, demand, evacuatedDataCentres, nowMillis) && !state.cold(nowMillis))
+                .anyMatch(state -> endsInTime(demand, state, firstEventMillisOnceFree(state, demand, nowMillis)));
+    }
+
     private double firstEventMillisOnceFree(TargetState state, Demand demand, long nowMillis) {
         return speed(state).estimatedFirstEventMillis(uncachedTokens(demand, state, nowMillis), 1) + SLOT_WAIT_MILLIS;
     }
@@ -182,7 +214,7 @@
         long uncachedTokens = uncachedTokens(demand, state, nowMillis);
         long tokensAhead = uncachedTokens + state.pendingPrefillTokens();
         double predictedMillis = speed(state).estimatedFirstEventMillis(tokensAhead, occupancy) + penaltyMillis;
-        double answerMillis = speed(state).estimatedAnswerMillis(demand.maxAnswerTokens());
+        double answerMillis = speed(state).estimatedAnswerMillis(demand.expectedAnswerTokens());
         double scoreMillis = predictedMillis;
         if (policy.isEnabled(Mechanism.ANSWER_LENGTH)) {
             scoreMillis += answerMillis * ANSWER_WEIGHT;
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
@@ -24,6 +24,10 @@
     ANSWER_LENGTH,
     /** Targets that would finish an answer after its deadline are avoided. */
     DEADLINE_FIT,
+    /** A request that would be cut off at its deadline at the best free target stays queued for a faster one. */
+    HELD_TO_END_IN_TIME,
+    /** Lengths of answers are taken from the callers' estimates instead of the maximum. */
+    EXPECTED_LENGTH,
     /** Requests prefer targets that have read their prompt recently. */
     PROMPT_MEMORY,
     /** Targets receive slightly more requests than they have slots. */
