Give short requests a bounded head start in the queue of their rank

Cause: when notes fill the slots, a tenth of them holds half of the slot time.

Change: within a rank, a request precedes others by up to a quarter of the on-time period, the more the shorter it is against the observed average of its own route. Ratios to the own route's average leave the order of routes and tiers as it is, and follow when lengths shift (JoinedRanksTest). The bound keeps the longest tenth served more than half as often as its kind at one and a half times the capacity.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -238,6 +238,11 @@
         return arrivedAtMillis + QueueTimeouts.onTimeMillis(route.latencyObjectiveMillis());
     }
 
+    @Override
+    public long orderMillis() {
+        return arrivedAtMillis;
+    }
+
     @Override
     public String requiredModel() {
         return head.model();
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/JoinedRanksTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/JoinedRanksTest.java
@@ -1,6 +1,7 @@
 package org.whinwharf.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.closeTo;
 import static org.hamcrest.Matchers.is;
 
 import java.util.OptionalInt;
@@ -53,6 +54,19 @@
         assertThat(ranks.assign(rank(0, 1), 20, 250), is(new JoinedRanks.Assignment(rank(0, 1), 250)));
     }
 
+    /** Guards against hold times that are compared with the work of half an hour ago: lengths shift there and back. */
+    @Test
+    void averagesFollowShiftedWorkInBothDirections() {
+        double[] meanMillis = {NOTE_MILLIS, NOTE_MILLIS / 3, NOTE_MILLIS};
+        int requestsUntilAdapted = 200;
+        for (double mean : meanMillis) {
+            for (int i = 0; i < requestsUntilAdapted; i++) {
+                ranks.assign(rank(0, 1), i % 2 == 0 ? mean / 2 : mean * 3 / 2, 250);
+            }
+            assertThat(ranks.holdTimeRatio(rank(0, 1), mean), closeTo(1, 0.1));
+        }
+    }
+
     private static int rank(int organisationRank, int routeRank) {
         return TierRank.combine(OptionalInt.of(organisationRank), routeRank);
     }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RequestQueueTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RequestQueueTest.java
@@ -21,6 +21,7 @@
         private final String name;
         private final int tierRank;
         private final long timeoutAtMillis;
+        private long orderMillis;
 
         TestRequest(String name, int tierRank, long untilMillis) {
             this.name = name;
@@ -48,6 +49,11 @@
             return timeoutAtMillis / 2;
         }
 
+        @Override
+        public long orderMillis() {
+            return orderMillis;
+        }
+
         @Override
         public String requiredModel() {
             return name.startsWith("rare") ? "rare" : "usual";
@@ -69,6 +75,26 @@
         }
     }
 
+    /** Guards against long requests that keep the slot from a short one of the same rank that arrives just after. */
+    @Test
+    void shortRequestsHaveABoundedHeadStart() {
+        RequestQueue queue = new RequestQueue(100);
+        queue.add(ordered("long-1", 0), 0);
+        queue.add(ordered("long-2", 50), 50);
+        queue.add(ordered("short", 70 - 60), 70);
+        freeSlots = 2;
+        queue.advance(100);
+        assertThat(dispatched, contains("long-1", "short"));
+        assertThat(queue.queuedAhead(ordered("next", 80), 100), is(1));
+        assertThat(queue.queuedAhead(ordered("next short", 80 - 60), 100), is(0));
+    }
+
+    private TestRequest ordered(String name, long orderMillis) {
+        TestRequest request = new TestRequest(name, 1, 1_000);
+        request.orderMillis = orderMillis;
+        return request;
+    }
+
     @Test
     void higherTierGoesFirstThenTheEarlier() {
         RequestQueue queue = new RequestQueue(10);
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ShiftedLoadTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ShiftedLoadTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 
 import java.util.Arrays;
 import java.util.List;
@@ -11,6 +12,8 @@
 import org.whinwharf.traffic.WorkloadSimulation.Kind;
 import org.whinwharf.traffic.WorkloadSimulation.Phase;
 import org.whinwharf.traffic.WorkloadSimulation.Result;
+import org.whinwharf.traffic.policy.ImmutablePolicy;
+import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.policy.Policy;
 
 /**
@@ -31,6 +34,28 @@
     private static final int SLOTS = 6;
     private static final double[] SLOWNESS = {0.55, 1, 2.8};
 
+    /** Guards against bursts in which a few long notes keep the slots from many short ones. */
+    @Test
+    void shortRequestsFirstServesMoreCallers() {
+        Policy inOrderOfArrival =
+                ImmutablePolicy.builder().addDisabled(Mechanism.SHORT_FIRST).build();
+        for (Kind kind : List.of(NOTE, CHECK)) {
+            assertThat(
+                    mean(Policy.ALL_ENABLED, kind, Result::servedShare),
+                    greaterThan(mean(inOrderOfArrival, kind, Result::servedShare)));
+        }
+    }
+
+    /** Guards against a head start that starves long answers: they are served at least half as often as their kind. */
+    @Test
+    void longestAnswersAreServedAtLeastHalfAsOften() {
+        for (Kind kind : KINDS) {
+            assertThat(
+                    mean(Policy.ALL_ENABLED, kind, Result::longServedShare),
+                    greaterThanOrEqualTo(mean(Policy.ALL_ENABLED, kind, Result::servedShare) / 2));
+        }
+    }
+
     /** Guards against long answers that start on a slow engine, where they are cut off at their deadline. */
     @Test
     void longestAnswersOfTheHighestTierEndInTime() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -78,9 +78,9 @@
             dependencies.decisionListener().queued(request);
             return;
         }
-        QueuedPlacement queued = new QueuedPlacement(request, key, assignQueueRank(request, nowMillis), nowMillis);
+        QueuedPlacement queued = newQueuedPlacement(request, key, nowMillis);
         if (wouldTimeOut(queued, nowMillis)) {
-            dependencies.decisionListener().shed(request, queueRejection(queued.tierRank(), nowMillis));
+            dependencies.decisionListener().shed(request, queueRejection(queued, nowMillis));
             return;
         }
         if (!admitQuota(request, nowMillis)) {
@@ -103,23 +103,26 @@
      * so that its caller can retry sooner and a long queue of such requests delays none that can still be served.
      */
     private boolean wouldTimeOut(QueuedPlacement queued, long nowMillis) {
-        int queuedAhead = queue.queuedAhead(queued.tierRank(), nowMillis);
+        int queuedAhead = queue.queuedAhead(queued, nowMillis);
         long timeoutMillis = queue.effectiveTimeoutAtMillis(queued, nowMillis) - nowMillis;
         return dependencies.policy().isEnabled(Mechanism.REFUSAL_ON_ARRIVAL)
                 && queuedAhead >= MIN_AHEAD_FOR_REJECTION
                 && estimatedWaitMillis(queuedAhead, queued.tierRank(), nowMillis) > timeoutMillis;
     }
 
-    private JoinedRanks.Assignment assignQueueRank(PlacementRequest request, long nowMillis) {
+    private QueuedPlacement newQueuedPlacement(PlacementRequest request, RequestKey key, long nowMillis) {
         Demand demand = request.demand();
-        long onTimeMillis = request.onTimeUntilMillis() - nowMillis;
-        if (!dependencies.policy().isEnabled(Mechanism.JOINED_RANKS)) {
-            return new JoinedRanks.Assignment(demand.tierRank(), onTimeMillis);
-        }
-        return joinedRanks.assign(
-                demand.tierRank(),
-                TargetSpeed.assumedSlotMillis(demand.promptTokens(), demand.expectedAnswerTokens()),
-                onTimeMillis);
+        long ownOnTimeMillis = request.onTimeUntilMillis() - nowMillis;
+        double holdMillis = TargetSpeed.assumedSlotMillis(demand.promptTokens(), demand.expectedAnswerTokens());
+        JoinedRanks.Assignment joined = joinedRanks.assign(demand.tierRank(), holdMillis, ownOnTimeMillis);
+        JoinedRanks.Assignment assignment = dependencies.policy().isEnabled(Mechanism.JOINED_RANKS)
+                ? joined
+                : new JoinedRanks.Assignment(demand.tierRank(), ownOnTimeMillis);
+        long headStartMillis = dependencies.policy().isEnabled(Mechanism.SHORT_FIRST)
+                ? QueueTimeouts.headStartMillis(
+                        assignment.onTimeMillis(), joinedRanks.holdTimeRatio(demand.tierRank(), holdMillis))
+                : 0;
+        return new QueuedPlacement(request, key, assignment, headStartMillis, nowMillis);
     }
 
     void reportInFlight(String process, Map<Long, RunningRequests.Run> runs, long nowMillis) {
@@ -228,10 +231,11 @@
         }
     }
 
-    private RejectionDetails queueRejection(int rank, long nowMillis) {
+    private RejectionDetails queueRejection(QueuedPlacement rejected, long nowMillis) {
+        int rank = rejected.tierRank();
         long backlogAgeMillis = queue.backlogAgeMillis(rank, nowMillis);
         long ageForRetryMillis = dependencies.policy().isEnabled(Mechanism.ADVICE_BY_STANDING) ? backlogAgeMillis : 0;
-        int queuedAhead = queue.queuedAhead(rank, nowMillis);
+        int queuedAhead = queue.queuedAhead(rejected, nowMillis);
         return new RejectionDetails(
                 QueueTimeouts.retryAfterMillis(
                         ageForRetryMillis, dependencies.random().getAsDouble()),
@@ -258,13 +262,20 @@
         private final RequestKey key;
         private final int queueRank;
         private final long onTimeUntilMillis;
+        private final long orderMillis;
         private final long backlogTimeoutAtMillis;
 
-        QueuedPlacement(PlacementRequest request, RequestKey key, JoinedRanks.Assignment assignment, long nowMillis) {
+        QueuedPlacement(
+                PlacementRequest request,
+                RequestKey key,
+                JoinedRanks.Assignment assignment,
+                long headStartMillis,
+                long nowMillis) {
             this.request = request;
             this.key = key;
             queueRank = assignment.rank();
             onTimeUntilMillis = nowMillis + assignment.onTimeMillis();
+            orderMillis = nowMillis - headStartMillis;
             // A request that failed at a target was already accepted and is late, so a backlog does not shorten its
             // timeout.
             backlogTimeoutAtMillis = assignment.onTimeMillis() <= 0
@@ -292,6 +303,11 @@
             return onTimeUntilMillis;
         }
 
+        @Override
+        public long orderMillis() {
+            return orderMillis;
+        }
+
         @Override
         public String requiredModel() {
             return request.demand().model();
@@ -361,7 +377,7 @@
         public void reject(long nowMillis) {
             queuedRequests.remove(key);
             refundQuota();
-            dependencies.decisionListener().shed(request, queueRejection(queueRank, nowMillis));
+            dependencies.decisionListener().shed(request, queueRejection(this, nowMillis));
         }
 
         void refundQuota() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
@@ -26,6 +26,8 @@
     DEADLINE_FIT,
     /** A request that would be cut off at its deadline at the best free target stays queued for a faster one. */
     HELD_TO_END_IN_TIME,
+    /** Within a rank, requests that hold a slot for less time than usual get a head start in the queue. */
+    SHORT_FIRST,
     /** Lengths of answers are taken from the callers' estimates instead of the maximum. */
     EXPECTED_LENGTH,
     /** Requests prefer targets that have read their prompt recently. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/JoinedRanks.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/JoinedRanks.java
@@ -70,6 +70,18 @@
                 tierRank, joins(below, tierRank) ? shorterOnTimeMillis(onTimeMillis, below) : onTimeMillis);
     }
 
+    /**
+     * Compares the hold time of a request with the average of its rank.
+     *
+     * @param tierRank rank for which {@link #assign} was called
+     * @param holdMillis expected time for which the request holds a slot
+     * @return ratio; 1 for a request of average length
+     */
+    public double holdTimeRatio(int tierRank, double holdMillis) {
+        Averages averages = averagesByRank.get(tierRank);
+        return averages == null || averages.holdMillis <= 0 ? 1 : holdMillis / averages.holdMillis;
+    }
+
     private boolean joins(Integer rank, Integer above) {
         return rank != null
                 && above != null
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueueTimeouts.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueueTimeouts.java
@@ -17,6 +17,12 @@
      * every slot busy at any length. A longer queue serves no more requests; it only delays answers and rejections.
      */
     private static final double BACKLOG_SHARE = 0.5;
+    /**
+     * Head start of the shortest requests as a share of the on-time period. With log-normal lengths, half of the
+     * requests hold slots for a tenth of the total time. The head start is bounded so that the longest tenth is still
+     * served more than half as often as the others at one and a half times the capacity.
+     */
+    private static final double MAX_HEAD_START_SHARE = 0.25;
     /** Minimum Retry-After delay: one round of gossip. */
     private static final long MIN_RETRY_AFTER_MILLIS = 250;
     /** Maximum Retry-After delay: most callers that wait longer reach their own timeout. */
@@ -55,6 +61,17 @@
         return (long) (onTimeMillis * BACKLOG_SHARE);
     }
 
+    /**
+     * Returns the head start of a request in the queue of its rank.
+     *
+     * @param onTimeMillis time from arrival for which the request counts as on time
+     * @param holdTimeRatio expected hold time of the request divided by the average of its route
+     * @return time in milliseconds; 0 for a request that is as long as the average or longer
+     */
+    public static long headStartMillis(long onTimeMillis, double holdTimeRatio) {
+        return (long) (Math.max(0, onTimeMillis) * MAX_HEAD_START_SHARE * Math.max(0, 1 - holdTimeRatio));
+    }
+
     /**
      * Returns the Retry-After delay of a rejected request. The delay grows with the age of the backlog, because an
      * overload usually lasts about as long again as it has lasted so far, and a caller that retries during it is
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueuedRequest.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueuedRequest.java
@@ -30,6 +30,13 @@
      */
     long onTimeUntilMillis();
 
+    /**
+     * Returns the time by which requests of one rank are ordered: the arrival less the head start of a short request.
+     *
+     * @return monotonic time in milliseconds
+     */
+    long orderMillis();
+
     /**
      * Returns the model that the request requires. Requests of one rank that require the same model usually either all
      * find a target or all find none.
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/RequestQueue.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/RequestQueue.java
@@ -11,7 +11,8 @@
 
 /**
  * Queue of the requests of one service, ordered by rank. Within a rank, requests that can still meet their objective
- * precede late ones, then order of arrival decides. A burst therefore delays some requests instead of all that follow.
+ * precede late ones, then order of arrival decides, in which short requests have a head start. A burst therefore delays
+ * some requests instead of all that follow, and few of them.
  *
  * <p>Requests are queued here instead of at an engine, because here a later request of a higher tier is still served
  * first, and a request whose caller disconnects costs nothing.
@@ -73,19 +74,22 @@
     }
 
     /**
-     * Returns the number of queued requests that are served before a new one.
+     * Returns the number of queued requests that are served before a given one.
      *
-     * @param tierRank rank of the new request
+     * @param request request, queued or not
      * @param nowMillis monotonic time in milliseconds
-     * @return number of requests of higher tiers, and of those of the same tier that can still be on time
+     * @return number of requests of higher tiers, and of those of the same tier that precede it and can still be on
+     *     time
      */
-    public int queuedAhead(int tierRank, long nowMillis) {
+    public int queuedAhead(QueuedRequest request, long nowMillis) {
         int ahead = 0;
-        for (List<QueuedRequest> list : requestsByRank.headMap(tierRank).values()) {
+        for (List<QueuedRequest> list :
+                requestsByRank.headMap(request.tierRank()).values()) {
             ahead += list.size();
         }
-        for (QueuedRequest request : requestsByRank.getOrDefault(tierRank, List.of())) {
-            ahead += nowMillis <= request.onTimeUntilMillis() ? 1 : 0;
+        for (QueuedRequest other : requestsByRank.getOrDefault(request.tierRank(), List.of())) {
+            boolean precedes = other != request && other.orderMillis() <= request.orderMillis();
+            ahead += precedes && nowMillis <= other.onTimeUntilMillis() ? 1 : 0;
         }
         return ahead;
     }
@@ -173,9 +177,9 @@
             List<QueuedRequest> current = requestsByRank.put(rank, new ArrayList<>());
             List<QueuedRequest> remaining = new ArrayList<>();
             size -= current.size();
-            if (policy.isEnabled(Mechanism.ON_TIME_FIRST)) {
-                current.sort(Comparator.comparing((QueuedRequest request) -> nowMillis > request.onTimeUntilMillis()));
-            }
+            current.sort(Comparator.comparing((QueuedRequest request) ->
+                            policy.isEnabled(Mechanism.ON_TIME_FIRST) && nowMillis > request.onTimeUntilMillis())
+                    .thenComparingLong(QueuedRequest::orderMillis));
             // A request may queue itself again during its dispatch, so the current list was detached above.
             Map<String, Integer> failuresByModel = new HashMap<>();
             for (QueuedRequest request : current) {
