Pause longer between the watches of all but the first watcher of a data centre

Change: the first watcher by name coalesces changes for 200 ms as before, the others for 600 ms; they hear of changes from the reports of the first, as the processes that do not watch, and still watch all the time to be in touch when it is cut off. The pause moves from the adapter to the feed, which decides who watches. ItemSpreadTest takes the pause from the feed; its limits stay.

A pause of 1 s would have let a standby count as out of touch between two watches.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemSpreadTest.java
@@ -177,7 +177,6 @@
         private static final long TICK_INTERVAL_MILLIS = 250;
         private static final long WATCH_LONG_POLL_MILLIS = 2_000;
         private static final long WATCH_MARGIN_MILLIS = 700;
-        private static final long COALESCE_MILLIS = 200;
         private static final long RETRY_DELAY_MILLIS = 400;
         private static final long ANSWER_MARGIN_MILLIS = 500;
         private static final long NETWORK_DELAY_MILLIS = 2;
@@ -335,7 +334,7 @@
 
         private void watchAnswered() {
             feed.applyWatchEvents(published, newestRevision());
-            schedule(nowMillis + COALESCE_MILLIS, this::watch);
+            schedule(nowMillis + feed.watchPauseMillis(), this::watch);
         }
 
         private void watchFailed() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -39,6 +39,18 @@
      * host.
      */
     private static final long WATCH_CATCH_UP_MILLIS = 400;
+    /**
+     * Pause between watches of the first watcher of a data centre, during which changes are coalesced. In a large
+     * fleet, engines change their entries many times a second, and each change ends a watch; coalescing them reduces
+     * the number of calls to a third. The strictest time limit for applying a change, two seconds for a departing
+     * target, is ten times as long.
+     */
+    private static final long COALESCE_MILLIS = 200;
+    /**
+     * The same pause of the other watchers. They hear of most changes from the first one, and watch to be in touch when
+     * it is cut off or leaves.
+     */
+    private static final long STANDBY_COALESCE_MILLIS = 600;
     /** Time for which a peer may hold a poll until an item changes. */
     private static final long PEER_LONG_POLL_MILLIS = 1_000;
     /** Fleet size up to which every process watches the service. */
@@ -138,12 +150,23 @@
         return ticker.nowMillis() < takenOverUntilMillis || watchRank() < WATCHERS_PER_DATA_CENTRE;
     }
 
-    /** Returns how many live processes of this data centre precede this one by name; 0 in a small fleet. */
+    /**
+     * Returns the pause after a watch before the next one begins.
+     *
+     * @return time in milliseconds
+     */
+    public long watchPauseMillis() {
+        return rankInDataCentre(members.alive(ticker.nowMillis())) == 0 ? COALESCE_MILLIS : STANDBY_COALESCE_MILLIS;
+    }
+
+    /** Returns the rank in the data centre; 0 in a small fleet, where every process watches. */
     private int watchRank() {
         List<Member> alive = members.alive(ticker.nowMillis());
-        if (alive.size() < SMALL_FLEET_LIMIT) {
-            return 0;
-        }
+        return alive.size() < SMALL_FLEET_LIMIT ? 0 : rankInDataCentre(alive);
+    }
+
+    /** Returns how many live processes of this data centre precede this one by name. */
+    private int rankInDataCentre(List<Member> alive) {
         int rank = 0;
         for (Member member : alive) {
             MemberReport report = member.report();
