Charge the usage of processes that were cut off to the refill left to them, and advise rejected callers by the whole rate

(2) A coordinator rejects for all processes, but divided the rate by their number when it told callers when to come back: up to 1,731 s.

Change: the refill withheld during a partition is kept for ten seconds after it, in which all have reported, and late reports are charged to it first. A coordinator advises by the whole rate; no advice exceeds eight seconds.

QuotaLedgerTest usageOfTheOtherHalfOfAPartitionIsNoDebt and coordinatorAdvisesItsCallersByTheWholeRate fail without it. The bound of the quota over a window holds in the first, in the same terms as in the tests before. Another way, credit for refill that a full bucket discards, was not taken: a burst reported late would then exceed the quota.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -96,6 +96,47 @@
         assertThat((double) (last - first), closeTo(99 * REQUEST_TOKENS / RATE * 1_000, 2));
     }
 
+    /**
+     * Guards against a coordinator that tells callers to come back after half an hour, as each of seventy processes.
+     */
+    @Test
+    void coordinatorAdvisesItsCallersByTheWholeRate() {
+        QuotaLedger ledger = new QuotaLedger(true);
+        ledger.update(Fixtures.catalog(1, RATE, RATE), 0);
+        for (int process = 0; process < 70; process++) {
+            ledger.receiveTotal("front-" + process, 1, "obec".hashCode(), 0, 0);
+        }
+        while (ledger.tryAdmitFor("front-1", "obec", REQUEST_TOKENS, 0)) {
+            assertThat(ledger.levelTokens("obec", 0) <= RATE, is(true));
+        }
+        assertThat((double) ledger.coordinatorRetryAfterMillis("obec"), closeTo(REQUEST_TOKENS / RATE * 1_000, 2));
+        for (int i = 0; i < 1_000; i++) {
+            ledger.tryAdmitFor("front-1", "obec", REQUEST_TOKENS, 0);
+        }
+        assertThat(ledger.coordinatorRetryAfterMillis("obec"), is(8_000L));
+    }
+
+    /**
+     * Guards against a debt of many seconds after a partition: the other half used the share of the refill that was
+     * left to it, and reports it once it is reachable.
+     */
+    @Test
+    void usageOfTheOtherHalfOfAPartitionIsNoDebt() {
+        List<QuotaLedger> fleet = fleet(true);
+        flood(fleet, fleet.size(), 0, 8_000);
+        long healedAtMillis = 20_000;
+        fleet.forEach(ledger -> ledger.updateReachableShare(0.5, 8_000));
+        flood(fleet, 3, 8_000, healedAtMillis);
+        fleet.forEach(ledger -> ledger.updateReachableShare(1, healedAtMillis));
+        exchangeTotals(fleet, PROCESSES, healedAtMillis);
+        for (QuotaLedger ledger : fleet) {
+            assertThat((double) ledger.levelTokens("obec", healedAtMillis), greaterThan(-RATE));
+        }
+        long admitted = flood(fleet, PROCESSES, healedAtMillis, healedAtMillis + 8_000);
+        assertThat((double) admitted, lessThan(MAX_ADMITTED_TOKENS));
+        assertThat((double) admitted, greaterThan(RATE * 8 * 0.9));
+    }
+
     /**
      * A peer is restarted many times a day. If each incarnation counted as one more process, the quota would be divided
      * among dead processes, and rejected callers would get ever longer Retry-After delays.
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -248,7 +248,7 @@
     private RejectionDetails quotaRejection(String organisation, long nowMillis) {
         QuotaLedger quotas = dependencies.quotas();
         return new RejectionDetails(
-                quotas.retryAfterMillis(organisation), 0, 0, 0, quotas.levelTokens(organisation, nowMillis));
+                quotas.coordinatorRetryAfterMillis(organisation), 0, 0, 0, quotas.levelTokens(organisation, nowMillis));
     }
 
     private long estimatedWaitMillis(int queuedAhead, int rank, long nowMillis) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -6,7 +6,8 @@
  * <p>Every process keeps the whole bucket and subtracts the usage that the other processes report. Reports are a
  * fraction of a second old, so the level may fall below zero. The debt is paid off before further requests are
  * admitted, which keeps usage over any longer window within the quota. Unreachable processes may admit requests too, so
- * their share of the refill is left to them and two halves of a partitioned fleet stay within the quota together.
+ * their share of the refill is left to them and two halves of a partitioned fleet stay within the quota together. Once
+ * they are reachable again, their reports are charged to that share first.
  */
 public final class QuotaAccount {
     /** Share of the burst available at a restart, when the usage admitted before the restart is unknown. */
@@ -20,10 +21,17 @@
     /** Time over which the unused rate of uncoordinated admission accumulates. */
     private static final double UNCOORDINATED_BURST_SECONDS = 0.25;
 
+    /** Time for which the share of processes that were unreachable is kept: in this time, all of them have reported. */
+    private static final long WITHHELD_RETENTION_MILLIS = 10_000;
+    /** Maximum Retry-After delay: most callers that wait longer reach their own timeout. */
+    private static final long MAX_RETRY_AFTER_MILLIS = 8_000;
+
     private double ratePerSecond;
     private double burst;
     private double level;
     private double reachableShare = 1;
+    private double withheldTokens;
+    private long withheldUntilMillis;
     private double rejectedBacklogTokens;
     private long refilledAtMillis;
     private double uncoordinatedLevel = Double.MAX_VALUE;
@@ -124,12 +132,25 @@
     }
 
     /**
-     * Subtracts tokens that another process admitted.
+     * Subtracts tokens that another process admitted, first from the refill that was left to unreachable processes.
      *
      * @param tokens tokens admitted since its previous report
      * @param nowMillis monotonic time in milliseconds
      */
     public void recordRemoteAdmission(long tokens, long nowMillis) {
+        refill(nowMillis);
+        double withheldUsed = Math.min(tokens, withheldTokens);
+        withheldTokens -= withheldUsed;
+        level -= tokens - withheldUsed;
+    }
+
+    /**
+     * Subtracts tokens that a remote coordinator admitted for this process.
+     *
+     * @param tokens admitted tokens
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void recordCoordinatorAdmission(long tokens, long nowMillis) {
         refill(nowMillis);
         level -= tokens;
     }
@@ -140,12 +161,13 @@
      * and most would be rejected again.
      *
      * @param processes number of processes that admit from the same quota
-     * @return time in milliseconds
+     * @return time in milliseconds, at most eight seconds
      */
     public long retryAfterMillis(int processes) {
         double localRatePerSecond = ratePerSecond / Math.max(1, processes);
         double debtSeconds = Math.max(0, -level) / ratePerSecond;
-        return (long) ((debtSeconds + rejectedBacklogTokens / localRatePerSecond) * 1_000) + 1;
+        double turnMillis = (debtSeconds + rejectedBacklogTokens / localRatePerSecond) * 1_000;
+        return (long) Math.min(MAX_RETRY_AFTER_MILLIS, turnMillis + 1);
     }
 
     /**
@@ -162,7 +184,14 @@
     private void refill(long nowMillis) {
         long elapsedMillis = Math.max(0, nowMillis - refilledAtMillis);
         refilledAtMillis = nowMillis;
-        double refill = ratePerSecond * reachableShare * elapsedMillis / 1_000.0;
+        double fullRefill = ratePerSecond * elapsedMillis / 1_000.0;
+        double refill = fullRefill * reachableShare;
+        if (reachableShare < 1) {
+            withheldTokens += fullRefill - refill;
+            withheldUntilMillis = nowMillis + WITHHELD_RETENTION_MILLIS;
+        } else if (nowMillis >= withheldUntilMillis) {
+            withheldTokens = 0;
+        }
         level = Math.min(burst, level + refill);
         rejectedBacklogTokens = Math.max(0, rejectedBacklogTokens - refill);
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -135,6 +135,18 @@
         return account == null ? 0 : account.retryAfterMillis(1 + totalsByProcess.size());
     }
 
+    /**
+     * Returns the Retry-After delay for a caller of any process that this process rejected as the coordinator. It has
+     * rejected the callers of all processes, so the whole rate serves those before this one.
+     *
+     * @param organisation name of the organisation
+     * @return time in milliseconds; 0 when it has no quota
+     */
+    public long coordinatorRetryAfterMillis(String organisation) {
+        QuotaAccount account = accounts.get(organisation);
+        return account == null ? 0 : account.retryAfterMillis(1);
+    }
+
     /**
      * Returns the level of an organisation's bucket.
      *
@@ -244,7 +256,7 @@
     public void recordCoordinatorAdmission(String organisation, long tokens, long nowMillis) {
         QuotaAccount account = accounts.get(organisation);
         if (account != null) {
-            account.recordRemoteAdmission(tokens, nowMillis);
+            account.recordCoordinatorAdmission(tokens, nowMillis);
         }
         addToTotal(organisation.hashCode(), tokens);
     }
