Log lasting changes of the work that a coordinator observes

The average time for which the requests of each rank hold a slot decides which ranks are joined and who has a head start. A line work-changed says when it was first known and when it has changed by half since, so that an operator sees that the work has shifted, and since when. request-sent names the length that placement was based on, no longer the maximum.

Cost: two comparisons a request at the coordinator.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -164,6 +164,11 @@
                 : OptionalLong.empty();
     }
 
+    /** Returns the length of the answer that placement is based on, in tokens. */
+    long expectedAnswerTokens() {
+        return estimatedAnswerTokens().orElse(head.maxAnswerTokens());
+    }
+
     @Override
     public PlacementAsk placementRequest(long id) {
         long nowMillis = front.nowMillis();
@@ -385,7 +390,7 @@
             front.targetAnswered(entry);
             targetRun.end(
                     RunEvent.RUN_ANSWERED,
-                    dispatchCount == 1 ? estimatedAnswerTokens().orElse(head.maxAnswerTokens()) : 0,
+                    dispatchCount == 1 ? expectedAnswerTokens() : 0,
                     silenceWatch.lastByteAtMillis());
             endRun(RunEvent.RUN_ANSWERED);
             deliver();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -439,6 +439,7 @@
                 .decisionListener(decisions)
                 .targetOutcomeListener(targets)
                 .loadListener(targets::updateLoad)
+                .workListener(FrontLog::workChanged)
                 .random(random::nextDouble)
                 .policy(settings.policy())
                 .build());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -27,12 +27,21 @@
                 .call();
     }
 
+    static void workChanged(String service, int tierRank, double previousMillis, double holdMillis) {
+        EventLog.event(LogEvent.WORK_CHANGED)
+                .with(EventField.SERVICE, service)
+                .with(EventField.TIER_RANK, tierRank)
+                .with(EventField.FROM, Math.round(previousMillis))
+                .with(EventField.TO, Math.round(holdMillis))
+                .call();
+    }
+
     static void sent(CallerExchange exchange, Target target, long waitedMillis, Candidate candidate) {
         EventLog.event(LogEvent.REQUEST_SENT)
                 .with(EventField.REQUEST, exchange.head().attemptId())
                 .with(EventField.TARGET, target.id())
                 .with(EventField.TIER_RANK, exchange.tierRank())
-                .with(EventField.ANSWER_TOKENS, exchange.head().maxAnswerTokens())
+                .with(EventField.ANSWER_TOKENS, exchange.expectedAnswerTokens())
                 .with(EventField.WAITED_MILLIS, waitedMillis)
                 .with(EventField.OCCUPANCY, Math.round(candidate.occupancy() * 100) / 100.0)
                 .with(EventField.PREFILL_TOKENS, candidate.uncachedTokens())
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorDependencies.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorDependencies.java
@@ -79,6 +79,16 @@
      */
     LoadListener loadListener();
 
+    /**
+     * Returns the listener for lasting changes of the observed work.
+     *
+     * @return listener; changes are ignored by default
+     */
+    @Value.Default
+    default WorkListener workListener() {
+        return WorkListener.NONE;
+    }
+
     /**
      * Returns the source of the jitter in Retry-After delays.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -39,7 +39,7 @@
     private final RequestQueue queue;
     private final RunningRequests running;
     private final WaitEstimator waitEstimator = new WaitEstimator();
-    private final JoinedRanks joinedRanks = new JoinedRanks();
+    private final JoinedRanks joinedRanks;
     private final Map<RequestKey, QueuedPlacement> queuedRequests = new HashMap<>();
     private final Map<RequestKey, Grant> grants = new LinkedHashMap<>();
     private final Map<String, Long> lastActivityAtMillis = new HashMap<>();
@@ -53,6 +53,8 @@
         this.service = service;
         queue = new RequestQueue(MAX_QUEUED, dependencies.policy());
         running = new RunningRequests(dependencies.loadListener());
+        joinedRanks = new JoinedRanks((tierRank, previousMillis, holdMillis) ->
+                dependencies.workListener().holdTimeChanged(service, tierRank, previousMillis, holdMillis));
     }
 
     /** Returns the number of queued requests. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/JoinedRanks.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/JoinedRanks.java
@@ -22,12 +22,34 @@
      */
     private static final double SMOOTHING_FACTOR = 0.02;
 
+    /** Number of requests after which an average is reported: enough for it to represent the work. */
+    private static final int MIN_REQUESTS_TO_REPORT = 100;
+    /** Ratio to the average reported last from which a change is reported, so that variations are not. */
+    private static final double MIN_REPORTED_CHANGE = 1.5;
+
     private final TreeMap<Integer, Averages> averagesByRank = new TreeMap<>();
+    private final HoldTimeListener listener;
+
+    /** Creates an instance without averages. */
+    public JoinedRanks() {
+        this(HoldTimeListener.NONE);
+    }
+
+    /**
+     * Creates an instance without averages.
+     *
+     * @param listener listener for lasting changes of an average hold time
+     */
+    public JoinedRanks(HoldTimeListener listener) {
+        this.listener = listener;
+    }
 
     /** Exponential moving averages over the requests of one rank. */
     private static final class Averages {
         private double holdMillis;
         private double onTimeMillis;
+        private double reportedHoldMillis;
+        private int requests;
 
         Averages(double holdMillis, double onTimeMillis) {
             this.holdMillis = holdMillis;
@@ -37,6 +59,13 @@
         void add(double newHoldMillis, double newOnTimeMillis) {
             holdMillis += (newHoldMillis - holdMillis) * SMOOTHING_FACTOR;
             onTimeMillis += (newOnTimeMillis - onTimeMillis) * SMOOTHING_FACTOR;
+            requests++;
+        }
+
+        boolean changedSinceReport() {
+            double ratio = holdMillis / reportedHoldMillis;
+            return requests >= MIN_REQUESTS_TO_REPORT
+                    && (ratio >= MIN_REPORTED_CHANGE || ratio <= 1 / MIN_REPORTED_CHANGE);
         }
     }
 
@@ -58,9 +87,13 @@
      * @return position in the queue
      */
     public Assignment assign(int tierRank, double holdMillis, long onTimeMillis) {
-        averagesByRank
-                .computeIfAbsent(tierRank, rank -> new Averages(holdMillis, onTimeMillis))
-                .add(holdMillis, onTimeMillis);
+        Averages averages = averagesByRank.computeIfAbsent(tierRank, rank -> new Averages(holdMillis, onTimeMillis));
+        averages.add(holdMillis, onTimeMillis);
+        if (averages.changedSinceReport()) {
+            listener.holdTimeChanged(tierRank, averages.reportedHoldMillis, averages.holdMillis);
+            averages.reportedHoldMillis = averages.holdMillis;
+            averages.requests = 0;
+        }
         Integer above = averagesByRank.lowerKey(tierRank);
         if (joins(tierRank, above)) {
             return new Assignment(above, shorterOnTimeMillis(onTimeMillis, above));
