--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -72,7 +72,7 @@
      * Records the end of the run.
      *
      * @param event how the run ended
-     * @param answerTokens upper bound of the answer's length in tokens; 0 when its duration does not indicate speed
+     * @param answerTokens expected length of the answer in tokens; 0 when its duration does not indicate speed
      * @param nowMillis monotonic time of the last byte in milliseconds
      */
     void end(RunEvent event, long answerTokens, long nowMillis) {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
@@ -16,6 +16,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.whinwharf.front.BadRequestException;
 import org.whinwharf.front.DispatchParameters;
 import org.whinwharf.front.RequestHead;
@@ -38,6 +40,15 @@
         return request;
     }
 
+    /** Guards against an estimate that rejects a request or exceeds what its answer may hold. */
+    @ParameterizedTest
+    @CsvSource({"35, 35", "35.6, 35", "400, 80", "0, -1", "-3, -1", "long, -1"})
+    void estimateOfTheAnswerIsBoundedOrIgnored(String hint, long tokens) throws BadRequestException {
+        HttpRequest request = request();
+        request.headers().set("X-Length-Hint", hint);
+        assertThat(dialect.readRequest(request).estimatedAnswerTokens().orElse(-1), is(tokens));
+    }
+
     @Test
     void requestHeadIsParsed() throws BadRequestException {
         RequestHead head = dialect.readRequest(request());
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -1,5 +1,7 @@
 package org.whinwharf.traffic.quota;
 
+import org.whinwharf.traffic.waiting.QueueTimeouts;
+
 /**
  * This process's view of one organisation's fleet-wide token bucket.
  *
@@ -23,8 +25,6 @@
 
     /** Time for which the share of processes that were unreachable is kept: in this time, all of them have reported. */
     private static final long WITHHELD_RETENTION_MILLIS = 10_000;
-    /** Maximum Retry-After delay: most callers that wait longer reach their own timeout. */
-    private static final long MAX_RETRY_AFTER_MILLIS = 8_000;
 
     private double ratePerSecond;
     private double burst;
@@ -161,13 +161,13 @@
      * and most would be rejected again.
      *
      * @param processes number of processes that admit from the same quota
-     * @return time in milliseconds, at most eight seconds
+     * @return time in milliseconds, at most {@link QueueTimeouts#MAX_RETRY_AFTER_MILLIS}
      */
     public long retryAfterMillis(int processes) {
         double localRatePerSecond = ratePerSecond / Math.max(1, processes);
         double debtSeconds = Math.max(0, -level) / ratePerSecond;
         double turnMillis = (debtSeconds + rejectedBacklogTokens / localRatePerSecond) * 1_000;
-        return (long) Math.min(MAX_RETRY_AFTER_MILLIS, turnMillis + 1);
+        return (long) Math.min(QueueTimeouts.MAX_RETRY_AFTER_MILLIS, turnMillis + 1);
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetSpeed.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetSpeed.java
@@ -21,7 +21,7 @@
     private static final double MIN_SLOWDOWN_FACTOR = 0.3;
 
     /**
-     * Time per token of an answer's maximum length, assumed before any measurement: a current engine's published step.
+     * Time per token of an answer's expected length, assumed before any measurement: a current engine's published step.
      */
     private static final double ASSUMED_MILLIS_PER_ANSWER_TOKEN = 3.3;
 
@@ -55,7 +55,7 @@
     /**
      * Estimates the time from the first event of an answer to its last.
      *
-     * @param answerTokens maximum length of the answer in tokens
+     * @param answerTokens expected length of the answer in tokens
      * @return time in milliseconds
      */
     public double estimatedAnswerMillis(long answerTokens) {
@@ -66,7 +66,7 @@
      * Estimates how long a request occupies a slot of an idle engine of the assumed speed.
      *
      * @param promptTokens length of the prompt in tokens
-     * @param answerTokens maximum length of the answer in tokens
+     * @param answerTokens expected length of the answer in tokens
      * @return time in milliseconds
      */
     public static double assumedSlotMillis(long promptTokens, long answerTokens) {
@@ -76,7 +76,7 @@
     /**
      * Records a complete answer.
      *
-     * @param answerTokens maximum length of the answer in tokens, above 0
+     * @param answerTokens expected length of the answer in tokens, above 0
      * @param tookMillis time in milliseconds from its first event to its last
      */
     public void recordAnswer(long answerTokens, long tookMillis) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueueTimeouts.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueueTimeouts.java
@@ -26,7 +26,7 @@
     /** Minimum Retry-After delay: one round of gossip. */
     private static final long MIN_RETRY_AFTER_MILLIS = 250;
     /** Maximum Retry-After delay: most callers that wait longer reach their own timeout. */
-    private static final long MAX_RETRY_AFTER_MILLIS = 8_000;
+    public static final long MAX_RETRY_AFTER_MILLIS = 8_000;
 
     private QueueTimeouts() {}
 
