Let the advice of a coordinator over a quota grow with the time of rejections

Change: the time for which requests have been rejected is added, as queues do; a gap of a second ends it. QuotaLedgerTest coordinatorAdviceGrowsWithTheTimeOfRejections fails without it.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -116,6 +116,23 @@
         assertThat(ledger.coordinatorRetryAfterMillis("obec"), is(8_000L));
     }
 
+    /**
+     * Guards against callers that are sent back at once, again and again, into an overload that goes on for seconds.
+     */
+    @Test
+    void coordinatorAdviceGrowsWithTheTimeOfRejections() {
+        QuotaLedger ledger = new QuotaLedger(true);
+        ledger.update(Fixtures.catalog(1, RATE, RATE), 0);
+        for (long now = 0; now < 3_000; now += 10) {
+            ledger.tryAdmitFor("front-1", "obec", REQUEST_TOKENS / 2, now);
+        }
+        assertThat((double) ledger.coordinatorRetryAfterMillis("obec"), greaterThan(1_000.0));
+        for (long now = 10_000; ledger.tryAdmitFor("front-1", "obec", REQUEST_TOKENS, now); ) {
+            assertThat(ledger.levelTokens("obec", now) <= RATE, is(true));
+        }
+        assertThat((double) ledger.coordinatorRetryAfterMillis("obec"), lessThan(200.0));
+    }
+
     /**
      * Guards against a debt of many seconds after a partition: the other half used the share of the refill that was
      * left to it, and reports it once it is reachable.
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -26,6 +26,9 @@
     /** Time for which the share of processes that were unreachable is kept: in this time, all of them have reported. */
     private static final long WITHHELD_RETENTION_MILLIS = 10_000;
 
+    /** Time without a rejection that ends a period of rejections: longer than gaps between bursts of arrivals. */
+    private static final long REJECTION_GAP_MILLIS = 1_000;
+
     private double ratePerSecond;
     private double burst;
     private double level;
@@ -33,6 +36,8 @@
     private double withheldTokens;
     private long withheldUntilMillis;
     private double rejectedBacklogTokens;
+    private long rejectingSinceMillis;
+    private long lastRejectionMillis = Long.MIN_VALUE / 2;
     private long refilledAtMillis;
     private double uncoordinatedLevel = Double.MAX_VALUE;
     private long uncoordinatedRefilledAtMillis;
@@ -88,6 +93,10 @@
         refill(nowMillis);
         if (level <= 0) {
             rejectedBacklogTokens += tokens;
+            if (nowMillis - lastRejectionMillis > REJECTION_GAP_MILLIS) {
+                rejectingSinceMillis = nowMillis;
+            }
+            lastRejectionMillis = nowMillis;
             return false;
         }
         level -= tokens;
@@ -170,6 +179,18 @@
         return (long) Math.min(QueueTimeouts.MAX_RETRY_AFTER_MILLIS, turnMillis + 1);
     }
 
+    /**
+     * Returns the Retry-After delay for a caller that the coordinator just rejected for all processes. New requests of
+     * an organisation over its quota use the tokens before those that return, so the delay grows with the time for
+     * which requests have been rejected, as it does for queues.
+     *
+     * @return time in milliseconds, at most {@link QueueTimeouts#MAX_RETRY_AFTER_MILLIS}
+     */
+    public long coordinatorRetryAfterMillis() {
+        long rejectingForMillis = lastRejectionMillis - rejectingSinceMillis;
+        return Math.min(QueueTimeouts.MAX_RETRY_AFTER_MILLIS, retryAfterMillis(1) + Math.max(0, rejectingForMillis));
+    }
+
     /**
      * Returns the level of the bucket.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -144,7 +144,7 @@
      */
     public long coordinatorRetryAfterMillis(String organisation) {
         QuotaAccount account = accounts.get(organisation);
-        return account == null ? 0 : account.retryAfterMillis(1);
+        return account == null ? 0 : account.coordinatorRetryAfterMillis();
     }
 
     /**
