--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -22,10 +22,8 @@
     private static final double UNCOORDINATED_RATE_SHARES = 2;
     /** Time over which the unused rate of uncoordinated admission accumulates. */
     private static final double UNCOORDINATED_BURST_SECONDS = 0.25;
-
     /** Time for which the share of processes that were unreachable is kept: in this time, all of them have reported. */
     private static final long WITHHELD_RETENTION_MILLIS = 10_000;
-
     /** Time without a rejection that ends a period of rejections: longer than gaps between bursts of arrivals. */
     private static final long REJECTION_GAP_MILLIS = 1_000;
 
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/JoinedRanks.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/JoinedRanks.java
@@ -9,6 +9,8 @@
  * <p>Under overload, strict priority rejects nearly all requests of the lowest route. If these hold a slot for a tenth
  * of the time of the requests ranked above them, this frees almost no capacity: seven checks are rejected for one more
  * note. Queued in the same rank, both are rejected in equal shares. Ranks of organisations are never joined.
+ *
+ * <p>The average hold times on which this is based also tell which requests are short for their rank.
  */
 public final class JoinedRanks {
     /**
