--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -47,8 +47,8 @@
      */
     private static final long COALESCE_MILLIS = 200;
     /**
-     * The same pause of the other watchers. They hear of most changes from the first one, and watch to be in touch when
-     * it is cut off or leaves.
+     * The same pause of the other watchers after a change. They hear of most changes from the first one, and watch to
+     * be in touch when it is cut off or leaves.
      */
     private static final long STANDBY_COALESCE_MILLIS = 600;
     /** Time for which a peer may hold a poll until an item changes. */
@@ -153,10 +153,13 @@
     /**
      * Returns the pause after a watch before the next one begins.
      *
+     * @param changed true if the watch returned changes; after one that expired, peers are about to take the items for
+     *     stale
      * @return time in milliseconds
      */
-    public long watchPauseMillis() {
-        return rankInDataCentre(members.alive(ticker.nowMillis())) == 0 ? COALESCE_MILLIS : STANDBY_COALESCE_MILLIS;
+    public long watchPauseMillis(boolean changed) {
+        boolean standby = rankInDataCentre(members.alive(ticker.nowMillis())) > 0;
+        return changed && standby ? STANDBY_COALESCE_MILLIS : COALESCE_MILLIS;
     }
 
     /** Returns the rank in the data centre; 0 in a small fleet, where every process watches. */
