Leave the refill kept for unreachable processes to those that were unreachable

Cause, found by reading: the refill withheld while processes do not answer was also charged with what restarted processes admit. These were down and used nothing of it; for ten seconds after a restart of half of the fleet they could have spent it beside the coordinator, up to eight seconds of a quota, without a debt. The quota is a promise.

Change: the admissions of an incarnation that replaced another one are charged in full. QuotaLedgerTest restartedProcessesAreChargedInFull fails without it. Two comments no longer tell how a value was found.

--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -173,7 +173,7 @@
     MEMBER_HEARD(Level.INFO, EventField.PEER, EventField.INCARNATION, EventField.STATUS),
     /** The coordinator that this process uses for a service changed. */
     COORDINATOR_CHANGED(Level.INFO, EventField.SERVICE, EventField.FROM, EventField.TO),
-    /** The average time for which requests of a rank hold a slot changed lastingly. */
+    /** The average time for which requests of a rank hold a slot became known or changed by half. */
     WORK_CHANGED(Level.INFO, EventField.SERVICE, EventField.TIER_RANK, EventField.FROM, EventField.TO),
     /** A coordinator did not respond in time and is skipped for a while. */
     COORDINATOR_SILENT(Level.WARN, EventField.PEER, EventField.SERVICE, EventField.AGE_MILLIS),
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -154,6 +154,19 @@
         assertThat((double) admitted, greaterThan(RATE * 8 * 0.9));
     }
 
+    /** Guards against processes that were down and come back to spend, beside the others, what was kept for them. */
+    @Test
+    void restartedProcessesAreChargedInFull() {
+        QuotaLedger ledger = new QuotaLedger(true);
+        ledger.update(Fixtures.catalog(1, RATE, RATE), 0);
+        ledger.receiveTotal("front-1", 1, "obec".hashCode(), 0, 0);
+        ledger.updateReachableShare(0.5, 0);
+        ledger.updateReachableShare(1, 10_000);
+        long before = ledger.levelTokens("obec", 10_000);
+        ledger.receiveTotal("front-1", 2, "obec".hashCode(), REQUEST_TOKENS, 10_000);
+        assertThat(ledger.levelTokens("obec", 10_000), is(before - REQUEST_TOKENS));
+    }
+
     /**
      * A peer is restarted many times a day. If each incarnation counted as one more process, the quota would be divided
      * among dead processes, and rejected callers would get ever longer Retry-After delays.
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -139,27 +139,28 @@
     }
 
     /**
-     * Subtracts tokens that another process admitted, first from the refill that was left to unreachable processes.
+     * Subtracts tokens that another process admitted.
      *
      * @param tokens tokens admitted since its previous report
      * @param nowMillis monotonic time in milliseconds
      */
     public void recordRemoteAdmission(long tokens, long nowMillis) {
         refill(nowMillis);
-        double withheldUsed = Math.min(tokens, withheldTokens);
-        withheldTokens -= withheldUsed;
-        level -= tokens - withheldUsed;
+        level -= tokens;
     }
 
     /**
-     * Subtracts tokens that a remote coordinator admitted for this process.
+     * Subtracts tokens that a process admitted which may have been unreachable meanwhile, first from the refill that
+     * was left to unreachable processes.
      *
-     * @param tokens admitted tokens
+     * @param tokens tokens admitted since its previous report
      * @param nowMillis monotonic time in milliseconds
      */
-    public void recordCoordinatorAdmission(long tokens, long nowMillis) {
+    public void recordLateAdmission(long tokens, long nowMillis) {
         refill(nowMillis);
-        level -= tokens;
+        double withheldUsed = Math.min(tokens, withheldTokens);
+        withheldTokens -= withheldUsed;
+        level -= tokens - withheldUsed;
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -26,7 +26,12 @@
      * @param baselineAtMillis time at which the process was first seen; the totals received at that time date from
      *     before and are not charged; negative for none
      */
-    private record ProcessTotals(long incarnation, long baselineAtMillis, Map<Integer, Long> totals) {}
+    private record ProcessTotals(long incarnation, long baselineAtMillis, Map<Integer, Long> totals) {
+        /** Returns whether the process was restarted after it was first seen. */
+        boolean restarted() {
+            return baselineAtMillis == NO_BASELINE;
+        }
+    }
 
     /** Identifies tokens already charged here for a process that will include them in a later report. */
     private record PendingAdmissionKey(String process, int organisationDigest) {}
@@ -205,7 +210,13 @@
                     total - previousTotal,
                     pendingAdmissions.getOrDefault(new PendingAdmissionKey(process, organisationDigest), 0L));
             pendingAdmissions.merge(new PendingAdmissionKey(process, organisationDigest), -alreadyCharged, Long::sum);
-            account.recordRemoteAdmission(total - previousTotal - alreadyCharged, nowMillis);
+            long newTokens = total - previousTotal - alreadyCharged;
+            if (processTotals.restarted()) {
+                // A process that was down has used nothing of the refill that was left to it.
+                account.recordRemoteAdmission(newTokens, nowMillis);
+            } else {
+                account.recordLateAdmission(newTokens, nowMillis);
+            }
         }
     }
 
@@ -256,7 +267,7 @@
     public void recordCoordinatorAdmission(String organisation, long tokens, long nowMillis) {
         QuotaAccount account = accounts.get(organisation);
         if (account != null) {
-            account.recordCoordinatorAdmission(tokens, nowMillis);
+            account.recordRemoteAdmission(tokens, nowMillis);
         }
         addToTotal(organisation.hashCode(), tokens);
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueueTimeouts.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueueTimeouts.java
@@ -18,9 +18,8 @@
      */
     private static final double BACKLOG_SHARE = 0.5;
     /**
-     * Head start of the shortest requests as a share of the on-time period. With log-normal lengths, half of the
-     * requests hold slots for a tenth of the total time. The head start is bounded so that the longest tenth is still
-     * served more than half as often as the others at one and a half times the capacity.
+     * Head start of the shortest requests as a share of the on-time period. It is bounded because under overload an
+     * unbounded one would leave no slot for long requests.
      */
     private static final double MAX_HEAD_START_SHARE = 0.25;
     /** Minimum Retry-After delay: one round of gossip. */
