--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -439,12 +439,17 @@
                 .decisionListener(decisions)
                 .targetOutcomeListener(targets)
                 .loadListener(targets::updateLoad)
-                .workListener(FrontLog::workChanged)
+                .workListener(this::workChanged)
                 .random(random::nextDouble)
                 .policy(settings.policy())
                 .build());
     }
 
+    private void workChanged(String service, int tierRank, double previousMillis, double holdMillis) {
+        metrics.recordHoldTime(service, tierRank, holdMillis, System.currentTimeMillis());
+        FrontLog.workChanged(service, tierRank, previousMillis, holdMillis);
+    }
+
     /** Returns half of the capacity of a cold target, since for a short time two processes may both coordinate. */
     private int coordinatorColdAllowance(Target target) {
         return (int) Math.max(1, coldRate(target) / 2);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -2,13 +2,17 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.time.Duration;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.traffic.catalog.RouteKind;
@@ -24,6 +28,7 @@
     private final Map<ItemsRequestOutcome, Counter> itemsRequests = new EnumMap<>(ItemsRequestOutcome.class);
     private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
     private final Map<RouteKind, Timer> queueTimes = new EnumMap<>(RouteKind.class);
+    private final Map<ServiceRank, HoldTimeGauges> holdTimes = new HashMap<>();
     private final Counter answered = Counter.builder("whinwharf.answers")
             .description("Answers of targets that were passed on")
             .register(registry);
@@ -38,6 +43,10 @@
             .baseUnit("bytes")
             .register(registry);
 
+    private record ServiceRank(String service, int tierRank) {}
+
+    private record HoldTimeGauges(AtomicLong holdMillis, AtomicLong changedUnixSeconds) {}
+
     /** Registers a gauge whose value is read at each scrape. */
     void gauge(String name, String description, Supplier<Number> value) {
         Gauge.builder(name, value).description(description).register(registry);
@@ -114,6 +123,32 @@
                 .record(Duration.ofMillis(millis));
     }
 
+    /**
+     * Records the average time for which the requests of a rank hold a slot, as this coordinator reported it last, and
+     * when it did.
+     */
+    void recordHoldTime(String service, int tierRank, double holdMillis, long nowUnixMillis) {
+        HoldTimeGauges gauges = holdTimes.computeIfAbsent(new ServiceRank(service, tierRank), this::registerHoldTime);
+        gauges.holdMillis().set(Math.round(holdMillis));
+        gauges.changedUnixSeconds().set(TimeUnit.MILLISECONDS.toSeconds(nowUnixMillis));
+    }
+
+    private HoldTimeGauges registerHoldTime(ServiceRank key) {
+        HoldTimeGauges gauges = new HoldTimeGauges(new AtomicLong(), new AtomicLong());
+        Tags tags = Tags.of("service", key.service(), "rank", String.valueOf(key.tierRank()));
+        Gauge.builder("whinwharf.work.hold", gauges.holdMillis(), AtomicLong::get)
+                .description("Average time for which requests of a rank hold a slot, as reported last")
+                .baseUnit("milliseconds")
+                .tags(tags)
+                .register(registry);
+        Gauge.builder("whinwharf.work.changed", gauges.changedUnixSeconds(), AtomicLong::get)
+                .description("Unix time at which this average was reported")
+                .baseUnit("seconds")
+                .tags(tags)
+                .register(registry);
+        return gauges;
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     String scrape() {
         return registry.scrape();
