Split the averages of ranks from the rule that joins ranks

JoinedRanks had three jobs since the head start: averages, reports of their changes, and the rule. RankAverages has the first two.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -18,6 +18,7 @@
 import org.whinwharf.traffic.waiting.JoinedRanks;
 import org.whinwharf.traffic.waiting.QueueTimeouts;
 import org.whinwharf.traffic.waiting.QueuedRequest;
+import org.whinwharf.traffic.waiting.RankAverages;
 import org.whinwharf.traffic.waiting.RequestQueue;
 import org.whinwharf.traffic.waiting.WaitEstimator;
 import org.whinwharf.wire.fleet.RunEvent;
@@ -39,6 +40,7 @@
     private final RequestQueue queue;
     private final RunningRequests running;
     private final WaitEstimator waitEstimator = new WaitEstimator();
+    private final RankAverages rankAverages;
     private final JoinedRanks joinedRanks;
     private final Map<RequestKey, QueuedPlacement> queuedRequests = new HashMap<>();
     private final Map<RequestKey, Grant> grants = new LinkedHashMap<>();
@@ -53,8 +55,9 @@
         this.service = service;
         queue = new RequestQueue(MAX_QUEUED, dependencies.policy());
         running = new RunningRequests(dependencies.loadListener());
-        joinedRanks = new JoinedRanks((tierRank, previousMillis, holdMillis) ->
+        rankAverages = new RankAverages((tierRank, previousMillis, holdMillis) ->
                 dependencies.workListener().holdTimeChanged(service, tierRank, previousMillis, holdMillis));
+        joinedRanks = new JoinedRanks(rankAverages);
     }
 
     /** Returns the number of queued requests. */
@@ -122,7 +125,7 @@
                 : new JoinedRanks.Assignment(demand.tierRank(), ownOnTimeMillis);
         long headStartMillis = dependencies.policy().isEnabled(Mechanism.SHORT_FIRST)
                 ? QueueTimeouts.headStartMillis(
-                        assignment.onTimeMillis(), joinedRanks.holdTimeRatio(demand.tierRank(), holdMillis))
+                        assignment.onTimeMillis(), rankAverages.holdTimeRatio(demand.tierRank(), holdMillis))
                 : 0;
         return new QueuedPlacement(request, key, assignment, headStartMillis, nowMillis);
     }
