Record how responses of targets end: framing, cause and whether inside an event

Callers got streams without their last events under a complete response.

request-ended and request-repeated now carry framing, ending and insideEvent, and whinwharf_responses_total counts them. A reset is named apart from a connection closed in order. Connections to targets may be half-closed, so that an end of input is an event of its own; a connection that fails otherwise is recorded as connection-lost. What is delivered to callers is as before.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -74,6 +74,7 @@
     private TargetConnection connection;
     private SilenceWatch silenceWatch;
     private ResponseAssembler responseAssembler;
+    private Optional<ResponseEnding> responseEnding = Optional.empty();
 
     CallerExchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
         this.front = front;
@@ -113,7 +114,7 @@
 
     private void start(AdmissionControl.Admitted admitted) {
         route = admitted.route();
-        responseAssembler = new ResponseAssembler(route, caller, front.dialect());
+        responseAssembler = new ResponseAssembler(route, method(), caller, front.dialect());
         organisation = admitted.organisation();
         service = admitted.service();
         tierRank = admitted.tierRank();
@@ -366,6 +367,7 @@
 
     @Override
     public void complete() {
+        recordResponseEnding(connection.connectionLost() ? ResponseEnding.CONNECTION_LOST : ResponseEnding.COMPLETE);
         connection = null;
         long nowMillis = front.nowMillis();
         TargetEntry entry = targetRun.entry();
@@ -397,6 +399,11 @@
         }
     }
 
+    private void recordResponseEnding(String cause) {
+        responseEnding = responseAssembler.ending(cause);
+        responseEnding.ifPresent(front.metrics()::responseEnded);
+    }
+
     private void retryOrDeliverError(long nowMillis) {
         if (!canRetry(nowMillis)) {
             deliver();
@@ -436,6 +443,7 @@
     @Override
     public void failed(TargetFailure failure) {
         connection = null;
+        recordResponseEnding(failure.tag());
         endRun(failure.event());
         front.targetFailed(targetRun.entry(), failure);
         retryOrFail(failure, front.nowMillis());
@@ -521,6 +529,7 @@
                 && front.hasUntriedTarget(service, triedTargetIds)) {
             connection.cancel();
             connection = null;
+            recordResponseEnding(TargetFailure.SILENT.tag());
             endRun(RunEvent.RUN_SILENT);
             retryOrFail(TargetFailure.SILENT, nowMillis);
         }
@@ -612,6 +621,11 @@
                 : OptionalLong.empty();
     }
 
+    /** Returns how the response of the latest target ended; empty when none ended after its head. */
+    Optional<ResponseEnding> responseEnding() {
+        return responseEnding;
+    }
+
     String service() {
         return service;
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -73,9 +73,18 @@
             event.with(EventField.TARGET, entry.state().target().id());
         }
         exchange.firstByteMillis().ifPresent(millis -> event.with(EventField.FIRST_BYTE_MILLIS, millis));
+        addResponseEnding(event, exchange);
         return event;
     }
 
+    private static void addResponseEnding(EventLog event, CallerExchange exchange) {
+        exchange.responseEnding()
+                .ifPresent(ending -> event.with(
+                                EventField.FRAMING, ending.framing().tag())
+                        .with(EventField.ENDING, ending.cause())
+                        .with(EventField.INSIDE_EVENT, ending.insideEvent()));
+    }
+
     static void refused(CallerExchange exchange, ErrorResponse response) {
         EventLog event = EventLog.event(LogEvent.REQUEST_REFUSED)
                 .with(EventField.SERVICE, exchange.service())
@@ -110,11 +119,12 @@
     }
 
     static void retried(CallerExchange exchange, Target target, String reason) {
-        EventLog.event(LogEvent.REQUEST_REPEATED)
+        EventLog event = EventLog.event(LogEvent.REQUEST_REPEATED)
                 .with(EventField.REQUEST, exchange.head().attemptId())
                 .with(EventField.TARGET, target.id())
-                .with(EventField.REASON, reason)
-                .call();
+                .with(EventField.REASON, reason);
+        addResponseEnding(event, exchange);
+        event.call();
     }
 
     static void coordinatorSilent(PlacementTicket ticket, long silentMillis) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -26,6 +26,7 @@
     private final Map<ErrorKind, Counter> failures = new EnumMap<>(ErrorKind.class);
     private final Map<TruncationCause, Counter> truncations = new EnumMap<>(TruncationCause.class);
     private final Map<ItemsRequestOutcome, Counter> itemsRequests = new EnumMap<>(ItemsRequestOutcome.class);
+    private final Map<ResponseEnding, Counter> responseEndings = new HashMap<>();
     private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
     private final Map<RouteKind, Timer> queueTimes = new EnumMap<>(RouteKind.class);
     private final Map<ServiceRank, HoldTimeGauges> holdTimes = new HashMap<>();
@@ -89,6 +90,20 @@
                 .increment();
     }
 
+    /** Counts a target's response that ended after its head, completely or not. */
+    void responseEnded(ResponseEnding ending) {
+        responseEndings
+                .computeIfAbsent(
+                        ending,
+                        key -> Counter.builder("whinwharf.responses")
+                                .description("Responses of targets whose head was received, by how they ended")
+                                .tag("framing", key.framing().tag())
+                                .tag("ending", key.cause())
+                                .tag("inside_event", String.valueOf(key.insideEvent()))
+                                .register(registry))
+                .increment();
+    }
+
     /** Counts a request to a peer for published items. */
     void itemsRequested(ItemsRequestOutcome outcome) {
         itemsRequests
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
 import org.whinwharf.traffic.catalog.Route;
@@ -18,15 +19,19 @@
     private final Route route;
     private final CallerConnection caller;
     private final HttpDialect dialect;
+    private final HttpMethod requestMethod;
     private final EventStreamFramer framer = new EventStreamFramer();
+    private final EventBoundaryTracker boundaryTracker = new EventBoundaryTracker();
     private HttpResponse callerResponse;
     private ResponseHead head;
+    private BodyFraming framing;
     private boolean streamStarted;
     private boolean oversized;
     private CompositeByteBuf bufferedBody;
 
-    ResponseAssembler(Route route, CallerConnection caller, HttpDialect dialect) {
+    ResponseAssembler(Route route, HttpMethod requestMethod, CallerConnection caller, HttpDialect dialect) {
         this.route = route;
+        this.requestMethod = requestMethod;
         this.caller = caller;
         this.dialect = dialect;
     }
@@ -34,6 +39,7 @@
     /** Handles the head of a target's response. */
     void head(HttpResponse response, ResponseHead responseHead) {
         head = responseHead;
+        framing = BodyFraming.of(response, requestMethod);
         if (notExecuted()) {
             return;
         }
@@ -59,6 +65,7 @@
             chunk.release();
             return false;
         }
+        boundaryTracker.append(chunk);
         ByteBuf ready = route.resumable() ? framer.append(chunk) : chunk;
         if (!ready.isReadable()) {
             ready.release();
@@ -124,6 +131,17 @@
         }
         oversized = false;
         framer.discardPartialEvent();
+        boundaryTracker.reset();
+    }
+
+    /** Returns how the latest response ended, with the given cause; empty when no head was received. */
+    Optional<ResponseEnding> ending(String cause) {
+        return Optional.ofNullable(framing)
+                .map(known -> ImmutableResponseEnding.builder()
+                        .framing(known)
+                        .cause(cause)
+                        .insideEvent(!boundaryTracker.atBoundary())
+                        .build());
     }
 
     /** Returns whether the received data ends at an event boundary. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -5,6 +5,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -46,6 +48,7 @@
     private ChannelFuture written;
     private boolean reusable = true;
     private boolean broken;
+    private boolean connectionLost;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
@@ -99,7 +102,7 @@
 
     /** Tells whether the connection is open and carries no request. */
     boolean usable() {
-        return phase == Phase.IDLE && channel.isActive();
+        return phase == Phase.IDLE && !inputEnded();
     }
 
     void close() {
@@ -162,8 +165,9 @@
             listener.content(content.content().retain());
         }
         if (last && phase == Phase.READING_BODY) {
+            connectionLost = !channel.isActive();
             if (broken) {
-                fail(TargetFailure.CLOSED);
+                fail(TargetFailure.RESET);
                 return;
             }
             finish();
@@ -173,7 +177,7 @@
     private void finish() {
         TargetListener current = listener;
         listener = null;
-        if (reusable && written.isDone() && written.isSuccess() && channel.isActive()) {
+        if (reusable && written.isDone() && written.isSuccess() && !inputEnded()) {
             phase = Phase.IDLE;
             idleSinceMillis = pool.nowMillis();
             channel.config().setAutoRead(true);
@@ -184,6 +188,10 @@
         current.complete();
     }
 
+    private boolean inputEnded() {
+        return !channel.isActive() || ((DuplexChannel) channel).isInputShutdown();
+    }
+
     private void fail(TargetFailure failure) {
         TargetListener current = listener;
         listener = null;
@@ -196,7 +204,21 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         broken = true;
-        fail(TargetFailure.CLOSED);
+        fail(TargetFailure.RESET);
+    }
+
+    /** Tells whether the last response was ended by a connection that failed rather than by an end of input. */
+    boolean connectionLost() {
+        return connectionLost;
+    }
+
+    /** Handles the end of input; the decoder has already delivered a response that lasts until then. */
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            fail(TargetFailure.CLOSED);
+        }
+        context.fireUserEventTriggered(event);
     }
 
     @Override
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -38,6 +38,8 @@
                 .remoteAddress(ip, port)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                // Makes an end of input an event of its own, which a connection that fails does not cause.
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -97,6 +97,12 @@
     ORDER("order"),
     /** HTTP status. */
     STATUS("status"),
+    /** How the head of a target's response says where the body ends. */
+    FRAMING("framing"),
+    /** What ended a target's response. */
+    ENDING("ending"),
+    /** Whether an event stream ended inside an event. */
+    INSIDE_EVENT("insideEvent"),
     /** Id of a trace. */
     TRACE_ID("traceId"),
     /** Id of a span. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventLog.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventLog.java
@@ -52,6 +52,17 @@
         return put(field, value);
     }
 
+    /**
+     * Adds a truth value.
+     *
+     * @param field a field of the event; any other field is omitted from the line
+     * @param value value of the field
+     * @return this line
+     */
+    public EventLog with(EventField field, boolean value) {
+        return put(field, value);
+    }
+
     /**
      * Adds a list of strings.
      *
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -87,6 +87,9 @@
             EventField.FIRST_BYTE_MILLIS,
             EventField.TOTAL_MILLIS,
             EventField.STATUS,
+            EventField.FRAMING,
+            EventField.ENDING,
+            EventField.INSIDE_EVENT,
             EventField.RETRY_AFTER_MILLIS),
     /** An answer ended without its last event, or the caller disconnected before its answer. */
     ANSWER_CUT(Level.INFO, EventField.REQUEST, EventField.REASON, EventField.ANSWER_TOKENS, EventField.UNREAD_BYTES),
@@ -180,7 +183,14 @@
     /** A peer was evicted after a long silence. */
     MEMBER_FORGOTTEN(Level.INFO, EventField.PEER),
     /** A request is retried, because its target returned no complete answer. */
-    REQUEST_REPEATED(Level.INFO, EventField.REQUEST, EventField.TARGET, EventField.REASON),
+    REQUEST_REPEATED(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.TARGET,
+            EventField.REASON,
+            EventField.FRAMING,
+            EventField.ENDING,
+            EventField.INSIDE_EVENT),
     /** Changed settings have come into force. */
     SETTINGS_IN_FORCE(Level.INFO),
     /** Changed settings are invalid; the previous settings stay in force. */
