End a stream as complete only at an event boundary, on every route

What callers saw: streams that their engine had broken off ended with a last chunk, status 200 and the engine's signature, without their last events.

Cause: a response with neither length nor chunks ends with its connection, and the decoder reports that end like a declared one. Whether the last event is whole was only looked at on resumable routes, where events are held back until they are complete; on all others endsAtEventBoundary was always true.

Change: the boundary is tracked on the bytes received, of every stream and under every framing, without holding them back; the caller's connection is closed unless the response ends at an event boundary. A stream that ends inside an event was broken off by definition, so nothing that is whole is lost: wherever the bytes of a whole stream are divided, it stays complete.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamFramer.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamFramer.java
@@ -44,11 +44,6 @@
         return lastEventId;
     }
 
-    /** Returns whether a partial event is held back. */
-    boolean hasPartialEvent() {
-        return partialEvent.isReadable();
-    }
-
     /** Discards a partial event that is held back. */
     void discardPartialEvent() {
         partialEvent.release();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -144,9 +144,9 @@
                         .build());
     }
 
-    /** Returns whether the received data ends at an event boundary. */
+    /** Returns whether the latest response, unless it is buffered, ends at an event boundary. */
     boolean endsAtEventBoundary() {
-        return !streamStarted || !framer.hasPartialEvent();
+        return bufferedBody != null || boundaryTracker.atBoundary();
     }
 
     /** Completes the response to the caller with the received data. */
