Treat a truncated stream as a failure of its target, and resume it elsewhere

Cause: CallerExchange.complete recorded the run as answered, with the target's load, speed and health, and counted the response as delivered, before it looked whether the last event was whole. At that point the only thing left to do was to close the caller's connection.

Change: completeness is judged first. A truncated response is a failure of its own kind: the run is reported as broken, the target's health records a failure, and the request goes the way of any lost response, which resumes it where the route allows.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -367,6 +367,10 @@
 
     @Override
     public void complete() {
+        if (!responseAssembler.notExecuted() && !responseAssembler.isComplete()) {
+            failed(TargetFailure.TRUNCATED);
+            return;
+        }
         recordResponseEnding(connection.connectionLost() ? ResponseEnding.CONNECTION_LOST : ResponseEnding.COMPLETE);
         connection = null;
         long nowMillis = front.nowMillis();
@@ -422,16 +426,10 @@
 
     private void deliver() {
         front.metrics().answered();
-        boolean complete = responseAssembler.endsAtEventBoundary();
-        FrontLog.ended(this, entry(), complete ? "answered" : "broken-off", responseAssembler.status(), ageMillis());
+        FrontLog.ended(this, entry(), "answered", responseAssembler.status(), ageMillis());
         stage = Stage.ENDED;
-        if (complete) {
-            responseAssembler.deliver();
-            end();
-        } else {
-            end();
-            abortResponse(TruncationCause.PART_OF_EVENT);
-        }
+        responseAssembler.deliver();
+        end();
     }
 
     /** Closes the caller's connection, because a response that has started cannot be completed. */
@@ -461,7 +459,7 @@
         if (responseAssembler.streamStarted()) {
             FrontLog.ended(this, entry(), "broken-off", responseAssembler.status(), ageMillis());
             end();
-            abortResponse(TruncationCause.TARGET_LOST);
+            abortResponse(failure.truncationCause());
             return;
         }
         respondWithError(new ErrorResponse(ErrorKind.TARGET_LOST, 0));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -144,8 +144,11 @@
                         .build());
     }
 
-    /** Returns whether the latest response, unless it is buffered, ends at an event boundary. */
-    boolean endsAtEventBoundary() {
+    /**
+     * Returns whether a response that ended without a failure of its connection is complete. A stream is complete only
+     * at an event boundary.
+     */
+    boolean isComplete() {
         return bufferedBody != null || boundaryTracker.atBoundary();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
@@ -6,22 +6,26 @@
 /** Reason why a target gave no complete response; the constants' names are written to the log. */
 enum TargetFailure {
     /** No connection could be established, so the request was not sent. */
-    UNREACHABLE(true, RunEvent.RUN_UNREACHABLE),
+    UNREACHABLE(true, RunEvent.RUN_UNREACHABLE, TruncationCause.TARGET_LOST),
     /** The connection was closed in order, after the request was sent and before the end of the response. */
-    CLOSED(false, RunEvent.RUN_BROKEN),
+    CLOSED(false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
     /** The connection was reset or failed otherwise, after the request was sent. */
-    RESET(false, RunEvent.RUN_BROKEN),
+    RESET(false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
+    /** The response ended where its framing allows, but its last event is incomplete. */
+    TRUNCATED(false, RunEvent.RUN_BROKEN, TruncationCause.PART_OF_EVENT),
     /** The received bytes are not a valid response to the request. */
-    GARBLED(false, RunEvent.RUN_BROKEN),
+    GARBLED(false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
     /** Nothing was received for too long. */
-    SILENT(true, RunEvent.RUN_SILENT);
+    SILENT(true, RunEvent.RUN_SILENT, TruncationCause.TARGET_LOST);
 
     private final boolean conclusive;
     private final RunEvent event;
+    private final TruncationCause truncationCause;
 
-    TargetFailure(boolean certain, RunEvent event) {
-        this.conclusive = certain;
+    TargetFailure(boolean conclusive, RunEvent event, TruncationCause truncationCause) {
+        this.conclusive = conclusive;
         this.event = event;
+        this.truncationCause = truncationCause;
     }
 
     /** Tells whether a single such failure shows that the target is unusable. */
@@ -38,4 +42,9 @@
     RunEvent event() {
         return event;
     }
+
+    /** Returns the cause that is recorded when a stream can not go on after the failure. */
+    TruncationCause truncationCause() {
+        return truncationCause;
+    }
 }
