Require an event of a stream that only the end of its connection ends

What a caller would see: an empty stream with status 200 that ends as complete, because the engine's connection ended between the head and the first event.

Cause: an end that is inferred from the connection was treated like one that the head declares, also with nothing received that could have an end.

Change: without a declared end, a stream needs at least one event to be complete. A declared empty stream stays complete.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EventBoundaryTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventBoundaryTracker.java
@@ -30,6 +30,11 @@
         return empty || (window & 0xFF) == '\n' && (previous(1) == '\n' || previous(1) == '\r' && previous(2) == '\n');
     }
 
+    /** Tells whether no byte was received. */
+    boolean isEmpty() {
+        return empty;
+    }
+
     /** Starts a new stream. */
     void reset() {
         window = 0;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -146,10 +146,13 @@
 
     /**
      * Returns whether a response that ended without a failure of its connection is complete. A stream is complete only
-     * at an event boundary.
+     * at an event boundary; if only the end of the connection ended it, at least one event must have arrived.
      */
     boolean isComplete() {
-        return bufferedBody != null || boundaryTracker.atBoundary();
+        if (bufferedBody != null) {
+            return true;
+        }
+        return boundaryTracker.atBoundary() && (framing.endDeclared() || !boundaryTracker.isEmpty());
     }
 
     /** Completes the response to the caller with the received data. */
