Take a response's end from an end of input only, not from a connection that fails

What callers would see: a stream without its last events, or a part of a plain body, under a complete response with status 200.

Cause: the operating system reports a reset once. While a long request is still being written, the failed write consumes the report; the channel is closed without an exception, and the decoder ends a response without a declared end just as after an orderly end of input.

Change: since connections to targets may be half-closed, an end of input leaves the channel active; a last content that arrives on an inactive channel stems from a failed connection and is reported as a reset. The two tests use a target with a small receive buffer, so that a part of the request stays unsent whatever the system's buffers are.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -19,14 +19,27 @@
         void answer(String request, Socket socket) throws IOException;
     }
 
+    private static final int SYSTEM_RECEIVE_BUFFER = 0;
+
     private final ServerSocket server;
     private final Script script;
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final BlockingQueue<String> closedConnections = new LinkedBlockingQueue<>();
 
     FakeTarget(String ip, Script script) throws IOException {
+        this(ip, script, SYSTEM_RECEIVE_BUFFER);
+    }
+
+    /**
+     * Starts a target that accepts only little more than the given number of bytes of a request that it does not read.
+     */
+    FakeTarget(String ip, Script script, int receiveBufferBytes) throws IOException {
         this.script = script;
-        server = new ServerSocket(0, 50, InetAddress.getByName(ip));
+        server = new ServerSocket();
+        if (receiveBufferBytes != SYSTEM_RECEIVE_BUFFER) {
+            server.setReceiveBufferSize(receiveBufferBytes);
+        }
+        server.bind(new InetSocketAddress(ip, 0), 50);
         Thread acceptor = new Thread(this::accept, "fake-target");
         acceptor.setDaemon(true);
         acceptor.start();
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -261,6 +261,22 @@
         }
     }
 
+    /** Blocks the front's only thread until the returned latch is counted down. */
+    CountDownLatch blockThread() throws InterruptedException {
+        CountDownLatch blocked = new CountDownLatch(1);
+        CountDownLatch unblock = new CountDownLatch(1);
+        front.loop().execute(() -> {
+            blocked.countDown();
+            try {
+                awaitLatch(unblock);
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        blocked.await();
+        return unblock;
+    }
+
     /** Stops the front's event loop at once, as a killed process does, without notifying its peers. */
     void kill() {
         front.loop().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LateCloseTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/LateCloseTest.java
@@ -47,7 +47,7 @@
         try (Socket caller = front.connect()) {
             FakeTarget.write(caller, FrontFixture.request("POST", "/safe/x", "first", false));
             FrontFixture.readUntil(caller, "whole");
-            CountDownLatch unblock = blockFrontThread();
+            CountDownLatch unblock = front.blockThread();
             FakeTarget.write(caller, FrontFixture.request("POST", "/safe/x", "left", false));
             caller.close();
             unblock.countDown();
@@ -74,7 +74,7 @@
             FrontFixture.await(() -> target.requests().size() == 2);
             FakeTarget.write(caller, FrontFixture.request("POST", "/safe/x", "left", false));
             FrontFixture.await(() -> queuedRequests() == 1);
-            CountDownLatch unblock = blockFrontThread();
+            CountDownLatch unblock = front.blockThread();
             slowResponseLatch.countDown();
             // The response must arrive before the close, so that it is read first.
             Thread.sleep(100);
@@ -87,22 +87,6 @@
         assertThat(attempts(), contains("slow-1", "slow-2", "last"));
     }
 
-    /** Blocks the front's only thread until the returned latch is counted down. */
-    private CountDownLatch blockFrontThread() throws InterruptedException {
-        CountDownLatch blocked = new CountDownLatch(1);
-        CountDownLatch unblock = new CountDownLatch(1);
-        front.front().loop().execute(() -> {
-            blocked.countDown();
-            try {
-                FrontFixture.awaitLatch(unblock);
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        });
-        blocked.await();
-        return unblock;
-    }
-
     private int queuedRequests() {
         int[] count = new int[1];
         front.run(() -> count[0] = front.front().coordination().queuedRequests());
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TruncatedStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TruncatedStreamTest.java
@@ -26,7 +26,8 @@
     private static final String FIRST_EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
     private static final String LAST_EVENT = "id: 3\ndata: c\n\n";
     private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
-    /** More than the socket buffers of a target that reads nothing hold, so that a part of the request stays unsent. */
+    private static final int SMALL_RECEIVE_BUFFER_BYTES = 4_096;
+    /** More than the buffers of both sockets hold, so that a part of the request stays unsent. */
     private static final int LARGE_BODY_BYTES = 4_000_000;
 
     private FrontFixture fixture;
@@ -185,24 +186,32 @@
         assertThat(responseToRequestWhoseWriteFails("/unsafe/x"), startsWith("HTTP/1.1 502"));
     }
 
-    /** The target begins its response, and resets the connection while it has not read all of the request. */
+    /**
+     * The target begins its response, and resets the connection while it has not read all of the request. The front's
+     * thread is blocked meanwhile, so that it finds the connection both writable and readable, and writes first.
+     */
     private String responseToRequestWhoseWriteFails(String path) throws Exception {
         CountDownLatch received = new CountDownLatch(1);
-        fixture.target("t", (request, socket) -> {
+        FakeTarget.Script script = (request, socket) -> {
             FakeTarget.write(socket, Framing.head(FakeTarget.attemptId(request), "") + FIRST_EVENTS);
             FrontFixture.awaitLatch(received);
             socket.setSoLinger(true, 0);
             socket.close();
-        });
+        };
         fixture.publishCatalog(1, DEADLINE_MILLIS);
-        try (Socket caller = fixture.connect()) {
+        try (FakeTarget target = new FakeTarget(fixture.ip(), script, SMALL_RECEIVE_BUFFER_BYTES);
+                Socket caller = fixture.connect()) {
+            fixture.publish("t", fixture.ip(), target.port(), 1);
             FakeTarget.write(
                     caller,
                     FrontFixture.request("POST", path, "a", true)
                             .replace("Content-Length: 0", "Content-Length: " + LARGE_BODY_BYTES));
             FakeTarget.write(caller, "x".repeat(LARGE_BODY_BYTES));
             FrontFixture.await(() -> fixture.front().metrics().scrape().contains("whinwharf_first_byte_seconds_count"));
+            CountDownLatch unblock = fixture.blockThread();
             received.countDown();
+            target.closedConnections().take();
+            unblock.countDown();
             return FrontFixture.readAll(caller);
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -371,7 +371,7 @@
             failed(TargetFailure.TRUNCATED);
             return;
         }
-        recordResponseEnding(connection.connectionLost() ? ResponseEnding.CONNECTION_LOST : ResponseEnding.COMPLETE);
+        recordResponseEnding(ResponseEnding.COMPLETE);
         connection = null;
         long nowMillis = front.nowMillis();
         TargetEntry entry = targetRun.entry();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseEnding.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseEnding.java
@@ -7,13 +7,11 @@
 interface ResponseEnding {
     /** Cause of a response that this process takes for complete. */
     String COMPLETE = "complete";
-    /** Cause of a response whose connection failed, at a point where the head allows the body to end. */
-    String CONNECTION_LOST = "connection-lost";
 
     /** Returns the framing that the head of the response declares. */
     BodyFraming framing();
 
-    /** Returns what ended the response: {@link #COMPLETE}, {@link #CONNECTION_LOST} or the tag of a failure. */
+    /** Returns what ended the response: {@link #COMPLETE} or the tag of a failure. */
     String cause();
 
     /** Returns whether the response is an event stream that ended inside an event. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -47,8 +47,6 @@
     private String attemptId = "";
     private ChannelFuture written;
     private boolean reusable = true;
-    private boolean broken;
-    private boolean connectionLost;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
@@ -165,8 +163,9 @@
             listener.content(content.content().retain());
         }
         if (last && phase == Phase.READING_BODY) {
-            connectionLost = !channel.isActive();
-            if (broken) {
+            if (!channel.isActive()) {
+                // The decoder ends a response without a declared end also when the connection fails. After an end of
+                // input the channel is still active.
                 fail(TargetFailure.RESET);
                 return;
             }
@@ -203,15 +202,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        broken = true;
         fail(TargetFailure.RESET);
     }
 
-    /** Tells whether the last response was ended by a connection that failed rather than by an end of input. */
-    boolean connectionLost() {
-        return connectionLost;
-    }
-
     /** Handles the end of input; the decoder has already delivered a response that lasts until then. */
     @Override
     public void userEventTriggered(ChannelHandlerContext context, Object event) {
@@ -224,6 +217,6 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.closed(this);
-        fail(TargetFailure.CLOSED);
+        fail(TargetFailure.RESET);
     }
 }
