Start a resumable stream again elsewhere when its caller has no event yet

What callers saw: a resumable stream whose engine stopped before the first event was complete was cut, although another attempt was left.

Cause: the head of a stream was written to the caller as soon as it arrived. From then on only a resumption after an event id can continue the response, and there is none yet.

Change: the head is written with the first data. Until then the failure is one like any other, and the second target's response takes the place of the first. Where nothing can be repeated the caller gets an error at once instead of a cut connection. Weighed against it: resuming from the start under the head of the first target, which would sign the body of one target with the signature of another.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TruncatedStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TruncatedStreamTest.java
@@ -140,6 +140,30 @@
         assertThat(resumed.get(), is(1));
     }
 
+    /** Guards against breaking off a resumable stream of which its caller has no event yet, with attempts left. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "id: 1\nda"})
+    void resumableStreamWithoutCompleteEventIsStartedAgain(String received) throws IOException {
+        AtomicInteger runs = new AtomicInteger();
+        FakeTarget.Script script = (request, socket) -> {
+            String attempt = FakeTarget.attemptId(request);
+            if (runs.getAndIncrement() == 0) {
+                FakeTarget.write(socket, Framing.head(attempt, "Content-Length: 1000\r\n") + received);
+                socket.close();
+            } else {
+                Framing.CHUNKED.write(socket, attempt, FIRST_EVENTS, LAST_EVENT);
+            }
+        };
+        fixture.target("t", script);
+        fixture.target("u", script);
+        fixture.publishCatalog(2, DEADLINE_MILLIS);
+        String response = fixture.exchange(FrontFixture.request("POST", "/resumable/x", "a", true));
+        String events = response.replaceAll("(?m)^[0-9a-f]+\r\n|\r\n", "");
+        assertThat(events, endsWith(FIRST_EVENTS + LAST_EVENT));
+        assertThat(response, endsWith(LAST_CHUNK));
+        assertThat(runs.get(), is(2));
+    }
+
     /** Guards against counting a truncated stream as answered, which keeps a target that truncates streams in use. */
     @ParameterizedTest
     @ValueSource(strings = {"/stream/x", "/resumable/x"})
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -49,9 +49,6 @@
         }
         if (!stream) {
             bufferedBody = Unpooled.compositeBuffer(1024);
-        } else if (!streamStarted) {
-            streamStarted = true;
-            caller.startStream(response.status(), dialect.callerHeaders(response));
         }
     }
 
@@ -71,10 +68,19 @@
             ready.release();
             return false;
         }
+        ensureStreamStarted();
         caller.writeChunk(ready);
         return true;
     }
 
+    /** Writes the head of a stream, not before its first data, so that until then another target can replace it. */
+    private void ensureStreamStarted() {
+        if (!streamStarted) {
+            streamStarted = true;
+            caller.startStream(callerResponse.status(), dialect.callerHeaders(callerResponse));
+        }
+    }
+
     private void bufferBody(ByteBuf chunk) {
         oversized = oversized || bufferedBody.readableBytes() + chunk.readableBytes() > Front.MAX_ANSWER_BYTES;
         if (oversized) {
@@ -157,11 +163,12 @@
 
     /** Completes the response to the caller with the received data. */
     void deliver() {
-        if (!streamStarted) {
+        if (bufferedBody != null) {
             ByteBuf content = bufferedBody;
             bufferedBody = null;
             caller.respond(callerResponse.status(), dialect.callerHeaders(callerResponse), content);
         } else {
+            ensureStreamStarted();
             caller.endStream();
         }
     }
