Test that readers of lists, pages and documents refuse any beginning of one

Looked for the class of the incident's fault elsewhere: an end that is inferred from the connection and treated like a declared one. The store's client, the client of the own platform and the document reader also get responses that only the end of their connection ends. Their content declares its own end (JSON, gzip), so no proper beginning of it is accepted; these tests hold on the code before as well.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.startsWith;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -10,6 +11,7 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -30,6 +32,9 @@
 
     private static final int CHUNK_BYTES = 8_192;
 
+    private static final String SHORT_PAGE = "{\"items\":[{\"key\":\"op/a\",\"value\":\"\",\"revision\":4},"
+            + "{\"key\":\"op/b\",\"value\":\"\",\"revision\":5}],\"truncated\":false,\"store-revision\":5}";
+
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
     @AfterEach
@@ -55,6 +60,63 @@
         }
     }
 
+    /** Guards against taking the items of a page that ended with its connection, before its end, for all there are. */
+    @Test
+    void pageThatEndsEarlyWithItsConnectionIsNotRead() throws Exception {
+        for (int end = 0; end < SHORT_PAGE.length(); end++) {
+            String outcome = outcomeOfUnframedResponse(SHORT_PAGE.substring(0, end));
+            assertThat(outcome, startsWith("failed: unreadable response"));
+        }
+        assertThat(outcomeOfUnframedResponse(SHORT_PAGE), is("2 items of 0"));
+    }
+
+    private String outcomeOfUnframedResponse(String body) throws Exception {
+        try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName(IP))) {
+            Thread thread = new Thread(() -> respondUnframed(server, body), "unframed store");
+            thread.setDaemon(true);
+            thread.start();
+            return range(server.getLocalPort()).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+    }
+
+    private static void respondUnframed(ServerSocket server, String body) {
+        try (Socket socket = server.accept()) {
+            readHead(socket);
+            socket.getOutputStream().write(("HTTP/1.1 200 OK\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void readHead(Socket socket) throws IOException {
+        BufferedReader in =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        while (!in.readLine().isEmpty()) {
+            // The response does not depend on the request head.
+            continue;
+        }
+    }
+
+    private CompletableFuture<String> range(int port) {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        StoreClient client = new StoreClient(loop, IP + ":" + port);
+        loop.execute(() -> client.range("op/", "", new StoreClient.Callback() {
+            @Override
+            public void succeeded(StoreClient.Page page) {
+                int bytes = page.values().stream()
+                        .mapToInt(value -> value.value().length)
+                        .sum();
+                outcome.complete(page.values().size() + " items of " + bytes);
+            }
+
+            @Override
+            public void failed(int status, String reason) {
+                outcome.complete("failed: " + reason);
+            }
+        }));
+        return outcome;
+    }
+
     /** A store that responds to one call at the rate of a slow link and stalls after a given number of body bytes. */
     private final class SlowStore implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName(IP));
@@ -68,23 +130,7 @@
         }
 
         CompletableFuture<String> range() {
-            CompletableFuture<String> outcome = new CompletableFuture<>();
-            StoreClient client = new StoreClient(loop, IP + ":" + server.getLocalPort());
-            loop.execute(() -> client.range("op/", "", new StoreClient.Callback() {
-                @Override
-                public void succeeded(StoreClient.Page page) {
-                    int bytes = page.values().stream()
-                            .mapToInt(value -> value.value().length)
-                            .sum();
-                    outcome.complete(page.values().size() + " items of " + bytes);
-                }
-
-                @Override
-                public void failed(int status, String reason) {
-                    outcome.complete("failed: " + reason);
-                }
-            }));
-            return outcome;
+            return StoreClientTest.this.range(server.getLocalPort());
         }
 
         private void serve() {
@@ -93,12 +139,7 @@
                             + "\",\"revision\":5,\"created-at\":5,\"lease\":0}],\"truncated\":false,\"store-revision\":5}")
                     .getBytes(StandardCharsets.US_ASCII);
             try (Socket socket = server.accept()) {
-                BufferedReader in =
-                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-                while (!in.readLine().isEmpty()) {
-                    // The response does not depend on the request head.
-                    continue;
-                }
+                readHead(socket);
                 OutputStream out = socket.getOutputStream();
                 out.write(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n")
                         .getBytes(StandardCharsets.US_ASCII));
--- a/org.whinwharf.test/src/test/java/org/whinwharf/document/DocumentReaderTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/document/DocumentReaderTest.java
@@ -4,11 +4,13 @@
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsInAnyOrder;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.List;
 import java.util.zip.GZIPOutputStream;
 import org.junit.jupiter.api.Test;
@@ -27,6 +29,20 @@
         assertThat(valid(DocumentWriter.compact(document)), equalTo(document));
     }
 
+    // Guards against putting a document in force whose transfer ended early, where only the end of the connection ended
+    // it.
+    @Test
+    void noBeginningOfADocumentIsValid() {
+        Document document = SchemaChecker.complete(TestDocuments.valid(3).build());
+        String json = new String(DocumentWriter.json(document), StandardCharsets.UTF_8).strip();
+        for (byte[] published : List.of(json.getBytes(StandardCharsets.UTF_8), DocumentWriter.compact(document))) {
+            for (int end = 0; end < published.length; end++) {
+                ReadResult<Document> read = DocumentReader.read(Arrays.copyOf(published, end), "published");
+                assertThat(read, is(instanceOf(ReadResult.Invalid.class)));
+            }
+        }
+    }
+
     // An operator mistypes names while taking a data centre out in a hurry. With one fault reported at a time, each
     // mend would need another round through the trial environment; all of them must come in one list, by line.
     @Test
