Keep one rule for the end of an event, and forget the framing of a response that was replaced

Cause: the framer and the boundary tracker each had the rule for an empty line, and a run that failed before its head would have logged the framing of the run before. Change: one function, and the framing is reset with the rest of an incomplete response.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/BodyFraming.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/BodyFraming.java
@@ -2,7 +2,6 @@
 
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Locale;
 
@@ -27,10 +26,8 @@
     /** Returns the framing of a response to a request with the given method. */
     static BodyFraming of(HttpResponse response, HttpMethod requestMethod) {
         int status = response.status().code();
-        boolean bodyAllowed = !requestMethod.equals(HttpMethod.HEAD)
-                && response.status().codeClass() != HttpStatusClass.INFORMATIONAL
-                && status != NO_CONTENT_STATUS
-                && status != NOT_MODIFIED_STATUS;
+        boolean bodyAllowed =
+                !requestMethod.equals(HttpMethod.HEAD) && status != NO_CONTENT_STATUS && status != NOT_MODIFIED_STATUS;
         if (!bodyAllowed) {
             return LENGTH;
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EventBoundaryTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventBoundaryTracker.java
@@ -27,7 +27,7 @@
 
     /** Tells whether the stream ends at an event boundary; true before the first byte. */
     boolean atBoundary() {
-        return empty || (window & 0xFF) == '\n' && (previous(1) == '\n' || previous(1) == '\r' && previous(2) == '\n');
+        return empty || endsEvent(byteBefore(2), byteBefore(1), byteBefore(0));
     }
 
     /** Tells whether no byte was received. */
@@ -41,7 +41,12 @@
         empty = true;
     }
 
-    private int previous(int bytes) {
-        return window >> bytes * Byte.SIZE & 0xFF;
+    /** Tells whether the last of three successive bytes ends an empty line. */
+    static boolean endsEvent(int beforePrevious, int previous, int last) {
+        return last == '\n' && (previous == '\n' || previous == '\r' && beforePrevious == '\n');
+    }
+
+    private int byteBefore(int distance) {
+        return window >> distance * Byte.SIZE & 0xFF;
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamFramer.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamFramer.java
@@ -53,12 +53,8 @@
     private static int lastEventEnd(ByteBuf data) {
         int start = data.readerIndex();
         for (int i = data.writerIndex() - 1; i > start; i--) {
-            if (data.getByte(i) != '\n') {
-                continue;
-            }
-            byte previous = data.getByte(i - 1);
-            boolean blank = previous == '\n' || previous == '\r' && i - 2 >= start && data.getByte(i - 2) == '\n';
-            if (blank) {
+            int beforePrevious = i - 2 >= start ? data.getByte(i - 2) : 0;
+            if (EventBoundaryTracker.endsEvent(beforePrevious, data.getByte(i - 1), data.getByte(i))) {
                 return i + 1 - start;
             }
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -24,7 +24,9 @@
     private final EventBoundaryTracker boundaryTracker = new EventBoundaryTracker();
     private HttpResponse callerResponse;
     private ResponseHead head;
+    /** Framing of the latest response; null before its head. */
     private BodyFraming framing;
+
     private boolean streamStarted;
     private boolean oversized;
     private CompositeByteBuf bufferedBody;
@@ -136,6 +138,7 @@
             bufferedBody = null;
         }
         oversized = false;
+        framing = null;
         framer.discardPartialEvent();
         boundaryTracker.reset();
     }
