--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -99,6 +99,7 @@
             event.with(EventField.REQUEST, exchange.head().attemptId());
         }
         exchange.organisation().map(Organisation::name).ifPresent(name -> event.with(EventField.ORGANISATION, name));
+        addResponseEnding(event, exchange);
         if (response.kind() == ErrorKind.OVER_QUOTA) {
             event.with(EventField.QUOTA_TOKENS, exchange.quotaTokens());
         }
