Split the soak of truncated streams into what a target draws and how it ends

Cause: one method drew, wrote and ended an answer, and an empty run that ended in order excused any later one of its attempt. Change: the draw is a record of its own, and only a run with events can not be told apart.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamFaultSoakTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamFaultSoakTest.java
@@ -36,6 +36,7 @@
     private static final int CALLERS = 6;
     private static final int REQUESTS_PER_CALLER = 40;
     private static final int MAX_EVENTS = 8;
+    private static final int MAX_PART_LENGTH = 40;
     private static final double FAULT_SHARE = 0.3;
     private static final String LAST_CHUNK = "0\r\n\r\n";
     private static final Pattern RESUME_AFTER = Pattern.compile("resume-after: (\\d+)");
@@ -59,6 +60,14 @@
         }
     }
 
+    private enum Ending {
+        /** The whole body is sent, and its end is declared where the framing has a way to do so. */
+        WHOLE,
+        /** The connection is closed in order. */
+        CLOSED,
+        RESET
+    }
+
     /** Attempts of which a run was ended in order, between two events, by nothing but the end of its connection. */
     private final Set<String> indistinguishable = ConcurrentHashMap.newKeySet();
 
@@ -112,7 +121,7 @@
         String chunks = response.substring(response.indexOf("\r\n\r\n") + 4);
         String body = joinChunks(chunks);
         assertThat(attempt, whole, startsWith(body));
-        boolean atBoundary = body.isEmpty() || body.endsWith("\n\n") || body.endsWith("\r\n\r\n");
+        boolean atBoundary = endsAtEvent(body);
         if (resumable) {
             assertThat(attempt + " ends at an event", atBoundary, is(true));
         }
@@ -139,41 +148,59 @@
         return body.toString();
     }
 
+    private static boolean endsAtEvent(String body) {
+        return body.isEmpty() || body.endsWith("\n\n") || body.endsWith("\r\n\r\n");
+    }
+
+    /**
+     * How a target answers one request.
+     *
+     * @param framing framing that the head declares
+     * @param ending how the response ends
+     * @param length number of bytes sent of the body
+     * @param partLength number of bytes in each write
+     */
+    private record Answer(Framing framing, Ending ending, int length, int partLength) {
+        static Answer draw(Random random, int bodyLength) {
+            synchronized (random) {
+                Framing framing = Framing.values()[random.nextInt(Framing.values().length)];
+                boolean fault = random.nextDouble() < FAULT_SHARE;
+                Ending ending = !fault ? Ending.WHOLE : random.nextBoolean() ? Ending.RESET : Ending.CLOSED;
+                int length = fault ? random.nextInt(bodyLength + 1) : bodyLength;
+                return new Answer(framing, ending, length, 1 + random.nextInt(MAX_PART_LENGTH));
+            }
+        }
+    }
+
     private void answer(String request, Socket socket, Random random) throws IOException {
         String attempt = FakeTarget.attemptId(request);
         Matcher resumed = RESUME_AFTER.matcher(request.toLowerCase(Locale.ROOT));
         String body = events(attempt, resumed.find() ? Integer.parseInt(resumed.group(1)) : 0);
-        Framing framing;
-        boolean fault;
-        boolean reset;
-        int end;
-        int part;
-        synchronized (random) {
-            framing = Framing.values()[random.nextInt(Framing.values().length)];
-            fault = random.nextDouble() < FAULT_SHARE;
-            reset = fault && random.nextBoolean();
-            end = fault ? random.nextInt(body.length() + 1) : body.length();
-            part = 1 + random.nextInt(40);
-        }
-        String sent = body.substring(0, end);
-        if (fault && !reset && framing == Framing.UNTIL_CLOSE && sent.endsWith("\n\n")
-                || fault && !reset && framing == Framing.UNTIL_CLOSE && sent.endsWith("\r\n\r\n")) {
+        Answer answer = Answer.draw(random, body.length());
+        String sent = body.substring(0, answer.length());
+        boolean undeclared = answer.framing() == Framing.UNTIL_CLOSE && answer.ending() == Ending.CLOSED;
+        if (undeclared && !sent.isEmpty() && endsAtEvent(sent)) {
             indistinguishable.add(attempt);
         }
+        String framingHeader = answer.framing().header(body.length());
         FakeTarget.write(
-                socket,
-                "HTTP/1.1 200 X\r\nAttempt: " + attempt + "\r\nSigned: yes\r\n" + framing.header(body.length())
-                        + "\r\n");
-        for (int from = 0; from < end; from += part) {
-            FakeTarget.write(socket, framing.frame(sent.substring(from, Math.min(end, from + part))));
+                socket, "HTTP/1.1 200 X\r\nAttempt: " + attempt + "\r\nSigned: yes\r\n" + framingHeader + "\r\n");
+        for (int from = 0; from < sent.length(); from += answer.partLength()) {
+            String part = sent.substring(from, Math.min(sent.length(), from + answer.partLength()));
+            FakeTarget.write(socket, answer.framing().frame(part));
         }
-        if (!fault && framing == Framing.CHUNKED) {
+        end(socket, answer);
+    }
+
+    private static void end(Socket socket, Answer answer) throws IOException {
+        boolean whole = answer.ending() == Ending.WHOLE;
+        if (whole && answer.framing() == Framing.CHUNKED) {
             FakeTarget.write(socket, LAST_CHUNK);
         }
-        if (reset) {
+        if (answer.ending() == Ending.RESET) {
             socket.setSoLinger(true, 0);
         }
-        if (fault || framing == Framing.UNTIL_CLOSE) {
+        if (!whole || answer.framing() == Framing.UNTIL_CLOSE) {
             socket.close();
         }
     }
