--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TruncatedStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TruncatedStreamTest.java
@@ -130,13 +130,7 @@
                 framing.write(socket, attempt, FIRST_EVENTS, "id: 3\nda");
             }
         };
-        fixture.target("t", script);
-        fixture.target("u", script);
-        fixture.publishCatalog(2, DEADLINE_MILLIS);
-        String response = fixture.exchange(FrontFixture.request("POST", "/resumable/x", "a", true));
-        String events = response.replaceAll("(?m)^[0-9a-f]+\r\n|\r\n", "");
-        assertThat(events, endsWith(FIRST_EVENTS + LAST_EVENT));
-        assertThat(response, endsWith(LAST_CHUNK));
+        assertThatResumableStreamIsWhole(script);
         assertThat(resumed.get(), is(1));
     }
 
@@ -154,6 +148,12 @@
                 Framing.CHUNKED.write(socket, attempt, FIRST_EVENTS, LAST_EVENT);
             }
         };
+        assertThatResumableStreamIsWhole(script);
+        assertThat(runs.get(), is(2));
+    }
+
+    /** Sends a request for a resumable stream to two targets with the same script. */
+    private void assertThatResumableStreamIsWhole(FakeTarget.Script script) throws IOException {
         fixture.target("t", script);
         fixture.target("u", script);
         fixture.publishCatalog(2, DEADLINE_MILLIS);
@@ -161,7 +161,6 @@
         String events = response.replaceAll("(?m)^[0-9a-f]+\r\n|\r\n", "");
         assertThat(events, endsWith(FIRST_EVENTS + LAST_EVENT));
         assertThat(response, endsWith(LAST_CHUNK));
-        assertThat(runs.get(), is(2));
     }
 
     /** Guards against counting a truncated stream as answered, which keeps a target that truncates streams in use. */
