Logs and metrics tell a lost path from a lost target

A front logged that it ejected a target, but not whose report did it, what any front had last received from that target, or whether the front itself reached anything.

target-ejected now names the reporting front (peer), the time since the target last answered any front (ageMillis), and how many targets this process reached over its own connections within three seconds, of those published. target-unreachable is new: an attempt to connect that failed, with its duration. request-refused has the same two counts for its service. Metrics: whinwharf_targets_known, whinwharf_targets_reached, whinwharf_connect_failures_total.

Placement and health decide as before.

--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/CoordinatorLoad.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/CoordinatorLoad.java
@@ -227,5 +227,5 @@
     public void erred(String targetId) {}
 
     @Override
-    public void failed(String targetId, boolean certain) {}
+    public void failed(String targetId, boolean certain, String reporter) {}
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -591,7 +591,7 @@
             organisation.ifPresent(known -> front.quotas().refund(known.name(), quotaTokens));
         }
         front.metrics().failed(error.kind());
-        FrontLog.refused(this, error);
+        FrontLog.refused(this, error, front.reach(service));
         end();
         if (responseAssembler != null && responseAssembler.streamStarted()) {
             abortResponse(TruncationCause.REFUSED);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -207,6 +207,14 @@
                 () -> catalog.map(Catalog::version).orElse(0L));
         metrics.gauge("whinwharf.items.revision", "Revision of the published items", feed::revision);
         metrics.gauge("whinwharf.watching", "1 while the own watch works", () -> feed.watchHealthy() ? 1 : 0);
+        metrics.gauge(
+                "whinwharf.targets.known",
+                "Published targets",
+                () -> targets.reach("").knownTargets());
+        metrics.gauge(
+                "whinwharf.targets.reached",
+                "Targets reached over own connections within the last seconds",
+                () -> targets.reach("").reachedTargets());
         metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
         new HttpEndpoint(loop, (method, uri) -> new HttpEndpoint.Response(200, "text/plain", metrics.scrape()))
                 .bind(settings.ip(), settings.metricsPort())
@@ -532,6 +540,11 @@
         return targets.mayReceive(entry);
     }
 
+    /** Returns how many targets of a service this process reaches over connections of its own. */
+    TargetRegistry.Reach reach(String service) {
+        return targets.reach(service);
+    }
+
     TargetEntry entry(String targetId) {
         return targets.entry(targetId);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -85,7 +85,7 @@
                         .with(EventField.INSIDE_EVENT, ending.insideEvent()));
     }
 
-    static void refused(CallerExchange exchange, ErrorResponse response) {
+    static void refused(CallerExchange exchange, ErrorResponse response, TargetRegistry.Reach reach) {
         EventLog event = EventLog.event(LogEvent.REQUEST_REFUSED)
                 .with(EventField.SERVICE, exchange.service())
                 .with(EventField.TIER_RANK, exchange.tierRank())
@@ -100,6 +100,9 @@
         }
         exchange.organisation().map(Organisation::name).ifPresent(name -> event.with(EventField.ORGANISATION, name));
         addResponseEnding(event, exchange);
+        if (!exchange.service().isEmpty()) {
+            addReach(event, reach);
+        }
         if (response.kind() == ErrorKind.OVER_QUOTA) {
             event.with(EventField.QUOTA_TOKENS, exchange.quotaTokens());
         }
@@ -156,12 +159,38 @@
                 .call();
     }
 
-    static void ejected(Target target, String reason) {
-        EventLog.event(LogEvent.TARGET_EJECTED)
+    /**
+     * Logs that a target was ejected.
+     *
+     * @param reporter name of the process that reported the failure; empty if it was this process
+     * @param reach targets that this process itself reaches
+     */
+    static void ejected(TargetEntry entry, String reason, String reporter, long nowMillis, TargetRegistry.Reach reach) {
+        Target target = entry.state().target();
+        EventLog event = EventLog.event(LogEvent.TARGET_EJECTED)
                 .with(EventField.TARGET, target.id())
                 .with(EventField.SERVICE, target.service())
-                .with(EventField.REASON, reason)
-                .call();
+                .with(EventField.REASON, reason);
+        if (!reporter.isEmpty()) {
+            event.with(EventField.PEER, reporter);
+        }
+        entry.answerAgeMillis(nowMillis).ifPresent(millis -> event.with(EventField.AGE_MILLIS, millis));
+        addReach(event, reach);
+        event.call();
+    }
+
+    static void unreachable(Target target, long tookMillis, TargetRegistry.Reach reach) {
+        EventLog event = EventLog.event(LogEvent.TARGET_UNREACHABLE)
+                .with(EventField.TARGET, target.id())
+                .with(EventField.SERVICE, target.service())
+                .with(EventField.TOTAL_MILLIS, tookMillis);
+        addReach(event, reach);
+        event.call();
+    }
+
+    private static void addReach(EventLog event, TargetRegistry.Reach reach) {
+        event.with(EventField.REACHED_TARGETS, reach.reachedTargets())
+                .with(EventField.KNOWN_TARGETS, reach.knownTargets());
     }
 
     static void returned(Target target, long coldMillis) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -39,6 +39,9 @@
     private final Counter ejections = Counter.builder("whinwharf.ejections")
             .description("Targets taken out of use after failures")
             .register(registry);
+    private final Counter connectFailures = Counter.builder("whinwharf.connect.failures")
+            .description("Attempts to connect to a target that failed")
+            .register(registry);
     private final Counter receivedItemBytes = Counter.builder("whinwharf.items.received")
             .description("Bytes of published items that peers sent, incomplete answers included")
             .baseUnit("bytes")
@@ -65,6 +68,10 @@
         ejections.increment();
     }
 
+    void connectFailed() {
+        connectFailures.increment();
+    }
+
     /** Counts a request that ended with an error from this process rather than a target's response. */
     void failed(ErrorKind kind) {
         failures.computeIfAbsent(
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -28,8 +28,22 @@
     private final Bootstrap bootstrap;
     private final Ticker ticker;
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
+    private final ConnectListener connectListener;
 
-    TargetConnectionPool(EventLoopGroup loop, HttpDialect dialect, Ticker ticker, String ip, int port) {
+    /** Receives the outcome of each attempt to connect to the target. */
+    interface ConnectListener {
+        /** Handles one attempt that took the given time. */
+        void connectAttempted(boolean connected, long tookMillis);
+    }
+
+    TargetConnectionPool(
+            EventLoopGroup loop,
+            HttpDialect dialect,
+            Ticker ticker,
+            String ip,
+            int port,
+            ConnectListener connectListener) {
+        this.connectListener = connectListener;
         this.ticker = ticker;
         TargetConnectionPool pool = this;
         bootstrap = new Bootstrap()
@@ -67,6 +81,7 @@
             connection.close();
         }
         bootstrap.connect().addListener((ChannelFuture future) -> {
+            connectListener.connectAttempted(future.isSuccess(), ticker.nowMillis() - nowMillis);
             if (future.isSuccess()) {
                 consumer.accept(Optional.of(future.channel().pipeline().get(TargetConnection.class)));
             } else {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
@@ -1,5 +1,6 @@
 package org.whinwharf.front;
 
+import java.util.OptionalLong;
 import org.whinwharf.traffic.target.TargetState;
 
 /** One target: its state, its connections and the time of its last bytes. */
@@ -7,6 +8,8 @@
     private final TargetState state;
     private final TargetConnectionPool pool;
     private long lastByteAtMillis;
+    private long lastReachedAtMillis = Long.MIN_VALUE;
+    private long lastAnswerAtMillis = Long.MIN_VALUE;
 
     TargetEntry(TargetState state, TargetConnectionPool pool) {
         this.state = state;
@@ -24,6 +27,30 @@
     /** Records that bytes were received from the target. */
     void bytesReceived(long nowMillis) {
         lastByteAtMillis = nowMillis;
+        lastReachedAtMillis = nowMillis;
+        lastAnswerAtMillis = nowMillis;
+    }
+
+    /** Records that this process established a connection to the target. */
+    void connected(long nowMillis) {
+        lastReachedAtMillis = nowMillis;
+    }
+
+    /** Records that the target answered a request of any process. */
+    void answered(long nowMillis) {
+        lastAnswerAtMillis = nowMillis;
+    }
+
+    /** Tells whether this process has reached the target over a connection of its own since the given time. */
+    boolean reachedSince(long sinceMillis) {
+        return lastReachedAtMillis >= sinceMillis;
+    }
+
+    /** Returns the time since the target last answered any process; empty if it has not answered yet. */
+    OptionalLong answerAgeMillis(long nowMillis) {
+        return lastAnswerAtMillis == Long.MIN_VALUE
+                ? OptionalLong.empty()
+                : OptionalLong.of(nowMillis - lastAnswerAtMillis);
     }
 
     /** Returns the monotonic time in milliseconds of the last bytes received from the target. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -31,6 +31,8 @@
     private static final double MAX_EJECTED_SHARE = 0.4;
     /** Timeout of a health check, as the shortest latency objective of a service allows no more. */
     private static final long PROBE_TIMEOUT_MILLIS = 500;
+    /** Time for which a target counts as reached after its last bytes or the last connection to it. */
+    private static final long REACHED_RETENTION_MILLIS = 3_000;
 
     private final EventLoopGroup loop;
     private final HttpDialect dialect;
@@ -70,8 +72,7 @@
                 && (entry.state().target().startedUnixMillis() != target.startedUnixMillis()
                         || entry.state().removed(nowMillis));
         if (entry == null) {
-            TargetConnectionPool pool = new TargetConnectionPool(loop, dialect, ticker, target.ip(), target.port());
-            entry = new TargetEntry(new TargetState(target), pool);
+            entry = newEntry(target);
             entries.put(target.id(), entry);
             byService.computeIfAbsent(target.service(), name -> new HashMap<>()).put(target.id(), entry.state());
             restarted = afterInitialCopy;
@@ -92,6 +93,17 @@
         }
     }
 
+    private TargetEntry newEntry(Target target) {
+        TargetConnectionPool pool = new TargetConnectionPool(
+                loop,
+                dialect,
+                ticker,
+                target.ip(),
+                target.port(),
+                (connected, tookMillis) -> connectAttempted(target.id(), connected, tookMillis));
+        return new TargetEntry(new TargetState(target), pool);
+    }
+
     /** Records that a target's entry was removed; the target counts as gone from the given time on. */
     void remove(String targetId, long goneAtMillis) {
         TargetEntry entry = entries.get(targetId);
@@ -147,15 +159,50 @@
 
     /** Records a failure in the target's health. */
     void recordFailure(TargetEntry entry, TargetFailure failure) {
-        recordFailure(entry, failure.conclusive(), failure.name());
+        recordFailure(entry, failure.conclusive(), failure.name(), "");
     }
 
-    private void recordFailure(TargetEntry entry, boolean conclusive, String reason) {
+    private void recordFailure(TargetEntry entry, boolean conclusive, String reason, String reporter) {
         if (entry.state().health().recordFailure(ticker.nowMillis(), conclusive)) {
             entry.pool().closeIdle();
             metrics.ejected();
-            FrontLog.ejected(entry.state().target(), reason);
+            logEjection(entry, reason, reporter);
+        }
+    }
+
+    private void logEjection(TargetEntry entry, String reason, String reporter) {
+        FrontLog.ejected(entry, reason, reporter, ticker.nowMillis(), reach(""));
+    }
+
+    /** Records an attempt of this process to connect to a target. */
+    private void connectAttempted(String targetId, boolean connected, long tookMillis) {
+        TargetEntry entry = entries.get(targetId);
+        if (entry == null) {
+            return;
+        }
+        if (connected) {
+            entry.connected(ticker.nowMillis());
+            return;
+        }
+        metrics.connectFailed();
+        FrontLog.unreachable(entry.state().target(), tookMillis, reach(""));
+    }
+
+    /** Number of targets that this process reaches, of those published. */
+    record Reach(int reachedTargets, int knownTargets) {}
+
+    /** Returns how many targets of a service this process reaches, or of all services if the name is empty. */
+    Reach reach(String service) {
+        long sinceMillis = ticker.nowMillis() - REACHED_RETENTION_MILLIS;
+        int reached = 0;
+        int known = 0;
+        for (TargetEntry entry : entries.values()) {
+            if (service.isEmpty() || entry.state().target().service().equals(service)) {
+                known++;
+                reached += entry.reachedSince(sinceMillis) ? 1 : 0;
+            }
         }
+        return new Reach(reached, known);
     }
 
     /** Records an error response in the target's health, unless too many targets of its service are already ejected. */
@@ -167,7 +214,7 @@
         }
         if (entry.state().health().recordErrorAnswer(ticker.nowMillis())) {
             metrics.ejected();
-            FrontLog.ejected(entry.state().target(), "ERRORS");
+            logEjection(entry, "ERRORS", "");
         }
     }
 
@@ -175,6 +222,7 @@
     public void answered(String targetId) {
         TargetEntry entry = entries.get(targetId);
         if (entry != null) {
+            entry.answered(ticker.nowMillis());
             entry.state().health().recordSuccess();
         }
     }
@@ -188,10 +236,10 @@
     }
 
     @Override
-    public void failed(String targetId, boolean conclusive) {
+    public void failed(String targetId, boolean conclusive, String reporter) {
         TargetEntry entry = entries.get(targetId);
         if (entry != null) {
-            recordFailure(entry, conclusive, "REPORTED");
+            recordFailure(entry, conclusive, "REPORTED", reporter);
         }
     }
 
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -85,6 +85,10 @@
     TO("to"),
     /** Concurrency limit; for a returned target, the remaining cold time in milliseconds. */
     LIMIT("limit"),
+    /** Number of targets that this process has reached over connections of its own within the last seconds. */
+    REACHED_TARGETS("reachedTargets"),
+    /** Number of published targets. */
+    KNOWN_TARGETS("knownTargets"),
     /** Requests at a target, divided by its slots. */
     OCCUPANCY("occupancy"),
     /** Predicted time to the first event, or estimated wait, in milliseconds. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -114,6 +114,8 @@
             EventField.BACKLOG_AGE_MILLIS,
             EventField.QUOTA_TOKENS,
             EventField.QUOTA_LEVEL,
+            EventField.REACHED_TARGETS,
+            EventField.KNOWN_TARGETS,
             EventField.VERSION,
             EventField.AGE_MILLIS),
     /** A request was relayed to its home. */
@@ -172,7 +174,23 @@
     /** A target was published, changed or removed. */
     TARGET_PUBLISHED(Level.INFO, EventField.TARGET, EventField.SERVICE, EventField.DATA_CENTRE, EventField.STATUS),
     /** A target was ejected, because of the outcome of its requests. */
-    TARGET_EJECTED(Level.WARN, EventField.TARGET, EventField.SERVICE, EventField.REASON),
+    TARGET_EJECTED(
+            Level.WARN,
+            EventField.TARGET,
+            EventField.SERVICE,
+            EventField.REASON,
+            EventField.PEER,
+            EventField.AGE_MILLIS,
+            EventField.REACHED_TARGETS,
+            EventField.KNOWN_TARGETS),
+    /** No connection to a target could be established. */
+    TARGET_UNREACHABLE(
+            Level.INFO,
+            EventField.TARGET,
+            EventField.SERVICE,
+            EventField.TOTAL_MILLIS,
+            EventField.REACHED_TARGETS,
+            EventField.KNOWN_TARGETS),
     /** An ejected target is in use again after a successful health check. */
     TARGET_RETURNED(Level.INFO, EventField.TARGET, EventField.SERVICE, EventField.LIMIT),
     /** A peer was heard from for the first time, or with a new incarnation. */
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -335,7 +335,7 @@
         }
 
         @Override
-        public void failed(String targetId, boolean conclusive) {
+        public void failed(String targetId, boolean conclusive, String reporter) {
             outcomes.add(targetId + " failed " + conclusive);
         }
     }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/NoOpCoordinatorListener.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/NoOpCoordinatorListener.java
@@ -23,5 +23,5 @@
     public void erred(String targetId) {}
 
     @Override
-    public void failed(String targetId, boolean conclusive) {}
+    public void failed(String targetId, boolean conclusive, String reporter) {}
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -154,7 +154,7 @@
         RequestKey key = new RequestKey(process, id);
         Optional<RunningRequests.Run> known = running.find(key.requester(), key.id());
         if (event == RunEvent.RUN_STALLED) {
-            known.ifPresent(run -> reportSilence(run.targetId(), nowMillis));
+            known.ifPresent(run -> reportSilence(run.targetId(), process, nowMillis));
             return;
         }
         if (event == RunEvent.RUN_FIRST_EVENT || event == RunEvent.RUN_ANSWERED) {
@@ -176,9 +176,9 @@
         grants.remove(key);
         Optional<RunningRequests.Run> run = running.recordEnd(key.requester(), key.id());
         if (run.isPresent() && event == RunEvent.RUN_SILENT) {
-            reportSilence(run.get().targetId(), nowMillis);
+            reportSilence(run.get().targetId(), process, nowMillis);
         } else if (run.isPresent() && !key.requester().equals(dependencies.localName())) {
-            reportOutcome(run.get().targetId(), event);
+            reportOutcome(run.get().targetId(), process, event);
         }
         if (grant != null) {
             recordEnd(key, grant, event, tookMillis, nowMillis);
@@ -214,22 +214,22 @@
      * slow engine. If a single report ejected the target, a working engine would be lost when its slots are needed
      * most.
      */
-    private void reportSilence(String targetId, long nowMillis) {
+    private void reportSilence(String targetId, String reporter, long nowMillis) {
         Long activeAtMillis =
                 dependencies.policy().isEnabled(Mechanism.SILENCE_TO_ALL) ? lastActivityAtMillis.get(targetId) : null;
         if (activeAtMillis != null && nowMillis - activeAtMillis <= TARGET_ACTIVITY_TIMEOUT_MILLIS) {
             dependencies.targetOutcomeListener().erred(targetId);
         } else {
-            dependencies.targetOutcomeListener().failed(targetId, true);
+            dependencies.targetOutcomeListener().failed(targetId, true, reporter);
         }
     }
 
-    private void reportOutcome(String targetId, RunEvent event) {
+    private void reportOutcome(String targetId, String reporter, RunEvent event) {
         switch (event) {
             case RUN_ANSWERED -> dependencies.targetOutcomeListener().answered(targetId);
             case RUN_REFUSED, RUN_ERRED -> dependencies.targetOutcomeListener().erred(targetId);
-            case RUN_UNREACHABLE -> dependencies.targetOutcomeListener().failed(targetId, true);
-            case RUN_BROKEN -> dependencies.targetOutcomeListener().failed(targetId, false);
+            case RUN_UNREACHABLE -> dependencies.targetOutcomeListener().failed(targetId, true, reporter);
+            case RUN_BROKEN -> dependencies.targetOutcomeListener().failed(targetId, false, reporter);
             default -> {
                 // The caller disconnected or the outcome is unknown, which says nothing about the target.
             }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/TargetOutcomeListener.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/TargetOutcomeListener.java
@@ -21,6 +21,7 @@
      *
      * @param targetId id of the target
      * @param conclusive true if the target was unreachable or silent, so that a single request proves the failure
+     * @param reporter name of the process that sent the request
      */
-    void failed(String targetId, boolean conclusive);
+    void failed(String targetId, boolean conclusive, String reporter);
 }
