--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -0,0 +1,138 @@
+package org.whinwharf.front;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/** Several fronts before common targets, which each front reaches over paths of its own that can be cut. */
+final class CutFleet implements AutoCloseable {
+    private final List<FrontFixture> fronts = new ArrayList<>();
+    private final List<FakeTarget> targets = new ArrayList<>();
+    /** Links of each front, by the front's index. */
+    private final List<List<CutLink>> links = new ArrayList<>();
+
+    /**
+     * Starts a fleet and waits until its fronts know each other.
+     *
+     * @param script behaviour of all targets
+     */
+    CutFleet(int frontCount, int targetCount, boolean engine, FakeTarget.Script script) throws Exception {
+        for (int i = 0; i < targetCount; i++) {
+            targets.add(new FakeTarget("127.0.0.1", script));
+        }
+        for (int i = 0; i < frontCount; i++) {
+            FrontFixture front =
+                    new FrontFixture(i == 0 ? List.of() : List.of(fronts.get(0).ip()));
+            fronts.add(front);
+            List<CutLink> ofFront = new ArrayList<>();
+            links.add(ofFront);
+            for (int j = 0; j < targetCount; j++) {
+                CutLink link =
+                        new CutLink(front.ip(), "127.0.0.1", targets.get(j).port());
+                ofFront.add(link);
+                front.publish("t" + j, front.ip(), link.port(), 8);
+            }
+        }
+        fronts.forEach(front -> front.publishCatalog(3, 5_000, engine, 500));
+        for (FrontFixture front : fronts) {
+            FrontFixture.await(() -> front.advertisedFronts() == frontCount);
+        }
+    }
+
+    FrontFixture front(int index) {
+        return fronts.get(index);
+    }
+
+    List<FakeTarget> targets() {
+        return targets;
+    }
+
+    /** Returns the paths of one front to all targets. */
+    List<CutLink> links(int front) {
+        return links.get(front);
+    }
+
+    /** Returns the index of the front that coordinates the service. */
+    int coordinator() {
+        for (int i = 0; i < fronts.size(); i++) {
+            FrontFixture front = fronts.get(i);
+            boolean[] local = new boolean[1];
+            front.run(() -> local[0] = front.front().coordination().isLocalCoordinator("service"));
+            if (local[0]) {
+                return i;
+            }
+        }
+        throw new IllegalStateException("no coordinator");
+    }
+
+    /** Cuts all paths of a front. */
+    void cut(int front, CutLink.Cut cut) throws IOException {
+        for (CutLink link : links.get(front)) {
+            link.cut(cut);
+        }
+    }
+
+    void heal(int front) throws IOException {
+        for (CutLink link : links.get(front)) {
+            link.heal();
+        }
+    }
+
+    /** Returns the sum of a counter over all fronts. */
+    double counter(String name) {
+        return fronts.stream()
+                .flatMap(front -> front.front().metrics().scrape().lines())
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .sum();
+    }
+
+    /** Sends requests to a front until the given time has passed, and returns all responses. */
+    List<String> requestsFor(int front, String method, String path, long millis) throws IOException {
+        List<String> responses = new ArrayList<>();
+        long endNanos = System.nanoTime() + millis * 1_000_000;
+        for (int i = 0; System.nanoTime() < endNanos; i++) {
+            String attempt = "f" + front + "n" + i + "at" + System.nanoTime();
+            responses.add(fronts.get(front).exchange(FrontFixture.request(method, path, attempt, true)));
+        }
+        return responses;
+    }
+
+    /** Does the same at all fronts at once; returns the responses of each front, by its index. */
+    List<List<String>> requestsToAllFor(String method, String path, long millis) throws Exception {
+        ExecutorService callers = Executors.newFixedThreadPool(fronts.size());
+        try {
+            List<Callable<List<String>>> tasks = new ArrayList<>();
+            for (int i = 0; i < fronts.size(); i++) {
+                int front = i;
+                tasks.add(() -> requestsFor(front, method, path, millis));
+            }
+            List<List<String>> responses = new ArrayList<>();
+            for (Future<List<String>> done : callers.invokeAll(tasks)) {
+                responses.add(done.get());
+            }
+            return responses;
+        } finally {
+            callers.shutdownNow();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (List<CutLink> ofFront : links) {
+            for (CutLink link : ofFront) {
+                link.close();
+            }
+        }
+        for (FrontFixture front : fronts) {
+            front.close();
+        }
+        for (FakeTarget target : targets) {
+            target.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
@@ -0,0 +1,199 @@
+package org.whinwharf.front;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** A TCP path from one front to one target that can be cut and healed. */
+final class CutLink implements AutoCloseable {
+    private static final int CHUNK_BYTES = 4_096;
+    private static final int BACKLOG = 1;
+    private static final int FILL_TIMEOUT_MILLIS = 100;
+
+    /** How a path fails. */
+    enum Cut {
+        /** Nothing passes: open connections hang, and new ones are never established. */
+        SILENT {
+            @Override
+            void apply(CutLink link) throws IOException {
+                link.fillBacklog();
+            }
+        },
+        /** New connections are refused; open ones hang. */
+        REFUSED {
+            @Override
+            void apply(CutLink link) throws IOException {
+                link.server.close();
+            }
+        },
+        /** New connections are refused; open ones live on. */
+        NEW_REFUSED {
+            @Override
+            void apply(CutLink link) throws IOException {
+                link.blocked = false;
+                link.server.close();
+            }
+        },
+        /** Open connections are reset, and new ones refused. */
+        RESET {
+            @Override
+            void apply(CutLink link) throws IOException {
+                link.server.close();
+                for (Socket socket : link.sockets) {
+                    link.reset(socket);
+                }
+            }
+        };
+
+        abstract void apply(CutLink link) throws IOException;
+    }
+
+    private final String ip;
+    private final int port;
+    private final String toIp;
+    private final int toPort;
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final List<Socket> fillers = new ArrayList<>();
+    private final Object gate = new Object();
+    private volatile ServerSocket server;
+    private volatile boolean blocked;
+
+    CutLink(String ip, String toIp, int toPort) throws IOException {
+        this.ip = ip;
+        this.toIp = toIp;
+        this.toPort = toPort;
+        listen(0);
+        port = server.getLocalPort();
+    }
+
+    private void reset(Socket socket) throws IOException {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (SocketException e) {
+            // The connection has ended meanwhile.
+            sockets.remove(socket);
+        }
+    }
+
+    int port() {
+        return port;
+    }
+
+    private void listen(int localPort) throws IOException {
+        ServerSocket opened = new ServerSocket();
+        opened.setReuseAddress(true);
+        opened.bind(new InetSocketAddress(ip, localPort), BACKLOG);
+        server = opened;
+        start("link", () -> accept(opened));
+    }
+
+    void cut(Cut cut) throws IOException {
+        blocked = true;
+        cut.apply(this);
+    }
+
+    void heal() throws IOException {
+        for (Socket filler : fillers) {
+            filler.close();
+        }
+        fillers.clear();
+        if (server.isClosed()) {
+            listen(port);
+        }
+        synchronized (gate) {
+            blocked = false;
+            gate.notifyAll();
+        }
+    }
+
+    /** Fills the queue of connections that wait to be accepted; the system then drops further opening packets. */
+    private void fillBacklog() throws IOException {
+        try {
+            while (true) {
+                Socket filler = new Socket();
+                filler.connect(new InetSocketAddress(ip, port), FILL_TIMEOUT_MILLIS);
+                fillers.add(filler);
+            }
+        } catch (SocketTimeoutException e) {
+            // The queue is full.
+        }
+    }
+
+    private void accept(ServerSocket listening) throws IOException {
+        while (!listening.isClosed()) {
+            Socket client = listening.accept();
+            awaitUnblocked();
+            Socket upstream = new Socket(toIp, toPort);
+            sockets.add(client);
+            sockets.add(upstream);
+            start("link requests", () -> pump(client, upstream));
+            start("link responses", () -> pump(upstream, client));
+        }
+    }
+
+    private void pump(Socket from, Socket to) throws IOException {
+        try (from;
+                to) {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            byte[] chunk = new byte[CHUNK_BYTES];
+            int count = in.read(chunk);
+            while (count >= 0) {
+                awaitUnblocked();
+                out.write(chunk, 0, count);
+                count = in.read(chunk);
+            }
+            awaitUnblocked();
+        }
+    }
+
+    private void awaitUnblocked() throws IOException {
+        synchronized (gate) {
+            while (blocked) {
+                try {
+                    gate.wait();
+                } catch (InterruptedException e) {
+                    throw new IOException(e);
+                }
+            }
+        }
+    }
+
+    private interface IoTask {
+        void run() throws IOException;
+    }
+
+    private static void start(String name, IoTask task) {
+        Thread thread = new Thread(
+                () -> {
+                    try {
+                        task.run();
+                    } catch (IOException e) {
+                        // One side closed its connection, or the link was cut or closed.
+                        return;
+                    }
+                },
+                name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        heal();
+        server.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+}
