Send requests through a peer when a front has no path to a target

Cause: a front had no way to a target but a connection of its own; a granted target that it had ejected for itself was then placed locally, found no target, and the request was queued until its timeout.

A front without a path now opens the connection through a peer (RelayServer, RelayLink). The relay carries the bytes of one connection to the target, so admission, quota, deadlines, cancellation and retries stay where the request was received. Nothing reaches the target before the peer has reported that its connection stands, so a request without a connection was not executed. The end of the target's connection has a frame of its own: the loss of the relay ends no response. One hop at most, 256 connections at most, and only peers that reach targets themselves are asked.

TargetConnector tries the direct connection first, and a peer after 200 ms or a refusal. A failure counts against the target only if a process fails that reaches other targets meanwhile (OwnReach), and if no peer reaches it. A front that reaches none is partitioned (TargetPaths): it goes to a peer at once, says so in its reports, and tries its own paths again every 250 ms. With no peer to ask, requests are refused at once with a time to come back.

Ways weighed: forwarding the request to a peer's caller port would check keys and quotas twice and hide whether the request was sent; a coordinator that hands its duty over is not needed, since it judges targets by reports and probes through peers; leaving a front out of the directory helps only callers that ask again, after up to 15 s.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Target that answers each request by running a script. */
 final class FakeTarget implements AutoCloseable {
@@ -24,6 +25,7 @@
     private final ServerSocket server;
     private final Script script;
     private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final AtomicInteger connectionCount = new AtomicInteger();
     private final BlockingQueue<String> closedConnections = new LinkedBlockingQueue<>();
 
     FakeTarget(String ip, Script script) throws IOException {
@@ -49,6 +51,11 @@
         return server.getLocalPort();
     }
 
+    /** Returns the number of open connections. */
+    int connectionCount() {
+        return connectionCount.get();
+    }
+
     /** Returns the heads of all requests received so far. */
     List<String> requests() {
         return requests;
@@ -105,6 +112,7 @@
 
     private void serve(Socket socket) {
         String last = "";
+        connectionCount.incrementAndGet();
         try (socket) {
             InputStream in = socket.getInputStream();
             String head = readHead(in);
@@ -117,6 +125,7 @@
         } catch (IOException e) {
             last = last + e.getMessage();
         }
+        connectionCount.decrementAndGet();
         closedConnections.add(last);
     }
 
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.UncheckedIOException;
@@ -24,6 +25,7 @@
 import org.whinwharf.traffic.catalog.RouteKind;
 import org.whinwharf.traffic.catalog.ServiceWeight;
 import org.whinwharf.traffic.target.ImmutableTarget;
+import org.whinwharf.wire.fleet.RelayOpen;
 
 /** One front process with fake targets, on its own loopback address. */
 final class FrontFixture implements AutoCloseable {
@@ -31,6 +33,7 @@
     private static final int CALLER_PORT = 18_211;
     private static final int PEER_PORT = 18_212;
     private static final int METRICS_PORT = 18_213;
+    private static final int RELAY_PORT = 18_214;
     private static final long TIMEOUT_SECONDS = 20;
     private static final int READ_TIMEOUT_MILLIS = 10_000;
 
@@ -68,6 +71,7 @@
                         .retryWindowMillis(10_000)
                         .stopGraceMillis(8_000)
                         .metricsPort(METRICS_PORT)
+                        .relayPort(RELAY_PORT)
                         .build(),
                 new TestDialect(),
                 callerPort(ip));
@@ -182,6 +186,21 @@
         return socket;
     }
 
+    /** Asks this front, as a peer does, for a connection to a target. */
+    Socket openRelay(String targetId) throws IOException {
+        Socket socket = new Socket(ip, RELAY_PORT);
+        byte[] open = RelayOpen.newBuilder()
+                .setFrom("peer")
+                .setTarget(targetId)
+                .build()
+                .toByteArray();
+        DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+        out.writeInt(1 + open.length);
+        out.writeByte(RelayFrame.OPEN.ordinal());
+        out.write(open);
+        return socket;
+    }
+
     /** Sends text unchanged and returns everything received until the connection ends. */
     String exchange(String text) throws IOException {
         try (Socket socket = connect()) {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PartitionedFrontTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PartitionedFrontTest.java
@@ -23,7 +23,7 @@
     private static final long CONTACT_MILLIS = 3_000;
 
     private static final long OBSERVED_MILLIS = 1_500;
-    /** More than the time for which a target is assumed to keep an idle connection. */
+    /** More than the idle time up to which a connection is used for a request that must not be repeated. */
     private static final long IDLE_EXPIRY_MILLIS = 2_500;
 
     private CutFleet fleet;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -38,6 +38,12 @@
     private static final long COORDINATOR_GRACE_MILLIS = 150;
     /** Minimum time until the deadline for a dispatch: a target needs about this long for its shortest response. */
     private static final long MIN_REMAINING_MILLIS = 15;
+    /** Number of targets without a path after which a request is rejected. */
+    private static final int MAX_TARGETS_WITHOUT_PATH = 3;
+    /** Retry-After delay while this process reaches no target; other fronts, to which callers may turn, may do so. */
+    private static final long NO_PATH_RETRY_AFTER_MILLIS = 500;
+    /** Silence after which an idempotent request is retried if the path to its target is known to be lost. */
+    private static final long LOST_PATH_SILENCE_MILLIS = 300;
 
     private enum Stage {
         /** Queued in this process. */
@@ -57,6 +63,7 @@
     private final CatalogFreshness catalogFreshness;
 
     private final Set<String> triedTargetIds = new HashSet<>();
+    private final Set<String> pathlessTargetIds = new HashSet<>();
     private RequestHead head;
     private Route route;
     private Optional<Organisation> organisation = Optional.empty();
@@ -127,6 +134,10 @@
     }
 
     private void place(long nowMillis) {
+        if (!front.reachesTargets()) {
+            rejectWithoutPath();
+            return;
+        }
         if (front.coordination().isCoordinated(service)) {
             stage = Stage.AWAITING_PLACEMENT;
             front.coordination().requestPlacement(service, this);
@@ -155,7 +166,8 @@
                 .remainingMillis(deadlineAtMillis - nowMillis)
                 .promptParts(head.promptParts())
                 .tierRank(tierRank)
-                .triedTargets(triedTargetIds)
+                .addAllTriedTargets(triedTargetIds)
+                .addAllTriedTargets(pathlessTargetIds)
                 .build();
     }
 
@@ -286,31 +298,56 @@
         targetRun.entry().pool().acquire(!route.idempotent(), this::connectionAcquired);
     }
 
-    private void connectionAcquired(Optional<TargetConnection> acquired) {
+    private void connectionAcquired(ConnectResult result) {
         long nowMillis = front.nowMillis();
         TargetRun current = targetRun;
         if (stage != Stage.CONNECTING) {
-            acquired.ifPresent(idle -> current.entry().pool().release(idle));
+            result.connection().ifPresent(idle -> current.entry().pool().release(idle));
             return;
         }
-        if (acquired.isEmpty()) {
-            endRun(RunEvent.RUN_UNREACHABLE);
-            front.targetFailed(current.entry(), TargetFailure.UNREACHABLE);
+        switch (result.status()) {
+            case UNREACHABLE -> {
+                endRun(RunEvent.RUN_UNREACHABLE);
+                front.targetFailed(current.entry(), TargetFailure.UNREACHABLE);
+                place(nowMillis);
+            }
+            case NO_PATH -> {
+                endRun(RunEvent.RUN_GIVEN_UP);
+                placeElsewhere(current.entry().state().target().id(), nowMillis);
+            }
+            case CONNECTED -> connected(result.connection().orElseThrow(), nowMillis);
+        }
+    }
+
+    /** Places the request at another target, because this process has no path to the granted one. */
+    private void placeElsewhere(String pathlessTargetId, long nowMillis) {
+        pathlessTargetIds.add(pathlessTargetId);
+        if (pathlessTargetIds.size() < MAX_TARGETS_WITHOUT_PATH) {
             place(nowMillis);
-            return;
+        } else {
+            rejectWithoutPath();
         }
+    }
+
+    private void rejectWithoutPath() {
+        ErrorKind kind = mayHaveExecuted() ? ErrorKind.TARGET_LOST : ErrorKind.NO_TARGET;
+        respondWithError(new ErrorResponse(kind, NO_PATH_RETRY_AFTER_MILLIS));
+    }
+
+    private void connected(TargetConnection acquired, long nowMillis) {
+        TargetRun current = targetRun;
         if (deadlineAtMillis - nowMillis < MIN_REMAINING_MILLIS || !front.mayReceive(current.entry())) {
-            current.entry().pool().release(acquired.get());
+            current.entry().pool().release(acquired);
             endRun(RunEvent.RUN_GIVEN_UP);
             place(nowMillis);
             return;
         }
         if (!caller.isCallerConnected()) {
             // The pending notification that the caller's connection closed ends this exchange too.
-            current.entry().pool().release(acquired.get());
+            current.entry().pool().release(acquired);
             return;
         }
-        connection = acquired.get();
+        connection = acquired;
         send(nowMillis);
     }
 
@@ -320,7 +357,10 @@
         dispatchCount++;
         possibleExecutions++;
         triedTargetIds.add(target.id());
-        targetRun.sent(nowMillis);
+        targetRun.sent(connection.peerName(), nowMillis);
+        if (targetRun.relayed()) {
+            front.metrics().relayed();
+        }
         silenceWatch = new SilenceWatch(
                 route.latencyObjectiveMillis(), targetRun.candidate().firstEventMillis(), nowMillis);
         Optional<String> lastEventId =
@@ -328,7 +368,7 @@
         DispatchParameters dispatch = new DispatchParameters(
                 target.id(), organisation.map(Organisation::name), deadlineAtMillis - nowMillis, lastEventId);
         front.metrics().recordQueueTime(route.kind(), nowMillis - arrivedAtMillis);
-        FrontLog.sent(this, target, nowMillis - arrivedAtMillis, targetRun.candidate());
+        FrontLog.sent(this, targetRun, nowMillis - arrivedAtMillis);
         connection.send(front.dialect().targetRequest(request, dispatch), body, head.attemptId(), this);
     }
 
@@ -359,6 +399,9 @@
         long nowMillis = front.nowMillis();
         silenceWatch.bytesReceived(nowMillis);
         targetRun.entry().bytesReceived(nowMillis);
+        if (!targetRun.relayed()) {
+            front.reached(targetRun.entry());
+        }
         if (!targetRun.firstByteReceived()) {
             targetRun.firstByte(nowMillis);
             front.metrics().recordFirstByte(route.kind(), targetRun.firstByteMillis());
@@ -441,10 +484,16 @@
     @Override
     public void failed(TargetFailure failure) {
         connection = null;
+        endFailedRun(failure);
+        retryOrFail(failure, front.nowMillis());
+    }
+
+    private void endFailedRun(TargetFailure failure) {
         recordResponseEnding(failure.tag());
         endRun(failure.event());
-        front.targetFailed(targetRun.entry(), failure);
-        retryOrFail(failure, front.nowMillis());
+        if (failure != TargetFailure.RELAY_LOST) {
+            front.targetFailed(targetRun.entry(), failure);
+        }
     }
 
     private void retryOrFail(TargetFailure failure, long nowMillis) {
@@ -520,19 +569,30 @@
                 && !targetRun.stalled()) {
             front.targetFailed(targetRun.entry(), TargetFailure.SILENT);
         }
-        boolean stalled = silenceWatch.requestStalled(responseAssembler.streamStarted(), nowMillis);
+        boolean stalled = silenceWatch.requestStalled(responseAssembler.streamStarted(), nowMillis)
+                || stalledOnLostPath(nowMillis);
         if (stalled
                 && route.idempotent()
                 && dispatchCount < route.maxAttempts()
                 && front.hasUntriedTarget(service, triedTargetIds)) {
             connection.cancel();
             connection = null;
-            recordResponseEnding(TargetFailure.SILENT.tag());
-            endRun(RunEvent.RUN_SILENT);
+            endFailedRun(TargetFailure.SILENT);
             retryOrFail(TargetFailure.SILENT, nowMillis);
         }
     }
 
+    private boolean stalledOnLostPath(long nowMillis) {
+        return !targetRun.relayed()
+                && front.pathLost(targetRun.entry())
+                && nowMillis - silenceWatch.lastByteAtMillis() > LOST_PATH_SILENCE_MILLIS;
+    }
+
+    /** Returns the target from which a response is awaited over a direct connection. */
+    Optional<TargetEntry> directlyAwaitedTarget() {
+        return stage == Stage.SENT && !targetRun.relayed() ? Optional.of(targetRun.entry()) : Optional.empty();
+    }
+
     private void deadlineReached() {
         if (stage == Stage.QUEUED) {
             front.localQueues().queueOf(service).remove(this);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
@@ -54,7 +54,9 @@
                 .setPhase(phase)
                 .setRevision(feed.revision())
                 .setWatching(feed.watchHealthy())
-                .setProcessorPercent(settings.processorPercent());
+                .setProcessorPercent(settings.processorPercent())
+                .setRelayPort(settings.relayPort())
+                .setPartitioned(targets.paths().partitioned());
         for (TargetEntry entry : targets.all()) {
             // Large fleets propagate reports too slowly for placement decisions; there the coordinator keeps these
             // counts.
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -28,6 +28,7 @@
 import org.whinwharf.traffic.coordination.ImmutableCoordinatorDependencies;
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.member.MemberTable;
+import org.whinwharf.traffic.path.RelayPeers;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.ColdShares;
 import org.whinwharf.traffic.placement.Demand;
@@ -80,6 +81,9 @@
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final MemberTable members;
     private final TargetRegistry targets;
+    private final RelayPeers relayPeers;
+    private final RelayServer relays;
+    private final PathMonitor pathMonitor;
     private final PromptCacheIndex prompts = new PromptCacheIndex();
     private final ColdShares coldShares;
     private final TargetSelector placement;
@@ -120,7 +124,13 @@
                 .setIncarnation(System.currentTimeMillis())
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
-        targets = new TargetRegistry(loop, dialect, ticker, () -> catalog, metrics);
+        targets = new TargetRegistry(loop, dialect, ticker, () -> catalog, metrics, this::reachChanged);
+        relayPeers = new RelayPeers(settings.name(), members::servingMembers, random);
+        OwnReach ownReach = new OwnReach(loop, targets);
+        targets.connectThrough(
+                new TargetConnector(loop, dialect, ticker, settings.name(), targets, relayPeers, ownReach));
+        relays = new RelayServer(loop, ticker, targets, ownReach);
+        pathMonitor = new PathMonitor(targets, ownReach, ticker, this::awaitedTarget);
         localQueues = new LocalQueues(loop, ticker, random::nextDouble, settings.policy());
         coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
         placement = new TargetSelector(
@@ -171,6 +181,9 @@
     public void start() {
         startedAtMillis = ticker.nowMillis();
         peerItems.start(settings.ip(), settings.peerPort(), feed);
+        if (settings.relayPort() > 0) {
+            relays.start(settings.ip(), settings.relayPort());
+        }
         try {
             datagrams.start(loop);
         } catch (IOException e) {
@@ -215,6 +228,15 @@
                 "whinwharf.targets.reached",
                 "Targets reached over own connections within the last seconds",
                 () -> targets.reach("").reachedTargets());
+        metrics.gauge(
+                "whinwharf.paths.lost",
+                "Targets that peers reach and this process does not",
+                () -> targets.paths().lostPaths());
+        metrics.gauge(
+                "whinwharf.partitioned",
+                "1 while no target can be reached",
+                () -> targets.paths().partitioned() ? 1 : 0);
+        metrics.gauge("whinwharf.relays", "Connections relayed for peers", relays::connectionCount);
         metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
         new HttpEndpoint(loop, (method, uri) -> new HttpEndpoint.Response(200, "text/plain", metrics.scrape()))
                 .bind(settings.ip(), settings.metricsPort())
@@ -382,6 +404,18 @@
         gossip.runRound();
     }
 
+    /** Reports at once whether this process reaches targets, since peers may be about to ask it for a relay. */
+    private void reachChanged() {
+        phaseChanged();
+    }
+
+    private Optional<TargetEntry> awaitedTarget() {
+        return exchanges.stream()
+                .map(CallerExchange::directlyAwaitedTarget)
+                .flatMap(Optional::stream)
+                .findAny();
+    }
+
     private void phaseChanged() {
         fleetState.updateLocalReport(phase);
         gossip.runRoundNow();
@@ -391,6 +425,7 @@
         long nowMillis = ticker.nowMillis();
         fleetState.updateRemoteLoads(nowMillis);
         coordination.tick();
+        pathMonitor.checkSilence(nowMillis);
         List.copyOf(exchanges).forEach(exchange -> exchange.checkTimeouts(nowMillis));
         localQueues.advance(nowMillis);
         if (phase == MemberPhase.MEMBER_LEAVING) {
@@ -403,6 +438,7 @@
         acceptOnceReady();
         feed.tick();
         targets.sweep();
+        pathMonitor.recheckLostPaths();
         List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowMillis));
         members.expire(nowMillis)
                 .forEach(name -> EventLog.event(LogEvent.MEMBER_FORGOTTEN)
@@ -418,7 +454,10 @@
             callers.stop();
             List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
         }
-        boolean idle = exchanges.isEmpty() && connections.isEmpty() && nowMillis - leavingAtMillis > LATE_CALLER_MILLIS;
+        boolean idle = exchanges.isEmpty()
+                && connections.isEmpty()
+                && relays.connectionCount() == 0
+                && nowMillis - leavingAtMillis > LATE_CALLER_MILLIS;
         if (idle || leftMillis < STOP_MARGIN_MILLIS) {
             EventLog.event(idle ? LogEvent.DRAINED : LogEvent.DRAIN_TIMEOUT).call();
             onStopped.run();
@@ -540,6 +579,33 @@
         return targets.mayReceive(entry);
     }
 
+    /** Tells whether this process reaches targets, itself or through a peer. */
+    boolean reachesTargets() {
+        return !targets.paths().partitioned() || relayPeers.available(ticker.nowMillis());
+    }
+
+    /** Tells whether this process reaches no target itself. */
+    boolean partitioned() {
+        return targets.paths().partitioned();
+    }
+
+    /** Returns the number of connections to targets that this process relays for peers. */
+    int relayedConnections() {
+        return relays.connectionCount();
+    }
+
+    /** Tells whether the path of this process to a target is lost. */
+    boolean pathLost(TargetEntry entry) {
+        return targets.paths().needsRelay(entry.state().target().id());
+    }
+
+    /** Records bytes that a target sent over a direct connection. */
+    void reached(TargetEntry entry) {
+        long nowMillis = ticker.nowMillis();
+        entry.reached(nowMillis);
+        targets.paths().bytesReceived(nowMillis);
+    }
+
     /** Returns how many targets of a service this process reaches over connections of its own. */
     TargetRegistry.Reach reach(String service) {
         return targets.reach(service);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -8,6 +8,7 @@
 import org.whinwharf.traffic.coordination.RejectionDetails;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.target.Target;
+import org.whinwharf.wire.fleet.RelayOutcome;
 
 /** Writes log events about requests, targets, coordinators and peers. */
 final class FrontLog {
@@ -36,10 +37,12 @@
                 .call();
     }
 
-    static void sent(CallerExchange exchange, Target target, long waitedMillis, Candidate candidate) {
-        EventLog.event(LogEvent.REQUEST_SENT)
+    /** Logs that a request was sent to a target, through a peer if its name is not empty. */
+    static void sent(CallerExchange exchange, TargetRun run, long waitedMillis) {
+        Candidate candidate = run.candidate();
+        EventLog event = EventLog.event(LogEvent.REQUEST_SENT)
                 .with(EventField.REQUEST, exchange.head().attemptId())
-                .with(EventField.TARGET, target.id())
+                .with(EventField.TARGET, run.entry().state().target().id())
                 .with(EventField.TIER_RANK, exchange.tierRank())
                 .with(EventField.ANSWER_TOKENS, exchange.expectedAnswerTokens())
                 .with(EventField.WAITED_MILLIS, waitedMillis)
@@ -47,8 +50,11 @@
                 .with(EventField.PREFILL_TOKENS, candidate.uncachedTokens())
                 .with(EventField.PREDICTED_MILLIS, Math.round(candidate.firstEventMillis()))
                 .with(EventField.VERSION, exchange.catalogFreshness().catalogVersion())
-                .with(EventField.AGE_MILLIS, exchange.catalogFreshness().itemsAgeMillis())
-                .call();
+                .with(EventField.AGE_MILLIS, exchange.catalogFreshness().itemsAgeMillis());
+        if (run.relayed()) {
+            event.with(EventField.PEER, run.peerName());
+        }
+        event.call();
     }
 
     static void ended(CallerExchange exchange, TargetEntry entry, String reason, int status, long totalMillis) {
@@ -179,6 +185,39 @@
         event.call();
     }
 
+    static void pathLost(String targetId, String peer, TargetRegistry.Reach reach) {
+        EventLog event = EventLog.event(LogEvent.TARGET_PATH_LOST)
+                .with(EventField.TARGET, targetId)
+                .with(EventField.PEER, peer);
+        addReach(event, reach);
+        event.call();
+    }
+
+    static void pathRestored(String targetId) {
+        EventLog.event(LogEvent.TARGET_PATH_RESTORED)
+                .with(EventField.TARGET, targetId)
+                .call();
+    }
+
+    static void partitionBegan(TargetRegistry.Reach reach) {
+        EventLog event = EventLog.event(LogEvent.PARTITIONED);
+        addReach(event, reach);
+        event.call();
+    }
+
+    static void partitionEnded() {
+        EventLog.event(LogEvent.PARTITION_ENDED).call();
+    }
+
+    static void relayAnswered(String peer, String targetId, RelayOutcome outcome, long tookMillis) {
+        EventLog.event(LogEvent.RELAY_ANSWERED)
+                .with(EventField.PEER, peer)
+                .with(EventField.TARGET, targetId)
+                .with(EventField.STATUS, outcome.name())
+                .with(EventField.TOTAL_MILLIS, tookMillis)
+                .call();
+    }
+
     static void unreachable(Target target, long tookMillis, TargetRegistry.Reach reach) {
         EventLog event = EventLog.event(LogEvent.TARGET_UNREACHABLE)
                 .with(EventField.TARGET, target.id())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -39,6 +39,9 @@
     private final Counter ejections = Counter.builder("whinwharf.ejections")
             .description("Targets taken out of use after failures")
             .register(registry);
+    private final Counter relayedRequests = Counter.builder("whinwharf.relayed.requests")
+            .description("Requests sent to targets through a peer")
+            .register(registry);
     private final Counter connectFailures = Counter.builder("whinwharf.connect.failures")
             .description("Attempts to connect to a target that failed")
             .register(registry);
@@ -68,6 +71,10 @@
         ejections.increment();
     }
 
+    void relayed() {
+        relayedRequests.increment();
+    }
+
     void connectFailed() {
         connectFailures.increment();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
@@ -91,6 +91,16 @@
      */
     int metricsPort();
 
+    /**
+     * Returns the port on which peers ask this process for connections to targets.
+     *
+     * @return TCP port; 0 for none
+     */
+    @Value.Default
+    default int relayPort() {
+        return 0;
+    }
+
     /**
      * Returns the processor time that this process may use.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -41,6 +40,7 @@
 
     private final HttpDialect dialect;
     private final TargetConnectionPool pool;
+    private final TargetLink link;
     private Channel channel;
     private Phase phase = Phase.IDLE;
     private TargetListener listener;
@@ -50,10 +50,17 @@
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private long idleSinceMillis;
 
-    TargetConnection(HttpDialect dialect, TargetConnectionPool pool) {
+    TargetConnection(HttpDialect dialect, TargetConnectionPool pool, TargetLink link) {
         super(HttpObject.class);
         this.dialect = dialect;
         this.pool = pool;
+        this.link = link;
+        idleSinceMillis = pool.nowMillis();
+    }
+
+    /** Returns the name of the peer that relays the connection; empty for a direct one. */
+    String peerName() {
+        return link.peerName();
     }
 
     @Override
@@ -100,7 +107,7 @@
 
     /** Tells whether the connection is open and carries no request. */
     boolean usable() {
-        return phase == Phase.IDLE && !inputEnded();
+        return phase == Phase.IDLE && !link.inputEnded() && link.usable();
     }
 
     void close() {
@@ -166,7 +173,7 @@
             if (!channel.isActive()) {
                 // The decoder ends a response without a declared end also when the connection fails. After an end of
                 // input the channel is still active.
-                fail(TargetFailure.RESET);
+                fail(link.lossCause());
                 return;
             }
             finish();
@@ -176,7 +183,7 @@
     private void finish() {
         TargetListener current = listener;
         listener = null;
-        if (reusable && written.isDone() && written.isSuccess() && !inputEnded()) {
+        if (reusable && written.isDone() && written.isSuccess() && !link.inputEnded()) {
             phase = Phase.IDLE;
             idleSinceMillis = pool.nowMillis();
             channel.config().setAutoRead(true);
@@ -187,10 +194,6 @@
         current.complete();
     }
 
-    private boolean inputEnded() {
-        return !channel.isActive() || ((DuplexChannel) channel).isInputShutdown();
-    }
-
     private void fail(TargetFailure failure) {
         TargetListener current = listener;
         listener = null;
@@ -202,7 +205,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(TargetFailure.RESET);
+        fail(link.lossCause());
     }
 
     /** Handles the end of input; the decoder has already delivered a response that lasts until then. */
@@ -217,6 +220,6 @@
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         pool.closed(this);
-        fail(TargetFailure.RESET);
+        fail(link.lossCause());
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -1,93 +1,78 @@
 package org.whinwharf.front;
 
-import io.netty.bootstrap.Bootstrap;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoopGroup;
-import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.target.Target;
 
-/** Pool of this process's connections to one target. */
+/** Pool of this process's connections to one target, direct and relayed ones. */
 final class TargetConnectionPool {
-    /** Connect timeout: 200 round-trip times, and less than the queue timeout of the shortest objective. */
-    private static final int CONNECT_TIMEOUT_MILLIS = 600;
-    /** Maximum size of a response's head in bytes. */
-    private static final int MAX_HEADER_BYTES = 32_768;
     /** Maximum idle time of a connection used for a request that must not be lost when the target closes it. */
     private static final long MAX_FRESH_IDLE_MILLIS = 1_000;
 
-    private final Bootstrap bootstrap;
+    private final TargetConnector connector;
+    private final Target target;
     private final Ticker ticker;
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
-    private final ConnectListener connectListener;
 
-    /** Receives the outcome of each attempt to connect to the target. */
-    interface ConnectListener {
-        /** Handles one attempt that took the given time. */
-        void connectAttempted(boolean connected, long tookMillis);
+    /**
+     * Creates an empty pool.
+     *
+     * @param target the target; its id, address and data centre are used
+     */
+    TargetConnectionPool(TargetConnector connector, Target target, Ticker ticker) {
+        this.connector = connector;
+        this.target = target;
+        this.ticker = ticker;
     }
 
-    TargetConnectionPool(
-            EventLoopGroup loop,
-            HttpDialect dialect,
-            Ticker ticker,
-            String ip,
-            int port,
-            ConnectListener connectListener) {
-        this.connectListener = connectListener;
-        this.ticker = ticker;
-        TargetConnectionPool pool = this;
-        bootstrap = new Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel.class)
-                .remoteAddress(ip, port)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-                // Makes an end of input an event of its own, which a connection that fails does not cause.
-                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .handler(new ChannelInitializer<SocketChannel>() {
-                    @Override
-                    protected void initChannel(SocketChannel channel) {
-                        channel.pipeline()
-                                .addLast(new HttpRequestEncoder())
-                                .addLast(new TargetAnswerDecoder(new HttpDecoderConfig()
-                                        .setMaxHeaderSize(MAX_HEADER_BYTES)
-                                        .setStrictLineParsing(true)))
-                                .addLast(new TargetConnection(dialect, pool));
-                    }
-                });
+    Target target() {
+        return target;
     }
 
-    /** Passes an idle or a new connection to the consumer, or an empty value when no connection can be established. */
-    void acquire(boolean mustBeFresh, Consumer<Optional<TargetConnection>> consumer) {
+    /** Passes an idle or a new connection to the consumer, or the reason why none can be established. */
+    void acquire(boolean mustBeFresh, Consumer<ConnectResult> consumer) {
+        TargetConnection connection = pollIdle(mustBeFresh);
+        if (connection != null) {
+            consumer.accept(ConnectResult.connected(connection));
+        } else {
+            connector.connect(this, true, consumer);
+        }
+    }
+
+    /** Does the same for a health check, which asks no peer about a target that seems to be down. */
+    void acquireForProbe(Consumer<ConnectResult> consumer) {
+        TargetConnection connection = pollIdle(true);
+        if (connection != null) {
+            consumer.accept(ConnectResult.connected(connection));
+        } else {
+            connector.connect(this, false, consumer);
+        }
+    }
+
+    /** Establishes a new connection, and keeps it for later requests; the consumer learns whether and how. */
+    void connectAnew(Consumer<ConnectResult> consumer) {
+        connector.connect(this, true, result -> {
+            result.connection().ifPresent(this::release);
+            consumer.accept(result);
+        });
+    }
+
+    /** Returns an idle connection that can be used; null if there is none. */
+    private TargetConnection pollIdle(boolean mustBeFresh) {
         long nowMillis = ticker.nowMillis();
         while (!idle.isEmpty()) {
             TargetConnection connection = idle.pollLast();
             boolean expired = connection.stale(nowMillis)
                     || mustBeFresh && connection.idleMillis(nowMillis) > MAX_FRESH_IDLE_MILLIS;
             if (connection.usable() && !expired) {
-                consumer.accept(Optional.of(connection));
-                return;
+                return connection;
             }
             connection.close();
         }
-        bootstrap.connect().addListener((ChannelFuture future) -> {
-            connectListener.connectAttempted(future.isSuccess(), ticker.nowMillis() - nowMillis);
-            if (future.isSuccess()) {
-                consumer.accept(Optional.of(future.channel().pipeline().get(TargetConnection.class)));
-            } else {
-                consumer.accept(Optional.empty());
-            }
-        });
+        return null;
     }
 
     /** Returns a connection to the pool after a complete response. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
@@ -24,15 +24,14 @@
         return pool;
     }
 
-    /** Records that bytes were received from the target. */
+    /** Records that bytes were received from the target, directly or through a peer. */
     void bytesReceived(long nowMillis) {
         lastByteAtMillis = nowMillis;
-        lastReachedAtMillis = nowMillis;
         lastAnswerAtMillis = nowMillis;
     }
 
-    /** Records that this process established a connection to the target. */
-    void connected(long nowMillis) {
+    /** Records that this process reached the target over a connection of its own. */
+    void reached(long nowMillis) {
         lastReachedAtMillis = nowMillis;
     }
 
@@ -46,6 +45,11 @@
         return lastReachedAtMillis >= sinceMillis;
     }
 
+    /** Returns the monotonic time in milliseconds at which this process last reached the target itself. */
+    long lastReachedAtMillis() {
+        return lastReachedAtMillis;
+    }
+
     /** Returns the time since the target last answered any process; empty if it has not answered yet. */
     OptionalLong answerAgeMillis(long nowMillis) {
         return lastAnswerAtMillis == Long.MIN_VALUE
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
@@ -16,7 +16,9 @@
     /** The received bytes are not a valid response to the request. */
     GARBLED(false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
     /** Nothing was received for too long. */
-    SILENT(true, RunEvent.RUN_SILENT, TruncationCause.TARGET_LOST);
+    SILENT(true, RunEvent.RUN_SILENT, TruncationCause.TARGET_LOST),
+    /** The connection to the peer that relayed the request was lost. */
+    RELAY_LOST(false, RunEvent.RUN_GIVEN_UP, TruncationCause.TARGET_LOST);
 
     private final boolean conclusive;
     private final RunEvent event;
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetLink.java
@@ -0,0 +1,16 @@
+package org.whinwharf.front;
+
+/** The way on which a connection reaches its target: directly or through a peer. */
+interface TargetLink {
+    /** Tells whether the target has ended its side of the connection, or the connection is closed. */
+    boolean inputEnded();
+
+    /** Tells whether the way can be used for a further request, apart from the state of the connection. */
+    boolean usable();
+
+    /** Returns the failure that a loss of the connection means. */
+    TargetFailure lossCause();
+
+    /** Returns the name of the peer that relays the connection; empty for a direct one. */
+    String peerName();
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -5,7 +5,10 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -20,6 +23,7 @@
 import org.whinwharf.traffic.catalog.TargetService;
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.coordination.TargetOutcomeListener;
+import org.whinwharf.traffic.path.TargetPaths;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.target.TargetState;
 
@@ -41,21 +45,40 @@
     private final Map<String, TargetEntry> entries = new HashMap<>();
     private final Map<String, Map<String, TargetState>> byService = new HashMap<>();
     private final FrontMetrics metrics;
+    private final TargetPaths paths;
+    private TargetConnector connector;
     private Set<String> evacuated = Set.of();
 
+    /**
+     * Creates an empty registry.
+     *
+     * @param reachChanged run when this process becomes partitioned from all targets or reaches them again
+     */
     TargetRegistry(
             EventLoopGroup loop,
             HttpDialect dialect,
             Ticker ticker,
             Supplier<Optional<Catalog>> catalog,
-            FrontMetrics metrics) {
+            FrontMetrics metrics,
+            Runnable reachChanged) {
         this.metrics = metrics;
+        paths = new TargetPaths(new PathChangeHandler(this, ticker, reachChanged));
         this.loop = loop;
         this.dialect = dialect;
         this.ticker = ticker;
         this.catalog = catalog;
     }
 
+    /** Sets the connector of all targets that are published from now on. */
+    void connectThrough(TargetConnector targetConnector) {
+        connector = targetConnector;
+    }
+
+    /** Returns the paths of this process to the targets. */
+    TargetPaths paths() {
+        return paths;
+    }
+
     /** Adds or updates a published target; a target that starts or restarts after the initial copy counts as cold. */
     void publish(Target target, boolean afterInitialCopy) {
         long nowMillis = ticker.nowMillis();
@@ -94,14 +117,7 @@
     }
 
     private TargetEntry newEntry(Target target) {
-        TargetConnectionPool pool = new TargetConnectionPool(
-                loop,
-                dialect,
-                ticker,
-                target.ip(),
-                target.port(),
-                (connected, tookMillis) -> connectAttempted(target.id(), connected, tookMillis));
-        return new TargetEntry(new TargetState(target), pool);
+        return new TargetEntry(new TargetState(target), new TargetConnectionPool(connector, target, ticker));
     }
 
     /** Records that a target's entry was removed; the target counts as gone from the given time on. */
@@ -137,6 +153,33 @@
                 && !evacuated.contains(entry.state().target().dataCentre());
     }
 
+    /** Tells whether a target is leaving, gone or evacuated, whatever its health. */
+    boolean isOut(TargetEntry entry) {
+        Target target = entry.state().target();
+        return target.draining()
+                || entry.state().removed(ticker.nowMillis())
+                || evacuated.contains(target.dataCentre());
+    }
+
+    /** Returns a random sample of the targets, whatever their health. */
+    List<TargetEntry> sample(int maxCount) {
+        List<TargetEntry> all = new ArrayList<>(entries.values());
+        Collections.shuffle(all);
+        return all.subList(0, Math.min(maxCount, all.size()));
+    }
+
+    /** Returns the targets in use, except the given one, that this process has reached last. */
+    List<TargetEntry> lastReached(String exceptTargetId, int maxCount) {
+        return entries.values().stream()
+                .filter(entry -> !entry.state().target().id().equals(exceptTargetId)
+                        && !entry.state().health().ejected()
+                        && !isOut(entry))
+                .sorted(Comparator.comparingLong(TargetEntry::lastReachedAtMillis)
+                        .reversed())
+                .limit(maxCount)
+                .toList();
+    }
+
     TargetEntry entry(String targetId) {
         return entries.get(targetId);
     }
@@ -174,18 +217,22 @@
         FrontLog.ejected(entry, reason, reporter, ticker.nowMillis(), reach(""));
     }
 
-    /** Records an attempt of this process to connect to a target. */
-    private void connectAttempted(String targetId, boolean connected, long tookMillis) {
+    /** Records an attempt of this process to connect to a target for a request or a health check. */
+    void connectAttempted(String targetId, boolean connected, long tookMillis) {
         TargetEntry entry = entries.get(targetId);
-        if (entry == null) {
-            return;
+        if (entry != null && connected) {
+            reached(entry);
+        } else if (entry != null) {
+            metrics.connectFailed();
+            FrontLog.unreachable(entry.state().target(), tookMillis, reach(""));
         }
-        if (connected) {
-            entry.connected(ticker.nowMillis());
-            return;
-        }
-        metrics.connectFailed();
-        FrontLog.unreachable(entry.state().target(), tookMillis, reach(""));
+    }
+
+    /** Records that this process has connected to a target. */
+    void reached(TargetEntry entry) {
+        long nowMillis = ticker.nowMillis();
+        entry.reached(nowMillis);
+        paths.connected(entry.state().target().id(), nowMillis);
     }
 
     /** Number of targets that this process reaches, of those published. */
@@ -270,6 +317,7 @@
 
     private void evict(String targetId) {
         TargetEntry entry = entries.remove(targetId);
+        paths.forget(targetId);
         entry.pool().closeIdle();
         byService.get(entry.state().target().service()).remove(targetId);
     }
@@ -289,14 +337,14 @@
                 .orElse("/");
         FullHttpRequest check = dialect.healthCheck(target.address(), path);
         Probe probe = new Probe(entry);
-        entry.pool().acquire(true, acquired -> {
-            if (acquired.isEmpty()) {
+        entry.pool().acquireForProbe(acquired -> {
+            if (acquired.connection().isEmpty()) {
                 probe.done(OptionalLong.empty());
                 return;
             }
-            probe.connection = acquired.get();
+            probe.connection = acquired.connection().get();
             loop.schedule(probe::timedOut, PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-            acquired.get().send(check, Unpooled.EMPTY_BUFFER, "", probe);
+            probe.connection.send(check, Unpooled.EMPTY_BUFFER, "", probe);
         });
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -9,6 +9,7 @@
     private final TargetEntry entry;
     private final Candidate candidate;
     private final PlacementTicket ticket;
+    private String peerName = "";
     private long sentAtMillis;
     private long firstByteAtMillis;
     private boolean firstByteReceived;
@@ -29,10 +30,21 @@
         return candidate;
     }
 
-    void sent(long nowMillis) {
+    /** Records that the request was sent, through a peer if its name is not empty. */
+    void sent(String relayingPeer, long nowMillis) {
+        peerName = relayingPeer;
         sentAtMillis = nowMillis;
     }
 
+    /** Returns the name of the peer through which the request was sent; empty if it was sent directly. */
+    String peerName() {
+        return peerName;
+    }
+
+    boolean relayed() {
+        return !peerName.isEmpty();
+    }
+
     boolean firstByteReceived() {
         return firstByteReceived;
     }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -65,6 +65,7 @@
             Level.INFO,
             EventField.REQUEST,
             EventField.TARGET,
+            EventField.PEER,
             EventField.GRANT,
             EventField.TIER_RANK,
             EventField.ANSWER_TOKENS,
@@ -193,6 +194,17 @@
             EventField.KNOWN_TARGETS),
     /** An ejected target is in use again after a successful health check. */
     TARGET_RETURNED(Level.INFO, EventField.TARGET, EventField.SERVICE, EventField.LIMIT),
+    /** A target that a peer reaches cannot be reached by this process. */
+    TARGET_PATH_LOST(
+            Level.WARN, EventField.TARGET, EventField.PEER, EventField.REACHED_TARGETS, EventField.KNOWN_TARGETS),
+    /** This process reaches a target again. */
+    TARGET_PATH_RESTORED(Level.INFO, EventField.TARGET),
+    /** This process reaches no target any longer. */
+    PARTITIONED(Level.WARN, EventField.REACHED_TARGETS, EventField.KNOWN_TARGETS),
+    /** This process reaches a target again after it had reached none. */
+    PARTITION_ENDED(Level.INFO),
+    /** A peer asked for a connection to a target. */
+    RELAY_ANSWERED(Level.INFO, EventField.PEER, EventField.TARGET, EventField.STATUS, EventField.TOTAL_MILLIS),
     /** A peer was heard from for the first time, or with a new incarnation. */
     MEMBER_HEARD(Level.INFO, EventField.PEER, EventField.INCARNATION, EventField.STATUS),
     /** The coordinator that this process uses for a service changed. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
@@ -124,6 +124,15 @@
         return true;
     }
 
+    /**
+     * Makes the next probe of an ejected target due, because what prevented earlier ones may have ended.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void probeSoon(long nowMillis) {
+        probeAtMillis = Math.min(probeAtMillis, nowMillis);
+    }
+
     /**
      * Records the result of a probe.
      *
