Review a reset or silent run before it is held against its target

Requests that were on their way when a front lost its paths ended as reset or silent, and each was reported as a failure of its target.

A run that ends by a reset or in silence is now reviewed (FailureReview): a new connection to the target is established as for a request. If it is a direct one, the failure stands; if only a peer reaches the target, it says nothing about it; if nobody does, the target is reported as unreachable. The slot stays counted until then. Runs that a peer relays, and runs of a front that already knows that its path is lost, are dismissed at once. A crash of a target is thus reported after the first reset, with a refused connection, instead of the second.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -69,10 +69,23 @@
         throw new IllegalStateException("no coordinator");
     }
 
-    /** Cuts all paths of a front. */
-    void cut(int front, CutLink.Cut cut) throws IOException {
-        for (CutLink link : links.get(front)) {
-            link.cut(cut);
+    /** Cuts all paths of a front at once. */
+    void cut(int front, CutLink.Cut cut) throws Exception {
+        List<CutLink> ofFront = links.get(front);
+        ExecutorService cutters = Executors.newFixedThreadPool(ofFront.size());
+        try {
+            List<Callable<Void>> tasks = new ArrayList<>();
+            for (CutLink link : ofFront) {
+                tasks.add(() -> {
+                    link.cut(cut);
+                    return null;
+                });
+            }
+            for (Future<Void> done : cutters.invokeAll(tasks)) {
+                done.get();
+            }
+        } finally {
+            cutters.shutdownNow();
         }
     }
 
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
@@ -16,7 +16,9 @@
 /** A TCP path from one front to one target that can be cut and healed. */
 final class CutLink implements AutoCloseable {
     private static final int CHUNK_BYTES = 4_096;
-    private static final int BACKLOG = 1;
+    /** Small enough to be filled at once, large enough for the connections that a front opens at a time. */
+    private static final int BACKLOG = 16;
+
     private static final int FILL_TIMEOUT_MILLIS = 100;
 
     /** How a path fails. */
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PartitionedFrontTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PartitionedFrontTest.java
@@ -8,7 +8,10 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.startsWith;
 
+import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -26,14 +29,17 @@
     /** More than the idle time up to which a connection is used for a request that must not be repeated. */
     private static final long IDLE_EXPIRY_MILLIS = 2_500;
 
+    /** More than one for each target, since a single lost connection ejects none. */
+    private static final int REQUESTS_UNDER_WAY = 4 * TARGETS;
+
     private CutFleet fleet;
 
     private void startFleet(boolean engine) throws Exception {
-        fleet = new CutFleet(
-                FRONTS,
-                TARGETS,
-                engine,
-                (request, socket) -> FakeTarget.write(socket, FakeTarget.answer(request, 200, "whole")));
+        startFleet(engine, (request, socket) -> FakeTarget.write(socket, FakeTarget.answer(request, 200, "whole")));
+    }
+
+    private void startFleet(boolean engine, FakeTarget.Script script) throws Exception {
+        fleet = new CutFleet(FRONTS, TARGETS, engine, script);
         fleet.requestsToAllFor("POST", "/unsafe/x", 300);
     }
 
@@ -89,6 +95,36 @@
         assertThat(fleet.counter("whinwharf_ejections_total"), is(0.0));
     }
 
+    /** Guards against the same because of requests that were on their way when the paths were lost. */
+    @ParameterizedTest
+    @EnumSource(names = {"SILENT", "RESET"})
+    void requestsThatLosePathTakeNoTargetFromOthers(CutLink.Cut cut) throws Exception {
+        CountDownLatch sent = new CountDownLatch(REQUESTS_UNDER_WAY);
+        CountDownLatch released = new CountDownLatch(1);
+        startFleet(true, (request, socket) -> {
+            if (request.contains("/slow")) {
+                sent.countDown();
+                FrontFixture.awaitLatch(released);
+            }
+            FakeTarget.write(socket, FakeTarget.answer(request, 200, "whole"));
+        });
+        FrontFixture partitioned = fleet.front(otherThanCoordinator());
+        List<Socket> callers = new ArrayList<>();
+        for (int i = 0; i < REQUESTS_UNDER_WAY; i++) {
+            Socket caller = partitioned.connect();
+            callers.add(caller);
+            FakeTarget.write(caller, FrontFixture.request("GET", "/safe/slow", "slow" + i, true));
+        }
+        assertThat(sent.await(CONTACT_MILLIS, TimeUnit.MILLISECONDS), is(true));
+        fleet.cut(otherThanCoordinator(), cut);
+        Thread.sleep(CONTACT_MILLIS);
+        assertThat(fleet.counter("whinwharf_ejections_total"), is(0.0));
+        released.countDown();
+        for (Socket caller : callers) {
+            assertThat(FrontFixture.readAll(caller), startsWith("HTTP/1.1 200"));
+        }
+    }
+
     /** Guards against a coordinator that has lost its paths and refuses the requests of fronts that have theirs. */
     @ParameterizedTest
     @EnumSource
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -490,10 +490,8 @@
 
     private void endFailedRun(TargetFailure failure) {
         recordResponseEnding(failure.tag());
-        endRun(failure.event());
-        if (failure != TargetFailure.RELAY_LOST) {
-            front.targetFailed(targetRun.entry(), failure);
-        }
+        front.failureReview().runFailed(targetRun, failure);
+        front.localQueues().slotFreed(service);
     }
 
     private void retryOrFail(TargetFailure failure, long nowMillis) {
@@ -565,9 +563,8 @@
         if (stage != Stage.SENT) {
             return;
         }
-        if (silenceWatch.targetBecameSilent(targetRun.entry(), responseAssembler.streamStarted(), nowMillis)
-                && !targetRun.stalled()) {
-            front.targetFailed(targetRun.entry(), TargetFailure.SILENT);
+        if (silenceWatch.targetBecameSilent(targetRun.entry(), responseAssembler.streamStarted(), nowMillis)) {
+            front.failureReview().targetSilent(targetRun);
         }
         boolean stalled = silenceWatch.requestStalled(responseAssembler.streamStarted(), nowMillis)
                 || stalledOnLostPath(nowMillis);
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
@@ -0,0 +1,97 @@
+package org.whinwharf.front;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.whinwharf.wire.fleet.RunEvent;
+
+/**
+ * Decides whether a failed run is held against its target, or only shows that this process has lost its path to it.
+ *
+ * <p>Reports about a target take it out of use for the whole fleet. A process that loses its paths would otherwise take
+ * all targets from the processes that still reach them. A connection that is reset or silent is therefore held against
+ * the target only if a new direct connection to it can be established, or if nobody reaches it.
+ */
+final class FailureReview {
+    private enum Verdict {
+        /** This process reaches the target, so the target has failed. */
+        TARGET_FAILED,
+        /** The target cannot be reached. */
+        TARGET_UNREACHABLE,
+        /** Only the path of this process has failed, as far as is known. */
+        PATH_LOST
+    }
+
+    private final TargetRegistry targets;
+    private final Map<String, List<Consumer<Verdict>>> pendingByTarget = new HashMap<>();
+
+    FailureReview(TargetRegistry targets) {
+        this.targets = targets;
+    }
+
+    /** Ends a run that failed, and reports it as far as it says something about the target. */
+    void runFailed(TargetRun run, TargetFailure failure) {
+        run.failed();
+        switch (failure.evidence()) {
+            case TARGET -> report(run, failure);
+            case NONE -> dismiss(run, failure);
+            case TARGET_OR_PATH ->
+                review(run, verdict -> {
+                    switch (verdict) {
+                        case TARGET_FAILED -> report(run, failure);
+                        case TARGET_UNREACHABLE -> report(run, TargetFailure.UNREACHABLE);
+                        default -> dismiss(run, failure);
+                    }
+                });
+        }
+    }
+
+    /** Reports that a target has sent nothing for too long to any request of this process; the run goes on. */
+    void targetSilent(TargetRun run) {
+        review(run, verdict -> {
+            if (verdict == Verdict.PATH_LOST) {
+                FrontLog.failureDismissed(run, TargetFailure.SILENT);
+            } else if (!run.stalled()) {
+                targets.recordFailure(run.entry(), TargetFailure.SILENT);
+            }
+        });
+    }
+
+    private void report(TargetRun run, TargetFailure failure) {
+        run.reviewed(failure.event());
+        targets.recordFailure(run.entry(), failure);
+    }
+
+    private void dismiss(TargetRun run, TargetFailure failure) {
+        FrontLog.failureDismissed(run, failure);
+        run.reviewed(RunEvent.RUN_GIVEN_UP);
+    }
+
+    private void review(TargetRun run, Consumer<Verdict> consumer) {
+        String targetId = run.entry().state().target().id();
+        if (run.relayed() || targets.paths().needsRelay(targetId)) {
+            consumer.accept(Verdict.PATH_LOST);
+            return;
+        }
+        List<Consumer<Verdict>> pending = pendingByTarget.computeIfAbsent(targetId, id -> new ArrayList<>());
+        pending.add(consumer);
+        if (pending.size() == 1) {
+            run.entry().pool().connectAnew(result -> conclude(targetId, verdict(result)));
+        }
+    }
+
+    private static Verdict verdict(ConnectResult result) {
+        return switch (result.status()) {
+            case CONNECTED ->
+                result.connection().orElseThrow().peerName().isEmpty() ? Verdict.TARGET_FAILED : Verdict.PATH_LOST;
+            case UNREACHABLE -> Verdict.TARGET_UNREACHABLE;
+            case NO_PATH -> Verdict.PATH_LOST;
+        };
+    }
+
+    private void conclude(String targetId, Verdict verdict) {
+        pendingByTarget.remove(targetId).forEach(consumer -> consumer.accept(verdict));
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -83,6 +83,7 @@
     private final TargetRegistry targets;
     private final RelayPeers relayPeers;
     private final RelayServer relays;
+    private final FailureReview failureReview;
     private final PathMonitor pathMonitor;
     private final PromptCacheIndex prompts = new PromptCacheIndex();
     private final ColdShares coldShares;
@@ -130,6 +131,7 @@
         targets.connectThrough(
                 new TargetConnector(loop, dialect, ticker, settings.name(), targets, relayPeers, ownReach));
         relays = new RelayServer(loop, ticker, targets, ownReach);
+        failureReview = new FailureReview(targets);
         pathMonitor = new PathMonitor(targets, ownReach, ticker, this::awaitedTarget);
         localQueues = new LocalQueues(loop, ticker, random::nextDouble, settings.policy());
         coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
@@ -606,6 +608,10 @@
         targets.paths().bytesReceived(nowMillis);
     }
 
+    FailureReview failureReview() {
+        return failureReview;
+    }
+
     /** Returns how many targets of a service this process reaches over connections of its own. */
     TargetRegistry.Reach reach(String service) {
         return targets.reach(service);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -209,6 +209,16 @@
         EventLog.event(LogEvent.PARTITION_ENDED).call();
     }
 
+    static void failureDismissed(TargetRun run, TargetFailure failure) {
+        EventLog event = EventLog.event(LogEvent.FAILURE_DISMISSED)
+                .with(EventField.TARGET, run.entry().state().target().id())
+                .with(EventField.REASON, failure.name());
+        if (run.relayed()) {
+            event.with(EventField.PEER, run.peerName());
+        }
+        event.call();
+    }
+
     static void relayAnswered(String peer, String targetId, RelayOutcome outcome, long tookMillis) {
         EventLog.event(LogEvent.RELAY_ANSWERED)
                 .with(EventField.PEER, peer)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -13,6 +13,8 @@
         QUEUED,
         /** The request has a target, granted by a coordinator or selected locally. */
         PLACED,
+        /** The request has ended at its target, and what that says about the target is not known yet. */
+        IN_REVIEW,
         ENDED
     }
 
@@ -66,7 +68,7 @@
 
     /** Tells whether the request has a target or no longer needs one. */
     boolean settled() {
-        return stage == Stage.PLACED || stage == Stage.ENDED;
+        return stage != Stage.REQUESTED && stage != Stage.QUEUED;
     }
 
     /** Tells whether the coordinator replied that the request is queued. */
@@ -120,7 +122,7 @@
 
     /** Adds this request to a list of running requests, if it has a target. */
     void addRunTo(List<RunUnderWay> runs) {
-        if (stage == Stage.PLACED) {
+        if (stage == Stage.PLACED || stage == Stage.IN_REVIEW) {
             runs.add(RunUnderWay.newBuilder()
                     .setId(id)
                     .setTarget(targetId)
@@ -156,10 +158,28 @@
 
     /** Reports to the coordinator that the request is no longer queued or running. */
     void ended(RunEvent event, long elapsedMillis) {
+        if (stage != Stage.ENDED && stage != Stage.IN_REVIEW) {
+            reportEnd(event, elapsedMillis);
+        }
+    }
+
+    /** Records that the request has failed at its target; {@link #reviewed} reports it. */
+    void failed() {
         if (stage != Stage.ENDED) {
-            stage = Stage.ENDED;
-            coordination.report(this, event, elapsedMillis);
-            coordination.forget(this);
+            stage = Stage.IN_REVIEW;
+        }
+    }
+
+    /** Reports the failure of the request to the coordinator, once it is known what it says about the target. */
+    void reviewed(RunEvent event) {
+        if (stage == Stage.IN_REVIEW) {
+            reportEnd(event, 0);
         }
     }
+
+    private void reportEnd(RunEvent event, long elapsedMillis) {
+        stage = Stage.ENDED;
+        coordination.report(this, event, elapsedMillis);
+        coordination.forget(this);
+    }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
@@ -6,30 +6,47 @@
 /** Reason why a target gave no complete response; the constants' names are written to the log. */
 enum TargetFailure {
     /** No connection could be established, so the request was not sent. */
-    UNREACHABLE(true, RunEvent.RUN_UNREACHABLE, TruncationCause.TARGET_LOST),
+    UNREACHABLE(Evidence.TARGET, true, RunEvent.RUN_UNREACHABLE, TruncationCause.TARGET_LOST),
     /** The connection was closed in order, after the request was sent and before the end of the response. */
-    CLOSED(false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
+    CLOSED(Evidence.TARGET, false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
     /** The connection was reset or failed otherwise, after the request was sent. */
-    RESET(false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
+    RESET(Evidence.TARGET_OR_PATH, false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
     /** The response ended where its framing allows, but its last event is incomplete. */
-    TRUNCATED(false, RunEvent.RUN_BROKEN, TruncationCause.PART_OF_EVENT),
+    TRUNCATED(Evidence.TARGET, false, RunEvent.RUN_BROKEN, TruncationCause.PART_OF_EVENT),
     /** The received bytes are not a valid response to the request. */
-    GARBLED(false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
+    GARBLED(Evidence.TARGET, false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
     /** Nothing was received for too long. */
-    SILENT(true, RunEvent.RUN_SILENT, TruncationCause.TARGET_LOST),
+    SILENT(Evidence.TARGET_OR_PATH, true, RunEvent.RUN_SILENT, TruncationCause.TARGET_LOST),
     /** The connection to the peer that relayed the request was lost. */
-    RELAY_LOST(false, RunEvent.RUN_GIVEN_UP, TruncationCause.TARGET_LOST);
+    RELAY_LOST(Evidence.NONE, false, RunEvent.RUN_GIVEN_UP, TruncationCause.TARGET_LOST);
 
+    /** What a failure says about the target. */
+    enum Evidence {
+        /** The target has failed. */
+        TARGET,
+        /** Either the target has failed or only the path of this process to it. */
+        TARGET_OR_PATH,
+        /** Nothing. */
+        NONE
+    }
+
+    private final Evidence evidence;
     private final boolean conclusive;
     private final RunEvent event;
     private final TruncationCause truncationCause;
 
-    TargetFailure(boolean conclusive, RunEvent event, TruncationCause truncationCause) {
+    TargetFailure(Evidence evidence, boolean conclusive, RunEvent event, TruncationCause truncationCause) {
+        this.evidence = evidence;
         this.conclusive = conclusive;
         this.event = event;
         this.truncationCause = truncationCause;
     }
 
+    /** Tells what the failure says about the target. */
+    Evidence evidence() {
+        return evidence;
+    }
+
     /** Tells whether a single such failure shows that the target is unusable. */
     boolean conclusive() {
         return conclusive;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -91,11 +91,7 @@
         if (ended) {
             return;
         }
-        ended = true;
-        if (!firstByteReceived) {
-            state().recordPrefillEnd(candidate.uncachedTokens());
-        }
-        state().recordEnd();
+        recordEnd();
         long elapsedMillis = answerTokens > 0 ? nowMillis - firstByteAtMillis : 0;
         if (elapsedMillis > 0) {
             state().speed().recordAnswer(answerTokens, elapsedMillis);
@@ -106,6 +102,27 @@
         ticket.ended(event, elapsedMillis);
     }
 
+    /** Records that the run failed; {@link #reviewed} reports it to the coordinator. */
+    void failed() {
+        if (!ended) {
+            recordEnd();
+            ticket.failed();
+        }
+    }
+
+    /** Reports the failed run to the coordinator. */
+    void reviewed(RunEvent event) {
+        ticket.reviewed(event);
+    }
+
+    private void recordEnd() {
+        ended = true;
+        if (!firstByteReceived) {
+            state().recordPrefillEnd(candidate.uncachedTokens());
+        }
+        state().recordEnd();
+    }
+
     private TargetState state() {
         return candidate.state();
     }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -203,6 +203,8 @@
     PARTITIONED(Level.WARN, EventField.REACHED_TARGETS, EventField.KNOWN_TARGETS),
     /** This process reaches a target again after it had reached none. */
     PARTITION_ENDED(Level.INFO),
+    /** A failed request is not held against its target, because only the path to it may have failed. */
+    FAILURE_DISMISSED(Level.INFO, EventField.TARGET, EventField.REASON, EventField.PEER),
     /** A peer asked for a connection to a target. */
     RELAY_ANSWERED(Level.INFO, EventField.PEER, EventField.TARGET, EventField.STATUS, EventField.TOTAL_MILLIS),
     /** A peer was heard from for the first time, or with a new incarnation. */
