--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
@@ -99,7 +99,9 @@
         start("link", () -> accept(opened));
     }
 
+    /** Cuts the path, healing an earlier cut first. */
     void cut(Cut cut) throws IOException {
+        heal();
         blocked = true;
         cut.apply(this);
     }
