Ask a peer before an attempt to connect is settled

A target was ejected on the word of a single front although a peer reached it: when the front had received bytes from another target in the same millisecond, its own reach was known at once and settled the attempt before the peer was asked. A connection that ends in order is reviewed like one that is reset, since a device on the path may close it as well.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
@@ -6,7 +6,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
@@ -50,9 +49,9 @@
             @Override
             void apply(CutLink link) throws IOException {
                 link.server.close();
-                for (Socket socket : link.sockets) {
-                    link.reset(socket);
-                }
+                // The front's side first, since the loss of the other one ends it in order.
+                link.clients.forEach(CutLink::reset);
+                link.upstreams.forEach(CutLink::reset);
             }
         };
 
@@ -63,7 +62,11 @@
     private final int port;
     private final String toIp;
     private final int toPort;
-    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    /** Connections from the front. */
+    private final Set<Socket> clients = ConcurrentHashMap.newKeySet();
+    /** Connections to the target. */
+    private final Set<Socket> upstreams = ConcurrentHashMap.newKeySet();
+
     private final List<Socket> fillers = new ArrayList<>();
     private final Object gate = new Object();
     private volatile ServerSocket server;
@@ -77,13 +80,13 @@
         port = server.getLocalPort();
     }
 
-    private void reset(Socket socket) throws IOException {
+    private static void reset(Socket socket) {
         try {
             socket.setSoLinger(true, 0);
             socket.close();
-        } catch (SocketException e) {
+        } catch (IOException e) {
             // The connection has ended meanwhile.
-            sockets.remove(socket);
+            return;
         }
     }
 
@@ -138,8 +141,8 @@
             Socket client = listening.accept();
             awaitUnblocked();
             Socket upstream = new Socket(toIp, toPort);
-            sockets.add(client);
-            sockets.add(upstream);
+            clients.add(client);
+            upstreams.add(upstream);
             start("link requests", () -> pump(client, upstream));
             start("link responses", () -> pump(upstream, client));
         }
@@ -196,8 +199,7 @@
     public void close() throws IOException {
         heal();
         server.close();
-        for (Socket socket : sockets) {
-            socket.close();
-        }
+        clients.forEach(CutLink::reset);
+        upstreams.forEach(CutLink::reset);
     }
 }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RelayTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RelayTest.java
@@ -11,6 +11,7 @@
 import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -35,23 +36,19 @@
     private final CountDownLatch released = new CountDownLatch(1);
     private CutFleet fleet;
 
-    /** Starts a fleet in which the first front reaches no target and knows it. */
+    /** Starts a fleet in which the first front reaches no target and has sent a request through a peer. */
     private void startPartitioned(int fronts, FakeTarget.Script script) throws Exception {
         fleet = new CutFleet(fronts, TARGETS, false, script);
-        partition(0);
+        fleet.cut(0, CutLink.Cut.REFUSED);
+        assertThat(request(0, "partition"), startsWith("HTTP/1.1 200"));
     }
 
-    private void partition(int front) throws Exception {
-        fleet.cut(front, CutLink.Cut.REFUSED);
-        FrontFixture.await(() -> {
-            try {
-                fleet.front(front).exchange(FrontFixture.request("GET", "/safe/x", "partition", true));
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-            return fleet.front(front).front().metrics().scrape().contains("whinwharf_relayed_requests_total 1")
-                    || partitioned(front);
-        });
+    private String request(int front, String attempt) {
+        try {
+            return fleet.front(front).exchange(FrontFixture.request("GET", "/safe/x", attempt, true));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
     }
 
     private boolean partitioned(int front) {
@@ -179,8 +176,12 @@
     @Test
     void partitionedPeersDoNotRelay() throws Exception {
         startPartitioned(2, RelayTest::answer);
-        partition(1);
-        FrontFixture.await(() -> partitioned(0) && partitioned(1));
+        fleet.cut(1, CutLink.Cut.REFUSED);
+        FrontFixture.await(() -> {
+            request(0, "partition");
+            request(1, "partition");
+            return partitioned(0) && partitioned(1);
+        });
         Set<Integer> statuses = ConcurrentHashMap.newKeySet();
         for (int i = 0; i < 20; i++) {
             String response = fleet.front(i % 2).exchange(FrontFixture.request("POST", "/unsafe/x", "c" + i, true));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
@@ -142,17 +142,18 @@
                 succeeded(connected.channel());
                 return;
             }
-            verifyOwnReach();
+            // The peer is asked first, since the own reach may be known at once and would then settle the attempt.
             if (!done && !peerPending && askPeers) {
                 askPeer();
             }
+            verifyOwnReach();
             settle();
         }
 
         private void directIsSlow() {
             if (directPending && !done) {
-                verifyOwnReach();
                 askPeer();
+                verifyOwnReach();
             }
         }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
@@ -8,7 +8,7 @@
     /** No connection could be established, so the request was not sent. */
     UNREACHABLE(Evidence.TARGET, true, RunEvent.RUN_UNREACHABLE, TruncationCause.TARGET_LOST),
     /** The connection was closed in order, after the request was sent and before the end of the response. */
-    CLOSED(Evidence.TARGET, false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
+    CLOSED(Evidence.TARGET_OR_PATH, false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
     /** The connection was reset or failed otherwise, after the request was sent. */
     RESET(Evidence.TARGET_OR_PATH, false, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
     /** The response ended where its framing allows, but its last event is incomplete. */
