Check before the silence timeout whether a silent target can be reached

Since a silent run is reviewed, a target that went dark with runs under way was ejected up to 0.4 s later than before: the attempt to connect began only after the silence timeout. The path is now checked 400 ms before it, as long as an attempt takes until two fronts have failed; if nobody reaches the target, it is reported at once.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilenceWatchTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilenceWatchTest.java
@@ -32,6 +32,16 @@
         assertThat(watch.targetBecameSilent(entry, false, 2_100), is(false));
     }
 
+    /** Guards against finding out only after the silence timeout whether a silent target can be reached at all. */
+    @Test
+    void targetIsCheckedOnceBeforeItCountsAsSilent() {
+        SilenceWatch watch = new SilenceWatch(OBJECTIVE_MILLIS, 100, 0);
+        assertThat(watch.targetNeedsCheck(entry, false, 1_600), is(false));
+        assertThat(watch.targetNeedsCheck(entry, false, 1_601), is(true));
+        assertThat(watch.targetNeedsCheck(entry, false, 1_700), is(false));
+        assertThat(watch.targetBecameSilent(entry, false, 1_700), is(false));
+    }
+
     /**
      * The target sends bytes for another request of this front: this request may be stalled, but the target is healthy.
      */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -563,6 +563,9 @@
         if (stage != Stage.SENT) {
             return;
         }
+        if (silenceWatch.targetNeedsCheck(targetRun.entry(), responseAssembler.streamStarted(), nowMillis)) {
+            front.failureReview().checkSilentTarget(targetRun);
+        }
         if (silenceWatch.targetBecameSilent(targetRun.entry(), responseAssembler.streamStarted(), nowMillis)) {
             front.failureReview().targetSilent(targetRun);
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
@@ -48,6 +48,15 @@
         }
     }
 
+    /** Checks whether a target that has sent nothing for a while can be reached, and reports it if nobody does. */
+    void checkSilentTarget(TargetRun run) {
+        review(run, verdict -> {
+            if (verdict == Verdict.TARGET_UNREACHABLE && !run.stalled()) {
+                targets.recordFailure(run.entry(), TargetFailure.UNREACHABLE);
+            }
+        });
+    }
+
     /** Reports that a target has sent nothing for too long to any request of this process; the run goes on. */
     void targetSilent(TargetRun run) {
         review(run, verdict -> {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/SilenceWatch.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/SilenceWatch.java
@@ -11,8 +11,14 @@
     /** Silence within a stream after which it is resumed at another target; callers abandon it after two seconds. */
     private static final long STREAM_SILENCE_TIMEOUT_MILLIS = 1_200;
 
+    /**
+     * Time before the silence timeout at which the path to the target is checked; an attempt to connect takes as long.
+     */
+    private static final long CHECK_LEAD_MILLIS = 400;
+
     private final long firstByteTimeoutMillis;
     private long lastByteAtMillis;
+    private boolean targetChecked;
     private boolean targetReported;
 
     /**
@@ -38,14 +44,31 @@
         return lastByteAtMillis;
     }
 
+    /**
+     * Tells whether the target will soon have been silent for too long, so that it is known by then whether it can be
+     * reached. Returns true only once.
+     */
+    boolean targetNeedsCheck(TargetEntry entry, boolean streamStarted, long nowMillis) {
+        if (targetChecked
+                || targetSilenceMillis(entry, nowMillis) <= timeoutMillis(streamStarted) - CHECK_LEAD_MILLIS) {
+            return false;
+        }
+        targetChecked = true;
+        return true;
+    }
+
+    /** Returns the time since the last bytes of the target, for this request and all others of this process. */
+    private long targetSilenceMillis(TargetEntry entry, long nowMillis) {
+        return nowMillis - Math.max(lastByteAtMillis, entry.lastByteAtMillis());
+    }
+
     /**
      * Tells whether the target has become silent for too long, for this request and all others of this process. Returns
      * true only once: otherwise a target that has recovered would be ejected again for as long as this request hangs
      * there.
      */
     boolean targetBecameSilent(TargetEntry entry, boolean streamStarted, long nowMillis) {
-        long lastTargetByteAtMillis = Math.max(lastByteAtMillis, entry.lastByteAtMillis());
-        if (targetReported || nowMillis - lastTargetByteAtMillis <= timeoutMillis(streamStarted)) {
+        if (targetReported || targetSilenceMillis(entry, nowMillis) <= timeoutMillis(streamStarted)) {
             return false;
         }
         targetReported = true;
