Keep targets that announce a rejection limit from crashing

The adapter reads the limit from each response, and the front applies the latest one to all targets of the service. While there is one, the targets get no more requests than they have slots, a target that has rejected one rests for a second, and the service's requests are placed by one coordinator for all fronts, also those of a plain service, whose fronts would otherwise fill its targets each by itself.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 
 /** Minimal dialect for the tests of this module, with its own header names. */
@@ -55,6 +56,10 @@
                 .wrongTarget(response.status().code() == 421)
                 .signed(response.headers().contains("Signed"))
                 .keepAliveMillis(OptionalLong.of(10_000))
+                .rejectionLimitPerSecond(
+                        response.headers().contains("Rejection-Limit")
+                                ? OptionalInt.of(response.headers().getInt("Rejection-Limit"))
+                                : OptionalInt.empty())
                 .build();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -376,6 +376,9 @@
     public void head(HttpResponse response, ResponseHead responseHead) {
         recordBytesReceived();
         responseAssembler.head(response, responseHead);
+        if (!responseHead.wrongTarget()) {
+            front.updateRejectionLimit(service, responseHead.rejectionLimitPerSecond());
+        }
         if (responseHead.status() / 100 == 2) {
             targetRun.succeeded();
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -504,7 +505,15 @@
         return (int) Math.max(1, coldRate(target) / 2);
     }
 
+    /**
+     * Tells whether one process places the requests of a service for the whole fleet: requests to engines, which are
+     * ordered and balanced that way, and to targets that must not be filled by several processes at once.
+     */
     private boolean isCoordinated(String service) {
+        return targets.rejectionsLimited(service) || isEngine(service);
+    }
+
+    private boolean isEngine(String service) {
         return catalog.flatMap(known -> known.service(service))
                 .map(TargetService::engine)
                 .orElse(false);
@@ -608,6 +617,11 @@
         targets.paths().bytesReceived(nowMillis);
     }
 
+    /** Applies what a response says of the rejections that the targets of a service can bear. */
+    void updateRejectionLimit(String service, OptionalInt limitPerSecond) {
+        targets.updateRejectionLimit(service, limitPerSecond);
+    }
+
     FailureReview failureReview() {
         return failureReview;
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -1,5 +1,6 @@
 package org.whinwharf.front;
 
+import java.util.OptionalInt;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
@@ -185,6 +186,12 @@
         event.call();
     }
 
+    static void rejectionLimitChanged(String service, OptionalInt limitPerSecond) {
+        EventLog event = EventLog.event(LogEvent.REJECTION_LIMIT).with(EventField.SERVICE, service);
+        limitPerSecond.ifPresent(limit -> event.with(EventField.LIMIT, limit));
+        event.call();
+    }
+
     static void pathLost(String targetId, String peer, TargetRegistry.Reach reach) {
         EventLog event = EventLog.event(LogEvent.TARGET_PATH_LOST)
                 .with(EventField.TARGET, targetId)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseHead.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseHead.java
@@ -1,5 +1,6 @@
 package org.whinwharf.front;
 
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.immutables.value.Value;
 
@@ -41,6 +42,13 @@
      */
     boolean signed();
 
+    /**
+     * Returns the number of requests per second that the targets of the service can reject; beyond it they crash.
+     *
+     * @return rejections per second at one target; empty while there is no such limit
+     */
+    OptionalInt rejectionLimitPerSecond();
+
     /**
      * Returns how long the target keeps an idle connection open.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -13,7 +13,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -47,6 +49,7 @@
     private final FrontMetrics metrics;
     private final TargetPaths paths;
     private TargetConnector connector;
+    private final Map<String, Integer> rejectionLimitsPerSecond = new HashMap<>();
     private Set<String> evacuated = Set.of();
 
     /**
@@ -117,7 +120,30 @@
     }
 
     private TargetEntry newEntry(Target target) {
-        return new TargetEntry(new TargetState(target), new TargetConnectionPool(connector, target, ticker));
+        TargetState state = new TargetState(target);
+        state.setRejectionsLimited(rejectionsLimited(target.service()));
+        return new TargetEntry(state, new TargetConnectionPool(connector, target, ticker));
+    }
+
+    /** Applies what the latest response of a service's targets says of the rejections that they can bear. */
+    void updateRejectionLimit(String service, OptionalInt limitPerSecond) {
+        Integer known = rejectionLimitsPerSecond.get(service);
+        Integer current = limitPerSecond.isPresent() ? limitPerSecond.getAsInt() : null;
+        if (Objects.equals(known, current)) {
+            return;
+        }
+        if (current == null) {
+            rejectionLimitsPerSecond.remove(service);
+        } else {
+            rejectionLimitsPerSecond.put(service, current);
+        }
+        FrontLog.rejectionLimitChanged(service, limitPerSecond);
+        ofService(service).forEach(state -> state.setRejectionsLimited(current != null));
+    }
+
+    /** Tells whether the targets of a service crash when they reject too many requests in a second. */
+    boolean rejectionsLimited(String service) {
+        return rejectionLimitsPerSecond.containsKey(service);
     }
 
     /** Records that a target's entry was removed; the target counts as gone from the given time on. */
@@ -168,14 +194,14 @@
         return all.subList(0, Math.min(maxCount, all.size()));
     }
 
-    /** Returns the targets in use, except the given one, that this process has reached last. */
+    /** Returns targets other than the given one: those in use that this process has reached last, then ejected ones. */
     List<TargetEntry> lastReached(String exceptTargetId, int maxCount) {
+        Comparator<TargetEntry> ejectedLast =
+                Comparator.comparing(entry -> entry.state().health().ejected());
         return entries.values().stream()
-                .filter(entry -> !entry.state().target().id().equals(exceptTargetId)
-                        && !entry.state().health().ejected()
-                        && !isOut(entry))
-                .sorted(Comparator.comparingLong(TargetEntry::lastReachedAtMillis)
-                        .reversed())
+                .filter(entry -> !entry.state().target().id().equals(exceptTargetId) && !isOut(entry))
+                .sorted(ejectedLast.thenComparing(Comparator.comparingLong(TargetEntry::lastReachedAtMillis)
+                        .reversed()))
                 .limit(maxCount)
                 .toList();
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -119,6 +120,17 @@
         assertThat(head.keepAliveMillis(), is(OptionalLong.of(4_000)));
     }
 
+    /** Guards against crashing workers because a limit that can't be read counts as none. */
+    @Test
+    void rejectionLimitIsReadFromAnyResponse() {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        assertThat(dialect.readResponse(response).rejectionLimitPerSecond(), is(OptionalInt.empty()));
+        response.headers().set("Server-Brittle", "6");
+        assertThat(dialect.readResponse(response).rejectionLimitPerSecond(), is(OptionalInt.of(6)));
+        response.headers().set("Server-Brittle", "some");
+        assertThat(dialect.readResponse(response).rejectionLimitPerSecond(), is(OptionalInt.of(0)));
+    }
+
     /** The address of a removed target is reused by another target, which is healthy. */
     @Test
     void healthyResponseOfAnotherTargetIsRejected() {
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -83,7 +83,9 @@
     FROM("from"),
     /** New state. */
     TO("to"),
-    /** Concurrency limit; for a returned target, the remaining cold time in milliseconds. */
+    /**
+     * Concurrency limit; for a returned target, the remaining cold time in milliseconds; for rejections, their rate.
+     */
     LIMIT("limit"),
     /** Number of targets that this process has reached over connections of its own within the last seconds. */
     REACHED_TARGETS("reachedTargets"),
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -203,6 +203,8 @@
     PARTITIONED(Level.WARN, EventField.REACHED_TARGETS, EventField.KNOWN_TARGETS),
     /** This process reaches a target again after it had reached none. */
     PARTITION_ENDED(Level.INFO),
+    /** The targets of a service crash when they reject more requests per second than the limit, or no longer do. */
+    REJECTION_LIMIT(Level.WARN, EventField.SERVICE, EventField.LIMIT),
     /** A failed request is not held against its target, because only the path to it may have failed. */
     FAILURE_DISMISSED(Level.INFO, EventField.TARGET, EventField.REASON, EventField.PEER),
     /** A peer asked for a connection to a target. */
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetSelectorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetSelectorTest.java
@@ -73,6 +73,23 @@
         assertThat(selectedId(0, "orava", List.of(state)), is(Optional.empty()));
     }
 
+    /** Guards against requests that wait beyond the slots of a target that crashes when it has to reject too many. */
+    @Test
+    void targetWithRejectionLimitGetsNoMoreThanItsSlotsAndTimeToRecover() {
+        TargetState state = new TargetState(Fixtures.target("t0", 8));
+        state.setRejectionsLimited(true);
+        state.updateRemoteLoad(7, 0);
+        assertThat(selectedId(0, "orava", List.of(state)), is(Optional.of("t0")));
+        state.updateRemoteLoad(8, 0);
+        assertThat(selectedId(0, "orava", List.of(state)), is(Optional.empty()));
+        state.setRejectionsLimited(false);
+        assertThat(selectedId(0, "orava", List.of(state)), is(Optional.of("t0")));
+        state.setRejectionsLimited(true);
+        state.recordFullRejection(0);
+        assertThat(state.usable(999), is(false));
+        assertThat(state.usable(1_000), is(true));
+    }
+
     /** Guards against a reserve that rounds to nothing, or to more slots than a lower rank leaves on other engines. */
     @Test
     void lowerRanksNeverUseMoreSlotsThanHigherOnes() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
@@ -97,7 +97,7 @@
             if (!eligible(state, demand, evacuatedDataCentres, nowMillis)) {
                 continue;
             }
-            if (state.inFlight() >= maxInFlight(state.target().slots(), demand.tierRank())) {
+            if (state.inFlight() >= maxInFlight(state, demand.tierRank())) {
                 continue;
             }
             int allowance = 0;
@@ -116,8 +116,9 @@
     }
 
     /** Returns the number of requests up to which a target gets requests of a rank; an idle target gets one always. */
-    private int maxInFlight(int slots, int tierRank) {
-        boolean beyondSlots = policy.isEnabled(Mechanism.BEYOND_SLOTS);
+    private int maxInFlight(TargetState state, int tierRank) {
+        int slots = state.target().slots();
+        boolean beyondSlots = policy.isEnabled(Mechanism.BEYOND_SLOTS) && !state.rejectionsLimited();
         int reserves = policy.isEnabled(Mechanism.RESERVE_BY_RANK)
                 ? Math.min(TierRank.routeRank(tierRank), MAX_RESERVE_RANKS)
                 : 0;
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
@@ -6,6 +6,8 @@
      * Time without dispatches after a target rejected a request as full: about one in ten of its slots frees meanwhile.
      */
     private static final long FULL_BACKOFF_MILLIS = 60;
+    /** The same for a target with a rejection limit, which counts rejections in any second. */
+    private static final long LIMITED_BACKOFF_MILLIS = 1_000;
 
     private Target target;
     private final TargetHealth health = new TargetHealth();
@@ -20,6 +22,7 @@
     private long coldUntilMillis;
     private long removedAtMillis = Long.MAX_VALUE;
     private long fullUntilMillis;
+    private boolean rejectionsLimited;
 
     /**
      * Creates the state of a newly published target.
@@ -120,7 +123,25 @@
      * @param nowMillis monotonic time in milliseconds
      */
     public void recordFullRejection(long nowMillis) {
-        fullUntilMillis = nowMillis + FULL_BACKOFF_MILLIS;
+        fullUntilMillis = nowMillis + (rejectionsLimited ? LIMITED_BACKOFF_MILLIS : FULL_BACKOFF_MILLIS);
+    }
+
+    /**
+     * Sets whether the target crashes when it rejects too many requests in a second.
+     *
+     * @param limited true while the targets of its service announce such a limit
+     */
+    public void setRejectionsLimited(boolean limited) {
+        rejectionsLimited = limited;
+    }
+
+    /**
+     * Returns whether the target crashes when it rejects too many requests in a second.
+     *
+     * @return true if it must get no more requests than it has slots
+     */
+    public boolean rejectionsLimited() {
+        return rejectionsLimited;
     }
 
     /**
