Ask a peer again that has lost one path only, and settle no attempt within its start

A peer that answered that it has no path was not asked for a second, also when it had lost its path to one target only; a front that is not partitioned itself now goes on asking it. An attempt that finds no peer failed within the call that started it, which may come from the queue that dispatches the request; it now fails on the next turn of the loop.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -33,7 +34,7 @@
         REFUSED {
             @Override
             void apply(CutLink link) throws IOException {
-                link.server.close();
+                link.refuse();
             }
         },
         /** New connections are refused; open ones live on. */
@@ -41,14 +42,14 @@
             @Override
             void apply(CutLink link) throws IOException {
                 link.blocked = false;
-                link.server.close();
+                link.refuse();
             }
         },
         /** Open connections are reset, and new ones refused. */
         RESET {
             @Override
             void apply(CutLink link) throws IOException {
-                link.server.close();
+                link.refuse();
                 // The front's side first, since the loss of the other one ends it in order.
                 link.clients.forEach(CutLink::reset);
                 link.upstreams.forEach(CutLink::reset);
@@ -123,6 +124,22 @@
         }
     }
 
+    /** Stops listening; returns once new connections are refused, which a close of the listener does not wait for. */
+    private void refuse() throws IOException {
+        server.close();
+        boolean refused = false;
+        while (!refused) {
+            try (Socket probe = new Socket()) {
+                probe.connect(new InetSocketAddress(ip, port), FILL_TIMEOUT_MILLIS);
+            } catch (ConnectException e) {
+                refused = true;
+            } catch (IOException e) {
+                // The system still closes the listener.
+                refused = false;
+            }
+        }
+    }
+
     /** Fills the queue of connections that wait to be accepted; the system then drops further opening packets. */
     private void fillBacklog() throws IOException {
         try {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
@@ -111,7 +111,8 @@
         void start() {
             if (paths().needsRelay(target.id())) {
                 askPeer();
-                settle();
+                // Not settled within this call: the request may be failing from within the queue that dispatches it.
+                loop.execute(this::settle);
                 return;
             }
             directPending = true;
@@ -196,7 +197,7 @@
             channel.close();
             if (outcome.isPresent() && outcome.get() == RelayOutcome.RELAY_TARGET_UNREACHABLE) {
                 peerWitnesses++;
-            } else {
+            } else if (!onlyThisPathIsLost(outcome)) {
                 peers.skip(peer, ticker.nowMillis());
             }
             if (!done && witnesses() < REQUIRED_WITNESSES) {
@@ -205,6 +206,11 @@
             settle();
         }
 
+        /** Tells whether a peer without a path to this target may still have paths to others. */
+        private boolean onlyThisPathIsLost(Optional<RelayOutcome> outcome) {
+            return !paths().partitioned() && outcome.isPresent() && outcome.get() == RelayOutcome.RELAY_NO_PATH;
+        }
+
         /** Returns the number of processes that reach other targets, but not this one. */
         private int witnesses() {
             return peerWitnesses + (reachesOthers ? 1 : 0);
