--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -44,6 +44,7 @@
             "127." + (1 + PID / 250 % 250) + "." + (1 + PID % 250) + "." + NEXT_ADDRESS.getAndIncrement();
     private final Front front;
     private final List<FakeTarget> targets = new ArrayList<>();
+    private volatile boolean killed;
 
     FrontFixture() {
         this(List.of());
@@ -296,8 +297,16 @@
         return unblock;
     }
 
+    /**
+     * Tells whether the front was killed. The test's own process keeps a connection that it was about to accept open.
+     */
+    boolean killed() {
+        return killed;
+    }
+
     /** Stops the front's event loop at once, as a killed process does, without notifying its peers. */
     void kill() {
+        killed = true;
         front.loop().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
