--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -305,17 +305,15 @@
             result.connection().ifPresent(idle -> current.entry().pool().release(idle));
             return;
         }
-        switch (result.status()) {
-            case UNREACHABLE -> {
-                endRun(RunEvent.RUN_UNREACHABLE);
-                front.targetFailed(current.entry(), TargetFailure.UNREACHABLE);
-                place(nowMillis);
-            }
-            case NO_PATH -> {
-                endRun(RunEvent.RUN_GIVEN_UP);
-                placeElsewhere(current.entry().state().target().id(), nowMillis);
-            }
-            case CONNECTED -> connected(result.connection().orElseThrow(), nowMillis);
+        if (result.connection().isPresent()) {
+            connected(result.connection().get(), nowMillis);
+        } else if (result.status() == ConnectResult.Status.UNREACHABLE) {
+            endRun(RunEvent.RUN_UNREACHABLE);
+            front.targetFailed(current.entry(), TargetFailure.UNREACHABLE);
+            place(nowMillis);
+        } else {
+            endRun(RunEvent.RUN_GIVEN_UP);
+            placeElsewhere(current.entry().state().target().id(), nowMillis);
         }
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
@@ -37,7 +37,7 @@
         switch (failure.evidence()) {
             case TARGET -> report(run, failure);
             case NONE -> dismiss(run, failure);
-            case TARGET_OR_PATH ->
+            default ->
                 review(run, verdict -> {
                     switch (verdict) {
                         case TARGET_FAILED -> report(run, failure);
