Log the software versions of targets and streams

Target, RequestHead and the logs carry it now: targetVersion in target-published and request-sent, streamVersion (of the first forwarded event) in request-ended and request-repeated, lastEvent and resumes in request-sent. TargetRun keeps the target as published when the request was placed, since the entry may change meanwhile.

No decision reads the version yet.

Measured: StoreDecoderTest and PlatformDialectTest pass.

--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/CoordinatorLoad.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/CoordinatorLoad.java
@@ -93,6 +93,7 @@
                 .service(SERVICE)
                 .ip("10.0.0.1")
                 .port(8_000)
+                .version("v1")
                 .dataCentre("a")
                 .slots(slots)
                 .draining(false)
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingFleet.java
@@ -155,7 +155,7 @@
         if (moment == Moment.AFTER_FIRST_EVENT) {
             writeEvents(socket, request, 1);
         }
-        crashTarget(indexOf(socket.getLocalPort()));
+        crashTarget(fleet.targetOf(socket));
     }
 
     /** Crashes a target under all requests that it has, for all fronts at once, unless it is down already. */
@@ -236,16 +236,6 @@
         }
     }
 
-    private int indexOf(int port) {
-        List<FakeTarget> targets = fleet.targets();
-        for (int i = 0; i < targets.size(); i++) {
-            if (targets.get(i).port() == port) {
-                return i;
-            }
-        }
-        throw new IllegalArgumentException("no target listens on port " + port);
-    }
-
     private static void writeEvents(Socket socket, String request, int count) throws IOException {
         FakeTarget.write(
                 socket,
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -1,9 +1,12 @@
 package org.whinwharf.front;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -13,6 +16,9 @@
     private final List<FrontFixture> fronts = new ArrayList<>();
     private final List<FakeTarget> targets = new ArrayList<>();
     private final boolean engine;
+    private final int attempts;
+    /** Software version of each target, by the target's index. */
+    private final List<String> versions;
     /** Links of each front, by the front's index. */
     private final List<List<CutLink>> links = new ArrayList<>();
 
@@ -22,8 +28,20 @@
      * @param script behaviour of all targets
      */
     CutFleet(int frontCount, int targetCount, boolean engine, FakeTarget.Script script) throws Exception {
+        this(frontCount, Collections.nCopies(targetCount, "v1"), engine, 3, script);
+    }
+
+    /**
+     * Starts a fleet whose targets have the given software versions.
+     *
+     * @param attempts maximum number of targets to which the fleet's routes send one attempt
+     */
+    CutFleet(int frontCount, List<String> versions, boolean engine, int attempts, FakeTarget.Script script)
+            throws Exception {
         this.engine = engine;
-        for (int i = 0; i < targetCount; i++) {
+        this.attempts = attempts;
+        this.versions = new CopyOnWriteArrayList<>(versions);
+        for (int i = 0; i < versions.size(); i++) {
             targets.add(new FakeTarget("127.0.0.1", script));
         }
         for (int i = 0; i < frontCount; i++) {
@@ -48,12 +66,12 @@
         for (int j = 0; j < targets.size(); j++) {
             CutLink link = new CutLink(front.ip(), "127.0.0.1", targets.get(j).port());
             ofFront.add(link);
-            front.publish("t" + j, front.ip(), link.port(), 8);
+            front.publish("t" + j, front.ip(), link.port(), 8, 1, 0, versions.get(j));
         }
     }
 
     private void awaitFleet() throws InterruptedException {
-        fronts.forEach(front -> front.publishCatalog(3, 5_000, engine, 500));
+        fronts.forEach(front -> front.publishCatalog(attempts, 5_000, engine, 500));
         for (FrontFixture front : fronts) {
             FrontFixture.await(() -> front.advertisedFronts() == fronts.size());
         }
@@ -86,13 +104,44 @@
         }
     }
 
-    /** Publishes at all fronts that a target has restarted. */
+    /** Returns the software version of a target. */
+    String version(int target) {
+        return versions.get(target);
+    }
+
+    /** Returns the index of the target that a connection leads to. */
+    int targetOf(Socket accepted) {
+        for (int i = 0; i < targets.size(); i++) {
+            if (targets.get(i).port() == accepted.getLocalPort()) {
+                return i;
+            }
+        }
+        throw new IllegalArgumentException("no target listens on port " + accepted.getLocalPort());
+    }
+
+    /** Lets a target run another software version from now on, without publishing it. */
+    void setVersion(int target, String version) {
+        versions.set(target, version);
+    }
+
+    /** Removes a target's published entry at all fronts. */
+    void publishRemoval(int target) {
+        for (FrontFixture front : fronts) {
+            if (!front.killed()) {
+                front.run(() ->
+                        front.front().removeTarget("t" + target, front.front().nowMillis()));
+            }
+        }
+    }
+
+    /** Publishes at all fronts that a target has restarted, with its current software version. */
     void publishRestart(int target) {
         long startedUnixMillis = System.currentTimeMillis();
         for (int i = 0; i < fronts.size(); i++) {
             FrontFixture front = fronts.get(i);
             if (!front.killed()) {
-                front.publish("t" + target, front.ip(), links.get(i).get(target).port(), 8, startedUnixMillis);
+                int port = links.get(i).get(target).port();
+                front.publish("t" + target, front.ip(), port, 8, startedUnixMillis, 0, versions.get(target));
             }
         }
     }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -125,9 +125,22 @@
 
     /** Publishes a target that is cold for the given time. */
     void publish(String id, String targetIp, int port, int slots, long startedUnixMillis, long coldRemainingMillis) {
+        publish(id, targetIp, port, slots, startedUnixMillis, coldRemainingMillis, "v1");
+    }
+
+    /** Publishes a target whose software has the given version. */
+    void publish(
+            String id,
+            String targetIp,
+            int port,
+            int slots,
+            long startedUnixMillis,
+            long coldRemainingMillis,
+            String version) {
         run(() -> front.publish(
                 ImmutableTarget.builder()
                         .id(id)
+                        .version(version)
                         .service("service")
                         .ip(targetIp)
                         .port(port)
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilenceWatchTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilenceWatchTest.java
@@ -59,6 +59,7 @@
                 .service("s")
                 .ip("10.0.0.1")
                 .port(8_000)
+                .version("v1")
                 .dataCentre("z")
                 .slots(4)
                 .draining(false)
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -31,7 +31,8 @@
                 .promptTokens(0)
                 .maxAnswerTokens(0)
                 .hasTokenCounts(false)
-                .lastEventId(Optional.empty())
+                .lastEventId(Optional.ofNullable(request.headers().get("Resume-After")))
+                .resumedAttemptId(Optional.ofNullable(request.headers().get("Resumes")))
                 .build();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -91,6 +91,9 @@
     /** Whether a target may have crashed under this request, as of its latest placement. */
     private boolean suspect;
 
+    /** Version of the target that sent the first event forwarded to the caller. */
+    private Optional<String> streamVersion = Optional.empty();
+
     private Optional<ResponseEnding> responseEnding = Optional.empty();
 
     CallerExchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
@@ -421,7 +424,7 @@
         DispatchParameters dispatch = new DispatchParameters(
                 target.id(), organisation.map(Organisation::name), deadlineAtMillis - nowMillis, lastEventId);
         front.metrics().recordQueueTime(route.kind(), nowMillis - arrivedAtMillis);
-        FrontLog.sent(this, targetRun, nowMillis - arrivedAtMillis);
+        FrontLog.sent(this, targetRun, nowMillis - arrivedAtMillis, lastEventId);
         connection.send(front.dialect().targetRequest(request, dispatch), body, head.attemptId(), this);
     }
 
@@ -440,8 +443,13 @@
     @Override
     public void content(ByteBuf chunk) {
         recordBytesReceived();
-        if (responseAssembler.content(chunk) && !caller.writable()) {
-            connection.setReading(false);
+        if (responseAssembler.content(chunk)) {
+            if (streamVersion.isEmpty()) {
+                streamVersion = Optional.of(targetRun.target().version());
+            }
+            if (!caller.writable()) {
+                connection.setReading(false);
+            }
         }
     }
 
@@ -777,6 +785,11 @@
                 : OptionalLong.empty();
     }
 
+    /** Returns the version of the target that sent the first event of the stream; empty before that event. */
+    Optional<String> streamVersion() {
+        return streamVersion;
+    }
+
     /** Returns how the response of the latest target ended; empty when none ended after its head. */
     Optional<ResponseEnding> responseEnding() {
         return responseEnding;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -1,5 +1,6 @@
 package org.whinwharf.front;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.runtime.log.EventField;
@@ -41,8 +42,12 @@
                 .call();
     }
 
-    /** Logs that a request was sent to a target, through a peer if its name is not empty. */
-    static void sent(CallerExchange exchange, TargetRun run, long waitedMillis) {
+    /**
+     * Logs that a request was sent to a target, through a peer if its name is not empty.
+     *
+     * @param lastEventId id of the event after which a stream goes on; empty for a new stream
+     */
+    static void sent(CallerExchange exchange, TargetRun run, long waitedMillis, Optional<String> lastEventId) {
         Candidate candidate = run.candidate();
         EventLog event = EventLog.event(LogEvent.REQUEST_SENT)
                 .with(EventField.REQUEST, exchange.head().attemptId())
@@ -54,7 +59,10 @@
                 .with(EventField.PREFILL_TOKENS, candidate.uncachedTokens())
                 .with(EventField.PREDICTED_MILLIS, Math.round(candidate.firstEventMillis()))
                 .with(EventField.VERSION, exchange.catalogFreshness().catalogVersion())
-                .with(EventField.AGE_MILLIS, exchange.catalogFreshness().itemsAgeMillis());
+                .with(EventField.AGE_MILLIS, exchange.catalogFreshness().itemsAgeMillis())
+                .with(EventField.TARGET_VERSION, run.target().version());
+        lastEventId.ifPresent(id -> event.with(EventField.LAST_EVENT, id));
+        exchange.head().resumedAttemptId().ifPresent(id -> event.with(EventField.RESUMES, id));
         if (run.relayed()) {
             event.with(EventField.PEER, run.peerName());
         }
@@ -83,10 +91,15 @@
             event.with(EventField.TARGET, entry.state().target().id());
         }
         exchange.firstByteMillis().ifPresent(millis -> event.with(EventField.FIRST_BYTE_MILLIS, millis));
+        addStreamVersion(event, exchange);
         addResponseEnding(event, exchange);
         return event;
     }
 
+    private static void addStreamVersion(EventLog event, CallerExchange exchange) {
+        exchange.streamVersion().ifPresent(version -> event.with(EventField.STREAM_VERSION, version));
+    }
+
     private static void addResponseEnding(EventLog event, CallerExchange exchange) {
         exchange.responseEnding()
                 .ifPresent(ending -> event.with(
@@ -150,6 +163,7 @@
                 .with(EventField.RETRIES, budget.retries())
                 .with(EventField.REQUESTS, budget.requests())
                 .with(EventField.PEERS, peers);
+        addStreamVersion(event, exchange);
         addResponseEnding(event, exchange);
         event.call();
     }
@@ -211,6 +225,7 @@
                 .with(EventField.TARGET, target.id())
                 .with(EventField.SERVICE, target.service())
                 .with(EventField.DATA_CENTRE, target.dataCentre())
+                .with(EventField.TARGET_VERSION, target.version())
                 .with(EventField.STATUS, status)
                 .call();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestHead.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestHead.java
@@ -93,4 +93,11 @@
      * @return id of the last event that the caller received; empty for a new stream
      */
     Optional<String> lastEventId();
+
+    /**
+     * Returns the attempt whose stream the caller resumes.
+     *
+     * @return id of the attempt that brought the first event of the stream; empty when the caller names none
+     */
+    Optional<String> resumedAttemptId();
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -1,6 +1,7 @@
 package org.whinwharf.front;
 
 import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.target.TargetState;
 import org.whinwharf.wire.fleet.RunEvent;
 
@@ -9,6 +10,9 @@
     private final TargetEntry entry;
     private final Candidate candidate;
     private final PlacementTicket ticket;
+    /** The target as it was published when the request was placed. */
+    private final Target target;
+
     private String peerName = "";
     private long sentAtMillis;
     private long firstByteAtMillis;
@@ -19,6 +23,7 @@
         this.entry = entry;
         this.candidate = candidate;
         this.ticket = ticket;
+        target = entry.state().target();
         state().recordDispatch(candidate.uncachedTokens());
     }
 
@@ -26,6 +31,11 @@
         return entry;
     }
 
+    /** Returns the target as it was published when the request was placed; its entry may have changed since. */
+    Target target() {
+        return target;
+    }
+
     Candidate candidate() {
         return candidate;
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
@@ -50,6 +50,17 @@
         assertThat(dialect.readRequest(request).estimatedAnswerTokens().orElse(-1), is(tokens));
     }
 
+    /** Guards against a resumed stream that is taken for a new one, or for that of another attempt. */
+    @Test
+    void resumedStreamIsParsed() throws BadRequestException {
+        HttpRequest request = request();
+        request.headers().set("Last-Event-Id", "3").set("Resumes", "e64d");
+        RequestHead head = dialect.readRequest(request);
+        assertThat(head.lastEventId(), is(Optional.of("3")));
+        assertThat(head.resumedAttemptId(), is(Optional.of("e64d")));
+        assertThat(dialect.readRequest(request()).resumedAttemptId(), is(Optional.empty()));
+    }
+
     @Test
     void requestHeadIsParsed() throws BadRequestException {
         RequestHead head = dialect.readRequest(request());
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreDecoderTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreDecoderTest.java
@@ -64,6 +64,7 @@
         assertThat(target.draining(), is(true));
         assertThat(target.coldRemainingMillis(), is(1_200L));
         assertThat(target.models().contains("m"), is(true));
+        assertThat(target.version(), is("v1"));
     }
 
     /**
@@ -76,11 +77,14 @@
                 "",
                 "\u0000\u0001",
                 "[]",
-                "{'service':'s','address':'10.0.0.1:1','zone':'z','slots':7,'state':'resting'}",
-                "{'service':'s','address':'10.0.0.1:1','zone':'z','slots':'7','state':'ready'}",
-                "{'service':'s','address':'nowhere','zone':'z','slots':7,'state':'ready'}",
-                "{'service':5,'address':'10.0.0.1:1','zone':'z','slots':7,'state':'ready'}",
-                "{'service':'s','address':'10.0.0.1:1','slots':7,'state':'ready'}"
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'v','slots':7,'state':'resting'}",
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'v','slots':'7','state':'ready'}",
+                "{'service':'s','address':'nowhere','zone':'z','version':'v','slots':7,'state':'ready'}",
+                "{'service':5,'address':'10.0.0.1:1','zone':'z','version':'v','slots':7,'state':'ready'}",
+                "{'service':'s','address':'10.0.0.1:1','version':'v','slots':7,'state':'ready'}",
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','slots':7,'state':'ready'}",
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':2,'slots':7,'state':'ready'}",
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'','slots':7,'state':'ready'}"
             })
     void malformedEntryYieldsNoTarget(String text) {
         assertThat(StoreDecoder.target("i-1", json(text)).isPresent(), is(false));
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -49,6 +49,14 @@
     CALL("call"),
     /** Id of the target. */
     TARGET("target"),
+    /** Version of the software of a target. */
+    TARGET_VERSION("targetVersion"),
+    /** Version of the software of the target that sent the first event of a stream. */
+    STREAM_VERSION("streamVersion"),
+    /** Id of the attempt that brought the first event of a resumed stream. */
+    RESUMES("resumes"),
+    /** Id of the last event that the caller of a resumed stream has received. */
+    LAST_EVENT("lastEvent"),
     /** Slice as service/dataCentre/index. */
     SLICE("slice"),
     /** Share of a slice, from 0 to 1. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -74,7 +74,10 @@
             EventField.PREFILL_TOKENS,
             EventField.PREDICTED_MILLIS,
             EventField.VERSION,
-            EventField.AGE_MILLIS),
+            EventField.AGE_MILLIS,
+            EventField.TARGET_VERSION,
+            EventField.LAST_EVENT,
+            EventField.RESUMES),
     /** A request ended. */
     REQUEST_ENDED(
             Level.INFO,
@@ -91,7 +94,8 @@
             EventField.FRAMING,
             EventField.ENDING,
             EventField.INSIDE_EVENT,
-            EventField.RETRY_AFTER_MILLIS),
+            EventField.RETRY_AFTER_MILLIS,
+            EventField.STREAM_VERSION),
     /** An answer ended without its last event, or the caller disconnected before its answer. */
     ANSWER_CUT(Level.INFO, EventField.REQUEST, EventField.REASON, EventField.ANSWER_TOKENS, EventField.UNREAD_BYTES),
     /** A request was refused before it was admitted. */
@@ -174,7 +178,13 @@
     /** The set of evacuated data centres changed. */
     DATA_CENTRES_OUT(Level.INFO, EventField.REASONS, EventField.REVISION),
     /** A target was published, changed or removed. */
-    TARGET_PUBLISHED(Level.INFO, EventField.TARGET, EventField.SERVICE, EventField.DATA_CENTRE, EventField.STATUS),
+    TARGET_PUBLISHED(
+            Level.INFO,
+            EventField.TARGET,
+            EventField.SERVICE,
+            EventField.DATA_CENTRE,
+            EventField.TARGET_VERSION,
+            EventField.STATUS),
     /** A target was ejected, because of the outcome of its requests. */
     TARGET_EJECTED(
             Level.WARN,
@@ -232,7 +242,8 @@
             EventField.PEERS,
             EventField.FRAMING,
             EventField.ENDING,
-            EventField.INSIDE_EVENT),
+            EventField.INSIDE_EVENT,
+            EventField.STREAM_VERSION),
     /** A run ended with its connection, or in silence; tells whether its target can still be reached. */
     RUN_LOST(
             Level.INFO,
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/Fixtures.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/Fixtures.java
@@ -26,6 +26,7 @@
                 .service("summaries")
                 .ip("10.0.0.1")
                 .port(8_000)
+                .version("v1")
                 .dataCentre("zilina-a")
                 .slots(slots)
                 .draining(false)
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/Target.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/Target.java
@@ -69,6 +69,13 @@
      */
     long startedUnixMillis();
 
+    /**
+     * Returns the version of the target's software. What targets of two versions write cannot be joined.
+     *
+     * @return version, compared for equality only
+     */
+    String version();
+
     /**
      * Returns the models that the target has loaded.
      *
