--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamVersionTest.java
@@ -0,0 +1,134 @@
+package org.whinwharf.front;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests streams that are resumed while targets of two software versions serve: each continues at its own version. */
+class StreamVersionTest {
+    private static final List<String> TWO_VERSIONS = List.of("v1", "v2", "v1", "v2", "v1", "v2");
+    private static final int STREAMS = 20;
+    /** Minimum number of streams that are continued. */
+    private static final int MIN_CONTINUED = 15;
+
+    /** Guards against a stream that a front resumes at a target of another version. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamResumedWithinOneAnswerKeepsItsVersion(boolean engine) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(1, TWO_VERSIONS, engine, 3, VersionedFleet.Interruption.BROKEN_OFF)) {
+            List<VersionedFleet.Received> streams = callAll(i -> fleet.call(0, "a" + i, nothing(i)));
+            assertContinuedAtOneVersion(streams);
+        }
+    }
+
+    /** Guards against a stream that its caller resumes at another front, and that continues at another version. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamResumedAtAnotherFrontKeepsItsVersion(boolean engine) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(3, TWO_VERSIONS, engine, 1, VersionedFleet.Interruption.BROKEN_OFF)) {
+            List<VersionedFleet.Received> begun = callAll(i -> fleet.call(i % 3, "a" + i, nothing(i)));
+            List<VersionedFleet.Received> streams = callAll(i -> fleet.call((i + 1) % 3, "b" + i, begun.get(i)));
+            assertContinuedAtOneVersion(streams);
+        }
+    }
+
+    /** Guards against the same when the front that began the stream is killed, and takes with it what it knew. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamOfAKilledFrontKeepsItsVersion(boolean engine) throws Exception {
+        try (VersionedFleet fleet = new VersionedFleet(3, TWO_VERSIONS, engine, 1, VersionedFleet.Interruption.HELD)) {
+            List<VersionedFleet.Received> begun = beginAndKill(fleet, 0);
+            List<VersionedFleet.Received> streams = callAll(i -> fleet.call(1 + i % 2, "b" + i, begun.get(i)));
+            assertContinuedAtOneVersion(streams);
+        }
+    }
+
+    /** Guards against a stream whose version is no longer served, and that ends as complete or at another version. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamIsBrokenOffWithTheLastTargetOfItsVersion(boolean engine) throws Exception {
+        for (int i = 0; i < 5; i++) {
+            try (VersionedFleet fleet =
+                    new VersionedFleet(1, List.of("v1", "v2", "v2"), engine, 3, VersionedFleet.Interruption.HELD)) {
+                try (Socket socket = VersionedFleet.open(fleet.fleet().front(0), "a", nothing(i))) {
+                    String start = VersionedFleet.readHeld(socket);
+                    VersionedFleet.Received begun = nothing(i).plus("a", start);
+                    String version = begun.versions().get(0);
+                    for (int target = 0; target < 3; target++) {
+                        if (fleet.fleet().version(target).equals(version)) {
+                            fleet.crash(target);
+                        }
+                    }
+                    VersionedFleet.Received received = nothing(i).plus("a", start + FrontFixture.readAll(socket));
+                    assertThat("mixed", received.mixed(), is(false));
+                    assertThat("complete", received.complete(), is(false));
+                }
+            }
+        }
+    }
+
+    private static VersionedFleet.Received nothing(int stream) {
+        return VersionedFleet.Received.nothing("s" + stream);
+    }
+
+    /** One call of each stream. */
+    private interface Call {
+        VersionedFleet.Received call(int stream) throws IOException;
+    }
+
+    /** Calls all streams at once. */
+    private static List<VersionedFleet.Received> callAll(Call call) throws Exception {
+        ExecutorService callers = Executors.newFixedThreadPool(STREAMS);
+        try {
+            List<Future<VersionedFleet.Received>> results = new ArrayList<>();
+            for (int i = 0; i < STREAMS; i++) {
+                int stream = i;
+                results.add(callers.submit(() -> call.call(stream)));
+            }
+            List<VersionedFleet.Received> received = new ArrayList<>();
+            for (Future<VersionedFleet.Received> result : results) {
+                received.add(result.get());
+            }
+            return received;
+        } finally {
+            callers.shutdownNow();
+        }
+    }
+
+    /** Begins streams at a front at once, and kills it after their third event. */
+    private static List<VersionedFleet.Received> beginAndKill(VersionedFleet fleet, int front) throws Exception {
+        List<Socket> sockets = new ArrayList<>();
+        List<VersionedFleet.Received> begun = new ArrayList<>();
+        for (int i = 0; i < STREAMS; i++) {
+            sockets.add(VersionedFleet.open(fleet.fleet().front(front), "a" + i, nothing(i)));
+        }
+        for (int i = 0; i < STREAMS; i++) {
+            begun.add(nothing(i).plus("a" + i, VersionedFleet.readHeld(sockets.get(i))));
+        }
+        fleet.fleet().front(front).kill();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        return begun;
+    }
+
+    private static void assertContinuedAtOneVersion(List<VersionedFleet.Received> streams) {
+        long mixed = streams.stream().filter(VersionedFleet.Received::mixed).count();
+        long continued =
+                streams.stream().filter(VersionedFleet.Received::wentOn).count();
+        assertThat("streams with events of two versions", mixed, is(0L));
+        assertThat("continued streams", continued, greaterThanOrEqualTo((long) MIN_CONTINUED));
+    }
+}
--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
@@ -0,0 +1,171 @@
+package org.whinwharf.front;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Fronts before targets of several software versions, whose streams name in each event the version that wrote it.
+ *
+ * <p>Targets interrupt new streams after their third event, and complete resumed ones.
+ */
+final class VersionedFleet implements AutoCloseable {
+    /** Number of events of a complete stream. */
+    static final int EVENTS = 6;
+    /** Number of events of a new stream before its target interrupts it. */
+    static final int EVENTS_BEFORE_INTERRUPTION = 3;
+
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+    private static final Pattern RESUME_AFTER = Pattern.compile("resume-after: (\\d+)");
+    private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\S+)\n\n");
+
+    /** What a target does with a new stream after the third event. */
+    enum Interruption {
+        /** It closes the connection. */
+        BROKEN_OFF,
+        /** It sends nothing more. */
+        HELD
+    }
+
+    /**
+     * What a caller has received of one stream, over all its attempts so far.
+     *
+     * @param stream name of the stream, in the path of its requests
+     * @param firstAttemptId id of the attempt that brought the first event; empty before that event
+     * @param versions version of each event, in order
+     * @param lastStatus status line of the latest response; empty if there was none
+     * @param complete whether the latest response had its end
+     */
+    record Received(String stream, String firstAttemptId, List<String> versions, String lastStatus, boolean complete) {
+        /** Returns a stream of which nothing was received yet. */
+        static Received nothing(String stream) {
+            return new Received(stream, "", List.of(), "", false);
+        }
+
+        /** Tells whether targets of more than one version wrote the events. */
+        boolean mixed() {
+            return new HashSet<>(versions).size() > 1;
+        }
+
+        /** Tells whether the caller has the whole stream. */
+        boolean wentOn() {
+            return complete && versions.size() == EVENTS;
+        }
+
+        /** Adds a response to an attempt that continued after the events received so far. */
+        Received plus(String attemptId, String response) {
+            List<String> all = new ArrayList<>(versions);
+            Matcher event = EVENT.matcher(response);
+            while (event.find()) {
+                if (Integer.parseInt(event.group(1)) != all.size() + 1) {
+                    throw new IllegalStateException("event out of order: " + response);
+                }
+                all.add(event.group(2));
+            }
+            return new Received(
+                    stream,
+                    firstAttemptId.isEmpty() && !all.isEmpty() ? attemptId : firstAttemptId,
+                    all,
+                    response.lines().findFirst().orElse(""),
+                    response.endsWith(LAST_CHUNK));
+        }
+    }
+
+    private final CutFleet fleet;
+    private final Interruption interruption;
+    private final Set<Integer> downTargets = Collections.synchronizedSet(new HashSet<>());
+
+    /**
+     * Starts a fleet.
+     *
+     * @param versions software version of each target
+     * @param attempts maximum number of targets to which one attempt is sent
+     */
+    VersionedFleet(int fronts, List<String> versions, boolean engine, int attempts, Interruption interruption)
+            throws Exception {
+        this.interruption = interruption;
+        fleet = new CutFleet(fronts, versions, engine, attempts, this::answer);
+    }
+
+    CutFleet fleet() {
+        return fleet;
+    }
+
+    /** Crashes a target for good, and removes its published entry. */
+    void crash(int target) throws IOException {
+        downTargets.add(target);
+        for (CutLink link : fleet.linksTo(target)) {
+            link.cut(CutLink.Cut.REFUSED);
+            link.resetOpen();
+        }
+        fleet.publishRemoval(target);
+    }
+
+    /** Sends a new stream's first attempt, or resumes the stream after what was received of it. */
+    Received call(int front, String attemptId, Received before) throws IOException {
+        return call(fleet.front(front), attemptId, before);
+    }
+
+    /** Does the same at a front that need not be one of the fleet's first. */
+    Received call(FrontFixture front, String attemptId, Received before) throws IOException {
+        try (Socket socket = open(front, attemptId, before)) {
+            return before.plus(attemptId, FrontFixture.readAll(socket));
+        }
+    }
+
+    /** Sends an attempt and leaves its response to be read. */
+    static Socket open(FrontFixture front, String attemptId, Received before) throws IOException {
+        Socket socket = front.connect();
+        String resumption = before.versions().isEmpty()
+                ? ""
+                : "Resume-After: " + before.versions().size() + "\r\nResumes: " + before.firstAttemptId() + "\r\n";
+        FakeTarget.write(
+                socket,
+                "POST /resumable/" + before.stream() + " HTTP/1.1\r\nHost: h\r\nAttempt: " + attemptId + "\r\n"
+                        + resumption + "Content-Length: 0\r\nConnection: close\r\n\r\n");
+        return socket;
+    }
+
+    /** Reads a held stream up to its last event before the interruption. */
+    static String readHeld(Socket socket) throws IOException {
+        return FrontFixture.readUntil(socket, "id: " + EVENTS_BEFORE_INTERRUPTION + "\ndata: ")
+                + FrontFixture.readUntil(socket, "\n\n");
+    }
+
+    private void answer(String request, Socket socket) throws IOException {
+        if (request.contains("/health")) {
+            FakeTarget.write(socket, FakeTarget.answer(request, 200, ""));
+            return;
+        }
+        String version = fleet.version(fleet.targetOf(socket));
+        Matcher resumed = RESUME_AFTER.matcher(request.toLowerCase(Locale.ROOT));
+        int after = resumed.find() ? Integer.parseInt(resumed.group(1)) : 0;
+        boolean interrupted = after == 0;
+        FakeTarget.write(
+                socket,
+                "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attemptId(request)
+                        + "\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int id = after + 1; id <= (interrupted ? EVENTS_BEFORE_INTERRUPTION : EVENTS); id++) {
+            FakeTarget.write(socket, FakeTarget.chunk("id: " + id + "\ndata: " + version + "\n\n"));
+        }
+        if (!interrupted) {
+            FakeTarget.write(socket, LAST_CHUNK);
+        } else if (interruption == Interruption.BROKEN_OFF) {
+            socket.close();
+        } else {
+            socket.getInputStream().read();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        fleet.close();
+    }
+}
