Resume a stream within its answer only at the version that began it

In StreamVersionTest 18 and 10 of 20 streams of plain and engine services held events of two versions, and with the last target of its version gone a stream went on at the other.

The version of the target whose first event is about to reach the caller, as it was published when the request was sent, now binds the request: it is part of its demand, wherever it is placed (coordinator, locally, as a suspect, after a refusal), and is checked again when a grant arrives and when the connection stands, since entries may differ or change meanwhile. A run that brought no event binds nothing. An old coordinator ignores required_version; its grant is given back and the request placed locally.

A stream that waits for a target of its version precedes the new requests of its rank, which would take each slot of it for ever, and holds up none of them: it is neither counted as ahead of them nor as a failure of its model. If no such target is left, published, not leaving and not tried, it is broken off at once, also while it waits, and its retry is not counted. Logged as stream-not-resumed, counted by whinwharf_streams_resumed_total{outcome}.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamVersionTest.java
@@ -1,6 +1,7 @@
 package org.whinwharf.front;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 
@@ -11,6 +12,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -55,6 +57,37 @@
         }
     }
 
+    /** Guards against binding a stream to a target of which the caller has received no event. */
+    @Test
+    void streamWithoutAnEventBeginsAtAnyVersion() throws Exception {
+        try (FrontFixture fixture = new FrontFixture()) {
+            FakeTarget.Script headOnly = (request, socket) -> {
+                FakeTarget.write(
+                        socket,
+                        "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attemptId(request)
+                                + "\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n");
+                FakeTarget.write(socket, FakeTarget.chunk("id: 1\ndata: v"));
+                socket.close();
+            };
+            fixture.target("t1", headOnly);
+            fixture.target("t2", headOnly);
+            FakeTarget whole = new FakeTarget(
+                    fixture.ip(),
+                    (request, socket) ->
+                            FakeTarget.write(socket, FakeTarget.answer(request, 200, "id: 1\ndata: v2\n\n")));
+            // Enough of them that the loss of the others stops no request that is suspected of it.
+            for (int i = 3; i < 8; i++) {
+                fixture.publish("t" + i, fixture.ip(), whole.port(), 8, 1, 0, "v2");
+            }
+            fixture.publishCatalog(3, 5_000);
+            for (int i = 0; i < STREAMS; i++) {
+                String response = fixture.exchange(FrontFixture.request("POST", "/resumable/s" + i, "a" + i, true));
+                assertThat(response, containsString("data: v2\n\n\r\n0\r\n"));
+            }
+            whole.close();
+        }
+    }
+
     /** Guards against a stream whose version is no longer served, and that ends as complete or at another version. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -77,6 +77,7 @@
     private long quotaTokens;
     private long deadlineAtMillis;
     private long queueTimeoutAtMillis;
+    private final StreamContinuation stream;
     private Stage stage = Stage.QUEUED;
     private int dispatchCount;
     private int possibleExecutions;
@@ -91,9 +92,6 @@
     /** Whether a target may have crashed under this request, as of its latest placement. */
     private boolean suspect;
 
-    /** Version of the target that sent the first event forwarded to the caller. */
-    private Optional<String> streamVersion = Optional.empty();
-
     private Optional<ResponseEnding> responseEnding = Optional.empty();
 
     CallerExchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
@@ -103,6 +101,7 @@
         this.body = body;
         arrivedAtMillis = front.nowMillis();
         catalogFreshness = front.catalogFreshness();
+        stream = new StreamContinuation(front);
     }
 
     HttpMethod method() {
@@ -134,18 +133,36 @@
 
     private void start(AdmissionControl.Admitted admitted) {
         route = admitted.route();
-        responseAssembler = new ResponseAssembler(route, method(), caller, front.dialect());
+        responseAssembler = new ResponseAssembler(route, method(), caller, front.dialect(), this::streamStartsAtCaller);
         organisation = admitted.organisation();
-        service = admitted.service();
         tierRank = admitted.tierRank();
         quotaTokens = admitted.quotaTokens();
-        quotaConsumed = admitted.quotaConsumed();
         deadlineAtMillis = admitted.deadlineAtMillis();
         queueTimeoutAtMillis = admitted.queueTimeoutAtMillis();
+        service = admitted.service();
+        quotaConsumed = admitted.quotaConsumed();
         front.retryBudget(service).recordRequest(arrivedAtMillis);
         place(arrivedAtMillis);
     }
 
+    /** Binds a stream whose first event is about to reach the caller to the version of its target. */
+    private void streamStartsAtCaller() {
+        if (!stream.isBound()) {
+            stream.began(targetRun);
+        }
+    }
+
+    /** Ends a request whose stream cannot be resumed, though another target may serve a new one. */
+    private void notResumed(ResumptionOutcome outcome) {
+        front.metrics().streamResumption(outcome);
+        FrontLog.notResumed(this, outcome);
+        respondWithError(new ErrorResponse(ErrorKind.TARGET_LOST, 0));
+    }
+
+    private boolean streamCanContinue() {
+        return stream.isPossible(triedTargetIds, pathlessTargetIds);
+    }
+
     private void place(long nowMillis) {
         Assessment assessment = front.crashes().assess(this);
         if (assessment.quarantined()) {
@@ -156,6 +173,10 @@
             rejectWithoutPath();
             return;
         }
+        if (!streamCanContinue()) {
+            notResumed(ResumptionOutcome.NO_TARGET);
+            return;
+        }
         suspect = assessment.suspect();
         if (suspect || front.coordination().isCoordinated(service)) {
             stage = Stage.AWAITING_PLACEMENT;
@@ -189,6 +210,7 @@
                 .remainingMillis(deadlineAtMillis - nowMillis)
                 .promptParts(head.promptParts())
                 .tierRank(tierRank)
+                .requiredVersion(stream.requiredVersion())
                 .addAllTriedTargets(triedTargetIds)
                 .addAllTriedTargets(pathlessTargetIds)
                 .suspect(suspect)
@@ -227,6 +249,11 @@
         ticket = issued;
     }
 
+    @Override
+    public boolean accepts(Target target) {
+        return stream.accepts(target);
+    }
+
     @Override
     public void granted(Candidate chosen) {
         if (!quotaConsumed) {
@@ -315,6 +342,11 @@
         return head.model();
     }
 
+    @Override
+    public boolean resumesStream() {
+        return stream.isBound();
+    }
+
     @Override
     public DispatchResult tryDispatch(long nowMillis) {
         Assessment assessment = front.crashes().assess(this);
@@ -324,7 +356,7 @@
         }
         Optional<Candidate> chosen = front.chooseLocally(demand(nowMillis), nowMillis);
         if (chosen.isEmpty()) {
-            return DispatchResult.NO_TARGET;
+            return resumesStream() ? DispatchResult.HELD : DispatchResult.NO_TARGET;
         }
         Candidate candidate = chosen.get();
         candidate.recordDispatch(nowMillis);
@@ -398,6 +430,12 @@
             place(nowMillis);
             return;
         }
+        if (stream.isBound() && !accepts(current.entry().state().target())) {
+            current.entry().pool().release(acquired);
+            endRun(RunEvent.RUN_GIVEN_UP);
+            placeElsewhere(current.entry().state().target().id(), nowMillis);
+            return;
+        }
         if (!caller.isCallerConnected()) {
             // The pending notification that the caller's connection closed ends this exchange too.
             current.entry().pool().release(acquired);
@@ -423,6 +461,9 @@
                 responseAssembler.streamStarted() ? responseAssembler.lastEventId() : head.lastEventId();
         DispatchParameters dispatch = new DispatchParameters(
                 target.id(), organisation.map(Organisation::name), deadlineAtMillis - nowMillis, lastEventId);
+        if (stream.isBound()) {
+            front.metrics().streamResumption(ResumptionOutcome.RESUMED);
+        }
         front.metrics().recordQueueTime(route.kind(), nowMillis - arrivedAtMillis);
         FrontLog.sent(this, targetRun, nowMillis - arrivedAtMillis, lastEventId);
         connection.send(front.dialect().targetRequest(request, dispatch), body, head.attemptId(), this);
@@ -443,13 +484,8 @@
     @Override
     public void content(ByteBuf chunk) {
         recordBytesReceived();
-        if (responseAssembler.content(chunk)) {
-            if (streamVersion.isEmpty()) {
-                streamVersion = Optional.of(targetRun.target().version());
-            }
-            if (!caller.writable()) {
-                connection.setReading(false);
-            }
+        if (responseAssembler.content(chunk) && !caller.writable()) {
+            connection.setReading(false);
         }
     }
 
@@ -591,6 +627,7 @@
     private boolean canRetry(long nowMillis) {
         return route.idempotent()
                 && responseAssembler.canResume()
+                && streamCanContinue()
                 && dispatchCount < route.maxAttempts()
                 && deadlineAtMillis - nowMillis > MIN_REMAINING_MILLIS
                 && !front.crashes().assess(this).quarantined()
@@ -660,6 +697,12 @@
             deadlineReached(nowMillis);
             return;
         }
+        boolean unplaced = stage == Stage.QUEUED || stage == Stage.AWAITING_PLACEMENT;
+        if (unplaced && !streamCanContinue()) {
+            removeFromQueue();
+            notResumed(ResumptionOutcome.NO_TARGET);
+            return;
+        }
         if (stage == Stage.AWAITING_PLACEMENT && nowMillis > queueTimeoutAtMillis + COORDINATOR_GRACE_MILLIS) {
             rejectUnplaced(front.localQueues().retryAfterMillis(service), Optional.empty());
             return;
@@ -678,7 +721,7 @@
         if (stalled
                 && route.idempotent()
                 && dispatchCount < route.maxAttempts()
-                && front.hasUntriedTarget(service, triedTargetIds)) {
+                && front.hasUntriedTarget(service, stream.requiredVersion(), triedTargetIds)) {
             connection.cancel();
             connection = null;
             endFailedRun(TargetFailure.SILENT);
@@ -699,9 +742,7 @@
 
     private void deadlineReached(long nowMillis) {
         recordAbandonedRun(nowMillis);
-        if (stage == Stage.QUEUED) {
-            front.localQueues().queueOf(service).remove(this);
-        }
+        removeFromQueue();
         if (responseAssembler.streamStarted()) {
             FrontLog.ended(this, entry(), "timed-out", responseAssembler.status(), ageMillis());
             cancelRun();
@@ -727,9 +768,7 @@
         if (stage == Stage.ENDED) {
             return;
         }
-        if (stage == Stage.QUEUED && route != null) {
-            front.localQueues().queueOf(service).remove(this);
-        }
+        removeFromQueue();
         recordAbandonedRun(front.nowMillis());
         cancelRun();
         if (route != null) {
@@ -741,6 +780,12 @@
         end();
     }
 
+    private void removeFromQueue() {
+        if (stage == Stage.QUEUED && route != null) {
+            front.localQueues().queueOf(service).remove(this);
+        }
+    }
+
     private void cancelRun() {
         if (connection != null) {
             connection.cancel();
@@ -787,7 +832,7 @@
 
     /** Returns the version of the target that sent the first event of the stream; empty before that event. */
     Optional<String> streamVersion() {
-        return streamVersion;
+        return stream.requiredVersion();
     }
 
     /** Returns how the response of the latest target ended; empty when none ended after its head. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -379,7 +379,10 @@
     private void acceptGrant(PlacementTicket ticket, PlacementReply reply) {
         TargetEntry entry = targets.entry(reply.getTarget());
         boolean coldnessMissed = entry != null && entry.state().cold(ticker.nowMillis()) && !reply.getCold();
-        if (entry == null || coldnessMissed || !targets.mayReceive(entry)) {
+        if (entry == null
+                || coldnessMissed
+                || !targets.mayReceive(entry)
+                || !ticket.listener().accepts(entry.state().target())) {
             // The published items are newer here than at the coordinator, so its grant cannot be used.
             report(ticket, RunEvent.RUN_GIVEN_UP, 0);
             tickets.remove(ticket.id());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -674,10 +674,18 @@
         return targets.entry(targetId);
     }
 
-    /** Tells whether a service has a usable target that is not in the given set. */
-    boolean hasUntriedTarget(String service, Set<String> tried) {
+    /** Tells whether a service has a target of a version, outside of the given sets, that is not on its way out. */
+    boolean hasTarget(String service, String version, Set<String> tried, Set<String> pathless) {
+        return targets.hasTarget(service, version, id -> !tried.contains(id) && !pathless.contains(id));
+    }
+
+    /** Tells whether a service has a usable target of the required version that is not in the given set. */
+    boolean hasUntriedTarget(String service, Optional<String> requiredVersion, Set<String> tried) {
         long nowMillis = ticker.nowMillis();
         return targets.ofService(service).stream()
+                .filter(state -> requiredVersion
+                        .map(version -> version.equals(state.target().version()))
+                        .orElse(true))
                 .anyMatch(state -> state.usable(nowMillis)
                         && !tried.contains(state.target().id()));
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -168,6 +168,16 @@
         event.call();
     }
 
+    /** Logs that a stream is not resumed. */
+    static void notResumed(CallerExchange exchange, ResumptionOutcome outcome) {
+        EventLog event = EventLog.event(LogEvent.STREAM_NOT_RESUMED)
+                .with(EventField.REQUEST, exchange.head().attemptId())
+                .with(EventField.SERVICE, exchange.service())
+                .with(EventField.REASON, outcome.tag());
+        addStreamVersion(event, exchange);
+        event.call();
+    }
+
     static void runLost(CallerExchange exchange, TargetRun run, TargetFailure failure, FailureReview.Verdict verdict) {
         EventLog event = EventLog.event(LogEvent.RUN_LOST)
                 .with(EventField.REQUEST, exchange.head().attemptId())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -27,6 +27,7 @@
     private final Map<TruncationCause, Counter> truncations = new EnumMap<>(TruncationCause.class);
     private final Map<ItemsRequestOutcome, Counter> itemsRequests = new EnumMap<>(ItemsRequestOutcome.class);
     private final Map<ResponseEnding, Counter> responseEndings = new HashMap<>();
+    private final Map<ResumptionOutcome, Counter> resumptions = new EnumMap<>(ResumptionOutcome.class);
     private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
     private final Map<RouteKind, Timer> queueTimes = new EnumMap<>(RouteKind.class);
     private final Map<ServiceRank, HoldTimeGauges> holdTimes = new HashMap<>();
@@ -104,6 +105,19 @@
                 .increment();
     }
 
+    /** Counts a stream that had to be resumed, by this process or by its caller. */
+    void streamResumption(ResumptionOutcome outcome) {
+        resumptions
+                .computeIfAbsent(
+                        outcome,
+                        key -> counter(
+                                "whinwharf.streams.resumed",
+                                "Streams that had to be resumed, by what became of them",
+                                "outcome",
+                                key.tag()))
+                .increment();
+    }
+
     /** Counts a target's response that ended after its head, completely or not. */
     void responseEnded(ResponseEnding ending) {
         responseEndings
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementListener.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementListener.java
@@ -2,6 +2,7 @@
 
 import org.whinwharf.traffic.coordination.RejectionDetails;
 import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.target.Target;
 import org.whinwharf.wire.fleet.PlacementAsk;
 
 /** Receives the outcome of a request's placement by a coordinator. */
@@ -12,6 +13,9 @@
     /** Receives the ticket of the placement, before any other call. */
     void ticketIssued(PlacementTicket ticket);
 
+    /** Tells whether a target, as this process knows it, is suitable for the request. */
+    boolean accepts(Target target);
+
     /** Receives the granted target, to which the request may now be sent. */
     void granted(Candidate candidate);
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
@@ -44,6 +44,7 @@
                 .setOnTimeMillis((int) Math.max(0, onTimeMillis))
                 .addAllTriedTargets(demand.triedTargets())
                 .setDataCentre(demand.dataCentre());
+        demand.requiredVersion().ifPresent(request::setRequiredVersion);
         organisation.ifPresent(name -> request.setOrganisation(name).setQuotaTokens(quotaTokens));
         demand.promptParts()
                 .forEach(part -> request.addParts(
@@ -76,6 +77,7 @@
                 .tierRank(request.getTierRank())
                 .remainingMillis(request.getRemainingMillis())
                 .dataCentre(request.getDataCentre())
+                .requiredVersion(Optional.of(request.getRequiredVersion()).filter(version -> !version.isEmpty()))
                 .triedTargets(request.getTriedTargetsList());
         request.getPartsList().forEach(part -> demand.addPromptParts(new PromptPart(part.getId(), part.getTokens())));
         return ImmutablePlacementRequest.builder()
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -20,6 +20,7 @@
     private final CallerConnection caller;
     private final HttpDialect dialect;
     private final HttpMethod requestMethod;
+    private final Runnable onStreamStart;
     private final EventStreamFramer framer = new EventStreamFramer();
     private final EventBoundaryTracker boundaryTracker = new EventBoundaryTracker();
     private HttpResponse callerResponse;
@@ -31,7 +32,18 @@
     private boolean oversized;
     private CompositeByteBuf bufferedBody;
 
-    ResponseAssembler(Route route, HttpMethod requestMethod, CallerConnection caller, HttpDialect dialect) {
+    /**
+     * Creates an assembler without a response.
+     *
+     * @param onStreamStart run right before the first data of a stream is written to the caller
+     */
+    ResponseAssembler(
+            Route route,
+            HttpMethod requestMethod,
+            CallerConnection caller,
+            HttpDialect dialect,
+            Runnable onStreamStart) {
+        this.onStreamStart = onStreamStart;
         this.route = route;
         this.requestMethod = requestMethod;
         this.caller = caller;
@@ -79,6 +91,7 @@
     private void ensureStreamStarted() {
         if (!streamStarted) {
             streamStarted = true;
+            onStreamStart.run();
             caller.startStream(callerResponse.status(), dialect.callerHeaders(callerResponse));
         }
     }
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResumptionOutcome.java
@@ -0,0 +1,16 @@
+package org.whinwharf.front;
+
+import java.util.Locale;
+
+/** What becomes of a stream that has to be resumed. */
+enum ResumptionOutcome {
+    /** It is sent to a target of the software version that began it. */
+    RESUMED,
+    /** No target of that version is left. */
+    NO_TARGET;
+
+    /** Returns the value of the metric's tag and of the log field: the constant's name in lower case, with hyphens. */
+    String tag() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+}
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.catalog.Catalog;
@@ -234,6 +235,15 @@
         return states == null ? List.of() : states.values();
     }
 
+    /** Tells whether a service has a target of a version that may get requests, now or once it is in use again. */
+    boolean hasTarget(String service, String version, Predicate<String> targetIds) {
+        return ofService(service).stream()
+                .map(state -> entry(state.target().id()))
+                .anyMatch(entry -> !isOut(entry)
+                        && entry.state().target().version().equals(version)
+                        && targetIds.test(entry.state().target().id()));
+    }
+
     Collection<TargetEntry> all() {
         return entries.values();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -10,8 +10,8 @@
     private final TargetEntry entry;
     private final Candidate candidate;
     private final PlacementTicket ticket;
-    /** The target as it was published when the request was placed. */
-    private final Target target;
+    /** The target as it was published when the request was sent. */
+    private Target target;
 
     private String peerName = "";
     private long sentAtMillis;
@@ -31,7 +31,7 @@
         return entry;
     }
 
-    /** Returns the target as it was published when the request was placed; its entry may have changed since. */
+    /** Returns the target as it was published when the request was sent; its entry may have changed since. */
     Target target() {
         return target;
     }
@@ -43,6 +43,7 @@
     /** Records that the request was sent, through a peer if its name is not empty. */
     void sent(String relayingPeer, long nowMillis) {
         peerName = relayingPeer;
+        target = entry.state().target();
         sentAtMillis = nowMillis;
     }
 
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -244,6 +244,9 @@
             EventField.ENDING,
             EventField.INSIDE_EVENT,
             EventField.STREAM_VERSION),
+    /** A stream is not resumed. */
+    STREAM_NOT_RESUMED(
+            Level.INFO, EventField.REQUEST, EventField.SERVICE, EventField.STREAM_VERSION, EventField.REASON),
     /** A run ended with its connection, or in silence; tells whether its target can still be reached. */
     RUN_LOST(
             Level.INFO,
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -29,11 +29,13 @@
 import org.whinwharf.traffic.crash.ImmutableLostRun;
 import org.whinwharf.traffic.crash.LostRun;
 import org.whinwharf.traffic.placement.Candidate;
+import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.traffic.placement.TargetSelector;
 import org.whinwharf.traffic.policy.ImmutablePolicy;
 import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.target.ImmutableTarget;
 import org.whinwharf.traffic.target.PromptCacheIndex;
 import org.whinwharf.traffic.target.TargetState;
 import org.whinwharf.wire.fleet.RunEvent;
@@ -285,6 +287,59 @@
         return state;
     }
 
+    private void engine(String id, int slots, String version) {
+        targets.put(
+                id,
+                new TargetState(
+                        ImmutableTarget.copyOf(Fixtures.target(id, slots)).withVersion(version)));
+    }
+
+    /** Returns the request of a stream that began at the given software version. */
+    private static PlacementRequest resumed(PlacementRequest request, String version) {
+        return ImmutablePlacementRequest.copyOf(request)
+                .withDemand(ImmutableDemand.copyOf(request.demand()).withRequiredVersion(version));
+    }
+
+    /** Guards against a resumed stream that continues at the free target of another version. */
+    @Test
+    void resumedStreamWaitsForATargetOfItsVersion() {
+        engine("old", 1, "v1");
+        engine("new", 8, "v2");
+        coordinator.requestPlacement(resumed(placementRequest("front-1", 1, 0, 0), "v1"), 0);
+        coordinator.requestPlacement(resumed(placementRequest("front-1", 2, 0, 0), "v1"), 0);
+        assertThat(granted, contains("front-1/1@old"));
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_ANSWERED, 0, 100);
+        assertThat(granted, contains("front-1/1@old", "front-1/2@old"));
+    }
+
+    /** Guards against a resumed stream behind which new requests wait though targets of another version are free. */
+    @Test
+    void waitingResumedStreamsHoldUpNoOthers() {
+        engine("old", 1, "v1");
+        engine("new", 8, "v2");
+        coordinator.requestPlacement(resumed(placementRequest("front-1", 1, 0, 0), "v1"), 0);
+        for (int id = 2; id < 7; id++) {
+            coordinator.requestPlacement(resumed(placementRequest("front-1", id, 0, 0), "v1"), 0);
+        }
+        coordinator.requestPlacement(placementRequest("front-2", 7, 0, 0), 0);
+        coordinator.requestPlacement(placementRequest("front-2", 8, 2, 0), 0);
+        assertThat(granted, contains("front-1/1@old", "front-2/7@new", "front-2/8@new"));
+    }
+
+    /** Guards against new requests that overtake a resumed stream for ever, one at each slot of its version. */
+    @Test
+    void resumedStreamPrecedesNewRequestsOfItsRank() {
+        engine("old", 1, "v1");
+        coordinator.requestPlacement(placementRequest("front-1", 1, 0, 0), 0);
+        coordinator.requestPlacement(placementRequest("front-1", 2, 0, 0), 0);
+        // It is late already, since its caller has followed it for a while.
+        PlacementRequest late = ImmutablePlacementRequest.copyOf(placementRequest("front-2", 3, 0, 50))
+                .withOnTimeUntilMillis(0);
+        coordinator.requestPlacement(resumed(late, "v1"), 50);
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_ANSWERED, 0, 100);
+        assertThat(granted, contains("front-1/1@old", "front-2/3@old"));
+    }
+
     private int running() {
         return targets.values().stream().mapToInt(TargetState::inFlight).sum();
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -150,6 +150,7 @@
         int queuedAhead = queue.queuedAhead(queued, nowMillis);
         long timeoutMillis = queue.effectiveTimeoutAtMillis(queued, nowMillis) - nowMillis;
         return dependencies.policy().isEnabled(Mechanism.REFUSAL_ON_ARRIVAL)
+                && !queued.resumesStream()
                 && queuedAhead >= MIN_AHEAD_FOR_REJECTION
                 && estimatedWaitMillis(queuedAhead, queued.tierRank(), nowMillis) > timeoutMillis;
     }
@@ -357,6 +358,11 @@
             return request.demand().model();
         }
 
+        @Override
+        public boolean resumesStream() {
+            return request.demand().requiredVersion().isPresent();
+        }
+
         @Override
         public DispatchResult tryDispatch(long nowMillis) {
             Assessment assessment = assess(request, nowMillis);
@@ -376,8 +382,8 @@
                     .withRemainingMillis(request.deadlineAtMillis() - nowMillis);
             Optional<Candidate> selected = select(isolation.alternatives(demand, assessment, nowMillis), nowMillis);
             if (selected.isEmpty()) {
-                // Other requests may use the targets that a suspect must not.
-                return suspect.isPresent() ? DispatchResult.HELD : DispatchResult.NO_TARGET;
+                // Other requests may use the targets that a suspect or a resumed stream must not.
+                return suspect.isPresent() || resumesStream() ? DispatchResult.HELD : DispatchResult.NO_TARGET;
             }
             if (!assessment.strongSuspect() && shouldWaitForFasterTarget(selected.get(), demand, nowMillis)) {
                 return DispatchResult.HELD;
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Demand.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Demand.java
@@ -1,6 +1,7 @@
 package org.whinwharf.traffic.placement;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.immutables.value.Value;
@@ -100,6 +101,13 @@
      */
     Set<String> triedTargets();
 
+    /**
+     * Returns the software version that the request requires.
+     *
+     * @return version that began the stream that the request resumes; empty if any target is suitable
+     */
+    Optional<String> requiredVersion();
+
     /**
      * Returns whether a target may have crashed under the request.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
@@ -211,6 +211,8 @@
                 && !(demand.suspect() && state.cold(nowMillis))
                 && !evacuatedDataCentres.contains(state.target().dataCentre())
                 && !demand.triedTargets().contains(state.target().id())
+                && (demand.requiredVersion().isEmpty()
+                        || demand.requiredVersion().get().equals(state.target().version()))
                 && (demand.model().isEmpty()
                         || state.target().models().isEmpty()
                         || state.target().models().contains(demand.model()));
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/DispatchResult.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/DispatchResult.java
@@ -6,7 +6,7 @@
     SENT,
     /** No target accepts the request now. Other requests for the same model usually have no target either. */
     NO_TARGET,
-    /** The request waits for a faster target than the free ones. Other requests may still be dispatched. */
+    /** The request waits for a certain target, such as a faster one than the free ones; other requests do not. */
     HELD,
     /** The request must not be dispatched; it was rejected and has left the queue. */
     REJECTED;
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueuedRequest.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueuedRequest.java
@@ -45,6 +45,16 @@
      */
     String requiredModel();
 
+    /**
+     * Tells whether the request resumes a stream, so that only targets of one software version are suitable. It
+     * precedes the new requests of its rank, whose targets it might otherwise never get, and holds up none of them.
+     *
+     * @return true if it resumes a stream
+     */
+    default boolean resumesStream() {
+        return false;
+    }
+
     /**
      * Tries to dispatch the request.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/RequestQueue.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/RequestQueue.java
@@ -10,9 +10,9 @@
 import org.whinwharf.traffic.policy.Policy;
 
 /**
- * Queue of the requests of one service, ordered by rank. Within a rank, requests that can still meet their objective
- * precede late ones, then order of arrival decides, in which short requests have a head start. A burst therefore delays
- * some requests instead of all that follow, and few of them.
+ * Queue of the requests of one service, ordered by rank. Within a rank, resumed streams precede new requests, requests
+ * that can still meet their objective precede late ones, then order of arrival decides, in which short requests have a
+ * head start. A burst therefore delays some requests instead of all that follow, and few of them.
  *
  * <p>Requests are queued here instead of at an engine, because here a later request of a higher tier is still served
  * first, and a request whose caller disconnects costs nothing.
@@ -64,17 +64,20 @@
     }
 
     /**
-     * Tells whether a request of the same or a higher tier is queued.
+     * Tells whether a request of the same or a higher tier is queued, apart from resumed streams.
      *
      * @param tierRank rank
      * @return true if such a request must be served first
      */
     public boolean hasQueuedAhead(int tierRank) {
-        return requestsByRank.headMap(tierRank, true).values().stream().anyMatch(list -> !list.isEmpty());
+        return requestsByRank.headMap(tierRank, true).values().stream()
+                .flatMap(List::stream)
+                .anyMatch(request -> !request.resumesStream());
     }
 
     /**
-     * Returns the number of queued requests that are served before a given one.
+     * Returns the number of queued requests that are served before a given one, apart from resumed streams, which wait
+     * for targets that most others do not need.
      *
      * @param request request, queued or not
      * @param nowMillis monotonic time in milliseconds
@@ -85,10 +88,13 @@
         int ahead = 0;
         for (List<QueuedRequest> list :
                 requestsByRank.headMap(request.tierRank()).values()) {
-            ahead += list.size();
+            for (QueuedRequest other : list) {
+                ahead += other.resumesStream() ? 0 : 1;
+            }
         }
         for (QueuedRequest other : requestsByRank.getOrDefault(request.tierRank(), List.of())) {
-            boolean precedes = other != request && other.orderMillis() <= request.orderMillis();
+            boolean precedes =
+                    other != request && !other.resumesStream() && other.orderMillis() <= request.orderMillis();
             ahead += precedes && nowMillis <= other.onTimeUntilMillis() ? 1 : 0;
         }
         return ahead;
@@ -177,7 +183,8 @@
             List<QueuedRequest> current = requestsByRank.put(rank, new ArrayList<>());
             List<QueuedRequest> remaining = new ArrayList<>();
             size -= current.size();
-            current.sort(Comparator.comparing((QueuedRequest request) ->
+            current.sort(Comparator.comparing((QueuedRequest request) -> !request.resumesStream())
+                    .thenComparing(request ->
                             policy.isEnabled(Mechanism.ON_TIME_FIRST) && nowMillis > request.onTimeUntilMillis())
                     .thenComparingLong(QueuedRequest::orderMillis));
             // A request may queue itself again during its dispatch, so the current list was detached above.
