Resume a caller's stream at any front at the version that began it

Service and version of the target are recorded under a digest of the organisation and of the attempt that brought the first event, here and at three other fronts by rendezvous hashing, by one datagram to each, sent before the event is written to the caller. A resumed attempt is placed by its own record, or else by that of the fronts asked (eight at most, three times within 90 ms). When the membership changes, origins are passed on to the fronts that become their owners. Kept 30 s, 20,000 at most. Nobody knows: the only version that the service's targets have had for 30 s, by fresh items, else the stream is refused at once as not run. A stream whose route no longer leads to its service is refused as well. Services of a split route: that of the origin, not the one drawn for the new attempt; so the quota is consumed after that.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -57,9 +57,19 @@
         return fronts.size() - 1;
     }
 
+    /** Starts a further front that finds the fleet through the given one, and returns it without waiting for it. */
+    FrontFixture startFrontBeside(int seed) throws IOException {
+        FrontFixture front = addFront(List.of(fronts.get(seed).ip()));
+        front.publishCatalog(attempts, 5_000, engine, 500);
+        return front;
+    }
+
     private void addFront() throws IOException {
-        FrontFixture front = new FrontFixture(
-                fronts.isEmpty() ? List.of() : List.of(fronts.get(0).ip()));
+        addFront(fronts.isEmpty() ? List.of() : List.of(fronts.get(0).ip()));
+    }
+
+    private FrontFixture addFront(List<String> seedIps) throws IOException {
+        FrontFixture front = new FrontFixture(seedIps);
         fronts.add(front);
         List<CutLink> ofFront = new ArrayList<>();
         links.add(ofFront);
@@ -68,6 +78,7 @@
             ofFront.add(link);
             front.publish("t" + j, front.ip(), link.port(), 8, 1, 0, versions.get(j));
         }
+        return front;
     }
 
     private void awaitFleet() throws InterruptedException {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -137,11 +137,24 @@
             long startedUnixMillis,
             long coldRemainingMillis,
             String version) {
+        publish(id, targetIp, port, slots, startedUnixMillis, coldRemainingMillis, version, "service");
+    }
+
+    /** Publishes a target of another service. */
+    void publish(
+            String id,
+            String targetIp,
+            int port,
+            int slots,
+            long startedUnixMillis,
+            long coldRemainingMillis,
+            String version,
+            String service) {
         run(() -> front.publish(
                 ImmutableTarget.builder()
                         .id(id)
                         .version(version)
-                        .service("service")
+                        .service(service)
                         .ip(targetIp)
                         .port(port)
                         .dataCentre("zilina-a")
@@ -165,17 +178,35 @@
 
     /** Publishes routes of all kinds with the given latency objective, from which queue timeouts are derived. */
     void publishCatalog(int attempts, long timeoutMillis, boolean engine, long objectiveMillis) {
+        publishCatalog(1, "service", attempts, timeoutMillis, engine, objectiveMillis);
+        while (!front.ready()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Publishes a later catalog whose routes lead to another service, with one attempt each. */
+    void publishCatalogOf(String service, long catalogVersion) {
+        publishCatalog(catalogVersion, service, 1, 5_000, false, 500);
+    }
+
+    private void publishCatalog(
+            long catalogVersion,
+            String service,
+            int attempts,
+            long timeoutMillis,
+            boolean engine,
+            long objectiveMillis) {
         List<Route> routes = List.of(
-                route("/safe/", RouteKind.SAFE, attempts, timeoutMillis, objectiveMillis, false),
-                route("/unsafe/", RouteKind.UNSAFE, attempts, timeoutMillis, objectiveMillis, false),
-                route("/stream/", RouteKind.STREAMING, attempts, timeoutMillis, objectiveMillis, false),
-                route("/resumable/", RouteKind.STREAMING, attempts, timeoutMillis, objectiveMillis, true));
+                route(service, "/safe/", RouteKind.SAFE, attempts, timeoutMillis, objectiveMillis, false),
+                route(service, "/unsafe/", RouteKind.UNSAFE, attempts, timeoutMillis, objectiveMillis, false),
+                route(service, "/stream/", RouteKind.STREAMING, attempts, timeoutMillis, objectiveMillis, false),
+                route(service, "/resumable/", RouteKind.STREAMING, attempts, timeoutMillis, objectiveMillis, true));
         run(() -> front.publish(new Catalog(
-                1,
+                catalogVersion,
                 CallerLimits.DEFAULT,
                 routes,
                 List.of(ImmutableTargetService.builder()
-                        .name("service")
+                        .name(service)
                         .healthPath("/health")
                         .maxConnections(10)
                         .coldStartMillis(0)
@@ -183,19 +214,22 @@
                         .engine(engine)
                         .build()),
                 List.of())));
-        while (!front.ready()) {
-            Thread.onSpinWait();
-        }
     }
 
     private static Route route(
-            String prefix, RouteKind kind, int attempts, long timeoutMillis, long objectiveMillis, boolean resumable) {
+            String service,
+            String prefix,
+            RouteKind kind,
+            int attempts,
+            long timeoutMillis,
+            long objectiveMillis,
+            boolean resumable) {
         return ImmutableRoute.builder()
                 .name(prefix)
                 .hostName("h")
                 .pathPrefix(prefix)
                 .kind(kind)
-                .addServices(new ServiceWeight("service", 1))
+                .addServices(new ServiceWeight(service, 1))
                 .timeoutMillis(timeoutMillis)
                 .latencyObjectiveMillis(objectiveMillis)
                 .tierRank(0)
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamVersionTest.java
@@ -3,15 +3,21 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
+import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -88,6 +94,136 @@
         }
     }
 
+    /** Guards against losing the version on the way through several attempts, each at another front. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void chainOfResumedAttemptsKeepsTheFirstVersion(boolean engine) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(3, TWO_VERSIONS, engine, 1, VersionedFleet.Interruption.EACH_RUN_BROKEN_OFF)) {
+            List<VersionedFleet.Received> streams = new ArrayList<>();
+            // One after the other, since streams broken off twice at once are kept apart as possible causes of crashes.
+            for (int i = 0; i < STREAMS; i++) {
+                VersionedFleet.Received first = fleet.call(i % 3, "a" + i, nothing(i));
+                VersionedFleet.Received second = fleet.call((i + 1) % 3, "b" + i, first);
+                streams.add(fleet.call((i + 2) % 3, "c" + i, second));
+            }
+            assertContinuedAtOneVersion(streams);
+        }
+    }
+
+    /** Guards against a front that has just started and does not know what its peers remember of streams. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void frontThatHasJustStartedResumesAtTheRightVersion(boolean engine) throws Exception {
+        try (VersionedFleet fleet = new VersionedFleet(3, TWO_VERSIONS, engine, 1, VersionedFleet.Interruption.HELD)) {
+            List<VersionedFleet.Received> begun = beginAndKill(fleet, 0);
+            FrontFixture fresh = fleet.fleet().startFrontBeside(1);
+            assertContinuedAtOneVersion(callAll(i -> fleet.call(fresh, "b" + i, begun.get(i))));
+        }
+    }
+
+    /** Guards against versions that only the coordinator knew, which is lost between two attempts. */
+    @Test
+    void lossOfTheCoordinatorLosesNoVersion() throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(4, TWO_VERSIONS, true, 1, VersionedFleet.Interruption.BROKEN_OFF)) {
+            List<VersionedFleet.Received> begun = callAll(i -> fleet.call(i % 4, "a" + i, nothing(i)));
+            int coordinator = fleet.fleet().coordinator();
+            fleet.fleet().front(coordinator).kill();
+            assertContinuedAtOneVersion(callAll(i -> fleet.call((coordinator + 1 + i % 3) % 4, "b" + i, begun.get(i))));
+        }
+    }
+
+    /** Guards against versions that are lost when two of four fronts are killed at the same moment. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void lossOfHalfOfTheFrontsLosesNoVersion(boolean engine) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(4, TWO_VERSIONS, engine, 1, VersionedFleet.Interruption.BROKEN_OFF)) {
+            List<VersionedFleet.Received> begun = callAll(i -> fleet.call(i % 4, "a" + i, nothing(i)));
+            fleet.fleet().front(0).kill();
+            fleet.fleet().front(1).kill();
+            assertContinuedAtOneVersion(callAll(i -> fleet.call(2 + i % 2, "b" + i, begun.get(i))));
+        }
+    }
+
+    /** Guards against a guess about a stream that nobody knows, and against an untrue or late refusal. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void unknownStreamIsRefusedAtOnceAndNotRun(boolean engine) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(2, TWO_VERSIONS, engine, 1, VersionedFleet.Interruption.BROKEN_OFF)) {
+            VersionedFleet.Received unknown =
+                    new VersionedFleet.Received("s", "unknown", List.of("v1", "v1", "v1"), "", false);
+            long sentNanos = System.nanoTime();
+            String response;
+            try (Socket socket = VersionedFleet.open(fleet.fleet().front(0), "b", unknown)) {
+                response = FrontFixture.readAll(socket);
+            }
+            assertThat(System.nanoTime() - sentNanos, lessThan(TimeUnit.MILLISECONDS.toNanos(500)));
+            assertThat(response, startsWith("HTTP/1.1 503"));
+            assertThat(response.toLowerCase(Locale.ROOT), containsString("retry-after: 2"));
+            assertThat(response, containsString("stream-unknown"));
+            for (FakeTarget target : fleet.fleet().targets()) {
+                assertThat(target.requests(), not(hasItem(containsString("/resumable/s"))));
+            }
+        }
+    }
+
+    /** Guards against refusing a stream that can only have begun at the one version that all targets have. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void unknownStreamOfTheOnlyVersionIsResumed(boolean engine) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(1, List.of("v1", "v1"), engine, 1, VersionedFleet.Interruption.BROKEN_OFF)) {
+            FrontFixture front = fleet.fleet().front(0);
+            assertThat("resumed by stale items", resumeUnknown(fleet, "a").wentOn(), is(false));
+            front.run(() -> front.front().feed().applySnapshot(List.of(), 1));
+            assertThat("resumed", resumeUnknown(fleet, "b").wentOn(), is(true));
+            fleet.fleet().setVersion(0, "v2");
+            fleet.fleet().publishRestart(0);
+            fleet.fleet().setVersion(0, "v1");
+            fleet.fleet().publishRestart(0);
+            assertThat(
+                    "resumed after another version", resumeUnknown(fleet, "c").wentOn(), is(false));
+        }
+    }
+
+    /** Resumes a stream that no front knows. */
+    private static VersionedFleet.Received resumeUnknown(VersionedFleet fleet, String stream) throws IOException {
+        return fleet.call(
+                0,
+                "resumed-" + stream,
+                new VersionedFleet.Received(stream, "unknown-" + stream, List.of("v1", "v1", "v1"), "", false));
+    }
+
+    /** Guards against refusing what was served before, where all targets have one version. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void allStreamsOfOneVersionAreContinued(boolean engine) throws Exception {
+        try (VersionedFleet fleet = new VersionedFleet(
+                3, List.of("v1", "v1", "v1", "v1"), engine, 1, VersionedFleet.Interruption.BROKEN_OFF)) {
+            List<VersionedFleet.Received> begun = callAll(i -> fleet.call(i % 3, "a" + i, nothing(i)));
+            List<VersionedFleet.Received> streams = callAll(i -> fleet.call((i + 1) % 3, "b" + i, begun.get(i)));
+            assertThat(streams.stream().allMatch(VersionedFleet.Received::wentOn), is(true));
+        }
+    }
+
+    /** Guards against a stream that continues at another service, because its route was moved between two attempts. */
+    @Test
+    void streamIsNotContinuedAtAnotherService() throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(2, TWO_VERSIONS, false, 1, VersionedFleet.Interruption.BROKEN_OFF)) {
+            VersionedFleet.Received begun = fleet.call(0, "a", nothing(0));
+            FrontFixture front = fleet.fleet().front(1);
+            front.publishCatalogOf("other", 2);
+            front.publish("o", front.ip(), fleet.fleet().targets().get(0).port(), 8, 1, 0, "v1", "other");
+            VersionedFleet.Received resumed = fleet.call(1, "b", begun);
+            assertThat(resumed.lastStatus(), startsWith("HTTP/1.1 503"));
+            assertThat(resumed.versions(), is(begun.versions()));
+        }
+    }
+
     /** Guards against a stream whose version is no longer served, and that ends as complete or at another version. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
@@ -14,7 +14,7 @@
 /**
  * Fronts before targets of several software versions, whose streams name in each event the version that wrote it.
  *
- * <p>Targets interrupt new streams after their third event, and complete resumed ones.
+ * <p>Targets interrupt new streams after their third event, and complete resumed ones unless said otherwise.
  */
 final class VersionedFleet implements AutoCloseable {
     /** Number of events of a complete stream. */
@@ -26,12 +26,25 @@
     private static final Pattern RESUME_AFTER = Pattern.compile("resume-after: (\\d+)");
     private static final Pattern EVENT = Pattern.compile("id: (\\d+)\ndata: (\\S+)\n\n");
 
-    /** What a target does with a new stream after the third event. */
+    /** Number of events in each run of {@link Interruption#EACH_RUN_BROKEN_OFF}. */
+    private static final int EVENTS_PER_RUN = 2;
+
+    /** How targets interrupt streams. */
     enum Interruption {
-        /** It closes the connection. */
+        /** The connection of a new stream is closed after its third event. */
         BROKEN_OFF,
-        /** It sends nothing more. */
-        HELD
+        /** Nothing more is sent of a new stream after its third event. */
+        HELD,
+        /** The connection of any stream is closed after two more events, unless the stream is complete then. */
+        EACH_RUN_BROKEN_OFF;
+
+        /** Returns the id of the last event that a target sends after the given one. */
+        private int lastEvent(int after) {
+            if (this == EACH_RUN_BROKEN_OFF) {
+                return Math.min(EVENTS, after + EVENTS_PER_RUN);
+            }
+            return after == 0 ? EVENTS_BEFORE_INTERRUPTION : EVENTS;
+        }
     }
 
     /**
@@ -147,20 +160,20 @@
         String version = fleet.version(fleet.targetOf(socket));
         Matcher resumed = RESUME_AFTER.matcher(request.toLowerCase(Locale.ROOT));
         int after = resumed.find() ? Integer.parseInt(resumed.group(1)) : 0;
-        boolean interrupted = after == 0;
+        int last = interruption.lastEvent(after);
         FakeTarget.write(
                 socket,
                 "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attemptId(request)
                         + "\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n");
-        for (int id = after + 1; id <= (interrupted ? EVENTS_BEFORE_INTERRUPTION : EVENTS); id++) {
+        for (int id = after + 1; id <= last; id++) {
             FakeTarget.write(socket, FakeTarget.chunk("id: " + id + "\ndata: " + version + "\n\n"));
         }
-        if (!interrupted) {
+        if (last == EVENTS) {
             FakeTarget.write(socket, LAST_CHUNK);
-        } else if (interruption == Interruption.BROKEN_OFF) {
-            socket.close();
-        } else {
+        } else if (interruption == Interruption.HELD) {
             socket.getInputStream().read();
+        } else {
+            socket.close();
         }
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/AdmissionControl.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/AdmissionControl.java
@@ -19,20 +19,16 @@
      *
      * @param route route of the request, from the catalog in force on arrival
      * @param organisation organisation of the caller; empty on public routes
-     * @param service service that handles the request
      * @param tierRank tier rank; 0 is served first
      * @param quotaTokens tokens that the request consumes of the organisation's quota
-     * @param quotaConsumed true when the tokens were consumed here; otherwise the coordinator consumes them
      * @param deadlineAtMillis time of the monotonic clock by which the caller gets its final response
      * @param queueTimeoutAtMillis time of the monotonic clock until which the request may wait for a target
      */
     record Admitted(
             Route route,
             Optional<Organisation> organisation,
-            String service,
             int tierRank,
             long quotaTokens,
-            boolean quotaConsumed,
             long deadlineAtMillis,
             long queueTimeoutAtMillis)
             implements Decision {}
@@ -51,7 +47,7 @@
         this.front = front;
     }
 
-    /** Admits or rejects a request; consumes its quota unless another front coordinates the service. */
+    /** Admits or rejects a request by its route and key; {@link #consumeQuota} decides on its quota. */
     Decision decide(RequestHead head, long nowMillis) {
         Optional<Catalog> catalog = front.catalog();
         if (catalog.isEmpty()) {
@@ -66,16 +62,7 @@
         if (catalog.get().requiresKeys() && !route.publicAccess() && organisation.isEmpty()) {
             return rejected(ErrorKind.UNKNOWN_CREDENTIAL, 0, organisation);
         }
-        long tokens = quotaTokens(head, organisation);
-        String service = route.selectService(head.attemptId());
-        boolean remoteCoordinator =
-                organisation.isPresent() && front.coordination().hasRemoteCoordinator(service);
-        Optional<ErrorResponse> error =
-                remoteCoordinator ? Optional.empty() : consumeQuota(organisation, service, tokens, nowMillis);
-        if (error.isPresent()) {
-            return new Rejected(error.get(), organisation);
-        }
-        return admitted(head, route, organisation, service, tokens, !remoteCoordinator, nowMillis);
+        return admitted(head, route, organisation, nowMillis);
     }
 
     /**
@@ -98,14 +85,7 @@
                 : front.quotas().tryAdmitUncoordinated(organisation, tokens, nowMillis);
     }
 
-    private Admitted admitted(
-            RequestHead head,
-            Route route,
-            Optional<Organisation> organisation,
-            String service,
-            long tokens,
-            boolean quotaConsumed,
-            long nowMillis) {
+    private Admitted admitted(RequestHead head, Route route, Optional<Organisation> organisation, long nowMillis) {
         long timeoutMillis =
                 Math.min(route.timeoutMillis(), head.timeoutMillis().orElse(route.timeoutMillis()));
         OptionalInt organisationRank = organisation.map(Organisation::tierRank).orElse(OptionalInt.empty());
@@ -113,10 +93,8 @@
         return new Admitted(
                 route,
                 organisation,
-                service,
                 tierRank,
-                tokens,
-                quotaConsumed,
+                quotaTokens(head, organisation),
                 nowMillis + timeoutMillis,
                 nowMillis + QueueTimeouts.queueTimeoutMillis(route.latencyObjectiveMillis(), timeoutMillis));
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -11,6 +11,7 @@
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
+import org.whinwharf.traffic.catalog.RouteKind;
 import org.whinwharf.traffic.coordination.RejectionDetails;
 import org.whinwharf.traffic.crash.Assessment;
 import org.whinwharf.traffic.crash.Fingerprint;
@@ -18,6 +19,9 @@
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.traffic.policy.Mechanism;
+import org.whinwharf.traffic.stream.ImmutableStreamOrigin;
+import org.whinwharf.traffic.stream.StreamKey;
+import org.whinwharf.traffic.stream.StreamOrigin;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.waiting.DispatchResult;
 import org.whinwharf.traffic.waiting.QueueTimeouts;
@@ -50,7 +54,15 @@
     /** Retry-After delay of a request that lost its target: until all fronts know of it. */
     private static final long SUSPECT_RETRY_AFTER_MILLIS = 100;
 
+    /**
+     * Retry-After delay of a stream that cannot be resumed: entries of targets that have lapsed with the publishing
+     * service are back by then, and peers that were cut off may answer.
+     */
+    private static final long UNRESUMED_RETRY_AFTER_MILLIS = 2_000;
+
     private enum Stage {
+        /** The processes that may know where the resumed stream began are being asked. */
+        RESOLVING_ORIGIN,
         /** Queued in this process. */
         QUEUED,
         /** A placement request was sent to a coordinator. */
@@ -139,24 +151,91 @@
         quotaTokens = admitted.quotaTokens();
         deadlineAtMillis = admitted.deadlineAtMillis();
         queueTimeoutAtMillis = admitted.queueTimeoutAtMillis();
-        service = admitted.service();
-        quotaConsumed = admitted.quotaConsumed();
+        if (route.kind() == RouteKind.STREAMING && head.lastEventId().isPresent()) {
+            findOrigin();
+        } else {
+            serveBy(route.selectService(head.attemptId()));
+        }
+    }
+
+    /** Finds out at which service and version the stream that the caller resumes has begun. */
+    private void findOrigin() {
+        stage = Stage.RESOLVING_ORIGIN;
+        head.resumedAttemptId()
+                .ifPresentOrElse(
+                        attemptId -> front.streams().find(streamKey(attemptId), this::originFound),
+                        () -> originFound(new StreamTracker.Finding(Optional.empty(), "", 0)));
+    }
+
+    private void originFound(StreamTracker.Finding finding) {
+        if (stage != Stage.RESOLVING_ORIGIN) {
+            return;
+        }
+        Optional<StreamOrigin> origin =
+                finding.origin().or(this::onlyPossibleOrigin).filter(StreamOrigin::versionKnown);
+        if (origin.isEmpty()) {
+            notResumed(ResumptionOutcome.UNKNOWN, finding.silentProcesses());
+        } else if (!route.leadsTo(origin.get().service())) {
+            stream.resumes(origin.get());
+            notResumed(ResumptionOutcome.ROUTE_CHANGED, finding.silentProcesses());
+        } else {
+            FrontLog.originFound(this, origin.get(), finding);
+            stream.resumes(origin.get());
+            serveBy(origin.get().service());
+        }
+    }
+
+    /** Returns the origin of a stream that no process knows, if it can only have begun at one service and version. */
+    private Optional<StreamOrigin> onlyPossibleOrigin() {
+        return route.onlyService()
+                .flatMap(only -> front.onlyVersion(only)
+                        .map(version -> ImmutableStreamOrigin.builder()
+                                .key(streamKey(head.resumedAttemptId().orElse(head.attemptId())))
+                                .service(only)
+                                .version(version)
+                                .recordedAtMillis(front.nowMillis())
+                                .build()));
+    }
+
+    private StreamKey streamKey(String attemptId) {
+        return StreamKey.of(organisation.map(Organisation::name).orElse(""), attemptId);
+    }
+
+    /** Consumes the quota unless another process coordinates the service, and places the request. */
+    private void serveBy(String chosenService) {
+        service = chosenService;
+        boolean remoteCoordinator =
+                organisation.isPresent() && front.coordination().hasRemoteCoordinator(service);
+        if (!remoteCoordinator) {
+            Optional<ErrorResponse> error =
+                    front.admission().consumeQuota(organisation, service, quotaTokens, front.nowMillis());
+            if (error.isPresent()) {
+                respondWithError(error.get());
+                return;
+            }
+            quotaConsumed = true;
+        }
         front.retryBudget(service).recordRequest(arrivedAtMillis);
-        place(arrivedAtMillis);
+        place(front.nowMillis());
     }
 
     /** Binds a stream whose first event is about to reach the caller to the version of its target. */
     private void streamStartsAtCaller() {
-        if (!stream.isBound()) {
-            stream.began(targetRun);
+        if (stream.isBound()) {
+            stream.resumed();
+        } else if (route.resumable()) {
+            stream.began(streamKey(head.attemptId()), targetRun);
         }
     }
 
     /** Ends a request whose stream cannot be resumed, though another target may serve a new one. */
-    private void notResumed(ResumptionOutcome outcome) {
+    private void notResumed(ResumptionOutcome outcome, int silentProcesses) {
         front.metrics().streamResumption(outcome);
-        FrontLog.notResumed(this, outcome);
-        respondWithError(new ErrorResponse(ErrorKind.TARGET_LOST, 0));
+        FrontLog.notResumed(this, outcome, silentProcesses);
+        ErrorKind kind =
+                outcome == ResumptionOutcome.UNKNOWN ? ErrorKind.STREAM_UNKNOWN : ErrorKind.VERSION_UNAVAILABLE;
+        respondWithError(
+                new ErrorResponse(mayHaveExecuted() ? ErrorKind.TARGET_LOST : kind, UNRESUMED_RETRY_AFTER_MILLIS));
     }
 
     private boolean streamCanContinue() {
@@ -174,7 +253,7 @@
             return;
         }
         if (!streamCanContinue()) {
-            notResumed(ResumptionOutcome.NO_TARGET);
+            notResumed(ResumptionOutcome.NO_TARGET, 0);
             return;
         }
         suspect = assessment.suspect();
@@ -430,7 +509,7 @@
             place(nowMillis);
             return;
         }
-        if (stream.isBound() && !accepts(current.entry().state().target())) {
+        if (!accepts(current.entry().state().target())) {
             current.entry().pool().release(acquired);
             endRun(RunEvent.RUN_GIVEN_UP);
             placeElsewhere(current.entry().state().target().id(), nowMillis);
@@ -700,7 +779,7 @@
         boolean unplaced = stage == Stage.QUEUED || stage == Stage.AWAITING_PLACEMENT;
         if (unplaced && !streamCanContinue()) {
             removeFromQueue();
-            notResumed(ResumptionOutcome.NO_TARGET);
+            notResumed(ResumptionOutcome.NO_TARGET, 0);
             return;
         }
         if (stage == Stage.AWAITING_PLACEMENT && nowMillis > queueTimeoutAtMillis + COORDINATOR_GRACE_MILLIS) {
@@ -859,6 +938,10 @@
         return catalogFreshness;
     }
 
+    long nowMillis() {
+        return front.nowMillis();
+    }
+
     /** Returns the time in milliseconds since the request arrived. */
     long ageMillis() {
         return front.nowMillis() - arrivedAtMillis;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -73,6 +73,8 @@
     private static final long CATALOG_WAIT_LIMIT_MILLIS = 600;
     /** Delay after the start until metrics are served, so that requests are served first. */
     private static final long METRICS_START_DELAY_MILLIS = 2_000;
+    /** Maximum age of the published items by which a service can be said to have one software version only. */
+    private static final long MAX_VERSIONS_AGE_MILLIS = 3_000;
     /** Time before the end of the grace period at which the process stops even if requests are in flight. */
     private static final long STOP_MARGIN_MILLIS = 600;
 
@@ -102,6 +104,7 @@
     private final PeerDatagrams datagrams;
     private final Gossip gossip;
     private final CrashTracker crashes;
+    private final StreamTracker streams;
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
     private final LostRunRecorder lostRuns = new LostRunRecorder(this);
@@ -153,6 +156,7 @@
         datagrams = new PeerDatagrams(settings);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
+        streams = new StreamTracker(settings, members, datagrams, loop, ticker);
         coordination = new Coordination(
                 settings, members, targets, datagrams, ticker, this::createCoordinator, this::isCoordinated);
         gossip = new Gossip(
@@ -258,6 +262,7 @@
                 "whinwharf.lost.runs",
                 "Runs remembered because their targets may have crashed under them",
                 crashes.ledger()::size);
+        metrics.gauge("whinwharf.streams.remembered", "Streams whose software version is remembered", streams::size);
         metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
         new HttpEndpoint(loop, (method, uri) -> new HttpEndpoint.Response(200, "text/plain", metrics.scrape()))
                 .bind(settings.ip(), settings.metricsPort())
@@ -456,6 +461,7 @@
         feed.tick();
         targets.sweep();
         crashes.sweep();
+        streams.updateOwners();
         pathMonitor.recheckLostPaths();
         List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowMillis));
         members.expire(nowMillis)
@@ -674,11 +680,22 @@
         return targets.entry(targetId);
     }
 
+    StreamTracker streams() {
+        return streams;
+    }
+
     /** Tells whether a service has a target of a version, outside of the given sets, that is not on its way out. */
     boolean hasTarget(String service, String version, Set<String> tried, Set<String> pathless) {
         return targets.hasTarget(service, version, id -> !tried.contains(id) && !pathless.contains(id));
     }
 
+    /** Returns the only software version at which a stream of a service can have begun; empty if there are several. */
+    Optional<String> onlyVersion(String service) {
+        return feed.ageMillis() <= MAX_VERSIONS_AGE_MILLIS
+                ? targets.onlyVersion(service, ticker.nowMillis() - startedAtMillis)
+                : Optional.empty();
+    }
+
     /** Tells whether a service has a usable target of the required version that is not in the given set. */
     boolean hasUntriedTarget(String service, Optional<String> requiredVersion, Set<String> tried) {
         long nowMillis = ticker.nowMillis();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -12,6 +12,7 @@
 import org.whinwharf.traffic.crash.LostRun;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.retry.RetryBudget;
+import org.whinwharf.traffic.stream.StreamOrigin;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.wire.fleet.RelayOutcome;
 
@@ -168,12 +169,37 @@
         event.call();
     }
 
-    /** Logs that a stream is not resumed. */
-    static void notResumed(CallerExchange exchange, ResumptionOutcome outcome) {
+    /** Logs at which version a stream began that a caller resumes, and who knew it; nobody if it was inferred. */
+    static void originFound(CallerExchange exchange, StreamOrigin origin, StreamTracker.Finding finding) {
+        EventLog event = EventLog.event(LogEvent.STREAM_ORIGIN)
+                .with(EventField.REQUEST, exchange.head().attemptId())
+                .with(EventField.SERVICE, origin.service())
+                .with(EventField.STREAM_VERSION, origin.version());
+        exchange.head().resumedAttemptId().ifPresent(id -> event.with(EventField.RESUMES, id));
+        if (finding.origin().isEmpty()) {
+            event.with(EventField.SOURCE, "only-version");
+        } else {
+            event.with(EventField.SOURCE, finding.source().isEmpty() ? "own" : "peer")
+                    .with(EventField.AGE_MILLIS, exchange.nowMillis() - origin.recordedAtMillis());
+        }
+        if (!finding.source().isEmpty()) {
+            event.with(EventField.PEER, finding.source());
+        }
+        event.call();
+    }
+
+    /**
+     * Logs that a stream is not resumed.
+     *
+     * @param silentProcesses number of processes that were asked where it began and have not answered
+     */
+    static void notResumed(CallerExchange exchange, ResumptionOutcome outcome, int silentProcesses) {
         EventLog event = EventLog.event(LogEvent.STREAM_NOT_RESUMED)
                 .with(EventField.REQUEST, exchange.head().attemptId())
                 .with(EventField.SERVICE, exchange.service())
-                .with(EventField.REASON, outcome.tag());
+                .with(EventField.REASON, outcome.tag())
+                .with(EventField.PEERS, silentProcesses);
+        exchange.head().resumedAttemptId().ifPresent(id -> event.with(EventField.RESUMES, id));
         addStreamVersion(event, exchange);
         event.call();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResumptionOutcome.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResumptionOutcome.java
@@ -7,7 +7,11 @@
     /** It is sent to a target of the software version that began it. */
     RESUMED,
     /** No target of that version is left. */
-    NO_TARGET;
+    NO_TARGET,
+    /** Its route no longer leads to the service that began it. */
+    ROUTE_CHANGED,
+    /** It is not known which version began it. */
+    UNKNOWN;
 
     /** Returns the value of the metric's tag and of the log field: the constant's name in lower case, with hyphens. */
     String tag() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamContinuation.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamContinuation.java
@@ -2,26 +2,49 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.whinwharf.traffic.stream.ImmutableStreamOrigin;
+import org.whinwharf.traffic.stream.StreamKey;
+import org.whinwharf.traffic.stream.StreamOrigin;
 import org.whinwharf.traffic.target.Target;
 
 /**
  * The service and software version at which one request's stream must continue.
  *
  * <p>Before the first event reaches the caller, any version will do. From then on, only targets of the version that
- * sent it are suitable.
+ * sent it are suitable, whichever process, attempt or run goes on with the stream.
  */
 final class StreamContinuation {
     private final Front front;
-    /** The target that sent the first event, as it was published when the request was sent. */
-    private Optional<Target> origin = Optional.empty();
+    private Optional<StreamOrigin> origin = Optional.empty();
 
     StreamContinuation(Front front) {
         this.front = front;
     }
 
-    /** Records that a target sends the first event of the stream. */
-    void began(TargetRun run) {
-        origin = Optional.of(run.target());
+    /** Records that a target sends the first event of a new stream; tells the processes that remember the stream. */
+    void began(StreamKey key, TargetRun run) {
+        Target target = run.target();
+        record(ImmutableStreamOrigin.builder()
+                .key(key)
+                .service(target.service())
+                .version(target.version())
+                .recordedAtMillis(front.nowMillis())
+                .build());
+    }
+
+    /** Records that the request resumes a stream of known origin. */
+    void resumes(StreamOrigin known) {
+        origin = Optional.of(known);
+    }
+
+    /** Records that the first event after the resumption reaches the caller, who may resume the stream once more. */
+    void resumed() {
+        origin.ifPresent(known -> record(ImmutableStreamOrigin.copyOf(known).withRecordedAtMillis(front.nowMillis())));
+    }
+
+    private void record(StreamOrigin next) {
+        origin = Optional.of(next);
+        front.streams().record(next);
     }
 
     /** Tells whether the stream has begun, so that only some targets are suitable. */
@@ -31,17 +54,20 @@
 
     /** Returns the version at which the stream must continue; empty if any target is suitable. */
     Optional<String> requiredVersion() {
-        return origin.map(Target::version);
+        return origin.map(StreamOrigin::version);
     }
 
     /** Tells whether a target is suitable. */
     boolean accepts(Target target) {
-        return origin.map(known -> known.version().equals(target.version())).orElse(true);
+        return origin.map(known -> known.service().equals(target.service())
+                        && known.version().equals(target.version()))
+                .orElse(true);
     }
 
     /** Tells whether any suitable target is left, outside of the given sets, that may get requests sooner or later. */
     boolean isPossible(Set<String> triedTargetIds, Set<String> pathlessTargetIds) {
-        return origin.map(known -> front.hasTarget(known.service(), known.version(), triedTargetIds, pathlessTargetIds))
+        return origin.map(known -> known.versionKnown()
+                        && front.hasTarget(known.service(), known.version(), triedTargetIds, pathlessTargetIds))
                 .orElse(true);
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -28,6 +28,8 @@
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.coordination.TargetOutcomeListener;
 import org.whinwharf.traffic.path.TargetPaths;
+import org.whinwharf.traffic.stream.ServiceVersions;
+import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.target.TargetState;
 
@@ -48,6 +50,7 @@
     private final Supplier<Optional<Catalog>> catalog;
     private final Map<String, TargetEntry> entries = new HashMap<>();
     private final Map<String, Map<String, TargetState>> byService = new HashMap<>();
+    private final ServiceVersions versions = new ServiceVersions();
     private final FrontMetrics metrics;
     private final TargetPaths paths;
     private TargetConnector connector;
@@ -120,6 +123,8 @@
         } else if (entry.state().target().draining() != target.draining() || restarted) {
             FrontLog.published(target, target.draining() ? "leaving" : "reborn");
         }
+        versions.seen(target.service(), entry.state().target().version(), nowMillis);
+        versions.seen(target.service(), target.version(), nowMillis);
         long knownStartUnixMillis = entry.state().target().startedUnixMillis();
         if (knownStartUnixMillis > 0
                 && knownStartUnixMillis != target.startedUnixMillis()
@@ -171,6 +176,8 @@
         TargetEntry entry = entries.get(targetId);
         if (entry != null) {
             entry.state().markRemovedAt(goneAtMillis);
+            versions.seen(
+                    entry.state().target().service(), entry.state().target().version(), ticker.nowMillis());
             FrontLog.published(entry.state().target(), "removed");
         }
     }
@@ -235,8 +242,14 @@
         return states == null ? List.of() : states.values();
     }
 
-    /** Tells whether a service has a target of a version that may get requests, now or once it is in use again. */
+    /**
+     * Tells whether a service has a target of a version that may get requests, now or once it is in use again. Targets
+     * of a version that this process has not seen yet are assumed to be about to be published.
+     */
     boolean hasTarget(String service, String version, Predicate<String> targetIds) {
+        if (!versions.hasSeen(service, version)) {
+            return true;
+        }
         return ofService(service).stream()
                 .map(state -> entry(state.target().id()))
                 .anyMatch(entry -> !isOut(entry)
@@ -244,6 +257,26 @@
                         && targetIds.test(entry.state().target().id()));
     }
 
+    /**
+     * Returns the only version that targets of a service can have had for as long as callers follow a stream.
+     *
+     * @param observedMillis time for which this process has known all published targets
+     * @return version; empty if there were several, or there may have been others before this process started
+     */
+    Optional<String> onlyVersion(String service, long observedMillis) {
+        long nowMillis = ticker.nowMillis();
+        long sinceUnixMillis = System.currentTimeMillis() - StreamOrigins.RETENTION_MILLIS;
+        boolean noneReplaced = true;
+        for (TargetState state : ofService(service)) {
+            versions.seen(service, state.target().version(), nowMillis);
+            long startedUnixMillis = state.target().startedUnixMillis();
+            noneReplaced &= startedUnixMillis > 0 && startedUnixMillis < sinceUnixMillis;
+        }
+        return observedMillis > StreamOrigins.RETENTION_MILLIS || noneReplaced
+                ? versions.onlyVersion(service, nowMillis)
+                : Optional.empty();
+    }
+
     Collection<TargetEntry> all() {
         return entries.values();
     }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -244,9 +244,25 @@
             EventField.ENDING,
             EventField.INSIDE_EVENT,
             EventField.STREAM_VERSION),
+    /** It is known at which software version a stream began that a caller resumes, by whom, and how old that is. */
+    STREAM_ORIGIN(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.RESUMES,
+            EventField.SERVICE,
+            EventField.STREAM_VERSION,
+            EventField.SOURCE,
+            EventField.PEER,
+            EventField.AGE_MILLIS),
     /** A stream is not resumed. */
     STREAM_NOT_RESUMED(
-            Level.INFO, EventField.REQUEST, EventField.SERVICE, EventField.STREAM_VERSION, EventField.REASON),
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.RESUMES,
+            EventField.SERVICE,
+            EventField.STREAM_VERSION,
+            EventField.REASON,
+            EventField.PEERS),
     /** A run ended with its connection, or in silence; tells whether its target can still be reached. */
     RUN_LOST(
             Level.INFO,
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Route.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Route.java
@@ -1,6 +1,7 @@
 package org.whinwharf.traffic.catalog;
 
 import java.util.List;
+import java.util.Optional;
 import org.immutables.value.Value;
 
 /** One route of the catalog. */
@@ -106,6 +107,25 @@
         return kind().idempotent(resumable());
     }
 
+    /**
+     * Tells whether requests of the route may be handled by a service.
+     *
+     * @param service name of the service
+     * @return true if it is one of the route's services
+     */
+    default boolean leadsTo(String service) {
+        return services().stream().anyMatch(weighted -> weighted.service().equals(service));
+    }
+
+    /**
+     * Returns the service that handles all requests of the route.
+     *
+     * @return name of the service; empty if several share the requests
+     */
+    default Optional<String> onlyService() {
+        return services().size() == 1 ? Optional.of(services().get(0).service()) : Optional.empty();
+    }
+
     /**
      * Selects the service of a request according to the weights. Every attempt of a request selects the same service.
      *
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/ServiceVersions.java
@@ -0,0 +1,51 @@
+package org.whinwharf.traffic.stream;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The software versions that the published targets of each service have had lately. A service that has had one version
+ * only, for longer than callers follow a stream, leaves no doubt about the version that began a stream.
+ */
+public final class ServiceVersions {
+    private final Map<String, Map<String, Long>> lastSeenAtMillis = new HashMap<>();
+
+    /**
+     * Records that a target of a service is published with a version.
+     *
+     * @param service name of the service
+     * @param version software version
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void seen(String service, String version, long nowMillis) {
+        lastSeenAtMillis.computeIfAbsent(service, name -> new HashMap<>()).merge(version, nowMillis, Math::max);
+    }
+
+    /**
+     * Tells whether a target of a service has been published with a version.
+     *
+     * @param service name of the service
+     * @param version software version
+     * @return false if it was not seen lately
+     */
+    public boolean hasSeen(String service, String version) {
+        return lastSeenAtMillis.getOrDefault(service, Map.of()).containsKey(version);
+    }
+
+    /**
+     * Returns the only version that targets of a service have had.
+     *
+     * @param service name of the service
+     * @param nowMillis monotonic time in milliseconds
+     * @return version; empty if there were none or several within {@link StreamOrigins#RETENTION_MILLIS}
+     */
+    public Optional<String> onlyVersion(String service, long nowMillis) {
+        Map<String, Long> versions = lastSeenAtMillis.get(service);
+        if (versions == null) {
+            return Optional.empty();
+        }
+        versions.values().removeIf(atMillis -> nowMillis - atMillis > StreamOrigins.RETENTION_MILLIS);
+        return versions.size() == 1 ? versions.keySet().stream().findFirst() : Optional.empty();
+    }
+}
--- a/org.whinwharf/src/main/java/org/whinwharf/errors/ErrorKind.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/errors/ErrorKind.java
@@ -61,6 +61,10 @@
     DEADLINE_RUNNING(504, Ran.RAN, true),
     /** Targets crashed while they ran the request, so it is not sent to further ones for a while. */
     QUARANTINED(503, Ran.NOT_RUN, true),
+    /** No target of the software version that began the resumed stream may be used. */
+    VERSION_UNAVAILABLE(503, Ran.NOT_RUN, true),
+    /** It is not known which software version began the resumed stream. */
+    STREAM_UNKNOWN(503, Ran.NOT_RUN, true),
     /** The target refused the request before it admitted it. */
     TARGET_REFUSED(503, Ran.NOT_RUN, true),
     /** The target failed while it ran the request. */
