Bind no stream to the version that its target had before a restart

When a target is published with another version, origins of this front's streams whose first run's connection was opened after its start get the new version, and an unknown one where the clocks of target and front, 3 s apart at most, leave it open; a stream of unknown version is refused or broken off. The correction is sent to the owners, and exchanges under way see it.

Not covered: a resumed stream sent to such a target before its entry is published.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamVersionTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
@@ -94,6 +95,55 @@
         }
     }
 
+    /** Guards against a stream that is taken for one of the version that its target had before an unnoticed restart. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamOfARestartedTargetIsNotContinuedAtItsEarlierVersion(boolean engine) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(2, List.of("v1", "v1", "v1", "v1"), engine, 1, VersionedFleet.Interruption.HELD)) {
+            fleet.restart(0, "v2");
+            List<VersionedFleet.Received> begun =
+                    beginAndKill(fleet, 0, () -> fleet.fleet().publishRestart(0));
+            List<VersionedFleet.Received> streams = callAll(i -> fleet.call(1, "b" + i, begun.get(i)));
+            long begunAtNewVersion = begun.stream()
+                    .filter(stream -> stream.versions().contains("v2"))
+                    .count();
+            assertThat("streams begun at the restarted target", begunAtNewVersion, greaterThan(0L));
+            assertThat(
+                    "streams with events of two versions",
+                    streams.stream().filter(VersionedFleet.Received::mixed).count(),
+                    is(0L));
+            assertThat(
+                    "continued streams",
+                    streams.stream().filter(VersionedFleet.Received::wentOn).count(),
+                    greaterThanOrEqualTo(STREAMS - begunAtNewVersion));
+        }
+    }
+
+    /** Guards against the same when the front resumes the stream itself. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void frontDoesNotContinueAStreamAtTheEarlierVersionOfItsTarget(boolean engine) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(1, List.of("v1", "v1", "v1", "v1"), engine, 3, VersionedFleet.Interruption.HELD)) {
+            fleet.restart(0, "v2");
+            List<Socket> sockets = new ArrayList<>();
+            List<VersionedFleet.Received> begun = begin(fleet, 0, sockets);
+            fleet.fleet().publishRestart(0);
+            fleet.crash(0);
+            for (int i = 0; i < STREAMS; i++) {
+                if (begun.get(i).versions().contains("v2")) {
+                    assertThat(
+                            begun.get(i)
+                                    .plus("a" + i, FrontFixture.readAll(sockets.get(i)))
+                                    .versions(),
+                            is(begun.get(i).versions()));
+                }
+                sockets.get(i).close();
+            }
+        }
+    }
+
     /** Guards against losing the version on the way through several attempts, each at another front. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -278,7 +328,25 @@
 
     /** Begins streams at a front at once, and kills it after their third event. */
     private static List<VersionedFleet.Received> beginAndKill(VersionedFleet fleet, int front) throws Exception {
+        return beginAndKill(fleet, front, () -> {});
+    }
+
+    /** Does the same, and runs an action before the front is killed. */
+    private static List<VersionedFleet.Received> beginAndKill(VersionedFleet fleet, int front, Runnable beforeKill)
+            throws Exception {
         List<Socket> sockets = new ArrayList<>();
+        List<VersionedFleet.Received> begun = begin(fleet, front, sockets);
+        beforeKill.run();
+        fleet.fleet().front(front).kill();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        return begun;
+    }
+
+    /** Begins streams at a front at once, and reads them up to their third event; adds their open connections. */
+    private static List<VersionedFleet.Received> begin(VersionedFleet fleet, int front, List<Socket> sockets)
+            throws IOException {
         List<VersionedFleet.Received> begun = new ArrayList<>();
         for (int i = 0; i < STREAMS; i++) {
             sockets.add(VersionedFleet.open(fleet.fleet().front(front), "a" + i, nothing(i)));
@@ -286,10 +354,6 @@
         for (int i = 0; i < STREAMS; i++) {
             begun.add(nothing(i).plus("a" + i, VersionedFleet.readHeld(sockets.get(i))));
         }
-        fleet.fleet().front(front).kill();
-        for (Socket socket : sockets) {
-            socket.close();
-        }
         return begun;
     }
 
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
@@ -3,11 +3,9 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
-import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -93,7 +91,6 @@
 
     private final CutFleet fleet;
     private final Interruption interruption;
-    private final Set<Integer> downTargets = Collections.synchronizedSet(new HashSet<>());
 
     /**
      * Starts a fleet.
@@ -113,7 +110,6 @@
 
     /** Crashes a target for good, and removes its published entry. */
     void crash(int target) throws IOException {
-        downTargets.add(target);
         for (CutLink link : fleet.linksTo(target)) {
             link.cut(CutLink.Cut.REFUSED);
             link.resetOpen();
@@ -121,6 +117,14 @@
         fleet.publishRemoval(target);
     }
 
+    /** Restarts a target under its id with another software version, and leaves it to be published. */
+    void restart(int target, String version) throws IOException {
+        fleet.setVersion(target, version);
+        for (CutLink link : fleet.linksTo(target)) {
+            link.resetOpen();
+        }
+    }
+
     /** Sends a new stream's first attempt, or resumes the stream after what was received of it. */
     Received call(int front, String attemptId, Received before) throws IOException {
         return call(fleet.front(front), attemptId, before);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -530,7 +530,7 @@
         dispatchCount++;
         possibleExecutions++;
         triedTargetIds.add(target.id());
-        targetRun.sent(connection.peerName(), nowMillis);
+        targetRun.sent(connection, nowMillis);
         if (targetRun.relayed()) {
             front.metrics().relayed();
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -157,6 +157,7 @@
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
         streams = new StreamTracker(settings, members, datagrams, loop, ticker);
+        targets.onVersionChange(streams::targetRestarted);
         coordination = new Coordination(
                 settings, members, targets, datagrams, ticker, this::createCoordinator, this::isCoordinated);
         gossip = new Gossip(
@@ -461,7 +462,7 @@
         feed.tick();
         targets.sweep();
         crashes.sweep();
-        streams.updateOwners();
+        streams.sweep();
         pathMonitor.recheckLostPaths();
         List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowMillis));
         members.expire(nowMillis)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -188,6 +188,17 @@
         event.call();
     }
 
+    /** Logs that a stream began at another version than its target had published, or at an unknown one if empty. */
+    static void originCorrected(StreamOrigin origin, Target target, String version, long nowMillis) {
+        EventLog.event(LogEvent.STREAM_ORIGIN_CORRECTED)
+                .with(EventField.TARGET, target.id())
+                .with(EventField.SERVICE, origin.service())
+                .with(EventField.FROM, origin.version())
+                .with(EventField.TO, version)
+                .with(EventField.AGE_MILLIS, nowMillis - origin.recordedAtMillis())
+                .call();
+    }
+
     /**
      * Logs that a stream is not resumed.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamContinuation.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamContinuation.java
@@ -30,6 +30,7 @@
                 .version(target.version())
                 .recordedAtMillis(front.nowMillis())
                 .build());
+        front.streams().beganAt(key, run);
     }
 
     /** Records that the request resumes a stream of known origin. */
@@ -39,7 +40,9 @@
 
     /** Records that the first event after the resumption reaches the caller, who may resume the stream once more. */
     void resumed() {
-        origin.ifPresent(known -> record(ImmutableStreamOrigin.copyOf(known).withRecordedAtMillis(front.nowMillis())));
+        current()
+                .ifPresent(
+                        known -> record(ImmutableStreamOrigin.copyOf(known).withRecordedAtMillis(front.nowMillis())));
     }
 
     private void record(StreamOrigin next) {
@@ -47,6 +50,11 @@
         front.streams().record(next);
     }
 
+    /** Returns the origin, which may have been corrected since it was recorded. */
+    private Optional<StreamOrigin> current() {
+        return origin.flatMap(known -> front.streams().known(known.key())).or(() -> origin);
+    }
+
     /** Tells whether the stream has begun, so that only some targets are suitable. */
     boolean isBound() {
         return origin.isPresent();
@@ -54,19 +62,21 @@
 
     /** Returns the version at which the stream must continue; empty if any target is suitable. */
     Optional<String> requiredVersion() {
-        return origin.map(StreamOrigin::version);
+        return current().map(StreamOrigin::version);
     }
 
     /** Tells whether a target is suitable. */
     boolean accepts(Target target) {
-        return origin.map(known -> known.service().equals(target.service())
+        return current()
+                .map(known -> known.service().equals(target.service())
                         && known.version().equals(target.version()))
                 .orElse(true);
     }
 
     /** Tells whether any suitable target is left, outside of the given sets, that may get requests sooner or later. */
     boolean isPossible(Set<String> triedTargetIds, Set<String> pathlessTargetIds) {
-        return origin.map(known -> known.versionKnown()
+        return current()
+                .map(known -> known.versionKnown()
                         && front.hasTarget(known.service(), known.version(), triedTargetIds, pathlessTargetIds))
                 .orElse(true);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
@@ -20,6 +20,7 @@
 import org.whinwharf.traffic.stream.StreamOrigin;
 import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.stream.StreamOwners;
+import org.whinwharf.traffic.target.Target;
 import org.whinwharf.wire.fleet.FleetDatagram;
 import org.whinwharf.wire.fleet.MemberPhase;
 import org.whinwharf.wire.fleet.StreamOriginReport;
@@ -42,6 +43,8 @@
     private static final int MAX_ASKS = 3;
     /** Maximum number of origins in one datagram; with usual names it stays below the usual MTU. */
     private static final int MAX_ORIGINS_PER_DATAGRAM = 24;
+    /** Tolerance for the clocks of targets when their start is compared with the time of a connection. */
+    private static final long CLOCK_TOLERANCE_MILLIS = 3_000;
     /**
      * Result of a search for an origin.
      *
@@ -51,6 +54,9 @@
      */
     record Finding(Optional<StreamOrigin> origin, String source, int silentProcesses) {}
 
+    /** The run that sent the first event of a stream of this process. */
+    private record FirstRun(String targetId, long connectedAtMillis) {}
+
     /** Searches of one stream that wait for the answers of peers. */
     private static final class Search {
         private final List<Consumer<Finding>> consumers = new ArrayList<>();
@@ -64,6 +70,7 @@
     private final EventLoopGroup loop;
     private final Ticker ticker;
     private final StreamOrigins origins = new StreamOrigins();
+    private final Map<StreamKey, FirstRun> firstRuns = new HashMap<>();
     private final Map<StreamKey, Search> searches = new HashMap<>();
     /** Addresses of the processes that may own streams, by their names, as of the last look at the membership. */
     private Map<String, String> ownerIps = Map.of();
@@ -96,6 +103,42 @@
         }
     }
 
+    /** Records the run that sent the first event of a stream, whose origin is recorded. */
+    void beganAt(StreamKey key, TargetRun run) {
+        firstRuns.put(key, new FirstRun(run.target().id(), run.connectedAtMillis()));
+        Target published = run.entry().state().target();
+        if (!published.version().equals(run.target().version())) {
+            correct(key, run.target(), published);
+        }
+    }
+
+    /**
+     * Corrects the origins of streams that began at a target which had already restarted with another version when its
+     * published entry still named the earlier one.
+     */
+    void targetRestarted(Target before, Target after) {
+        for (Map.Entry<StreamKey, FirstRun> run : List.copyOf(firstRuns.entrySet())) {
+            if (run.getValue().targetId().equals(before.id())) {
+                correct(run.getKey(), before, after);
+            }
+        }
+    }
+
+    /** Corrects an origin by the time of the first run's connection, which no restart of the target has outlived. */
+    private void correct(StreamKey key, Target before, Target after) {
+        long nowMillis = ticker.nowMillis();
+        long restartedAtMillis = nowMillis - (System.currentTimeMillis() - after.startedUnixMillis());
+        long sinceRestartMillis = firstRuns.get(key).connectedAtMillis() - restartedAtMillis;
+        if (sinceRestartMillis < -CLOCK_TOLERANCE_MILLIS) {
+            return;
+        }
+        String version = sinceRestartMillis > CLOCK_TOLERANCE_MILLIS ? after.version() : "";
+        known(key).filter(origin -> origin.version().equals(before.version())).ifPresent(origin -> {
+            FrontLog.originCorrected(origin, before, version, nowMillis);
+            record(ImmutableStreamOrigin.copyOf(origin).withVersion(version).withRecordedAtMillis(nowMillis));
+        });
+    }
+
     /** Returns the origin of a stream as far as this process knows it. */
     Optional<StreamOrigin> known(StreamKey key) {
         return origins.find(key, ticker.nowMillis());
@@ -178,8 +221,15 @@
         datagrams.send(answer.build(), askerIp);
     }
 
+    /** Forgets streams that no caller follows any longer, and passes on origins whose owners have changed. */
+    void sweep() {
+        long nowMillis = ticker.nowMillis();
+        firstRuns.keySet().removeIf(key -> origins.find(key, nowMillis).isEmpty());
+        updateOwners();
+    }
+
     /** Passes origins on to processes that have become their owners, because others have come or gone. */
-    void updateOwners() {
+    private void updateOwners() {
         Map<String, String> current = new HashMap<>();
         for (Member member : members.alive(ticker.nowMillis())) {
             if (member.report().getPhase() == MemberPhase.MEMBER_SERVING) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -51,6 +51,7 @@
     private ChannelFuture written;
     private boolean reusable = true;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
+    private final long openedAtMillis;
     private long idleSinceMillis;
     private long firstByteAtMillis = Long.MAX_VALUE;
     private long lastByteAtMillis = Long.MIN_VALUE;
@@ -60,7 +61,13 @@
         this.dialect = dialect;
         this.pool = pool;
         this.link = link;
-        idleSinceMillis = pool.nowMillis();
+        openedAtMillis = pool.nowMillis();
+        idleSinceMillis = openedAtMillis;
+    }
+
+    /** Returns the monotonic time in milliseconds at which the connection was opened. */
+    long openedAtMillis() {
+        return openedAtMillis;
     }
 
     /** Returns the name of the peer that relays the connection; empty for a direct one. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -19,6 +19,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -55,6 +56,7 @@
     private final TargetPaths paths;
     private TargetConnector connector;
     private Consumer<String> crashListener = targetId -> {};
+    private BiConsumer<Target, Target> versionChangeListener = (before, after) -> {};
     private final Map<String, Integer> rejectionLimitsPerSecond = new HashMap<>();
     private Set<String> evacuated = Set.of();
 
@@ -88,6 +90,11 @@
         crashListener = listener;
     }
 
+    /** Sets the consumer of targets that have restarted with another version, as published before and after. */
+    void onVersionChange(BiConsumer<Target, Target> listener) {
+        versionChangeListener = listener;
+    }
+
     /** Records that a target has crashed, or that another one has its place. */
     void crashed(TargetEntry entry) {
         entry.crashed(ticker.nowMillis());
@@ -131,7 +138,11 @@
                 && !entry.state().target().draining()) {
             crashed(entry);
         }
+        Target before = entry.state().target();
         entry.state().update(target);
+        if (!before.version().equals(target.version())) {
+            versionChangeListener.accept(before, target);
+        }
         long coldMillis = target.coldRemainingMillis();
         if (restarted) {
             coldMillis = Math.max(coldMillis, coldStartMillis(target.service()));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -14,6 +14,7 @@
     private Target target;
 
     private String peerName = "";
+    private long connectedAtMillis;
     private long sentAtMillis;
     private long firstByteAtMillis;
     private boolean firstByteReceived;
@@ -40,9 +41,10 @@
         return candidate;
     }
 
-    /** Records that the request was sent, through a peer if its name is not empty. */
-    void sent(String relayingPeer, long nowMillis) {
-        peerName = relayingPeer;
+    /** Records that the request was sent. */
+    void sent(TargetConnection connection, long nowMillis) {
+        peerName = connection.peerName();
+        connectedAtMillis = connection.openedAtMillis();
         target = entry.state().target();
         sentAtMillis = nowMillis;
     }
@@ -52,6 +54,11 @@
         return sentAtMillis;
     }
 
+    /** Returns the monotonic time in milliseconds at which the connection was opened over which it was sent. */
+    long connectedAtMillis() {
+        return connectedAtMillis;
+    }
+
     /** Returns the name of the peer through which the request was sent; empty if it was sent directly. */
     String peerName() {
         return peerName;
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -254,6 +254,9 @@
             EventField.SOURCE,
             EventField.PEER,
             EventField.AGE_MILLIS),
+    /** A target had restarted with another version before a stream began there, or may have. */
+    STREAM_ORIGIN_CORRECTED(
+            Level.WARN, EventField.TARGET, EventField.SERVICE, EventField.FROM, EventField.TO, EventField.AGE_MILLIS),
     /** A stream is not resumed. */
     STREAM_NOT_RESUMED(
             Level.INFO,
