--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -13,14 +13,14 @@
 
 /** Several fronts before common targets, which each front reaches over paths of its own that can be cut. */
 final class CutFleet implements AutoCloseable {
-    private final List<FrontFixture> fronts = new ArrayList<>();
+    private final List<FrontFixture> fronts = new CopyOnWriteArrayList<>();
     private final List<FakeTarget> targets = new ArrayList<>();
     private final boolean engine;
     private final int attempts;
     /** Software version of each target, by the target's index. */
     private final List<String> versions;
     /** Links of each front, by the front's index. */
-    private final List<List<CutLink>> links = new ArrayList<>();
+    private final List<List<CutLink>> links = new CopyOnWriteArrayList<>();
 
     /**
      * Starts a fleet and waits until its fronts know each other.
@@ -88,6 +88,11 @@
         }
     }
 
+    /** Returns the number of fronts, killed ones included. */
+    int size() {
+        return fronts.size();
+    }
+
     FrontFixture front(int index) {
         return fronts.get(index);
     }
