Learn from longer-running fronts that a service has had one version only

A front inferred the only version of a service after 30 s of its own, or if no target had started for 30 s; a fleet that has just started, and each front that was killed, had neither.

A fleet that starts for the first time has seen all targets that any stream can have begun at. A restarted front asks its peers as it does for origins, and each that has seen one version only for long enough says so for all services; it holds if the own view, by fresh items, is the same. A caller that names no attempt is served by the own view at once.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -59,17 +59,17 @@
 
     /** Starts a further front that finds the fleet through the given one, and returns it without waiting for it. */
     FrontFixture startFrontBeside(int seed) throws IOException {
-        FrontFixture front = addFront(List.of(fronts.get(seed).ip()));
+        FrontFixture front = addFront(new FrontFixture(List.of(fronts.get(seed).ip()), 120, false));
         front.publishCatalog(attempts, 5_000, engine, 500);
         return front;
     }
 
     private void addFront() throws IOException {
-        addFront(fronts.isEmpty() ? List.of() : List.of(fronts.get(0).ip()));
+        addFront(new FrontFixture(
+                fronts.isEmpty() ? List.of() : List.of(fronts.get(0).ip())));
     }
 
-    private FrontFixture addFront(List<String> seedIps) throws IOException {
-        FrontFixture front = new FrontFixture(seedIps);
+    private FrontFixture addFront(FrontFixture front) throws IOException {
         fronts.add(front);
         List<CutLink> ofFront = new ArrayList<>();
         links.add(ofFront);
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -67,6 +67,11 @@
 
     /** Starts a front with seed addresses and the given timeout for coordinators that do not reply. */
     FrontFixture(List<String> seedIps, long coordinatorTimeoutMillis) {
+        this(seedIps, coordinatorTimeoutMillis, true);
+    }
+
+    /** Starts a front of a fleet that starts with it, or that has run before. */
+    FrontFixture(List<String> seedIps, long coordinatorTimeoutMillis, boolean freshFleet) {
         front = new Front(
                 ImmutableFrontSettings.builder()
                         .coordinatorTimeoutMillis(coordinatorTimeoutMillis)
@@ -76,7 +81,7 @@
                         .callerAddress(ip + ":" + CALLER_PORT)
                         .peerPort(PEER_PORT)
                         .seedIps(seedIps)
-                        .freshFleet(true)
+                        .freshFleet(freshFleet)
                         .retryRatio(1)
                         .retryAllowance(100)
                         .retryWindowMillis(10_000)
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StreamVersionTest.java
@@ -239,10 +239,40 @@
         }
     }
 
-    /** Resumes a stream that no front knows. */
+    /**
+     * Guards against a front that has just started and refuses, or guesses the version of, what a peer could tell it of
+     * the service.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void frontThatHasJustStartedRefersToThoseThatHaveRunForLong(boolean engine) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(2, List.of("v1", "v1"), engine, 1, VersionedFleet.Interruption.BROKEN_OFF)) {
+            FrontFixture fresh = fleet.fleet().startFrontBeside(0);
+            fleet.fleet().publishRestart(0);
+            FrontFixture.await(() -> fresh.advertisedFronts() == 3);
+            fresh.run(() -> fresh.front().feed().applySnapshot(List.of(), 1));
+            assertThat(
+                    "resumed without a certificate",
+                    resumeUnknown(fleet, fresh, "a").wentOn(),
+                    is(false));
+            for (int i = 0; i < 2; i++) {
+                FrontFixture front = fleet.fleet().front(i);
+                front.run(() -> front.front().feed().applySnapshot(List.of(), 1));
+            }
+            assertThat("resumed", resumeUnknown(fleet, fresh, "b").wentOn(), is(true));
+        }
+    }
+
     private static VersionedFleet.Received resumeUnknown(VersionedFleet fleet, String stream) throws IOException {
+        return resumeUnknown(fleet, fleet.fleet().front(0), stream);
+    }
+
+    /** Resumes a stream that no front knows. */
+    private static VersionedFleet.Received resumeUnknown(VersionedFleet fleet, FrontFixture front, String stream)
+            throws IOException {
         return fleet.call(
-                0,
+                front,
                 "resumed-" + stream,
                 new VersionedFleet.Received(stream, "unknown-" + stream, List.of("v1", "v1", "v1"), "", false));
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -161,18 +162,22 @@
     /** Finds out at which service and version the stream that the caller resumes has begun. */
     private void findOrigin() {
         stage = Stage.RESOLVING_ORIGIN;
-        head.resumedAttemptId()
-                .ifPresentOrElse(
-                        attemptId -> front.streams().find(streamKey(attemptId), this::originFound),
-                        () -> originFound(new StreamTracker.Finding(Optional.empty(), "", 0)));
+        Optional<StreamOrigin> inferred =
+                head.resumedAttemptId().isPresent() ? Optional.empty() : onlyPossibleOrigin(Map.of());
+        if (inferred.isPresent()) {
+            originFound(new StreamTracker.Finding(Optional.empty()));
+        } else {
+            front.streams().find(resumedStreamKey(), this::originFound);
+        }
     }
 
     private void originFound(StreamTracker.Finding finding) {
         if (stage != Stage.RESOLVING_ORIGIN) {
             return;
         }
-        Optional<StreamOrigin> origin =
-                finding.origin().or(this::onlyPossibleOrigin).filter(StreamOrigin::versionKnown);
+        Optional<StreamOrigin> origin = finding.origin()
+                .or(() -> onlyPossibleOrigin(finding.onlyVersions()))
+                .filter(StreamOrigin::versionKnown);
         if (origin.isEmpty()) {
             notResumed(ResumptionOutcome.UNKNOWN, finding.silentProcesses());
         } else if (!route.leadsTo(origin.get().service())) {
@@ -185,18 +190,26 @@
         }
     }
 
-    /** Returns the origin of a stream that no process knows, if it can only have begun at one service and version. */
-    private Optional<StreamOrigin> onlyPossibleOrigin() {
+    /**
+     * Returns the origin of a stream that no process knows, if it can only have begun at one service and version.
+     *
+     * @param certifiedVersions versions that peers say are the only ones of their services
+     */
+    private Optional<StreamOrigin> onlyPossibleOrigin(Map<String, String> certifiedVersions) {
         return route.onlyService()
-                .flatMap(only -> front.onlyVersion(only)
+                .flatMap(only -> front.onlyVersion(only, Optional.ofNullable(certifiedVersions.get(only)))
                         .map(version -> ImmutableStreamOrigin.builder()
-                                .key(streamKey(head.resumedAttemptId().orElse(head.attemptId())))
+                                .key(resumedStreamKey())
                                 .service(only)
                                 .version(version)
                                 .recordedAtMillis(front.nowMillis())
                                 .build()));
     }
 
+    private StreamKey resumedStreamKey() {
+        return streamKey(head.resumedAttemptId().orElse(head.attemptId()));
+    }
+
     private StreamKey streamKey(String attemptId) {
         return StreamKey.of(organisation.map(Organisation::name).orElse(""), attemptId);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -39,6 +39,7 @@
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.retry.RetryAllowance;
 import org.whinwharf.traffic.retry.RetryBudget;
+import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.target.PromptCacheIndex;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.wire.fleet.MemberPhase;
@@ -104,6 +105,9 @@
     private final PeerDatagrams datagrams;
     private final Gossip gossip;
     private final CrashTracker crashes;
+    /** Whether no stream can have begun before this process knew the targets, since the whole fleet was started. */
+    private final boolean observedLongEnough;
+
     private final StreamTracker streams;
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
@@ -133,6 +137,7 @@
                 .setIncarnation(System.currentTimeMillis())
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
+        observedLongEnough = settings.freshFleet();
         targets = new TargetRegistry(loop, dialect, ticker, () -> catalog, metrics, this::reachChanged);
         relayPeers = new RelayPeers(settings.name(), members::servingMembers, random);
         OwnReach ownReach = new OwnReach(loop, targets);
@@ -156,7 +161,7 @@
         datagrams = new PeerDatagrams(settings);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
-        streams = new StreamTracker(settings, members, datagrams, loop, ticker);
+        streams = new StreamTracker(settings, members, datagrams, loop, ticker, this::onlyVersions);
         targets.onVersionChange(streams::targetRestarted);
         coordination = new Coordination(
                 settings, members, targets, datagrams, ticker, this::createCoordinator, this::isCoordinated);
@@ -690,11 +695,28 @@
         return targets.hasTarget(service, version, id -> !tried.contains(id) && !pathless.contains(id));
     }
 
-    /** Returns the only software version at which a stream of a service can have begun; empty if there are several. */
-    Optional<String> onlyVersion(String service) {
-        return feed.ageMillis() <= MAX_VERSIONS_AGE_MILLIS
-                ? targets.onlyVersion(service, ticker.nowMillis() - startedAtMillis)
-                : Optional.empty();
+    /**
+     * Returns the only software version at which a stream of a service can have begun.
+     *
+     * @param certifiedVersion version that a peer says is the only one; empty if none does
+     * @return version; empty if there were several, or there may have been
+     */
+    Optional<String> onlyVersion(String service, Optional<String> certifiedVersion) {
+        return feed.ageMillis() > MAX_VERSIONS_AGE_MILLIS
+                ? Optional.empty()
+                : targets.onlyVersion(service)
+                        .filter(version -> observedLongEnough
+                                || ticker.nowMillis() - startedAtMillis > StreamOrigins.RETENTION_MILLIS
+                                || certifiedVersion.filter(version::equals).isPresent()
+                                || targets.noneStartedWithin(service, StreamOrigins.RETENTION_MILLIS));
+    }
+
+    private Map<String, String> onlyVersions() {
+        Map<String, String> versions = new HashMap<>();
+        targets.services()
+                .forEach(service ->
+                        onlyVersion(service, Optional.empty()).ifPresent(version -> versions.put(service, version)));
+        return versions;
     }
 
     /** Tells whether a service has a usable target of the required version that is not in the given set. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
@@ -23,6 +24,7 @@
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.wire.fleet.FleetDatagram;
 import org.whinwharf.wire.fleet.MemberPhase;
+import org.whinwharf.wire.fleet.ServiceVersionReport;
 import org.whinwharf.wire.fleet.StreamOriginReport;
 
 /**
@@ -51,8 +53,16 @@
      * @param origin origin; empty if no process that answered knows it
      * @param source name of the process that knew it; empty if it was this process
      * @param silentProcesses number of processes that were asked and have not answered
+     * @param onlyVersions services of which a process that was asked says that they can only have had one version, and
+     *     that version; empty if two disagree
      */
-    record Finding(Optional<StreamOrigin> origin, String source, int silentProcesses) {}
+    record Finding(
+            Optional<StreamOrigin> origin, String source, int silentProcesses, Map<String, String> onlyVersions) {
+        /** Creates the result for a stream that no process was asked for. */
+        Finding(Optional<StreamOrigin> origin) {
+            this(origin, "", 0, Map.of());
+        }
+    }
 
     /** The run that sent the first event of a stream of this process. */
     private record FirstRun(String targetId, long connectedAtMillis) {}
@@ -61,6 +71,7 @@
     private static final class Search {
         private final List<Consumer<Finding>> consumers = new ArrayList<>();
         private final Map<String, String> silentIpsByName = new LinkedHashMap<>();
+        private final Map<String, String> onlyVersions = new HashMap<>();
         private int asks;
     }
 
@@ -69,14 +80,26 @@
     private final PeerDatagrams datagrams;
     private final EventLoopGroup loop;
     private final Ticker ticker;
+    private final Supplier<Map<String, String>> onlyVersions;
     private final StreamOrigins origins = new StreamOrigins();
     private final Map<StreamKey, FirstRun> firstRuns = new HashMap<>();
     private final Map<StreamKey, Search> searches = new HashMap<>();
     /** Addresses of the processes that may own streams, by their names, as of the last look at the membership. */
     private Map<String, String> ownerIps = Map.of();
 
+    /**
+     * Creates a tracker that remembers nothing.
+     *
+     * @param onlyVersions services whose targets can only have had one version for as long as callers follow a stream
+     */
     StreamTracker(
-            FrontSettings settings, MemberTable members, PeerDatagrams datagrams, EventLoopGroup loop, Ticker ticker) {
+            FrontSettings settings,
+            MemberTable members,
+            PeerDatagrams datagrams,
+            EventLoopGroup loop,
+            Ticker ticker,
+            Supplier<Map<String, String>> onlyVersions) {
+        this.onlyVersions = onlyVersions;
         this.settings = settings;
         this.members = members;
         this.datagrams = datagrams;
@@ -148,7 +171,7 @@
     void find(StreamKey key, Consumer<Finding> consumer) {
         Optional<StreamOrigin> known = known(key);
         if (known.isPresent()) {
-            consumer.accept(new Finding(known, "", 0));
+            consumer.accept(new Finding(known));
             return;
         }
         Search running = searches.get(key);
@@ -183,7 +206,7 @@
     private void conclude(StreamKey key, Optional<StreamOrigin> origin, String source) {
         Search search = searches.remove(key);
         if (search != null) {
-            Finding finding = new Finding(origin, source, search.silentIpsByName.size());
+            Finding finding = new Finding(origin, source, search.silentIpsByName.size(), search.onlyVersions);
             search.consumers.forEach(consumer -> consumer.accept(finding));
         }
     }
@@ -199,6 +222,11 @@
             StreamKey key = new StreamKey(bits);
             Search search = searches.get(key);
             if (search != null && search.silentIpsByName.remove(datagram.getFrom()) != null) {
+                datagram.getOnlyVersionsList()
+                        .forEach(report -> search.onlyVersions.merge(
+                                report.getService(),
+                                report.getVersion(),
+                                (known, next) -> known.equals(next) ? known : ""));
                 if (search.silentIpsByName.isEmpty()) {
                     conclude(key, Optional.empty(), "");
                 }
@@ -218,6 +246,13 @@
                 answer.addStreamsUnknown(bits);
             }
         }
+        if (answer.getStreamsUnknownCount() > 0) {
+            onlyVersions
+                    .get()
+                    .forEach((service, version) -> answer.addOnlyVersions(ServiceVersionReport.newBuilder()
+                            .setService(service)
+                            .setVersion(version)));
+        }
         datagrams.send(answer.build(), askerIp);
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -30,7 +30,6 @@
 import org.whinwharf.traffic.coordination.TargetOutcomeListener;
 import org.whinwharf.traffic.path.TargetPaths;
 import org.whinwharf.traffic.stream.ServiceVersions;
-import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.target.TargetState;
 
@@ -268,24 +267,27 @@
                         && targetIds.test(entry.state().target().id()));
     }
 
+    /** Returns the names of all services that have had targets. */
+    Set<String> services() {
+        return byService.keySet();
+    }
+
     /**
-     * Returns the only version that targets of a service can have had for as long as callers follow a stream.
-     *
-     * @param observedMillis time for which this process has known all published targets
-     * @return version; empty if there were several, or there may have been others before this process started
+     * Returns the only version that this process has lately seen at targets of a service; empty if there were others.
      */
-    Optional<String> onlyVersion(String service, long observedMillis) {
+    Optional<String> onlyVersion(String service) {
         long nowMillis = ticker.nowMillis();
-        long sinceUnixMillis = System.currentTimeMillis() - StreamOrigins.RETENTION_MILLIS;
-        boolean noneReplaced = true;
-        for (TargetState state : ofService(service)) {
-            versions.seen(service, state.target().version(), nowMillis);
-            long startedUnixMillis = state.target().startedUnixMillis();
-            noneReplaced &= startedUnixMillis > 0 && startedUnixMillis < sinceUnixMillis;
-        }
-        return observedMillis > StreamOrigins.RETENTION_MILLIS || noneReplaced
-                ? versions.onlyVersion(service, nowMillis)
-                : Optional.empty();
+        ofService(service)
+                .forEach(state -> versions.seen(service, state.target().version(), nowMillis));
+        return versions.onlyVersion(service, nowMillis);
+    }
+
+    /** Tells whether no target of a service has started lately, so that none has replaced one of another version. */
+    boolean noneStartedWithin(String service, long millis) {
+        long sinceUnixMillis = System.currentTimeMillis() - millis;
+        return ofService(service).stream()
+                .mapToLong(state -> state.target().startedUnixMillis())
+                .allMatch(startedUnixMillis -> startedUnixMillis > 0 && startedUnixMillis < sinceUnixMillis);
     }
 
     Collection<TargetEntry> all() {
