Let no connection through a path of the tests that is cut silently

Traced by their logs: each time, exactly one connection of a peer to the dark target was established 500 to 900 ms after its crash (RELAY_OPENED), and those after it failed, so the front took the crash for the loss of its own path. A dark target establishes none. CutLink fills the queue of its listener; its accepting thread takes one more connection at any time later on a busy machine, which leaves one place until the system repeats the packets of the fillers after a second.

The queue is filled again once that thread waits for the path to be healed. The checks are unchanged; the stand-in is stricter.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutLink.java
@@ -19,9 +19,12 @@
     /** Small enough to be filled at once, large enough for the connections that a front opens at a time. */
     private static final int BACKLOG = 16;
 
-    /** More than the queue holds, with the one that is accepted before its path is blocked. */
+    /** More than the queue holds. */
     private static final int FILLERS = 2 * BACKLOG;
 
+    /** Time for the thread that accepts connections to take its last one, even on a busy machine. */
+    private static final int ACCEPT_TIMEOUT_MILLIS = 5_000;
+
     private static final int PROBE_TIMEOUT_MILLIS = 100;
 
     /** How a path fails. */
@@ -73,6 +76,8 @@
     private final Object gate = new Object();
     private volatile ServerSocket server;
     private volatile boolean blocked;
+    /** Whether the thread that accepts connections waits for the path to be healed; guarded by the gate. */
+    private boolean acceptorWaits;
 
     CutLink(String ip, String toIp, int toPort) throws IOException {
         this.ip = ip;
@@ -148,10 +153,26 @@
     }
 
     /**
-     * Fills the queue of connections that wait to be accepted; the system then drops further opening packets. All are
-     * opened at once, so that no front's connection is established meanwhile.
+     * Fills the queue of connections that wait to be accepted; the system then drops further opening packets. The
+     * thread that accepts them may take one more, at any time later, so the queue is filled again after that.
      */
     private void fillBacklog() throws IOException {
+        openFillers();
+        awaitAcceptor();
+        openFillers();
+    }
+
+    private void awaitAcceptor() throws IOException {
+        long endNanos = System.nanoTime() + ACCEPT_TIMEOUT_MILLIS * 1_000_000L;
+        synchronized (gate) {
+            while (!acceptorWaits && System.nanoTime() < endNanos) {
+                pauseAtGate(PROBE_TIMEOUT_MILLIS);
+            }
+        }
+    }
+
+    /** Opens connections, all at once, so that no front's connection is established meanwhile. */
+    private void openFillers() throws IOException {
         for (int i = 0; i < FILLERS; i++) {
             SocketChannel filler = SocketChannel.open();
             filler.configureBlocking(false);
@@ -163,9 +184,9 @@
     private void accept(ServerSocket listening) throws IOException {
         while (!listening.isClosed()) {
             // A connection taken from the queue of a blocked path would leave room for another one.
-            awaitUnblocked();
+            awaitUnblockedToAccept();
             Socket client = listening.accept();
-            awaitUnblocked();
+            awaitUnblockedToAccept();
             Socket upstream = new Socket(toIp, toPort);
             clients.add(client);
             upstreams.add(upstream);
@@ -193,15 +214,29 @@
     private void awaitUnblocked() throws IOException {
         synchronized (gate) {
             while (blocked) {
-                try {
-                    gate.wait();
-                } catch (InterruptedException e) {
-                    throw new IOException(e);
-                }
+                pauseAtGate(0);
             }
         }
     }
 
+    private void awaitUnblockedToAccept() throws IOException {
+        synchronized (gate) {
+            acceptorWaits = true;
+            gate.notifyAll();
+            awaitUnblocked();
+            acceptorWaits = false;
+        }
+    }
+
+    /** Waits until the gate changes, or for the given time if it is not 0. */
+    private void pauseAtGate(long millis) throws IOException {
+        try {
+            gate.wait(millis);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     private interface IoTask {
         void run() throws IOException;
     }
