Let the targets of a test that crash together crash at the same moment

requestsOfTargetsThatCrashTogetherAreServed failed once beside 12 busy processes: a harmless request was quarantined. Traced by its log: of the second wave's four targets t4 and t6 crashed at 45.445 and t5 at 45.558, each by a task of its own, so the request, lost with t0 before and repeated at t4 and then t5, lost three targets one after the other, for which it is rightly quarantined.

All links of all targets of a wave refuse connections first, then all open ones are reset.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingFleet.java
@@ -160,17 +160,32 @@
 
     /** Crashes a target under all requests that it has, for all fronts at once, unless it is down already. */
     void crashTarget(int target) throws IOException {
-        synchronized (targetLocks.get(target)) {
-            if (downTargets.add(target)) {
-                crash(fleet.linksTo(target));
-                if (crash.restartMillis < Long.MAX_VALUE) {
-                    restarts.schedule(() -> restart(target), crash.restartMillis, TimeUnit.MILLISECONDS);
-                }
-            }
+        crashTargets(List.of(target));
+    }
+
+    /** Crashes several targets at the same moment, apart from those that are down already. */
+    void crashTargets(List<Integer> targets) throws IOException {
+        crashLocked(targets.stream().sorted().toList(), List.of());
+    }
+
+    /** Takes the locks of the targets one after the other, and then crashes them. */
+    private void crashLocked(List<Integer> remaining, List<Integer> locked) throws IOException {
+        if (remaining.isEmpty()) {
+            crashAll(locked.stream().filter(downTargets::add).toList());
+            return;
+        }
+        int next = remaining.get(0);
+        synchronized (targetLocks.get(next)) {
+            List<Integer> nextLocked =
+                    Stream.concat(locked.stream(), Stream.of(next)).toList();
+            crashLocked(remaining.subList(1, remaining.size()), nextLocked);
         }
     }
 
-    private void crash(List<CutLink> links) throws IOException {
+    private void crashAll(List<Integer> targets) throws IOException {
+        List<CutLink> links = targets.stream()
+                .flatMap(target -> fleet.linksTo(target).stream())
+                .toList();
         awaitAll(links.stream()
                 .map(link -> tasks.submit(() -> {
                     link.cut(crash.reset ? CutLink.Cut.REFUSED : CutLink.Cut.SILENT);
@@ -181,6 +196,10 @@
             // Once no front can connect, so that all of them see one crash and not the loss of paths.
             links.forEach(CutLink::resetOpen);
         }
+        if (crash.restartMillis < Long.MAX_VALUE) {
+            targets.forEach(
+                    target -> restarts.schedule(() -> restart(target), crash.restartMillis, TimeUnit.MILLISECONDS));
+        }
     }
 
     private Void restart(int target) throws IOException {
@@ -194,16 +213,6 @@
         return null;
     }
 
-    /** Crashes several targets at the same time. */
-    void crashTargets(List<Integer> targets) throws IOException {
-        awaitAll(targets.stream()
-                .map(target -> tasks.submit(() -> {
-                    crashTarget(target);
-                    return (Void) null;
-                }))
-                .toList());
-    }
-
     private static void awaitAll(List<Future<Void>> results) throws IOException {
         try {
             for (Future<Void> result : results) {
