Remember a run that is lost with its relay

The second run ended with the connection to the peer that relayed it, 22 ms after it was sent, when its target crashed; such a run was neither recorded nor logged, so the request was sent to two more targets.

The end of a relay is evidence like any lost connection: the run counts as lost until a target's sign of life, a served request or fifteen seconds clear it, and run-lost is logged with verdict UNKNOWN. It is still not held against the target.

Measured: runThatEndsWithItsRelayIsRemembered fails without the change (nobody remembers the run) and passes with it.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingRequestTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingRequestTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
@@ -179,6 +180,41 @@
         }
     }
 
+    /** Guards against forgetting a run that is lost with the peer that relays it, whose target may have crashed too. */
+    @Test
+    void runThatEndsWithItsRelayIsRemembered() throws Exception {
+        CountDownLatch done = new CountDownLatch(1);
+        ExecutorService callers = Executors.newSingleThreadExecutor();
+        try (CutFleet fleet = new CutFleet(
+                FRONTS, List.of("v1", "v1"), false, 1, (request, socket) -> FrontFixture.awaitLatch(done))) {
+            fleet.cut(0, CutLink.Cut.REFUSED);
+            Future<String> response =
+                    callers.submit(() -> fleet.front(0).exchange(FrontFixture.request("GET", "/safe/x", "a", true)));
+            int[] relay = new int[1];
+            FrontFixture.await(() -> {
+                relay[0] = fleet.front(1).front().relayedConnections() > 0 ? 1 : 2;
+                return fleet.front(relay[0]).front().relayedConnections() > 0
+                        && fleet.targets().stream()
+                                .anyMatch(target -> !target.requests().isEmpty());
+            });
+            fleet.front(relay[0]).kill();
+            assertThat(response.get(), startsWith("HTTP/1.1 502"));
+            int other = 3 - relay[0];
+            for (int front : new int[] {0, other}) {
+                FrontFixture.await(() -> lostRuns(fleet.front(front)) == 1);
+            }
+        } finally {
+            done.countDown();
+            callers.shutdownNow();
+        }
+    }
+
+    private static int lostRuns(FrontFixture front) {
+        int[] size = new int[1];
+        front.run(() -> size[0] = front.front().crashes().ledger().size());
+        return size[0];
+    }
+
     /** Guards against counting a crash of many targets at once against the requests that ran there. */
     @Test
     void requestsOfTargetsThatCrashTogetherAreServed() throws Exception {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
@@ -53,7 +53,10 @@
                     review(run, concluded);
                 }
             }
-            case NONE -> dismiss(run, failure);
+            case NONE -> {
+                concluded.accept(Verdict.UNKNOWN);
+                dismiss(run, failure);
+            }
             default ->
                 review(run, verdict -> {
                     concluded.accept(verdict);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
@@ -19,8 +19,8 @@
     GARBLED(Evidence.TARGET, false, null, RunEvent.RUN_BROKEN, TruncationCause.TARGET_LOST),
     /** Nothing was received for too long. */
     SILENT(Evidence.TARGET_OR_PATH, true, CrashEvidence.SILENT, RunEvent.RUN_SILENT, TruncationCause.TARGET_LOST),
-    /** The connection to the peer that relayed the request was lost. */
-    RELAY_LOST(Evidence.NONE, false, null, RunEvent.RUN_GIVEN_UP, TruncationCause.TARGET_LOST);
+    /** The connection to the peer that relayed the request was lost, perhaps together with the target. */
+    RELAY_LOST(Evidence.NONE, false, CrashEvidence.LOST, RunEvent.RUN_GIVEN_UP, TruncationCause.TARGET_LOST);
 
     /** What a failure says about the target. */
     enum Evidence {
