Log and count runs whose targets fall silent

Whether a front ended a run for silence, why it was not sent elsewhere, how many targets of the service were silent with it, and whether the target sent bytes after all was in no log and no metric. run-silent and run-spoke-again say so; two counters count them. What is decided is unchanged; the conditions of a retry now have names.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -589,6 +589,10 @@
 
     private void recordBytesReceived() {
         long nowMillis = front.nowMillis();
+        if (silenceWatch.silent()) {
+            front.metrics().runSpokeAgain();
+            FrontLog.runSpokeAgain(this, targetRun, nowMillis - silenceWatch.lastByteAtMillis());
+        }
         silenceWatch.bytesReceived(nowMillis);
         targetRun.entry().bytesReceived(nowMillis);
         if (!targetRun.relayed()) {
@@ -646,7 +650,7 @@
     }
 
     private void retryOrDeliverError(long nowMillis) {
-        if (!canRetry(nowMillis)) {
+        if (retryDecision(nowMillis) != RetryDecision.RETRY) {
             deliver();
             return;
         }
@@ -695,7 +699,11 @@
 
     private void retryOrFail(TargetFailure failure, long nowMillis) {
         responseAssembler.discardIncomplete();
-        if (canRetry(nowMillis)) {
+        RetryDecision decision = retryDecision(nowMillis);
+        if (failure == TargetFailure.SILENT) {
+            recordSilence(decision, nowMillis);
+        }
+        if (decision == RetryDecision.RETRY) {
             recordRetry(failure.name());
             queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, nowMillis + route.latencyObjectiveMillis());
             place(nowMillis);
@@ -716,14 +724,29 @@
         }
     }
 
-    private boolean canRetry(long nowMillis) {
-        return route.idempotent()
-                && responseAssembler.canResume()
-                && streamCanContinue()
-                && dispatchCount < route.maxAttempts()
-                && deadlineAtMillis - nowMillis > MIN_REMAINING_MILLIS
-                && !front.crashes().assess(this).quarantined()
-                && front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance());
+    /** Decides whether a failed request is sent to another target, and takes the retry from the budget if so. */
+    private RetryDecision retryDecision(long nowMillis) {
+        if (!route.idempotent()) {
+            return RetryDecision.NOT_IDEMPOTENT;
+        }
+        if (!responseAssembler.canResume()) {
+            return RetryDecision.NOT_RESUMABLE;
+        }
+        if (!streamCanContinue()) {
+            return RetryDecision.NO_TARGET;
+        }
+        if (dispatchCount >= route.maxAttempts()) {
+            return RetryDecision.ATTEMPTS_EXHAUSTED;
+        }
+        if (deadlineAtMillis - nowMillis <= MIN_REMAINING_MILLIS) {
+            return RetryDecision.DEADLINE;
+        }
+        if (front.crashes().assess(this).quarantined()) {
+            return RetryDecision.QUARANTINED;
+        }
+        return front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance())
+                ? RetryDecision.RETRY
+                : RetryDecision.BUDGET_EXHAUSTED;
     }
 
     private void recordRetry(String reason) {
@@ -811,14 +834,43 @@
         }
         boolean stalled = silenceWatch.requestStalled(responseAssembler.streamStarted(), nowMillis)
                 || stalledOnLostPath(nowMillis);
-        if (stalled
-                && route.idempotent()
-                && dispatchCount < route.maxAttempts()
-                && front.hasUntriedTarget(service, stream.requiredVersion(), triedTargetIds)) {
+        if (!stalled) {
+            return;
+        }
+        RetryDecision decision = silenceDecision();
+        if (decision == RetryDecision.RETRY) {
             connection.cancel();
             connection = null;
             endFailedRun(TargetFailure.SILENT);
             retryOrFail(TargetFailure.SILENT, nowMillis);
+        } else {
+            recordSilence(decision, nowMillis);
+        }
+    }
+
+    /** Decides whether a run whose target is silent is given up, as far as that does not depend on other requests. */
+    private RetryDecision silenceDecision() {
+        if (!route.idempotent()) {
+            return RetryDecision.NOT_IDEMPOTENT;
+        }
+        if (dispatchCount >= route.maxAttempts()) {
+            return RetryDecision.ATTEMPTS_EXHAUSTED;
+        }
+        return front.hasUntriedTarget(service, stream.requiredVersion(), triedTargetIds)
+                ? RetryDecision.RETRY
+                : RetryDecision.NO_TARGET;
+    }
+
+    private void recordSilence(RetryDecision decision, long nowMillis) {
+        if (silenceWatch.beginSilence()) {
+            front.metrics().runSilent(decision);
+            FrontLog.runSilent(
+                    this,
+                    targetRun,
+                    nowMillis - silenceWatch.lastByteAtMillis(),
+                    decision,
+                    front.silentTargets(service, nowMillis),
+                    front.reach(service));
         }
     }
 
@@ -833,6 +885,13 @@
         return stage == Stage.SENT && !targetRun.relayed() ? Optional.of(targetRun.entry()) : Optional.empty();
     }
 
+    /** Returns the target that owes a response and has sent nothing for a while, to this request or any other. */
+    Optional<TargetEntry> silentTarget(long nowMillis) {
+        return stage == Stage.SENT && silenceWatch.targetQuiet(targetRun.entry(), nowMillis)
+                ? Optional.of(targetRun.entry())
+                : Optional.empty();
+    }
+
     private void deadlineReached(long nowMillis) {
         recordAbandonedRun(nowMillis);
         removeFromQueue();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -682,6 +682,16 @@
         return targets.reach(service);
     }
 
+    /** Returns the number of targets of a service that owe this process a response and are silent. */
+    int silentTargets(String service, long nowMillis) {
+        return (int) exchanges.stream()
+                .filter(exchange -> exchange.service().equals(service))
+                .map(exchange -> exchange.silentTarget(nowMillis))
+                .flatMap(Optional::stream)
+                .distinct()
+                .count();
+    }
+
     TargetEntry entry(String targetId) {
         return targets.entry(targetId);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -215,6 +215,43 @@
         event.call();
     }
 
+    /**
+     * Logs that a target has sent nothing for too long.
+     *
+     * @param decision whether the request is sent to another target
+     * @param silentTargets targets of the service that owe this process a response and are silent
+     */
+    static void runSilent(
+            CallerExchange exchange,
+            TargetRun run,
+            long silentMillis,
+            RetryDecision decision,
+            int silentTargets,
+            TargetRegistry.Reach reach) {
+        EventLog event = runLine(LogEvent.RUN_SILENT, exchange, run, silentMillis)
+                .with(EventField.DECISION, decision.tag())
+                .with(EventField.SILENT_TARGETS, silentTargets);
+        addReach(event, reach);
+        event.call();
+    }
+
+    /** Logs that a silent target has sent bytes again. */
+    static void runSpokeAgain(CallerExchange exchange, TargetRun run, long silentMillis) {
+        runLine(LogEvent.RUN_SPOKE_AGAIN, exchange, run, silentMillis).call();
+    }
+
+    private static EventLog runLine(LogEvent type, CallerExchange exchange, TargetRun run, long silentMillis) {
+        EventLog event = EventLog.event(type)
+                .with(EventField.REQUEST, exchange.head().attemptId())
+                .with(EventField.SERVICE, exchange.service())
+                .with(EventField.TARGET, run.target().id())
+                .with(EventField.SILENT_MILLIS, silentMillis);
+        if (run.relayed()) {
+            event.with(EventField.PEER, run.peerName());
+        }
+        return event;
+    }
+
     static void runLost(CallerExchange exchange, TargetRun run, TargetFailure failure, FailureReview.Verdict verdict) {
         EventLog event = EventLog.event(LogEvent.RUN_LOST)
                 .with(EventField.REQUEST, exchange.head().attemptId())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -28,6 +28,7 @@
     private final Map<ItemsRequestOutcome, Counter> itemsRequests = new EnumMap<>(ItemsRequestOutcome.class);
     private final Map<ResponseEnding, Counter> responseEndings = new HashMap<>();
     private final Map<ResumptionOutcome, Counter> resumptions = new EnumMap<>(ResumptionOutcome.class);
+    private final Map<RetryDecision, Counter> silentRuns = new EnumMap<>(RetryDecision.class);
     private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
     private final Map<RouteKind, Timer> queueTimes = new EnumMap<>(RouteKind.class);
     private final Map<ServiceRank, HoldTimeGauges> holdTimes = new HashMap<>();
@@ -51,6 +52,10 @@
             .baseUnit("bytes")
             .register(registry);
 
+    private final Counter endedSilences = Counter.builder("whinwharf.runs.silence.ended")
+            .description("Silent runs whose target sent bytes again")
+            .register(registry);
+
     private record ServiceRank(String service, int tierRank) {}
 
     private record HoldTimeGauges(AtomicLong holdMillis, AtomicLong changedUnixSeconds) {}
@@ -118,6 +123,24 @@
                 .increment();
     }
 
+    /** Counts a run whose target has sent nothing for too long. */
+    void runSilent(RetryDecision decision) {
+        silentRuns
+                .computeIfAbsent(
+                        decision,
+                        key -> counter(
+                                "whinwharf.runs.silent",
+                                "Runs whose target sent nothing for too long, by whether another target is sought",
+                                "decision",
+                                key.tag()))
+                .increment();
+    }
+
+    /** Counts a silent run whose target sent bytes again. */
+    void runSpokeAgain() {
+        endedSilences.increment();
+    }
+
     /** Counts a target's response that ended after its head, completely or not. */
     void responseEnded(ResponseEnding ending) {
         responseEndings
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/SilenceWatch.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/SilenceWatch.java
@@ -20,6 +20,7 @@
     private long lastByteAtMillis;
     private boolean targetChecked;
     private boolean targetReported;
+    private boolean silent;
 
     /**
      * Starts watching a request.
@@ -37,6 +38,19 @@
     /** Records that bytes of the response were received. */
     void bytesReceived(long nowMillis) {
         lastByteAtMillis = nowMillis;
+        silent = false;
+    }
+
+    /** Records that the request counts as stalled; returns false if it already did. */
+    boolean beginSilence() {
+        boolean begins = !silent;
+        silent = true;
+        return begins;
+    }
+
+    /** Tells whether the request has counted as stalled since the last received bytes. */
+    boolean silent() {
+        return silent;
     }
 
     /** Returns the time of the last received bytes, or of sending the request if there are none. */
@@ -62,6 +76,11 @@
         return nowMillis - Math.max(lastByteAtMillis, entry.lastByteAtMillis());
     }
 
+    /** Tells whether the target has sent nothing for a while, for this request and all others of this process. */
+    boolean targetQuiet(TargetEntry entry, long nowMillis) {
+        return targetSilenceMillis(entry, nowMillis) > MIN_FIRST_BYTE_TIMEOUT_MILLIS;
+    }
+
     /**
      * Tells whether the target has become silent for too long, for this request and all others of this process. Returns
      * true only once: otherwise a target that has recovered would be ejected again for as long as this request hangs
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -99,6 +99,12 @@
     REACHED_TARGETS("reachedTargets"),
     /** Number of published targets. */
     KNOWN_TARGETS("knownTargets"),
+    /** Number of targets that owe this process a response and have sent nothing for too long. */
+    SILENT_TARGETS("silentTargets"),
+    /** Time since the last bytes of a response in milliseconds. */
+    SILENT_MILLIS("silentMillis"),
+    /** Whether a request is sent to another target, or why not. */
+    DECISION("decision"),
     /** Requests at a target, divided by its slots. */
     OCCUPANCY("occupancy"),
     /** Predicted time to the first event, or estimated wait, in milliseconds. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -276,6 +276,26 @@
             EventField.PEER,
             EventField.REASON,
             EventField.VERDICT),
+    /** A target has sent nothing of its answer to a request for too long. */
+    RUN_SILENT(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.SERVICE,
+            EventField.TARGET,
+            EventField.PEER,
+            EventField.SILENT_MILLIS,
+            EventField.DECISION,
+            EventField.SILENT_TARGETS,
+            EventField.REACHED_TARGETS,
+            EventField.KNOWN_TARGETS),
+    /** A target that was silent for too long has sent more of its answer to a request. */
+    RUN_SPOKE_AGAIN(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.SERVICE,
+            EventField.TARGET,
+            EventField.PEER,
+            EventField.SILENT_MILLIS),
     /** More is known of a run that may have crashed its target, and of the request that ran. */
     CRASH_SUSPECTED(
             Level.INFO,
