--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -16,7 +16,7 @@
     private final List<FrontFixture> fronts = new CopyOnWriteArrayList<>();
     private final List<FakeTarget> targets = new ArrayList<>();
     private final boolean engine;
-    private final int attempts;
+    private final FleetLimits limits;
     /** Software version of each target, by the target's index. */
     private final List<String> versions;
     /** Links of each front, by the front's index. */
@@ -38,8 +38,14 @@
      */
     CutFleet(int frontCount, List<String> versions, boolean engine, int attempts, FakeTarget.Script script)
             throws Exception {
+        this(frontCount, versions, engine, FleetLimits.DEFAULT.withAttempts(attempts), script);
+    }
+
+    /** Starts a fleet with the given limits. */
+    CutFleet(int frontCount, List<String> versions, boolean engine, FleetLimits limits, FakeTarget.Script script)
+            throws Exception {
         this.engine = engine;
-        this.attempts = attempts;
+        this.limits = limits;
         this.versions = new CopyOnWriteArrayList<>(versions);
         for (int i = 0; i < versions.size(); i++) {
             targets.add(new FakeTarget("127.0.0.1", script));
@@ -59,14 +65,24 @@
 
     /** Starts a further front that finds the fleet through the given one, and returns it without waiting for it. */
     FrontFixture startFrontBeside(int seed) throws IOException {
-        FrontFixture front = addFront(new FrontFixture(List.of(fronts.get(seed).ip()), 120, false));
-        front.publishCatalog(attempts, 5_000, engine, 500);
+        FrontFixture front = addFront(new FrontFixture(List.of(fronts.get(seed).ip()), 120, false, limits));
+        publishCatalog(front);
         return front;
     }
 
     private void addFront() throws IOException {
-        addFront(new FrontFixture(
-                fronts.isEmpty() ? List.of() : List.of(fronts.get(0).ip())));
+        List<String> seeds =
+                fronts.isEmpty() ? List.of() : List.of(fronts.get(0).ip());
+        addFront(new FrontFixture(seeds, 120, true, limits));
+    }
+
+    private void publishCatalog(FrontFixture front) {
+        front.publishCatalog(limits.attempts(), limits.timeoutMillis(), engine, limits.objectiveMillis());
+    }
+
+    /** Publishes at all fronts a later catalog with the same routes. */
+    void republishCatalog(long catalogVersion) {
+        fronts.forEach(front -> front.republishCatalog(catalogVersion, limits, engine));
     }
 
     private FrontFixture addFront(FrontFixture front) throws IOException {
@@ -82,7 +98,7 @@
     }
 
     private void awaitFleet() throws InterruptedException {
-        fronts.forEach(front -> front.publishCatalog(attempts, 5_000, engine, 500));
+        fronts.forEach(this::publishCatalog);
         for (FrontFixture front : fronts) {
             FrontFixture.await(() -> front.advertisedFronts() == fronts.size());
         }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -72,6 +72,11 @@
 
     /** Starts a front of a fleet that starts with it, or that has run before. */
     FrontFixture(List<String> seedIps, long coordinatorTimeoutMillis, boolean freshFleet) {
+        this(seedIps, coordinatorTimeoutMillis, freshFleet, FleetLimits.DEFAULT);
+    }
+
+    /** Starts a front of a fleet with the given limits of retries. */
+    FrontFixture(List<String> seedIps, long coordinatorTimeoutMillis, boolean freshFleet, FleetLimits limits) {
         front = new Front(
                 ImmutableFrontSettings.builder()
                         .coordinatorTimeoutMillis(coordinatorTimeoutMillis)
@@ -82,8 +87,8 @@
                         .peerPort(PEER_PORT)
                         .seedIps(seedIps)
                         .freshFleet(freshFleet)
-                        .retryRatio(1)
-                        .retryAllowance(100)
+                        .retryRatio(limits.retryRatio())
+                        .retryAllowance(limits.retryAllowance())
                         .retryWindowMillis(10_000)
                         .stopGraceMillis(8_000)
                         .metricsPort(METRICS_PORT)
@@ -189,6 +194,12 @@
         }
     }
 
+    /** Publishes a later catalog whose routes differ from those before in their version only. */
+    void republishCatalog(long catalogVersion, FleetLimits limits, boolean engine) {
+        publishCatalog(
+                catalogVersion, "service", limits.attempts(), limits.timeoutMillis(), engine, limits.objectiveMillis());
+    }
+
     /** Publishes a later catalog whose routes lead to another service, with one attempt each. */
     void publishCatalogOf(String service, long catalogVersion) {
         publishCatalog(catalogVersion, service, 1, 5_000, false, 500);
