Keep a silent run until another target answers

What callers saw: streams and requests ended as broken off or refused while their targets, which had paused for a second, still worked on them.

Cause: 1.2 s without a byte within a stream, or four objectives before the first, and the front cancelled the run; only then it asked whether the request may be sent elsewhere. All requests of a service stall together, and the retry budget is made for a few. Those within the budget were not placed either: the coordinator holds a request whose target may have crashed for 300 ms, and its queue timeout was extended by one objective, which may be as short.

Now the run goes on while another target is sought. Budget, attempts, version and crash suspicion are asked before, and their refusal, like that of a coordinator or of the other target, leaves the run as it is. Whichever target answers first is taken; a stream's silent run ends at the latest 300 ms after the other was sent, since two targets must not work on one stream. The queue timeout includes the time for which suspicion settles. A caller that does not read is no longer taken for a silent target, and one that speaks while it is being reviewed is not ejected.

The runs of a request and the watch over them are classes of their own, ActiveRun and RequestRuns.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -15,6 +15,7 @@
 import org.whinwharf.traffic.catalog.RouteKind;
 import org.whinwharf.traffic.coordination.RejectionDetails;
 import org.whinwharf.traffic.crash.Assessment;
+import org.whinwharf.traffic.crash.CrashEvidence;
 import org.whinwharf.traffic.crash.Fingerprint;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
@@ -37,7 +38,7 @@
  * not, the caller then gets the target's response or an error that leaves the execution open, never a rejection stating
  * that the request was not executed.
  */
-final class CallerExchange implements QueuedRequest, PlacementListener, TargetListener {
+final class CallerExchange implements QueuedRequest, PlacementListener {
     /**
      * Time after its queue timeout for which a request awaits a rejection by the coordinator before it is rejected
      * here.
@@ -49,9 +50,6 @@
     private static final int MAX_TARGETS_WITHOUT_PATH = 3;
     /** Retry-After delay while this process reaches no target; other fronts, to which callers may turn, may do so. */
     private static final long NO_PATH_RETRY_AFTER_MILLIS = 500;
-    /** Silence after which an idempotent request is retried if the path to its target is known to be lost. */
-    private static final long LOST_PATH_SILENCE_MILLIS = 300;
-
     /** Retry-After delay of a request that lost its target: until all fronts know of it. */
     private static final long SUSPECT_RETRY_AFTER_MILLIS = 100;
 
@@ -80,7 +78,6 @@
     private final long arrivedAtMillis;
     private final CatalogFreshness catalogFreshness;
 
-    private final Set<String> triedTargetIds = new HashSet<>();
     private final Set<String> pathlessTargetIds = new HashSet<>();
     private RequestHead head;
     private Route route;
@@ -92,13 +89,9 @@
     private long queueTimeoutAtMillis;
     private final StreamContinuation stream;
     private Stage stage = Stage.QUEUED;
-    private int dispatchCount;
-    private int possibleExecutions;
     private boolean quotaConsumed;
     private PlacementTicket ticket;
-    private TargetRun targetRun;
-    private TargetConnection connection;
-    private SilenceWatch silenceWatch;
+    private final RequestRuns runs = new RequestRuns();
     private ResponseAssembler responseAssembler;
     /** Null until it is needed, since most requests need none. */
     private Fingerprint fingerprint;
@@ -237,22 +230,26 @@
         if (stream.isBound()) {
             stream.continued();
         } else if (route.resumable()) {
-            stream.began(streamKey(head.attemptId()), targetRun);
+            stream.began(streamKey(head.attemptId()), runs.latest().run());
         }
     }
 
     /** Ends a request whose stream cannot be resumed, though another target may serve a new one. */
     private void notResumed(ResumptionOutcome outcome, int silentProcesses) {
+        if (runs.replacing()) {
+            keepSilentRun();
+            return;
+        }
         front.metrics().streamResumption(outcome);
         FrontLog.notResumed(this, outcome, silentProcesses);
         ErrorKind kind =
                 outcome == ResumptionOutcome.UNKNOWN ? ErrorKind.STREAM_UNKNOWN : ErrorKind.VERSION_UNAVAILABLE;
         respondWithError(
-                new ErrorResponse(mayHaveExecuted() ? ErrorKind.TARGET_LOST : kind, UNRESUMED_RETRY_AFTER_MILLIS));
+                new ErrorResponse(runs.mayHaveExecuted() ? ErrorKind.TARGET_LOST : kind, UNRESUMED_RETRY_AFTER_MILLIS));
     }
 
     private boolean streamCanContinue() {
-        return stream.isPossible(triedTargetIds, pathlessTargetIds);
+        return stream.isPossible(runs.triedTargetIds(), pathlessTargetIds);
     }
 
     private void place(long nowMillis) {
@@ -303,7 +300,7 @@
                 .promptParts(head.promptParts())
                 .tierRank(tierRank)
                 .requiredVersion(stream.requiredVersion())
-                .addAllTriedTargets(triedTargetIds)
+                .addAllTriedTargets(runs.triedTargetIds())
                 .addAllTriedTargets(pathlessTargetIds)
                 .suspect(suspect)
                 .build();
@@ -369,7 +366,7 @@
 
     @Override
     public void quarantined(long retryAfterMillis) {
-        ErrorKind kind = mayHaveExecuted() ? ErrorKind.TARGET_CRASHED : ErrorKind.QUARANTINED;
+        ErrorKind kind = runs.mayHaveExecuted() ? ErrorKind.TARGET_CRASHED : ErrorKind.QUARANTINED;
         respondWithError(new ErrorResponse(kind, retryAfterMillis));
     }
 
@@ -414,7 +411,7 @@
     @Override
     public long backlogTimeoutAtMillis() {
         long onTimeMillis = QueueTimeouts.onTimeMillis(route.latencyObjectiveMillis());
-        return dispatchCount > 0
+        return runs.sentCount() > 0
                 ? queueTimeoutAtMillis
                 : arrivedAtMillis + QueueTimeouts.backlogTimeoutMillis(onTimeMillis);
     }
@@ -462,35 +459,35 @@
     }
 
     private void rejectUnplaced(long retryAfterMillis, Optional<RejectionDetails> details) {
-        ErrorKind kind = triedTargetIds.isEmpty() ? ErrorKind.SHED : ErrorKind.TARGET_REFUSED;
+        ErrorKind kind = runs.triedTargetIds().isEmpty() ? ErrorKind.SHED : ErrorKind.TARGET_REFUSED;
         respondWithError(
-                new ErrorResponse(mayHaveExecuted() ? ErrorKind.TARGET_LOST : kind, retryAfterMillis, details));
+                new ErrorResponse(runs.mayHaveExecuted() ? ErrorKind.TARGET_LOST : kind, retryAfterMillis, details));
     }
 
     private void connect(Candidate chosen, PlacementTicket placement, long nowMillis) {
         stage = Stage.CONNECTING;
         ticket = placement;
         String targetId = chosen.state().target().id();
-        targetRun = new TargetRun(front.entry(targetId), chosen, placement);
+        ActiveRun placed = new ActiveRun(front, this, new TargetRun(front.entry(targetId), chosen, placement));
+        runs.add(placed);
         front.prompts().recordPrefill(head.promptParts(), targetId, nowMillis);
-        targetRun.entry().pool().acquire(!route.idempotent(), this::connectionAcquired);
+        placed.entry().pool().acquire(!route.idempotent(), result -> connectionAcquired(placed, result));
     }
 
-    private void connectionAcquired(ConnectResult result) {
+    private void connectionAcquired(ActiveRun current, ConnectResult result) {
         long nowMillis = front.nowMillis();
-        TargetRun current = targetRun;
-        if (stage != Stage.CONNECTING) {
+        if (stage != Stage.CONNECTING || current != runs.latest()) {
             result.connection().ifPresent(idle -> current.entry().pool().release(idle));
             return;
         }
         if (result.connection().isPresent()) {
             connected(result.connection().get(), nowMillis);
         } else if (result.status() == ConnectResult.Status.UNREACHABLE) {
-            endRun(RunEvent.RUN_UNREACHABLE);
+            current.end(RunEvent.RUN_UNREACHABLE);
             front.targetFailed(current.entry(), TargetFailure.UNREACHABLE);
             place(nowMillis);
         } else {
-            endRun(RunEvent.RUN_GIVEN_UP);
+            current.end(RunEvent.RUN_GIVEN_UP);
             placeElsewhere(current.entry().state().target().id(), nowMillis);
         }
     }
@@ -506,25 +503,25 @@
     }
 
     private void rejectWithoutPath() {
-        ErrorKind kind = mayHaveExecuted() ? ErrorKind.TARGET_LOST : ErrorKind.NO_TARGET;
+        ErrorKind kind = runs.mayHaveExecuted() ? ErrorKind.TARGET_LOST : ErrorKind.NO_TARGET;
         respondWithError(new ErrorResponse(kind, NO_PATH_RETRY_AFTER_MILLIS));
     }
 
     private void connected(TargetConnection acquired, long nowMillis) {
-        TargetRun current = targetRun;
+        ActiveRun current = runs.latest();
         boolean becameSuspect = !suspect && front.crashes().assess(this).suspect();
         if (deadlineAtMillis - nowMillis < MIN_REMAINING_MILLIS
                 || !front.mayReceive(current.entry())
                 || becameSuspect
                 || front.crashes().assess(this).quarantined()) {
             current.entry().pool().release(acquired);
-            endRun(RunEvent.RUN_GIVEN_UP);
+            current.end(RunEvent.RUN_GIVEN_UP);
             place(nowMillis);
             return;
         }
         if (!accepts(current.entry().state().target())) {
             current.entry().pool().release(acquired);
-            endRun(RunEvent.RUN_GIVEN_UP);
+            current.end(RunEvent.RUN_GIVEN_UP);
             placeElsewhere(current.entry().state().target().id(), nowMillis);
             return;
         }
@@ -533,22 +530,22 @@
             current.entry().pool().release(acquired);
             return;
         }
-        connection = acquired;
-        send(nowMillis);
+        send(acquired, nowMillis);
     }
 
-    private void send(long nowMillis) {
-        Target target = targetRun.entry().state().target();
+    private void send(TargetConnection acquired, long nowMillis) {
+        ActiveRun placed = runs.latest();
+        TargetRun run = placed.run();
+        if (runs.replacing()) {
+            recordRetry(runs.silent(), TargetFailure.SILENT.name());
+        }
         stage = Stage.SENT;
-        dispatchCount++;
-        possibleExecutions++;
-        triedTargetIds.add(target.id());
-        targetRun.sent(connection, nowMillis);
-        if (targetRun.relayed()) {
+        placed.sending(acquired, route, nowMillis);
+        Target target = run.target();
+        runs.sent();
+        if (run.relayed()) {
             front.metrics().relayed();
         }
-        silenceWatch = new SilenceWatch(
-                route.latencyObjectiveMillis(), targetRun.candidate().firstEventMillis(), nowMillis);
         Optional<String> lastEventId =
                 responseAssembler.streamStarted() ? responseAssembler.lastEventId() : head.lastEventId();
         DispatchParameters dispatch = new DispatchParameters(
@@ -557,93 +554,100 @@
             front.metrics().streamResumption(ResumptionOutcome.RESUMED);
         }
         front.metrics().recordQueueTime(route.kind(), nowMillis - arrivedAtMillis);
-        FrontLog.sent(this, targetRun, nowMillis - arrivedAtMillis, lastEventId);
-        connection.send(front.dialect().targetRequest(request, dispatch), body, head.attemptId(), this);
+        FrontLog.sent(this, run, nowMillis - arrivedAtMillis, lastEventId);
+        placed.send(front.dialect().targetRequest(request, dispatch), body, head.attemptId());
     }
 
-    @Override
-    public void head(HttpResponse response, ResponseHead responseHead) {
-        recordBytesReceived();
-        responseAssembler.head(response, responseHead);
+    /** Handles the head of a run's response. */
+    void head(ActiveRun run, HttpResponse response, ResponseHead responseHead) {
         if (!responseHead.wrongTarget()) {
             front.updateRejectionLimit(service, responseHead.rejectionLimitPerSecond());
         }
+        if (run == runs.silent()) {
+            withdrawReplacement();
+        } else if (runs.replacing() && !answers(responseHead)) {
+            replacementRefused(responseHead);
+            return;
+        } else if (runs.replacing()) {
+            dropSilentRun();
+        }
+        responseAssembler.head(response, responseHead);
         if (responseHead.status() / 100 == 2) {
-            targetRun.succeeded();
+            run.run().succeeded();
         }
     }
 
-    @Override
-    public void content(ByteBuf chunk) {
-        recordBytesReceived();
+    /** Tells whether a response may be the caller's, rather than a reason to try elsewhere. */
+    private static boolean answers(ResponseHead head) {
+        return !head.notExecuted() && !head.wrongTarget() && head.status() < 500;
+    }
+
+    /** Handles a chunk of the body of a run's response. */
+    void content(ActiveRun run, ByteBuf chunk) {
+        if (run == runs.silent()) {
+            withdrawReplacement();
+        }
         if (responseAssembler.content(chunk) && !caller.writable()) {
-            connection.setReading(false);
+            run.setReading(false);
         }
     }
 
     void callerWritabilityChanged(boolean writable) {
-        if (connection != null && stage == Stage.SENT) {
-            connection.setReading(writable);
+        if (stage == Stage.SENT) {
+            runs.latest().setReading(writable);
         }
     }
 
-    private void recordBytesReceived() {
-        long nowMillis = front.nowMillis();
-        if (silenceWatch.silent()) {
-            front.metrics().runSpokeAgain();
-            FrontLog.runSpokeAgain(this, targetRun, nowMillis - silenceWatch.lastByteAtMillis());
-        }
-        silenceWatch.bytesReceived(nowMillis);
-        targetRun.entry().bytesReceived(nowMillis);
-        if (!targetRun.relayed()) {
-            front.reached(targetRun.entry());
+    /** Handles the end of a run's response. */
+    void complete(ActiveRun run) {
+        if (run == runs.silent()) {
+            withdrawReplacement();
         }
-        if (!targetRun.firstByteReceived()) {
-            targetRun.firstByte(nowMillis);
-            front.metrics().recordFirstByte(route.kind(), targetRun.firstByteMillis());
-        }
-    }
-
-    @Override
-    public void complete() {
         if (!responseAssembler.notExecuted() && !responseAssembler.isComplete()) {
-            failed(TargetFailure.TRUNCATED);
+            failed(run, TargetFailure.TRUNCATED);
             return;
         }
         recordResponseEnding(ResponseEnding.COMPLETE);
-        connection = null;
         long nowMillis = front.nowMillis();
-        TargetEntry entry = targetRun.entry();
         if (responseAssembler.notExecuted()) {
-            possibleExecutions--;
-            if (responseAssembler.fromWrongTarget()) {
-                endRun(RunEvent.RUN_UNREACHABLE);
-                front.targetFailed(entry, TargetFailure.UNREACHABLE);
-            } else {
-                endRun(RunEvent.RUN_REFUSED);
-                front.targetAnsweredError(entry);
-            }
+            notExecuted(run, responseAssembler.fromWrongTarget());
             retryElsewhereOrReject(nowMillis);
         } else if (!responseAssembler.isDeliverable()) {
-            endRun(RunEvent.RUN_BROKEN);
+            run.end(RunEvent.RUN_BROKEN);
             retryOrFail(TargetFailure.GARBLED, nowMillis);
         } else if (responseAssembler.status() >= 500) {
-            endRun(RunEvent.RUN_ERRED);
-            front.targetAnsweredError(entry);
+            erred(run);
             front.crashes().served(this);
             retryOrDeliverError(nowMillis);
         } else {
-            front.targetAnswered(entry);
+            front.targetAnswered(run.entry());
             front.crashes().served(this);
-            targetRun.end(
-                    RunEvent.RUN_ANSWERED,
-                    dispatchCount == 1 ? expectedAnswerTokens() : 0,
-                    silenceWatch.lastByteAtMillis());
-            endRun(RunEvent.RUN_ANSWERED);
+            run.run()
+                    .end(
+                            RunEvent.RUN_ANSWERED,
+                            runs.sentCount() == 1 ? expectedAnswerTokens() : 0,
+                            run.lastByteAtMillis());
+            run.end(RunEvent.RUN_ANSWERED);
             deliver();
         }
     }
 
+    private void notExecuted(ActiveRun run, boolean wrongTarget) {
+        runs.notExecuted();
+        if (wrongTarget) {
+            run.end(RunEvent.RUN_UNREACHABLE);
+            front.targetFailed(run.entry(), TargetFailure.UNREACHABLE);
+        } else {
+            run.end(RunEvent.RUN_REFUSED);
+            front.targetAnsweredError(run.entry());
+        }
+    }
+
+    private void erred(ActiveRun run) {
+        run.end(RunEvent.RUN_ERRED);
+        front.targetAnsweredError(run.entry());
+    }
+
     private void recordResponseEnding(String cause) {
         responseEnding = responseAssembler.ending(cause);
         responseEnding.ifPresent(front.metrics()::responseEnded);
@@ -654,16 +658,11 @@
             deliver();
             return;
         }
-        recordRetry("status " + responseAssembler.status());
+        recordRetry(runs.latest(), "status " + responseAssembler.status());
         responseAssembler.discardIncomplete();
         place(nowMillis);
     }
 
-    /** Returns whether any target may have executed the request or may still execute it. */
-    private boolean mayHaveExecuted() {
-        return possibleExecutions > 0;
-    }
-
     private void deliver() {
         front.metrics().answered();
         FrontLog.ended(this, entry(), "answered", responseAssembler.status(), ageMillis());
@@ -678,34 +677,32 @@
         caller.abort();
     }
 
-    @Override
-    public void failed(TargetFailure failure) {
-        connection = null;
-        endFailedRun(failure);
-        retryOrFail(failure, front.nowMillis());
-    }
-
-    private void endFailedRun(TargetFailure failure) {
-        recordResponseEnding(failure.tag());
-        front.lostRuns().runFailed(this, targetRun, failure);
-        front.localQueues().slotFreed(service);
-    }
-
-    private void recordAbandonedRun(long nowMillis) {
-        if (stage == Stage.SENT) {
-            front.lostRuns().runAbandoned(this, targetRun, nowMillis - silenceWatch.lastByteAtMillis());
+    /** Handles the failure of a run. */
+    void failed(ActiveRun run, TargetFailure failure) {
+        if (!runs.replacing()) {
+            recordResponseEnding(failure.tag());
+            run.endFailed(failure);
+            retryOrFail(failure, front.nowMillis());
+            return;
+        }
+        run.endFailed(failure);
+        if (run == runs.silent()) {
+            if (!runs.replacementSent()) {
+                recordRetry(run, failure.name());
+            }
+            runs.silentEnded();
+            responseAssembler.discardIncomplete();
+        } else {
+            keepSilentRun();
         }
     }
 
     private void retryOrFail(TargetFailure failure, long nowMillis) {
         responseAssembler.discardIncomplete();
         RetryDecision decision = retryDecision(nowMillis);
-        if (failure == TargetFailure.SILENT) {
-            recordSilence(decision, nowMillis);
-        }
         if (decision == RetryDecision.RETRY) {
-            recordRetry(failure.name());
-            queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, nowMillis + route.latencyObjectiveMillis());
+            recordRetry(runs.latest(), failure.name());
+            extendQueueTimeout(failure, nowMillis);
             place(nowMillis);
             return;
         }
@@ -735,7 +732,7 @@
         if (!streamCanContinue()) {
             return RetryDecision.NO_TARGET;
         }
-        if (dispatchCount >= route.maxAttempts()) {
+        if (runs.sentCount() >= route.maxAttempts()) {
             return RetryDecision.ATTEMPTS_EXHAUSTED;
         }
         if (deadlineAtMillis - nowMillis <= MIN_REMAINING_MILLIS) {
@@ -749,9 +746,17 @@
                 : RetryDecision.BUDGET_EXHAUSTED;
     }
 
-    private void recordRetry(String reason) {
+    /** Leaves a request that is placed anew one latency objective, from the time at which it may be sent. */
+    private void extendQueueTimeout(TargetFailure failure, long nowMillis) {
+        long settlingMillis =
+                failure.crashEvidence().map(CrashEvidence::settlingMillis).orElse(0L);
+        queueTimeoutAtMillis =
+                Math.max(queueTimeoutAtMillis, nowMillis + settlingMillis + route.latencyObjectiveMillis());
+    }
+
+    private void recordRetry(ActiveRun failedRun, String reason) {
         front.metrics().retried();
-        Target failed = targetRun.entry().state().target();
+        Target failed = failedRun.run().target();
         FrontLog.retried(this, failed, reason, front.retryBudget(service), front.retryAllowance(), front.knownPeers());
     }
 
@@ -762,17 +767,17 @@
             quarantined(assessment.retryAfterMillis());
             return;
         }
-        boolean mayRetry = dispatchCount < route.maxAttempts()
+        boolean mayRetry = runs.sentCount() < route.maxAttempts()
                 && front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance());
         if (mayRetry && nowMillis < queueTimeoutAtMillis) {
-            recordRetry("not executed");
+            recordRetry(runs.latest(), "not executed");
             place(nowMillis);
         } else if (responseAssembler.streamStarted()) {
             FrontLog.ended(this, entry(), "broken-off", responseAssembler.status(), ageMillis());
             end();
             abortResponse(TruncationCause.TARGET_LOST);
         } else {
-            ErrorKind kind = mayHaveExecuted() ? ErrorKind.TARGET_LOST : ErrorKind.TARGET_REFUSED;
+            ErrorKind kind = runs.mayHaveExecuted() ? ErrorKind.TARGET_LOST : ErrorKind.TARGET_REFUSED;
             respondWithError(new ErrorResponse(kind, front.localQueues().retryAfterMillis(service)));
         }
     }
@@ -793,14 +798,7 @@
     }
 
     private TargetEntry entry() {
-        return targetRun == null ? null : targetRun.entry();
-    }
-
-    private void endRun(RunEvent event) {
-        if (targetRun != null) {
-            targetRun.end(event, 0, front.nowMillis());
-            front.localQueues().slotFreed(service);
-        }
+        return runs.latest() == null ? null : runs.latest().entry();
     }
 
     /** Checks the deadline, the queue timeout and whether the target has fallen silent. */
@@ -822,88 +820,104 @@
             rejectUnplaced(front.localQueues().retryAfterMillis(service), Optional.empty());
             return;
         }
-        if (stage != Stage.SENT) {
-            return;
-        }
         stream.refresh(nowMillis);
-        if (silenceWatch.targetNeedsCheck(targetRun.entry(), responseAssembler.streamStarted(), nowMillis)) {
-            front.failureReview().checkSilentTarget(targetRun);
+        if (stage == Stage.SENT && !caller.writable()) {
+            runs.latest().heldUpByCaller(nowMillis);
+            return;
         }
-        if (silenceWatch.targetBecameSilent(targetRun.entry(), responseAssembler.streamStarted(), nowMillis)) {
-            front.failureReview().targetSilent(targetRun);
+        runs.reviewSilence(responseAssembler.streamStarted(), nowMillis);
+        if (runs.overlapTooLong(route.kind(), nowMillis)) {
+            dropSilentRun();
+        } else if (stage == Stage.SENT && runs.needReplacement(responseAssembler.streamStarted(), nowMillis)) {
+            replaceIfAllowed(nowMillis);
         }
-        boolean stalled = silenceWatch.requestStalled(responseAssembler.streamStarted(), nowMillis)
-                || stalledOnLostPath(nowMillis);
-        if (!stalled) {
+    }
+
+    /** Seeks another target for a request whose target is silent; its run goes on meanwhile. */
+    private void replaceIfAllowed(long nowMillis) {
+        RetryDecision decision = front.hasUntriedTarget(service, stream.requiredVersion(), runs.triedTargetIds())
+                ? retryDecision(nowMillis)
+                : RetryDecision.NO_TARGET;
+        recordSilence(decision, nowMillis);
+        if (decision != RetryDecision.RETRY) {
+            runs.postponeReplacement(nowMillis);
             return;
         }
-        RetryDecision decision = silenceDecision();
-        if (decision == RetryDecision.RETRY) {
-            connection.cancel();
-            connection = null;
-            endFailedRun(TargetFailure.SILENT);
-            retryOrFail(TargetFailure.SILENT, nowMillis);
-        } else {
-            recordSilence(decision, nowMillis);
-        }
+        runs.beginReplacement();
+        ticket = null;
+        extendQueueTimeout(TargetFailure.SILENT, nowMillis);
+        place(nowMillis);
     }
 
-    /** Decides whether a run whose target is silent is given up, as far as that does not depend on other requests. */
-    private RetryDecision silenceDecision() {
-        if (!route.idempotent()) {
-            return RetryDecision.NOT_IDEMPOTENT;
+    /** Gives up the other target for a request, since the silent one has sent more or the other does not serve it. */
+    private void withdrawReplacement() {
+        removeFromQueue();
+        if (ticket != null) {
+            ticket.ended(RunEvent.RUN_GIVEN_UP, 0);
         }
-        if (dispatchCount >= route.maxAttempts()) {
-            return RetryDecision.ATTEMPTS_EXHAUSTED;
+        if (!runs.replacementSent()) {
+            front.retryBudget(service).cancelRetry();
         }
-        return front.hasUntriedTarget(service, stream.requiredVersion(), triedTargetIds)
-                ? RetryDecision.RETRY
-                : RetryDecision.NO_TARGET;
+        runs.withdrawReplacement();
+        stage = Stage.SENT;
+    }
+
+    /** Goes on awaiting the response of the silent target, and seeks another one later. */
+    private void keepSilentRun() {
+        withdrawReplacement();
+        runs.postponeReplacement(front.nowMillis());
+    }
+
+    /** Gives up the silent target for the one that the request was sent to after it. */
+    private void dropSilentRun() {
+        runs.dropSilent();
+        responseAssembler.discardIncomplete();
+    }
+
+    private void replacementRefused(ResponseHead responseHead) {
+        if (responseHead.status() >= 500 && !responseHead.notExecuted()) {
+            erred(runs.latest());
+        } else {
+            notExecuted(runs.latest(), responseHead.wrongTarget());
+        }
+        keepSilentRun();
     }
 
     private void recordSilence(RetryDecision decision, long nowMillis) {
-        if (silenceWatch.beginSilence()) {
+        ActiveRun run = runs.latest();
+        if (run.beginSilence()) {
             front.metrics().runSilent(decision);
             FrontLog.runSilent(
                     this,
-                    targetRun,
-                    nowMillis - silenceWatch.lastByteAtMillis(),
+                    run.run(),
+                    nowMillis - run.lastByteAtMillis(),
                     decision,
                     front.silentTargets(service, nowMillis),
                     front.reach(service));
         }
     }
 
-    private boolean stalledOnLostPath(long nowMillis) {
-        return !targetRun.relayed()
-                && front.pathLost(targetRun.entry())
-                && nowMillis - silenceWatch.lastByteAtMillis() > LOST_PATH_SILENCE_MILLIS;
-    }
-
     /** Returns the target from which a response is awaited over a direct connection. */
     Optional<TargetEntry> directlyAwaitedTarget() {
-        return stage == Stage.SENT && !targetRun.relayed() ? Optional.of(targetRun.entry()) : Optional.empty();
+        return runs.awaited().filter(run -> !run.run().relayed()).map(ActiveRun::entry);
     }
 
     /** Returns the target that owes a response and has sent nothing for a while, to this request or any other. */
     Optional<TargetEntry> silentTarget(long nowMillis) {
-        return stage == Stage.SENT && silenceWatch.targetQuiet(targetRun.entry(), nowMillis)
-                ? Optional.of(targetRun.entry())
-                : Optional.empty();
+        return runs.awaited().filter(run -> run.targetQuiet(nowMillis)).map(ActiveRun::entry);
     }
 
     private void deadlineReached(long nowMillis) {
-        recordAbandonedRun(nowMillis);
         removeFromQueue();
         if (responseAssembler.streamStarted()) {
             FrontLog.ended(this, entry(), "timed-out", responseAssembler.status(), ageMillis());
-            cancelRun();
+            runs.abandon(nowMillis);
             end();
             abortResponse(TruncationCause.TIMED_OUT);
             return;
         }
-        boolean possiblyExecuted = mayHaveExecuted();
-        cancelRun();
+        boolean possiblyExecuted = runs.mayHaveExecuted();
+        runs.abandon(nowMillis);
         respondWithError(
                 possiblyExecuted
                         ? new ErrorResponse(ErrorKind.DEADLINE_RUNNING, 0)
@@ -921,8 +935,7 @@
             return;
         }
         removeFromQueue();
-        recordAbandonedRun(front.nowMillis());
-        cancelRun();
+        runs.abandon(front.nowMillis());
         if (route != null) {
             FrontLog.callerLeft(this, entry(), closeCause, ageMillis());
         }
@@ -938,19 +951,15 @@
         }
     }
 
-    private void cancelRun() {
-        if (connection != null) {
-            connection.cancel();
-            connection = null;
-        }
-        endRun(RunEvent.RUN_GIVEN_UP);
-    }
-
     private void respondWithError(ErrorResponse error) {
         if (stage == Stage.ENDED) {
             return;
         }
-        if (quotaConsumed && !mayHaveExecuted()) {
+        if (runs.replacing()) {
+            keepSilentRun();
+            return;
+        }
+        if (quotaConsumed && !runs.mayHaveExecuted()) {
             organisation.ifPresent(known -> front.quotas().refund(known.name(), quotaTokens));
         }
         front.metrics().failed(error.kind());
@@ -977,8 +986,8 @@
 
     /** Returns the time from the last dispatch to the first byte of its response; empty before that byte. */
     OptionalLong firstByteMillis() {
-        return targetRun != null && targetRun.firstByteReceived()
-                ? OptionalLong.of(targetRun.firstByteMillis())
+        return entry() != null && runs.latest().run().firstByteReceived()
+                ? OptionalLong.of(runs.latest().run().firstByteMillis())
                 : OptionalLong.empty();
     }
 
@@ -996,6 +1005,10 @@
         return service;
     }
 
+    Route route() {
+        return route;
+    }
+
     /** Returns the tokens that the request consumes of its organisation's quota. */
     long quotaTokens() {
         return quotaTokens;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -108,6 +108,11 @@
         update(ledger.pathLost(run.id(), ticker.nowMillis()));
     }
 
+    /** Records that the target of a run has lived on. */
+    void livedOn(LostRun run) {
+        update(ledger.livedOn(run.id(), ticker.nowMillis()));
+    }
+
     /** Records a lost run, and tells the peers. */
     void record(LostRun run) {
         // Runs whose callers left are many, and few of them concern a crash.
@@ -128,7 +133,7 @@
     private void checkLifeSign(LostRun run) {
         TargetEntry entry = targets.entry(run.targetId());
         if (entry != null && entry.pool().livedOn(run.endedAtMillis())) {
-            update(ledger.livedOn(run.id(), ticker.nowMillis()));
+            livedOn(run);
         }
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
@@ -80,7 +80,12 @@
 
     /** Reports that a target has sent nothing for too long to any request of this process; the run goes on. */
     void targetSilent(TargetRun run) {
+        long lastByteAtMillis = run.entry().lastByteAtMillis();
         review(run, verdict -> {
+            if (run.entry().lastByteAtMillis() != lastByteAtMillis) {
+                // The target has sent bytes during the review.
+                return;
+            }
             if (!verdict.concernsTarget()) {
                 FrontLog.failureDismissed(run, TargetFailure.SILENT);
             } else if (!run.stalled()) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -655,6 +655,13 @@
         targets.paths().bytesReceived(nowMillis);
     }
 
+    /** Records bytes of a run's target, which is not silent any longer. */
+    void targetSpoke(TargetRun run) {
+        if (!run.relayed()) {
+            reached(run.entry());
+        }
+    }
+
     /** Applies what a response says of the rejections that the targets of a service can bear. */
     void updateRejectionLimit(String service, OptionalInt limitPerSecond) {
         targets.updateRejectionLimit(service, limitPerSecond);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunRecorder.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunRecorder.java
@@ -31,6 +31,16 @@
         });
     }
 
+    /**
+     * Records that a target may have crashed under a request, since it is silent; the run goes on.
+     *
+     * @return the record; empty if the target's silence is not held against the request
+     */
+    Optional<LostRun> runSilent(CallerExchange exchange, TargetRun run) {
+        return evidence(run, TargetFailure.SILENT)
+                .map(evidence -> front.crashes().runLost(exchange.fingerprint(), run, evidence));
+    }
+
     private Optional<CrashEvidence> evidence(TargetRun run, TargetFailure failure) {
         TargetEntry entry = run.entry();
         if (front.isOut(entry)) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
@@ -67,6 +67,11 @@
         return true;
     }
 
+    /** Returns the latest retry to the budget, because it was not sent. */
+    public void cancelRetry() {
+        retriesAtMillis.pollLast();
+    }
+
     /**
      * Returns the number of requests in the window that ended at the latest request or retry.
      *
