Use a target that was ejected for its silence as soon as it sends again

What callers saw: after a pause new requests waited or were refused, though all targets answered again.

Cause: a target that is silent to a front is ejected for 500 ms at least and returns by a health check, whose interval doubles. The coordinator, which places for all, was told of the silence but not of its end.

Now the first byte of any response ends an ejection for silence. Fronts tell the coordinator (RUN_SPOKE_AGAIN), which does the same. An ejection for failures, or of a target that cannot be reached, still ends by a health check only; the result of a check that was sent before the target spoke is ignored.

--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/CoordinatorLoad.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/CoordinatorLoad.java
@@ -234,4 +234,10 @@
 
     @Override
     public void failed(String targetId, boolean certain, String reporter) {}
+
+    @Override
+    public void silent(String targetId, String reporter) {}
+
+    @Override
+    public void spoke(String targetId) {}
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -660,6 +660,8 @@
         if (!run.relayed()) {
             reached(run.entry());
         }
+        targets.spoke(run.entry());
+        run.spokeAgain();
     }
 
     /** Applies what a response says of the rejections that the targets of a service can bear. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -172,6 +172,11 @@
         return true;
     }
 
+    /** Reports to the coordinator that a target that was reported as silent has sent bytes again. */
+    void spokeAgain() {
+        coordination.report(this, RunEvent.RUN_SPOKE_AGAIN, 0);
+    }
+
     /** Reports to the coordinator that the request is no longer queued or running. */
     void ended(RunEvent event, long elapsedMillis) {
         if (stage != Stage.ENDED && stage != Stage.IN_REVIEW) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
@@ -7,8 +7,8 @@
 import org.whinwharf.traffic.catalog.RouteKind;
 
 /**
- * The runs of one request: those so far, by their targets, and those under way. These are the latest one, and one before
- * it whose target is silent.
+ * The runs of one request: those so far, by their targets, and those under way. These are the latest one, and one
+ * before it whose target is silent.
  *
  * <p>A silent target may be about to go on or never do so again, and nothing tells which. Its run is therefore not
  * given up when another target is sought, but when that one answers; if the silent target sends more before, the other
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -306,17 +306,38 @@
         if (failure == TargetFailure.UNREACHABLE) {
             crashed(entry);
         }
-        recordFailure(entry, failure.conclusive(), failure.name(), "");
+        if (failure == TargetFailure.SILENT) {
+            recordSilence(entry, failure.name(), "");
+        } else {
+            recordFailure(entry, failure.conclusive(), failure.name(), "");
+        }
+    }
+
+    private void recordSilence(TargetEntry entry, String reason, String reporter) {
+        if (entry.state().health().recordSilence(ticker.nowMillis())) {
+            ejected(entry, reason, reporter);
+        }
+    }
+
+    /** Records that a target has sent bytes; one that was ejected for its silence is in use again. */
+    void spoke(TargetEntry entry) {
+        if (entry.state().health().recordLifeSign()) {
+            FrontLog.returned(entry.state().target(), 0);
+        }
     }
 
     private void recordFailure(TargetEntry entry, boolean conclusive, String reason, String reporter) {
         if (entry.state().health().recordFailure(ticker.nowMillis(), conclusive)) {
-            entry.pool().closeIdle();
-            metrics.ejected();
-            logEjection(entry, reason, reporter);
+            ejected(entry, reason, reporter);
         }
     }
 
+    private void ejected(TargetEntry entry, String reason, String reporter) {
+        entry.pool().closeIdle();
+        metrics.ejected();
+        logEjection(entry, reason, reporter);
+    }
+
     private void logEjection(TargetEntry entry, String reason, String reporter) {
         FrontLog.ejected(entry, reason, reporter, ticker.nowMillis(), reach(""));
     }
@@ -394,6 +415,22 @@
         }
     }
 
+    @Override
+    public void silent(String targetId, String reporter) {
+        TargetEntry entry = entries.get(targetId);
+        if (entry != null) {
+            recordSilence(entry, "REPORTED", reporter);
+        }
+    }
+
+    @Override
+    public void spoke(String targetId) {
+        TargetEntry entry = entries.get(targetId);
+        if (entry != null) {
+            spoke(entry);
+        }
+    }
+
     /** Sets the load of all processes at a target. */
     void updateLoad(String targetId, RunningRequests.Load load) {
         TargetEntry entry = entries.get(targetId);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -19,6 +19,8 @@
     private long firstByteAtMillis;
     private boolean firstByteReceived;
     private boolean ended;
+    /** Whether the coordinator was told that the target is silent, and not yet that it sends again. */
+    private boolean reportedSilent;
 
     TargetRun(TargetEntry entry, Candidate candidate, PlacementTicket ticket) {
         this.entry = entry;
@@ -100,7 +102,16 @@
      * @return false when there is no coordinator, so that this process must assess the target itself
      */
     boolean stalled() {
-        return ticket.stalled();
+        reportedSilent = ticket.stalled();
+        return reportedSilent;
+    }
+
+    /** Records that the target has sent bytes. */
+    void spokeAgain() {
+        if (reportedSilent) {
+            reportedSilent = false;
+            ticket.spokeAgain();
+        }
     }
 
     /**
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/NoOpCoordinatorListener.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/NoOpCoordinatorListener.java
@@ -27,4 +27,10 @@
 
     @Override
     public void failed(String targetId, boolean conclusive, String reporter) {}
+
+    @Override
+    public void silent(String targetId, String reporter) {}
+
+    @Override
+    public void spoke(String targetId) {}
 }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
@@ -1,6 +1,7 @@
 package org.whinwharf.traffic;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import org.junit.jupiter.api.Test;
@@ -42,4 +43,14 @@
         }
         assertThat((double) retries, lessThanOrEqualTo(200 * 0.2 + 6));
     }
+
+    /** Guards against a budget that is used up by retries for which no target was found. */
+    @Test
+    void cancelledRetryCanBeTakenAgain() {
+        RetryBudget budget = new RetryBudget(0, 10_000);
+        assertThat(budget.tryRetry(0, 1), is(true));
+        assertThat(budget.tryRetry(1, 1), is(false));
+        budget.cancelRetry();
+        assertThat(budget.tryRetry(2, 1), is(true));
+    }
 }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetHealthTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetHealthTest.java
@@ -73,4 +73,34 @@
         assertThat(health.beginProbe(1_000), is(false));
         assertThat(health.beginProbe(1_500), is(true));
     }
+
+    /** Guards against a target that has paused and stays out of use until a probe, though it answers again. */
+    @Test
+    void silentTargetReturnsOnceItSendsAgain() {
+        assertThat(health.recordSilence(0), is(true));
+        assertThat(health.recordLifeSign(), is(true));
+        assertThat(health.ejected(), is(false));
+        assertThat(health.admits(10), is(true));
+        health.recordDispatch(10);
+        assertThat(health.admits(11), is(true));
+    }
+
+    /** Guards against a target that cannot be reached and returns because a lost connection still delivers bytes. */
+    @Test
+    void unreachableTargetDoesNotReturnWithBytes() {
+        health.recordSilence(0);
+        health.recordFailure(100, true);
+        assertThat(health.recordLifeSign(), is(false));
+        assertThat(health.ejected(), is(true));
+    }
+
+    /** Guards against a probe that ejects a target anew, since it was sent while the target was silent. */
+    @Test
+    void lateProbeResultDoesNotEjectTargetThatSendsAgain() {
+        health.recordSilence(0);
+        assertThat(health.beginProbe(500), is(true));
+        health.recordLifeSign();
+        health.recordProbeResult(1_000, false);
+        assertThat(health.admits(1_000), is(true));
+    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -197,8 +197,12 @@
             known.ifPresent(run -> reportSilence(run.targetId(), process, nowMillis));
             return;
         }
-        if (event == RunEvent.RUN_FIRST_EVENT || event == RunEvent.RUN_ANSWERED) {
-            known.ifPresent(run -> lastActivityAtMillis.put(run.targetId(), nowMillis));
+        if (event == RunEvent.RUN_FIRST_EVENT || event == RunEvent.RUN_ANSWERED || event == RunEvent.RUN_SPOKE_AGAIN) {
+            known.ifPresent(run -> recordActivity(run.targetId(), nowMillis));
+        }
+        if (event == RunEvent.RUN_SPOKE_AGAIN) {
+            queue.advance(nowMillis);
+            return;
         }
         QueuedPlacement queued = queuedRequests.remove(key);
         if (queued != null) {
@@ -260,10 +264,15 @@
         if (activeAtMillis != null && nowMillis - activeAtMillis <= TARGET_ACTIVITY_TIMEOUT_MILLIS) {
             dependencies.targetOutcomeListener().erred(targetId);
         } else {
-            dependencies.targetOutcomeListener().failed(targetId, true, reporter);
+            dependencies.targetOutcomeListener().silent(targetId, reporter);
         }
     }
 
+    private void recordActivity(String targetId, long nowMillis) {
+        lastActivityAtMillis.put(targetId, nowMillis);
+        dependencies.targetOutcomeListener().spoke(targetId);
+    }
+
     private void reportOutcome(String targetId, String reporter, RunEvent event) {
         switch (event) {
             case RUN_ANSWERED -> dependencies.targetOutcomeListener().answered(targetId);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
@@ -27,6 +27,9 @@
     private double failureShare;
     private long ejectionMillis = INITIAL_EJECTION_MILLIS;
     private boolean ejected;
+    /** Whether it was ejected only because it had sent nothing for too long. */
+    private boolean ejectedForSilence;
+
     private long probeAtMillis;
     private boolean probing;
     private boolean onTrial;
@@ -52,9 +55,37 @@
     public boolean recordFailure(long nowMillis, boolean unreachable) {
         consecutiveFailures++;
         failureShare += (1 - failureShare) * SMOOTHING_FACTOR;
+        ejectedForSilence = false;
         return eject(nowMillis, unreachable || consecutiveFailures >= CONSECUTIVE_FAILURE_THRESHOLD);
     }
 
+    /**
+     * Records that the target has sent nothing for too long, which ejects it until it sends again.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return true when this ejected the target
+     */
+    public boolean recordSilence(long nowMillis) {
+        boolean ejects = eject(nowMillis, true);
+        ejectedForSilence = ejectedForSilence || ejects;
+        return ejects;
+    }
+
+    /**
+     * Records that the target has sent bytes. One that was ejected for its silence is sound and needs no probe.
+     *
+     * @return true when this ended an ejection
+     */
+    public boolean recordLifeSign() {
+        if (!ejected || !ejectedForSilence) {
+            return false;
+        }
+        ejected = false;
+        ejectedForSilence = false;
+        ejectionMillis = INITIAL_EJECTION_MILLIS;
+        return true;
+    }
+
     /**
      * Records a request that the target answered with an error. Some requests always end with an error, so only the
      * share of such answers counts, not consecutive ones.
@@ -141,8 +172,12 @@
      */
     public void recordProbeResult(long nowMillis, boolean healthy) {
         probing = false;
+        if (!ejected) {
+            return;
+        }
         if (healthy) {
             ejected = false;
+            ejectedForSilence = false;
             onTrial = true;
             lastDispatchMillis = nowMillis - TRIAL_INTERVAL_MILLIS;
             consecutiveFailures = 0;
