Give each test process loopback addresses of its own

LoopbackNetwork derives the addresses from the process id, as the tests of the front do, and hands out up to 15 networks of 15 addresses in a process, so that two fleets of one process share none either. Logs of fleets are kept in a folder named after the test instead of the network.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.whinwharf.document.Credentials;
+import org.whinwharf.standin.LoopbackNetwork;
 import org.whinwharf.standin.Main;
 import org.whinwharf.wire.message.Finished;
 import org.whinwharf.wire.message.RefusalReason;
@@ -32,15 +33,17 @@
     static final int MAX_CONNECTIONS = 64;
     static final String CREDENTIAL = "driver-of-orava";
     static final String OTHER_CREDENTIAL = "keeper-of-liptov";
-    static final Host ONE = entryHost("host-1", "127.0.51.1");
-    static final Host TWO = entryHost("host-2", "127.0.51.2");
-    static final Host THREE = entryHost("host-3", "127.0.51.3");
-    static final Host ENGINE = target("engine-1", "127.0.51.8", "lampa-llm");
+    private static final LoopbackNetwork NETWORK = LoopbackNetwork.next();
+
+    static final Host ONE = entryHost("host-1", NETWORK.address(1));
+    static final Host TWO = entryHost("host-2", NETWORK.address(2));
+    static final Host THREE = entryHost("host-3", NETWORK.address(3));
+    static final Host ENGINE = target("engine-1", NETWORK.address(8), "lampa-llm");
     /** The same engine for another service, by way of a link that a test starts. */
-    static final Host FAR = target("engine-far", "127.0.51.7", "lampa-far");
+    static final Host FAR = target("engine-far", NETWORK.address(7), "lampa-far");
 
-    static final Host PLAIN = target("plain-1", "127.0.51.9", "zber-app");
-    private static final String PLATFORM = "127.0.51.10";
+    static final Host PLAIN = target("plain-1", NETWORK.address(9), "zber-app");
+    private static final String PLATFORM = NETWORK.address(10);
     // Below the ports that the system hands to outgoing connections: the daemons connect from their own addresses, and
     // a listener that comes up again could find its port taken by such a connection.
     private static final int CALLER_PORT = 15_001;
--- a/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/node/NodeTest.java
+++ b/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/node/NodeTest.java
@@ -25,13 +25,16 @@
 import org.whinwharf.document.DocumentView;
 import org.whinwharf.runtime.TestFleet;
 import org.whinwharf.runtime.admin.AdminRoute;
+import org.whinwharf.standin.LoopbackNetwork;
 import org.whinwharf.wire.message.Role;
 import org.whinwharf.wire.schema.NodeSettings;
 
 /** Nodes with real sockets on loopback and a platform that a test controls. */
 class NodeTest {
-    private static final String ADDRESS_A = "127.0.42.1";
-    private static final String ADDRESS_B = "127.0.42.2";
+    private static final LoopbackNetwork NETWORK = LoopbackNetwork.next();
+    private static final String ADDRESS_A = NETWORK.address(1);
+    private static final String ADDRESS_B = NETWORK.address(2);
+    private static final String PLATFORM_ADDRESS = NETWORK.address(3);
     private static final long PATIENCE_SECONDS = 20;
 
     private final List<Node> nodes = new ArrayList<>();
@@ -41,7 +44,7 @@
 
     @BeforeEach
     void startPlatform() throws IOException {
-        platform = new FakePlatform("127.0.42.9");
+        platform = new FakePlatform(PLATFORM_ADDRESS);
         portA = freePort(ADDRESS_A);
         portB = freePort(ADDRESS_B);
         platform.publish(TestFleet.list(
--- a/org.whinwharf.scheduler.test/src/test/java/org/whinwharf/scheduler/FakePlatform.java
+++ b/org.whinwharf.scheduler.test/src/test/java/org/whinwharf/scheduler/FakePlatform.java
@@ -21,8 +21,8 @@
     private volatile byte[] document = new byte[0];
     private volatile HostList hosts = HostList.getDefaultInstance();
 
-    FakePlatform() throws IOException {
-        server = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 0);
+    FakePlatform(String address) throws IOException {
+        server = HttpServer.create(new InetSocketAddress(address, 0), 0);
         server.createContext("/v1/documents/", exchange -> publish(exchange, "above=0", document));
         server.createContext("/v1/hosts", exchange -> publish(exchange, "after=0", json(hosts)));
         server.createContext("/v1/load", exchange -> respond(exchange, OK, json(load())));
@@ -35,7 +35,7 @@
     }
 
     String url() {
-        return "http://127.0.0.1:" + port();
+        return "http://" + server.getAddress().getHostString() + ":" + port();
     }
 
     void publish(byte[] newDocument, HostList newHosts) {
--- a/org.whinwharf.scheduler.test/src/test/java/org/whinwharf/scheduler/SchedulerDaemonTest.java
+++ b/org.whinwharf.scheduler.test/src/test/java/org/whinwharf/scheduler/SchedulerDaemonTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.whinwharf.document.DocumentWriter;
 import org.whinwharf.schema.SchemaChecker;
+import org.whinwharf.standin.LoopbackNetwork;
 import org.whinwharf.wire.message.Enqueue;
 import org.whinwharf.wire.message.FinishKind;
 import org.whinwharf.wire.message.Finished;
@@ -53,7 +54,7 @@
 import org.whinwharf.wire.schema.Timing;
 
 class SchedulerDaemonTest {
-    private static final String ADDRESS = "127.0.0.1";
+    private static final String ADDRESS = LoopbackNetwork.next().address(1);
     private static final long TIMEOUT_SECONDS = 30;
     private static final int MAX_ATTEMPTS = 300;
     private static final long ATTEMPT_INTERVAL_MILLIS = 100;
@@ -69,7 +70,7 @@
     @Test
     void grantsOverARealLinkAndHandsOverWhenItLeaves() throws Exception {
         int schedulerPort = freePort();
-        try (FakePlatform platform = new FakePlatform()) {
+        try (FakePlatform platform = new FakePlatform(ADDRESS)) {
             platform.publish(document(), hosts(schedulerPort, platform.port()));
             SchedulerDaemon daemon = new SchedulerDaemon(settings(platform.url(), schedulerPort));
             PeerNetwork entry = entry();
--- a/org.whinwharf.steward.test/src/test/java/org/whinwharf/steward/StewardDaemonTest.java
+++ b/org.whinwharf.steward.test/src/test/java/org/whinwharf/steward/StewardDaemonTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.whinwharf.standin.LoopbackNetwork;
 import org.whinwharf.wire.schema.EngineOrder;
 import org.whinwharf.wire.schema.EntryPorts;
 import org.whinwharf.wire.schema.Host;
@@ -23,8 +24,10 @@
 
 /** Tests a complete steward daemon on loopback against a fake platform and engine. */
 class StewardDaemonTest {
-    private static final String STEWARD_ADDRESS = "127.0.43.1";
-    private static final String PLATFORM_ADDRESS = "127.0.43.9";
+    private static final LoopbackNetwork NETWORK = LoopbackNetwork.next();
+    private static final String STEWARD_ADDRESS = NETWORK.address(1);
+    private static final String PLATFORM_ADDRESS = NETWORK.address(2);
+    private static final String WEIGHT_STORE_URL = "http://" + PLATFORM_ADDRESS + ":1";
 
     private FakePlatformAndEngine platform;
     private StewardDaemon daemon;
@@ -52,7 +55,7 @@
         assertThat(first.getLoadModel(), is("lampa"));
         assertThat(first.getVersion(), is("v1"));
         assertThat(first.getFencingNumber(), is(3L));
-        assertThat(first.getWeightStoreUrl(), is("http://127.0.43.9:1"));
+        assertThat(first.getWeightStoreUrl(), is(WEIGHT_STORE_URL));
 
         platform.publish(4, steward(), engine());
         platform.publish(2, "v2");
@@ -91,7 +94,7 @@
                 .setNode(node)
                 .setOrderMillis(10_000)
                 .setWeightLoadsPerSecond(10)
-                .setWeightStoreUrl("http://127.0.43.9:1")
+                .setWeightStoreUrl(WEIGHT_STORE_URL)
                 .build();
     }
 
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/AllocatorTest.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/AllocatorTest.java
@@ -10,10 +10,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.whinwharf.standin.LoopbackNetwork;
 
 /** Guards against answers cut off, stalled or garbled by buffers that Netty's adaptive allocator gives out twice. */
 class AllocatorTest {
-    private static final String ADDRESS = "127.0.33.1";
+    private static final String ADDRESS = LoopbackNetwork.next().address(1);
     private static final int ADMIN_PORT = 9001;
 
     @TempDir
@@ -38,7 +39,8 @@
 
     @Test
     void stewardUsesThePooledAllocator() throws IOException {
-        assertUsesThePooledAllocator("org.whinwharf.steward.Main", ", \"weightStoreUrl\": \"http://127.0.33.1:1\"");
+        assertUsesThePooledAllocator(
+                "org.whinwharf.steward.Main", ", \"weightStoreUrl\": \"http://" + ADDRESS + ":1\"");
     }
 
     private void assertUsesThePooledAllocator(String main, String more) throws IOException {
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/ConfigurationFailureTest.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/ConfigurationFailureTest.java
@@ -19,7 +19,6 @@
 
 /** Documents that take a data centre out, and a configuration service that is down or goes back, as real processes. */
 class ConfigurationFailureTest {
-    private static final int NETWORK = 32;
     private static final int LONG = 250;
     private static final long DEADLINE_MILLIS = 60_000;
 
@@ -30,7 +29,7 @@
 
     @BeforeAll
     static void startFleet() {
-        fleet = new Fleet(NETWORK, folder);
+        fleet = new Fleet("configuration-failures", folder);
         fleet.start();
     }
 
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/Fleet.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/Fleet.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import org.whinwharf.lifecycle.Service;
+import org.whinwharf.standin.LoopbackNetwork;
 
 /**
  * Small fleet of real processes on loopback addresses: the platform, engines and a plain service in each of two data
@@ -34,7 +35,14 @@
     private static final int ENGINE_PORT = 8100;
     private static final int PLAIN_PORT = 8200;
 
-    private final int network;
+    /** Indices of addresses in the network; a host's is its own number. */
+    private static final int ENGINE_INDEX = HOSTS + 1;
+
+    private static final int PLAIN_INDEX = ENGINE_INDEX + DATA_CENTRES.length;
+    private static final int PLATFORM_INDEX = PLAIN_INDEX + DATA_CENTRES.length;
+
+    private final String name;
+    private final LoopbackNetwork network = LoopbackNetwork.next();
     private final Path folder;
     private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
     private int revision = 1;
@@ -43,11 +51,11 @@
     /**
      * Describes a fleet.
      *
-     * @param network third number of its loopback addresses, so that two fleets never share one
+     * @param name folder of its logs after a run
      * @param folder where settings and logs go
      */
-    Fleet(int network, Path folder) {
-        this.network = network;
+    Fleet(String name, Path folder) {
+        this.name = name;
         this.folder = folder;
     }
 
@@ -78,7 +86,7 @@
                 process.resume();
                 process.kill();
             }
-            process.keepLog(LOGS.resolve(Integer.toString(network)));
+            process.keepLog(LOGS.resolve(name));
         }
         processes.clear();
     }
@@ -105,7 +113,7 @@
     }
 
     String platform() {
-        return "http://" + address(200) + ":" + PLATFORM_PORT;
+        return "http://" + address(PLATFORM_INDEX) + ":" + PLATFORM_PORT;
     }
 
     String entry(int host) {
@@ -117,11 +125,11 @@
     }
 
     String engine(int dataCentre, int index) {
-        return "http://" + address(100 + dataCentre) + ":" + (ENGINE_PORT + index);
+        return "http://" + address(ENGINE_INDEX + dataCentre) + ":" + (ENGINE_PORT + index);
     }
 
     String plain(int dataCentre) {
-        return "http://" + address(110 + dataCentre) + ":" + PLAIN_PORT;
+        return "http://" + address(PLAIN_INDEX + dataCentre) + ":" + PLAIN_PORT;
     }
 
     /** Publishes the next document, with each data centre in or out of service; returns its generation. */
@@ -188,15 +196,15 @@
         return process;
     }
 
-    private String address(int last) {
-        return "127.0." + network + "." + last;
+    private String address(int index) {
+        return network.address(index);
     }
 
     private List<String> platformArguments() {
         return List.of(
                 "platform",
                 "--address",
-                address(200),
+                address(PLATFORM_INDEX),
                 "--port",
                 Integer.toString(PLATFORM_PORT),
                 "--hosts",
@@ -209,7 +217,7 @@
         return List.of(
                 "engine",
                 "--address",
-                address(100) + "," + address(101),
+                address(ENGINE_INDEX) + "," + address(ENGINE_INDEX + 1),
                 "--port",
                 Integer.toString(ENGINE_PORT),
                 "--count",
@@ -230,7 +238,7 @@
         return List.of(
                 "plain",
                 "--address",
-                address(110) + "," + address(111),
+                address(PLAIN_INDEX) + "," + address(PLAIN_INDEX + 1),
                 "--port",
                 Integer.toString(PLAIN_PORT),
                 "--slots",
@@ -257,17 +265,18 @@
         }
         for (int i = 0; i < DATA_CENTRES.length; i++) {
             for (int engine = 0; engine < TARGETS_PER_DATA_CENTRE; engine++) {
-                entries.add(target("lampa-" + i + "-" + engine, 100 + i, i, "lampa-llm", ENGINE_PORT + engine));
+                entries.add(
+                        target("lampa-" + i + "-" + engine, ENGINE_INDEX + i, i, "lampa-llm", ENGINE_PORT + engine));
             }
-            entries.add(target("zber-" + i, 110 + i, i, "zber-app", PLAIN_PORT));
+            entries.add(target("zber-" + i, PLAIN_INDEX + i, i, "zber-app", PLAIN_PORT));
         }
         return "{\"revision\": %d, \"hosts\": [%s]}".formatted(revision, String.join(",", entries));
     }
 
-    private String target(String name, int last, int dataCentre, String service, int port) {
+    private String target(String name, int index, int dataCentre, String service, int port) {
         return """
                 {"name": "%s", "address": "%s", "dataCentre": "%s", "state": "LIVE",
-                "target": {"service": "%s", "port": %d, "hardware": "h1"}}""".formatted(name, address(last), DATA_CENTRES[dataCentre], service, port);
+                "target": {"service": "%s", "port": %d, "hardware": "h1"}}""".formatted(name, address(index), DATA_CENTRES[dataCentre], service, port);
     }
 
     private static String document(int generation, boolean firstInService, boolean secondInService) {
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/FrozenStewardTest.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/FrozenStewardTest.java
@@ -15,13 +15,21 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.whinwharf.standin.LoopbackNetwork;
 
 /** Two stewards as real processes, and an engine that carries out whatever it is ordered. */
 class FrozenStewardTest {
     private static final String STANDIN = "org.whinwharf.standin.Main";
     private static final String STEWARD = "org.whinwharf.steward.Main";
-    private static final String PLATFORM = "http://127.0.46.200:8500";
-    private static final String ENGINE = "http://127.0.46.100:8100";
+    private static final LoopbackNetwork NETWORK = LoopbackNetwork.next();
+    private static final String ADDRESS_A = NETWORK.address(1);
+    private static final String ADDRESS_B = NETWORK.address(2);
+    private static final String ENGINE_ADDRESS = NETWORK.address(3);
+    private static final String PLATFORM_ADDRESS = NETWORK.address(4);
+    private static final String WEIGHTS_ADDRESS = NETWORK.address(5);
+    private static final String PLATFORM = "http://" + PLATFORM_ADDRESS + ":8500";
+    private static final String ENGINE = "http://" + ENGINE_ADDRESS + ":8100";
+    private static final String WEIGHTS = "http://" + WEIGHTS_ADDRESS + ":8600";
     private static final int HEAP_MEGABYTES = 64;
     private static final long OLD_REVISION = 10;
     private static final long NEW_REVISION = 11;
@@ -47,19 +55,18 @@
     @Test
     void stewardThatWakesLateOrdersNothingUnderItsOldList() throws IOException {
         startSurroundings();
-        ManagedProcess first = startSteward("host-a", "127.0.46.1");
-        startSteward("host-b", "127.0.46.2");
-        Await.until(
-                "the first steward sees its engine", () -> status("127.0.46.1").contains("in-step"), first::logTail);
+        ManagedProcess first = startSteward("host-a", ADDRESS_A);
+        startSteward("host-b", ADDRESS_B);
+        Await.until("the first steward sees its engine", () -> status(ADDRESS_A).contains("in-step"), first::logTail);
 
         publishDocument(2, "v2");
         Await.until(
                 "the first steward has an order to give",
-                () -> status("127.0.46.1").contains("\"generation\":\"2\""),
+                () -> status(ADDRESS_A).contains("\"generation\":\"2\""),
                 first::logTail);
         first.freeze();
         int ordersBefore = orders().size();
-        publishHosts(NEW_REVISION, "host-b", "127.0.46.2");
+        publishHosts(NEW_REVISION, "host-b", ADDRESS_B);
         publishDocument(3, "v3");
         Await.until(
                 "the second steward loads",
@@ -68,7 +75,7 @@
         first.resume();
         Await.until(
                 "the first steward has caught up",
-                () -> status("127.0.46.1").contains("\"listRevision\":\"" + NEW_REVISION + "\""),
+                () -> status(ADDRESS_A).contains("\"listRevision\":\"" + NEW_REVISION + "\""),
                 first::logTail);
         JsonNode orders = orders();
         for (int i = ordersBefore; i < orders.size(); i++) {
@@ -80,14 +87,14 @@
     private void startSurroundings() throws IOException {
         Files.createDirectories(folder.resolve("documents"));
         Files.writeString(folder.resolve("documents/trial.json"), document(1, "v1"));
-        Files.writeString(folder.resolve("hosts.json"), hosts(OLD_REVISION, "host-a", "127.0.46.1"));
+        Files.writeString(folder.resolve("hosts.json"), hosts(OLD_REVISION, "host-a", ADDRESS_A));
         start(
                 "platform",
                 STANDIN,
                 List.of(
                         "platform",
                         "--address",
-                        "127.0.46.200",
+                        PLATFORM_ADDRESS,
                         "--port",
                         "8500",
                         "--hosts",
@@ -100,7 +107,7 @@
                 List.of(
                         "engine",
                         "--address",
-                        "127.0.46.100",
+                        ENGINE_ADDRESS,
                         "--port",
                         "8100",
                         "--count",
@@ -108,14 +115,14 @@
                         "--models",
                         "odpad:v1",
                         "--ignores-fencing"));
-        start("weights", STANDIN, List.of("weights", "--address", "127.0.46.202", "--port", "8600"));
+        start("weights", STANDIN, List.of("weights", "--address", WEIGHTS_ADDRESS, "--port", "8600"));
         Await.until(
                 "the platform answers",
                 () -> Http.get(PLATFORM + "/v1/hosts?after=0").status() == 200);
         Await.until("the engine answers", () -> Http.get(ENGINE + "/v1/state").status() == 200);
         Await.until(
                 "the weight store answers",
-                () -> Http.get("http://127.0.46.202:8600/admin/counters").status() == 200);
+                () -> Http.get(WEIGHTS + "/admin/counters").status() == 200);
     }
 
     private ManagedProcess startSteward(String host, String address) throws IOException {
@@ -124,8 +131,8 @@
                 {"node": {"host": "%s", "dataCentre": "martin-a", "address": "%s", "environment": "trial",
                   "configurationUrl": "%s", "hostListUrl": "%s", "adminPort": 9003, "peerPort": 7003,
                   "traces": {"exporter": "none"}},
-                 "orderMillis": 3000, "weightStoreUrl": "http://127.0.46.202:8600"}
-                """.formatted(host, address, PLATFORM, PLATFORM));
+                 "orderMillis": 3000, "weightStoreUrl": "%s"}
+                """.formatted(host, address, PLATFORM, PLATFORM, WEIGHTS));
         return start(host, STEWARD, List.of("--settings", settings.toString()));
     }
 
@@ -160,9 +167,9 @@
                 {"revision": %d, "hosts": [
                  {"name": "%s", "address": "%s", "dataCentre": "martin-a", "state": "LIVE",
                   "entry": {"stewardPeer": 7003, "stewardAdmin": 9003}},
-                 {"name": "lampa-1", "address": "127.0.46.100", "dataCentre": "martin-a", "state": "LIVE",
+                 {"name": "lampa-1", "address": "%s", "dataCentre": "martin-a", "state": "LIVE",
                   "target": {"service": "lampa-llm", "port": 8100, "hardware": "h1"}}]}
-                """.formatted(revision, host, address);
+                """.formatted(revision, host, address, ENGINE_ADDRESS);
     }
 
     private static String document(int generation, String version) {
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/HostFailureTest.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/HostFailureTest.java
@@ -19,7 +19,6 @@
 
 /** Hosts that are killed, frozen or stopped while they answer callers, as real processes. */
 class HostFailureTest {
-    private static final int NETWORK = 31;
     private static final int HOME = 1;
     private static final int OTHER = 2;
     private static final int TOKENS = 150;
@@ -34,7 +33,7 @@
 
     @BeforeAll
     static void startFleet() {
-        fleet = new Fleet(NETWORK, folder);
+        fleet = new Fleet("host-failures", folder);
         fleet.start();
     }
 
--- a/org.whinwharf.wire.test/src/test/java/org/whinwharf/wire/peer/PeerNetworkTest.java
+++ b/org.whinwharf.wire.test/src/test/java/org/whinwharf/wire/peer/PeerNetworkTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.whinwharf.standin.LoopbackNetwork;
 import org.whinwharf.wire.message.DocumentReply;
 import org.whinwharf.wire.message.DocumentRequest;
 import org.whinwharf.wire.message.Frame;
@@ -26,9 +27,10 @@
 import org.whinwharf.wire.schema.PeerLimits;
 
 class PeerNetworkTest {
-    private static final String ADDRESS_A = "127.0.41.1";
-    private static final String ADDRESS_B = "127.0.41.2";
-    private static final String UNLISTED_ADDRESS = "127.0.41.9";
+    private static final LoopbackNetwork NETWORK = LoopbackNetwork.next();
+    private static final String ADDRESS_A = NETWORK.address(1);
+    private static final String ADDRESS_B = NETWORK.address(2);
+    private static final String UNLISTED_ADDRESS = NETWORK.address(3);
     private static final PeerLimits LIMITS = PeerLimits.newBuilder()
             .setReconnectMillis(20)
             .setMaxReconnectMillis(100)
