--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -46,6 +46,7 @@
     private static final int ADDRESS_BLOCK = 250;
 
     private final String ip = nextIp();
+    private final ImmutableFrontSettings settings;
     private final Front front;
     private final List<FakeTarget> targets = new ArrayList<>();
     private volatile boolean killed;
@@ -77,25 +78,23 @@
 
     /** Starts a front of a fleet with the given limits of retries. */
     FrontFixture(List<String> seedIps, long coordinatorTimeoutMillis, boolean freshFleet, FleetLimits limits) {
-        front = new Front(
-                ImmutableFrontSettings.builder()
-                        .coordinatorTimeoutMillis(coordinatorTimeoutMillis)
-                        .name("front-" + ip)
-                        .ip(ip)
-                        .dataCentre("zilina-a")
-                        .callerAddress(ip + ":" + CALLER_PORT)
-                        .peerPort(PEER_PORT)
-                        .seedIps(seedIps)
-                        .freshFleet(freshFleet)
-                        .retryRatio(limits.retryRatio())
-                        .retryAllowance(limits.retryAllowance())
-                        .retryWindowMillis(10_000)
-                        .stopGraceMillis(8_000)
-                        .metricsPort(METRICS_PORT)
-                        .relayPort(RELAY_PORT)
-                        .build(),
-                new TestDialect(),
-                callerPort(ip));
+        settings = ImmutableFrontSettings.builder()
+                .coordinatorTimeoutMillis(coordinatorTimeoutMillis)
+                .name("front-" + ip)
+                .ip(ip)
+                .dataCentre("zilina-a")
+                .callerAddress(ip + ":" + CALLER_PORT)
+                .peerPort(PEER_PORT)
+                .seedIps(seedIps)
+                .freshFleet(freshFleet)
+                .retryRatio(limits.retryRatio())
+                .retryAllowance(limits.retryAllowance())
+                .retryWindowMillis(10_000)
+                .stopGraceMillis(8_000)
+                .metricsPort(METRICS_PORT)
+                .relayPort(RELAY_PORT)
+                .build();
+        front = new Front(settings, new TestDialect(), callerPort(ip));
         front.start();
     }
 
@@ -256,6 +255,21 @@
                 .build();
     }
 
+    /** Puts settings into force that differ in the limits of retries. */
+    void reload(double retryRatio, double retryAllowance) {
+        run(() -> front.reload(settings.withRetryRatio(retryRatio).withRetryAllowance(retryAllowance)));
+    }
+
+    /** Returns the sum of a counter over all its tags. */
+    double counter(String name) {
+        return front.metrics()
+                .scrape()
+                .lines()
+                .filter(line -> line.startsWith(name + " ") || line.startsWith(name + "{"))
+                .mapToDouble(line -> Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+                .sum();
+    }
+
     /** Opens a connection to the metrics port. */
     Socket connectToMetrics() throws IOException {
         Socket socket = new Socket(ip, METRICS_PORT);
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PausingFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PausingFleet.java
@@ -53,6 +53,16 @@
         boolean streams() {
             return this == RESUMABLE_STREAM || this == STREAM;
         }
+
+        /** Returns the maximum number of runs of one request on a route with the given number of attempts. */
+        int attempts(int routeAttempts) {
+            return this == RESUMABLE_STREAM || this == SAFE ? routeAttempts : 1;
+        }
+
+        /** Returns a request after whose response the connection is closed. */
+        String request(String attemptId) {
+            return FrontFixture.request(method, prefix + attemptId, attemptId, true);
+        }
     }
 
     private final CutFleet fleet;
@@ -128,7 +138,7 @@
         return callers.submit(() -> {
             try (Socket socket = fleet.front(front).connect()) {
                 socket.setSoTimeout(CALLER_TIMEOUT_MILLIS);
-                FakeTarget.write(socket, FrontFixture.request(work.method, work.prefix + attemptId, attemptId, true));
+                FakeTarget.write(socket, work.request(attemptId));
                 return FrontFixture.readAll(socket);
             }
         });
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
@@ -100,8 +100,14 @@
      */
     VersionedFleet(int fronts, List<String> versions, boolean engine, int attempts, Interruption interruption)
             throws Exception {
+        this(fronts, versions, engine, FleetLimits.DEFAULT.withAttempts(attempts), interruption);
+    }
+
+    /** Starts a fleet with the given limits. */
+    VersionedFleet(int fronts, List<String> versions, boolean engine, FleetLimits limits, Interruption interruption)
+            throws Exception {
         this.interruption = interruption;
-        fleet = new CutFleet(fronts, versions, engine, attempts, this::answer);
+        fleet = new CutFleet(fronts, versions, engine, limits, this::answer);
     }
 
     CutFleet fleet() {
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -255,6 +255,44 @@
         assertThat(outcomes, contains("engine silent"));
     }
 
+    /** Guards against requests that wait for the next pass though the engine that was silent sends again. */
+    @Test
+    void queuedRequestIsGrantedWhenSilentEngineSpeaksAgain() {
+        engine("engine", 4);
+        coordinator.requestPlacement(placementRequest("front-1", 1, 0, 0), 0);
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_STALLED, 0, 2_000);
+        targets.get("engine").health().recordSilence(2_000);
+        coordinator.requestPlacement(placementRequest("front-2", 1, 0, 2_010), 2_010);
+        assertThat(queued, contains("front-2/1"));
+        targets.get("engine").health().recordLifeSign();
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_SPOKE_AGAIN, 0, 2_020);
+        assertThat(spoke, contains("engine"));
+        assertThat(granted, contains("front-1/1@engine", "front-2/1@engine"));
+        assertThat(running(), is(2));
+    }
+
+    /** Guards against ejecting an engine again by the report of a front that has not received its next bytes yet. */
+    @Test
+    void stallReportedAfterEngineSpokeAgainDoesNotEject() {
+        engine("engine", 4);
+        coordinator.requestPlacement(placementRequest("front-1", 1, 0, 0), 0);
+        coordinator.requestPlacement(placementRequest("front-2", 1, 0, 0), 0);
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_STALLED, 0, 2_000);
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_SPOKE_AGAIN, 0, 2_100);
+        coordinator.reportProgress("front-2", 1, RunEvent.RUN_STALLED, 0, 2_110);
+        assertThat(outcomes, contains("engine silent", "engine erred"));
+    }
+
+    /** Guards against a report of a run that has ended, whose engine may be another one by now. */
+    @Test
+    void endedRunDoesNotSpeakForItsEngine() {
+        engine("engine", 4);
+        coordinator.requestPlacement(placementRequest("front-1", 1, 0, 0), 0);
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_GIVEN_UP, 0, 2_000);
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_SPOKE_AGAIN, 0, 2_100);
+        assertThat(spoke, is(empty()));
+    }
+
     /**
      * One engine is six times slower than the other, which is full for a moment. A long prompt would miss its objective
      * at the slow engine but meets it after waiting tens of milliseconds for the fast one. A short prompt is sent to
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
@@ -53,4 +53,15 @@
         budget.cancelRetry();
         assertThat(budget.tryRetry(2, 1), is(true));
     }
+
+    /** Guards against a negative count after a retry that has left the window is returned. */
+    @Test
+    void cancellingWithoutRetryInTheWindowChangesNothing() {
+        RetryBudget budget = new RetryBudget(0, 10_000);
+        budget.tryRetry(0, 1);
+        budget.recordRequest(20_000);
+        budget.cancelRetry();
+        assertThat(budget.tryRetry(20_000, 1), is(true));
+        assertThat(budget.tryRetry(20_000, 1), is(false));
+    }
 }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetHealthTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetHealthTest.java
@@ -94,6 +94,40 @@
         assertThat(health.ejected(), is(true));
     }
 
+    /** Guards against a target that sends again and yet waits for a probe, whose interval has grown meanwhile. */
+    @Test
+    void targetEjectedForSilenceReturnsAtItsNextBytes() {
+        health.recordSilence(0);
+        assertThat(health.admits(100), is(false));
+        health.beginProbe(500);
+        health.recordProbeResult(1_000, false);
+        assertThat(health.recordLifeSign(), is(true));
+        assertThat(health.admits(1_100), is(true));
+        health.recordDispatch(1_100);
+        assertThat("not on trial", health.admits(1_101), is(true));
+        assertThat(health.recordLifeSign(), is(false));
+    }
+
+    /** Guards against a probe that began before the target went on and puts it on trial after that. */
+    @Test
+    void lateProbeResultPutsNoTargetOnTrialThatSendsAgain() {
+        health.recordSilence(0);
+        health.beginProbe(500);
+        health.recordLifeSign();
+        health.recordProbeResult(900, true);
+        health.recordDispatch(900);
+        assertThat(health.admits(901), is(true));
+    }
+
+    /** Guards against bytes of an earlier run that bring a target back which has failed meanwhile. */
+    @Test
+    void lifeSignDoesNotEndEjectionForFailures() {
+        health.recordFailure(0, true);
+        assertThat(health.recordSilence(10), is(false));
+        assertThat(health.recordLifeSign(), is(false));
+        assertThat(health.ejected(), is(true));
+    }
+
     /** Guards against a probe that ejects a target anew, since it was sent while the target was silent. */
     @Test
     void lateProbeResultDoesNotEjectTargetThatSendsAgain() {
@@ -103,4 +137,27 @@
         health.recordProbeResult(1_000, false);
         assertThat(health.admits(1_000), is(true));
     }
+
+    /** Guards against ejections that grow longer with each pause of a sound target. */
+    @Test
+    void ejectionAfterLifeSignIsAsShortAsTheFirst() {
+        for (long atMillis = 0; atMillis < 50_000; atMillis += 10_000) {
+            health.recordSilence(atMillis);
+            assertThat(health.beginProbe(atMillis + 499), is(false));
+            assertThat(health.beginProbe(atMillis + 500), is(true));
+            health.recordProbeResult(atMillis + 1_000, false);
+            health.recordLifeSign();
+        }
+    }
+
+    /** Guards against an earlier probe that brings back a target which was ejected again since it began. */
+    @Test
+    void probeOfEarlierEjectionDoesNotEndLaterOne() {
+        health.recordSilence(0);
+        health.beginProbe(500);
+        health.recordLifeSign();
+        health.recordFailure(600, true);
+        health.recordProbeResult(650, true);
+        assertThat(health.ejected(), is(true));
+    }
 }
