Ignore the result of a probe that began before the target sent again

Ejections for silence end at the target's next bytes, also while a probe is pending. Its result counted for a later ejection. TargetHealthTest.probeOfEarlierEjectionDoesNotEndLaterOne failed before.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
@@ -32,6 +32,9 @@
 
     private long probeAtMillis;
     private boolean probing;
+    /** Whether the pending probe began before the target sent again, so that its result says nothing any more. */
+    private boolean probeOutdated;
+
     private boolean onTrial;
     private long lastDispatchMillis;
 
@@ -82,6 +85,7 @@
         }
         ejected = false;
         ejectedForSilence = false;
+        probeOutdated = probing;
         ejectionMillis = INITIAL_EJECTION_MILLIS;
         return true;
     }
@@ -171,8 +175,10 @@
      * @param healthy true when the target reported that it is healthy
      */
     public void recordProbeResult(long nowMillis, boolean healthy) {
+        boolean outdated = probeOutdated;
         probing = false;
-        if (!ejected) {
+        probeOutdated = false;
+        if (!ejected || outdated) {
             return;
         }
         if (healthy) {
