Keep the other run when a target's response can not be the caller's

A target that was silent and then refused or failed the request ended the replacement, whose answer was under way. A replacement's unsigned success, or a client error within a stream, ended the silent run. Both runs now go on until one brings an answer that can be delivered.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilentRunTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilentRunTest.java
@@ -15,6 +15,7 @@
 
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.EnumSet;
 import java.util.List;
@@ -210,6 +211,8 @@
             run.hang();
         }),
         UNSIGNED(run -> run.write("HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nother")),
+        /** An answer to a new request, but none that can go on with a stream. */
+        NOT_FOUND(run -> run.write("HTTP/1.1 404 X\r\nSigned: yes\r\nContent-Length: 5\r\n\r\nerror")),
         RESET_AFTER_HEAD(run -> {
             run.write("HTTP/1.1 200 X\r\nSigned: yes\r\nContent-Length: 5\r\n\r\n");
             run.pause(50);
@@ -222,6 +225,13 @@
             this.behaviour = behaviour;
         }
 
+        /** Returns the ways in which the answer to a request is not that of the second target. */
+        private static List<Refusal> of(Work work) {
+            return Arrays.stream(values())
+                    .filter(refusal -> refusal != NOT_FOUND || work.streams())
+                    .toList();
+        }
+
         /** Returns what the second target does, which opens the latch at the end. */
         private Behaviour thenRelease(CountDownLatch latch) {
             return run -> {
@@ -239,7 +249,7 @@
     void failedReplacementLeavesSilentRun() throws Exception {
         assertAll(REPEATABLE, work -> {
             try (ScriptedFront front = new ScriptedFront(LIMITS.withAttempts(2), MANY_TARGETS)) {
-                assertAll(EnumSet.allOf(Refusal.class), refusal -> {
+                assertAll(Refusal.of(work), refusal -> {
                     String attempt = work + "-" + refusal;
                     CountDownLatch refused = new CountDownLatch(1);
                     Future<Answer> answer = front.call(
@@ -264,7 +274,7 @@
     void thirdTargetServesAfterFailedReplacement() throws Exception {
         assertAll(REPEATABLE, work -> {
             try (ScriptedFront front = new ScriptedFront(LIMITS, MANY_TARGETS)) {
-                assertAll(EnumSet.allOf(Refusal.class), refusal -> {
+                assertAll(Refusal.of(work), refusal -> {
                     String attempt = work + "-" + refusal;
                     Future<Answer> answer =
                             front.call(work, attempt, RunScripts.hang(work), refusal.behaviour, RunScripts.WHOLE);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -563,11 +563,13 @@
         if (!responseHead.wrongTarget()) {
             front.updateRejectionLimit(service, responseHead.rejectionLimitPerSecond());
         }
+        boolean otherRunMayAnswer = runs.replacing() && runs.replacementSent();
+        if (otherRunMayAnswer && !answers(responseHead)) {
+            refused(run, responseHead);
+            return;
+        }
         if (run == runs.silent()) {
             withdrawReplacement();
-        } else if (runs.replacing() && !answers(responseHead)) {
-            replacementRefused(responseHead);
-            return;
         } else if (runs.replacing()) {
             dropSilentRun();
         }
@@ -578,8 +580,10 @@
     }
 
     /** Tells whether a response may be the caller's, rather than a reason to try elsewhere. */
-    private static boolean answers(ResponseHead head) {
-        return !head.notExecuted() && !head.wrongTarget() && head.status() < 500;
+    private boolean answers(ResponseHead head) {
+        boolean success = head.status() / 100 == 2;
+        boolean deliverable = success ? head.signed() : !responseAssembler.streamStarted();
+        return deliverable && !head.notExecuted() && !head.wrongTarget() && head.status() < 500;
     }
 
     /** Handles a chunk of the body of a run's response. */
@@ -874,13 +878,20 @@
         responseAssembler.discardIncomplete();
     }
 
-    private void replacementRefused(ResponseHead responseHead) {
-        if (responseHead.status() >= 500 && !responseHead.notExecuted()) {
-            erred(runs.latest());
+    /** Handles a response that is no answer, while another run may still bring one. */
+    private void refused(ActiveRun run, ResponseHead responseHead) {
+        if (responseHead.notExecuted() || responseHead.wrongTarget()) {
+            notExecuted(run, responseHead.wrongTarget());
+        } else if (responseHead.status() >= 500) {
+            erred(run);
+        } else {
+            run.end(RunEvent.RUN_BROKEN);
+        }
+        if (run == runs.silent()) {
+            dropSilentRun();
         } else {
-            notExecuted(runs.latest(), responseHead.wrongTarget());
+            keepSilentRun();
         }
-        keepSilentRun();
     }
 
     private void recordSilence(RetryDecision decision, long nowMillis) {
