Return the retry of a replacement that was not sent when its request ends

The retry of a replacement stayed in the budget when the caller left, or the deadline was reached, before another target was found. SilentRunTest.withdrawnReplacementIsReturnedToRetryBudget failed before for CALLER_LEAVES.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -866,6 +866,14 @@
         stage = Stage.SENT;
     }
 
+    /** Ends all runs, and returns the retry of a replacement that was not sent. */
+    private void abandonRuns(long nowMillis) {
+        if (runs.replacing() && !runs.replacementSent()) {
+            front.retryBudget(service).cancelRetry();
+        }
+        runs.abandon(nowMillis);
+    }
+
     /** Goes on awaiting the response of the silent target, and seeks another one later. */
     private void keepSilentRun() {
         withdrawReplacement();
@@ -922,13 +930,13 @@
         removeFromQueue();
         if (responseAssembler.streamStarted()) {
             FrontLog.ended(this, entry(), "timed-out", responseAssembler.status(), ageMillis());
-            runs.abandon(nowMillis);
+            abandonRuns(nowMillis);
             end();
             abortResponse(TruncationCause.TIMED_OUT);
             return;
         }
         boolean possiblyExecuted = runs.mayHaveExecuted();
-        runs.abandon(nowMillis);
+        abandonRuns(nowMillis);
         respondWithError(
                 possiblyExecuted
                         ? new ErrorResponse(ErrorKind.DEADLINE_RUNNING, 0)
@@ -946,7 +954,7 @@
             return;
         }
         removeFromQueue();
-        runs.abandon(front.nowMillis());
+        abandonRuns(front.nowMillis());
         if (route != null) {
             FrontLog.callerLeft(this, entry(), closeCause, ageMillis());
         }
