Keep all silent runs until one run has an answer that can be delivered

What callers saw, in tests: a replacement that answered with a head and was reset, or with half of a body and hung, ended the silent run, whose target went on a moment later; a second silent target could not be replaced without giving up the first.

Cause: the head of a replacement ended the run that it replaced, and a request had two runs at most.

Now a replacement's response is held: a stream's until its first data, any other until its end. All runs whose targets are silent are set aside until then, within the attempts of the route; each feeds the caller's response only once it is the one taken. A stream's runs overlap for 200 ms instead of 300, since the check has an interval of 60 ms when nothing is queued, and both may work on it for less than 400.

Found by a review on the way, and changed here: the end of a silence is reported after the bytes are handled, so that no replacement is sent in the same moment in which it is withdrawn; a run is suspected once and not at each attempt to replace it; a run that was silent says nothing about its target's speed; a retry is returned to the budget by the time at which it was taken.

SilentRunTest.bodyOfPausedTargetIsWhole (HALF), failedReplacementLeavesSilentRun (RESET_AFTER_HEAD) and thirdTargetServesAfterTwoHungOnes failed before; all 22 of the class pass.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -26,6 +26,10 @@
     /** What is held against the request while the target is silent; null if nothing is. */
     private LostRun suspicion;
 
+    private boolean replaced;
+    /** The response so far while another run may still bring the caller's; null if there is none. */
+    private HeldResponse held;
+
     ActiveRun(Front front, CallerExchange exchange, TargetRun run) {
         this.front = front;
         this.exchange = exchange;
@@ -63,7 +67,9 @@
     }
 
     void setReading(boolean on) {
-        connection.setReading(on);
+        if (connection != null) {
+            connection.setReading(on);
+        }
     }
 
     /** Returns the monotonic time in milliseconds of the last bytes, or of sending the request if there are none. */
@@ -71,16 +77,41 @@
         return silence.lastByteAtMillis();
     }
 
-    /** Tells whether the target has fallen silent, and has not sent anything since that was recorded. */
-    boolean silent() {
-        return silence.silent();
-    }
-
     /** Records that the target has fallen silent; returns false if that was recorded before. */
     boolean beginSilence() {
+        run.fellSilent();
         return silence.beginSilence();
     }
 
+    /** Records that another target is sought for the request, which goes on here. */
+    void setAside() {
+        replaced = true;
+        suspect();
+    }
+
+    /** Tells whether another target was sought for the request before its response came. */
+    boolean wasSetAside() {
+        return replaced;
+    }
+
+    /** Keeps the head of the response until it is known whether it becomes the caller's. */
+    void hold(HttpResponse response, ResponseHead head) {
+        held = new HeldResponse(response, head);
+    }
+
+    /** Returns the response so far that is not the caller's yet; null if there is none. */
+    HeldResponse held() {
+        return held;
+    }
+
+    /** Forgets the held response. */
+    void releaseHeld() {
+        if (held != null) {
+            held.release();
+            held = null;
+        }
+    }
+
     /** Tells whether the target has sent nothing for a while, to this request and any other of this process. */
     boolean targetQuiet(long nowMillis) {
         return silence.targetQuiet(entry(), nowMillis);
@@ -109,7 +140,10 @@
     }
 
     /** Records that the target may have crashed under the request, which is about to be sent to another one. */
-    void suspect() {
+    private void suspect() {
+        if (suspicion != null) {
+            return;
+        }
         suspicion = front.lostRuns().runSilent(exchange, run).orElse(null);
     }
 
@@ -119,29 +153,35 @@
             front.metrics().runSpokeAgain();
             FrontLog.runSpokeAgain(exchange, run, nowMillis - silence.lastByteAtMillis());
         }
-        if (suspicion != null) {
-            front.crashes().livedOn(suspicion);
-            suspicion = null;
-        }
         silence.bytesReceived(nowMillis);
         entry().bytesReceived(nowMillis);
-        front.targetSpoke(run);
         if (!run.firstByteReceived()) {
             run.firstByte(nowMillis);
             front.metrics().recordFirstByte(exchange.route().kind(), run.firstByteMillis());
         }
     }
 
+    /** Reports that the target lives on; only then may a request that was held for its silence be sent elsewhere. */
+    private void reportLifeSign() {
+        if (suspicion != null) {
+            front.crashes().livedOn(suspicion);
+            suspicion = null;
+        }
+        front.targetSpoke(run);
+    }
+
     @Override
     public void head(HttpResponse response, ResponseHead head) {
         recordBytes();
         exchange.head(this, response, head);
+        reportLifeSign();
     }
 
     @Override
     public void content(ByteBuf chunk) {
         recordBytes();
         exchange.content(this, chunk);
+        reportLifeSign();
     }
 
     @Override
@@ -158,6 +198,7 @@
 
     /** Ends a run that failed, and has the failure reviewed. */
     void endFailed(TargetFailure failure) {
+        releaseHeld();
         front.lostRuns().runFailed(exchange, run, failure);
         front.localQueues().slotFreed(exchange.service());
     }
@@ -182,6 +223,7 @@
             connection.cancel();
             connection = null;
         }
+        releaseHeld();
         end(RunEvent.RUN_GIVEN_UP);
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -92,6 +92,11 @@
     private boolean quotaConsumed;
     private PlacementTicket ticket;
     private final RequestRuns runs = new RequestRuns();
+    /** The run whose response the assembler holds; null if it holds none. */
+    private ActiveRun assembledRun;
+    /** Time of the latest retry in the retry budget. */
+    private long retryTakenAtMillis;
+
     private ResponseAssembler responseAssembler;
     /** Null until it is needed, since most requests need none. */
     private Fingerprint fingerprint;
@@ -537,7 +542,7 @@
         ActiveRun placed = runs.latest();
         TargetRun run = placed.run();
         if (runs.replacing()) {
-            recordRetry(runs.silent(), TargetFailure.SILENT.name());
+            recordRetry(runs.lastSetAside(), TargetFailure.SILENT.name());
         }
         stage = Stage.SENT;
         placed.sending(acquired, route, nowMillis);
@@ -563,22 +568,55 @@
         if (!responseHead.wrongTarget()) {
             front.updateRejectionLimit(service, responseHead.rejectionLimitPerSecond());
         }
-        boolean otherRunMayAnswer = runs.replacing() && runs.replacementSent();
-        if (otherRunMayAnswer && !answers(responseHead)) {
+        if (runs.othersMayAnswer(run) && !answers(responseHead)) {
             refused(run, responseHead);
             return;
         }
-        if (run == runs.silent()) {
-            withdrawReplacement();
+        if (run.wasSetAside()) {
+            take(run);
         } else if (runs.replacing()) {
-            dropSilentRun();
+            run.hold(response, responseHead);
+            return;
         }
+        acceptHead(run, response, responseHead);
+    }
+
+    /** Takes the run of a target that was silent and sends again, and ends all others. */
+    private void take(ActiveRun run) {
+        if (runs.replacing()) {
+            endPlacement();
+            runs.keepOnly(run);
+            stage = Stage.SENT;
+        }
+    }
+
+    private void acceptHead(ActiveRun run, HttpResponse response, ResponseHead responseHead) {
+        responseAssembler.discardIncomplete();
+        assembledRun = run;
         responseAssembler.head(response, responseHead);
         if (responseHead.status() / 100 == 2) {
             run.run().succeeded();
         }
     }
 
+    /** Makes a held response the caller's, and ends the runs that were set aside for it. */
+    private void acceptHeld(ActiveRun run) {
+        runs.dropSetAside();
+        HeldResponse held = run.held();
+        acceptHead(run, held.response(), held.head());
+        ByteBuf body = held.takeBody();
+        run.releaseHeld();
+        acceptContent(run, body);
+    }
+
+    /** Discards what came of the response of a run that has ended. */
+    private void discardResponseOf(ActiveRun run) {
+        if (run == assembledRun) {
+            assembledRun = null;
+            responseAssembler.discardIncomplete();
+        }
+    }
+
     /** Tells whether a response may be the caller's, rather than a reason to try elsewhere. */
     private boolean answers(ResponseHead head) {
         boolean success = head.status() / 100 == 2;
@@ -588,9 +626,21 @@
 
     /** Handles a chunk of the body of a run's response. */
     void content(ActiveRun run, ByteBuf chunk) {
-        if (run == runs.silent()) {
-            withdrawReplacement();
+        if (run.wasSetAside()) {
+            take(run);
+        }
+        HeldResponse held = run.held();
+        if (held == null) {
+            acceptContent(run, chunk);
+            return;
+        }
+        held.append(chunk);
+        if (route.kind() == RouteKind.STREAMING || held.bodyBytes() > Front.MAX_ANSWER_BYTES) {
+            acceptHeld(run);
         }
+    }
+
+    private void acceptContent(ActiveRun run, ByteBuf chunk) {
         if (responseAssembler.content(chunk) && !caller.writable()) {
             run.setReading(false);
         }
@@ -604,8 +654,11 @@
 
     /** Handles the end of a run's response. */
     void complete(ActiveRun run) {
-        if (run == runs.silent()) {
-            withdrawReplacement();
+        if (run.wasSetAside()) {
+            take(run);
+        }
+        if (run.held() != null) {
+            acceptHeld(run);
         }
         if (!responseAssembler.notExecuted() && !responseAssembler.isComplete()) {
             failed(run, TargetFailure.TRUNCATED);
@@ -690,12 +743,12 @@
             return;
         }
         run.endFailed(failure);
-        if (run == runs.silent()) {
+        if (runs.isSetAside(run)) {
             if (!runs.replacementSent()) {
                 recordRetry(run, failure.name());
             }
-            runs.silentEnded();
-            responseAssembler.discardIncomplete();
+            runs.drop(run);
+            discardResponseOf(run);
         } else {
             keepSilentRun();
         }
@@ -745,9 +798,9 @@
         if (front.crashes().assess(this).quarantined()) {
             return RetryDecision.QUARANTINED;
         }
-        return front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance())
-                ? RetryDecision.RETRY
-                : RetryDecision.BUDGET_EXHAUSTED;
+        boolean allowed = front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance());
+        retryTakenAtMillis = nowMillis;
+        return allowed ? RetryDecision.RETRY : RetryDecision.BUDGET_EXHAUSTED;
     }
 
     /** Leaves a request that is placed anew one latency objective, from the time at which it may be sent. */
@@ -831,7 +884,7 @@
         }
         runs.reviewSilence(responseAssembler.streamStarted(), nowMillis);
         if (runs.overlapTooLong(route.kind(), nowMillis)) {
-            dropSilentRun();
+            dropSilentRuns();
         } else if (stage == Stage.SENT && runs.needReplacement(responseAssembler.streamStarted(), nowMillis)) {
             replaceIfAllowed(nowMillis);
         }
@@ -839,9 +892,9 @@
 
     /** Seeks another target for a request whose target is silent; its run goes on meanwhile. */
     private void replaceIfAllowed(long nowMillis) {
-        RetryDecision decision = front.hasUntriedTarget(service, stream.requiredVersion(), runs.triedTargetIds())
-                ? retryDecision(nowMillis)
-                : RetryDecision.NO_TARGET;
+        boolean noTarget =
+                route.idempotent() && !front.hasUntriedTarget(service, stream.requiredVersion(), runs.triedTargetIds());
+        RetryDecision decision = noTarget ? RetryDecision.NO_TARGET : retryDecision(nowMillis);
         recordSilence(decision, nowMillis);
         if (decision != RetryDecision.RETRY) {
             runs.postponeReplacement(nowMillis);
@@ -853,37 +906,39 @@
         place(nowMillis);
     }
 
-    /** Gives up the other target for a request, since the silent one has sent more or the other does not serve it. */
-    private void withdrawReplacement() {
+    /** Gives up the search for another target, and returns its retry to the budget if it was not sent. */
+    private void endPlacement() {
         removeFromQueue();
         if (ticket != null) {
             ticket.ended(RunEvent.RUN_GIVEN_UP, 0);
         }
         if (!runs.replacementSent()) {
-            front.retryBudget(service).cancelRetry();
+            front.retryBudget(service).cancelRetry(retryTakenAtMillis);
         }
-        runs.withdrawReplacement();
-        stage = Stage.SENT;
     }
 
     /** Ends all runs, and returns the retry of a replacement that was not sent. */
     private void abandonRuns(long nowMillis) {
         if (runs.replacing() && !runs.replacementSent()) {
-            front.retryBudget(service).cancelRetry();
+            front.retryBudget(service).cancelRetry(retryTakenAtMillis);
         }
         runs.abandon(nowMillis);
     }
 
     /** Goes on awaiting the response of the silent target, and seeks another one later. */
     private void keepSilentRun() {
-        withdrawReplacement();
+        endPlacement();
+        runs.withdrawReplacement();
+        stage = Stage.SENT;
         runs.postponeReplacement(front.nowMillis());
     }
 
-    /** Gives up the silent target for the one that the request was sent to after it. */
-    private void dropSilentRun() {
-        runs.dropSilent();
-        responseAssembler.discardIncomplete();
+    /** Gives up the silent targets for the one that the request was sent to after them. */
+    private void dropSilentRuns() {
+        runs.dropSetAside();
+        if (assembledRun != runs.latest()) {
+            discardResponseOf(assembledRun);
+        }
     }
 
     /** Handles a response that is no answer, while another run may still bring one. */
@@ -895,8 +950,9 @@
         } else {
             run.end(RunEvent.RUN_BROKEN);
         }
-        if (run == runs.silent()) {
-            dropSilentRun();
+        if (runs.isSetAside(run)) {
+            runs.drop(run);
+            discardResponseOf(run);
         } else {
             keepSilentRun();
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -153,7 +153,7 @@
         coordination.forget(this);
     }
 
-    /** Reports to the coordinator how long the first event took. */
+    /** Reports to the coordinator how long the first event took; 0 if that says nothing about the target's speed. */
     void firstEvent(long elapsedMillis) {
         prefillTokens = 0;
         coordination.report(this, RunEvent.RUN_FIRST_EVENT, elapsedMillis);
@@ -174,7 +174,9 @@
 
     /** Reports to the coordinator that a target that was reported as silent has sent bytes again. */
     void spokeAgain() {
-        coordination.report(this, RunEvent.RUN_SPOKE_AGAIN, 0);
+        if (stage == Stage.PLACED) {
+            coordination.report(this, RunEvent.RUN_SPOKE_AGAIN, 0);
+        }
     }
 
     /** Reports to the coordinator that the request is no longer queued or running. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
@@ -1,35 +1,40 @@
 package org.whinwharf.front;
 
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.whinwharf.traffic.catalog.RouteKind;
 
 /**
- * The runs of one request: those so far, by their targets, and those under way. These are the latest one, and one
- * before it whose target is silent.
+ * The runs of one request: those so far, by their targets, and those under way. These are the latest one, and earlier
+ * ones that were set aside because their targets fell silent.
  *
  * <p>A silent target may be about to go on or never do so again, and nothing tells which. Its run is therefore not
- * given up when another target is sought, but when that one answers; if the silent target sends more before, the other
- * one is given up.
+ * given up when another target is sought, but when one answers. Whichever target does so first is taken, and the runs
+ * at the others are ended.
  */
 final class RequestRuns {
     /** Interval at which another target is sought for a request whose target is silent. */
     private static final long REPLACEMENT_INTERVAL_MILLIS = 250;
     /**
-     * Maximum time for which two targets work on one stream. Targets need up to 100 ms more to notice that they are not
-     * to go on, and after 400 ms both could work on the same part of the stream.
+     * Maximum time for which two targets work on one stream, without the interval of the check and the time that a
+     * target needs to notice that it is not to go on, which together are below 200 ms.
      */
-    private static final long MAX_STREAM_OVERLAP_MILLIS = 300;
+    private static final long MAX_STREAM_OVERLAP_MILLIS = 200;
 
     private final Set<String> triedTargetIds = new HashSet<>();
     private int sentCount;
     private int possibleExecutions;
     /** Null before the first run. */
     private ActiveRun latest;
-    /** Null unless another target is sought for it, or was sent the request and has not answered. */
-    private ActiveRun silent;
+    /** Runs of silent targets for which another target is sought or was sent the request, the oldest first. */
+    private final List<ActiveRun> setAside = new ArrayList<>();
+    /** Whether another target is being sought, so that the latest run is one of those that were set aside. */
+    private boolean seeking;
 
     private long nextReplacementAtMillis;
 
@@ -41,6 +46,7 @@
     /** Adds a run that has a target. */
     void add(ActiveRun run) {
         latest = run;
+        seeking = false;
     }
 
     /** Records that the latest run was sent to its target. */
@@ -70,34 +76,45 @@
         return possibleExecutions > 0;
     }
 
-    /** Tells whether there is a silent run, so that the request goes on whatever becomes of its replacement. */
+    /** Tells whether runs were set aside, so that the request goes on whatever becomes of the replacement. */
     boolean replacing() {
-        return silent != null;
+        return !setAside.isEmpty();
     }
 
-    /** Returns the silent run; null if there is none. */
-    ActiveRun silent() {
-        return silent;
+    /** Tells whether a run is set aside. */
+    boolean isSetAside(ActiveRun run) {
+        return setAside.contains(run);
     }
 
-    /** Returns the run from which a response is awaited; the silent one if there are two. */
+    /** Returns the run that was set aside last. */
+    ActiveRun lastSetAside() {
+        return setAside.get(setAside.size() - 1);
+    }
+
+    /** Tells whether another run than the given one may still bring an answer. */
+    boolean othersMayAnswer(ActiveRun run) {
+        return underWay().anyMatch(other -> other != run);
+    }
+
+    /** Returns the run from which a response is awaited; the first if there are several. */
     Optional<ActiveRun> awaited() {
-        return Optional.ofNullable(silent == null ? latest : silent).filter(ActiveRun::awaitsResponse);
+        return underWay().findFirst();
+    }
+
+    private Stream<ActiveRun> underWay() {
+        Stream<ActiveRun> all =
+                seeking || latest == null ? setAside.stream() : Stream.concat(setAside.stream(), Stream.of(latest));
+        return all.filter(ActiveRun::awaitsResponse);
     }
 
     /** Has the targets reviewed if they send nothing to any request of this process. */
     void reviewSilence(boolean streamStarted, long nowMillis) {
-        if (replacing()) {
-            silent.reviewSilence(streamStarted, nowMillis);
-        }
-        if (latest != null && latest != silent && latest.awaitsResponse()) {
-            latest.reviewSilence(streamStarted, nowMillis);
-        }
+        underWay().forEach(run -> run.reviewSilence(streamStarted, nowMillis));
     }
 
-    /** Tells whether another target should be sought now. */
+    /** Tells whether another target should be sought now, also for a replacement that has fallen silent itself. */
     boolean needReplacement(boolean streamStarted, long nowMillis) {
-        return !replacing() && nowMillis >= nextReplacementAtMillis && latest.stalled(streamStarted, nowMillis);
+        return !seeking && nowMillis >= nextReplacementAtMillis && latest.stalled(streamStarted, nowMillis);
     }
 
     /** Lets some time pass before another target is sought again. */
@@ -105,15 +122,16 @@
         nextReplacementAtMillis = nowMillis + REPLACEMENT_INTERVAL_MILLIS;
     }
 
-    /** Takes the latest run for silent; another target is sought for the request. */
+    /** Sets the latest run aside; another target is sought for the request. */
     void beginReplacement() {
-        silent = latest;
-        silent.suspect();
+        latest.setAside();
+        setAside.add(latest);
+        seeking = true;
     }
 
-    /** Tells whether the replacement of a silent run was sent to its target. */
+    /** Tells whether the replacement was sent to its target. */
     boolean replacementSent() {
-        return latest != silent && latest.sent();
+        return !seeking && latest.sent();
     }
 
     /** Tells whether two targets have worked on a stream for too long. */
@@ -124,34 +142,45 @@
                 && nowMillis - latest.run().sentAtMillis() > MAX_STREAM_OVERLAP_MILLIS;
     }
 
-    /** Ends the replacement, if there is one; the silent run is the latest again. */
+    /** Ends the replacement, if there is one; the run that was set aside last is the latest again. */
     void withdrawReplacement() {
-        if (latest != silent) {
+        if (!seeking) {
             latest.cancel();
         }
-        latest = silent;
-        silent = null;
+        latest = setAside.remove(setAside.size() - 1);
+        seeking = false;
     }
 
-    /** Ends the silent run in favour of its replacement. */
-    void dropSilent() {
-        silent.cancel();
-        silent = null;
+    /** Ends all runs but one, which is the latest again. */
+    void keepOnly(ActiveRun run) {
+        underWay().filter(other -> other != run).toList().forEach(ActiveRun::cancel);
+        if (!seeking && latest != run) {
+            latest.cancel();
+        }
+        setAside.clear();
+        latest = run;
+        seeking = false;
     }
 
-    /** Records that the silent run has ended by itself; its replacement goes on. */
-    void silentEnded() {
-        silent = null;
+    /** Ends the runs that were set aside in favour of the latest one. */
+    void dropSetAside() {
+        setAside.forEach(ActiveRun::cancel);
+        setAside.clear();
+    }
+
+    /** Ends one of the runs that were set aside, unless it has ended by itself. */
+    void drop(ActiveRun run) {
+        run.cancel();
+        setAside.remove(run);
     }
 
     /** Ends all runs; their targets may be found to have crashed while they were silent. */
     void abandon(long nowMillis) {
+        setAside.forEach(run -> run.abandon(nowMillis));
+        setAside.clear();
         if (latest != null) {
             latest.abandon(nowMillis);
         }
-        if (replacing() && silent != latest) {
-            silent.abandon(nowMillis);
-        }
-        silent = null;
+        seeking = false;
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -21,6 +21,8 @@
     private boolean ended;
     /** Whether the coordinator was told that the target is silent, and not yet that it sends again. */
     private boolean reportedSilent;
+    /** Whether the target was silent for so long that the run says nothing about its speed. */
+    private boolean paused;
 
     TargetRun(TargetEntry entry, Candidate candidate, PlacementTicket ticket) {
         this.entry = entry;
@@ -92,6 +94,10 @@
      */
     void succeeded() {
         state().health().recordAnswerStart();
+        if (paused) {
+            ticket.firstEvent(0);
+            return;
+        }
         state().speed().recordFirstEvent(candidate.tokensAhead(), candidate.occupancy(), firstByteMillis());
         ticket.firstEvent(firstByteMillis());
     }
@@ -106,6 +112,11 @@
         return reportedSilent;
     }
 
+    /** Records that the target has sent nothing for so long that the run says nothing about its speed. */
+    void fellSilent() {
+        paused = true;
+    }
+
     /** Records that the target has sent bytes. */
     void spokeAgain() {
         if (reportedSilent) {
@@ -126,7 +137,7 @@
             return;
         }
         recordEnd();
-        long elapsedMillis = answerTokens > 0 ? nowMillis - firstByteAtMillis : 0;
+        long elapsedMillis = answerTokens > 0 && !paused ? nowMillis - firstByteAtMillis : 0;
         if (elapsedMillis > 0) {
             state().speed().recordAnswer(answerTokens, elapsedMillis);
         }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
@@ -50,7 +50,7 @@
         RetryBudget budget = new RetryBudget(0, 10_000);
         assertThat(budget.tryRetry(0, 1), is(true));
         assertThat(budget.tryRetry(1, 1), is(false));
-        budget.cancelRetry();
+        budget.cancelRetry(0);
         assertThat(budget.tryRetry(2, 1), is(true));
     }
 
@@ -60,7 +60,7 @@
         RetryBudget budget = new RetryBudget(0, 10_000);
         budget.tryRetry(0, 1);
         budget.recordRequest(20_000);
-        budget.cancelRetry();
+        budget.cancelRetry(0);
         assertThat(budget.tryRetry(20_000, 1), is(true));
         assertThat(budget.tryRetry(20_000, 1), is(false));
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
@@ -67,9 +67,13 @@
         return true;
     }
 
-    /** Returns the latest retry to the budget, because it was not sent. */
-    public void cancelRetry() {
-        retriesAtMillis.pollLast();
+    /**
+     * Returns a retry to the budget, because it was not sent.
+     *
+     * @param takenAtMillis monotonic time in milliseconds at which it was taken
+     */
+    public void cancelRetry(long takenAtMillis) {
+        retriesAtMillis.removeLastOccurrence(takenAtMillis);
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetHealth.java
@@ -5,9 +5,10 @@
  *
  * <p>A target that passes health checks may still fail requests, so only requests count against it. After repeated
  * failures the target is ejected for a time that doubles up to a limit. It returns only after a successful probe,
- * because a target that was restarted meanwhile is cold and would fail under its full share of requests. A target that
- * hangs may pass its probe, so it is then on trial (the half-open state of a circuit breaker): it gets one request at a
- * time until an answer starts. A return of a hung target thus costs one or two requests and not a full set of slots.
+ * unless it was ejected for its silence and sends again, because a target that was restarted meanwhile is cold and
+ * would fail under its full share of requests. A target that hangs may pass its probe, so it is then on trial (the
+ * half-open state of a circuit breaker): it gets one request at a time until an answer starts. A return of a hung
+ * target thus costs one or two requests and not a full set of slots.
  */
 public final class TargetHealth {
     /** Consecutive failures that eject a target. A single lost connection also happens on healthy targets. */
