Let no wait that fronts impose outlast the patience of the request

What callers saw, in a test: a request under which a target had crashed, and whose next target hung, was sent to no third one and ended at its deadline. Others with the same content were refused while targets were free.

Cause: two pairs of waits. A suspect runs at one target at a time, so its replacement was held until the end of the silent run, which waits for the replacement. And a request whose content is suspect is held until the suspicion settles, 300 ms, which is as long as its queue timeout where the objective is short.

Now the run of a suspect that is set aside no longer counts for the coordinator, and a suspect's queue timeout begins when its suspicion settles.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -86,6 +86,7 @@
     /** Records that another target is sought for the request, which goes on here. */
     void setAside() {
         replaced = true;
+        run.setAside();
         suspect();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -272,6 +272,11 @@
             return;
         }
         suspect = assessment.suspect();
+        if (suspect) {
+            // Until then it is held.
+            queueTimeoutAtMillis =
+                    Math.max(queueTimeoutAtMillis, assessment.settlesAtMillis() + route.latencyObjectiveMillis());
+        }
         if (suspect || front.coordination().isCoordinated(service)) {
             stage = Stage.AWAITING_PLACEMENT;
             front.coordination().requestPlacement(service, suspectFingerprint(), this);
