--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
@@ -129,7 +129,8 @@
         closedConnections.add(last);
     }
 
-    private static String readHead(InputStream in) throws IOException {
+    /** Reads the head of the next request; returns an empty string at the end of the connection. */
+    static String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         int next = in.read();
         while (next >= 0) {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -78,6 +78,16 @@
 
     /** Starts a front of a fleet with the given limits of retries. */
     FrontFixture(List<String> seedIps, long coordinatorTimeoutMillis, boolean freshFleet, FleetLimits limits) {
+        this(seedIps, coordinatorTimeoutMillis, freshFleet, limits, new TestDialect());
+    }
+
+    /** Starts a front that uses the given dialect. */
+    FrontFixture(
+            List<String> seedIps,
+            long coordinatorTimeoutMillis,
+            boolean freshFleet,
+            FleetLimits limits,
+            TestDialect dialect) {
         settings = ImmutableFrontSettings.builder()
                 .coordinatorTimeoutMillis(coordinatorTimeoutMillis)
                 .name("front-" + ip)
@@ -94,7 +104,7 @@
                 .metricsPort(METRICS_PORT)
                 .relayPort(RELAY_PORT)
                 .build();
-        front = new Front(settings, new TestDialect(), callerPort(ip));
+        front = new Front(settings, dialect, callerPort(ip));
         front.start();
     }
 
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PausingFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PausingFleet.java
@@ -56,12 +56,21 @@
 
         /** Returns the maximum number of runs of one request on a route with the given number of attempts. */
         int attempts(int routeAttempts) {
-            return this == RESUMABLE_STREAM || this == SAFE ? routeAttempts : 1;
+            return idempotent() ? routeAttempts : 1;
+        }
+
+        boolean idempotent() {
+            return this == RESUMABLE_STREAM || this == SAFE;
         }
 
         /** Returns a request after whose response the connection is closed. */
         String request(String attemptId) {
-            return FrontFixture.request(method, prefix + attemptId, attemptId, true);
+            return request(attemptId, true);
+        }
+
+        /** Returns the text of a request. */
+        String request(String attemptId, boolean close) {
+            return FrontFixture.request(method, prefix + attemptId, attemptId, close);
         }
     }
 
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -12,9 +12,25 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.BiConsumer;
 
 /** Minimal dialect for the tests of this module, with its own header names. */
 final class TestDialect implements HttpDialect {
+    private final BiConsumer<String, DispatchParameters> dispatchListener;
+
+    TestDialect() {
+        this((attemptId, dispatch) -> {});
+    }
+
+    /**
+     * Creates a dialect.
+     *
+     * @param dispatchListener consumer of the attempt id and the parameters of each request that is sent to a target
+     */
+    TestDialect(BiConsumer<String, DispatchParameters> dispatchListener) {
+        this.dispatchListener = dispatchListener;
+    }
+
     @Override
     public RequestHead readRequest(HttpRequest request) throws BadRequestException {
         String attempt = request.headers().get("Attempt");
@@ -38,6 +54,7 @@
 
     @Override
     public HttpRequest targetRequest(HttpRequest request, DispatchParameters dispatch) {
+        dispatchListener.accept(request.headers().get("Attempt"), dispatch);
         HttpHeaders headers =
                 new DefaultHttpHeaders().set("Attempt", request.headers().get("Attempt"));
         headers.set("Expect-Target", dispatch.targetId());
