Paused process soak: tell a withdrawn run from a lost one

Targets now report all bytes that they write, so that the check compares which of two targets spoke first.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CallerAttempt.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CallerAttempt.java
@@ -126,15 +126,17 @@
     }
 
     /**
-     * Tells whether the attempt was sent to a target that was not killed meanwhile, and no later target had taken over
-     * from that one.
+     * Tells whether the attempt was sent to a target that was neither killed meanwhile nor given up for another one.
      */
     private boolean awaitedTargetLived(ProcessFleet fleet) {
         List<RunHistory.Dispatch> dispatches = fleet.history().dispatches(id);
         for (int i = 0; i < dispatches.size(); i++) {
-            boolean replaced =
-                    dispatches.subList(i + 1, dispatches.size()).stream().anyMatch(later -> tookOver(later, fleet));
-            if (!killed(dispatches.get(i), fleet) && !replaced) {
+            RunHistory.Dispatch dispatch = dispatches.get(i);
+            boolean replaced = dispatches.subList(i + 1, dispatches.size()).stream()
+                    .anyMatch(later -> tookOver(dispatch, later, fleet));
+            boolean withdrawn =
+                    dispatches.subList(0, i).stream().anyMatch(earlier -> spokeAgain(earlier, dispatch, fleet));
+            if (!killed(dispatch, fleet) && !replaced && !withdrawn) {
                 return true;
             }
         }
@@ -146,12 +148,31 @@
         return fleet.target(dispatch.targetId()).downs().stream().anyMatch(underWay::overlaps);
     }
 
-    private boolean tookOver(RunHistory.Dispatch dispatch, ProcessFleet fleet) {
+    /** Tells whether the later target answered before the earlier one sent more, or has long been sent a stream. */
+    private boolean tookOver(RunHistory.Dispatch earlier, RunHistory.Dispatch later, ProcessFleet fleet) {
+        long againMillis = bytesMillis(earlier, later, fleet);
+        long firstBytesMillis = bytesMillis(later, later, fleet);
+        long dropMillis = later.sentAtMillis() + MIN_REPLACEMENT_MILLIS;
+        boolean answered = firstBytesMillis <= response.endedAtMillis()
+                && firstBytesMillis - CLOCK_TOLERANCE_MILLIS <= againMillis;
+        return answered || work.streams() && dropMillis < Math.min(againMillis, response.endedAtMillis());
+    }
+
+    /** Tells whether the earlier target sent more before the later one answered. */
+    private boolean spokeAgain(RunHistory.Dispatch earlier, RunHistory.Dispatch later, ProcessFleet fleet) {
+        long againMillis = bytesMillis(earlier, later, fleet);
+        return againMillis <= response.endedAtMillis()
+                && againMillis - CLOCK_TOLERANCE_MILLIS <= bytesMillis(later, later, fleet);
+    }
+
+    /** Returns the time of a target's first bytes after the attempt was sent to another target. */
+    private long bytesMillis(RunHistory.Dispatch dispatch, RunHistory.Dispatch since, ProcessFleet fleet) {
         PausableTarget target = fleet.target(dispatch.targetId());
-        boolean answered = fleet.history().runs(id).stream()
-                .anyMatch(run -> run.target() == target && run.firstBytesAtMillis() <= response.endedAtMillis());
-        return answered
-                || work.streams() && response.endedAtMillis() - dispatch.sentAtMillis() > MIN_REPLACEMENT_MILLIS;
+        return fleet.history().runs(id).stream()
+                .filter(run -> run.target() == target)
+                .mapToLong(run -> run.bytesAfterMillis(since.sentAtMillis()))
+                .min()
+                .orElse(Long.MAX_VALUE);
     }
 
     /** Returns the time for which two targets that were not paused worked on the attempt; 0 if it is no stream. */
@@ -199,7 +220,8 @@
         }
         for (RunHistory.Run run : fleet.history().runs(id)) {
             text.append("; run at ").append(run.target().id()).append(describe(List.of(run.span())));
-            text.append(" first bytes ").append(afterMillis(run.firstBytesAtMillis()));
+            text.append(" bytes at ")
+                    .append(run.bytesAtMillis().stream().map(this::afterMillis).toList());
         }
         return text.toString();
     }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RunHistory.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RunHistory.java
@@ -19,9 +19,19 @@
      * A request that a target has worked on.
      *
      * @param span time from its begin to its end, by itself, by its connection or by a kill of the target
-     * @param firstBytesAtMillis time at which the target wrote the first bytes; {@link Long#MAX_VALUE} if it did not
+     * @param bytesAtMillis times at which the target wrote bytes of its response
      */
-    record Run(PausableTarget target, Span span, long firstBytesAtMillis) {}
+    record Run(PausableTarget target, Span span, List<Long> bytesAtMillis) {
+        /**
+         * Returns the time of the first bytes that were written after the given time; {@link Long#MAX_VALUE} if none.
+         */
+        long bytesAfterMillis(long millis) {
+            return bytesAtMillis.stream()
+                    .filter(atMillis -> atMillis > millis)
+                    .findFirst()
+                    .orElse(NEVER);
+        }
+    }
 
     private record TargetStep(PausableTarget target, TargetReport report) {}
 
@@ -59,7 +69,7 @@
 
     private static Run run(TargetStep begun, List<TargetStep> later) {
         long begunAtMillis = begun.report().unixMillis();
-        long firstBytesAtMillis = NEVER;
+        List<Long> bytesAtMillis = new ArrayList<>();
         long endedAtMillis = begun.target().downs().stream()
                 .mapToLong(Span::fromMillis)
                 .filter(millis -> millis >= begunAtMillis)
@@ -68,13 +78,13 @@
         for (TargetStep step : later) {
             TargetReport report = step.report();
             if (step.target() == begun.target() && report.unixMillis() <= endedAtMillis) {
-                if (report.kind() == TargetReport.Kind.FIRST_BYTES) {
-                    firstBytesAtMillis = report.unixMillis();
+                if (report.kind() == TargetReport.Kind.BYTES) {
+                    bytesAtMillis.add(report.unixMillis());
                 } else {
                     endedAtMillis = report.unixMillis();
                 }
             }
         }
-        return new Run(begun.target(), new Span(begunAtMillis, endedAtMillis), firstBytesAtMillis);
+        return new Run(begun.target(), new Span(begunAtMillis, endedAtMillis), bytesAtMillis);
     }
 }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetProcess.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetProcess.java
@@ -106,7 +106,7 @@
                 stream(request, attemptId, socket);
             } else {
                 work(socket, draw(MIN_PLAIN_SERVICE_MILLIS, MAX_PLAIN_SERVICE_MILLIS));
-                report(TargetReport.Kind.FIRST_BYTES, attemptId);
+                report(TargetReport.Kind.BYTES, attemptId);
                 FakeTarget.write(socket, FakeTarget.answer(request, 200, plainBody(attemptId)));
             }
             report(TargetReport.Kind.COMPLETED, attemptId);
@@ -120,11 +120,11 @@
         Matcher resumed = RESUME_AFTER.matcher(request.toLowerCase(Locale.ROOT));
         int after = resumed.find() ? Integer.parseInt(resumed.group(1)) : 0;
         work(socket, draw(MIN_PREFILL_MILLIS, MAX_PREFILL_MILLIS));
-        report(TargetReport.Kind.FIRST_BYTES, attemptId);
         FakeTarget.write(
                 socket,
                 "HTTP/1.1 200 X\r\nAttempt: " + attemptId + "\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int id = after + 1; id <= EVENTS; id++) {
+            report(TargetReport.Kind.BYTES, attemptId);
             FakeTarget.write(socket, FakeTarget.chunk(event(attemptId, id)));
             work(socket, EVENT_INTERVAL_MILLIS);
         }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetReport.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetReport.java
@@ -10,7 +10,8 @@
 record TargetReport(Kind kind, String attemptId, long unixMillis) {
     enum Kind {
         BEGUN,
-        FIRST_BYTES,
+        /** Bytes of the response were written. */
+        BYTES,
         COMPLETED,
         /** The connection ended before the last byte was written. */
         CANCELLED
