--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetProcess.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetProcess.java
@@ -74,6 +74,7 @@
                 start(() -> serve(socket));
             }
         } catch (IOException e) {
+            e.printStackTrace();
             Runtime.getRuntime().halt(1);
         }
     }
