Paused process soak: end the connections of callers with their front

A front that stops within the test's process may leave connections open that the end of a process closes; callers waited for 12 s there.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PausedProcessSoakTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PausedProcessSoakTest.java
@@ -240,7 +240,7 @@
 
     private void callOverOneConnection(ProcessFleet.Member front, Random random) throws Exception {
         PausingFleet.Work[] works = PausingFleet.Work.values();
-        try (Socket socket = front.fixture().connect();
+        try (Socket socket = front.connect();
                 KeptConnection connection = new KeptConnection(socket, CALLER_TIMEOUT_MILLIS)) {
             while (connection.open() && !stopping) {
                 PausingFleet.Work work = works[random.nextInt(works.length)];
@@ -265,7 +265,7 @@
         for (ProcessFleet.Member front : fleet.serving()) {
             for (int i = 0; i < RECOVERY_REQUESTS; i++) {
                 calls.add(() -> {
-                    try (Socket socket = front.fixture().connect();
+                    try (Socket socket = front.connect();
                             KeptConnection connection = new KeptConnection(socket, CALLER_TIMEOUT_MILLIS)) {
                         return call(connection, front, PausingFleet.Work.UNSAFE);
                     }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ProcessFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ProcessFleet.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -9,6 +11,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Fronts of this process before targets in processes of their own. */
@@ -26,6 +29,7 @@
         private final FrontFixture fixture;
         private volatile boolean leaving;
         private volatile long goneAtMillis = NEVER;
+        private final Set<Socket> callers = ConcurrentHashMap.newKeySet();
 
         private Member(FrontFixture fixture) {
             this.fixture = fixture;
@@ -35,6 +39,29 @@
             return fixture;
         }
 
+        /** Opens a connection, which ends with the front at the latest. */
+        Socket connect() throws IOException {
+            Socket socket = fixture.connect();
+            callers.add(socket);
+            if (gone()) {
+                socket.close();
+            }
+            return socket;
+        }
+
+        /**
+         * Ends all connections, as the end of a process does; a front that stops within this one may leave some open.
+         */
+        private void closeConnections() {
+            for (Socket socket : callers) {
+                try {
+                    socket.close();
+                } catch (IOException e) {
+                    throw new UncheckedIOException(e);
+                }
+            }
+        }
+
         /** Returns the time at which the front was killed or had stopped; {@link Long#MAX_VALUE} if it runs. */
         long goneAtMillis() {
             return goneAtMillis;
@@ -167,6 +194,7 @@
             member.goneAtMillis = System.currentTimeMillis();
         }
         member.fixture().kill();
+        member.closeConnections();
     }
 
     private void publish(PausableTarget target, FrontFixture front) {
