Tests of silent runs: one test for each open fault, and targets that crash after their replacement began

These three fail: replacementThatFailsAfterItsHeadLeavesSilentRun, bodyOfPausedTargetIsWholeBesideAnotherOneThatStops and thirdTargetServesPlainRequestAfterTwoHungOnes.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -143,12 +143,17 @@
 
     /** Returns the index of the target that a connection leads to. */
     int targetOf(Socket accepted) {
+        return targetListeningOn(accepted.getLocalPort());
+    }
+
+    /** Returns the index of the target that listens on a port. */
+    int targetListeningOn(int port) {
         for (int i = 0; i < targets.size(); i++) {
-            if (targets.get(i).port() == accepted.getLocalPort()) {
+            if (targets.get(i).port() == port) {
                 return i;
             }
         }
-        throw new IllegalArgumentException("no target listens on port " + accepted.getLocalPort());
+        throw new IllegalArgumentException("no target listens on port " + port);
     }
 
     /** Lets a target run another software version from now on, without publishing it. */
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RunScripts.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RunScripts.java
@@ -157,6 +157,12 @@
             pauseWhile(() -> System.nanoTime() < endNanos);
         }
 
+        /** Does nothing while a condition holds, for a given time at most; ends with the connection. */
+        void pauseWhile(BooleanSupplier condition, long maxMillis) throws IOException {
+            long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxMillis);
+            pauseWhile(() -> condition.getAsBoolean() && System.nanoTime() < endNanos);
+        }
+
         private void pauseWhile(BooleanSupplier paused) throws IOException {
             socket.setSoTimeout(POLL_INTERVAL_MILLIS);
             while (paused.getAsBoolean()) {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ScriptedFront.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ScriptedFront.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -26,7 +25,6 @@
 
     private final FrontFixture front;
     private final RunScripts scripts = new RunScripts();
-    private final List<FakeTarget> targets = new ArrayList<>();
     private final ExecutorService callers = Executors.newCachedThreadPool(task -> {
         Thread thread = new Thread(task, "caller");
         thread.setDaemon(true);
@@ -41,7 +39,7 @@
     ScriptedFront(FleetLimits limits, int targetCount, boolean engine) throws IOException {
         front = new FrontFixture(List.of(), 120, true, limits);
         for (int i = 0; i < targetCount; i++) {
-            targets.add(front.target("t" + i, scripts));
+            front.target("t" + i, scripts);
         }
         front.publishCatalog(limits.attempts(), limits.timeoutMillis(), engine, limits.objectiveMillis());
     }
@@ -54,10 +52,6 @@
         return scripts;
     }
 
-    List<FakeTarget> targets() {
-        return targets;
-    }
-
     /** Sends a request whose runs are planned. */
     Future<Answer> call(Work work, String attemptId) {
         return callers.submit(() -> {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilentRunTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilentRunTest.java
@@ -17,6 +17,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -26,6 +27,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -247,9 +249,21 @@
     /** Guards against the loss of an answer under way because another target refused or failed the request. */
     @Test
     void failedReplacementLeavesSilentRun() throws Exception {
+        assertSilentRunAnswers(EnumSet.complementOf(EnumSet.of(Refusal.RESET_AFTER_HEAD)));
+    }
+
+    /** Guards against the same where the other target fails after the head of its response. */
+    @Test
+    void replacementThatFailsAfterItsHeadLeavesSilentRun() throws Exception {
+        assertSilentRunAnswers(EnumSet.of(Refusal.RESET_AFTER_HEAD));
+    }
+
+    private static void assertSilentRunAnswers(Collection<Refusal> refusals) throws Exception {
         assertAll(REPEATABLE, work -> {
             try (ScriptedFront front = new ScriptedFront(LIMITS.withAttempts(2), MANY_TARGETS)) {
-                assertAll(Refusal.of(work), refusal -> {
+                List<Refusal> ofWork =
+                        Refusal.of(work).stream().filter(refusals::contains).toList();
+                assertAll(ofWork, refusal -> {
                     String attempt = work + "-" + refusal;
                     CountDownLatch refused = new CountDownLatch(1);
                     Future<Answer> answer = front.call(
@@ -285,15 +299,22 @@
         });
     }
 
-    /** Guards against a request that waits at two hung targets, with an attempt left. */
+    /** Guards against a stream that waits at two hung targets, with an attempt left. */
     @Test
-    void thirdTargetServesAfterTwoHungOnes() throws Exception {
-        assertAll(REPEATABLE, work -> {
-            try (ScriptedFront front = new ScriptedFront(LIMITS, TARGETS)) {
-                Future<Answer> answer = front.call(work, "a", RunScripts.hang(work), RunScripts.HANG, RunScripts.WHOLE);
-                assertWhole(work, answer);
-            }
-        });
+    void thirdTargetServesStreamAfterTwoHungOnes() throws Exception {
+        assertThirdTargetServes(Work.RESUMABLE_STREAM);
+    }
+
+    /** Guards against the same for a plain request, which may run at two targets for longer. */
+    @Test
+    void thirdTargetServesPlainRequestAfterTwoHungOnes() throws Exception {
+        assertThirdTargetServes(Work.SAFE);
+    }
+
+    private static void assertThirdTargetServes(Work work) throws Exception {
+        try (ScriptedFront front = new ScriptedFront(LIMITS, TARGETS)) {
+            assertWhole(work, front.call(work, "a", RunScripts.hang(work), RunScripts.HANG, RunScripts.WHOLE));
+        }
     }
 
     /** Guards against a silent target that refuses or fails a request while another one is about to answer. */
@@ -657,6 +678,37 @@
         });
     }
 
+    /**
+     * Guards against a request that crashes more targets than others do, because each is lost to this front first, and
+     * to all once the request was sent to the next one.
+     */
+    @Test
+    void requestUnderWhichSilentTargetsCrashIsQuarantined() throws Exception {
+        int maxCrashes = 3;
+        RunScripts scripts = new RunScripts();
+        try (CutFleet fleet = new CutFleet(2, Collections.nCopies(16, "v1"), false, LIMITS, scripts)) {
+            // Two such requests, so that either may be the cause of all crashes.
+            assertAll(List.of("one", "two"), content -> {
+                AtomicInteger begun = new AtomicInteger();
+                Behaviour silentCrash = run -> {
+                    int number = begun.incrementAndGet();
+                    List<CutLink> links = fleet.linksTo(fleet.targetListeningOn(run.port()));
+                    links.get(0).cut(CutLink.Cut.REFUSED);
+                    run.pauseWhile(() -> begun.get() == number, 1_500);
+                    links.get(1).cut(CutLink.Cut.REFUSED);
+                    links.forEach(CutLink::resetOpen);
+                };
+                String response = "";
+                for (int i = 0; i < 4 && !response.startsWith("HTTP/1.1 503"); i++) {
+                    String attempt = content + "-" + i;
+                    scripts.plan(attempt, silentCrash);
+                    response = fleet.front(0).exchange(FrontFixture.request("GET", "/safe/" + content, attempt, true));
+                }
+                assertThat("crashes", begun.get(), lessThanOrEqualTo(maxCrashes));
+            });
+        }
+    }
+
     /** What the second target does with a request whose first target stops within a body. */
     private enum BodyReplacement {
         HANG(RunScripts.HANG),
@@ -677,20 +729,28 @@
     /** Guards against a body of pieces of two responses, or none at all, when a target pauses within it. */
     @Test
     void bodyOfPausedTargetIsWhole() throws Exception {
-        assertAll(EnumSet.allOf(BodyReplacement.class), replacement -> {
-            try (ScriptedFront front = new ScriptedFront(LIMITS, TARGETS)) {
-                Future<Answer> answer = front.call(
-                        Work.SAFE,
-                        "a",
-                        run -> {
-                            run.firstHalf();
-                            run.pause(2_000);
-                            run.secondHalf();
-                        },
-                        replacement.behaviour);
-                assertWhole(Work.SAFE, answer);
-            }
-        });
+        assertAll(EnumSet.complementOf(EnumSet.of(BodyReplacement.HALF)), SilentRunTest::assertBodyWhole);
+    }
+
+    /** Guards against the same where the other target stops within its body as well, and never goes on. */
+    @Test
+    void bodyOfPausedTargetIsWholeBesideAnotherOneThatStops() throws Exception {
+        assertBodyWhole(BodyReplacement.HALF);
+    }
+
+    private static void assertBodyWhole(BodyReplacement replacement) throws Exception {
+        try (ScriptedFront front = new ScriptedFront(LIMITS, TARGETS)) {
+            Future<Answer> answer = front.call(
+                    Work.SAFE,
+                    "a",
+                    run -> {
+                        run.firstHalf();
+                        run.pause(2_000);
+                        run.secondHalf();
+                    },
+                    replacement.behaviour);
+            assertWhole(Work.SAFE, answer);
+        }
     }
 
     /** Guards against a second run of a request that must not be repeated, and against the end of its only one. */
