Test streams whose replacements are silent too, or slow

A silent stream is given up 300 ms after it was sent to another target, also where that one has sent nothing. If it is paused or hung as well, the first target goes on in vain: 0 of 8 streams are whole, plain and engine, though all their targets resume after 3 s. The second case guards the other side: replacements whose first event takes 800 ms; 8 of 8 are whole.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PausingFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PausingFleet.java
@@ -77,6 +77,7 @@
     private final CutFleet fleet;
     private final Set<Integer> paused = ConcurrentHashMap.newKeySet();
     private final Object gate = new Object();
+    private volatile long prefillMillis;
     private final AtomicInteger runs = new AtomicInteger();
     private final AtomicInteger begun = new AtomicInteger();
     private final Map<Integer, AtomicInteger> runsByTarget = new ConcurrentHashMap<>();
@@ -95,6 +96,11 @@
         return fleet;
     }
 
+    /** Sets the time that targets take from now on to the first event of a stream. */
+    void setPrefillMillis(long millis) {
+        prefillMillis = millis;
+    }
+
     /** Pauses targets until they are resumed. */
     void pause(Collection<Integer> targets) {
         synchronized (gate) {
@@ -211,6 +217,7 @@
     private void stream(int target, String request, Socket socket) throws IOException {
         Matcher resumed = RESUME_AFTER.matcher(request.toLowerCase(Locale.ROOT));
         int after = resumed.find() ? Integer.parseInt(resumed.group(1)) : 0;
+        work(target, prefillMillis);
         FakeTarget.write(
                 socket,
                 "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attemptId(request)
