End the overlap of two runs of a stream by whether the replacement's target is alive

What callers saw, in tests: streams of targets that paused were given up for replacements at targets that were paused as well, and waited there until their deadline, though their first target went on.

Cause: two targets may not work on one stream for 400 ms, and after 200 ms the silent run was ended, whatever was known of the other target.

Now a health check is sent to the target of a stream's replacement. If it has sent nothing by the end of the overlap, to the check or to any request, the replacement is withdrawn, else the silent run is ended.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -548,6 +548,9 @@
         TargetRun run = placed.run();
         if (runs.replacing()) {
             recordRetry(runs.lastSetAside(), TargetFailure.SILENT.name());
+            if (route.kind() == RouteKind.STREAMING) {
+                front.probe(placed.entry());
+            }
         }
         stage = Stage.SENT;
         placed.sending(acquired, route, nowMillis);
@@ -889,7 +892,7 @@
         }
         runs.reviewSilence(responseAssembler.streamStarted(), nowMillis);
         if (runs.overlapTooLong(route.kind(), nowMillis)) {
-            dropSilentRuns();
+            endOverlap();
         } else if (stage == Stage.SENT && runs.needReplacement(responseAssembler.streamStarted(), nowMillis)) {
             replaceIfAllowed(nowMillis);
         }
@@ -938,6 +941,15 @@
         runs.postponeReplacement(front.nowMillis());
     }
 
+    /** Gives up the silent targets, unless the one that is to replace them does not even answer a health check. */
+    private void endOverlap() {
+        if (runs.replacementQuiet()) {
+            keepSilentRun();
+        } else {
+            dropSilentRuns();
+        }
+    }
+
     /** Gives up the silent targets for the one that the request was sent to after them. */
     private void dropSilentRuns() {
         runs.dropSetAside();
