Resume streams of silent targets until their deadline

A stream that brings no part for 5 s is resumed by its home, at the same engine, since no other may receive the request. The attempts counted as those at a broken stream do: after six without a token the answer ended as target-lost and the work was cancelled at the engine. A host that pauses accepts no connection, so six attempts of 0.5 s cut the streams of one that went on later. And a resumed stream had no bound before its first part, so it stood still until the deadline if the order was lost.

Attempts that end in silence (no part within 5 s, no connection within 0.5 s, no route) no longer count; the deadline bounds them, with the same backoff. A resumed stream that is silent from its start is asked for again after 5 s. Refused and reset connections and streams that end early count as before. A caller whose engine's host is gone for good is therefore told so at its deadline.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/SilentLink.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/SilentLink.java
@@ -4,22 +4,36 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import org.whinwharf.lifecycle.Service;
 
-/** Link to a target that can fall silent: what is open stays open and carries nothing more, what is new works. */
+/** Link to a target that can fall silent, in one of several ways. */
 final class SilentLink implements Service {
     private static final int BUFFER_BYTES = 8_192;
+    /** Connections that the system accepts for a listener that does not; the rest of them find no reply. */
+    private static final int BACKLOG = 1;
+
+    private static final int DEFAULT_BACKLOG = 50;
+
+    private static final int FILLERS = 8;
 
     private final InetSocketAddress near;
     private final InetSocketAddress far;
     private final List<Connection> connections = new CopyOnWriteArrayList<>();
-    private ServerSocket listener;
+    private final List<SocketChannel> fillers = new ArrayList<>();
+    private final Object gate = new Object();
+    private volatile ServerSocket listener;
+    private volatile boolean swallowing;
+    /** Guarded by the gate. */
+    private boolean paused;
 
     SilentLink(InetSocketAddress near, InetSocketAddress far) {
         this.near = near;
@@ -28,37 +42,108 @@
 
     @Override
     public void start() {
-        try {
-            listener = new ServerSocket();
-            listener.bind(near);
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-        run(this::accept);
+        EntryFixture.until("the port is free", () -> listen(DEFAULT_BACKLOG));
+        ServerSocket opened = listener;
+        run(() -> accept(opened));
     }
 
     @Override
     public void stop() {
+        goOn();
         close(listener);
         connections.forEach(Connection::close);
     }
 
-    /** Silences all connections that are open now. */
+    /** Silences all connections that are open now for good; new ones work. */
     void fallSilent() {
         connections.forEach(each -> each.silent = true);
     }
 
-    private void accept() throws IOException {
-        while (!listener.isClosed()) {
-            Socket caller = listener.accept();
+    /** Silences all connections that are open now, or are opened until the link goes on, for good. */
+    void swallow() {
+        swallowing = true;
+        fallSilent();
+    }
+
+    /** Holds everything back until the link goes on, as the host of a paused process does: it accepts connections. */
+    void pause() {
+        synchronized (gate) {
+            paused = true;
+        }
+    }
+
+    /** Holds everything back until the link goes on, and replies to no attempt to connect, as a paused host does. */
+    void pauseHost() {
+        pause();
+        close(listener);
+        // The system closes a listener only once the thread that accepts has noticed.
+        EntryFixture.until("the listener is closed", () -> listen(BACKLOG));
+        try {
+            for (int i = 0; i < FILLERS; i++) {
+                SocketChannel filler = SocketChannel.open();
+                filler.configureBlocking(false);
+                filler.connect(near);
+                fillers.add(filler);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Passes on what was held back, and whatever comes from now on. */
+    void goOn() {
+        swallowing = false;
+        if (!fillers.isEmpty()) {
+            fillers.forEach(SilentLink::close);
+            fillers.clear();
+            ServerSocket opened = listener;
+            run(() -> accept(opened));
+        }
+        synchronized (gate) {
+            paused = false;
+            gate.notifyAll();
+        }
+    }
+
+    private boolean listen(int backlog) {
+        try {
+            ServerSocket opened = new ServerSocket();
+            opened.setReuseAddress(true);
+            opened.bind(near, backlog);
+            listener = opened;
+            return true;
+        } catch (BindException taken) {
+            return false;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private void accept(ServerSocket opened) throws IOException {
+        while (!opened.isClosed()) {
+            Socket caller = opened.accept();
             InetAddress local = near.getAddress();
             Connection connection = new Connection(caller, new Socket(far.getAddress(), far.getPort(), local, 0));
+            connection.silent = swallowing;
             connections.add(connection);
             run(() -> connection.pass(connection.caller, connection.target));
             run(() -> connection.pass(connection.target, connection.caller));
         }
     }
 
+    private void awaitGoOn() {
+        synchronized (gate) {
+            while (paused) {
+                try {
+                    gate.wait();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
+            }
+        }
+    }
+
     private static void run(Work work) {
         Thread thread = new Thread(
                 () -> {
@@ -85,7 +170,7 @@
         void run() throws IOException;
     }
 
-    private static final class Connection {
+    private final class Connection {
         private final Socket caller;
         private final Socket target;
         private volatile boolean silent;
@@ -100,10 +185,12 @@
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+                awaitGoOn();
                 if (!silent) {
                     out.write(buffer, 0, count);
                 }
             }
+            awaitGoOn();
             if (!silent) {
                 SilentLink.close(to);
             }
--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/internal/SilenceLimitTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/internal/SilenceLimitTest.java
@@ -5,6 +5,11 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.nullValue;
 
+import io.netty.channel.ConnectTimeoutException;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketException;
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -47,6 +52,30 @@
         assertThat(failure.get(), is(nullValue()));
     }
 
+    // Guards against answers that stand still until their deadline when the order to resume them is lost.
+    @Test
+    void resumedStreamWithoutAFirstPartFails() throws InterruptedException {
+        SilenceLimit.applyToResumed(stream.asFlux(), LIMIT)
+                .doFinally(signal -> over.countDown())
+                .subscribe(parts::add, failure::set);
+        assertThat(over.await(10, TimeUnit.SECONDS), is(true));
+        assertThat(SilenceLimit.isSilence(failure.get()), is(true));
+    }
+
+    // Guards against answers that are cut because a silent host accepts no connections.
+    @Test
+    void connectionThatIsNotAcceptedInTimeIsSilence() {
+        assertThat(SilenceLimit.isSilence(new IOException(new ConnectTimeoutException("500 ms"))), is(true));
+        assertThat(SilenceLimit.isSilence(new IOException(new NoRouteToHostException("dark"))), is(true));
+    }
+
+    // Guards against callers that wait until their deadline for a target that is known to be gone.
+    @Test
+    void refusedOrResetConnectionIsNotSilence() {
+        assertThat(SilenceLimit.isSilence(new IOException(new ConnectException("refused"))), is(false));
+        assertThat(SilenceLimit.isSilence(new SocketException("reset")), is(false));
+    }
+
     private void read(Flux<String> flux) {
         SilenceLimit.apply(flux, LIMIT).doFinally(signal -> over.countDown()).subscribe(parts::add, failure::set);
     }
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/Targets.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/Targets.java
@@ -102,8 +102,10 @@
         long sequence = action.sequence();
         release(sequence);
         HttpRequest<?> request = resumption(action.location(), action.fromIndex());
-        Flux<Event<String>> events = Mono.delay(Duration.ofMillis(action.delayMillis()))
-                .thenMany(Flux.from(streams.eventStream(request, String.class)));
+        Flux<Event<String>> resumed =
+                SilenceLimit.applyToResumed(Flux.from(streams.eventStream(request, String.class)), STREAM_SILENCE);
+        Flux<Event<String>> events =
+                Mono.delay(Duration.ofMillis(action.delayMillis())).thenMany(resumed);
         follow(sequence, events, failure -> home.put(resumeFailure(sequence, failure)));
     }
 
@@ -145,7 +147,8 @@
         guard.expect(requestId, sequence, action.gate());
         if (action.submission().isEngine()) {
             HttpRequest<?> request = order(action.location(), action.submission(), traceParent);
-            Flux<Event<String>> events = Flux.from(streams.eventStream(request, String.class));
+            Flux<Event<String>> events =
+                    SilenceLimit.apply(Flux.from(streams.eventStream(request, String.class)), STREAM_SILENCE);
             follow(sequence, events, failure -> home.put(sendFailure(action, failure)));
         } else {
             call(action, plainCall(action.location(), action.submission(), traceParent));
@@ -155,11 +158,10 @@
     private void follow(long sequence, Flux<Event<String>> events, java.util.function.Consumer<Throwable> whenFailed) {
         Disposable.Swap connection = Disposables.swap();
         connections.put(sequence, connection);
-        connection.replace(SilenceLimit.apply(events, STREAM_SILENCE)
-                .subscribe(
-                        event -> home.put(new HomeEvent.TokenReceived(sequence, parse(event.getData()))),
-                        whenFailed,
-                        () -> home.put(new HomeEvent.StreamBroken(sequence, EntryText.get("the-stream-ended")))));
+        connection.replace(events.subscribe(
+                event -> home.put(new HomeEvent.TokenReceived(sequence, parse(event.getData()))),
+                whenFailed,
+                () -> home.put(new HomeEvent.StreamBroken(sequence, EntryText.get("the-stream-ended")))));
     }
 
     private void call(HomeAction.Dispatch action, HttpRequest<?> request) {
@@ -210,15 +212,19 @@
                     ? new HomeEvent.StreamBroken(sequence, EntryText.get("the-target-has-the-stream-already"))
                     : new HomeEvent.TargetFailed(sequence, status);
         }
-        return new HomeEvent.StreamBroken(sequence, String.valueOf(failure.getMessage()));
+        return interrupted(sequence, failure);
+    }
+
+    private static HomeEvent interrupted(long sequence, Throwable failure) {
+        return SilenceLimit.isSilence(failure)
+                ? new HomeEvent.StreamSilent(sequence, EntryText.get("the-target-is-silent"))
+                : new HomeEvent.StreamBroken(sequence, String.valueOf(failure.getMessage()));
     }
 
     private static HomeEvent resumeFailure(long sequence, Throwable failure) {
         boolean unknown = failure instanceof HttpClientResponseException refused
                 && refused.code() == HttpStatus.NOT_FOUND.getCode();
-        return unknown
-                ? new HomeEvent.StreamUnknown(sequence)
-                : new HomeEvent.StreamBroken(sequence, String.valueOf(failure.getMessage()));
+        return unknown ? new HomeEvent.StreamUnknown(sequence) : interrupted(sequence, failure);
     }
 
     private static boolean isConnectFailure(Throwable failure) {
--- a/org.whinwharf.system.test/src/test/java/org/whinwharf/system/HostFailureTest.java
+++ b/org.whinwharf.system.test/src/test/java/org/whinwharf/system/HostFailureTest.java
@@ -17,14 +17,17 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.whinwharf.standin.StandInText;
 
-/** Hosts that are killed, frozen or stopped while they answer callers, as real processes. */
+/** Hosts that are killed, frozen or stopped while they answer callers, and engines that pause, as real processes. */
 class HostFailureTest {
     private static final int HOME = 1;
     private static final int OTHER = 2;
     private static final int TOKENS = 150;
+    private static final int MANY_TOKENS = 400;
     private static final int SHORT = 20;
     private static final int MANY = 10;
     private static final long LONG_DEADLINE_MILLIS = 60_000;
+    /** Longer than the silence after which a stream is resumed. */
+    private static final long ENGINE_PAUSE_MILLIS = 6_000;
 
     @TempDir
     private static Path folder;
@@ -105,6 +108,31 @@
         assertThat(Records.runs(fleet, pickup), is(runsBefore));
     }
 
+    // Guards against answers that are cut, or run again, because all engines stand still for a while and then go on.
+    @Test
+    void streamsOfEnginesThatAllPauseComeWhole() {
+        Caller caller = Caller.of(fleet.entry(HOME), Fleet.DRIVER);
+        List<String> prompts =
+                List.of("Lamps sorted in Oravice.", "Lamps sorted in Vitanová.", "Lamps sorted in Liesek.");
+        List<EventStream> streams = new ArrayList<>();
+        for (String prompt : prompts) {
+            String body = caller.stream(streams.size(), prompt, MANY_TOKENS, LONG_DEADLINE_MILLIS);
+            streams.add(caller.open(fleet.entry(HOME), body));
+        }
+        // Cold engines take one request at a time, so others may wait still.
+        Await.until(
+                "an answer has begun",
+                () -> streams.stream().anyMatch(stream -> stream.indices().size() >= 5));
+
+        fleet.process("engines").freeze();
+        Await.pause(ENGINE_PAUSE_MILLIS);
+        streams.forEach(stream -> assertThat(stream.toString(), stream.closed(), is(false)));
+        fleet.process("engines").resume();
+        streams.forEach(EventStream::awaitClosed);
+        streams.forEach(stream -> assertThat(stream.toString(), stream.isItsAnswer(), is(true)));
+        prompts.forEach(prompt -> assertThat(prompt, Records.runs(fleet, prompt), is(1L)));
+    }
+
     // Operators stop a host for an update. A caller in the middle of an answer must notice nothing, and one who comes
     // now must be sent on without a doubt about whether its request ran.
     @Test
--- a/org.whinwharf.test/src/test/java/org/whinwharf/home/HomePropertyTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/home/HomePropertyTest.java
@@ -67,7 +67,12 @@
                 case 9, 10, 11 -> driver.runSender(sequence);
                 case 12 -> driver.refuse(sequence, driver.queuedAt(sequence), REASONS[salt % REASONS.length]);
                 case 13, 14 -> token(sequence, salt);
-                case 15 -> ifSent(sequence, new HomeEvent.StreamBroken(sequence, "cut"));
+                case 15 ->
+                    ifSent(
+                            sequence,
+                            salt % 2 == 0
+                                    ? new HomeEvent.StreamBroken(sequence, "cut")
+                                    : new HomeEvent.StreamSilent(sequence, "silent"));
                 case 16 -> ifSent(sequence, new HomeEvent.StreamUnknown(sequence));
                 case 17 -> endUnanswered(sequence, salt);
                 case 18 -> driver.on(new HomeEvent.CancelRequested(++lastCaller, sequence, "orava"));
--- a/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
@@ -126,6 +126,25 @@
         assertThat(driver.errorOf(1), is("target-lost"));
     }
 
+    // Guards against answers that are cut because their target was silent during more attempts than a broken stream
+    // has.
+    @Test
+    void streamOfASilentTargetIsResumedUntilItsDeadline() {
+        driver.sent(request);
+        driver.token(1, 0, false);
+        for (int i = 0; i < 20; i++) {
+            driver.on(new HomeEvent.StreamSilent(1, "silent"));
+        }
+        assertThat(driver.find(HomeAction.ResumeStream.class), hasSize(20));
+        assertThat(driver.find(HomeAction.CancelAtTarget.class), hasSize(0));
+        driver.token(1, 1, false);
+        driver.on(new HomeEvent.StreamSilent(1, "silent"));
+        driver.at(driver.nowMillis + HomeDriver.DEADLINE_MILLIS, new HomeEvent.Ticked());
+        assertThat(driver.textOf(1), is("t0t1"));
+        assertThat(driver.errorOf(1), is("deadline-running"));
+        assertThat(driver.find(HomeAction.Dispatch.class), hasSize(1));
+    }
+
     // A target was restarted and does not know the stream, so the outcome of the request is unknown.
     @Test
     void streamUnknownAtTheTargetIsLost() {
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Delivery.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Delivery.java
@@ -110,6 +110,20 @@
         resumeStream(request, delayMillis, reason);
     }
 
+    /**
+     * Asks a silent target for the rest of its stream. Only the deadline bounds the attempts: the target has the work
+     * and may go on at any moment, and no other one may receive the request.
+     */
+    void streamSilent(Request request, String reason) {
+        sent(request);
+        if (!request.wasSent()) {
+            return;
+        }
+        long delayMillis = backoffMillis(Math.min(request.silentResumeAttempts, state.settings.maxResumeAttempts()));
+        request.silentResumeAttempts++;
+        resumeStream(request, delayMillis, reason);
+    }
+
     void streamUnknown(Request request) {
         if (request.wasSent()) {
             failAsLost(request, HomeText.get("the-target-does-not-know-the-stream"));
@@ -138,6 +152,7 @@
 
     private void recordProgress(Request request, StreamToken first) {
         request.resumeAttempts = 0;
+        request.silentResumeAttempts = 0;
         request.gapResumed = false;
         if (request.phase == RequestPhase.SENT) {
             request.phase = RequestPhase.STREAMING;
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
@@ -221,6 +221,11 @@
             withLive(event.sequence(), request -> delivery.streamBroken(request, event.reason()));
         }
 
+        @Override
+        public void on(HomeEvent.StreamSilent event) {
+            withLive(event.sequence(), request -> delivery.streamSilent(request, event.reason()));
+        }
+
         @Override
         public void on(HomeEvent.StreamUnknown event) {
             withLive(event.sequence(), delivery::streamUnknown);
--- a/org.whinwharf/src/main/java/org/whinwharf/home/HomeEvent.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/HomeEvent.java
@@ -299,6 +299,19 @@
         }
     }
 
+    /**
+     * The target has sent nothing for a while, or accepts no connection in time; it may go on at any moment.
+     *
+     * @param sequence number of the request, unique in this incarnation
+     * @param reason cause, for the log
+     */
+    record StreamSilent(long sequence, String reason) implements HomeEvent {
+        @Override
+        public void accept(HomeEventHandler handler) {
+            handler.on(this);
+        }
+    }
+
     /**
      * The target does not know the stream that the home tries to resume.
      *
--- a/org.whinwharf/src/main/java/org/whinwharf/home/HomeEventHandler.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/HomeEventHandler.java
@@ -156,6 +156,13 @@
      */
     void on(HomeEvent.StreamBroken event);
 
+    /**
+     * Handles {@link HomeEvent.StreamSilent}.
+     *
+     * @param event the event
+     */
+    void on(HomeEvent.StreamSilent event);
+
     /**
      * Handles {@link HomeEvent.StreamUnknown}.
      *
--- a/org.whinwharf/src/main/java/org/whinwharf/home/HomeSettings.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/HomeSettings.java
@@ -109,7 +109,8 @@
     }
 
     /**
-     * Returns the maximum number of consecutive attempts to resume a stream that yield no new token.
+     * Returns the maximum number of consecutive attempts to resume a broken stream that yield no new token. Attempts at
+     * a target that is silent do not count.
      *
      * @return count
      */
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Request.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Request.java
@@ -52,6 +52,9 @@
     int prefillTokens;
     int promptTokens;
     int resumeAttempts;
+    /** Consecutive attempts to resume the stream of a silent target. */
+    int silentResumeAttempts;
+
     boolean gapResumed;
 
     Request(long sequence, Submission submission, long nowMillis) {
