--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -548,9 +548,6 @@
         TargetRun run = placed.run();
         if (runs.replacing()) {
             recordRetry(runs.lastSetAside(), TargetFailure.SILENT.name());
-            if (route.kind() == RouteKind.STREAMING) {
-                front.probe(placed.entry());
-            }
         }
         stage = Stage.SENT;
         placed.sending(acquired, route, nowMillis);
@@ -892,7 +889,7 @@
         }
         runs.reviewSilence(responseAssembler.streamStarted(), nowMillis);
         if (runs.overlapTooLong(route.kind(), nowMillis)) {
-            endOverlap();
+            dropSilentRuns();
         } else if (stage == Stage.SENT && runs.needReplacement(responseAssembler.streamStarted(), nowMillis)) {
             replaceIfAllowed(nowMillis);
         }
@@ -941,15 +938,6 @@
         runs.postponeReplacement(front.nowMillis());
     }
 
-    /** Gives up the silent targets, unless the one that is to replace them does not even answer a health check. */
-    private void endOverlap() {
-        if (runs.replacementQuiet()) {
-            keepSilentRun();
-        } else {
-            dropSilentRuns();
-        }
-    }
-
     /** Gives up the silent targets for the one that the request was sent to after them. */
     private void dropSilentRuns() {
         runs.dropSetAside();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
@@ -142,11 +142,6 @@
                 && nowMillis - latest.run().sentAtMillis() > MAX_STREAM_OVERLAP_MILLIS;
     }
 
-    /** Tells whether the replacement's target has sent nothing since, to this request or any other of this process. */
-    boolean replacementQuiet() {
-        return latest.entry().lastByteAtMillis() < latest.run().sentAtMillis();
-    }
-
     /** Ends the replacement, if there is one; the run that was set aside last is the latest again. */
     void withdrawReplacement() {
         if (!seeking) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -470,8 +470,7 @@
                 .orElse(0L);
     }
 
-    /** Sends a health check to a target; its response shows, as any other bytes do, that the target is not silent. */
-    void probe(TargetEntry entry) {
+    private void probe(TargetEntry entry) {
         Target target = entry.state().target();
         String path = catalog.get()
                 .flatMap(known -> known.service(target.service()))
@@ -502,7 +501,6 @@
 
         @Override
         public void head(HttpResponse response, ResponseHead head) {
-            entry.bytesReceived(ticker.nowMillis());
             coldMillis = dialect.readHealth(response, entry.state().target().id());
         }
 
@@ -531,9 +529,8 @@
         void done(OptionalLong cold) {
             ended = true;
             long nowMillis = ticker.nowMillis();
-            boolean ejected = entry.state().health().ejected();
             entry.state().health().recordProbeResult(nowMillis, cold.isPresent());
-            if (ejected && cold.isPresent()) {
+            if (cold.isPresent()) {
                 if (cold.getAsLong() > 0) {
                     entry.state().markColdUntil(nowMillis + cold.getAsLong() + COLD_MARGIN_MILLIS);
                 }
