--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -26,6 +26,7 @@
     /** What is held against the request while the target is silent; null if nothing is. */
     private LostRun suspicion;
 
+    /** Whether another target was sought for the request, also if none was found. */
     private boolean replaced;
     /** The response so far while another run may still bring the caller's; null if there is none. */
     private HeldResponse held;
@@ -90,7 +91,10 @@
         suspect();
     }
 
-    /** Tells whether another target was sought for the request before its response came. */
+    /**
+     * Tells whether another target was ever sought for the request, so that what comes from this one ends the others'
+     * runs. {@link RequestRuns#isSetAside} tells whether one is being sought, or was sent the request, at present.
+     */
     boolean wasSetAside() {
         return replaced;
     }
@@ -197,20 +201,20 @@
         exchange.failed(this, failure);
     }
 
-    /** Ends a run that failed, and has the failure reviewed. */
+    /** Ends a run whose connection has failed, and has the failure reviewed. */
     void endFailed(TargetFailure failure) {
         releaseHeld();
         front.lostRuns().runFailed(exchange, run, failure);
         front.localQueues().slotFreed(exchange.service());
     }
 
-    /** Records the end of the run. */
+    /** Records the end of a run whose response has ended, or that was not sent. */
     void end(RunEvent event) {
         run.end(event, 0, front.nowMillis());
         front.localQueues().slotFreed(exchange.service());
     }
 
-    /** Ends the run and closes its connection; the target may be found to have crashed while it was silent. */
+    /** Ends a run with its request; the target may be found to have crashed while it was silent. */
     void abandon(long nowMillis) {
         if (awaitsResponse()) {
             front.lostRuns().runAbandoned(exchange, run, nowMillis - lastByteAtMillis());
@@ -218,7 +222,7 @@
         cancel();
     }
 
-    /** Ends the run and closes its connection. */
+    /** Ends a run that the request no longer needs, and closes its connection. */
     void cancel() {
         if (awaitsResponse()) {
             connection.cancel();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RetryDecision.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RetryDecision.java
@@ -2,7 +2,10 @@
 
 import java.util.Locale;
 
-/** Whether a request whose run has failed or fallen silent is sent to another target, or why not. */
+/**
+ * Whether a request whose run has failed or fallen silent is sent to another target, or why not. A silent run goes on
+ * in either case.
+ */
 enum RetryDecision {
     /** It is sent to another target. */
     RETRY,
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/SilenceWatch.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/SilenceWatch.java
@@ -2,13 +2,13 @@
 
 /** Detects that a target sends no bytes, or no further bytes, of the response to a request. */
 final class SilenceWatch {
-    /** Time to the first byte after which an idempotent request is retried at another target, in latency objectives. */
+    /** Time to the first byte after which another target is sought for an idempotent request, in latency objectives. */
     private static final int SILENCE_OBJECTIVE_FACTOR = 4;
     /** The same in predicted times to the first event, which account for long prompts ahead at a slow engine. */
     private static final double SILENCE_PREDICTION_FACTOR = 4;
     /** Lower bound of this timeout; below it, a short queue at a healthy target would count as silence. */
     private static final long MIN_FIRST_BYTE_TIMEOUT_MILLIS = 600;
-    /** Silence within a stream after which it is resumed at another target; callers abandon it after two seconds. */
+    /** Silence within a stream after which another target is sought for it; callers abandon it after two seconds. */
     private static final long STREAM_SILENCE_TIMEOUT_MILLIS = 1_200;
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/LostRun.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/LostRun.java
@@ -2,7 +2,7 @@
 
 import org.immutables.value.Value;
 
-/** A run that ended with its connection, or in silence, so that its target may have crashed under it. */
+/** A run that ended with its connection, or whose target is silent, so that the target may have crashed under it. */
 @Value.Immutable
 public interface LostRun {
     /**
