Count suspects that are set aside again

On CrashingRequestTest.requestSentTwiceAtOnceCrashesThreeTargetsAtMost failed once in 41: five targets crashed silently where three are allowed. Suspected cause: let a suspect be sent on while its run at a silent target went on uncounted. Compiled only: no test was run on this commit.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -87,7 +87,6 @@
     /** Records that another target is sought for the request, which goes on here. */
     void setAside() {
         replaced = true;
-        run.setAside();
         suspect();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -186,16 +186,6 @@
         }
     }
 
-    /**
-     * Records that another target is sought for the request, whose run goes on. A suspect runs at one target at a time,
-     * so its run no longer counts for the coordinator.
-     */
-    void setAside() {
-        if (suspect.isPresent()) {
-            ended(RunEvent.RUN_GIVEN_UP, 0);
-        }
-    }
-
     /** Records that the request has failed at its target; {@link #reviewed} reports it. */
     void failed() {
         if (stage != Stage.ENDED) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -112,11 +112,6 @@
         return reportedSilent;
     }
 
-    /** Records that another target is sought for the request. */
-    void setAside() {
-        ticket.setAside();
-    }
-
     /** Records that the target has sent nothing for so long that the run says nothing about its speed. */
     void fellSilent() {
         paused = true;
