Log which parts of a prompt the requests of a lost run share

Lines of lost runs and of quarantined requests name the digest of the whole request only, which differs for requests that have one part in common. They now name the digests of all parts but the last too, so that a part on nearly all crashes is seen.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -100,6 +100,8 @@
     private ResponseAssembler responseAssembler;
     /** Null until it is needed, since most requests need none. */
     private Fingerprint fingerprint;
+    /** Null until it is needed. */
+    private Set<Fingerprint> sharedParts;
     /** Whether a target may have crashed under this request, as of its latest placement. */
     private boolean suspect;
 
@@ -859,6 +861,14 @@
         return fingerprint;
     }
 
+    /** Returns the digests of the parts of the prompt that other requests may share. */
+    Set<Fingerprint> sharedParts() {
+        if (sharedParts == null) {
+            sharedParts = Fingerprint.ofSharedParts(head.promptParts());
+        }
+        return sharedParts;
+    }
+
     private TargetEntry entry() {
         return runs.latest() == null ? null : runs.latest().entry();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -1,7 +1,9 @@
 package org.whinwharf.front;
 
+import java.util.Collection;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.stream.Collectors;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
@@ -9,6 +11,7 @@
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.coordination.RejectionDetails;
 import org.whinwharf.traffic.crash.Assessment;
+import org.whinwharf.traffic.crash.Fingerprint;
 import org.whinwharf.traffic.crash.LostRun;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.retry.RetryBudget;
@@ -123,7 +126,8 @@
             event.with(EventField.REQUEST, exchange.head().attemptId());
         }
         if (response.kind() == ErrorKind.QUARANTINED || response.kind() == ErrorKind.TARGET_CRASHED) {
-            event.with(EventField.FINGERPRINT, exchange.fingerprint().toString());
+            event.with(EventField.FINGERPRINT, exchange.fingerprint().toString())
+                    .with(EventField.SHARED_PARTS, joined(exchange.sharedParts()));
         }
         exchange.organisation().map(Organisation::name).ifPresent(name -> event.with(EventField.ORGANISATION, name));
         addResponseEnding(event, exchange);
@@ -256,6 +260,7 @@
         EventLog event = EventLog.event(LogEvent.RUN_LOST)
                 .with(EventField.REQUEST, exchange.head().attemptId())
                 .with(EventField.FINGERPRINT, exchange.fingerprint().toString())
+                .with(EventField.SHARED_PARTS, joined(exchange.sharedParts()))
                 .with(EventField.SERVICE, exchange.service())
                 .with(EventField.TARGET, run.entry().state().target().id())
                 .with(EventField.REASON, failure.name())
@@ -266,6 +271,10 @@
         event.call();
     }
 
+    private static String joined(Collection<Fingerprint> fingerprints) {
+        return fingerprints.stream().map(Fingerprint::toString).collect(Collectors.joining(","));
+    }
+
     /**
      * Logs what is known of a run that may have crashed its target.
      *
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -147,6 +147,8 @@
     QUOTA_LEVEL("quotaLevel"),
     /** Digest of a request's content in hexadecimal; the same for all attempts of one request. */
     FINGERPRINT("fingerprint"),
+    /** Digests of the parts of a prompt that other requests may share, in hexadecimal, separated by commas. */
+    SHARED_PARTS("sharedParts"),
     /** What the loss of a run's connection shows, or whether a request may be sent after such losses. */
     VERDICT("verdict"),
     /** Runs of a request, one after the other, that may have crashed their targets. */
