--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingFleet.java
@@ -2,10 +2,13 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -18,11 +21,22 @@
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 
-/** Fronts before targets that crash under the requests whose paths contain {@code crash}. */
+/**
+ * Fronts before targets that crash under the requests whose paths contain {@code crash}, or of whose prompts a part
+ * other than the last begins so.
+ */
 final class CrashingFleet implements AutoCloseable {
     /** Content of a request under which targets crash, in its path. */
     private static final Pattern CRASHING = Pattern.compile("/(crash[^ ]*) ");
+    /** Part of a prompt under which targets crash. */
+    private static final Pattern CRASHING_PART =
+            Pattern.compile("\r\nPrompt: (?:[^\r\n]*,)?(crash[^:,\r\n]*):\\d+,", Pattern.CASE_INSENSITIVE);
 
+    private static final Pattern RESUME_AFTER =
+            Pattern.compile("\r\nResume-After: (\\d+)\r\n", Pattern.CASE_INSENSITIVE);
+
+    /** Time from the beginning of a response until its target crashes, for its head to reach the front first. */
+    private static final long CRASH_DELAY_MILLIS = 5;
     /** Time from a restart until it is published. */
     private static final long PUBLISHING_MILLIS = 1_000;
 
@@ -49,6 +63,7 @@
     /** When a target crashes, relative to its response. */
     enum Moment {
         BEFORE_RESPONSE,
+        AFTER_HEAD,
         AFTER_FIRST_EVENT
     }
 
@@ -57,6 +72,13 @@
     private final Moment moment;
     private final long serviceMillis;
     private final Map<String, AtomicInteger> crashesByContent = new ConcurrentHashMap<>();
+    /** Times of the runs under which targets crash, in nanoseconds. */
+    private final List<Long> crashingRunNanos = new CopyOnWriteArrayList<>();
+    /** Times of the crashes of targets, in nanoseconds. */
+    private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
+
+    private volatile int eventCount = 2;
+    private volatile long eventIntervalMillis;
     private volatile Consumer<String> runListener = attempt -> {};
     private final Set<String> crashingAttempts = ConcurrentHashMap.newKeySet();
     private final Set<String> unansweredAttempts = ConcurrentHashMap.newKeySet();
@@ -79,11 +101,23 @@
      */
     CrashingFleet(int fronts, int targets, boolean engine, Crash crash, Moment moment, long serviceMillis)
             throws Exception {
+        this(fronts, targets, engine, FleetLimits.DEFAULT, crash, moment, serviceMillis);
+    }
+
+    /** Starts a fleet with the given limits, whose targets answer at once. */
+    CrashingFleet(int fronts, int targets, boolean engine, FleetLimits limits, Crash crash, Moment moment)
+            throws Exception {
+        this(fronts, targets, engine, limits, crash, moment, 0);
+    }
+
+    private CrashingFleet(
+            int fronts, int targets, boolean engine, FleetLimits limits, Crash crash, Moment moment, long serviceMillis)
+            throws Exception {
         this.crash = crash;
         this.moment = moment;
         this.serviceMillis = serviceMillis;
         targetLocks = Stream.generate(Object::new).limit(targets).toList();
-        fleet = new CutFleet(fronts, targets, engine, this::answer);
+        fleet = new CutFleet(fronts, Collections.nCopies(targets, "v1"), engine, limits, this::answer);
     }
 
     /** Sets the consumer of the attempt ids of requests that targets run. */
@@ -91,10 +125,26 @@
         runListener = listener;
     }
 
+    /** Sets how many events a stream has, and the time between them. */
+    void setEvents(int count, long intervalMillis) {
+        eventCount = count;
+        eventIntervalMillis = intervalMillis;
+    }
+
     CutFleet fleet() {
         return fleet;
     }
 
+    /** Returns when requests under which targets crash reached one, in nanoseconds. */
+    List<Long> crashingRunNanos() {
+        return crashingRunNanos;
+    }
+
+    /** Returns when targets crashed, in nanoseconds. */
+    List<Long> crashNanos() {
+        return crashNanos;
+    }
+
     /** Returns the number of targets that have crashed under a request. */
     int crashes(String content) {
         return crashesByContent.getOrDefault(content, new AtomicInteger()).get();
@@ -117,10 +167,19 @@
 
     /** Sends a request as a new attempt, and returns the response. */
     String attempt(int front, String method, String path) throws IOException {
+        return attempt(front, method, path, "");
+    }
+
+    /**
+     * Sends a request as a new attempt, and returns the response.
+     *
+     * @param prompt parts of the prompt, each as ID:TOKENS; empty for none
+     */
+    String attempt(int front, String method, String path, String prompt) throws IOException {
         String attemptId = "attempt" + attemptCount.incrementAndGet() + path.substring(path.lastIndexOf('/'));
         String response = "";
         try {
-            response = fleet.front(front).exchange(FrontFixture.request(method, path, attemptId, true));
+            response = fleet.front(front).exchange(FrontFixture.request(method, path, attemptId, prompt));
         } finally {
             if (!response.startsWith("HTTP/")) {
                 unansweredAttempts.add(attemptId);
@@ -133,16 +192,20 @@
         if (!FakeTarget.attemptId(request).isEmpty()) {
             runListener.accept(FakeTarget.attemptId(request));
         }
-        Matcher crashing = CRASHING.matcher(request);
-        if (crashing.find()) {
-            crash(crashing.group(1), request, socket);
+        Optional<String> crashing = Stream.of(CRASHING, CRASHING_PART)
+                .map(pattern -> pattern.matcher(request))
+                .filter(Matcher::find)
+                .map(matcher -> matcher.group(1))
+                .findFirst();
+        if (crashing.isPresent()) {
+            crash(crashing.get(), request, socket);
             return;
         }
         if (!request.contains("/health")) {
             sleep(serviceMillis);
         }
         if (request.contains("/resumable/")) {
-            writeEvents(socket, request, 2);
+            writeEvents(socket, request, eventCount);
             FakeTarget.write(socket, "0\r\n\r\n");
         } else {
             FakeTarget.write(socket, FakeTarget.answer(request, 200, "whole"));
@@ -152,8 +215,12 @@
     private void crash(String content, String request, Socket socket) throws IOException {
         crashingAttempts.add(FakeTarget.attemptId(request));
         crashesByContent.computeIfAbsent(content, key -> new AtomicInteger()).incrementAndGet();
-        if (moment == Moment.AFTER_FIRST_EVENT) {
-            writeEvents(socket, request, 1);
+        crashingRunNanos.add(System.nanoTime());
+        if (moment != Moment.BEFORE_RESPONSE) {
+            writeEvents(socket, request, moment == Moment.AFTER_FIRST_EVENT ? 1 : 0);
+        }
+        if (moment == Moment.AFTER_HEAD) {
+            sleep(CRASH_DELAY_MILLIS);
         }
         crashTarget(fleet.targetOf(socket));
     }
@@ -171,7 +238,9 @@
     /** Takes the locks of the targets one after the other, and then crashes them. */
     private void crashLocked(List<Integer> remaining, List<Integer> locked) throws IOException {
         if (remaining.isEmpty()) {
-            crashAll(locked.stream().filter(downTargets::add).toList());
+            List<Integer> running = locked.stream().filter(downTargets::add).toList();
+            running.forEach(target -> crashNanos.add(System.nanoTime()));
+            crashAll(running);
             return;
         }
         int next = remaining.get(0);
@@ -245,13 +314,17 @@
         }
     }
 
-    private static void writeEvents(Socket socket, String request, int count) throws IOException {
+    /** Writes events after the one that the request resumes a stream after. */
+    private void writeEvents(Socket socket, String request, int count) throws IOException {
         FakeTarget.write(
                 socket,
                 "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attemptId(request)
                         + "\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n");
-        for (int event = 1; event <= count; event++) {
+        Matcher resumed = RESUME_AFTER.matcher(request);
+        int first = resumed.find() ? Integer.parseInt(resumed.group(1)) + 1 : 1;
+        for (int event = first; event <= count; event++) {
             FakeTarget.write(socket, FakeTarget.chunk("id: " + event + "\ndata: x\n\n"));
+            sleep(eventIntervalMillis);
         }
     }
 
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -318,7 +318,16 @@
     }
 
     static String request(String method, String path, String attempt, boolean close) {
-        return method + " " + path + " HTTP/1.1\r\nHost: h\r\nAttempt: " + attempt + "\r\n"
+        return request(method, path, attempt, close, "");
+    }
+
+    /** Returns a request on a connection of its own, with the given parts of its prompt if there are any. */
+    static String request(String method, String path, String attempt, String prompt) {
+        return request(method, path, attempt, true, prompt.isEmpty() ? "" : "Prompt: " + prompt + "\r\n");
+    }
+
+    private static String request(String method, String path, String attempt, boolean close, String headers) {
+        return method + " " + path + " HTTP/1.1\r\nHost: h\r\nAttempt: " + attempt + "\r\n" + headers
                 + (method.equals("POST") ? "Content-Length: 0\r\n" : "")
                 + (close ? "Connection: close\r\n" : "") + "\r\n";
     }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -9,13 +9,18 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.BiConsumer;
+import java.util.stream.Stream;
+import org.whinwharf.traffic.target.PromptPart;
 
 /** Minimal dialect for the tests of this module, with its own header names. */
 final class TestDialect implements HttpDialect {
+    private static final String PROMPT = "Prompt";
+
     private final BiConsumer<String, DispatchParameters> dispatchListener;
 
     TestDialect() {
@@ -47,11 +52,23 @@
                 .promptTokens(0)
                 .maxAnswerTokens(0)
                 .hasTokenCounts(false)
+                .promptParts(promptParts(request))
                 .lastEventId(Optional.ofNullable(request.headers().get("Resume-After")))
                 .resumedAttemptId(Optional.ofNullable(request.headers().get("Resumes")))
                 .build();
     }
 
+    /** Returns the parts of the prompt, each as ID:TOKENS. */
+    private static List<PromptPart> promptParts(HttpRequest request) {
+        String prompt = request.headers().get(PROMPT, "");
+        return prompt.isEmpty()
+                ? List.of()
+                : Stream.of(prompt.split(","))
+                        .map(part -> part.split(":"))
+                        .map(part -> new PromptPart(part[0], Long.parseLong(part[1])))
+                        .toList();
+    }
+
     @Override
     public HttpRequest targetRequest(HttpRequest request, DispatchParameters dispatch) {
         dispatchListener.accept(request.headers().get("Attempt"), dispatch);
@@ -59,6 +76,9 @@
                 new DefaultHttpHeaders().set("Attempt", request.headers().get("Attempt"));
         headers.set("Expect-Target", dispatch.targetId());
         dispatch.lastEventId().ifPresent(id -> headers.set("Resume-After", id));
+        if (request.headers().contains(PROMPT)) {
+            headers.set(PROMPT, request.headers().get(PROMPT));
+        }
         if (request.method().equals(HttpMethod.POST)) {
             headers.set("Content-Length", 0);
         }
