Hold crashes of targets against the parts that prompts share

What callers saw: streams cut and requests refused for tens of seconds, as target after target crashed under requests that had one part of their prompts in common and were otherwise all different.

Cause: a crash was held against the digest of the whole request alone, so each of these requests was unknown to the ledger. What may recognise the cause of a crash is whatever requests share.

A lost run is now held against each part of its prompt but the last as well. A part is cleared when a target serves a request with it: a whole answer, or one that has been written for a second. Servings are told to all fronts. After two lost targets with no serving, one request with the part runs at a time, apart from other suspects; after three that were not all lost at once, none is sent. A quarantined part accounts for the crashes of its runs, so that requests and parts lost beside it are no longer suspects.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -186,6 +186,7 @@
         recordBytes();
         exchange.content(this, chunk);
         reportLifeSign();
+        front.crashes().partsBeingServed(exchange, run);
     }
 
     @Override
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -102,8 +102,8 @@
     private Fingerprint fingerprint;
     /** Null until it is needed. */
     private Set<Fingerprint> sharedParts;
-    /** Whether a target may have crashed under this request, as of its latest placement. */
-    private boolean suspect;
+    /** Whether targets may have crashed under this request, as of its latest placement. */
+    private Assessment crashAssessment = Assessment.CLEAN;
 
     private Optional<ResponseEnding> responseEnding = Optional.empty();
 
@@ -273,13 +273,13 @@
             notResumed(ResumptionOutcome.NO_TARGET, 0);
             return;
         }
-        suspect = assessment.suspect();
-        if (suspect) {
+        crashAssessment = assessment;
+        if (assessment.suspect()) {
             // Until then it is held.
             queueTimeoutAtMillis =
                     Math.max(queueTimeoutAtMillis, assessment.settlesAtMillis() + route.latencyObjectiveMillis());
         }
-        if (suspect || front.coordination().isCoordinated(service)) {
+        if (assessment.suspect() || front.coordination().isCoordinated(service)) {
             stage = Stage.AWAITING_PLACEMENT;
             front.coordination().requestPlacement(service, suspectFingerprint(), this);
         } else {
@@ -297,7 +297,7 @@
     }
 
     private Optional<Fingerprint> suspectFingerprint() {
-        return suspect ? Optional.of(fingerprint()) : Optional.empty();
+        return crashAssessment.suspect() ? Optional.of(crashAssessment.subject()) : Optional.empty();
     }
 
     private Demand demand(long nowMillis) {
@@ -314,7 +314,7 @@
                 .requiredVersion(stream.requiredVersion())
                 .addAllTriedTargets(runs.triedTargetIds())
                 .addAllTriedTargets(pathlessTargetIds)
-                .suspect(suspect)
+                .suspect(crashAssessment.suspect())
                 .build();
     }
 
@@ -339,10 +339,10 @@
                 onTimeUntilMillis() - nowMillis,
                 organisation.filter(known -> !quotaConsumed).map(Organisation::name),
                 quotaTokens);
-        return suspect
-                ? PlacementMessages.addSuspect(
-                        ask, fingerprint(), front.crashes().ledger().runsOf(fingerprint()), nowMillis)
-                : ask;
+        return suspectFingerprint()
+                .map(suspect -> PlacementMessages.addSuspect(
+                        ask, suspect, front.crashes().runsOf(suspect)))
+                .orElse(ask);
     }
 
     @Override
@@ -384,7 +384,7 @@
 
     @Override
     public void grantUnusable(String targetId) {
-        if (suspect) {
+        if (crashAssessment.suspect()) {
             // Only the coordinator knows where other suspects run.
             placeElsewhere(targetId, front.nowMillis());
         } else {
@@ -394,7 +394,7 @@
 
     @Override
     public void coordinatorUnavailable() {
-        if (suspect && front.crashes().cutOffFromPeers()) {
+        if (crashAssessment.suspect() && front.crashes().cutOffFromPeers()) {
             // Its peers may know of further crashes.
             rejectWithoutPath();
             return;
@@ -521,11 +521,12 @@
 
     private void connected(TargetConnection acquired, long nowMillis) {
         ActiveRun current = runs.latest();
-        boolean becameSuspect = !suspect && front.crashes().assess(this).suspect();
+        Assessment assessment = front.crashes().assess(this);
+        boolean becameSuspect = !crashAssessment.suspect() && assessment.suspect();
         if (deadlineAtMillis - nowMillis < MIN_REMAINING_MILLIS
                 || !front.mayReceive(current.entry())
                 || becameSuspect
-                || front.crashes().assess(this).quarantined()) {
+                || assessment.quarantined()) {
             current.entry().pool().release(acquired);
             current.end(RunEvent.RUN_GIVEN_UP);
             place(nowMillis);
@@ -686,6 +687,9 @@
         } else {
             front.targetAnswered(run.entry());
             front.crashes().served(this);
+            if (responseAssembler.status() / 100 == 2) {
+                front.crashes().partsServed(this, run.run(), responseAssembler.endDeclared());
+            }
             run.run()
                     .end(
                             RunEvent.RUN_ANSWERED,
@@ -883,6 +887,12 @@
             return;
         }
         boolean unplaced = stage == Stage.QUEUED || stage == Stage.AWAITING_PLACEMENT;
+        Assessment assessment = unplaced ? front.crashes().assess(this) : Assessment.CLEAN;
+        if (assessment.quarantined()) {
+            removeFromQueue();
+            quarantined(assessment.retryAfterMillis());
+            return;
+        }
         if (unplaced && !streamCanContinue()) {
             removeFromQueue();
             notResumed(ResumptionOutcome.NO_TARGET, 0);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -19,6 +19,7 @@
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.wire.fleet.FleetDatagram;
 import org.whinwharf.wire.fleet.LostRunReport;
+import org.whinwharf.wire.fleet.PartServingReport;
 
 /**
  * Tells the fleet of requests under which targets crash.
@@ -27,10 +28,10 @@
  * with the gossip, since datagrams may be lost and peers may be cut off or just started.
  */
 final class CrashTracker {
-    /** Maximum number of runs in one datagram; with the longest ids they stay below the usual MTU. */
-    private static final int MAX_RUNS_PER_DATAGRAM = 16;
     /** Number of runs that a gossip datagram carries. */
     private static final int RUNS_PER_GOSSIP = 6;
+    /** Number of served parts that a gossip datagram carries. */
+    private static final int SERVINGS_PER_GOSSIP = 12;
     /** Time for which gossip repeats a run: as long as callers repeat a request. */
     private static final long GOSSIP_MILLIS = 20_000;
     /** Maximum number of runs sent to a process that has just started. */
@@ -38,6 +39,16 @@
 
     /** Time after a lost run in which a target that lives on answers another request. */
     private static final long LIFE_SIGN_MILLIS = 500;
+    /** Time for which a target writes a response before it shows that the request does not crash it. */
+    private static final long MIN_WRITING_MILLIS = 1_000;
+    /** Maximum number of parts in one datagram. */
+    private static final int MAX_SERVINGS_PER_DATAGRAM = 64;
+    /** Maximum delay for each peer of telling that a part was served, so that few of those who see it tell it. */
+    private static final long SERVING_DELAY_PER_PEER_MILLIS = 2;
+    /** Maximum size of a datagram's lost runs, which leaves room for the rest of it below the usual MTU. */
+    private static final int MAX_RUN_BYTES = 1_000;
+    /** Maximum number of runs in a placement request; more than a quarantine takes. */
+    private static final int MAX_RUNS_OF_SUSPECT = 6;
 
     private final CrashLedger ledger = new CrashLedger();
     private final FrontSettings settings;
@@ -50,7 +61,11 @@
     /** Runs of which more is known than was sent to the peers, by their ids. */
     private final Map<Long, LostRun> unsent = new LinkedHashMap<>();
 
+    /** Times at which parts were served, in milliseconds, which the peers are to be told. */
+    private final Map<Fingerprint, Long> untoldServings = new LinkedHashMap<>();
+
     private int gossipPosition;
+    private int gossipServingPosition;
 
     CrashTracker(
             FrontSettings settings,
@@ -76,11 +91,22 @@
 
     /** Decides whether a request may be sent; digests its content only if there is anything to compare with. */
     Assessment assess(CallerExchange exchange) {
-        return ledger.isEmpty() ? Assessment.CLEAN : assess(exchange.fingerprint());
+        return ledger.isEmpty()
+                ? Assessment.CLEAN
+                : ledger.assess(exchange.fingerprint(), exchange.sharedParts(), ticker.nowMillis());
+    }
+
+    /** Returns what a coordinator needs to know of the crashes that are held against a request. */
+    List<LostRunReport> runsOf(Fingerprint suspect) {
+        List<LostRun> runs = ledger.runsOf(suspect);
+        return toReports(runs.subList(Math.max(0, runs.size() - MAX_RUNS_OF_SUSPECT), runs.size()));
     }
 
-    private Assessment assess(Fingerprint fingerprint) {
-        return ledger.assess(fingerprint, ticker.nowMillis());
+    private List<LostRunReport> toReports(Collection<LostRun> runs) {
+        long nowMillis = ticker.nowMillis();
+        return runs.stream()
+                .map(run -> LostRunMessages.toReport(run, ledger.unservedParts(run), nowMillis))
+                .toList();
     }
 
     /** Tells whether this process hears none of its peers, so that it may not know of crashes under their requests. */
@@ -90,10 +116,11 @@
     }
 
     /** Records a run that was lost with its connection, or in silence, and returns it. */
-    LostRun runLost(Fingerprint fingerprint, TargetRun run, CrashEvidence evidence) {
+    LostRun runLost(CallerExchange exchange, TargetRun run, CrashEvidence evidence) {
         LostRun lost = ImmutableLostRun.builder()
                 .id(LostRun.id(settings.name(), random.nextInt()))
-                .fingerprint(fingerprint)
+                .fingerprint(exchange.fingerprint())
+                .sharedParts(exchange.sharedParts())
                 .targetId(run.entry().state().target().id())
                 .sentAtMillis(run.sentAtMillis())
                 .endedAtMillis(ticker.nowMillis())
@@ -139,7 +166,7 @@
 
     /** Logs what this process has found out, and of what a peer says only what changes where a request may run. */
     private void log(LostRun run, String source) {
-        Assessment assessment = assess(run.fingerprint());
+        Assessment assessment = ledger.assess(run.fingerprint(), run.sharedParts(), ticker.nowMillis());
         if (source.isEmpty() || assessment.strongSuspect()) {
             FrontLog.crashSuspected(run, assessment, ticker.nowMillis(), source);
         }
@@ -157,6 +184,86 @@
         }
     }
 
+    /** Records that a target has served a request whole; clears the parts that it shares with others. */
+    void partsServed(CallerExchange exchange, TargetRun run, boolean endDeclared) {
+        if (lostParts(exchange).isEmpty()) {
+            return;
+        }
+        if (endDeclared) {
+            partsServed(exchange);
+        } else {
+            // The response may have ended with the target.
+            loop.schedule(
+                    () -> {
+                        if (!run.entry().crashedSince(run.sentAtMillis())) {
+                            partsServed(exchange);
+                        }
+                    },
+                    LIFE_SIGN_MILLIS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Records that a target goes on writing a response; clears the parts that the request shares with others. */
+    void partsBeingServed(CallerExchange exchange, TargetRun run) {
+        if (!ledger.isEmpty() && run.writingMillis(ticker.nowMillis()) >= MIN_WRITING_MILLIS) {
+            partsServed(exchange);
+        }
+    }
+
+    private void partsServed(CallerExchange exchange) {
+        lostParts(exchange).forEach(this::partServed);
+    }
+
+    private List<Fingerprint> lostParts(CallerExchange exchange) {
+        return ledger.isEmpty()
+                ? List.of()
+                : exchange.sharedParts().stream().filter(ledger::isLostPart).toList();
+    }
+
+    private void partServed(Fingerprint part) {
+        long nowMillis = ticker.nowMillis();
+        Assessment before = ledger.assess(part, nowMillis);
+        ledger.partServed(part, nowMillis);
+        if (before.suspect()) {
+            FrontLog.partCleared(part, before);
+        }
+        if (untoldServings.isEmpty()) {
+            int peers = members.alive(nowMillis).size();
+            long delayMillis = random.nextInt((int) (1 + peers * SERVING_DELAY_PER_PEER_MILLIS));
+            loop.schedule(this::sendServings, delayMillis, TimeUnit.MILLISECONDS);
+        }
+        untoldServings.put(part, nowMillis);
+    }
+
+    /** Tells the peers of the parts that were served, apart from those that a peer has told of meanwhile. */
+    private void sendServings() {
+        long nowMillis = ticker.nowMillis();
+        List<String> ips = peerIps();
+        List<PartServingReport> reports = untoldServings.entrySet().stream()
+                .map(serving -> LostRunMessages.toReport(serving.getKey(), serving.getValue(), nowMillis))
+                .toList();
+        for (int from = 0; from < reports.size(); from += MAX_SERVINGS_PER_DATAGRAM) {
+            datagrams.send(
+                    FleetDatagram.newBuilder()
+                            .setFrom(settings.name())
+                            .addAllPartsServed(
+                                    reports.subList(from, Math.min(reports.size(), from + MAX_SERVINGS_PER_DATAGRAM)))
+                            .build(),
+                    ips);
+        }
+        untoldServings.clear();
+    }
+
+    private void mergeServings(List<PartServingReport> reports) {
+        long nowMillis = ticker.nowMillis();
+        for (PartServingReport report : reports) {
+            Fingerprint part = new Fingerprint(report.getPart());
+            ledger.partServed(part, nowMillis - report.getAgeMillis());
+            untoldServings.remove(part);
+        }
+    }
+
     /** Tells the peers what is known now of runs that are recorded already. */
     private void update(List<LostRun> changed) {
         sendSoon(changed);
@@ -167,6 +274,7 @@
     }
 
     private void receive(FleetDatagram datagram) {
+        mergeServings(datagram.getPartsServedList());
         merge(datagram.getLostRunsList());
         datagram.getAsksList().forEach(request -> merge(request.getLostRunsList()));
     }
@@ -194,20 +302,30 @@
     }
 
     private void sendUnsent() {
-        List<String> ips = members.alive(ticker.nowMillis()).stream()
+        send(unsent.values(), peerIps());
+        unsent.clear();
+    }
+
+    private List<String> peerIps() {
+        return members.alive(ticker.nowMillis()).stream()
                 .map(Member::report)
                 .map(report -> report.getIp())
                 .toList();
-        send(List.copyOf(unsent.values()), ips);
-        unsent.clear();
     }
 
-    private void send(List<LostRun> runs, Collection<String> ips) {
-        long nowMillis = ticker.nowMillis();
-        for (int from = 0; from < runs.size(); from += MAX_RUNS_PER_DATAGRAM) {
-            FleetDatagram.Builder datagram = FleetDatagram.newBuilder().setFrom(settings.name());
-            runs.subList(from, Math.min(runs.size(), from + MAX_RUNS_PER_DATAGRAM))
-                    .forEach(run -> datagram.addLostRuns(LostRunMessages.toReport(run, nowMillis)));
+    private void send(Collection<LostRun> runs, Collection<String> ips) {
+        FleetDatagram.Builder datagram = FleetDatagram.newBuilder().setFrom(settings.name());
+        int bytes = 0;
+        for (LostRunReport report : toReports(runs)) {
+            if (bytes + report.getSerializedSize() > MAX_RUN_BYTES) {
+                datagrams.send(datagram.build(), ips);
+                datagram.clearLostRuns();
+                bytes = 0;
+            }
+            datagram.addLostRuns(report);
+            bytes += report.getSerializedSize();
+        }
+        if (datagram.getLostRunsCount() > 0) {
             datagrams.send(datagram.build(), ips);
         }
     }
@@ -220,10 +338,25 @@
         long nowMillis = ticker.nowMillis();
         List<LostRun> recent = new ArrayList<>(ledger.all());
         recent.removeIf(run -> nowMillis - run.endedAtMillis() > GOSSIP_MILLIS);
+        List<LostRun> next = new ArrayList<>();
         for (int i = 0; i < Math.min(RUNS_PER_GOSSIP, recent.size()); i++) {
             gossipPosition = (gossipPosition + 1) % recent.size();
-            datagram.addLostRuns(LostRunMessages.toReport(recent.get(gossipPosition), nowMillis));
+            next.add(recent.get(gossipPosition));
+        }
+        datagram.addAllLostRuns(toReports(next));
+        datagram.addAllPartsServed(nextServings(nowMillis));
+    }
+
+    private List<PartServingReport> nextServings(long nowMillis) {
+        List<Map.Entry<Fingerprint, Long>> recent =
+                List.copyOf(ledger.servings().entrySet());
+        List<PartServingReport> next = new ArrayList<>();
+        for (int i = 0; i < Math.min(SERVINGS_PER_GOSSIP, recent.size()); i++) {
+            gossipServingPosition = (gossipServingPosition + 1) % recent.size();
+            Map.Entry<Fingerprint, Long> serving = recent.get(gossipServingPosition);
+            next.add(LostRunMessages.toReport(serving.getKey(), serving.getValue(), nowMillis));
         }
+        return next;
     }
 
     /** Sends the newest runs to a process that has just started or was cut off. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -287,6 +287,7 @@
                 .with(EventField.STATUS, run.evidence().name())
                 .with(EventField.AGE_MILLIS, nowMillis - run.endedAtMillis())
                 .with(EventField.VERDICT, assessment.status().name())
+                .with(EventField.SUBJECT, assessment.subject().toString())
                 .with(EventField.CRASHES, assessment.crashes());
         if (!source.isEmpty()) {
             event.with(EventField.SOURCE, source);
@@ -294,6 +295,15 @@
         event.call();
     }
 
+    /** Logs that a target has served a request with a part that was suspected of crashing targets. */
+    static void partCleared(Fingerprint part, Assessment before) {
+        EventLog.event(LogEvent.PART_CLEARED)
+                .with(EventField.FINGERPRINT, part.toString())
+                .with(EventField.VERDICT, before.status().name())
+                .with(EventField.CRASHES, before.crashes())
+                .call();
+    }
+
     static void coordinatorSilent(PlacementTicket ticket, long silentMillis) {
         EventLog.event(LogEvent.COORDINATOR_SILENT)
                 .with(EventField.PEER, ticket.coordinatorName())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunMessages.java
@@ -1,20 +1,27 @@
 package org.whinwharf.front;
 
+import java.util.Set;
 import org.whinwharf.traffic.crash.CrashEvidence;
 import org.whinwharf.traffic.crash.Fingerprint;
 import org.whinwharf.traffic.crash.ImmutableLostRun;
 import org.whinwharf.traffic.crash.LostRun;
 import org.whinwharf.wire.fleet.LostRunReport;
+import org.whinwharf.wire.fleet.PartServingReport;
 import org.whinwharf.wire.fleet.RunEvidence;
 
 /** Converts lost runs to and from the messages between fronts. */
 final class LostRunMessages {
     private LostRunMessages() {}
 
-    /** Returns the message about a run; its times are relative to now. */
-    static LostRunReport toReport(LostRun run, long nowMillis) {
-        return LostRunReport.newBuilder()
-                .setRun(run.id())
+    /**
+     * Returns the message about a run; its times are relative to now.
+     *
+     * @param unservedParts those of its shared parts that are still held against it
+     */
+    static LostRunReport toReport(LostRun run, Set<Fingerprint> unservedParts, long nowMillis) {
+        LostRunReport.Builder report = LostRunReport.newBuilder();
+        unservedParts.forEach(part -> report.addSharedParts(part.bits()));
+        return report.setRun(run.id())
                 .setFingerprint(run.fingerprint().bits())
                 .setTarget(run.targetId())
                 .setSentAgeMillis(ageMillis(run.sentAtMillis(), nowMillis))
@@ -31,6 +38,9 @@
         return ImmutableLostRun.builder()
                 .id(report.getRun())
                 .fingerprint(new Fingerprint(report.getFingerprint()))
+                .sharedParts(report.getSharedPartsList().stream()
+                        .map(Fingerprint::new)
+                        .toList())
                 .targetId(report.getTarget())
                 .sentAtMillis(nowMillis - report.getSentAgeMillis())
                 .endedAtMillis(nowMillis - report.getEndedAgeMillis())
@@ -38,6 +48,13 @@
                 .build();
     }
 
+    static PartServingReport toReport(Fingerprint part, long servedAtMillis, long nowMillis) {
+        return PartServingReport.newBuilder()
+                .setPart(part.bits())
+                .setAgeMillis(ageMillis(servedAtMillis, nowMillis))
+                .build();
+    }
+
     private static RunEvidence toWire(CrashEvidence evidence) {
         return switch (evidence) {
             case POSSIBLE -> RunEvidence.EVIDENCE_POSSIBLE;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunRecorder.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunRecorder.java
@@ -24,7 +24,7 @@
             front.failureReview().runFailed(run, failure, verdict -> {});
             return;
         }
-        LostRun lost = front.crashes().runLost(exchange.fingerprint(), run, evidence.get());
+        LostRun lost = front.crashes().runLost(exchange, run, evidence.get());
         front.failureReview().runFailed(run, failure, verdict -> {
             FrontLog.runLost(exchange, run, failure, verdict);
             reviewed(lost, verdict);
@@ -38,7 +38,7 @@
      */
     Optional<LostRun> runSilent(CallerExchange exchange, TargetRun run) {
         return evidence(run, TargetFailure.SILENT)
-                .map(evidence -> front.crashes().runLost(exchange.fingerprint(), run, evidence));
+                .map(evidence -> front.crashes().runLost(exchange, run, evidence));
     }
 
     private Optional<CrashEvidence> evidence(TargetRun run, TargetFailure failure) {
@@ -64,8 +64,7 @@
     void runAbandoned(CallerExchange exchange, TargetRun run, long silentMillis) {
         if (silentMillis > ABANDONED_SILENCE_MILLIS) {
             boolean crashed = run.entry().crashedSince(run.sentAtMillis());
-            front.crashes()
-                    .runLost(exchange.fingerprint(), run, crashed ? CrashEvidence.CRASHED : CrashEvidence.POSSIBLE);
+            front.crashes().runLost(exchange, run, crashed ? CrashEvidence.CRASHED : CrashEvidence.POSSIBLE);
         }
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
@@ -8,11 +8,11 @@
 import org.whinwharf.traffic.coordination.RejectionDetails;
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.crash.Fingerprint;
-import org.whinwharf.traffic.crash.LostRun;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.traffic.target.PromptPart;
+import org.whinwharf.wire.fleet.LostRunReport;
 import org.whinwharf.wire.fleet.PlacementAsk;
 import org.whinwharf.wire.fleet.PlacementOutcome;
 import org.whinwharf.wire.fleet.PlacementPart;
@@ -52,11 +52,12 @@
         return request.build();
     }
 
-    /** Adds what is known of the crashes under a request. */
-    static PlacementAsk addSuspect(PlacementAsk request, Fingerprint suspect, List<LostRun> runs, long nowMillis) {
-        PlacementAsk.Builder extended = request.toBuilder().setSuspectFingerprint(suspect.bits());
-        runs.forEach(run -> extended.addLostRuns(LostRunMessages.toReport(run, nowMillis)));
-        return extended.build();
+    /** Adds what is held against a request, and what is known of it. */
+    static PlacementAsk addSuspect(PlacementAsk request, Fingerprint suspect, List<LostRunReport> runs) {
+        return request.toBuilder()
+                .setSuspectFingerprint(suspect.bits())
+                .addAllLostRuns(runs)
+                .build();
     }
 
     private static Optional<Fingerprint> suspect(long bits) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -166,6 +166,11 @@
                         .build());
     }
 
+    /** Returns whether the response told where it ends, rather than ending with its connection. */
+    boolean endDeclared() {
+        return framing.endDeclared();
+    }
+
     /**
      * Returns whether a response that ended without a failure of its connection is complete. A stream is complete only
      * at an event boundary; if only the end of the connection ended it, at least one event must have arrived.
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -18,6 +18,7 @@
     private long sentAtMillis;
     private long firstByteAtMillis;
     private boolean firstByteReceived;
+    private boolean succeeded;
     private boolean ended;
     /** Whether the coordinator was told that the target is silent, and not yet that it sends again. */
     private boolean reportedSilent;
@@ -93,6 +94,7 @@
      * successful responses, and would make a failing target look like the fastest.
      */
     void succeeded() {
+        succeeded = true;
         state().health().recordAnswerStart();
         if (paused) {
             ticket.firstEvent(0);
@@ -102,6 +104,11 @@
         ticket.firstEvent(firstByteMillis());
     }
 
+    /** Returns for how long the target has been writing a successful response; 0 if it does not. */
+    long writingMillis(long nowMillis) {
+        return succeeded ? nowMillis - firstByteAtMillis : 0;
+    }
+
     /**
      * Records that the target has sent nothing for too long.
      *
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -151,7 +151,9 @@
     SHARED_PARTS("sharedParts"),
     /** What the loss of a run's connection shows, or whether a request may be sent after such losses. */
     VERDICT("verdict"),
-    /** Runs of a request, one after the other, that may have crashed their targets. */
+    /** Fingerprint that a verdict is on: that of a request or of a part that it shares with others. */
+    SUBJECT("subject"),
+    /** Runs of a request, one after the other, or targets lost with a part, that may have crashed. */
     CRASHES("crashes"),
     /** Part of the fixed retry allowance that this process may use. */
     RETRY_ALLOWANCE("retryAllowance"),
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -103,6 +103,7 @@
             Level.INFO,
             EventField.REQUEST,
             EventField.FINGERPRINT,
+            EventField.SHARED_PARTS,
             EventField.ORGANISATION,
             EventField.TIER_RANK,
             EventField.SERVICE,
@@ -271,6 +272,7 @@
             Level.INFO,
             EventField.REQUEST,
             EventField.FINGERPRINT,
+            EventField.SHARED_PARTS,
             EventField.SERVICE,
             EventField.TARGET,
             EventField.PEER,
@@ -296,6 +298,8 @@
             EventField.TARGET,
             EventField.PEER,
             EventField.SILENT_MILLIS),
+    /** A target has served a request with a part of prompts that was suspected of crashing targets. */
+    PART_CLEARED(Level.INFO, EventField.FINGERPRINT, EventField.VERDICT, EventField.CRASHES),
     /** More is known of a run that may have crashed its target, and of the request that ran. */
     CRASH_SUSPECTED(
             Level.INFO,
@@ -305,6 +309,7 @@
             EventField.STATUS,
             EventField.AGE_MILLIS,
             EventField.VERDICT,
+            EventField.SUBJECT,
             EventField.CRASHES),
     /** Changed settings have come into force. */
     SETTINGS_IN_FORCE(Level.INFO),
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -86,12 +86,15 @@
     /** Records that a suspect may have crashed its target, since the process that would know it has gone. */
     private void recordUnknownEnd(String process, long id, RunningRequests.Run run, long nowMillis) {
         if (run.suspect().isPresent()) {
+            Fingerprint suspect = run.suspect().get();
+            Set<Fingerprint> sharedParts = dependencies.crashes().isLostPart(suspect) ? Set.of(suspect) : Set.of();
             dependencies
                     .lostRunListener()
                     .accept(ImmutableLostRun.builder()
                             // The same at the next coordinator in rank, which records the run too.
                             .id(LostRun.id(process, Long.hashCode(id)))
-                            .fingerprint(run.suspect().get())
+                            .fingerprint(suspect)
+                            .sharedParts(sharedParts)
                             .targetId(run.targetId())
                             .sentAtMillis(nowMillis)
                             .endedAtMillis(nowMillis)
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/Assessment.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/Assessment.java
@@ -1,16 +1,25 @@
 package org.whinwharf.traffic.crash;
 
+import java.util.Comparator;
+
 /**
  * Whether a request may be sent to a target, as far as crashes of earlier targets are concerned.
  *
  * @param status whether and how it may be sent
+ * @param subject what the crashes are held against: the request's content, or a part that other requests share;
+ *     {@link Fingerprint#NONE} if it is clean
  * @param crashes number of runs, one after the other, that were lost with their targets as far as is known
  * @param retryAfterMillis time until a quarantined request may be sent again, in milliseconds; 0 for others
  * @param settlesAtMillis monotonic time in milliseconds at which all processes know of the last lost run; 0 without one
  */
-public record Assessment(Status status, int crashes, long retryAfterMillis, long settlesAtMillis) {
+public record Assessment(Status status, Fingerprint subject, int crashes, long retryAfterMillis, long settlesAtMillis) {
     /** Assessment of a request without lost runs. */
-    public static final Assessment CLEAN = new Assessment(Status.CLEAN, 0, 0, 0);
+    public static final Assessment CLEAN = new Assessment(Status.CLEAN, Fingerprint.NONE, 0, 0, 0);
+
+    /** The later parts make the order the same in all processes. */
+    private static final Comparator<Assessment> BY_SEVERITY = Comparator.comparing(Assessment::status)
+            .thenComparingInt(Assessment::crashes)
+            .thenComparingLong(assessment -> assessment.subject().bits());
 
     /** Whether and how a request may be sent. */
     public enum Status {
@@ -24,6 +33,16 @@
         QUARANTINED
     }
 
+    /**
+     * Returns the more severe of this and another assessment of the same request.
+     *
+     * @param other other assessment
+     * @return one of both
+     */
+    public Assessment orWorse(Assessment other) {
+        return BY_SEVERITY.compare(other, this) > 0 ? other : this;
+    }
+
     /**
      * Tells whether the request must not be sent.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/CrashLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/CrashLedger.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -37,24 +36,19 @@
     private static final int MAX_LONE_CRASHES = 2;
     /** Maximum difference between the times of crashes that may have a cause in common. */
     private static final long COMMON_CAUSE_MILLIS = 1_000;
-    /** Tolerance for the delay of messages when runs of different processes are compared. */
-    private static final long OVERLAP_TOLERANCE_MILLIS = 5;
     /** Time from the crash of a target until it is noticed, by the last sign of it: its return. */
     private static final long CRASH_NOTICE_MILLIS = 5_000;
     /** Maximum number of runs; about those that a whole data centre loses in ten crashes. */
     private static final int MAX_RUNS = 10_000;
 
-    /** The later parts make the order the same in all processes. */
-    private static final Comparator<LostRun> BY_END = Comparator.comparingLong(LostRun::endedAtMillis)
-            .thenComparingLong(LostRun::sentAtMillis)
-            .thenComparingLong(LostRun::id);
-
     private final Map<Long, LostRun> runs = new LinkedHashMap<>();
     private final Map<Fingerprint, Set<Long>> idsByFingerprint = new HashMap<>();
     private final Map<String, Set<Long>> idsByTarget = new HashMap<>();
     /** Numbers of runs that may have crashed their target, by target, by the time of their end. */
     private final NavigableMap<Long, Map<String, Integer>> lossesByTime = new TreeMap<>();
 
+    private final SharedPartLedger parts = new SharedPartLedger();
+
     /** Targets known to have crashed, with requests or without, by the time at which it was noticed. */
     private final NavigableMap<Long, Set<String>> crashedTargets = new TreeMap<>();
 
@@ -168,24 +162,87 @@
         return changed;
     }
 
+    /**
+     * Records that a target has served a request with a part of prompts, which is thereby cleared of all crashes
+     * before.
+     *
+     * @param part digest of the part
+     * @param atMillis monotonic time in milliseconds at which it was known to be served
+     */
+    public void partServed(Fingerprint part, long atMillis) {
+        parts.served(part, atMillis);
+    }
+
+    /**
+     * Returns the parts that were served lately.
+     *
+     * @return monotonic times in milliseconds at which they were known to be served, by the parts' digests
+     */
+    public Map<Fingerprint, Long> servings() {
+        return parts.servings();
+    }
+
+    /**
+     * Returns those of a run's parts that are still held against it.
+     *
+     * @param run lost run
+     * @return digests of the parts that were not served since
+     */
+    public Set<Fingerprint> unservedParts(LostRun run) {
+        return parts.unservedParts(run);
+    }
+
+    /**
+     * Tells whether targets were lost with a part of prompts that was not served since.
+     *
+     * @param fingerprint digest of the part, or of a request
+     * @return true for such a part
+     */
+    public boolean isLostPart(Fingerprint fingerprint) {
+        return parts.contains(fingerprint);
+    }
+
     /**
      * Decides whether a request may be sent to a target.
      *
-     * @param fingerprint request
+     * @param fingerprint digest of its content
+     * @param sharedParts digests of the parts of its prompt that other requests may share
+     * @param nowMillis monotonic time in milliseconds
+     * @return the most severe assessment of the request and of these parts
+     */
+    public Assessment assess(Fingerprint fingerprint, Set<Fingerprint> sharedParts, long nowMillis) {
+        Assessment worst = assessContent(fingerprint, nowMillis);
+        for (Fingerprint part : sharedParts) {
+            worst = worst.orWorse(parts.assess(part, nowMillis));
+        }
+        return worst;
+    }
+
+    /**
+     * Decides whether a request may be sent to a target, as far as one of its fingerprints is concerned.
+     *
+     * @param fingerprint digest of its content, or of a part of its prompt
      * @param nowMillis monotonic time in milliseconds
      * @return assessment
      */
     public Assessment assess(Fingerprint fingerprint, long nowMillis) {
+        return isLostPart(fingerprint) ? parts.assess(fingerprint, nowMillis) : assessContent(fingerprint, nowMillis);
+    }
+
+    private Assessment assessContent(Fingerprint fingerprint, long nowMillis) {
         List<LostRun> current = current(fingerprint, nowMillis);
         long settlesAtMillis = current.stream()
                 .mapToLong(run -> run.endedAtMillis() + run.evidence().settlingMillis())
                 .max()
                 .orElse(0);
         boolean settled = nowMillis >= settlesAtMillis;
-        List<LostRun> counted =
-                current.stream().filter(run -> run.evidence().counted()).toList();
+        List<LostRun> counted = current.stream()
+                .filter(run -> run.evidence().counted() && !parts.explains(run))
+                .toList();
         if (counted.isEmpty()) {
-            return settled ? Assessment.CLEAN : new Assessment(Assessment.Status.SUSPECT, 0, 0, settlesAtMillis);
+            return settled
+                    ? Assessment.CLEAN
+                    : new Assessment(Assessment.Status.SUSPECT, fingerprint, 0, 0, settlesAtMillis);
         }
         Set<String> targetIds = new HashSet<>();
         runsOf(fingerprint).forEach(run -> targetIds.add(run.targetId()));
@@ -194,51 +251,34 @@
         List<LostRun> loneCrashes = lone.stream()
                 .filter(run -> run.evidence() == CrashEvidence.CRASHED)
                 .toList();
-        int lost = consecutive(counted);
+        int lost = LostRun.consecutive(counted);
         if (lost == 1 && loneCrashes.isEmpty() && (settled || lone.isEmpty())) {
-            return new Assessment(Assessment.Status.WEAK_SUSPECT, lost, 0, 0);
+            return new Assessment(Assessment.Status.WEAK_SUSPECT, fingerprint, lost, 0, 0);
         }
         boolean tooManyLost = lost >= MAX_LOST_TARGETS || lost > 1 && lostTargets(lone) >= MAX_LOST_TARGETS;
-        if (!tooManyLost && consecutive(loneCrashes) < MAX_LONE_CRASHES) {
-            return new Assessment(Assessment.Status.SUSPECT, lost, 0, settlesAtMillis);
+        if (!tooManyLost && LostRun.consecutive(loneCrashes) < MAX_LONE_CRASHES) {
+            return new Assessment(Assessment.Status.SUSPECT, fingerprint, lost, 0, settlesAtMillis);
         }
         long nextExpiryMillis =
                 counted.stream().mapToLong(LostRun::expiresAtMillis).min().getAsLong();
-        return new Assessment(Assessment.Status.QUARANTINED, lost, nextExpiryMillis - nowMillis, settlesAtMillis);
+        return new Assessment(
+                Assessment.Status.QUARANTINED, fingerprint, lost, nextExpiryMillis - nowMillis, settlesAtMillis);
     }
 
     /** Returns the runs of a request that are not to be forgotten yet, in the order of their ends. */
     private List<LostRun> current(Fingerprint fingerprint, long nowMillis) {
         return runsOf(fingerprint).stream()
                 .filter(run -> nowMillis < run.expiresAtMillis())
-                .sorted(BY_END)
+                .sorted(LostRun.BY_END)
                 .toList();
     }
 
-    /** Returns the maximum number of the given runs, sorted by their ends, of which none overlaps another. */
-    private static int consecutive(List<LostRun> sorted) {
-        int count = 0;
-        LostRun last = null;
-        for (LostRun run : sorted) {
-            if (last == null || isAfter(run, last)) {
-                count++;
-                last = run;
-            }
-        }
-        return count;
-    }
-
-    private static boolean isAfter(LostRun run, LostRun earlier) {
-        long toleranceMillis = run.process() == earlier.process() ? 0 : OVERLAP_TOLERANCE_MILLIS;
-        return run.sentAtMillis() + toleranceMillis >= earlier.endedAtMillis();
-    }
-
     /** Returns the number of targets lost; one that was lost again after its return counts again. */
     private static int lostTargets(List<LostRun> sorted) {
         Map<String, List<LostRun>> byTarget = new HashMap<>();
         sorted.forEach(run -> byTarget.computeIfAbsent(run.targetId(), key -> new ArrayList<>())
                 .add(run));
-        return byTarget.values().stream().mapToInt(CrashLedger::consecutive).sum();
+        return byTarget.values().stream().mapToInt(LostRun::consecutive).sum();
     }
 
     /** Tells whether a target to which the request was not sent was lost at about the same time. */
@@ -256,12 +296,15 @@
     }
 
     /**
-     * Returns what is known of a request's runs.
+     * Returns what is known of lost runs.
      *
-     * @param fingerprint request
+     * @param fingerprint digest of the content of their requests, or of a part that they share
      * @return runs
      */
     public List<LostRun> runsOf(Fingerprint fingerprint) {
+        if (isLostPart(fingerprint)) {
+            return parts.runsOf(fingerprint);
+        }
         return idsByFingerprint.getOrDefault(fingerprint, Set.of()).stream()
                 .map(runs::get)
                 .toList();
@@ -282,6 +325,7 @@
      * @param nowMillis monotonic time in milliseconds
      */
     public void expire(long nowMillis) {
+        parts.expire(nowMillis);
         crashedTargets
                 .headMap(nowMillis - CrashEvidence.CRASHED.retentionMillis())
                 .clear();
@@ -300,6 +344,7 @@
 
     private void put(LostRun run) {
         runs.put(run.id(), run);
+        parts.add(run);
         idsByFingerprint
                 .computeIfAbsent(run.fingerprint(), key -> new HashSet<>())
                 .add(run.id());
@@ -313,6 +358,7 @@
 
     private void remove(LostRun run) {
         runs.remove(run.id());
+        parts.remove(run);
         removeId(idsByFingerprint, run.fingerprint(), run.id());
         removeId(idsByTarget, run.targetId(), run.id());
         if (run.evidence().counted()) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/LostRun.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/LostRun.java
@@ -1,10 +1,21 @@
 package org.whinwharf.traffic.crash;
 
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Set;
 import org.immutables.value.Value;
 
 /** A run that ended with its connection, or whose target is silent, so that the target may have crashed under it. */
 @Value.Immutable
 public interface LostRun {
+    /** Order of the ends of runs. The later parts make it the same in all processes. */
+    Comparator<LostRun> BY_END = Comparator.comparingLong(LostRun::endedAtMillis)
+            .thenComparingLong(LostRun::sentAtMillis)
+            .thenComparingLong(LostRun::id);
+
+    /** Tolerance for the delay of messages when runs of different processes are compared. */
+    long OVERLAP_TOLERANCE_MILLIS = 5;
+
     /**
      * Returns the id of the run.
      *
@@ -39,6 +50,13 @@
      */
     Fingerprint fingerprint();
 
+    /**
+     * Returns the parts of the request's prompt that other requests may share.
+     *
+     * @return digests; empty for a request without such parts
+     */
+    Set<Fingerprint> sharedParts();
+
     /**
      * Returns the target.
      *
@@ -67,6 +85,35 @@
      */
     CrashEvidence evidence();
 
+    /**
+     * Tells whether the request was sent after the end of an earlier run.
+     *
+     * @param earlier run that ended before this one
+     * @return true if the two do not overlap
+     */
+    default boolean isAfter(LostRun earlier) {
+        long toleranceMillis = process() == earlier.process() ? 0 : OVERLAP_TOLERANCE_MILLIS;
+        return sentAtMillis() + toleranceMillis >= earlier.endedAtMillis();
+    }
+
+    /**
+     * Returns the maximum number of runs of which none overlaps another.
+     *
+     * @param sorted runs, in the order of their ends
+     * @return number of runs, one after the other
+     */
+    static int consecutive(Collection<LostRun> sorted) {
+        int count = 0;
+        LostRun last = null;
+        for (LostRun run : sorted) {
+            if (last == null || run.isAfter(last)) {
+                count++;
+                last = run;
+            }
+        }
+        return count;
+    }
+
     /**
      * Returns until when the run is remembered.
      *
--- /dev/null
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/SharedPartLedger.java
@@ -0,0 +1,219 @@
+package org.whinwharf.traffic.crash;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.NavigableSet;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * Finds the parts of prompts under which targets crash, whatever else the requests hold.
+ *
+ * <p>A target that crashes loses all its requests, each with several parts, so one crash says little of any of them.
+ * What tells them apart is that a harmless part is served elsewhere meanwhile, which clears it of all crashes so far. A
+ * part that few requests have may have been lost repeatedly before any of them was served. It is a suspect then, and
+ * the next request with it shows which it is. Once a part is quarantined, it accounts for the crashes of its runs, and
+ * the parts and requests that were lost at the same time are no longer blamed for them.
+ *
+ * <p>Crashes at about the same time are not taken for one event, unlike those of one request: requests that share a
+ * part may come at the same time. If no run began after the end of another, though, they may have crashed with their
+ * rack.
+ */
+final class SharedPartLedger {
+    /** Number of targets lost with a part, not all at once, after which no request with it is sent. */
+    private static final int MAX_LOST_TARGETS = 3;
+    /** Number of targets lost with a part after which one request with it runs at a time. */
+    private static final int MIN_LOST_TARGETS_OF_SUSPECT = 2;
+    /** Maximum time between the ends of runs that one crash of a target ended, as different processes see it. */
+    private static final long SAME_CRASH_MILLIS = 1_000;
+    /** Time for which a serving is remembered; peers tell of crashes before it for this long. */
+    private static final long SERVING_RETENTION_MILLIS = 30_000;
+    /** Maximum number of parts remembered, since callers may send any number. */
+    private static final int MAX_PARTS = 20_000;
+
+    /** Counted runs that ended after the part was last served, in the order of their ends. */
+    private final Map<Fingerprint, NavigableSet<LostRun>> runsByPart = new LinkedHashMap<>();
+
+    private final Map<Fingerprint, Long> servedAtMillis = new LinkedHashMap<>();
+    /** Parts with enough runs to be quarantined. */
+    private final Set<Fingerprint> frequentParts = new HashSet<>();
+    /** Null after a change, until it is needed. */
+    private Set<Fingerprint> quarantined;
+
+    /** Tells whether any run with the part is held against it. */
+    boolean contains(Fingerprint part) {
+        return runsByPart.containsKey(part);
+    }
+
+    /** Returns the runs that are held against a part, the newest last. */
+    List<LostRun> runsOf(Fingerprint part) {
+        return List.copyOf(runsByPart.getOrDefault(part, Collections.emptyNavigableSet()));
+    }
+
+    /** Returns those of a run's parts that were not served since its end. */
+    Set<Fingerprint> unservedParts(LostRun run) {
+        Set<Fingerprint> parts = new LinkedHashSet<>(run.sharedParts());
+        parts.removeIf(part -> servedSince(part, run));
+        return parts;
+    }
+
+    private boolean servedSince(Fingerprint part, LostRun run) {
+        return servedAtMillis.getOrDefault(part, Long.MIN_VALUE) >= run.endedAtMillis();
+    }
+
+    void add(LostRun run) {
+        if (run.evidence().counted()) {
+            unservedParts(run).forEach(part -> add(part, run));
+        }
+    }
+
+    private void add(Fingerprint part, LostRun run) {
+        if (runsByPart.size() >= MAX_PARTS && !runsByPart.containsKey(part)) {
+            forget(runsByPart.keySet().iterator().next());
+        }
+        NavigableSet<LostRun> runs = runsByPart.computeIfAbsent(part, key -> new TreeSet<>(LostRun.BY_END));
+        runs.add(run);
+        changed(part, runs);
+    }
+
+    void remove(LostRun run) {
+        for (Fingerprint part : run.sharedParts()) {
+            NavigableSet<LostRun> runs = runsByPart.get(part);
+            if (runs != null && runs.remove(run)) {
+                changed(part, runs);
+            }
+        }
+    }
+
+    /**
+     * Records that a target has served a request with a part.
+     *
+     * @param atMillis monotonic time in milliseconds at which it was known to be served
+     */
+    void served(Fingerprint part, long atMillis) {
+        if (servedAtMillis.size() >= MAX_PARTS && !servedAtMillis.containsKey(part)) {
+            servedAtMillis.remove(servedAtMillis.keySet().iterator().next());
+        }
+        servedAtMillis.merge(part, atMillis, Math::max);
+        NavigableSet<LostRun> runs = runsByPart.get(part);
+        if (runs != null && runs.removeIf(run -> servedSince(part, run))) {
+            changed(part, runs);
+        }
+    }
+
+    /** Returns when parts were served lately. */
+    Map<Fingerprint, Long> servings() {
+        return Collections.unmodifiableMap(servedAtMillis);
+    }
+
+    private void changed(Fingerprint part, Collection<LostRun> runs) {
+        quarantined = null;
+        if (runs.isEmpty()) {
+            forget(part);
+        } else if (runs.size() >= MAX_LOST_TARGETS) {
+            frequentParts.add(part);
+        } else {
+            frequentParts.remove(part);
+        }
+    }
+
+    private void forget(Fingerprint part) {
+        runsByPart.remove(part);
+        frequentParts.remove(part);
+        quarantined = null;
+    }
+
+    /** Forgets servings that no peer may contradict any more. */
+    void expire(long nowMillis) {
+        servedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > SERVING_RETENTION_MILLIS);
+    }
+
+    /** Decides whether requests with a part may be sent to targets. */
+    Assessment assess(Fingerprint part, long nowMillis) {
+        List<LostRun> runs = unexplained(part, quarantined());
+        int lost = lostTargets(runs);
+        if (lost < MIN_LOST_TARGETS_OF_SUSPECT) {
+            return Assessment.CLEAN;
+        }
+        long settlesAtMillis = runs.stream()
+                .mapToLong(run -> run.endedAtMillis() + run.evidence().settlingMillis())
+                .max()
+                .getAsLong();
+        if (!quarantined().contains(part)) {
+            return new Assessment(Assessment.Status.SUSPECT, part, lost, 0, settlesAtMillis);
+        }
+        long nextExpiryMillis =
+                runs.stream().mapToLong(LostRun::expiresAtMillis).min().getAsLong();
+        return new Assessment(
+                Assessment.Status.QUARANTINED, part, lost, Math.max(0, nextExpiryMillis - nowMillis), settlesAtMillis);
+    }
+
+    /** Tells whether a run was lost at a target that crashed under a quarantined part, which it does not have. */
+    boolean explains(LostRun run) {
+        return explained(run, quarantined());
+    }
+
+    private boolean explained(LostRun run, Collection<Fingerprint> parts) {
+        return parts.stream().anyMatch(part -> !run.sharedParts().contains(part) && crashedTargetOf(part, run));
+    }
+
+    private boolean crashedTargetOf(Fingerprint part, LostRun run) {
+        return runsByPart.get(part).stream()
+                .anyMatch(other -> other.targetId().equals(run.targetId())
+                        && Math.abs(other.endedAtMillis() - run.endedAtMillis()) <= SAME_CRASH_MILLIS);
+    }
+
+    private List<LostRun> unexplained(Fingerprint part, Collection<Fingerprint> by) {
+        return runsOf(part).stream().filter(run -> !explained(run, by)).toList();
+    }
+
+    private Set<Fingerprint> quarantined() {
+        if (quarantined == null) {
+            quarantined = findQuarantined();
+        }
+        return quarantined;
+    }
+
+    /**
+     * Returns the parts to be quarantined. Those with most lost targets come first, since harmless parts can only have
+     * been lost at some of the same targets.
+     */
+    private Set<Fingerprint> findQuarantined() {
+        NavigableMap<Integer, List<Fingerprint>> partsByLostTargets = new TreeMap<>(Collections.reverseOrder());
+        frequentParts.forEach(part -> partsByLostTargets
+                .computeIfAbsent(lostTargets(runsByPart.get(part)), count -> new ArrayList<>())
+                .add(part));
+        Set<Fingerprint> found = new HashSet<>();
+        for (List<Fingerprint> parts : partsByLostTargets.values()) {
+            Set<Fingerprint> before = Set.copyOf(found);
+            parts.stream()
+                    .filter(part -> tooManyLost(unexplained(part, before)))
+                    .forEach(found::add);
+        }
+        return found;
+    }
+
+    private static boolean tooManyLost(List<LostRun> sorted) {
+        return lostTargets(sorted) >= MAX_LOST_TARGETS && LostRun.consecutive(sorted) > 1;
+    }
+
+    /** Returns the number of targets lost; one that was lost again after its return counts again. */
+    private static int lostTargets(Collection<LostRun> sorted) {
+        Map<String, Long> lastEndMillis = new HashMap<>();
+        int count = 0;
+        for (LostRun run : sorted) {
+            Long previous = lastEndMillis.put(run.targetId(), run.endedAtMillis());
+            count += previous == null || run.endedAtMillis() - previous > SAME_CRASH_MILLIS ? 1 : 0;
+        }
+        return count;
+    }
+}
