End runs whose responses have no end

What callers saw: requests at other targets delayed by seconds, and streams that ended at their deadline, while one target sent bytes that are no response.

Cause: nothing bounded what was read for one request. A body that is too long was noted and read on to its end; the part of an event was searched again from its beginning with each chunk, in buffers nested in each other, so that the event loop stood still; interim responses and responses to other attempts were skipped in any number.

Each of these has a limit now: 4 MiB for a body or for what is skipped, 1 MiB for an event, 65,536 chunks for either, 32 skipped responses, 64 KiB for a health check. A run that exceeds one is garbled: held against its target, and repeated within the attempts of its route. Events are searched once, and parts of bodies are copied into one buffer. A replacement whose held response is too long no longer ends the run that it was to replace.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -186,7 +186,9 @@
         recordBytes();
         exchange.content(this, chunk);
         reportLifeSign();
-        front.crashes().partsBeingServed(exchange, run);
+        if (awaitsResponse()) {
+            front.crashes().partsBeingServed(exchange, run);
+        }
     }
 
     @Override
@@ -201,6 +203,12 @@
         exchange.failed(this, failure);
     }
 
+    /** Ends a run whose response is too long to be one. */
+    void reject() {
+        connection.cancel();
+        failed(TargetFailure.GARBLED);
+    }
+
     /** Ends a run whose connection has failed, and has the failure reviewed. */
     void endFailed(TargetFailure failure) {
         releaseHeld();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -643,13 +643,18 @@
             return;
         }
         held.append(chunk);
-        if (route.kind() == RouteKind.STREAMING || held.bodyBytes() > Front.MAX_ANSWER_BYTES) {
+        if (held.bodyBytes() > Front.MAX_ANSWER_BYTES) {
+            run.reject();
+        } else if (route.kind() == RouteKind.STREAMING) {
             acceptHeld(run);
         }
     }
 
     private void acceptContent(ActiveRun run, ByteBuf chunk) {
-        if (responseAssembler.content(chunk) && !caller.writable()) {
+        boolean written = responseAssembler.content(chunk);
+        if (responseAssembler.isOversized()) {
+            run.reject();
+        } else if (written && !caller.writable()) {
             run.setReading(false);
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EventBoundaryTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventBoundaryTracker.java
@@ -2,9 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 
-/**
- * Tells whether the bytes received of an event stream end at an event boundary, an empty line, without storing them.
- */
+/** Finds the boundaries of an event stream's events, which are empty lines, without storing the bytes received. */
 final class EventBoundaryTracker {
     /** Length of the longest byte sequence that ends an event. */
     private static final int WINDOW_BYTES = 3;
@@ -13,16 +11,44 @@
     private int window;
 
     private boolean empty = true;
+    private long bytesSinceBoundary;
 
-    /** Handles the next bytes of the stream; neither consumes nor releases the buffer. */
-    void append(ByteBuf chunk) {
+    /**
+     * Handles the next bytes of the stream; neither consumes nor releases the buffer.
+     *
+     * @return number of bytes up to the last boundary among them; 0 if there is none
+     */
+    int append(ByteBuf chunk) {
         if (!chunk.isReadable()) {
-            return;
+            return 0;
         }
+        int endBytes = lastBoundary(chunk);
+        bytesSinceBoundary =
+                endBytes > 0 ? chunk.readableBytes() - endBytes : bytesSinceBoundary + chunk.readableBytes();
         empty = false;
         for (int i = Math.max(chunk.readerIndex(), chunk.writerIndex() - WINDOW_BYTES); i < chunk.writerIndex(); i++) {
             window = window << Byte.SIZE | chunk.getUnsignedByte(i);
         }
+        return endBytes;
+    }
+
+    private int lastBoundary(ByteBuf chunk) {
+        for (int i = chunk.readableBytes() - 1; i >= 0; i--) {
+            if (endsEvent(byteAt(chunk, i - 2), byteAt(chunk, i - 1), byteAt(chunk, i))) {
+                return i + 1;
+            }
+        }
+        return 0;
+    }
+
+    /** Returns a byte of a chunk; one before its beginning if the index is negative. */
+    private int byteAt(ByteBuf chunk, int index) {
+        return index >= 0 ? chunk.getUnsignedByte(chunk.readerIndex() + index) : byteBefore(-1 - index);
+    }
+
+    /** Returns the number of bytes since the last boundary, or since the beginning of the stream. */
+    long bytesSinceBoundary() {
+        return bytesSinceBoundary;
     }
 
     /** Tells whether the stream ends at an event boundary; true before the first byte. */
@@ -38,11 +64,12 @@
     /** Starts a new stream. */
     void reset() {
         window = 0;
+        bytesSinceBoundary = 0;
         empty = true;
     }
 
     /** Tells whether the last of three successive bytes ends an empty line. */
-    static boolean endsEvent(int beforePrevious, int previous, int last) {
+    private static boolean endsEvent(int beforePrevious, int previous, int last) {
         return last == '\n' && (previous == '\n' || previous == '\r' && beforePrevious == '\n');
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamFramer.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamFramer.java
@@ -19,26 +19,32 @@
 
     /**
      * Appends a chunk and returns the complete events received so far; the caller of the method releases the result.
+     *
+     * @param endBytes number of the chunk's bytes up to the last event boundary among them; 0 if there is none
      */
-    ByteBuf append(ByteBuf chunk) {
-        ByteBuf data = partialEvent.isReadable() ? Unpooled.wrappedBuffer(partialEvent, chunk) : chunk;
-        int end = lastEventEnd(data);
-        if (end == data.readableBytes()) {
-            updateLastEventId(data);
-            partialEvent = Unpooled.EMPTY_BUFFER;
-            return data;
-        }
-        if (end < 0) {
-            partialEvent = data;
+    ByteBuf append(ByteBuf chunk, int endBytes) {
+        if (endBytes == 0) {
+            hold(chunk);
             return Unpooled.EMPTY_BUFFER;
         }
-        ByteBuf completeEvents = data.readRetainedSlice(end);
+        ByteBuf end = chunk.readRetainedSlice(endBytes);
+        ByteBuf completeEvents = partialEvent.isReadable() ? Unpooled.wrappedBuffer(partialEvent, end) : end;
+        partialEvent = Unpooled.EMPTY_BUFFER;
+        hold(chunk);
         updateLastEventId(completeEvents);
-        partialEvent = data.readBytes(data.readableBytes());
-        data.release();
         return completeEvents;
     }
 
+    private void hold(ByteBuf chunk) {
+        if (chunk.isReadable()) {
+            if (!partialEvent.isReadable()) {
+                partialEvent = Unpooled.buffer(chunk.readableBytes());
+            }
+            partialEvent.writeBytes(chunk);
+        }
+        chunk.release();
+    }
+
     /** Returns the last id among the complete events returned so far; empty before the first. */
     Optional<String> lastEventId() {
         return lastEventId;
@@ -50,17 +56,6 @@
         partialEvent = Unpooled.EMPTY_BUFFER;
     }
 
-    private static int lastEventEnd(ByteBuf data) {
-        int start = data.readerIndex();
-        for (int i = data.writerIndex() - 1; i > start; i--) {
-            int beforePrevious = i - 2 >= start ? data.getByte(i - 2) : 0;
-            if (EventBoundaryTracker.endsEvent(beforePrevious, data.getByte(i - 1), data.getByte(i))) {
-                return i + 1 - start;
-            }
-        }
-        return -1;
-    }
-
     private void updateLastEventId(ByteBuf completeEvents) {
         String text = completeEvents.toString(StandardCharsets.UTF_8);
         int lineBreak = text.lastIndexOf("\n" + ID_FIELD);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -1,7 +1,6 @@
 package org.whinwharf.front;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -16,6 +15,10 @@
  * truncated one can be fetched from another target and never reaches the caller under a success status.
  */
 final class ResponseAssembler {
+    private static final int MAX_EVENT_BYTES = 1_024 * 1_024;
+    /** Maximum number of chunks of a body, or of one event; each costs time, however small it is. */
+    private static final int MAX_CHUNKS = 64 * 1_024;
+
     private final Route route;
     private final CallerConnection caller;
     private final HttpDialect dialect;
@@ -30,7 +33,10 @@
 
     private boolean streamStarted;
     private boolean oversized;
-    private CompositeByteBuf bufferedBody;
+    /** Chunks of the body, or since the last event boundary. */
+    private int chunks;
+
+    private ByteBuf bufferedBody;
 
     /**
      * Creates an assembler without a response.
@@ -62,7 +68,7 @@
             callerResponse = response;
         }
         if (!stream) {
-            bufferedBody = Unpooled.compositeBuffer(1024);
+            bufferedBody = Unpooled.buffer();
         }
     }
 
@@ -76,8 +82,14 @@
             chunk.release();
             return false;
         }
-        boundaryTracker.append(chunk);
-        ByteBuf ready = route.resumable() ? framer.append(chunk) : chunk;
+        int endBytes = boundaryTracker.append(chunk);
+        chunks = endBytes > 0 ? 0 : chunks + 1;
+        oversized = boundaryTracker.bytesSinceBoundary() > MAX_EVENT_BYTES || chunks > MAX_CHUNKS;
+        if (oversized) {
+            chunk.release();
+            return false;
+        }
+        ByteBuf ready = route.resumable() ? framer.append(chunk, endBytes) : chunk;
         if (!ready.isReadable()) {
             ready.release();
             return false;
@@ -97,12 +109,19 @@
     }
 
     private void bufferBody(ByteBuf chunk) {
-        oversized = oversized || bufferedBody.readableBytes() + chunk.readableBytes() > Front.MAX_ANSWER_BYTES;
-        if (oversized) {
-            chunk.release();
-        } else {
-            bufferedBody.addComponent(true, chunk);
+        chunks++;
+        oversized = oversized
+                || chunks > MAX_CHUNKS
+                || bufferedBody.readableBytes() + chunk.readableBytes() > Front.MAX_ANSWER_BYTES;
+        if (!oversized) {
+            bufferedBody.writeBytes(chunk);
         }
+        chunk.release();
+    }
+
+    /** Returns whether the body, or an event of it, is longer than any that is delivered. */
+    boolean isOversized() {
+        return oversized;
     }
 
     /** Returns whether the target reported that it did not execute the request. */
@@ -151,6 +170,7 @@
             bufferedBody = null;
         }
         oversized = false;
+        chunks = 0;
         framing = null;
         framer.discardPartialEvent();
         boundaryTracker.reset();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -30,6 +30,9 @@
     /** Time before the end of the keep-alive time at which a connection expires, lest a request cross its close. */
     private static final long KEEP_ALIVE_MARGIN_MILLIS = 700;
 
+    /** Maximum number of interim responses, and of responses to other attempts, before the one to the request. */
+    private static final int MAX_SKIPPED_RESPONSES = 32;
+
     /** Maximum time for which bytes are on their way, or wait to be read. */
     private static final long MAX_TRANSIT_MILLIS = 100;
 
@@ -49,6 +52,8 @@
     private TargetListener listener;
     private String attemptId = "";
     private ChannelFuture written;
+    private int skippedResponses;
+    private long skippedBytes;
     private boolean reusable = true;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private final long openedAtMillis;
@@ -100,6 +105,8 @@
         listener = responseListener;
         attemptId = id;
         phase = Phase.AWAITING_HEAD;
+        skippedResponses = 0;
+        skippedBytes = 0;
         if (body.isReadable() || HttpUtil.isContentLengthSet(request)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
@@ -164,7 +171,7 @@
 
     private void head(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            phase = Phase.SKIPPING_BODY;
+            skip();
             return;
         }
         ResponseHead answer = dialect.readResponse(response);
@@ -177,17 +184,28 @@
                 && !answer.attemptId().equals(attemptId);
         if (otherAttempt) {
             reusable = false;
-            phase = Phase.SKIPPING_BODY;
+            skip();
             return;
         }
         phase = Phase.READING_BODY;
         listener.head(response, answer);
     }
 
+    private void skip() {
+        phase = Phase.SKIPPING_BODY;
+        skippedResponses++;
+        if (skippedResponses > MAX_SKIPPED_RESPONSES) {
+            fail(TargetFailure.GARBLED);
+        }
+    }
+
     private void body(HttpContent content) {
         boolean last = content instanceof LastHttpContent;
         if (phase == Phase.SKIPPING_BODY) {
-            if (last) {
+            skippedBytes += content.content().readableBytes();
+            if (skippedBytes > Front.MAX_ANSWER_BYTES) {
+                fail(TargetFailure.GARBLED);
+            } else if (last) {
                 phase = Phase.AWAITING_HEAD;
             }
             return;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -41,6 +41,8 @@
     private static final double MAX_EJECTED_SHARE = 0.4;
     /** Timeout of a health check, as the shortest latency objective of a service allows no more. */
     private static final long PROBE_TIMEOUT_MILLIS = 500;
+    /** Maximum size of the body of a response to a health check. */
+    private static final int MAX_PROBE_BYTES = 64 * 1_024;
     /** Time for which a target counts as reached after its last bytes or the last connection to it. */
     private static final long REACHED_RETENTION_MILLIS = 3_000;
 
@@ -493,6 +495,7 @@
         private final TargetEntry entry;
         private TargetConnection connection;
         private OptionalLong coldMillis = OptionalLong.empty();
+        private long bodyBytes;
         private boolean ended;
 
         Probe(TargetEntry entry) {
@@ -506,7 +509,12 @@
 
         @Override
         public void content(ByteBuf chunk) {
+            bodyBytes += chunk.readableBytes();
             chunk.release();
+            if (bodyBytes > MAX_PROBE_BYTES && !ended) {
+                connection.cancel();
+                done(OptionalLong.empty());
+            }
         }
 
         @Override
