Do not hold a suspect for a silent target that has not crashed

What callers saw, in a test: a request under which a target had crashed, and whose next target hung, was sent to no third one and ended at its deadline.

Cause: a suspect runs at one target at a time, so its replacement was held until the end of the silent run, which goes on until a replacement answers. Letting each silent run of a suspect go uncounted sent the request on while its target might have crashed silently, and was taken back.

Now the silent run stops counting once a new direct connection to its target shows that it has not crashed. A target that is dark accepts none.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -88,6 +88,9 @@
     void setAside() {
         replaced = true;
         suspect();
+        if (run.ofSuspect()) {
+            front.failureReview().checkAlive(run, run::targetAlive);
+        }
     }
 
     /**
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FailureReview.java
@@ -78,6 +78,15 @@
         });
     }
 
+    /** Calls back if a new direct connection to a silent target shows that it has not crashed. */
+    void checkAlive(TargetRun run, Runnable alive) {
+        review(run, verdict -> {
+            if (verdict == Verdict.TARGET_FAILED) {
+                alive.run();
+            }
+        });
+    }
+
     /** Reports that a target has sent nothing for too long to any request of this process; the run goes on. */
     void targetSilent(TargetRun run) {
         long lastByteAtMillis = run.entry().lastByteAtMillis();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -186,6 +186,19 @@
         }
     }
 
+    /** Tells whether the request was placed as one under which targets may have crashed. */
+    boolean ofSuspect() {
+        return suspect.isPresent();
+    }
+
+    /**
+     * Records that the target is silent but has not crashed. A suspect runs at one target at a time, so its run no
+     * longer counts for the coordinator, which would else hold the request that is to be sent to another target.
+     */
+    void targetAlive() {
+        ended(RunEvent.RUN_GIVEN_UP, 0);
+    }
+
     /** Records that the request has failed at its target; {@link #reviewed} reports it. */
     void failed() {
         if (stage != Stage.ENDED) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -119,6 +119,16 @@
         return reportedSilent;
     }
 
+    /** Tells whether targets may have crashed under the request when it was placed. */
+    boolean ofSuspect() {
+        return ticket.ofSuspect();
+    }
+
+    /** Records that the target, which is silent, has not crashed. */
+    void targetAlive() {
+        ticket.targetAlive();
+    }
+
     /** Records that the target has sent nothing for so long that the run says nothing about its speed. */
     void fellSilent() {
         paused = true;
