Keep both silent runs of a stream until a target is heard

What callers saw, in tests: streams of targets that paused waited at replacements that were paused as well until their deadline, though their first target went on.

Cause: two targets may not work on one stream for 400 ms, and after 200 ms the silent run was ended, whatever was known of the other target.

A health check is now sent to the target of a stream's replacement. Until it has sent a byte, to the check or to any request, it does not work on the stream, and the silent run is kept beside it. Withdrawing the replacement instead forgot that its target may have crashed under it, and used up the attempts.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -551,6 +551,9 @@
         TargetRun run = placed.run();
         if (runs.replacing()) {
             recordRetry(runs.lastSetAside(), TargetFailure.SILENT.name());
+            if (route.kind() == RouteKind.STREAMING) {
+                front.probe(placed.entry());
+            }
         }
         stage = Stage.SENT;
         placed.sending(acquired, route, nowMillis);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -738,6 +738,11 @@
         return versions;
     }
 
+    /** Sends a health check to a target; its response shows that the target is not silent. */
+    void probe(TargetEntry entry) {
+        targets.probe(entry);
+    }
+
     /** Tells whether a service has a usable target of the required version that is not in the given set. */
     boolean hasUntriedTarget(String service, Optional<String> requiredVersion, Set<String> tried) {
         long nowMillis = ticker.nowMillis();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
@@ -134,12 +134,16 @@
         return !seeking && latest.sent();
     }
 
-    /** Tells whether two targets have worked on a stream for too long. */
+    /**
+     * Tells whether two targets have worked on a stream for too long. The latest one does not work on it while it sends
+     * nothing to any request, not even to a health check, so it may be the earlier one that goes on.
+     */
     boolean overlapTooLong(RouteKind kind, long nowMillis) {
         return replacing()
                 && kind == RouteKind.STREAMING
                 && replacementSent()
-                && nowMillis - latest.run().sentAtMillis() > MAX_STREAM_OVERLAP_MILLIS;
+                && nowMillis - latest.run().sentAtMillis() > MAX_STREAM_OVERLAP_MILLIS
+                && latest.entry().lastByteAtMillis() >= latest.run().sentAtMillis();
     }
 
     /** Ends the replacement, if there is one; the run that was set aside last is the latest again. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -472,7 +472,8 @@
                 .orElse(0L);
     }
 
-    private void probe(TargetEntry entry) {
+    /** Sends a health check to a target. */
+    void probe(TargetEntry entry) {
         Target target = entry.state().target();
         String path = catalog.get()
                 .flatMap(known -> known.service(target.service()))
@@ -504,6 +505,7 @@
 
         @Override
         public void head(HttpResponse response, ResponseHead head) {
+            entry.bytesReceived(ticker.nowMillis());
             coldMillis = dialect.readHealth(response, entry.state().target().id());
         }
 
@@ -537,8 +539,9 @@
         void done(OptionalLong cold) {
             ended = true;
             long nowMillis = ticker.nowMillis();
+            boolean ejected = entry.state().health().ejected();
             entry.state().health().recordProbeResult(nowMillis, cold.isPresent());
-            if (cold.isPresent()) {
+            if (ejected && cold.isPresent()) {
                 if (cold.getAsLong() > 0) {
                     entry.state().markColdUntil(nowMillis + cold.getAsLong() + COLD_MARGIN_MILLIS);
                 }
