Let the slow store of StoreClientTest be ready before its client calls

largePageOverASlowLinkIsRead failed twice beside other work. Traced beside 24 busy processes: the client timed out with no byte received, after the store's thread had taken 0.85 s from the accepted connection to the request's head, and 1.8 s after the call, in the first test of the class only. The classes of both sides were loaded meanwhile. The bound of 700 ms is the client's and stays; it concerns stores, not the loading of the test's own.

The classes are now loaded by calls before each test, and the store listens before it is called. The checks are unchanged.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
@@ -18,8 +18,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class StoreClientTest {
@@ -37,6 +39,15 @@
 
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
+    /** Loads what the client and the stores of the tests need, for which a client waits no longer than for a store. */
+    @BeforeEach
+    void loadClasses() throws Exception {
+        outcomeOfUnframedResponse(SHORT_PAGE);
+        try (SlowStore store = new SlowStore(0)) {
+            assertThat(store.range().get(TIMEOUT_SECONDS, TimeUnit.SECONDS), startsWith("failed"));
+        }
+    }
+
     @AfterEach
     void stop() {
         loop.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS);
@@ -121,12 +132,14 @@
     private final class SlowStore implements AutoCloseable {
         private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName(IP));
         private final int maxBytes;
+        private final CountDownLatch listening = new CountDownLatch(1);
 
-        SlowStore(int mostBytes) throws IOException {
+        SlowStore(int mostBytes) throws IOException, InterruptedException {
             this.maxBytes = mostBytes;
             Thread thread = new Thread(this::serve, "slow store");
             thread.setDaemon(true);
             thread.start();
+            listening.await();
         }
 
         CompletableFuture<String> range() {
@@ -138,6 +151,7 @@
             byte[] body = ("{\"items\":[{\"key\":\"op/config\",\"value\":\"" + value
                             + "\",\"revision\":5,\"created-at\":5,\"lease\":0}],\"truncated\":false,\"store-revision\":5}")
                     .getBytes(StandardCharsets.US_ASCII);
+            listening.countDown();
             try (Socket socket = server.accept()) {
                 readHead(socket);
                 OutputStream out = socket.getOutputStream();
