Let a quarantined part account for all that was lost at its targets

A part that was lost in the same requests as the one under which targets crash was kept in quarantine with it, though the latter was lost more often. Parts that are lost at just the same targets are still both quarantined.

Requests that wait for the trial of a part they share are not rejected before it can have ended: their queue timeout begins when its answer has been written for a second. A run that ended with its front counts against the part.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -276,8 +276,8 @@
         crashAssessment = assessment;
         if (assessment.suspect()) {
             // Until then it is held.
-            queueTimeoutAtMillis =
-                    Math.max(queueTimeoutAtMillis, assessment.settlesAtMillis() + route.latencyObjectiveMillis());
+            long heldUntilMillis = Math.max(assessment.settlesAtMillis(), nowMillis + trialMillis(assessment));
+            queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, heldUntilMillis + route.latencyObjectiveMillis());
         }
         if (assessment.suspect() || front.coordination().isCoordinated(service)) {
             stage = Stage.AWAITING_PLACEMENT;
@@ -287,6 +287,13 @@
         }
     }
 
+    /**
+     * Returns for how long a request waits for another one that shows whether targets crash under their common part.
+     */
+    private long trialMillis(Assessment assessment) {
+        return assessment.subject().equals(fingerprint()) ? 0 : CrashTracker.MIN_WRITING_MILLIS;
+    }
+
     private void placeLocally(long nowMillis) {
         stage = Stage.QUEUED;
         if (!front.localQueues().queueOf(service).hasQueuedAhead(tierRank)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -40,7 +40,7 @@
     /** Time after a lost run in which a target that lives on answers another request. */
     private static final long LIFE_SIGN_MILLIS = 500;
     /** Time for which a target writes a response before it shows that the request does not crash it. */
-    private static final long MIN_WRITING_MILLIS = 1_000;
+    static final long MIN_WRITING_MILLIS = 1_000;
     /** Maximum number of parts in one datagram. */
     private static final int MAX_SERVINGS_PER_DATAGRAM = 64;
     /** Maximum delay for each peer of telling that a part was served, so that few of those who see it tell it. */
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -498,6 +498,45 @@
         assertThat(granted, hasSize(2));
     }
 
+    /** Guards against a part that few requests have, all of which wait or are refused, though none was tried again. */
+    @Test
+    void suspectPartIsTriedOnceAndThenServed() {
+        engine("one", 8);
+        engine("two", 8);
+        Fingerprint part = partLostTwice();
+        for (int i = 1; i <= 4; i++) {
+            coordinator.requestPlacement(suspect(placementRequest("front-" + i, i, 0, 400), part), 400);
+        }
+        assertThat(granted, hasSize(1));
+        crashes.partServed(part, 450);
+        coordinator.advance(450);
+        assertThat(granted, hasSize(4));
+        assertThat(rejected, is(empty()));
+    }
+
+    /** Guards against further tries of a part whose try has ended with its front. */
+    @Test
+    void suspectPartOfAProcessThatStopsReportingIsLost() {
+        engine("one", 8);
+        engine("two", 8);
+        Fingerprint part = partLostTwice();
+        coordinator.requestPlacement(suspect(placementRequest("front-1", 1, 0, 400), part), 400);
+        coordinator.advance(5_000);
+        lostRuns.values().forEach(run -> crashes.record(run, 5_000));
+        assertThat(crashes.assess(part, 5_000).quarantined(), is(true));
+    }
+
+    /** Records that targets were lost with a part of two requests, one after the other. */
+    private Fingerprint partLostTwice() {
+        Fingerprint part = new Fingerprint.Builder().add("part").build();
+        for (int i = 0; i < 2; i++) {
+            Fingerprint request = new Fingerprint.Builder().add("request" + i).build();
+            LostRun run = lostRun(request, "crashed" + i, 200 * i, 200 * i + 10);
+            crashes.record(ImmutableLostRun.copyOf(run).withSharedParts(part), 300);
+        }
+        return part;
+    }
+
     private Fingerprint lostOnce(String content, String targetId) {
         Fingerprint fingerprint = new Fingerprint.Builder().add(content).build();
         crashes.record(lostRun(fingerprint, targetId, 0, 10), 10);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/SharedPartLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/SharedPartLedger.java
@@ -139,7 +139,8 @@
 
     /** Decides whether requests with a part may be sent to targets. */
     Assessment assess(Fingerprint part, long nowMillis) {
-        List<LostRun> runs = unexplained(part, quarantined());
+        boolean isQuarantined = quarantined().contains(part);
+        List<LostRun> runs = isQuarantined ? runsOf(part) : unexplained(part, quarantined());
         int lost = lostTargets(runs);
         if (lost < MIN_LOST_TARGETS_OF_SUSPECT) {
             return Assessment.CLEAN;
@@ -148,7 +149,7 @@
                 .mapToLong(run -> run.endedAtMillis() + run.evidence().settlingMillis())
                 .max()
                 .getAsLong();
-        if (!quarantined().contains(part)) {
+        if (!isQuarantined) {
             return new Assessment(Assessment.Status.SUSPECT, part, lost, 0, settlesAtMillis);
         }
         long nextExpiryMillis =
@@ -157,13 +158,9 @@
                 Assessment.Status.QUARANTINED, part, lost, Math.max(0, nextExpiryMillis - nowMillis), settlesAtMillis);
     }
 
-    /** Tells whether a run was lost at a target that crashed under a quarantined part, which it does not have. */
+    /** Tells whether a run was lost at a target that crashed under a quarantined part, of any request. */
     boolean explains(LostRun run) {
-        return explained(run, quarantined());
-    }
-
-    private boolean explained(LostRun run, Collection<Fingerprint> parts) {
-        return parts.stream().anyMatch(part -> !run.sharedParts().contains(part) && crashedTargetOf(part, run));
+        return quarantined().stream().anyMatch(part -> crashedTargetOf(part, run));
     }
 
     private boolean crashedTargetOf(Fingerprint part, LostRun run) {
@@ -172,8 +169,11 @@
                         && Math.abs(other.endedAtMillis() - run.endedAtMillis()) <= SAME_CRASH_MILLIS);
     }
 
-    private List<LostRun> unexplained(Fingerprint part, Collection<Fingerprint> by) {
-        return runsOf(part).stream().filter(run -> !explained(run, by)).toList();
+    /** Returns the runs lost with a part, without those at targets that crashed under others of the given parts. */
+    private List<LostRun> unexplained(Fingerprint part, Set<Fingerprint> crashing) {
+        return runsOf(part).stream()
+                .filter(run -> crashing.stream().noneMatch(other -> !other.equals(part) && crashedTargetOf(other, run)))
+                .toList();
     }
 
     private Set<Fingerprint> quarantined() {
