--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/CrashLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/CrashLedger.java
@@ -236,9 +236,8 @@
                 .max()
                 .orElse(0);
         boolean settled = nowMillis >= settlesAtMillis;
-        List<LostRun> counted = current.stream()
-                .filter(run -> run.evidence().counted() && !parts.explains(run))
-                .toList();
+        List<LostRun> counted =
+                current.stream().filter(run -> run.evidence().counted()).toList();
         if (counted.isEmpty()) {
             return settled
                     ? Assessment.CLEAN
@@ -246,8 +245,9 @@
         }
         Set<String> targetIds = new HashSet<>();
         runsOf(fingerprint).forEach(run -> targetIds.add(run.targetId()));
-        List<LostRun> lone =
-                counted.stream().filter(run -> !hasCommonCause(run, targetIds)).toList();
+        List<LostRun> lone = counted.stream()
+                .filter(run -> !hasCommonCause(run, targetIds) && !parts.explains(run))
+                .toList();
         List<LostRun> loneCrashes = lone.stream()
                 .filter(run -> run.evidence() == CrashEvidence.CRASHED)
                 .toList();
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/SharedPartLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/SharedPartLedger.java
@@ -33,6 +33,10 @@
     private static final int MAX_LOST_TARGETS = 3;
     /** Number of targets lost with a part after which one request with it runs at a time. */
     private static final int MIN_LOST_TARGETS_OF_SUSPECT = 2;
+    /** Time after the last loss until a request with a quarantined part is tried. */
+    private static final long FIRST_TRIAL_DELAY_MILLIS = 2_000;
+    /** Time until the next one, if the target of the first was lost too. */
+    private static final long SECOND_TRIAL_DELAY_MILLIS = 20_000;
     /** Maximum time between the ends of runs that one crash of a target ended, as different processes see it. */
     private static final long SAME_CRASH_MILLIS = 1_000;
     /** Time for which a serving is remembered; peers tell of crashes before it for this long. */
@@ -149,13 +153,23 @@
                 .mapToLong(run -> run.endedAtMillis() + run.evidence().settlingMillis())
                 .max()
                 .getAsLong();
-        if (!isQuarantined) {
-            return new Assessment(Assessment.Status.SUSPECT, part, lost, 0, settlesAtMillis);
-        }
-        long nextExpiryMillis =
-                runs.stream().mapToLong(LostRun::expiresAtMillis).min().getAsLong();
-        return new Assessment(
-                Assessment.Status.QUARANTINED, part, lost, Math.max(0, nextExpiryMillis - nowMillis), settlesAtMillis);
+        long endsAtMillis = isQuarantined ? quarantineEndMillis(runs, lost) : 0;
+        return nowMillis < endsAtMillis
+                ? new Assessment(Assessment.Status.QUARANTINED, part, lost, endsAtMillis - nowMillis, settlesAtMillis)
+                : new Assessment(Assessment.Status.SUSPECT, part, lost, 0, settlesAtMillis);
+    }
+
+    /**
+     * Returns when the next request with a quarantined part may show whether targets still crash under it. A few such
+     * trials come early, since a part that few requests have may have been lost each time by chance.
+     */
+    private static long quarantineEndMillis(List<LostRun> runs, int lost) {
+        long lastEndMillis = runs.get(runs.size() - 1).endedAtMillis();
+        return switch (lost) {
+            case MAX_LOST_TARGETS -> lastEndMillis + FIRST_TRIAL_DELAY_MILLIS;
+            case MAX_LOST_TARGETS + 1 -> lastEndMillis + SECOND_TRIAL_DELAY_MILLIS;
+            default -> lastEndMillis + CrashEvidence.CRASHED.retentionMillis();
+        };
     }
 
     /** Tells whether a run was lost at a target that crashed under a quarantined part, of any request. */
