Bound the digested parts of a prompt by 16

10,000 lost runs with 32 parts each would take some 18 MB of the 64 that a process may use, with 16 some 9, both calculated. Prompts of the users' deployments have two to four.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/Fingerprint.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/Fingerprint.java
@@ -22,7 +22,7 @@
     /** Fingerprint of no request, for messages without one. */
     public static final Fingerprint NONE = new Fingerprint(0);
     /** Maximum number of parts of one prompt that are digested, since a caller may send any number. */
-    public static final int MAX_SHARED_PARTS = 32;
+    public static final int MAX_SHARED_PARTS = 16;
 
     private static final String PROMPT_PART = "prompt part";
 
