--- a/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/CoordinatorLoad.java
+++ b/org.whinwharf.bench/src/main/java/org/whinwharf/bench/capacity/CoordinatorLoad.java
@@ -239,5 +239,5 @@
     public void silent(String targetId, String reporter) {}
 
     @Override
-    public void spoke(String targetId) {}
+    public void resumed(String targetId) {}
 }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CallerAttempt.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CallerAttempt.java
@@ -135,7 +135,7 @@
             boolean replaced = dispatches.subList(i + 1, dispatches.size()).stream()
                     .anyMatch(later -> tookOver(dispatch, later, fleet));
             boolean withdrawn =
-                    dispatches.subList(0, i).stream().anyMatch(earlier -> spokeAgain(earlier, dispatch, fleet));
+                    dispatches.subList(0, i).stream().anyMatch(earlier -> resumed(earlier, dispatch, fleet));
             if (!killed(dispatch, fleet) && !replaced && !withdrawn) {
                 return true;
             }
@@ -159,7 +159,7 @@
     }
 
     /** Tells whether the earlier target sent more before the later one answered. */
-    private boolean spokeAgain(RunHistory.Dispatch earlier, RunHistory.Dispatch later, ProcessFleet fleet) {
+    private boolean resumed(RunHistory.Dispatch earlier, RunHistory.Dispatch later, ProcessFleet fleet) {
         long againMillis = bytesMillis(earlier, later, fleet);
         return againMillis <= response.endedAtMillis()
                 && againMillis - CLOCK_TOLERANCE_MILLIS <= bytesMillis(later, later, fleet);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -157,8 +157,8 @@
     private void recordBytes() {
         long nowMillis = front.nowMillis();
         if (silence.silent()) {
-            front.metrics().runSpokeAgain();
-            FrontLog.runSpokeAgain(exchange, run, nowMillis - silence.lastByteAtMillis());
+            front.metrics().runResumed();
+            FrontLog.runResumed(exchange, run, nowMillis - silence.lastByteAtMillis());
         }
         silence.bytesReceived(nowMillis);
         entry().bytesReceived(nowMillis);
@@ -174,7 +174,7 @@
             front.crashes().livedOn(suspicion);
             suspicion = null;
         }
-        front.targetSpoke(run);
+        front.targetResumed(run);
     }
 
     @Override
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -656,12 +656,12 @@
     }
 
     /** Records bytes of a run's target, which is not silent any longer. */
-    void targetSpoke(TargetRun run) {
+    void targetResumed(TargetRun run) {
         if (!run.relayed()) {
             reached(run.entry());
         }
-        targets.spoke(run.entry());
-        run.spokeAgain();
+        targets.resumed(run.entry());
+        run.resumed();
     }
 
     /** Applies what a response says of the rejections that the targets of a service can bear. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -240,8 +240,8 @@
     }
 
     /** Logs that a silent target has sent bytes again. */
-    static void runSpokeAgain(CallerExchange exchange, TargetRun run, long silentMillis) {
-        runLine(LogEvent.RUN_SPOKE_AGAIN, exchange, run, silentMillis).call();
+    static void runResumed(CallerExchange exchange, TargetRun run, long silentMillis) {
+        runLine(LogEvent.RUN_RESUMED, exchange, run, silentMillis).call();
     }
 
     private static EventLog runLine(LogEvent type, CallerExchange exchange, TargetRun run, long silentMillis) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -137,7 +137,7 @@
     }
 
     /** Counts a silent run whose target sent bytes again. */
-    void runSpokeAgain() {
+    void runResumed() {
         endedSilences.increment();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -173,9 +173,9 @@
     }
 
     /** Reports to the coordinator that a target that was reported as silent has sent bytes again. */
-    void spokeAgain() {
+    void resumed() {
         if (stage == Stage.PLACED) {
-            coordination.report(this, RunEvent.RUN_SPOKE_AGAIN, 0);
+            coordination.report(this, RunEvent.RUN_RESUMED, 0);
         }
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -322,7 +322,7 @@
     }
 
     /** Records that a target has sent bytes; one that was ejected for its silence is in use again. */
-    void spoke(TargetEntry entry) {
+    void resumed(TargetEntry entry) {
         if (entry.state().health().recordLifeSign()) {
             FrontLog.returned(entry.state().target(), 0);
         }
@@ -426,10 +426,10 @@
     }
 
     @Override
-    public void spoke(String targetId) {
+    public void resumed(String targetId) {
         TargetEntry entry = entries.get(targetId);
         if (entry != null) {
-            spoke(entry);
+            resumed(entry);
         }
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -135,10 +135,10 @@
     }
 
     /** Records that the target has sent bytes. */
-    void spokeAgain() {
+    void resumed() {
         if (reportedSilent) {
             reportedSilent = false;
-            ticket.spokeAgain();
+            ticket.resumed();
         }
     }
 
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -291,7 +291,7 @@
             EventField.REACHED_TARGETS,
             EventField.KNOWN_TARGETS),
     /** A target that was silent for too long has sent more of its answer to a request. */
-    RUN_SPOKE_AGAIN(
+    RUN_RESUMED(
             Level.INFO,
             EventField.REQUEST,
             EventField.SERVICE,
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CoordinatorTest.java
@@ -51,7 +51,7 @@
     private final List<String> queued = new ArrayList<>();
     private final List<String> rejected = new ArrayList<>();
     private final List<String> outcomes = new ArrayList<>();
-    private final List<String> spoke = new ArrayList<>();
+    private final List<String> resumed = new ArrayList<>();
     private final QuotaLedger quotas = new QuotaLedger(true);
     private final CrashLedger crashes = new CrashLedger();
     private final Map<Long, LostRun> lostRuns = new LinkedHashMap<>();
@@ -238,9 +238,9 @@
         engine("engine", 4);
         coordinator.requestPlacement(placementRequest("front-1", 1, 0, 0), 0);
         coordinator.reportProgress("front-1", 1, RunEvent.RUN_STALLED, 0, 2_000);
-        assertThat(spoke, is(empty()));
-        coordinator.reportProgress("front-1", 1, RunEvent.RUN_SPOKE_AGAIN, 0, 2_100);
-        assertThat(spoke, contains("engine"));
+        assertThat(resumed, is(empty()));
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_RESUMED, 0, 2_100);
+        assertThat(resumed, contains("engine"));
         assertThat(running(), is(1));
     }
 
@@ -265,20 +265,20 @@
         coordinator.requestPlacement(placementRequest("front-2", 1, 0, 2_010), 2_010);
         assertThat(queued, contains("front-2/1"));
         targets.get("engine").health().recordLifeSign();
-        coordinator.reportProgress("front-1", 1, RunEvent.RUN_SPOKE_AGAIN, 0, 2_020);
-        assertThat(spoke, contains("engine"));
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_RESUMED, 0, 2_020);
+        assertThat(resumed, contains("engine"));
         assertThat(granted, contains("front-1/1@engine", "front-2/1@engine"));
         assertThat(running(), is(2));
     }
 
     /** Guards against ejecting an engine again by the report of a front that has not received its next bytes yet. */
     @Test
-    void stallReportedAfterEngineSpokeAgainDoesNotEject() {
+    void stallReportedAfterEngineResumedDoesNotEject() {
         engine("engine", 4);
         coordinator.requestPlacement(placementRequest("front-1", 1, 0, 0), 0);
         coordinator.requestPlacement(placementRequest("front-2", 1, 0, 0), 0);
         coordinator.reportProgress("front-1", 1, RunEvent.RUN_STALLED, 0, 2_000);
-        coordinator.reportProgress("front-1", 1, RunEvent.RUN_SPOKE_AGAIN, 0, 2_100);
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_RESUMED, 0, 2_100);
         coordinator.reportProgress("front-2", 1, RunEvent.RUN_STALLED, 0, 2_110);
         assertThat(outcomes, contains("engine silent", "engine erred"));
     }
@@ -289,8 +289,8 @@
         engine("engine", 4);
         coordinator.requestPlacement(placementRequest("front-1", 1, 0, 0), 0);
         coordinator.reportProgress("front-1", 1, RunEvent.RUN_GIVEN_UP, 0, 2_000);
-        coordinator.reportProgress("front-1", 1, RunEvent.RUN_SPOKE_AGAIN, 0, 2_100);
-        assertThat(spoke, is(empty()));
+        coordinator.reportProgress("front-1", 1, RunEvent.RUN_RESUMED, 0, 2_100);
+        assertThat(resumed, is(empty()));
     }
 
     /**
@@ -617,8 +617,8 @@
         }
 
         @Override
-        public void spoke(String targetId) {
-            spoke.add(targetId);
+        public void resumed(String targetId) {
+            resumed.add(targetId);
         }
     }
 }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/NoOpCoordinatorListener.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/NoOpCoordinatorListener.java
@@ -32,5 +32,5 @@
     public void silent(String targetId, String reporter) {}
 
     @Override
-    public void spoke(String targetId) {}
+    public void resumed(String targetId) {}
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -200,10 +200,10 @@
             known.ifPresent(run -> reportSilence(run.targetId(), process, nowMillis));
             return;
         }
-        if (event == RunEvent.RUN_FIRST_EVENT || event == RunEvent.RUN_ANSWERED || event == RunEvent.RUN_SPOKE_AGAIN) {
+        if (event == RunEvent.RUN_FIRST_EVENT || event == RunEvent.RUN_ANSWERED || event == RunEvent.RUN_RESUMED) {
             known.ifPresent(run -> recordActivity(run.targetId(), nowMillis));
         }
-        if (event == RunEvent.RUN_SPOKE_AGAIN) {
+        if (event == RunEvent.RUN_RESUMED) {
             queue.advance(nowMillis);
             return;
         }
@@ -273,7 +273,7 @@
 
     private void recordActivity(String targetId, long nowMillis) {
         lastActivityAtMillis.put(targetId, nowMillis);
-        dependencies.targetOutcomeListener().spoke(targetId);
+        dependencies.targetOutcomeListener().resumed(targetId);
     }
 
     private void reportOutcome(String targetId, String reporter, RunEvent event) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/TargetOutcomeListener.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/TargetOutcomeListener.java
@@ -38,5 +38,5 @@
      *
      * @param targetId id of the target
      */
-    void spoke(String targetId);
+    void resumed(String targetId);
 }
