Tell peers of a lost run before its caller is answered

Traced: the front was killed within a millisecond of its answer, and the datagrams that it sends at the end of the event found their channel closed. The peers knew of the target's crash, but not of the run, and took the crash for one without cause, so that the next ones counted less.

The record of a run is now sent before anything else is done with its failure. What is found out later of several runs still goes in one datagram.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -144,7 +144,8 @@
     void record(LostRun run) {
         // Runs whose callers left are many, and few of them concern a crash.
         if (ledger.record(run, ticker.nowMillis()) && run.evidence() != CrashEvidence.POSSIBLE) {
-            sendSoon(List.of(run));
+            // This process may be gone at the end of the event, after the caller was told to repeat the request.
+            send(List.of(run), peerIps());
             log(run, "");
             awaitLifeSign(run);
         }
