--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
@@ -35,5 +35,11 @@
     /** Targets receive slightly more requests than they have slots. */
     BEYOND_SLOTS,
     /** Predictions use the measured speed of each target. */
-    LEARNED_SPEED
+    LEARNED_SPEED,
+    /** Within a rank, organisations that compete for a service are served by their shares of its slots. */
+    ORGANISATION_SHARES,
+    /** A target gets no more requests at once than it takes without slowing down. */
+    LEARNED_LIMITS,
+    /** Rejected callers are told times at which there is room, dealt out so that they do not all return at once. */
+    SCHEDULED_RETURNS
 }
