Ask the policy once for each selector, and for a free slot first

Cause: a selection asks the policy's set of disabled mechanisms six times at each target, and checks eligibility of targets that have no slot left.

Change: the answers are fields of the selector; a target without a free slot is left out before anything else is asked. The same targets are selected.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
@@ -58,7 +58,12 @@
     private final PromptCacheIndex promptCache;
     private final ColdShares coldShares;
     private final DoubleSupplier jitter;
-    private final Policy policy;
+    private final boolean usesBeyondSlots;
+    private final boolean reservesByRank;
+    private final boolean usesPromptMemory;
+    private final boolean usesLearnedSpeed;
+    private final boolean weighsAnswerLength;
+    private final boolean fitsDeadlines;
 
     /**
      * Creates a selector with all mechanisms enabled.
@@ -84,7 +89,13 @@
         this.promptCache = promptCache;
         this.coldShares = coldShares;
         this.jitter = jitter;
-        this.policy = policy;
+        // A selection asks for each of them at every target.
+        usesBeyondSlots = policy.isEnabled(Mechanism.BEYOND_SLOTS);
+        reservesByRank = policy.isEnabled(Mechanism.RESERVE_BY_RANK);
+        usesPromptMemory = policy.isEnabled(Mechanism.PROMPT_MEMORY);
+        usesLearnedSpeed = policy.isEnabled(Mechanism.LEARNED_SPEED);
+        weighsAnswerLength = policy.isEnabled(Mechanism.ANSWER_LENGTH);
+        fitsDeadlines = policy.isEnabled(Mechanism.DEADLINE_FIT);
     }
 
     /**
@@ -100,10 +111,8 @@
             Demand demand, Collection<TargetState> targets, Collection<String> evacuatedDataCentres, long nowMillis) {
         Candidate best = null;
         for (TargetState state : targets) {
-            if (!eligible(state, demand, evacuatedDataCentres, nowMillis)) {
-                continue;
-            }
-            if (state.inFlight() >= maxInFlight(state, demand.tierRank())) {
+            if (state.inFlight() >= maxInFlight(state, demand.tierRank())
+                    || !eligible(state, demand, evacuatedDataCentres, nowMillis)) {
                 continue;
             }
             int allowance = 0;
@@ -124,17 +133,15 @@
     /** Returns the number of requests up to which a target gets requests of a rank; an idle target gets one always. */
     private int maxInFlight(TargetState state, int tierRank) {
         int slots = state.target().slots();
-        boolean beyondSlots = policy.isEnabled(Mechanism.BEYOND_SLOTS) && !state.rejectionsLimited();
-        int reserves = policy.isEnabled(Mechanism.RESERVE_BY_RANK)
-                ? Math.min(TierRank.routeRank(tierRank), MAX_RESERVE_RANKS)
-                : 0;
+        boolean beyondSlots = usesBeyondSlots && !state.rejectionsLimited();
+        int reserves = reservesByRank ? Math.min(TierRank.routeRank(tierRank), MAX_RESERVE_RANKS) : 0;
         double maxOccupancy = (beyondSlots ? MAX_OCCUPANCY : 1) - RESERVE_PER_RANK * reserves;
         int byOccupancy = Math.max(1, (int) (slots * maxOccupancy + ROUNDING_TOLERANCE));
         return beyondSlots && reserves == 0 ? Math.max(slots + 1, byOccupancy) : byOccupancy;
     }
 
     private long uncachedTokens(Demand demand, TargetState state, long nowMillis) {
-        return policy.isEnabled(Mechanism.PROMPT_MEMORY)
+        return usesPromptMemory
                 ? promptCache.uncachedTokens(
                         demand.promptParts(),
                         demand.promptTokens(),
@@ -144,7 +151,7 @@
     }
 
     private TargetSpeed speed(TargetState state) {
-        return policy.isEnabled(Mechanism.LEARNED_SPEED) ? state.speed() : ASSUMED_SPEED;
+        return usesLearnedSpeed ? state.speed() : ASSUMED_SPEED;
     }
 
     /**
@@ -226,10 +233,10 @@
         double predictedMillis = speed(state).estimatedFirstEventMillis(tokensAhead, occupancy) + penaltyMillis;
         double answerMillis = speed(state).estimatedAnswerMillis(demand.expectedAnswerTokens());
         double scoreMillis = predictedMillis;
-        if (policy.isEnabled(Mechanism.ANSWER_LENGTH)) {
+        if (weighsAnswerLength) {
             scoreMillis += answerMillis * ANSWER_WEIGHT;
         }
-        if (policy.isEnabled(Mechanism.DEADLINE_FIT)) {
+        if (fitsDeadlines) {
             scoreMillis +=
                     Math.max(0, predictedMillis + answerMillis - demand.remainingMillis() * DEADLINE_SAFETY_SHARE);
         }
