Direct callers to hosts in proportion to their processor time

Cause: the directory names all hosts evenly.

Change: where the processor times of hosts differ, an answer of the directory names each host with a probability in proportion to it, and leaves out those that coordinate a service. Fleets of like hosts, or of hosts of unknown size, are served as before. Mechanism HOSTS_BY_CAPACITY switches it off.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -128,6 +128,13 @@
                 .isPresent();
     }
 
+    /** Returns the names of the coordinators of the given services, as far as they have one. */
+    Set<String> coordinators(Collection<String> services) {
+        Set<String> names = new LinkedHashSet<>();
+        services.forEach(service -> coordinatorOf(service).ifPresent(report -> names.add(report.getName())));
+        return names;
+    }
+
     /** Returns the addresses of the highest-ranked coordinators of each service with requests in flight here. */
     Collection<String> coordinatorIps() {
         Set<String> ips = new LinkedHashSet<>();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -35,6 +35,7 @@
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.RendezvousColdShares;
 import org.whinwharf.traffic.placement.TargetSelector;
+import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.retry.RetryAllowance;
@@ -342,15 +343,17 @@
     }
 
     /**
-     * Returns addresses that callers may connect to, starting with the address of this process.
+     * Returns addresses that callers may connect to.
      *
      * @param limit maximum number of addresses; in a larger fleet they are chosen at random
      * @return IP addresses and ports
      */
     public List<String> callerAddresses(int limit) {
-        return members.sampleServing(ticker.nowMillis(), limit, random).stream()
-                .map(MemberReport::getCallerAddress)
-                .toList();
+        long nowMillis = ticker.nowMillis();
+        List<MemberReport> sample = policy().isEnabled(Mechanism.HOSTS_BY_CAPACITY)
+                ? members.sampleByCapacity(nowMillis, limit, coordination.coordinators(targets.services()), random)
+                : members.sampleServing(nowMillis, limit, random);
+        return sample.stream().map(MemberReport::getCallerAddress).toList();
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.whinwharf.wire.fleet.MemberPhase;
@@ -266,6 +267,23 @@
         return serving.subList(0, maxCount);
     }
 
+    /**
+     * Returns a random sample of the processes that serve callers, in proportion to the processor time of their hosts
+     * if these differ.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @param maxCount maximum size of the sample
+     * @param coordinators names of the processes that coordinate services, which are spared if hosts differ
+     * @param random source of randomness
+     * @return reports
+     */
+    public List<MemberReport> sampleByCapacity(long nowMillis, int maxCount, Set<String> coordinators, Random random) {
+        List<MemberReport> serving = serving(nowMillis);
+        return CapacitySample.differ(serving)
+                ? CapacitySample.draw(serving, coordinators, maxCount, random)
+                : sampleServing(nowMillis, maxCount, random);
+    }
+
     /**
      * Returns the share of the fleet's quota refill that this process and the processes it can reach may use.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
@@ -41,5 +41,7 @@
     /** A target gets no more requests at once than it takes without slowing down. */
     LEARNED_LIMITS,
     /** Rejected callers are told times at which there is room, dealt out so that they do not all return at once. */
-    SCHEDULED_RETURNS
+    SCHEDULED_RETURNS,
+    /** Callers are directed to hosts in proportion to their processor time, and not to those that coordinate. */
+    HOSTS_BY_CAPACITY
 }
