Ask for more before a part that was served is quarantined

Cause: a sound part was refused after the last crash though nothing but chance set it apart.

Change: a part that was served lately is quarantined only for crashes one after the other, and not for runs with an unserved part that was lost elsewhere too. It is a suspect as early as before. Each process remembers the parts that it served while any crash is remembered; a serving is kept while crashes are held against its part. Parts that were not served are quarantined as before. Where two quarantined parts were lost in one request, the second trial comes after 2 s as the first does; five lost targets still lead to ten minutes.

Measured: SharedPartTest has five new tests.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -187,12 +187,12 @@
 
     /** Records that a target has served a request whole; clears the parts that it shares with others. */
     void partsServed(CallerExchange exchange, TargetRun run, boolean endDeclared) {
-        if (lostParts(exchange).isEmpty()) {
+        if (ledger.isEmpty()) {
             return;
         }
         if (endDeclared) {
             partsServed(exchange);
-        } else {
+        } else if (!lostParts(exchange).isEmpty()) {
             // The response may have ended with the target.
             loop.schedule(
                     () -> {
@@ -213,7 +213,13 @@
     }
 
     private void partsServed(CallerExchange exchange) {
-        lostParts(exchange).forEach(this::partServed);
+        for (Fingerprint part : exchange.sharedParts()) {
+            if (ledger.isLostPart(part)) {
+                partServed(part);
+            } else {
+                ledger.partServedBefore(part, ticker.nowMillis());
+            }
+        }
     }
 
     private List<Fingerprint> lostParts(CallerExchange exchange) {
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/SharedPartTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/SharedPartTest.java
@@ -123,6 +123,69 @@
         assertThat(status(RARE, 320), is(Assessment.Status.CLEAN));
     }
 
+    /** Guards against refusing a sound part that was lost as often as each of the crashing parts beside it. */
+    @Test
+    void servedPartIsNotQuarantinedBesideCrashingParts() {
+        Fingerprint second = part("second");
+        ledger.partServed(RARE, 5);
+        lose("a", 10, 20, FATAL, RARE);
+        lose("b", 100, 110, RARE, FATAL);
+        lose("c", 200, 210, second, RARE);
+        lose("d", 300, 310, second);
+        lose("e", 400, 410, FATAL, COMMON);
+        lose("f", 500, 510, RARE);
+        assertThat(status(FATAL, 520), is(Assessment.Status.QUARANTINED));
+        assertThat(status(RARE, 520), is(Assessment.Status.SUSPECT));
+    }
+
+    /**
+     * Guards against refusing a sound part that many requests have when a rack is lost shortly after another target.
+     */
+    @Test
+    void servedPartLostWithTargetAndThenRackIsNotQuarantined() {
+        ledger.partServed(COMMON, 5);
+        lose("a", 10, 20, COMMON);
+        for (int i = 0; i < 6; i++) {
+            lose("target" + i, 3_000 + i, 3_500 + i, COMMON, FATAL);
+        }
+        assertThat(status(COMMON, 3_600), is(Assessment.Status.SUSPECT));
+        assertThat(status(FATAL, 3_600), is(Assessment.Status.SUSPECT));
+    }
+
+    /** Guards against forgetting that a part was served while crashes are held against it, and refusing it then. */
+    @Test
+    void servingTellsForPartWhileItsCrashesAreRemembered() {
+        servedPartLostWithTargetAndThenRackIsNotQuarantined();
+        ledger.expire(60_000);
+        assertThat(status(COMMON, 60_000), is(Assessment.Status.SUSPECT));
+    }
+
+    /** Guards against sending a part on under which targets have begun to crash, as those of a new version do. */
+    @Test
+    void servedPartIsQuarantinedAfterThreeCrashesInSequence() {
+        ledger.partServed(FATAL, 5);
+        lose("a", 10, 20, FATAL, RARE);
+        lose("b", 100, 110, FATAL, RARE);
+        assertThat(status(FATAL, 120), is(Assessment.Status.SUSPECT));
+        lose("c", 200, 210, FATAL, COMMON);
+        assertThat(status(FATAL, 220), is(Assessment.Status.QUARANTINED));
+    }
+
+    /** Guards against refusing a sound part for long that nothing but a trial tells from the crashing one beside it. */
+    @Test
+    void partsLostEquallyOftenAreTriedSoon() {
+        for (int i = 0; i < 3; i++) {
+            lose("target" + i, 100 * i, 100 * i + 10, FATAL, RARE);
+        }
+        lose("d", 300, 310, RARE, COMMON);
+        lose("e", 300, 311, FATAL);
+        assertThat(status(RARE, 2_300), is(Assessment.Status.QUARANTINED));
+        assertThat(status(RARE, 2_320), is(Assessment.Status.SUSPECT));
+        lose("f", 2_320, 2_400, FATAL);
+        assertThat(assess(2_420, FATAL).retryAfterMillis(), greaterThan(500_000L));
+        assertThat(status(RARE, 2_420), is(Assessment.Status.CLEAN));
+    }
+
     /** Guards against holding against a part that only paths were lost. */
     @Test
     void lostPathsAreNotHeldAgainstParts() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/CrashLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/CrashLedger.java
@@ -173,6 +173,17 @@
         parts.served(part, atMillis);
     }
 
+    /**
+     * Records that a target has served a request with a part that no target was lost with, which tells for the part if
+     * targets are lost with it soon.
+     *
+     * @param part digest of the part
+     * @param atMillis monotonic time in milliseconds at which it was known to be served
+     */
+    public void partServedBefore(Fingerprint part, long atMillis) {
+        parts.servedBefore(part, atMillis);
+    }
+
     /**
      * Returns the parts that were served lately.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/SharedPartLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/SharedPartLedger.java
@@ -27,6 +27,10 @@
  * <p>Crashes at about the same time are not taken for one event, unlike those of one request: requests that share a
  * part may come at the same time. If no run began after the end of another, though, they may have crashed with their
  * rack.
+ *
+ * <p>A part that was served lately is probably harmless, so it takes more to quarantine it. Runs that overlap count
+ * once for it, as for a request: its runs at several targets may have been lost by one event. A run does not count that
+ * holds another part that was not served and was lost elsewhere too. It is a suspect as early as any other part.
  */
 final class SharedPartLedger {
     /** Number of targets lost with a part, not all at once, after which no request with it is sent. */
@@ -48,6 +52,8 @@
     private final Map<Fingerprint, NavigableSet<LostRun>> runsByPart = new LinkedHashMap<>();
 
     private final Map<Fingerprint, Long> servedAtMillis = new LinkedHashMap<>();
+    /** Times at which this process has known parts to be served that no target was lost with. */
+    private final Map<Fingerprint, Long> servedBeforeMillis = new LinkedHashMap<>();
     /** Parts with enough runs to be quarantined. */
     private final Set<Fingerprint> frequentParts = new HashSet<>();
     /** Null after a change, until it is needed. */
@@ -104,16 +110,36 @@
      * @param atMillis monotonic time in milliseconds at which it was known to be served
      */
     void served(Fingerprint part, long atMillis) {
-        if (servedAtMillis.size() >= MAX_PARTS && !servedAtMillis.containsKey(part)) {
-            servedAtMillis.remove(servedAtMillis.keySet().iterator().next());
-        }
-        servedAtMillis.merge(part, atMillis, Math::max);
+        boolean known = servedLately(part);
+        remember(servedAtMillis, part, atMillis);
         NavigableSet<LostRun> runs = runsByPart.get(part);
-        if (runs != null && runs.removeIf(run -> servedSince(part, run))) {
+        if (runs != null && (runs.removeIf(run -> servedSince(part, run)) || !known)) {
             changed(part, runs);
         }
     }
 
+    /**
+     * Records that a target has served a request with a part that no target was lost with, so that the peers are not
+     * told.
+     *
+     * @param atMillis monotonic time in milliseconds at which it was known to be served
+     */
+    void servedBefore(Fingerprint part, long atMillis) {
+        remember(servedBeforeMillis, part, atMillis);
+    }
+
+    private void remember(Map<Fingerprint, Long> servings, Fingerprint part, long atMillis) {
+        if (servings.size() >= MAX_PARTS && !servings.containsKey(part)) {
+            servings.remove(servings.keySet().iterator().next());
+            quarantined = null;
+        }
+        servings.merge(part, atMillis, Math::max);
+    }
+
+    private boolean servedLately(Fingerprint part) {
+        return servedAtMillis.containsKey(part) || servedBeforeMillis.containsKey(part);
+    }
+
     /** Returns when parts were served lately. */
     Map<Fingerprint, Long> servings() {
         return Collections.unmodifiableMap(servedAtMillis);
@@ -136,9 +162,13 @@
         quarantined = null;
     }
 
-    /** Forgets servings that no peer may contradict any more. */
+    /** Forgets servings that no peer may contradict any more, apart from those that tell for a part. */
     void expire(long nowMillis) {
-        servedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > SERVING_RETENTION_MILLIS);
+        for (Map<Fingerprint, Long> servings : List.of(servedAtMillis, servedBeforeMillis)) {
+            servings.entrySet()
+                    .removeIf(serving -> nowMillis - serving.getValue() > SERVING_RETENTION_MILLIS
+                            && !runsByPart.containsKey(serving.getKey()));
+        }
     }
 
     /** Decides whether requests with a part may be sent to targets. */
@@ -153,7 +183,7 @@
                 .mapToLong(run -> run.endedAtMillis() + run.evidence().settlingMillis())
                 .max()
                 .getAsLong();
-        long endsAtMillis = isQuarantined ? quarantineEndMillis(runs, lost) : 0;
+        long endsAtMillis = isQuarantined ? quarantineEndMillis(part, runs) : 0;
         return nowMillis < endsAtMillis
                 ? new Assessment(Assessment.Status.QUARANTINED, part, lost, endsAtMillis - nowMillis, settlesAtMillis)
                 : new Assessment(Assessment.Status.SUSPECT, part, lost, 0, settlesAtMillis);
@@ -161,17 +191,27 @@
 
     /**
      * Returns when the next request with a quarantined part may show whether targets still crash under it. A few such
-     * trials come early, since a part that few requests have may have been lost each time by chance.
+     * trials come early, since a part that few requests have may have been lost each time by chance. The second one is
+     * as early as the first if only a trial of one of two parts can tell which of them to blame.
      */
-    private static long quarantineEndMillis(List<LostRun> runs, int lost) {
+    private long quarantineEndMillis(Fingerprint part, List<LostRun> runs) {
         long lastEndMillis = runs.get(runs.size() - 1).endedAtMillis();
-        return switch (lost) {
+        return switch (crashes(part, runs)) {
             case MAX_LOST_TARGETS -> lastEndMillis + FIRST_TRIAL_DELAY_MILLIS;
-            case MAX_LOST_TARGETS + 1 -> lastEndMillis + SECOND_TRIAL_DELAY_MILLIS;
+            case MAX_LOST_TARGETS + 1 ->
+                lastEndMillis
+                        + (lostWithQuarantined(part, runs) ? FIRST_TRIAL_DELAY_MILLIS : SECOND_TRIAL_DELAY_MILLIS);
             default -> lastEndMillis + CrashEvidence.CRASHED.retentionMillis();
         };
     }
 
+    /** Tells whether one of the runs lost with a part holds another part that is quarantined. */
+    private boolean lostWithQuarantined(Fingerprint part, List<LostRun> runs) {
+        return runs.stream()
+                .flatMap(run -> run.sharedParts().stream())
+                .anyMatch(other -> !other.equals(part) && quarantined().contains(other));
+    }
+
     /** Tells whether a run was lost at a target that crashed under a quarantined part, of any request. */
     boolean explains(LostRun run) {
         return quarantined().stream().anyMatch(part -> crashedTargetOf(part, run));
@@ -198,26 +238,45 @@
     }
 
     /**
-     * Returns the parts to be quarantined. Those with most lost targets come first, since harmless parts can only have
-     * been lost at some of the same targets.
+     * Returns the parts to be quarantined. Those with most crashes come first, since harmless parts can only have been
+     * lost at some of the same targets.
      */
     private Set<Fingerprint> findQuarantined() {
-        NavigableMap<Integer, List<Fingerprint>> partsByLostTargets = new TreeMap<>(Collections.reverseOrder());
-        frequentParts.forEach(part -> partsByLostTargets
-                .computeIfAbsent(lostTargets(runsByPart.get(part)), count -> new ArrayList<>())
+        NavigableMap<Integer, List<Fingerprint>> partsByCrashes = new TreeMap<>(Collections.reverseOrder());
+        frequentParts.forEach(part -> partsByCrashes
+                .computeIfAbsent(crashes(part, runsByPart.get(part)), count -> new ArrayList<>())
                 .add(part));
         Set<Fingerprint> found = new HashSet<>();
-        for (List<Fingerprint> parts : partsByLostTargets.values()) {
+        for (List<Fingerprint> parts : partsByCrashes.values()) {
             Set<Fingerprint> before = Set.copyOf(found);
             parts.stream()
-                    .filter(part -> tooManyLost(unexplained(part, before)))
+                    .filter(part -> tooManyLost(part, unexplained(part, before)))
                     .forEach(found::add);
         }
         return found;
     }
 
-    private static boolean tooManyLost(List<LostRun> sorted) {
-        return lostTargets(sorted) >= MAX_LOST_TARGETS && LostRun.consecutive(sorted) > 1;
+    private boolean tooManyLost(Fingerprint part, List<LostRun> sorted) {
+        return crashes(part, sorted) >= MAX_LOST_TARGETS && LostRun.consecutive(sorted) > 1;
+    }
+
+    /** Returns the number of crashes that count for the quarantine of a part, of those that ended the given runs. */
+    private int crashes(Fingerprint part, Collection<LostRun> sorted) {
+        if (!servedLately(part)) {
+            return lostTargets(sorted);
+        }
+        List<LostRun> own =
+                sorted.stream().filter(run -> !hasLikelierPart(run, part)).toList();
+        return Math.min(lostTargets(own), LostRun.consecutive(own));
+    }
+
+    /** Tells whether a run holds a part that was lost without the given one, which was served lately, and was not. */
+    private boolean hasLikelierPart(LostRun run, Fingerprint servedPart) {
+        return run.sharedParts().stream()
+                .filter(other -> runsByPart.containsKey(other) && !servedLately(other))
+                .map(runsByPart::get)
+                .anyMatch(runs -> lostTargets(runs) >= MIN_LOST_TARGETS_OF_SUSPECT
+                        && runs.stream().anyMatch(each -> !each.sharedParts().contains(servedPart)));
     }
 
     /** Returns the number of targets lost; one that was lost again after its return counts again. */
