Shares of organisations under shortage

Cause: the queue orders requests of one rank by arrival, so that an organisation that floods takes the slots, the places in the queue and the short timeouts of all others.

Change: start-time fair queueing by slot time within each rank, in a package of its own, at the coordinator and at fronts that place requests themselves. Refusals on arrival, eviction and the timeouts that a backlog shortens go by share. Lists of runs carry organisation and rank, so that a standby knows the use. With one organisation the order is unchanged.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlacementMessagesTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlacementMessagesTest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.coordination.PlacementRequest;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.wire.fleet.PlacementAsk;
@@ -34,6 +35,23 @@
         assertThat(received(withoutEstimate).expectedAnswerTokens(), is(3_780L));
     }
 
+    /** Guards against requests that lose their organisation's share once their quota is charged. */
+    @Test
+    void organisationOfAChargedRequestReachesTheCoordinator() {
+        PlacementRequest charged = PlacementMessages.placementRequest(
+                "front-1", PlacementMessages.addChargedOrganisation(message(), "obec"), 0);
+        assertThat(charged.organisation(), is(Optional.empty()));
+        assertThat(charged.sharingOrganisation(), is(Optional.of("obec")));
+    }
+
+    /** Guards against a fleet of two releases in which requests of older processes are charged to an organisation. */
+    @Test
+    void organisationIsUnknownIfOlderProcessesDoNotSendIt() {
+        assertThat(
+                PlacementMessages.placementRequest("front-1", message(), 0).sharingOrganisation(),
+                is(Optional.empty()));
+    }
+
     private static PlacementAsk message() {
         return PlacementMessages.placementRequest(1, DEMAND, 600, 300, Optional.empty(), 0);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -25,6 +25,7 @@
 import org.whinwharf.traffic.stream.StreamKey;
 import org.whinwharf.traffic.stream.StreamOrigin;
 import org.whinwharf.traffic.target.Target;
+import org.whinwharf.traffic.target.TargetSpeed;
 import org.whinwharf.traffic.waiting.DispatchResult;
 import org.whinwharf.traffic.waiting.QueueTimeouts;
 import org.whinwharf.traffic.waiting.QueuedRequest;
@@ -346,15 +347,20 @@
                 onTimeUntilMillis() - nowMillis,
                 organisation.filter(known -> !quotaConsumed).map(Organisation::name),
                 quotaTokens);
+        PlacementAsk shared = organisation
+                .filter(known -> quotaConsumed)
+                .map(known -> PlacementMessages.addChargedOrganisation(ask, known.name()))
+                .orElse(ask);
         return suspectFingerprint()
                 .map(suspect -> PlacementMessages.addSuspect(
-                        ask, suspect, front.crashes().runsOf(suspect)))
-                .orElse(ask);
+                        shared, suspect, front.crashes().runsOf(suspect)))
+                .orElse(shared);
     }
 
     @Override
     public void ticketIssued(PlacementTicket issued) {
         ticket = issued;
+        ticket.sharedBy(organisationDigest(), tierRank);
     }
 
     @Override
@@ -450,6 +456,16 @@
         return head.model();
     }
 
+    @Override
+    public int organisationDigest() {
+        return organisation.map(known -> known.name().hashCode()).orElse(0);
+    }
+
+    @Override
+    public double expectedSlotMillis() {
+        return Math.max(1, TargetSpeed.assumedSlotMillis(head.promptTokens(), expectedAnswerTokens()));
+    }
+
     @Override
     public boolean resumesStream() {
         return stream.isBound();
@@ -468,7 +484,10 @@
         }
         Candidate candidate = chosen.get();
         candidate.recordDispatch(nowMillis);
-        connect(candidate, front.coordination().placedLocally(service, suspectFingerprint(), candidate), nowMillis);
+        PlacementTicket placed = front.coordination().placedLocally(service, suspectFingerprint(), candidate);
+        placed.sharedBy(organisationDigest(), tierRank);
+        placed.charged(front.localQueues().charge(service, this));
+        connect(candidate, placed, nowMillis);
         return DispatchResult.SENT;
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -109,6 +109,20 @@
         datagrams.addListener(this::receive);
     }
 
+    long nowMillis() {
+        return ticker.nowMillis();
+    }
+
+    /** Returns the number of organisations that wait at the local coordinator because they have used their share. */
+    int limitedOrganisations() {
+        return coordinator.limitedOrganisations();
+    }
+
+    /** Returns the largest use of an organisation at the local coordinator relative to its share. */
+    double largestUseRatio() {
+        return coordinator.largestUseRatio();
+    }
+
     /** Tells whether a coordinator places the requests of a service. */
     boolean isCoordinated(String service) {
         return coordinatedServices.test(service);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -39,6 +39,7 @@
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.retry.RetryAllowance;
 import org.whinwharf.traffic.retry.RetryBudget;
+import org.whinwharf.traffic.share.OrganisationWeights;
 import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.target.PromptCacheIndex;
 import org.whinwharf.traffic.target.Target;
@@ -97,6 +98,7 @@
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final RetryAllowance retryAllowance;
     private final LocalQueues localQueues;
+    private final OrganisationWeights organisationWeights = new OrganisationWeights();
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private final Set<CallerExchange> exchanges = new LinkedHashSet<>();
     private final FrontMetrics metrics = new FrontMetrics();
@@ -147,7 +149,7 @@
         failureReview = new FailureReview(targets);
         pathMonitor = new PathMonitor(targets, ownReach, ticker, this::awaitedTarget);
         retryAllowance = new RetryAllowance(settings.expectsPeers());
-        localQueues = new LocalQueues(loop, ticker, random::nextDouble, settings.policy());
+        localQueues = new LocalQueues(loop, ticker, random::nextDouble, settings.policy(), organisationWeights);
         coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
         placement = new TargetSelector(
                 prompts,
@@ -236,6 +238,14 @@
         metrics.gauge("whinwharf.running.requests", "Requests under way here", exchanges::size);
         metrics.gauge(
                 "whinwharf.coordinated.waiting", "Requests of all fronts that wait here", coordination::queuedRequests);
+        metrics.gauge(
+                "whinwharf.shares.limited",
+                "Organisations that wait here because they have used their share",
+                coordination::limitedOrganisations);
+        metrics.gauge(
+                "whinwharf.shares.largest",
+                "Largest use of an organisation in the last second relative to its share",
+                coordination::largestUseRatio);
         metrics.gauge("whinwharf.connections", "Connections of callers", connections::size);
         metrics.gauge(
                 "whinwharf.peers",
@@ -365,6 +375,7 @@
         catalog = Optional.of(published);
         loop.execute(this::acceptOnceReady);
         quotas.update(published, ticker.nowMillis());
+        organisationWeights.update(published);
         EventLog.event(LogEvent.CATALOG_IN_FORCE)
                 .with(EventField.VERSION, published.version())
                 .with(EventField.REVISION, feed.revision())
@@ -520,6 +531,8 @@
                 .targetOutcomeListener(targets)
                 .loadListener(targets::updateLoad)
                 .workListener(this::workChanged)
+                .organisationWeights(organisationWeights)
+                .shareListener(FrontLog::organisationLimited)
                 .random(random::nextDouble)
                 .policy(settings.policy())
                 .build());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -15,6 +15,7 @@
 import org.whinwharf.traffic.crash.LostRun;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.retry.RetryBudget;
+import org.whinwharf.traffic.share.ShareUse;
 import org.whinwharf.traffic.stream.StreamOrigin;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.wire.fleet.RelayOutcome;
@@ -46,6 +47,19 @@
                 .call();
     }
 
+    /** Logs that a request was refused because its organisation has used its share. */
+    static void organisationLimited(String service, String organisation, ShareUse use) {
+        EventLog.event(LogEvent.ORGANISATION_LIMITED)
+                .with(EventField.SERVICE, service)
+                .with(EventField.TIER_RANK, use.tierRank())
+                .with(EventField.ORGANISATION, organisation)
+                .with(EventField.USE_SLOTS, Math.round(use.useSlots() * 10) / 10.0)
+                .with(EventField.SHARE_SLOTS, Math.round(use.shareSlots() * 10) / 10.0)
+                .with(EventField.AHEAD_OF_CLOCK_MILLIS, Math.round(use.aheadVirtualMillis()))
+                .with(EventField.QUEUED, use.queued())
+                .call();
+    }
+
     /**
      * Logs that a request was sent to a target, through a peer if its name is not empty.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LocalQueues.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LocalQueues.java
@@ -8,7 +8,11 @@
 import java.util.function.DoubleSupplier;
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.policy.Policy;
+import org.whinwharf.traffic.share.OrganisationShares;
+import org.whinwharf.traffic.share.OrganisationWeights;
+import org.whinwharf.traffic.share.ShareCharge;
 import org.whinwharf.traffic.waiting.QueueTimeouts;
+import org.whinwharf.traffic.waiting.QueuedRequest;
 import org.whinwharf.traffic.waiting.RequestQueue;
 
 /** Queues of requests that this process places itself, one queue per service; coordinated requests queue elsewhere. */
@@ -20,18 +24,30 @@
     private final Ticker ticker;
     private final DoubleSupplier random;
     private final Policy policy;
+    private final OrganisationWeights weights;
     private final Map<String, RequestQueue> queues = new HashMap<>();
+    private final Map<String, OrganisationShares> shares = new HashMap<>();
     private final Set<String> scheduledServices = new HashSet<>();
 
-    LocalQueues(EventLoopGroup loop, Ticker ticker, DoubleSupplier random, Policy policy) {
+    LocalQueues(EventLoopGroup loop, Ticker ticker, DoubleSupplier random, Policy policy, OrganisationWeights weights) {
         this.loop = loop;
         this.ticker = ticker;
         this.random = random;
         this.policy = policy;
+        this.weights = weights;
     }
 
     RequestQueue queueOf(String service) {
-        return queues.computeIfAbsent(service, name -> new RequestQueue(MAX_QUEUED, policy));
+        return queues.computeIfAbsent(service, name -> new RequestQueue(MAX_QUEUED, policy, sharesOf(name)));
+    }
+
+    private OrganisationShares sharesOf(String service) {
+        return shares.computeIfAbsent(service, name -> new OrganisationShares(weights));
+    }
+
+    /** Charges a request that this process has placed to the share of its organisation. */
+    ShareCharge charge(String service, QueuedRequest request) {
+        return sharesOf(service).charge(request.tierRank(), request, ticker.nowMillis());
     }
 
     /** Returns the total number of queued requests. */
@@ -41,6 +57,7 @@
 
     /** Dispatches or rejects queued requests. */
     void advance(long nowMillis) {
+        shares.values().forEach(ofService -> ofService.advance(nowMillis));
         queues.values().forEach(queue -> queue.advance(nowMillis));
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
@@ -60,12 +60,26 @@
                 .build();
     }
 
+    /** Adds the organisation of a request whose quota was already charged. */
+    static PlacementAsk addChargedOrganisation(PlacementAsk request, String organisation) {
+        return request.toBuilder().setChargedOrganisation(organisation).build();
+    }
+
+    private static Optional<String> nonEmpty(String name) {
+        return Optional.of(name).filter(known -> !known.isEmpty());
+    }
+
     private static Optional<Fingerprint> suspect(long bits) {
         return Optional.of(new Fingerprint(bits)).filter(fingerprint -> !fingerprint.equals(Fingerprint.NONE));
     }
 
     static RunningRequests.Run run(RunUnderWay run) {
-        return new RunningRequests.Run(run.getTarget(), run.getPrefillTokens(), suspect(run.getSuspectFingerprint()));
+        return new RunningRequests.Run(
+                run.getTarget(),
+                run.getPrefillTokens(),
+                suspect(run.getSuspectFingerprint()),
+                run.getOrganisationDigest(),
+                run.getTierRank());
     }
 
     static PlacementRequest placementRequest(String from, PlacementAsk request, long nowMillis) {
@@ -78,7 +92,7 @@
                 .tierRank(request.getTierRank())
                 .remainingMillis(request.getRemainingMillis())
                 .dataCentre(request.getDataCentre())
-                .requiredVersion(Optional.of(request.getRequiredVersion()).filter(version -> !version.isEmpty()))
+                .requiredVersion(nonEmpty(request.getRequiredVersion()))
                 .triedTargets(request.getTriedTargetsList());
         request.getPartsList().forEach(part -> demand.addPromptParts(new PromptPart(part.getId(), part.getTokens())));
         return ImmutablePlacementRequest.builder()
@@ -88,7 +102,8 @@
                 .deadlineAtMillis(nowMillis + request.getRemainingMillis())
                 .queueTimeoutAtMillis(nowMillis + request.getPatienceMillis())
                 .onTimeUntilMillis(nowMillis + request.getOnTimeMillis())
-                .organisation(Optional.of(request.getOrganisation()).filter(name -> !name.isEmpty()))
+                .organisation(nonEmpty(request.getOrganisation()))
+                .chargedOrganisation(nonEmpty(request.getChargedOrganisation()))
                 .quotaTokens(request.getQuotaTokens())
                 .suspect(suspect(request.getSuspectFingerprint()))
                 .build();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.whinwharf.traffic.crash.Fingerprint;
+import org.whinwharf.traffic.share.ShareCharge;
 import org.whinwharf.wire.fleet.RunEvent;
 import org.whinwharf.wire.fleet.RunUnderWay;
 
@@ -33,6 +34,9 @@
     private long requestedAtMillis;
     private long sentAtMillis;
     private int coordinatorsTried;
+    private int organisationDigest;
+    private int tierRank;
+    private ShareCharge charge = ShareCharge.NONE;
 
     /**
      * Creates a ticket.
@@ -81,6 +85,17 @@
         return requestedAtMillis;
     }
 
+    /** Sets the organisation and the rank in whose share the request is served. */
+    void sharedBy(int digest, int rank) {
+        organisationDigest = digest;
+        tierRank = rank;
+    }
+
+    /** Sets what the local queue has charged for the request; it is corrected when the request ends. */
+    void charged(ShareCharge localCharge) {
+        charge = localCharge;
+    }
+
     /** Tells whether the request has a target or no longer needs one. */
     boolean settled() {
         return stage != Stage.REQUESTED && stage != Stage.QUEUED;
@@ -143,6 +158,8 @@
                     .setTarget(targetId)
                     .setPrefillTokens((int) prefillTokens)
                     .setSuspectFingerprint(suspect.orElse(Fingerprint.NONE).bits())
+                    .setOrganisationDigest(organisationDigest)
+                    .setTierRank(tierRank)
                     .build());
         }
     }
@@ -215,6 +232,7 @@
 
     private void reportEnd(RunEvent event, long elapsedMillis) {
         stage = Stage.ENDED;
+        charge.ended(coordination.nowMillis());
         coordination.report(this, event, elapsedMillis);
         coordination.forget(this);
     }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -139,6 +139,14 @@
     ATTRIBUTES("attributes"),
     /** Number of requests ahead in the queue. */
     QUEUED_AHEAD("ahead"),
+    /** Slots that an organisation held on average in the last second. */
+    USE_SLOTS("useSlots"),
+    /** Slots that the share of an organisation came to in the last second. */
+    SHARE_SLOTS("shareSlots"),
+    /** Time in milliseconds by which an organisation is ahead of the clock of its rank. */
+    AHEAD_OF_CLOCK_MILLIS("aheadOfClockMillis"),
+    /** Number of queued requests. */
+    QUEUED("queued"),
     /** Time in milliseconds since the queue was last empty. */
     BACKLOG_AGE_MILLIS("standingMillis"),
     /** Tokens that a request takes from the quota of its organisation. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -227,6 +227,16 @@
     COORDINATOR_CHANGED(Level.INFO, EventField.SERVICE, EventField.FROM, EventField.TO),
     /** The average time for which requests of a rank hold a slot became known or changed by half. */
     WORK_CHANGED(Level.INFO, EventField.SERVICE, EventField.TIER_RANK, EventField.FROM, EventField.TO),
+    /** A request was refused because its organisation has used its share; logged once a second for each service. */
+    ORGANISATION_LIMITED(
+            Level.INFO,
+            EventField.SERVICE,
+            EventField.TIER_RANK,
+            EventField.ORGANISATION,
+            EventField.USE_SLOTS,
+            EventField.SHARE_SLOTS,
+            EventField.AHEAD_OF_CLOCK_MILLIS,
+            EventField.QUEUED),
     /** A coordinator did not respond in time and is skipped for a while. */
     COORDINATOR_SILENT(Level.WARN, EventField.PEER, EventField.SERVICE, EventField.AGE_MILLIS),
     /** A peer was evicted after a long silence. */
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/Fixtures.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/Fixtures.java
@@ -1,10 +1,13 @@
 package org.whinwharf.traffic;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.whinwharf.traffic.catalog.CallerLimits;
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.ImmutableOrganisation;
 import org.whinwharf.traffic.catalog.ImmutableRoute;
+import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
 import org.whinwharf.traffic.catalog.RouteKind;
 import org.whinwharf.traffic.catalog.ServiceWeight;
@@ -77,6 +80,17 @@
                         .build()));
     }
 
+    public static Catalog catalogWithQuotas(Map<String, Double> tokensPerSecond) {
+        List<Organisation> organisations = new ArrayList<>();
+        tokensPerSecond.forEach((name, rate) -> organisations.add(ImmutableOrganisation.builder()
+                .name(name)
+                .quotaTokensPerSecond(rate)
+                .quotaBurstTokens(rate)
+                .defaultRequestTokens(1)
+                .build()));
+        return new Catalog(1, CallerLimits.DEFAULT, List.of(), List.of(), organisations);
+    }
+
     public static MemberReport report(String name, long incarnation, long sequence) {
         return MemberReport.newBuilder()
                 .setName(name)
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -84,6 +84,32 @@
         return queued;
     }
 
+    /**
+     * Returns the number of organisations that wait because they have used their share.
+     *
+     * @return number over all services and ranks
+     */
+    public int limitedOrganisations() {
+        int limited = 0;
+        for (ServiceCoordinator coordinator : coordinatorsByService.values()) {
+            limited += coordinator.shares().limitedOrganisations();
+        }
+        return limited;
+    }
+
+    /**
+     * Returns the largest use of an organisation in the last second relative to its share.
+     *
+     * @return ratio, the largest of all services and ranks; 0 if none is used by several organisations
+     */
+    public double largestUseRatio() {
+        double largest = 0;
+        for (ServiceCoordinator coordinator : coordinatorsByService.values()) {
+            largest = Math.max(largest, coordinator.shares().largestUseRatio());
+        }
+        return largest;
+    }
+
     private ServiceCoordinator serviceCoordinator(String service) {
         return coordinatorsByService.computeIfAbsent(service, name -> new ServiceCoordinator(dependencies, name));
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorDependencies.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorDependencies.java
@@ -12,6 +12,8 @@
 import org.whinwharf.traffic.placement.TargetSelector;
 import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.share.OrganisationWeights;
+import org.whinwharf.traffic.share.ShareListener;
 import org.whinwharf.traffic.target.PromptCacheIndex;
 import org.whinwharf.traffic.target.TargetState;
 
@@ -92,6 +94,26 @@
         return WorkListener.NONE;
     }
 
+    /**
+     * Returns the weights by which organisations share the slots of a service.
+     *
+     * @return weights; equal by default
+     */
+    @Value.Default
+    default OrganisationWeights organisationWeights() {
+        return new OrganisationWeights();
+    }
+
+    /**
+     * Returns the listener for the limits that shares set to organisations.
+     *
+     * @return listener; limits are ignored by default
+     */
+    @Value.Default
+    default ShareListener shareListener() {
+        return ShareListener.NONE;
+    }
+
     /**
      * Returns the source of the jitter in Retry-After delays.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/PlacementRequest.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/PlacementRequest.java
@@ -57,6 +57,22 @@
      */
     Optional<String> organisation();
 
+    /**
+     * Returns the organisation of the request if its quota was already charged.
+     *
+     * @return name of the organisation; empty if there is none, it is unknown or its quota is to be charged
+     */
+    Optional<String> chargedOrganisation();
+
+    /**
+     * Returns the organisation in whose share the request is served.
+     *
+     * @return name of the organisation; empty if there is none or it is unknown
+     */
+    default Optional<String> sharingOrganisation() {
+        return organisation().or(this::chargedOrganisation);
+    }
+
     /**
      * Returns the content of the request if a target may have crashed under it.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/RunningRequests.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/RunningRequests.java
@@ -42,8 +42,22 @@
      * @param targetId id of the target
      * @param prefillTokens prompt tokens that the target has yet to read
      * @param suspect content of the request if a target may have crashed under it; empty if not
+     * @param organisationDigest digest of the name of the organisation; 0 if there is none or it is unknown
+     * @param tierRank combined rank of the organisation and the route; 0 if the organisation is unknown
      */
-    public record Run(String targetId, long prefillTokens, Optional<Fingerprint> suspect) {
+    public record Run(
+            String targetId, long prefillTokens, Optional<Fingerprint> suspect, int organisationDigest, int tierRank) {
+        /**
+         * Creates a request of an unknown organisation.
+         *
+         * @param targetId id of the target
+         * @param prefillTokens prompt tokens that the target has yet to read
+         * @param suspect content of the request if a target may have crashed under it; empty if not
+         */
+        public Run(String targetId, long prefillTokens, Optional<Fingerprint> suspect) {
+            this(targetId, prefillTokens, suspect, 0, 0);
+        }
+
         /**
          * Creates a request under which no target may have crashed.
          *
@@ -53,6 +67,10 @@
         public Run(String targetId, long prefillTokens) {
             this(targetId, prefillTokens, Optional.empty());
         }
+
+        private Run withoutPrefill() {
+            return new Run(targetId, 0, suspect, organisationDigest, tierRank);
+        }
     }
 
     /**
@@ -100,7 +118,7 @@
      */
     public Optional<Run> recordPrefill(String process, long id) {
         Optional<Run> run = find(process, id);
-        run.ifPresent(known -> put(process, id, new Run(known.targetId(), 0, known.suspect())));
+        run.ifPresent(known -> put(process, id, known.withoutPrefill()));
         return run;
     }
 
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -18,6 +18,8 @@
 import org.whinwharf.traffic.placement.TargetSelector;
 import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.share.OrganisationShares;
+import org.whinwharf.traffic.share.ShareCharge;
 import org.whinwharf.traffic.target.TargetSpeed;
 import org.whinwharf.traffic.target.TargetState;
 import org.whinwharf.traffic.waiting.DispatchResult;
@@ -43,6 +45,8 @@
 
     private final CoordinatorDependencies dependencies;
     private final String service;
+    private final OrganisationShares shares;
+    private final ObservedShares observedShares;
     private final RequestQueue queue;
     private final RunningRequests running;
     private final SuspectIsolation isolation;
@@ -55,12 +59,14 @@
 
     private record RequestKey(String requester, long id) {}
 
-    private record Grant(PlacementRequest request, Candidate candidate) {}
+    private record Grant(PlacementRequest request, Candidate candidate, ShareCharge charge) {}
 
     ServiceCoordinator(CoordinatorDependencies dependencies, String service) {
         this.dependencies = dependencies;
         this.service = service;
-        queue = new RequestQueue(MAX_QUEUED, dependencies.policy());
+        shares = new OrganisationShares(dependencies.organisationWeights());
+        observedShares = new ObservedShares(shares);
+        queue = new RequestQueue(MAX_QUEUED, dependencies.policy(), shares);
         running = new RunningRequests(dependencies.loadListener());
         isolation = new SuspectIsolation(running, dependencies.crashes());
         rankAverages = new RankAverages((tierRank, previousMillis, holdMillis) ->
@@ -73,13 +79,19 @@
         return queue.size();
     }
 
+    OrganisationShares shares() {
+        return shares;
+    }
+
     /** Places and rejects queued requests, and expires the requests of processes that have stopped reporting. */
     void advance(long nowMillis) {
         running.expireSilent(nowMillis).forEach((process, runs) -> {
-            removeEndedGrants(process);
+            removeEndedGrants(process, nowMillis);
+            observedShares.forget(process);
             runs.forEach((id, run) -> recordUnknownEnd(process, id, run, nowMillis));
         });
         lastActivityAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > TARGET_ACTIVITY_TIMEOUT_MILLIS);
+        shares.advance(nowMillis);
         queue.advance(nowMillis);
     }
 
@@ -121,6 +133,7 @@
         }
         QueuedPlacement queued = newQueuedPlacement(request, key, nowMillis);
         if (wouldTimeOut(queued, nowMillis)) {
+            queued.reportLimited(nowMillis);
             dependencies.decisionListener().shed(request, queueRejection(queued, nowMillis));
             return;
         }
@@ -175,14 +188,21 @@
 
     void reportInFlight(String process, Map<Long, RunningRequests.Run> runs, long nowMillis) {
         running.reconcile(process, runs, nowMillis);
-        removeEndedGrants(process);
+        removeEndedGrants(process, nowMillis);
+        observedShares.record(process, runs, id -> grants.containsKey(new RequestKey(process, id)), nowMillis);
     }
 
     /** Removes the grants of a process whose requests are no longer in flight. */
-    private void removeEndedGrants(String process) {
-        grants.keySet()
-                .removeIf(key -> key.requester().equals(process)
-                        && running.find(process, key.id()).isEmpty());
+    private void removeEndedGrants(String process, long nowMillis) {
+        grants.entrySet().removeIf(entry -> {
+            RequestKey key = entry.getKey();
+            boolean ended = key.requester().equals(process)
+                    && running.find(process, key.id()).isEmpty();
+            if (ended) {
+                entry.getValue().charge().ended(nowMillis);
+            }
+            return ended;
+        });
     }
 
     private boolean admitQuota(PlacementRequest request, long nowMillis) {
@@ -228,6 +248,7 @@
             reportOutcome(run.get().targetId(), process, event);
         }
         if (grant != null) {
+            grant.charge().ended(nowMillis);
             recordEnd(key, grant, event, tookMillis, nowMillis);
         }
         queue.advance(nowMillis);
@@ -321,6 +342,8 @@
         private final long onTimeUntilMillis;
         private final long orderMillis;
         private final long backlogTimeoutAtMillis;
+        private final int organisationDigest;
+        private final double expectedSlotMillis;
 
         QueuedPlacement(
                 PlacementRequest request,
@@ -331,6 +354,12 @@
             this.request = request;
             this.key = key;
             queueRank = assignment.rank();
+            organisationDigest =
+                    request.sharingOrganisation().map(String::hashCode).orElse(0);
+            expectedSlotMillis = Math.max(
+                    1,
+                    TargetSpeed.assumedSlotMillis(
+                            request.demand().promptTokens(), request.demand().expectedAnswerTokens()));
             onTimeUntilMillis = nowMillis + assignment.onTimeMillis();
             orderMillis = nowMillis - headStartMillis;
             // A request that failed at a target was already accepted and is late, so a backlog does not shorten its
@@ -375,6 +404,16 @@
             return request.demand().requiredVersion().isPresent();
         }
 
+        @Override
+        public int organisationDigest() {
+            return organisationDigest;
+        }
+
+        @Override
+        public double expectedSlotMillis() {
+            return expectedSlotMillis;
+        }
+
         @Override
         public DispatchResult tryDispatch(long nowMillis) {
             Assessment assessment = assess(request, nowMillis);
@@ -444,11 +483,16 @@
             running.recordGrant(
                     key.requester(),
                     key.id(),
-                    new RunningRequests.Run(targetId, candidate.uncachedTokens(), suspect),
+                    new RunningRequests.Run(
+                            targetId,
+                            candidate.uncachedTokens(),
+                            suspect,
+                            organisationDigest,
+                            request.demand().tierRank()),
                     nowMillis);
             candidate.recordDispatch(nowMillis);
             dependencies.promptCache().recordPrefill(request.demand().promptParts(), targetId, nowMillis);
-            grants.put(key, new Grant(request, candidate));
+            grants.put(key, new Grant(request, candidate, shares.charge(queueRank, this, nowMillis)));
             dependencies.decisionListener().granted(request, candidate);
         }
 
@@ -456,9 +500,18 @@
         public void reject(long nowMillis) {
             queuedRequests.remove(key);
             refundQuota();
+            reportLimited(nowMillis);
             dependencies.decisionListener().shed(request, queueRejection(this, nowMillis));
         }
 
+        /** Reports that the request is refused because its organisation has used its share. */
+        void reportLimited(long nowMillis) {
+            shares.refused(queueRank, this, nowMillis)
+                    .ifPresent(use -> dependencies
+                            .shareListener()
+                            .limited(service, request.sharingOrganisation().orElse(""), use));
+        }
+
         void refundQuota() {
             request.organisation()
                     .ifPresent(
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueuedRequest.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueuedRequest.java
@@ -1,7 +1,9 @@
 package org.whinwharf.traffic.waiting;
 
+import org.whinwharf.traffic.share.SharedRequest;
+
 /** A request that is queued until a target accepts it. */
-public interface QueuedRequest {
+public interface QueuedRequest extends SharedRequest {
     /**
      * Returns the rank of the request.
      *
