Number organisations of queued requests without an object for each

Cause: ordering a queue by share looked up a boxed digest for each request.

Change: an index of digests in plain arrays for the order and the tags.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/share/ShareOrder.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/share/ShareOrder.java
@@ -1,9 +1,8 @@
 package org.whinwharf.traffic.share;
 
+import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.NoSuchElementException;
 import java.util.PriorityQueue;
 
@@ -48,20 +47,22 @@
         nextOfSameOrganisation = new int[requests.size()];
         taken = new boolean[requests.size()];
         left = requests.size();
-        Map<Integer, Chain> chainsByOrganisation = new HashMap<>();
+        DigestIndex organisations = new DigestIndex();
+        List<Chain> all = new ArrayList<>();
         int index = 0;
         for (R request : requests) {
             nextOfSameOrganisation[index] = END;
-            Chain chain = chainsByOrganisation.get(request.organisationDigest());
-            if (chain == null) {
-                chainsByOrganisation.put(request.organisationDigest(), new Chain(request.organisationDigest(), index));
+            int number = organisations.indexOf(request.organisationDigest());
+            if (number == all.size()) {
+                all.add(new Chain(request.organisationDigest(), index));
             } else {
+                Chain chain = all.get(number);
                 nextOfSameOrganisation[chain.tail] = index;
                 chain.tail = index;
             }
             index++;
         }
-        chainsByOrganisation.values().forEach(this::push);
+        all.forEach(this::push);
     }
 
     private void push(Chain chain) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/share/ShareTags.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/share/ShareTags.java
@@ -1,12 +1,13 @@
 package org.whinwharf.traffic.share;
 
-import java.util.HashMap;
-import java.util.Map;
+import java.util.ArrayList;
+import java.util.List;
 
 /** Assigns virtual start times to queued requests, each organisation's one after the other. */
 public final class ShareTags {
     private final RankShares shares;
-    private final Map<Integer, Tag> tagsByOrganisation = new HashMap<>();
+    private final DigestIndex organisations = new DigestIndex();
+    private final List<Tag> tags = new ArrayList<>();
 
     ShareTags(RankShares shares) {
         this.shares = shares;
@@ -30,11 +31,11 @@
      */
     public double assign(SharedRequest request) {
         int digest = request.organisationDigest();
-        Tag tag = tagsByOrganisation.get(digest);
-        if (tag == null) {
-            tag = new Tag(shares.startVirtualMillis(digest), shares.virtualPerSlotMilli(digest));
-            tagsByOrganisation.put(digest, tag);
+        int index = organisations.indexOf(digest);
+        if (index == tags.size()) {
+            tags.add(new Tag(shares.startVirtualMillis(digest), shares.virtualPerSlotMilli(digest)));
         }
+        Tag tag = tags.get(index);
         double startVirtualMillis = tag.nextVirtualMillis;
         tag.nextVirtualMillis += request.expectedSlotMillis() * tag.virtualPerSlotMilli;
         return startVirtualMillis;
