Test that a standby knows the use from the lists

Cause: the test of a killed coordinator would also pass with a standby that knows nothing, since a flood uses up its credit within a few grants.

Change: the standby must know before the kill that one organisation is far beyond its share; and one second of lists must tell the same organisations to be beyond their share as the coordinator does.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/OrganisationShareTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/OrganisationShareTest.java
@@ -142,6 +142,7 @@
         ShareFleet fleet = fleet(Policy.ALL_ENABLED);
         fleet.add("flood", FLOOD_PER_SECOND, SLOT_MILLIS, ANSWER_TOKENS);
         fleet.run(10_500);
+        assertThat(fleet.standbyUseRatio(), greaterThan(2.0));
         fleet.killCoordinator();
         // Requests queued at the lost coordinator are sent again by their fronts, which this fleet does not have.
         fleet.resetCounts();
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/OrganisationSharesTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/OrganisationSharesTest.java
@@ -299,6 +299,31 @@
         assertThat(shares.accountCount(), is(0));
     }
 
+    /**
+     * A standby that has received the lists of one second must tell the same organisations to be beyond their share.
+     */
+    @Test
+    void standbyAgreesWithTheCoordinatorAfterOneSecondOfLists() {
+        OrganisationShares standby = new OrganisationShares(weights);
+        Request flood = new Request(1, 250, 0);
+        Request small = new Request(2, 250, 0);
+        for (long nowMillis = 0; nowMillis < 5_000; nowMillis += 250) {
+            for (int slot = 0; slot < 10; slot++) {
+                shares.charge(RANK, flood, nowMillis).ended(nowMillis + 250);
+            }
+            shares.charge(RANK, small, nowMillis).ended(nowMillis + 250);
+        }
+        for (int slot = 0; slot < 10; slot++) {
+            standby.observe(RANK, 1, 1_000, 5_000);
+        }
+        standby.observe(RANK, 2, 1_000, 5_000);
+        standby.advance(5_000);
+        for (OrganisationShares known : List.of(shares, standby)) {
+            assertThat(known.isWithinShare(RANK, flood), is(false));
+            assertThat(known.isWithinShare(RANK, small), is(true));
+        }
+    }
+
     /** An organisation beyond its share learns when its queued requests are served, the others that there is room. */
     @Test
     void roomInAShareFollowsItsOwnQueue() {
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ShareFleet.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ShareFleet.java
@@ -143,6 +143,11 @@
         return current.coordinator.largestUseRatio();
     }
 
+    /** Returns what the process that would coordinate next knows of the largest use. */
+    double standbyUseRatio() {
+        return second.coordinator.largestUseRatio();
+    }
+
     int limitedOrganisations() {
         return current.coordinator.limitedOrganisations();
     }
