Speed baseline of a service, learned from all its targets' answers

Cause: the first event was predicted as one factor for each target times fixed terms. Engines differ in the ratio of these terms, so that the factor depended on the lengths that a target happened to get.

Change: SpeedBaseline fits the four terms (overhead and prompt, each idle and by load) to the first events of all targets of a service; a target keeps its slowness against them and counts from its sixth answer. Requests without a prompt change no term. Shares the mechanism LEARNED_LIMITS.

Measured: SpeedBaselineTest, with lengths of 628, 1,800 and 6,610 tokens, at 157 and 55 tokens a ms, speeds of 0.55, 1 and 2.8: within 25 % at each length and speed after 200 answers.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -35,6 +35,7 @@
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.RendezvousColdShares;
 import org.whinwharf.traffic.placement.TargetSelector;
+import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.retry.RetryAllowance;
@@ -138,7 +139,14 @@
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
         observedLongEnough = settings.freshFleet();
-        targets = new TargetRegistry(loop, dialect, ticker, () -> catalog, metrics, this::reachChanged);
+        targets = new TargetRegistry(
+                loop,
+                dialect,
+                ticker,
+                () -> catalog,
+                metrics,
+                settings.policy().isEnabled(Mechanism.LEARNED_LIMITS),
+                this::reachChanged);
         relayPeers = new RelayPeers(settings.name(), members::servingMembers, random);
         OwnReach ownReach = new OwnReach(loop, targets);
         targets.connectThrough(
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -30,6 +30,7 @@
 import org.whinwharf.traffic.coordination.TargetOutcomeListener;
 import org.whinwharf.traffic.path.TargetPaths;
 import org.whinwharf.traffic.stream.ServiceVersions;
+import org.whinwharf.traffic.target.SpeedBaseline;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.target.TargetState;
 
@@ -52,6 +53,8 @@
     private final Supplier<Optional<Catalog>> catalog;
     private final Map<String, TargetEntry> entries = new HashMap<>();
     private final Map<String, Map<String, TargetState>> byService = new HashMap<>();
+    private final Map<String, SpeedBaseline> baselines = new HashMap<>();
+    private final boolean speedsCompared;
     private final ServiceVersions versions = new ServiceVersions();
     private final FrontMetrics metrics;
     private final TargetPaths paths;
@@ -64,6 +67,7 @@
     /**
      * Creates an empty registry.
      *
+     * @param speedsCompared true if the speeds of a service's targets are compared with each other
      * @param reachChanged run when this process becomes partitioned from all targets or reaches them again
      */
     TargetRegistry(
@@ -72,7 +76,9 @@
             Ticker ticker,
             Supplier<Optional<Catalog>> catalog,
             FrontMetrics metrics,
+            boolean speedsCompared,
             Runnable reachChanged) {
+        this.speedsCompared = speedsCompared;
         this.metrics = metrics;
         paths = new TargetPaths(new PathChangeHandler(this, ticker, reachChanged));
         this.loop = loop;
@@ -157,7 +163,8 @@
     }
 
     private TargetEntry newEntry(Target target) {
-        TargetState state = new TargetState(target);
+        TargetState state = new TargetState(
+                target, baselines.computeIfAbsent(target.service(), name -> new SpeedBaseline(speedsCompared)));
         state.setRejectionsLimited(rejectionsLimited(target.service()));
         return new TargetEntry(state, new TargetConnectionPool(connector, target, ticker));
     }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WorkloadSimulation.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WorkloadSimulation.java
@@ -20,9 +20,11 @@
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.ImmutableDemand;
 import org.whinwharf.traffic.placement.TargetSelector;
+import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.target.PromptCacheIndex;
+import org.whinwharf.traffic.target.SpeedBaseline;
 import org.whinwharf.traffic.target.TargetState;
 import org.whinwharf.traffic.waiting.QueueTimeouts;
 import org.whinwharf.wire.fleet.RunEvent;
@@ -235,9 +237,10 @@
 
     WorkloadSimulation(long seed, Policy policy, int slots, double... slowness) {
         random = new Random(seed);
+        SpeedBaseline baseline = new SpeedBaseline(policy.isEnabled(Mechanism.LEARNED_LIMITS));
         for (int i = 0; i < slowness.length; i++) {
             String id = "engine-" + i;
-            targets.put(id, new TargetState(Fixtures.target(id, slots)));
+            targets.put(id, new TargetState(Fixtures.target(id, slots), baseline));
             engines.put(id, new Engine(id, slots, slowness[i]));
         }
         PromptCacheIndex promptCache = new PromptCacheIndex();
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
@@ -38,7 +38,10 @@
     LEARNED_SPEED,
     /** Within a rank, organisations that compete for a service are served by their shares of its slots. */
     ORGANISATION_SHARES,
-    /** A target gets no more requests at once than it takes without slowing down. */
+    /**
+     * Targets are compared with the others of their service, and none gets more requests at once than it takes without
+     * slowing down.
+     */
     LEARNED_LIMITS,
     /** Rejected callers are told times at which there is room, dealt out so that they do not all return at once. */
     SCHEDULED_RETURNS
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetSpeed.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetSpeed.java
@@ -10,8 +10,6 @@
 public final class TargetSpeed {
     /** Prompt tokens prefilled per millisecond, assumed before any measurement: a current engine's published figure. */
     public static final double ASSUMED_PREFILL_TOKENS_PER_MILLI = 60;
-    /** Time to the first event apart from the prefill, assumed before any measurement. */
-    private static final double ASSUMED_OVERHEAD_MILLIS = 20;
     /** Weight of the newest measurement: a change of speed is detected after about five requests. */
     private static final double SMOOTHING_FACTOR = 0.2;
     /** Upper limit of the slowdown factor, so that one outlier does not exclude a target. */
@@ -25,9 +23,31 @@
      */
     private static final double ASSUMED_MILLIS_PER_ANSWER_TOKEN = 3.3;
 
+    /**
+     * First events of a target after which it adds to the baseline of its service: by then its slowness is known, and a
+     * baseline that takes a slow target for the usual one would make the others look slow too.
+     */
+    private static final int FIRST_EVENTS_BEFORE_BASELINE = 5;
+
+    private final SpeedBaseline baseline;
+    private int firstEvents;
     private double slowdownFactor = 1;
     private double millisPerAnswerToken = ASSUMED_MILLIS_PER_ANSWER_TOKEN;
 
+    /** Creates the speed of a target that is compared with the assumed engine. */
+    public TargetSpeed() {
+        this(new SpeedBaseline(false));
+    }
+
+    /**
+     * Creates the speed of a target that is compared with the others of its service.
+     *
+     * @param baseline baseline of the service
+     */
+    public TargetSpeed(SpeedBaseline baseline) {
+        this.baseline = baseline;
+    }
+
     /**
      * Estimates the time to the first event of a request that need not wait for a slot.
      *
@@ -36,7 +56,7 @@
      * @return time in milliseconds
      */
     public double estimatedFirstEventMillis(long uncachedTokens, double occupancy) {
-        return slowdownFactor * baselineMillis(uncachedTokens, occupancy);
+        return slowdownFactor * baseline.firstEventMillis(uncachedTokens, occupancy);
     }
 
     /**
@@ -47,7 +67,11 @@
      * @param tookMillis time in milliseconds from the dispatch to the first event
      */
     public void recordFirstEvent(long uncachedTokens, double occupancy, long tookMillis) {
-        double measuredFactor = (tookMillis + 1) / baselineMillis(uncachedTokens, occupancy);
+        double measuredFactor = (tookMillis + 1) / baseline.firstEventMillis(uncachedTokens, occupancy);
+        if (firstEvents >= FIRST_EVENTS_BEFORE_BASELINE) {
+            baseline.record(uncachedTokens, occupancy, (tookMillis + 1) / slowdownFactor);
+        }
+        firstEvents++;
         double clampedFactor = Math.max(MIN_SLOWDOWN_FACTOR, Math.min(MAX_SLOWDOWN_FACTOR, measuredFactor));
         slowdownFactor += (clampedFactor - slowdownFactor) * SMOOTHING_FACTOR;
     }
@@ -88,13 +112,9 @@
     /**
      * Returns the slowdown factor of the target.
      *
-     * @return 1 for an engine of the assumed speed, more for a slower one
+     * @return 1 for an engine as fast as the baseline of its service, more for a slower one
      */
     public double slowdownFactor() {
         return slowdownFactor;
     }
-
-    private static double baselineMillis(long uncachedTokens, double occupancy) {
-        return (ASSUMED_OVERHEAD_MILLIS + uncachedTokens / ASSUMED_PREFILL_TOKENS_PER_MILLI) * (1 + occupancy);
-    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
@@ -11,7 +11,7 @@
 
     private Target target;
     private final TargetHealth health = new TargetHealth();
-    private final TargetSpeed speed = new TargetSpeed();
+    private final TargetSpeed speed;
     private final ColdStartLimiter coldStartLimiter = new ColdStartLimiter();
     private int localInFlight;
     private long localPrefillTokens;
@@ -30,7 +30,18 @@
      * @param target the target
      */
     public TargetState(Target target) {
+        this(target, new SpeedBaseline(false));
+    }
+
+    /**
+     * Creates the state of a newly published target of a service whose targets are compared with each other.
+     *
+     * @param target the target
+     * @param baseline speed of the targets of its service
+     */
+    public TargetState(Target target, SpeedBaseline baseline) {
         this.target = target;
+        speed = new TargetSpeed(baseline);
     }
 
     /**
