Limit of each target, learned from the pace of its answers

Cause: targets that slow down long before their slots are full got as many requests as slots, which served no more and made all of them late.

Change: TargetLimit fits a line with a bend to the pace over the mean load and limits a target to the bend; trials of one more or less follow changes. The coordinator measures the load (PaceObserver); fronts count the events of each answer (RunProgress.events), none for relayed or silent runs. A line target-limit-changed for each settled change. WorkloadSimulation engines may have a knee and change.

Growing back takes up to some ten seconds.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -221,7 +221,7 @@
 
     /** Records the end of a run whose response has ended, or that was not sent. */
     void end(RunEvent event) {
-        run.end(event, 0, front.nowMillis());
+        run.end(event, 0, 0, front.nowMillis());
         front.localQueues().slotFreed(exchange.service());
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -709,6 +709,7 @@
                     .end(
                             RunEvent.RUN_ANSWERED,
                             runs.sentCount() == 1 ? expectedAnswerTokens() : 0,
+                            responseAssembler.events(),
                             run.lastByteAtMillis());
             run.end(RunEvent.RUN_ANSWERED);
             deliver();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -251,21 +251,27 @@
 
     /** Reports the progress of a ticket's request to its coordinator. */
     void report(PlacementTicket ticket, RunEvent event, long tookMillis) {
-        report(ticket.coordinatorName(), ticket.coordinatorIp(), ticket.id(), event, tookMillis);
+        report(ticket, event, tookMillis, 0);
     }
 
-    private void report(String name, String ip, long id, RunEvent event, long tookMillis) {
+    /** Reports the same with the number of events of the answer; 0 if they were not counted. */
+    void report(PlacementTicket ticket, RunEvent event, long tookMillis, int events) {
+        report(ticket.coordinatorName(), ticket.coordinatorIp(), ticket.id(), event, tookMillis, events);
+    }
+
+    private void report(String name, String ip, long id, RunEvent event, long tookMillis, int events) {
         if (name.isEmpty()) {
             return;
         }
         if (name.equals(settings.name())) {
-            coordinator.reportProgress(name, id, event, tookMillis, ticker.nowMillis());
+            coordinator.reportProgress(name, id, event, tookMillis, events, ticker.nowMillis());
             return;
         }
         RunProgress progress = RunProgress.newBuilder()
                 .setId(id)
                 .setEvent(event)
                 .setTookMillis((int) tookMillis)
+                .setEvents(events)
                 .build();
         datagrams.send(datagram().addProgress(progress).build(), ip);
     }
@@ -332,7 +338,12 @@
         }
         datagram.getProgressList()
                 .forEach(progress -> coordinator.reportProgress(
-                        from, progress.getId(), progress.getEvent(), progress.getTookMillis(), nowMillis));
+                        from,
+                        progress.getId(),
+                        progress.getEvent(),
+                        progress.getTookMillis(),
+                        progress.getEvents(),
+                        nowMillis));
         datagram.getRunsList().forEach(runList -> receiveRuns(from, runList));
         datagram.getRepliesList().forEach(reply -> receiveReply(from, fromIp, reply));
     }
@@ -350,7 +361,7 @@
         if (!current || ticket.settled()) {
             if (granted && !(current && ticket.isPlacedAt(reply.getTarget()))) {
                 // The grant is stale; without this report its slot would stay taken until the next list.
-                report(from, fromIp, reply.getId(), RunEvent.RUN_GIVEN_UP, 0);
+                report(from, fromIp, reply.getId(), RunEvent.RUN_GIVEN_UP, 0, 0);
             }
             return;
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EventBoundaryTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventBoundaryTracker.java
@@ -12,6 +12,7 @@
 
     private boolean empty = true;
     private long bytesSinceBoundary;
+    private int events;
 
     /**
      * Handles the next bytes of the stream; neither consumes nor releases the buffer.
@@ -32,13 +33,19 @@
         return endBytes;
     }
 
+    /** Counts the events that end in a chunk, and returns the number of bytes up to the end of the last. */
     private int lastBoundary(ByteBuf chunk) {
-        for (int i = chunk.readableBytes() - 1; i >= 0; i--) {
-            if (endsEvent(byteAt(chunk, i - 2), byteAt(chunk, i - 1), byteAt(chunk, i))) {
-                return i + 1;
+        int endBytes = 0;
+        int index = chunk.indexOf(chunk.readerIndex(), chunk.writerIndex(), (byte) '\n');
+        while (index >= 0) {
+            int i = index - chunk.readerIndex();
+            if (endsEvent(byteAt(chunk, i - 2), byteAt(chunk, i - 1), '\n')) {
+                events++;
+                endBytes = i + 1;
             }
+            index = chunk.indexOf(index + 1, chunk.writerIndex(), (byte) '\n');
         }
-        return 0;
+        return endBytes;
     }
 
     /** Returns a byte of a chunk; one before its beginning if the index is negative. */
@@ -51,6 +58,11 @@
         return bytesSinceBoundary;
     }
 
+    /** Returns the number of events that have ended, empty ones included. */
+    int events() {
+        return events;
+    }
+
     /** Tells whether the stream ends at an event boundary; true before the first byte. */
     boolean atBoundary() {
         return empty || endsEvent(byteBefore(2), byteBefore(1), byteBefore(0));
@@ -65,6 +77,7 @@
     void reset() {
         window = 0;
         bytesSinceBoundary = 0;
+        events = 0;
         empty = true;
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -528,6 +528,7 @@
                 .targetOutcomeListener(targets)
                 .loadListener(targets::updateLoad)
                 .workListener(this::workChanged)
+                .limitListener(FrontLog::targetLimitChanged)
                 .random(random::nextDouble)
                 .policy(settings.policy())
                 .build());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -46,6 +46,19 @@
                 .call();
     }
 
+    static void targetLimitChanged(
+            String service, String target, int previous, int limit, double paceMillis, double occupancy, int samples) {
+        EventLog.event(LogEvent.TARGET_LIMIT_CHANGED)
+                .with(EventField.SERVICE, service)
+                .with(EventField.TARGET, target)
+                .with(EventField.FROM, previous)
+                .with(EventField.TO, limit)
+                .with(EventField.PACE_MILLIS, Math.round(paceMillis))
+                .with(EventField.OCCUPANCY, Math.round(occupancy * 100) / 100.0)
+                .with(EventField.SAMPLES, samples)
+                .call();
+    }
+
     /**
      * Logs that a request was sent to a target, through a peer if its name is not empty.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -181,8 +181,13 @@
 
     /** Reports to the coordinator that the request is no longer queued or running. */
     void ended(RunEvent event, long elapsedMillis) {
+        ended(event, elapsedMillis, 0);
+    }
+
+    /** Reports the same with the number of events of the answer; 0 if they say nothing about the target's pace. */
+    void ended(RunEvent event, long elapsedMillis, int events) {
         if (stage != Stage.ENDED && stage != Stage.IN_REVIEW) {
-            reportEnd(event, elapsedMillis);
+            reportEnd(event, elapsedMillis, events);
         }
     }
 
@@ -209,13 +214,13 @@
     /** Reports the failure of the request to the coordinator, once it is known what it says about the target. */
     void reviewed(RunEvent event) {
         if (stage == Stage.IN_REVIEW) {
-            reportEnd(event, 0);
+            reportEnd(event, 0, 0);
         }
     }
 
-    private void reportEnd(RunEvent event, long elapsedMillis) {
+    private void reportEnd(RunEvent event, long elapsedMillis, int events) {
         stage = Stage.ENDED;
-        coordination.report(this, event, elapsedMillis);
+        coordination.report(this, event, elapsedMillis, events);
         coordination.forget(this);
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -143,6 +143,11 @@
         return !unsignedSuccess && !oversized && !(streamStarted && bufferedBody != null);
     }
 
+    /** Returns the number of events of the latest response; 0 if it is no stream. */
+    int events() {
+        return boundaryTracker.events();
+    }
+
     /** Returns the HTTP status of the latest target response; 0 before the first. */
     int status() {
         return head == null ? 0 : head.status();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRun.java
@@ -147,9 +147,10 @@
      *
      * @param event how the run ended
      * @param answerTokens expected length of the answer in tokens; 0 when its duration does not indicate speed
+     * @param events number of events of the answer; 0 if they were not counted
      * @param nowMillis monotonic time of the last byte in milliseconds
      */
-    void end(RunEvent event, long answerTokens, long nowMillis) {
+    void end(RunEvent event, long answerTokens, int events, long nowMillis) {
         if (ended) {
             return;
         }
@@ -161,7 +162,7 @@
         if (event == RunEvent.RUN_REFUSED) {
             state().recordFullRejection(nowMillis);
         }
-        ticket.ended(event, elapsedMillis);
+        ticket.ended(event, elapsedMillis, relayed() ? 0 : events);
     }
 
     /** Records that the run failed; {@link #reviewed} reports it to the coordinator. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -107,6 +107,10 @@
     DECISION("decision"),
     /** Requests at a target, divided by its slots. */
     OCCUPANCY("occupancy"),
+    /** Mean time between the events of an answer, in milliseconds. */
+    PACE_MILLIS("paceMillis"),
+    /** Number of answers that a decision is based on. */
+    SAMPLES("samples"),
     /** Predicted time to the first event, or estimated wait, in milliseconds. */
     PREDICTED_MILLIS("predictedMillis"),
     /** Rank of a floor. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -227,6 +227,19 @@
     COORDINATOR_CHANGED(Level.INFO, EventField.SERVICE, EventField.FROM, EventField.TO),
     /** The average time for which requests of a rank hold a slot became known or changed by half. */
     WORK_CHANGED(Level.INFO, EventField.SERVICE, EventField.TIER_RANK, EventField.FROM, EventField.TO),
+    /**
+     * The number of requests that a target takes at once before it slows down was learned, or has changed; trials are
+     * not logged.
+     */
+    TARGET_LIMIT_CHANGED(
+            Level.INFO,
+            EventField.SERVICE,
+            EventField.TARGET,
+            EventField.FROM,
+            EventField.TO,
+            EventField.PACE_MILLIS,
+            EventField.OCCUPANCY,
+            EventField.SAMPLES),
     /** A coordinator did not respond in time and is skipped for a while. */
     COORDINATOR_SILENT(Level.WARN, EventField.PEER, EventField.SERVICE, EventField.AGE_MILLIS),
     /** A peer was evicted after a long silence. */
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WorkloadSimulation.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WorkloadSimulation.java
@@ -46,16 +46,20 @@
     private static final int TOKENS_PER_EVENT = 9;
     private static final double ADVANCE_INTERVAL_MILLIS = 20;
     private static final double REPORT_INTERVAL_MILLIS = 1_000;
+    /** Share by which each request beyond the knee of an engine slows down all requests at it. */
+    private static final double KNEE_SLOWDOWN = 0.6;
     /** Standard deviation of the logarithm of the callers' estimates of the length of an answer. */
     private static final double HINT_SIGMA = 0.5;
 
     private final Map<String, TargetState> targets = new LinkedHashMap<>();
     private final Map<String, Engine> engines = new HashMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Map<String, Integer> limitChanges = new HashMap<>();
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private final Map<Kind, Result> results = new LinkedHashMap<>();
     private final Random random;
     private final Coordinator coordinator;
+    private boolean eventsCounted = true;
     private double nowMillis;
     private long nextEvent;
     private long nextAttempt;
@@ -173,7 +177,8 @@
     private final class Engine {
         private final String id;
         private final int slots;
-        private final double slowness;
+        private double slowness;
+        private int knee = Integer.MAX_VALUE;
         private final Deque<Attempt> waiting = new ArrayDeque<>();
         private final List<Attempt> running = new ArrayList<>();
         private boolean stepping;
@@ -216,7 +221,8 @@
                 }
             }
             double readMillis = (PREFILL_CHUNK_TOKENS - chunkLeft) / PREFILL_TOKENS_PER_MILLI;
-            schedule(slowness * (STEP_MILLIS + readMillis), () -> {
+            double crowding = 1 + KNEE_SLOWDOWN * Math.max(0, running.size() - knee);
+            schedule(slowness * crowding * (STEP_MILLIS + readMillis), () -> {
                 generating.forEach(this::generate);
                 step();
             });
@@ -255,10 +261,35 @@
                 .targetOutcomeListener(this)
                 .loadListener((id, load) -> targets.get(id).updateCoordinatedLoad(load.running(), load.prefillTokens()))
                 .random(random::nextDouble)
+                .limitListener((service, id, previous, limit, paceMillis, load, samples) ->
+                        limitChanges.merge(id, 1, Integer::sum))
                 .policy(policy)
                 .build());
     }
 
+    /** Sets at a time how many requests an engine takes at once before it slows down, and how slow it is then. */
+    void changeEngine(double atMillis, int engine, int knee, double slowness) {
+        schedule(atMillis - nowMillis, () -> {
+            engines.get("engine-" + engine).knee = knee;
+            engines.get("engine-" + engine).slowness = slowness;
+        });
+    }
+
+    /** Reports answers without the number of their events from now on, so that no limits are learned from them. */
+    void stopLearningLimits() {
+        eventsCounted = false;
+    }
+
+    /** Returns the state of an engine's target. */
+    TargetState target(int engine) {
+        return targets.get("engine-" + engine);
+    }
+
+    /** Returns how often the limit of an engine's target has changed. */
+    int limitChanges(int engine) {
+        return limitChanges.getOrDefault("engine-" + engine, 0);
+    }
+
     /**
      * Runs the load and returns the results by kind.
      *
@@ -400,7 +431,12 @@
             result.late++;
         }
         result.longServed += call.longAnswer ? 1 : 0;
-        report(attempt, RunEvent.RUN_ANSWERED, (long) (nowMillis - attempt.firstEventAtMillis));
+        int eventCount = !eventsCounted ? 0 : (int) ((attempt.made + TOKENS_PER_EVENT - 1) / TOKENS_PER_EVENT);
+        long tookMillis = (long) (nowMillis - attempt.firstEventAtMillis);
+        schedule(
+                ONE_WAY_MILLIS,
+                () -> coordinator.reportProgress(
+                        FRONT, attempt.id, RunEvent.RUN_ANSWERED, tookMillis, eventCount, (long) nowMillis));
     }
 
     private void timedOut(Attempt attempt) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -45,9 +45,23 @@
      * @param nowMillis monotonic time in milliseconds
      */
     public void reportProgress(String process, long id, RunEvent event, long tookMillis, long nowMillis) {
+        reportProgress(process, id, event, tookMillis, 0, nowMillis);
+    }
+
+    /**
+     * Processes a report on the progress of a request whose events were counted.
+     *
+     * @param process name of the process that sent the request
+     * @param id id of the placement request
+     * @param event event reported
+     * @param tookMillis time to the first event, or from the first to the last event; 0 if not known
+     * @param events number of events of the whole answer; 0 if not known
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void reportProgress(String process, long id, RunEvent event, long tookMillis, int events, long nowMillis) {
         coordinatorsByService
                 .values()
-                .forEach(coordinator -> coordinator.reportProgress(process, id, event, tookMillis, nowMillis));
+                .forEach(coordinator -> coordinator.reportProgress(process, id, event, tookMillis, events, nowMillis));
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorDependencies.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorDependencies.java
@@ -92,6 +92,16 @@
         return WorkListener.NONE;
     }
 
+    /**
+     * Returns the listener for changes of the learned limits of targets.
+     *
+     * @return listener; changes are ignored by default
+     */
+    @Value.Default
+    default LimitListener limitListener() {
+        return LimitListener.NONE;
+    }
+
     /**
      * Returns the source of the jitter in Retry-After delays.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -45,6 +45,7 @@
     private final String service;
     private final RequestQueue queue;
     private final RunningRequests running;
+    private final PaceObserver paces;
     private final SuspectIsolation isolation;
     private final WaitEstimator waitEstimator = new WaitEstimator();
     private final RankAverages rankAverages;
@@ -55,13 +56,18 @@
 
     private record RequestKey(String requester, long id) {}
 
-    private record Grant(PlacementRequest request, Candidate candidate) {}
+    private record Grant(PlacementRequest request, Candidate candidate, PaceObserver.Start start) {}
 
     ServiceCoordinator(CoordinatorDependencies dependencies, String service) {
         this.dependencies = dependencies;
         this.service = service;
         queue = new RequestQueue(MAX_QUEUED, dependencies.policy());
-        running = new RunningRequests(dependencies.loadListener());
+        paces = new PaceObserver(
+                dependencies.loadListener(),
+                dependencies.limitListener(),
+                service,
+                dependencies.policy().isEnabled(Mechanism.LEARNED_LIMITS));
+        running = new RunningRequests(paces);
         isolation = new SuspectIsolation(running, dependencies.crashes());
         rankAverages = new RankAverages((tierRank, previousMillis, holdMillis) ->
                 dependencies.workListener().holdTimeChanged(service, tierRank, previousMillis, holdMillis));
@@ -75,6 +81,7 @@
 
     /** Places and rejects queued requests, and expires the requests of processes that have stopped reporting. */
     void advance(long nowMillis) {
+        paces.advanceTo(nowMillis);
         running.expireSilent(nowMillis).forEach((process, runs) -> {
             removeEndedGrants(process);
             runs.forEach((id, run) -> recordUnknownEnd(process, id, run, nowMillis));
@@ -104,6 +111,7 @@
     }
 
     void requestPlacement(PlacementRequest request, long nowMillis) {
+        paces.advanceTo(nowMillis);
         RequestKey key = new RequestKey(request.requester(), request.id());
         Grant grant = grants.get(key);
         if (grant != null) {
@@ -174,6 +182,7 @@
     }
 
     void reportInFlight(String process, Map<Long, RunningRequests.Run> runs, long nowMillis) {
+        paces.advanceTo(nowMillis);
         running.reconcile(process, runs, nowMillis);
         removeEndedGrants(process);
     }
@@ -193,7 +202,8 @@
                                 request.requester(), request.organisation().get(), request.quotaTokens(), nowMillis);
     }
 
-    void reportProgress(String process, long id, RunEvent event, long tookMillis, long nowMillis) {
+    void reportProgress(String process, long id, RunEvent event, long tookMillis, int events, long nowMillis) {
+        paces.advanceTo(nowMillis);
         RequestKey key = new RequestKey(process, id);
         Optional<RunningRequests.Run> known = running.find(key.requester(), key.id());
         if (event == RunEvent.RUN_STALLED) {
@@ -216,11 +226,15 @@
         if (event == RunEvent.RUN_FIRST_EVENT) {
             running.recordPrefill(key.requester(), key.id());
             if (grant != null) {
+                paces.recordFirstEvent(grant.candidate().state().target().id(), grant.start());
                 recordFirstEvent(key, grant, tookMillis);
             }
             return;
         }
         grants.remove(key);
+        if (grant != null && event == RunEvent.RUN_ANSWERED) {
+            paces.recordAnswer(grant.candidate().state(), grant.start(), tookMillis, events);
+        }
         Optional<RunningRequests.Run> run = running.recordEnd(key.requester(), key.id());
         if (run.isPresent() && event == RunEvent.RUN_SILENT) {
             reportSilence(run.get().targetId(), process, nowMillis);
@@ -448,7 +462,7 @@
                     nowMillis);
             candidate.recordDispatch(nowMillis);
             dependencies.promptCache().recordPrefill(request.demand().promptParts(), targetId, nowMillis);
-            grants.put(key, new Grant(request, candidate));
+            grants.put(key, new Grant(request, candidate, new PaceObserver.Start()));
             dependencies.decisionListener().granted(request, candidate);
         }
 
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
@@ -129,6 +129,10 @@
                 ? Math.min(TierRank.routeRank(tierRank), MAX_RESERVE_RANKS)
                 : 0;
         double maxOccupancy = (beyondSlots ? MAX_OCCUPANCY : 1) - RESERVE_PER_RANK * reserves;
+        int learnedLimit = state.limit().requests();
+        if (learnedLimit > 0 && learnedLimit < slots && policy.isEnabled(Mechanism.LEARNED_LIMITS)) {
+            return Math.max(1, (int) (learnedLimit * (1 - RESERVE_PER_RANK * reserves) + ROUNDING_TOLERANCE));
+        }
         int byOccupancy = Math.max(1, (int) (slots * maxOccupancy + ROUNDING_TOLERANCE));
         return beyondSlots && reserves == 0 ? Math.max(slots + 1, byOccupancy) : byOccupancy;
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
@@ -12,6 +12,7 @@
     private Target target;
     private final TargetHealth health = new TargetHealth();
     private final TargetSpeed speed;
+    private final TargetLimit limit = new TargetLimit();
     private final ColdStartLimiter coldStartLimiter = new ColdStartLimiter();
     private int localInFlight;
     private long localPrefillTokens;
@@ -81,6 +82,15 @@
         return speed;
     }
 
+    /**
+     * Returns the number of requests that the target takes at once before it slows down.
+     *
+     * @return learned limit
+     */
+    public TargetLimit limit() {
+        return limit;
+    }
+
     /**
      * Returns the limiter of requests while the target is cold.
      *
