--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -141,7 +141,14 @@
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
         observedLongEnough = settings.freshFleet();
-        targets = new TargetRegistry(loop, dialect, ticker, () -> catalog, metrics, this::reachChanged);
+        targets = new TargetRegistry(
+                loop,
+                dialect,
+                ticker,
+                () -> catalog,
+                metrics,
+                settings.policy().isEnabled(Mechanism.LEARNED_LIMITS),
+                this::reachChanged);
         relayPeers = new RelayPeers(settings.name(), members::servingMembers, random);
         OwnReach ownReach = new OwnReach(loop, targets);
         targets.connectThrough(
@@ -536,6 +543,7 @@
                 .workListener(this::workChanged)
                 .organisationWeights(organisationWeights)
                 .shareListener(FrontLog::organisationLimited)
+                .limitListener(FrontLog::targetLimitChanged)
                 .random(random::nextDouble)
                 .policy(settings.policy())
                 .build());
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -49,6 +49,7 @@
     private final ObservedShares observedShares;
     private final RequestQueue queue;
     private final RunningRequests running;
+    private final PaceObserver paces;
     private final SuspectIsolation isolation;
     private final WaitEstimator waitEstimator = new WaitEstimator();
     private final RankAverages rankAverages;
@@ -59,7 +60,8 @@
 
     private record RequestKey(String requester, long id) {}
 
-    private record Grant(PlacementRequest request, Candidate candidate, ShareCharge charge) {}
+    private record Grant(
+            PlacementRequest request, Candidate candidate, ShareCharge charge, PaceObserver.Start start) {}
 
     ServiceCoordinator(CoordinatorDependencies dependencies, String service) {
         this.dependencies = dependencies;
@@ -67,7 +69,12 @@
         shares = new OrganisationShares(dependencies.organisationWeights());
         observedShares = new ObservedShares(shares);
         queue = new RequestQueue(MAX_QUEUED, dependencies.policy(), shares);
-        running = new RunningRequests(dependencies.loadListener());
+        paces = new PaceObserver(
+                dependencies.loadListener(),
+                dependencies.limitListener(),
+                service,
+                dependencies.policy().isEnabled(Mechanism.LEARNED_LIMITS));
+        running = new RunningRequests(paces);
         isolation = new SuspectIsolation(running, dependencies.crashes());
         rankAverages = new RankAverages((tierRank, previousMillis, holdMillis) ->
                 dependencies.workListener().holdTimeChanged(service, tierRank, previousMillis, holdMillis));
@@ -85,6 +92,7 @@
 
     /** Places and rejects queued requests, and expires the requests of processes that have stopped reporting. */
     void advance(long nowMillis) {
+        paces.advanceTo(nowMillis);
         running.expireSilent(nowMillis).forEach((process, runs) -> {
             removeEndedGrants(process, nowMillis);
             observedShares.forget(process);
@@ -116,6 +124,7 @@
     }
 
     void requestPlacement(PlacementRequest request, long nowMillis) {
+        paces.advanceTo(nowMillis);
         RequestKey key = new RequestKey(request.requester(), request.id());
         Grant grant = grants.get(key);
         if (grant != null) {
@@ -187,6 +196,7 @@
     }
 
     void reportInFlight(String process, Map<Long, RunningRequests.Run> runs, long nowMillis) {
+        paces.advanceTo(nowMillis);
         running.reconcile(process, runs, nowMillis);
         removeEndedGrants(process, nowMillis);
         observedShares.record(process, runs, id -> grants.containsKey(new RequestKey(process, id)), nowMillis);
@@ -213,7 +223,8 @@
                                 request.requester(), request.organisation().get(), request.quotaTokens(), nowMillis);
     }
 
-    void reportProgress(String process, long id, RunEvent event, long tookMillis, long nowMillis) {
+    void reportProgress(String process, long id, RunEvent event, long tookMillis, int events, long nowMillis) {
+        paces.advanceTo(nowMillis);
         RequestKey key = new RequestKey(process, id);
         Optional<RunningRequests.Run> known = running.find(key.requester(), key.id());
         if (event == RunEvent.RUN_STALLED) {
@@ -236,11 +247,15 @@
         if (event == RunEvent.RUN_FIRST_EVENT) {
             running.recordPrefill(key.requester(), key.id());
             if (grant != null) {
+                paces.recordFirstEvent(grant.candidate().state().target().id(), grant.start());
                 recordFirstEvent(key, grant, tookMillis);
             }
             return;
         }
         grants.remove(key);
+        if (grant != null && event == RunEvent.RUN_ANSWERED) {
+            paces.recordAnswer(grant.candidate().state(), grant.start(), tookMillis, events);
+        }
         Optional<RunningRequests.Run> run = running.recordEnd(key.requester(), key.id());
         if (run.isPresent() && event == RunEvent.RUN_SILENT) {
             reportSilence(run.get().targetId(), process, nowMillis);
@@ -492,7 +507,8 @@
                     nowMillis);
             candidate.recordDispatch(nowMillis);
             dependencies.promptCache().recordPrefill(request.demand().promptParts(), targetId, nowMillis);
-            grants.put(key, new Grant(request, candidate, shares.charge(queueRank, this, nowMillis)));
+            ShareCharge charge = shares.charge(queueRank, this, nowMillis);
+            grants.put(key, new Grant(request, candidate, charge, new PaceObserver.Start()));
             dependencies.decisionListener().granted(request, candidate);
         }
 
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetState.java
@@ -11,7 +11,8 @@
 
     private Target target;
     private final TargetHealth health = new TargetHealth();
-    private final TargetSpeed speed = new TargetSpeed();
+    private final TargetSpeed speed;
+    private final TargetLimit limit = new TargetLimit();
     private final ColdStartLimiter coldStartLimiter = new ColdStartLimiter();
     private int localInFlight;
     private long localPrefillTokens;
@@ -30,7 +31,18 @@
      * @param target the target
      */
     public TargetState(Target target) {
+        this(target, new SpeedBaseline(false));
+    }
+
+    /**
+     * Creates the state of a newly published target of a service whose targets are compared with each other.
+     *
+     * @param target the target
+     * @param baseline speed of the targets of its service
+     */
+    public TargetState(Target target, SpeedBaseline baseline) {
         this.target = target;
+        speed = new TargetSpeed(baseline);
     }
 
     /**
@@ -70,6 +82,15 @@
         return speed;
     }
 
+    /**
+     * Returns the number of requests that the target takes at once before it slows down.
+     *
+     * @return learned limit
+     */
+    public TargetLimit limit() {
+        return limit;
+    }
+
     /**
      * Returns the limiter of requests while the target is cold.
      *
