Simulated workloads: speed of engines, paired load, counts of rejections

WorkloadSimulation takes the engines' speed and tokens an event, and a late answer's worth. Instances of the new constructor draw their load apart from the coordinator's numbers, so that policies are compared on the same load; the constructor in use draws as before. Counts rejected attempts and retries.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WorkloadSimulation.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/WorkloadSimulation.java
@@ -38,10 +38,8 @@
     private static final String FRONT = "front-1";
     private static final double ONE_WAY_MILLIS = 2;
     private static final double CALLER_ONE_WAY_MILLIS = 3;
-    private static final double STEP_MILLIS = 3.1;
-    private static final double PREFILL_TOKENS_PER_MILLI = 62;
+    private static final EngineSpeed DEFAULT_SPEED = new EngineSpeed(62, 3.1, 9);
     private static final int PREFILL_CHUNK_TOKENS = 1_024;
-    private static final int TOKENS_PER_EVENT = 9;
     private static final double ADVANCE_INTERVAL_MILLIS = 20;
     private static final double REPORT_INTERVAL_MILLIS = 1_000;
     /** Standard deviation of the logarithm of the callers' estimates of the length of an answer. */
@@ -53,6 +51,7 @@
     private final Map<Long, Attempt> attempts = new HashMap<>();
     private final Map<Kind, Result> results = new LinkedHashMap<>();
     private final Random random;
+    private final EngineSpeed speed;
     private final Coordinator coordinator;
     private double nowMillis;
     private long nextEvent;
@@ -84,6 +83,15 @@
             long deadlineMillis,
             double worth) {}
 
+    /**
+     * Speed of an engine of slowness 1.
+     *
+     * @param prefillTokensPerMilli prompt tokens read per millisecond
+     * @param stepMillis time to generate one token of each running answer
+     * @param tokensPerEvent tokens in one event of a stream
+     */
+    record EngineSpeed(double prefillTokensPerMilli, double stepMillis, int tokensPerEvent) {}
+
     /** Phase of the load: until a time, all rates are multiplied by a factor. */
     record Phase(double untilMillis, double factor) {}
 
@@ -94,6 +102,8 @@
         private int late;
         private int longAsked;
         private int longServed;
+        private int refusals;
+        private int refusedTwice;
 
         int asked() {
             return asked;
@@ -107,6 +117,16 @@
             return late;
         }
 
+        /** Returns the number of rejected attempts. */
+        int refusals() {
+            return refusals;
+        }
+
+        /** Returns the number of requests whose retry was rejected as well. */
+        int refusedTwice() {
+            return refusedTwice;
+        }
+
         double servedShare() {
             return (onTime + late) / (double) asked;
         }
@@ -118,7 +138,12 @@
 
         /** Returns the earned share of the worth of all requests. */
         double worthShare() {
-            return (onTime + 0.3 * late) / asked;
+            return worthShare(0.3);
+        }
+
+        /** Returns the earned share of the worth of all requests, with a given share for a late answer. */
+        double worthShare(double lateWorth) {
+            return (onTime + lateWorth * late) / asked;
         }
     }
 
@@ -213,8 +238,8 @@
                     chunkLeft -= read;
                 }
             }
-            double readMillis = (PREFILL_CHUNK_TOKENS - chunkLeft) / PREFILL_TOKENS_PER_MILLI;
-            schedule(slowness * (STEP_MILLIS + readMillis), () -> {
+            double readMillis = (PREFILL_CHUNK_TOKENS - chunkLeft) / speed.prefillTokensPerMilli();
+            schedule(slowness * (speed.stepMillis() + readMillis), () -> {
                 generating.forEach(this::generate);
                 step();
             });
@@ -223,7 +248,7 @@
         private void generate(Attempt attempt) {
             attempt.made++;
             boolean complete = attempt.made >= attempt.call.answerTokens;
-            if (attempt.made == TOKENS_PER_EVENT || complete && attempt.made < TOKENS_PER_EVENT) {
+            if (attempt.made == speed.tokensPerEvent() || complete && attempt.made < speed.tokensPerEvent()) {
                 schedule(ONE_WAY_MILLIS, () -> firstEvent(attempt));
             }
             if (complete) {
@@ -234,7 +259,22 @@
     }
 
     WorkloadSimulation(long seed, Policy policy, int slots, double... slowness) {
-        random = new Random(seed);
+        this(new Random(seed), policy, slots, slowness);
+    }
+
+    private WorkloadSimulation(Random random, Policy policy, int slots, double... slowness) {
+        this(random, random, policy, DEFAULT_SPEED, slots, slowness);
+    }
+
+    /** Creates an instance whose load is the same under every policy, so that policies can be compared in pairs. */
+    WorkloadSimulation(long seed, Policy policy, EngineSpeed speed, int slots, double... slowness) {
+        this(new Random(seed), new Random(~seed), policy, speed, slots, slowness);
+    }
+
+    private WorkloadSimulation(
+            Random arrivals, Random decisions, Policy policy, EngineSpeed speed, int slots, double... slowness) {
+        this.speed = speed;
+        random = arrivals;
         for (int i = 0; i < slowness.length; i++) {
             String id = "engine-" + i;
             targets.put(id, new TargetState(Fixtures.target(id, slots)));
@@ -251,7 +291,7 @@
                 .decisionListener(this)
                 .targetOutcomeListener(this)
                 .loadListener((id, load) -> targets.get(id).updateCoordinatedLoad(load.running(), load.prefillTokens()))
-                .random(random::nextDouble)
+                .random(decisions::nextDouble)
                 .policy(policy)
                 .build());
     }
@@ -366,7 +406,9 @@
         Attempt attempt = attempts.remove(request.id());
         attempt.ended = true;
         Call call = attempt.call;
+        results.get(call.kind).refusals++;
         if (call.retried) {
+            results.get(call.kind).refusedTwice++;
             return;
         }
         call.retried = true;
