Rejected callers return when they can still be answered, dealt out

Cause: callers were told the age of the backlog, returned during the same overload and were rejected for good; a return was ordered before new requests that could still be on time, though its objective counts from the first attempt. Change: ReturnSchedule promises the latest time within a third of the time left, at most as many in a tenth of a second as the service places, and knows a return by its deadline; it is queued as late. Guarded by SCHEDULED_RETURNS.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -26,6 +26,7 @@
 import org.whinwharf.traffic.waiting.QueuedRequest;
 import org.whinwharf.traffic.waiting.RankAverages;
 import org.whinwharf.traffic.waiting.RequestQueue;
+import org.whinwharf.traffic.waiting.ReturnSchedule;
 import org.whinwharf.traffic.waiting.WaitEstimator;
 import org.whinwharf.wire.fleet.RunEvent;
 
@@ -47,6 +48,7 @@
     private final RunningRequests running;
     private final SuspectIsolation isolation;
     private final WaitEstimator waitEstimator = new WaitEstimator();
+    private final ReturnSchedule returnSchedule = new ReturnSchedule();
     private final RankAverages rankAverages;
     private final JoinedRanks joinedRanks;
     private final Map<RequestKey, QueuedPlacement> queuedRequests = new HashMap<>();
@@ -163,9 +165,14 @@
         long ownOnTimeMillis = request.onTimeUntilMillis() - nowMillis;
         double holdMillis = TargetSpeed.assumedSlotMillis(demand.promptTokens(), demand.expectedAnswerTokens());
         JoinedRanks.Assignment joined = joinedRanks.assign(demand.tierRank(), holdMillis, ownOnTimeMillis);
-        JoinedRanks.Assignment assignment = dependencies.policy().isEnabled(Mechanism.JOINED_RANKS)
+        JoinedRanks.Assignment own = dependencies.policy().isEnabled(Mechanism.JOINED_RANKS)
                 ? joined
                 : new JoinedRanks.Assignment(demand.tierRank(), ownOnTimeMillis);
+        // The objective counts from the caller's first attempt, so a caller that returns is late.
+        JoinedRanks.Assignment assignment =
+                returnSchedule.recordArrival(demand.tierRank(), request.deadlineAtMillis(), nowMillis)
+                        ? new JoinedRanks.Assignment(own.rank(), 0)
+                        : own;
         long headStartMillis = dependencies.policy().isEnabled(Mechanism.SHORT_FIRST)
                 ? QueueTimeouts.headStartMillis(
                         assignment.onTimeMillis(), rankAverages.holdTimeRatio(demand.tierRank(), holdMillis))
@@ -293,15 +300,27 @@
         long backlogAgeMillis = queue.backlogAgeMillis(rank, nowMillis);
         long ageForRetryMillis = dependencies.policy().isEnabled(Mechanism.ADVICE_BY_STANDING) ? backlogAgeMillis : 0;
         int queuedAhead = queue.queuedAhead(rejected, nowMillis);
+        long earliestMillis = QueueTimeouts.retryAfterMillis(
+                ageForRetryMillis, dependencies.random().getAsDouble());
+        boolean scheduled = dependencies.policy().isEnabled(Mechanism.SCHEDULED_RETURNS) && backlogAgeMillis > 0;
         return new RejectionDetails(
-                QueueTimeouts.retryAfterMillis(
-                        ageForRetryMillis, dependencies.random().getAsDouble()),
+                scheduled ? scheduledMillis(rejected.request, earliestMillis, nowMillis) : earliestMillis,
                 queuedAhead,
                 estimatedWaitMillis(queuedAhead, rank, nowMillis),
                 backlogAgeMillis,
                 0);
     }
 
+    private long scheduledMillis(PlacementRequest request, long earliestMillis, long nowMillis) {
+        return returnSchedule.retryAfterMillis(
+                request.demand().tierRank(),
+                earliestMillis,
+                0,
+                request.deadlineAtMillis(),
+                waitEstimator.placedPerSecond(nowMillis),
+                nowMillis);
+    }
+
     private RejectionDetails quotaRejection(String organisation, long nowMillis) {
         QuotaLedger quotas = dependencies.quotas();
         return new RejectionDetails(
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitEstimator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/WaitEstimator.java
@@ -47,6 +47,17 @@
         return queuedAhead * WINDOW_MILLIS / Math.max(1, placed);
     }
 
+    /**
+     * Returns the number of requests of all ranks that were placed in the last second.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return number of requests
+     */
+    public int placedPerSecond(long nowMillis) {
+        expire(nowMillis);
+        return recentPlacements.size();
+    }
+
     private void expire(long nowMillis) {
         while (!recentPlacements.isEmpty()
                 && nowMillis - recentPlacements.peekFirst().atMillis() > WINDOW_MILLIS) {
