--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -297,12 +297,15 @@
 
     private RejectionDetails queueRejection(QueuedPlacement rejected, long nowMillis) {
         int rank = rejected.tierRank();
-        long backlogAgeMillis = queue.backlogAgeMillis(rank, nowMillis);
+        boolean scheduling = dependencies.policy().isEnabled(Mechanism.SCHEDULED_RETURNS);
+        long backlogAgeMillis = scheduling
+                ? queue.backlogAgeAheadMillis(rank, nowMillis)
+                : queue.backlogAgeMillis(rank, nowMillis);
         long ageForRetryMillis = dependencies.policy().isEnabled(Mechanism.ADVICE_BY_STANDING) ? backlogAgeMillis : 0;
         int queuedAhead = queue.queuedAhead(rejected, nowMillis);
         long earliestMillis = QueueTimeouts.retryAfterMillis(
                 ageForRetryMillis, dependencies.random().getAsDouble());
-        boolean scheduled = dependencies.policy().isEnabled(Mechanism.SCHEDULED_RETURNS) && backlogAgeMillis > 0;
+        boolean scheduled = scheduling && backlogAgeMillis > 0;
         return new RejectionDetails(
                 scheduled ? scheduledMillis(rejected.request, earliestMillis, nowMillis) : earliestMillis,
                 queuedAhead,
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/RequestQueue.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/RequestQueue.java
@@ -112,6 +112,22 @@
         return backlog == null ? 0 : backlog.ageMillis(nowMillis);
     }
 
+    /**
+     * Returns how long the queue of a rank or of a higher one has not emptied. A request that is rejected on arrival
+     * because of higher ranks never enters the queue of its own rank, which may then have no backlog at all.
+     *
+     * @param tierRank rank
+     * @param nowMillis monotonic time in milliseconds
+     * @return age of the oldest backlog ahead in milliseconds; 0 if there is none
+     */
+    public long backlogAgeAheadMillis(int tierRank, long nowMillis) {
+        return backlogsByRank.entrySet().stream()
+                .filter(backlog -> backlog.getKey() <= tierRank)
+                .mapToLong(backlog -> backlog.getValue().ageMillis(nowMillis))
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Returns how long the queue of any rank has not emptied.
      *
