--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/LimitedTargetsLoadTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/LimitedTargetsLoadTest.java
@@ -29,18 +29,21 @@
     @Test
     void halfOfTheTargetsSlowDownBeyondThree() {
         double learned = onTimeShare(90, Policy.ALL_ENABLED, LimitedTargetsLoadTest::slowDownBeyondThree);
-        double oracle = onTimeShare(90, Policy.ALL_ENABLED, simulation -> {
-            slowDownBeyondThree(simulation);
-            simulation.stopLearningLimits();
-            for (int i = 0; i < TARGETS / 2; i++) {
-                simulation.target(i).limit().adopt(KNEE, END_MILLIS * 10);
-            }
-        });
+        double oracle = onTimeShare(90, Policy.ALL_ENABLED, LimitedTargetsLoadTest::limitToTheKnee);
         double without = onTimeShare(90, WITHOUT_LIMITS, LimitedTargetsLoadTest::slowDownBeyondThree);
         assertThat(learned, greaterThanOrEqualTo(0.9 * oracle));
         assertThat(learned, greaterThan(without));
     }
 
+    /** Guards against limits that are learned too late from long answers, of which each target has few. */
+    @Test
+    void halfOfTheTargetsSlowDownBeyondThreeUnderLongAnswers() {
+        Kind longAnswers = new Kind(0, 70, 690, 1.0, 150, 0.8, 1_000, 410, 10_000, 1);
+        double learned = onTimeShare(longAnswers, Policy.ALL_ENABLED, LimitedTargetsLoadTest::slowDownBeyondThree);
+        double oracle = onTimeShare(longAnswers, Policy.ALL_ENABLED, LimitedTargetsLoadTest::limitToTheKnee);
+        assertThat(learned, greaterThanOrEqualTo(0.9 * oracle));
+    }
+
     /** Guards against limits at targets that are slow for a while at any load. */
     @Test
     void targetsThatSlowDownThreefoldAndBackAreServedAsWithoutLimits() {
@@ -73,8 +76,19 @@
         }
     }
 
+    private static void limitToTheKnee(WorkloadSimulation simulation) {
+        slowDownBeyondThree(simulation);
+        simulation.stopLearningLimits();
+        for (int i = 0; i < TARGETS / 2; i++) {
+            simulation.target(i).limit().adopt(KNEE, END_MILLIS * 10);
+        }
+    }
+
     private static double onTimeShare(double perSecond, Policy policy, Consumer<WorkloadSimulation> setUp) {
-        Kind kind = kind(perSecond);
+        return onTimeShare(kind(perSecond), policy, setUp);
+    }
+
+    private static double onTimeShare(Kind kind, Policy policy, Consumer<WorkloadSimulation> setUp) {
         double sum = 0;
         for (int seed = 1; seed <= SEEDS; seed++) {
             WorkloadSimulation simulation = new WorkloadSimulation(seed, policy, SLOTS, evenTargets());
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetLimitTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/TargetLimitTest.java
@@ -61,6 +61,16 @@
         assertThat(limit.requests(), is(0));
     }
 
+    /**
+     * Guards against a target that is kept limited long after it has become fast again: ten answers, or two seconds.
+     */
+    @Test
+    void limitGrowsBackWithinTenAnswers() {
+        answers(100, SLOTS, 3, 1);
+        answers(10, SLOTS, SLOTS, 1);
+        assertThat(limit.requests(), is(0));
+    }
+
     /** Guards against a target that slows down at any load while it fills up, which looks like a bend. */
     @Test
     void targetThatSlowsDownThreefoldWhileItFillsUpGetsItsSlotsBack() {
