--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -109,6 +109,20 @@
         datagrams.addListener(this::receive);
     }
 
+    long nowMillis() {
+        return ticker.nowMillis();
+    }
+
+    /** Returns the number of organisations that wait at the local coordinator because they have used their share. */
+    int limitedOrganisations() {
+        return coordinator.limitedOrganisations();
+    }
+
+    /** Returns the largest use of an organisation at the local coordinator relative to its share. */
+    double largestUseRatio() {
+        return coordinator.largestUseRatio();
+    }
+
     /** Tells whether a coordinator places the requests of a service. */
     boolean isCoordinated(String service) {
         return coordinatedServices.test(service);
@@ -128,6 +142,13 @@
                 .isPresent();
     }
 
+    /** Returns the names of the coordinators of the given services, as far as they have one. */
+    Set<String> coordinators(Collection<String> services) {
+        Set<String> names = new LinkedHashSet<>();
+        services.forEach(service -> coordinatorOf(service).ifPresent(report -> names.add(report.getName())));
+        return names;
+    }
+
     /** Returns the addresses of the highest-ranked coordinators of each service with requests in flight here. */
     Collection<String> coordinatorIps() {
         Set<String> ips = new LinkedHashSet<>();
@@ -251,21 +272,27 @@
 
     /** Reports the progress of a ticket's request to its coordinator. */
     void report(PlacementTicket ticket, RunEvent event, long tookMillis) {
-        report(ticket.coordinatorName(), ticket.coordinatorIp(), ticket.id(), event, tookMillis);
+        report(ticket, event, tookMillis, 0);
+    }
+
+    /** Reports the same with the number of events of the answer; 0 if they were not counted. */
+    void report(PlacementTicket ticket, RunEvent event, long tookMillis, int events) {
+        report(ticket.coordinatorName(), ticket.coordinatorIp(), ticket.id(), event, tookMillis, events);
     }
 
-    private void report(String name, String ip, long id, RunEvent event, long tookMillis) {
+    private void report(String name, String ip, long id, RunEvent event, long tookMillis, int events) {
         if (name.isEmpty()) {
             return;
         }
         if (name.equals(settings.name())) {
-            coordinator.reportProgress(name, id, event, tookMillis, ticker.nowMillis());
+            coordinator.reportProgress(name, id, event, tookMillis, events, ticker.nowMillis());
             return;
         }
         RunProgress progress = RunProgress.newBuilder()
                 .setId(id)
                 .setEvent(event)
                 .setTookMillis((int) tookMillis)
+                .setEvents(events)
                 .build();
         datagrams.send(datagram().addProgress(progress).build(), ip);
     }
@@ -332,7 +359,12 @@
         }
         datagram.getProgressList()
                 .forEach(progress -> coordinator.reportProgress(
-                        from, progress.getId(), progress.getEvent(), progress.getTookMillis(), nowMillis));
+                        from,
+                        progress.getId(),
+                        progress.getEvent(),
+                        progress.getTookMillis(),
+                        progress.getEvents(),
+                        nowMillis));
         datagram.getRunsList().forEach(runList -> receiveRuns(from, runList));
         datagram.getRepliesList().forEach(reply -> receiveReply(from, fromIp, reply));
     }
@@ -350,7 +382,7 @@
         if (!current || ticket.settled()) {
             if (granted && !(current && ticket.isPlacedAt(reply.getTarget()))) {
                 // The grant is stale; without this report its slot would stay taken until the next list.
-                report(from, fromIp, reply.getId(), RunEvent.RUN_GIVEN_UP, 0);
+                report(from, fromIp, reply.getId(), RunEvent.RUN_GIVEN_UP, 0, 0);
             }
             return;
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -35,10 +35,12 @@
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.RendezvousColdShares;
 import org.whinwharf.traffic.placement.TargetSelector;
+import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.traffic.retry.RetryAllowance;
 import org.whinwharf.traffic.retry.RetryBudget;
+import org.whinwharf.traffic.share.OrganisationWeights;
 import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.target.PromptCacheIndex;
 import org.whinwharf.traffic.target.Target;
@@ -97,6 +99,7 @@
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final RetryAllowance retryAllowance;
     private final LocalQueues localQueues;
+    private final OrganisationWeights organisationWeights = new OrganisationWeights();
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private final Set<CallerExchange> exchanges = new LinkedHashSet<>();
     private final FrontMetrics metrics = new FrontMetrics();
@@ -138,7 +141,14 @@
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
         observedLongEnough = settings.freshFleet();
-        targets = new TargetRegistry(loop, dialect, ticker, () -> catalog, metrics, this::reachChanged);
+        targets = new TargetRegistry(
+                loop,
+                dialect,
+                ticker,
+                () -> catalog,
+                metrics,
+                settings.policy().isEnabled(Mechanism.LEARNED_LIMITS),
+                this::reachChanged);
         relayPeers = new RelayPeers(settings.name(), members::servingMembers, random);
         OwnReach ownReach = new OwnReach(loop, targets);
         targets.connectThrough(
@@ -147,7 +157,7 @@
         failureReview = new FailureReview(targets);
         pathMonitor = new PathMonitor(targets, ownReach, ticker, this::awaitedTarget);
         retryAllowance = new RetryAllowance(settings.expectsPeers());
-        localQueues = new LocalQueues(loop, ticker, random::nextDouble, settings.policy());
+        localQueues = new LocalQueues(loop, ticker, random::nextDouble, settings.policy(), organisationWeights);
         coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
         placement = new TargetSelector(
                 prompts,
@@ -236,6 +246,14 @@
         metrics.gauge("whinwharf.running.requests", "Requests under way here", exchanges::size);
         metrics.gauge(
                 "whinwharf.coordinated.waiting", "Requests of all fronts that wait here", coordination::queuedRequests);
+        metrics.gauge(
+                "whinwharf.shares.limited",
+                "Organisations that wait here because they have used their share",
+                coordination::limitedOrganisations);
+        metrics.gauge(
+                "whinwharf.shares.largest",
+                "Largest use of an organisation in the last second relative to its share",
+                coordination::largestUseRatio);
         metrics.gauge("whinwharf.connections", "Connections of callers", connections::size);
         metrics.gauge(
                 "whinwharf.peers",
@@ -342,15 +360,17 @@
     }
 
     /**
-     * Returns addresses that callers may connect to, starting with the address of this process.
+     * Returns addresses that callers may connect to.
      *
      * @param limit maximum number of addresses; in a larger fleet they are chosen at random
      * @return IP addresses and ports
      */
     public List<String> callerAddresses(int limit) {
-        return members.sampleServing(ticker.nowMillis(), limit, random).stream()
-                .map(MemberReport::getCallerAddress)
-                .toList();
+        long nowMillis = ticker.nowMillis();
+        List<MemberReport> sample = policy().isEnabled(Mechanism.HOSTS_BY_CAPACITY)
+                ? members.sampleByCapacity(nowMillis, limit, coordination.coordinators(targets.services()), random)
+                : members.sampleServing(nowMillis, limit, random);
+        return sample.stream().map(MemberReport::getCallerAddress).toList();
     }
 
     /**
@@ -365,6 +385,7 @@
         catalog = Optional.of(published);
         loop.execute(this::acceptOnceReady);
         quotas.update(published, ticker.nowMillis());
+        organisationWeights.update(published);
         EventLog.event(LogEvent.CATALOG_IN_FORCE)
                 .with(EventField.VERSION, published.version())
                 .with(EventField.REVISION, feed.revision())
@@ -520,6 +541,9 @@
                 .targetOutcomeListener(targets)
                 .loadListener(targets::updateLoad)
                 .workListener(this::workChanged)
+                .organisationWeights(organisationWeights)
+                .shareListener(FrontLog::organisationLimited)
+                .limitListener(FrontLog::targetLimitChanged)
                 .random(random::nextDouble)
                 .policy(settings.policy())
                 .build());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.whinwharf.traffic.crash.Fingerprint;
+import org.whinwharf.traffic.share.ShareCharge;
 import org.whinwharf.wire.fleet.RunEvent;
 import org.whinwharf.wire.fleet.RunUnderWay;
 
@@ -33,6 +34,9 @@
     private long requestedAtMillis;
     private long sentAtMillis;
     private int coordinatorsTried;
+    private int organisationDigest;
+    private int tierRank;
+    private ShareCharge charge = ShareCharge.NONE;
 
     /**
      * Creates a ticket.
@@ -81,6 +85,17 @@
         return requestedAtMillis;
     }
 
+    /** Sets the organisation and the rank in whose share the request is served. */
+    void sharedBy(int digest, int rank) {
+        organisationDigest = digest;
+        tierRank = rank;
+    }
+
+    /** Sets what the local queue has charged for the request; it is corrected when the request ends. */
+    void charged(ShareCharge localCharge) {
+        charge = localCharge;
+    }
+
     /** Tells whether the request has a target or no longer needs one. */
     boolean settled() {
         return stage != Stage.REQUESTED && stage != Stage.QUEUED;
@@ -143,6 +158,8 @@
                     .setTarget(targetId)
                     .setPrefillTokens((int) prefillTokens)
                     .setSuspectFingerprint(suspect.orElse(Fingerprint.NONE).bits())
+                    .setOrganisationDigest(organisationDigest)
+                    .setTierRank(tierRank)
                     .build());
         }
     }
@@ -181,8 +198,13 @@
 
     /** Reports to the coordinator that the request is no longer queued or running. */
     void ended(RunEvent event, long elapsedMillis) {
+        ended(event, elapsedMillis, 0);
+    }
+
+    /** Reports the same with the number of events of the answer; 0 if they say nothing about the target's pace. */
+    void ended(RunEvent event, long elapsedMillis, int events) {
         if (stage != Stage.ENDED && stage != Stage.IN_REVIEW) {
-            reportEnd(event, elapsedMillis);
+            reportEnd(event, elapsedMillis, events);
         }
     }
 
@@ -209,13 +231,14 @@
     /** Reports the failure of the request to the coordinator, once it is known what it says about the target. */
     void reviewed(RunEvent event) {
         if (stage == Stage.IN_REVIEW) {
-            reportEnd(event, 0);
+            reportEnd(event, 0, 0);
         }
     }
 
-    private void reportEnd(RunEvent event, long elapsedMillis) {
+    private void reportEnd(RunEvent event, long elapsedMillis, int events) {
         stage = Stage.ENDED;
-        coordination.report(this, event, elapsedMillis);
+        charge.ended(coordination.nowMillis());
+        coordination.report(this, event, elapsedMillis, events);
         coordination.forget(this);
     }
 }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -107,6 +107,10 @@
     DECISION("decision"),
     /** Requests at a target, divided by its slots. */
     OCCUPANCY("occupancy"),
+    /** Mean time between the events of an answer, in milliseconds. */
+    PACE_MILLIS("paceMillis"),
+    /** Number of answers that a decision is based on. */
+    SAMPLES("samples"),
     /** Predicted time to the first event, or estimated wait, in milliseconds. */
     PREDICTED_MILLIS("predictedMillis"),
     /** Rank of a floor. */
@@ -139,6 +143,14 @@
     ATTRIBUTES("attributes"),
     /** Number of requests ahead in the queue. */
     QUEUED_AHEAD("ahead"),
+    /** Slots that an organisation held on average in the last second. */
+    USE_SLOTS("useSlots"),
+    /** Slots that the share of an organisation came to in the last second. */
+    SHARE_SLOTS("shareSlots"),
+    /** Time in milliseconds by which an organisation is ahead of the clock of its rank. */
+    AHEAD_OF_CLOCK_MILLIS("aheadOfClockMillis"),
+    /** Number of queued requests. */
+    QUEUED("queued"),
     /** Time in milliseconds since the queue was last empty. */
     BACKLOG_AGE_MILLIS("standingMillis"),
     /** Tokens that a request takes from the quota of its organisation. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -45,9 +45,23 @@
      * @param nowMillis monotonic time in milliseconds
      */
     public void reportProgress(String process, long id, RunEvent event, long tookMillis, long nowMillis) {
+        reportProgress(process, id, event, tookMillis, 0, nowMillis);
+    }
+
+    /**
+     * Processes a report on the progress of a request whose events were counted.
+     *
+     * @param process name of the process that sent the request
+     * @param id id of the placement request
+     * @param event event reported
+     * @param tookMillis time to the first event, or from the first to the last event; 0 if not known
+     * @param events number of events of the whole answer; 0 if not known
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void reportProgress(String process, long id, RunEvent event, long tookMillis, int events, long nowMillis) {
         coordinatorsByService
                 .values()
-                .forEach(coordinator -> coordinator.reportProgress(process, id, event, tookMillis, nowMillis));
+                .forEach(coordinator -> coordinator.reportProgress(process, id, event, tookMillis, events, nowMillis));
     }
 
     /**
@@ -84,6 +98,32 @@
         return queued;
     }
 
+    /**
+     * Returns the number of organisations that wait because they have used their share.
+     *
+     * @return number over all services and ranks
+     */
+    public int limitedOrganisations() {
+        int limited = 0;
+        for (ServiceCoordinator coordinator : coordinatorsByService.values()) {
+            limited += coordinator.shares().limitedOrganisations();
+        }
+        return limited;
+    }
+
+    /**
+     * Returns the largest use of an organisation in the last second relative to its share.
+     *
+     * @return ratio, the largest of all services and ranks; 0 if none is used by several organisations
+     */
+    public double largestUseRatio() {
+        double largest = 0;
+        for (ServiceCoordinator coordinator : coordinatorsByService.values()) {
+            largest = Math.max(largest, coordinator.shares().largestUseRatio());
+        }
+        return largest;
+    }
+
     private ServiceCoordinator serviceCoordinator(String service) {
         return coordinatorsByService.computeIfAbsent(service, name -> new ServiceCoordinator(dependencies, name));
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -18,6 +18,8 @@
 import org.whinwharf.traffic.placement.TargetSelector;
 import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.share.OrganisationShares;
+import org.whinwharf.traffic.share.ShareCharge;
 import org.whinwharf.traffic.target.TargetSpeed;
 import org.whinwharf.traffic.target.TargetState;
 import org.whinwharf.traffic.waiting.DispatchResult;
@@ -26,6 +28,7 @@
 import org.whinwharf.traffic.waiting.QueuedRequest;
 import org.whinwharf.traffic.waiting.RankAverages;
 import org.whinwharf.traffic.waiting.RequestQueue;
+import org.whinwharf.traffic.waiting.ReturnSchedule;
 import org.whinwharf.traffic.waiting.WaitEstimator;
 import org.whinwharf.wire.fleet.RunEvent;
 
@@ -43,10 +46,14 @@
 
     private final CoordinatorDependencies dependencies;
     private final String service;
+    private final OrganisationShares shares;
+    private final ObservedShares observedShares;
     private final RequestQueue queue;
     private final RunningRequests running;
+    private final PaceObserver paces;
     private final SuspectIsolation isolation;
     private final WaitEstimator waitEstimator = new WaitEstimator();
+    private final ReturnSchedule returnSchedule = new ReturnSchedule();
     private final RankAverages rankAverages;
     private final JoinedRanks joinedRanks;
     private final Map<RequestKey, QueuedPlacement> queuedRequests = new HashMap<>();
@@ -55,13 +62,20 @@
 
     private record RequestKey(String requester, long id) {}
 
-    private record Grant(PlacementRequest request, Candidate candidate) {}
+    private record Grant(PlacementRequest request, Candidate candidate, ShareCharge charge, PaceObserver.Start start) {}
 
     ServiceCoordinator(CoordinatorDependencies dependencies, String service) {
         this.dependencies = dependencies;
         this.service = service;
-        queue = new RequestQueue(MAX_QUEUED, dependencies.policy());
-        running = new RunningRequests(dependencies.loadListener());
+        shares = new OrganisationShares(dependencies.organisationWeights());
+        observedShares = new ObservedShares(shares);
+        queue = new RequestQueue(MAX_QUEUED, dependencies.policy(), shares);
+        paces = new PaceObserver(
+                dependencies.loadListener(),
+                dependencies.limitListener(),
+                service,
+                dependencies.policy().isEnabled(Mechanism.LEARNED_LIMITS));
+        running = new RunningRequests(paces);
         isolation = new SuspectIsolation(running, dependencies.crashes());
         rankAverages = new RankAverages((tierRank, previousMillis, holdMillis) ->
                 dependencies.workListener().holdTimeChanged(service, tierRank, previousMillis, holdMillis));
@@ -73,13 +87,20 @@
         return queue.size();
     }
 
+    OrganisationShares shares() {
+        return shares;
+    }
+
     /** Places and rejects queued requests, and expires the requests of processes that have stopped reporting. */
     void advance(long nowMillis) {
+        paces.advanceTo(nowMillis);
         running.expireSilent(nowMillis).forEach((process, runs) -> {
-            removeEndedGrants(process);
+            removeEndedGrants(process, nowMillis);
+            observedShares.forget(process);
             runs.forEach((id, run) -> recordUnknownEnd(process, id, run, nowMillis));
         });
         lastActivityAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > TARGET_ACTIVITY_TIMEOUT_MILLIS);
+        shares.advance(nowMillis);
         queue.advance(nowMillis);
     }
 
@@ -104,6 +125,7 @@
     }
 
     void requestPlacement(PlacementRequest request, long nowMillis) {
+        paces.advanceTo(nowMillis);
         RequestKey key = new RequestKey(request.requester(), request.id());
         Grant grant = grants.get(key);
         if (grant != null) {
@@ -121,6 +143,7 @@
         }
         QueuedPlacement queued = newQueuedPlacement(request, key, nowMillis);
         if (wouldTimeOut(queued, nowMillis)) {
+            queued.reportLimited(nowMillis);
             dependencies.decisionListener().shed(request, queueRejection(queued, nowMillis));
             return;
         }
@@ -163,9 +186,14 @@
         long ownOnTimeMillis = request.onTimeUntilMillis() - nowMillis;
         double holdMillis = TargetSpeed.assumedSlotMillis(demand.promptTokens(), demand.expectedAnswerTokens());
         JoinedRanks.Assignment joined = joinedRanks.assign(demand.tierRank(), holdMillis, ownOnTimeMillis);
-        JoinedRanks.Assignment assignment = dependencies.policy().isEnabled(Mechanism.JOINED_RANKS)
+        JoinedRanks.Assignment own = dependencies.policy().isEnabled(Mechanism.JOINED_RANKS)
                 ? joined
                 : new JoinedRanks.Assignment(demand.tierRank(), ownOnTimeMillis);
+        // The objective counts from the caller's first attempt, so a caller that returns is late.
+        JoinedRanks.Assignment assignment =
+                returnSchedule.recordArrival(demand.tierRank(), request.deadlineAtMillis(), nowMillis)
+                        ? new JoinedRanks.Assignment(own.rank(), 0)
+                        : own;
         long headStartMillis = dependencies.policy().isEnabled(Mechanism.SHORT_FIRST)
                 ? QueueTimeouts.headStartMillis(
                         assignment.onTimeMillis(), rankAverages.holdTimeRatio(demand.tierRank(), holdMillis))
@@ -174,15 +202,23 @@
     }
 
     void reportInFlight(String process, Map<Long, RunningRequests.Run> runs, long nowMillis) {
+        paces.advanceTo(nowMillis);
         running.reconcile(process, runs, nowMillis);
-        removeEndedGrants(process);
+        removeEndedGrants(process, nowMillis);
+        observedShares.record(process, runs, id -> grants.containsKey(new RequestKey(process, id)), nowMillis);
     }
 
     /** Removes the grants of a process whose requests are no longer in flight. */
-    private void removeEndedGrants(String process) {
-        grants.keySet()
-                .removeIf(key -> key.requester().equals(process)
-                        && running.find(process, key.id()).isEmpty());
+    private void removeEndedGrants(String process, long nowMillis) {
+        grants.entrySet().removeIf(entry -> {
+            RequestKey key = entry.getKey();
+            boolean ended = key.requester().equals(process)
+                    && running.find(process, key.id()).isEmpty();
+            if (ended) {
+                entry.getValue().charge().ended(nowMillis);
+            }
+            return ended;
+        });
     }
 
     private boolean admitQuota(PlacementRequest request, long nowMillis) {
@@ -193,7 +229,8 @@
                                 request.requester(), request.organisation().get(), request.quotaTokens(), nowMillis);
     }
 
-    void reportProgress(String process, long id, RunEvent event, long tookMillis, long nowMillis) {
+    void reportProgress(String process, long id, RunEvent event, long tookMillis, int events, long nowMillis) {
+        paces.advanceTo(nowMillis);
         RequestKey key = new RequestKey(process, id);
         Optional<RunningRequests.Run> known = running.find(key.requester(), key.id());
         if (event == RunEvent.RUN_STALLED) {
@@ -216,11 +253,15 @@
         if (event == RunEvent.RUN_FIRST_EVENT) {
             running.recordPrefill(key.requester(), key.id());
             if (grant != null) {
+                paces.recordFirstEvent(grant.candidate().state().target().id(), grant.start());
                 recordFirstEvent(key, grant, tookMillis);
             }
             return;
         }
         grants.remove(key);
+        if (grant != null && event == RunEvent.RUN_ANSWERED) {
+            paces.recordAnswer(grant.candidate().state(), grant.start(), tookMillis, events);
+        }
         Optional<RunningRequests.Run> run = running.recordEnd(key.requester(), key.id());
         if (run.isPresent() && event == RunEvent.RUN_SILENT) {
             reportSilence(run.get().targetId(), process, nowMillis);
@@ -228,6 +269,7 @@
             reportOutcome(run.get().targetId(), process, event);
         }
         if (grant != null) {
+            grant.charge().ended(nowMillis);
             recordEnd(key, grant, event, tookMillis, nowMillis);
         }
         queue.advance(nowMillis);
@@ -290,18 +332,32 @@
 
     private RejectionDetails queueRejection(QueuedPlacement rejected, long nowMillis) {
         int rank = rejected.tierRank();
-        long backlogAgeMillis = queue.backlogAgeMillis(rank, nowMillis);
+        boolean scheduling = dependencies.policy().isEnabled(Mechanism.SCHEDULED_RETURNS);
+        long backlogAgeMillis =
+                scheduling ? queue.backlogAgeAheadMillis(rank, nowMillis) : queue.backlogAgeMillis(rank, nowMillis);
         long ageForRetryMillis = dependencies.policy().isEnabled(Mechanism.ADVICE_BY_STANDING) ? backlogAgeMillis : 0;
         int queuedAhead = queue.queuedAhead(rejected, nowMillis);
+        long earliestMillis = QueueTimeouts.retryAfterMillis(
+                ageForRetryMillis, dependencies.random().getAsDouble());
+        boolean scheduled = scheduling && backlogAgeMillis > 0;
         return new RejectionDetails(
-                QueueTimeouts.retryAfterMillis(
-                        ageForRetryMillis, dependencies.random().getAsDouble()),
+                scheduled ? scheduledMillis(rejected.request, earliestMillis, nowMillis) : earliestMillis,
                 queuedAhead,
                 estimatedWaitMillis(queuedAhead, rank, nowMillis),
                 backlogAgeMillis,
                 0);
     }
 
+    private long scheduledMillis(PlacementRequest request, long earliestMillis, long nowMillis) {
+        return returnSchedule.retryAfterMillis(
+                request.demand().tierRank(),
+                earliestMillis,
+                0,
+                request.deadlineAtMillis(),
+                waitEstimator.placedPerSecond(nowMillis),
+                nowMillis);
+    }
+
     private RejectionDetails quotaRejection(String organisation, long nowMillis) {
         QuotaLedger quotas = dependencies.quotas();
         return new RejectionDetails(
@@ -321,6 +377,8 @@
         private final long onTimeUntilMillis;
         private final long orderMillis;
         private final long backlogTimeoutAtMillis;
+        private final int organisationDigest;
+        private final double expectedSlotMillis;
 
         QueuedPlacement(
                 PlacementRequest request,
@@ -331,6 +389,12 @@
             this.request = request;
             this.key = key;
             queueRank = assignment.rank();
+            organisationDigest =
+                    request.sharingOrganisation().map(String::hashCode).orElse(0);
+            expectedSlotMillis = Math.max(
+                    1,
+                    TargetSpeed.assumedSlotMillis(
+                            request.demand().promptTokens(), request.demand().expectedAnswerTokens()));
             onTimeUntilMillis = nowMillis + assignment.onTimeMillis();
             orderMillis = nowMillis - headStartMillis;
             // A request that failed at a target was already accepted and is late, so a backlog does not shorten its
@@ -375,6 +439,16 @@
             return request.demand().requiredVersion().isPresent();
         }
 
+        @Override
+        public int organisationDigest() {
+            return organisationDigest;
+        }
+
+        @Override
+        public double expectedSlotMillis() {
+            return expectedSlotMillis;
+        }
+
         @Override
         public DispatchResult tryDispatch(long nowMillis) {
             Assessment assessment = assess(request, nowMillis);
@@ -444,11 +518,17 @@
             running.recordGrant(
                     key.requester(),
                     key.id(),
-                    new RunningRequests.Run(targetId, candidate.uncachedTokens(), suspect),
+                    new RunningRequests.Run(
+                            targetId,
+                            candidate.uncachedTokens(),
+                            suspect,
+                            organisationDigest,
+                            request.demand().tierRank()),
                     nowMillis);
             candidate.recordDispatch(nowMillis);
             dependencies.promptCache().recordPrefill(request.demand().promptParts(), targetId, nowMillis);
-            grants.put(key, new Grant(request, candidate));
+            ShareCharge charge = shares.charge(queueRank, this, nowMillis);
+            grants.put(key, new Grant(request, candidate, charge, new PaceObserver.Start()));
             dependencies.decisionListener().granted(request, candidate);
         }
 
@@ -456,9 +536,18 @@
         public void reject(long nowMillis) {
             queuedRequests.remove(key);
             refundQuota();
+            reportLimited(nowMillis);
             dependencies.decisionListener().shed(request, queueRejection(this, nowMillis));
         }
 
+        /** Reports that the request is refused because its organisation has used its share. */
+        void reportLimited(long nowMillis) {
+            shares.refused(queueRank, this, nowMillis)
+                    .ifPresent(use -> dependencies
+                            .shareListener()
+                            .limited(service, request.sharingOrganisation().orElse(""), use));
+        }
+
         void refundQuota() {
             request.organisation()
                     .ifPresent(
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
@@ -62,6 +62,7 @@
     private final boolean reservesByRank;
     private final boolean usesPromptMemory;
     private final boolean usesLearnedSpeed;
+    private final boolean usesLearnedLimits;
     private final boolean weighsAnswerLength;
     private final boolean fitsDeadlines;
 
@@ -94,6 +95,7 @@
         reservesByRank = policy.isEnabled(Mechanism.RESERVE_BY_RANK);
         usesPromptMemory = policy.isEnabled(Mechanism.PROMPT_MEMORY);
         usesLearnedSpeed = policy.isEnabled(Mechanism.LEARNED_SPEED);
+        usesLearnedLimits = policy.isEnabled(Mechanism.LEARNED_LIMITS);
         weighsAnswerLength = policy.isEnabled(Mechanism.ANSWER_LENGTH);
         fitsDeadlines = policy.isEnabled(Mechanism.DEADLINE_FIT);
     }
@@ -136,6 +138,10 @@
         boolean beyondSlots = usesBeyondSlots && !state.rejectionsLimited();
         int reserves = reservesByRank ? Math.min(TierRank.routeRank(tierRank), MAX_RESERVE_RANKS) : 0;
         double maxOccupancy = (beyondSlots ? MAX_OCCUPANCY : 1) - RESERVE_PER_RANK * reserves;
+        int learnedLimit = state.limit().requests();
+        if (learnedLimit > 0 && learnedLimit < slots && usesLearnedLimits) {
+            return Math.max(1, (int) (learnedLimit * (1 - RESERVE_PER_RANK * reserves) + ROUNDING_TOLERANCE));
+        }
         int byOccupancy = Math.max(1, (int) (slots * maxOccupancy + ROUNDING_TOLERANCE));
         return beyondSlots && reserves == 0 ? Math.max(slots + 1, byOccupancy) : byOccupancy;
     }
