--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -53,18 +53,7 @@
     private final Map<RequestKey, Grant> grants = new LinkedHashMap<>();
     private final Map<String, Long> lastActivityAtMillis = new HashMap<>();
 
-    private record RequestKey(String requester, long id) {
-        // Not left to the record, whose generated methods link a chain of method handles at run time.
-        @Override
-        public boolean equals(Object other) {
-            return other instanceof RequestKey key && key.id == id && key.requester.equals(requester);
-        }
-
-        @Override
-        public int hashCode() {
-            return 31 * requester.hashCode() + Long.hashCode(id);
-        }
-    }
+    private record RequestKey(String requester, long id) {}
 
     private record Grant(PlacementRequest request, Candidate candidate) {}
 
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/Fingerprint.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/Fingerprint.java
@@ -36,17 +36,6 @@
         return Long.toHexString(bits);
     }
 
-    // Not left to the record, whose generated methods link a chain of method handles at run time.
-    @Override
-    public boolean equals(Object other) {
-        return other instanceof Fingerprint key && key.bits == bits;
-    }
-
-    @Override
-    public int hashCode() {
-        return Long.hashCode(bits);
-    }
-
     /**
      * Returns the digests of the parts of a prompt that other requests may share: all but the last, which belongs to
      * the request or to its session. They are the same at any place, in any request, of any organisation.
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -34,20 +34,7 @@
     }
 
     /** Identifies tokens already charged here for a process that will include them in a later report. */
-    private record PendingAdmissionKey(String process, int organisationDigest) {
-        // Not left to the record, whose generated methods link a chain of method handles at run time.
-        @Override
-        public boolean equals(Object other) {
-            return other instanceof PendingAdmissionKey key
-                    && key.organisationDigest == organisationDigest
-                    && key.process.equals(process);
-        }
-
-        @Override
-        public int hashCode() {
-            return 31 * process.hashCode() + organisationDigest;
-        }
-    }
+    private record PendingAdmissionKey(String process, int organisationDigest) {}
 
     /**
      * Creates an empty ledger.
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamKey.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamKey.java
@@ -23,15 +23,4 @@
                 .build()
                 .bits());
     }
-
-    // Not left to the record, whose generated methods link a chain of method handles at run time.
-    @Override
-    public boolean equals(Object other) {
-        return other instanceof StreamKey key && key.bits == bits;
-    }
-
-    @Override
-    public int hashCode() {
-        return Long.hashCode(bits);
-    }
 }
