Tell refused callers when the share of their organisation has room

Cause: the schedule of returns was passed no bound by organisation, so a caller whose organisation has used its share could be told a time before its share has room.

Change: the delay is at least the time after which the share has room, up to the longest delay, where several organisations use the rank.

The new test was not seen to fail without the change: the schedule mostly tells a later time anyway.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/OrganisationShareTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/OrganisationShareTest.java
@@ -58,6 +58,18 @@
         assertThat(fleet.largestUseRatio(), greaterThan(2.0));
     }
 
+    /** Guards against a flood whose callers are told to return before its share has room. */
+    @Test
+    void floodIsToldToReturnLaterThanOneWithMoreRoom() {
+        ShareFleet fleet = fleet(Policy.ALL_ENABLED);
+        ShareFleet.Sender flood = fleet.add("flood", 2 * FLOOD_PER_SECOND, SLOT_MILLIS, ANSWER_TOKENS);
+        ShareFleet.Sender other = fleet.add("other", FLOOD_PER_SECOND / 2, SLOT_MILLIS, ANSWER_TOKENS);
+        fleet.run(WARM_UP_MILLIS);
+        fleet.resetCounts();
+        fleet.run(PERIOD_MILLIS);
+        assertThat(flood.meanRetryAfterMillis(), greaterThanOrEqualTo(other.meanRetryAfterMillis()));
+    }
+
     /** The mechanism can be switched off alone; the same flood then takes from the others. */
     @Test
     void floodTakesFromTheOthersWithoutShares() {
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ShareFleet.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ShareFleet.java
@@ -63,6 +63,7 @@
         private int sent;
         private int granted;
         private int refused;
+        private long retryAfterMillis;
         private int running;
         private long usedMillis;
 
@@ -89,6 +90,11 @@
             return refused;
         }
 
+        /** Returns the mean delay after which its refused requests were to be repeated. */
+        double meanRetryAfterMillis() {
+            return (double) retryAfterMillis / refused;
+        }
+
         /** Returns the slot time used since the last reset, in milliseconds. */
         long usedMillis() {
             return usedMillis;
@@ -103,6 +109,7 @@
             sent = 0;
             granted = 0;
             refused = 0;
+            retryAfterMillis = 0;
             usedMillis = 0;
         }
     }
@@ -261,7 +268,9 @@
 
         @Override
         public void shed(PlacementRequest request, RejectionDetails details) {
-            senders.remove(request.id()).refused++;
+            Sender sender = senders.remove(request.id());
+            sender.refused++;
+            sender.retryAfterMillis += details.retryAfterMillis();
         }
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -341,23 +341,33 @@
                 ageForRetryMillis, dependencies.random().getAsDouble());
         boolean scheduled = scheduling && backlogAgeMillis > 0;
         return new RejectionDetails(
-                scheduled ? scheduledMillis(rejected.request, earliestMillis, nowMillis) : earliestMillis,
+                scheduled ? scheduledMillis(rejected, earliestMillis, nowMillis) : earliestMillis,
                 queuedAhead,
                 estimatedWaitMillis(queuedAhead, rank, nowMillis),
                 backlogAgeMillis,
                 0);
     }
 
-    private long scheduledMillis(PlacementRequest request, long earliestMillis, long nowMillis) {
+    private long scheduledMillis(QueuedPlacement rejected, long earliestMillis, long nowMillis) {
         return returnSchedule.retryAfterMillis(
-                request.demand().tierRank(),
+                rejected.request.demand().tierRank(),
                 earliestMillis,
-                0,
-                request.deadlineAtMillis(),
+                shareRoomInMillis(rejected),
+                rejected.request.deadlineAtMillis(),
                 waitEstimator.placedPerSecond(nowMillis),
                 nowMillis);
     }
 
+    /** Returns how long the share of a request's organisation has no room for it; 0 if shares do not apply. */
+    private long shareRoomInMillis(QueuedPlacement rejected) {
+        int rank = rejected.tierRank();
+        boolean shared = dependencies.policy().isEnabled(Mechanism.ORGANISATION_SHARES) && shares.isShared(rank);
+        return shared
+                ? Math.min(
+                        QueueTimeouts.MAX_RETRY_AFTER_MILLIS, shares.roomInMillis(rank, rejected.organisationDigest()))
+                : 0;
+    }
+
     private RejectionDetails quotaRejection(String organisation, long nowMillis) {
         QuotaLedger quotas = dependencies.quotas();
         return new RejectionDetails(
