--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/SettingsPrecheckTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/SettingsPrecheckTest.java
@@ -23,7 +23,7 @@
              "readyAddress": "10.0.0.1:2", "directoryAddress": "10.0.0.1:3", "peerPort": 4,
              "seedAddresses": ["10.0.0.2:4", "10.0.0.3:4"], "freshFleet": true, "retryRatio": 0.2, "retryAllowance": 54,
              "retryWindowSeconds": 10, "stopGraceSeconds": 8, "directorySeconds": 5, "storeAddress": "10.0.0.9:5",
-             "metricsPort": 6, "cores": 2, "coreShare": 0.75}
+             "metricsPort": 6, "cores": 2, "coreShare": 0.75, "disabledMechanisms": ["LEARNED_LIMITS"]}
             """;
     /** Values that replace the value of each field in turn, most of them invalid. */
     private static final List<String> REPLACEMENT_VALUES = List.of(
