Log and count what targets state of the rate that they take

Change: Server-Limit is read from each head; target-rate-changed lines on each change, statedRate on the lines of sent requests, a gauge of limited targets. Nothing is decided by it yet.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -15,6 +15,7 @@
 import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import java.util.stream.Stream;
+import org.whinwharf.traffic.rate.RateStatement;
 import org.whinwharf.traffic.target.PromptPart;
 
 /** Minimal dialect for the tests of this module, with its own header names. */
@@ -94,6 +95,7 @@
                 .wrongTarget(response.status().code() == 421)
                 .signed(response.headers().contains("Signed"))
                 .keepAliveMillis(OptionalLong.of(10_000))
+                .rateStatement(RateStatement.parse(response.headers().getAll("Request-Limit")))
                 .rejectionLimitPerSecond(
                         response.headers().contains("Rejection-Limit")
                                 ? OptionalInt.of(response.headers().getInt("Rejection-Limit"))
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ActiveRun.java
@@ -180,6 +180,7 @@
     @Override
     public void head(HttpResponse response, ResponseHead head) {
         recordBytes();
+        front.statedRates().answered(run, head);
         exchange.head(this, response, head);
         reportLifeSign();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.whinwharf.errors.ErrorKind;
@@ -1126,6 +1127,11 @@
                 : OptionalLong.empty();
     }
 
+    /** Returns the requests per second that a run's target has stated it takes; empty if it takes any number. */
+    OptionalDouble statedRate(TargetRun run) {
+        return front.statedRates().rateOf(run.target().id());
+    }
+
     /** Returns the version of the target that sent the first event of the stream; empty before that event. */
     Optional<String> streamVersion() {
         return stream.requiredVersion();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -111,6 +111,7 @@
     /** Whether no stream can have begun before this process knew the targets, since the whole fleet was started. */
     private final boolean observedLongEnough;
 
+    private final StatedRateTracker statedRates = new StatedRateTracker();
     private final StreamTracker streams;
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
@@ -287,6 +288,10 @@
                 "Runs remembered because their targets may have crashed under them",
                 crashes.ledger()::size);
         metrics.gauge("whinwharf.streams.remembered", "Streams whose software version is remembered", streams::size);
+        metrics.gauge(
+                "whinwharf.targets.rate.limited",
+                "Targets that state the rate of requests that they take",
+                statedRates::limitedTargets);
         metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
         new HttpEndpoint(loop, (method, uri) -> new HttpEndpoint.Response(200, "text/plain", metrics.scrape()))
                 .bind(settings.ip(), settings.metricsPort())
@@ -697,6 +702,10 @@
         return crashes;
     }
 
+    StatedRateTracker statedRates() {
+        return statedRates;
+    }
+
     LostRunRecorder lostRuns() {
         return lostRuns;
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.stream.Collectors;
 import org.whinwharf.errors.ErrorKind;
@@ -94,6 +95,7 @@
                 .with(EventField.AGE_MILLIS, exchange.catalogFreshness().itemsAgeMillis())
                 .with(EventField.TARGET_VERSION, run.target().version());
         lastEventId.ifPresent(id -> event.with(EventField.LAST_EVENT, id));
+        exchange.statedRate(run).ifPresent(rate -> event.with(EventField.STATED_RATE, rate));
         exchange.head().resumedAttemptId().ifPresent(id -> event.with(EventField.RESUMES, id));
         if (run.relayed()) {
             event.with(EventField.PEER, run.peerName());
@@ -381,6 +383,23 @@
         event.call();
     }
 
+    /**
+     * Logs that a target states another rate than before.
+     *
+     * @param peer name of the peer that has reported it; empty if the target said so itself
+     */
+    static void statedRateChanged(
+            String service, String targetId, OptionalDouble before, OptionalDouble now, String peer, long ageMillis) {
+        EventLog event = EventLog.event(LogEvent.TARGET_RATE_CHANGED)
+                .with(EventField.SERVICE, service)
+                .with(EventField.TARGET, targetId)
+                .with(EventField.PEER, peer)
+                .with(EventField.AGE_MILLIS, ageMillis);
+        before.ifPresent(rate -> event.with(EventField.FROM, rate));
+        now.ifPresent(rate -> event.with(EventField.TO, rate));
+        event.call();
+    }
+
     static void rejectionLimitChanged(String service, OptionalInt limitPerSecond) {
         EventLog event = EventLog.event(LogEvent.REJECTION_LIMIT).with(EventField.SERVICE, service);
         limitPerSecond.ifPresent(limit -> event.with(EventField.LIMIT, limit));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseHead.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseHead.java
@@ -3,6 +3,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.immutables.value.Value;
+import org.whinwharf.traffic.rate.RateStatement;
 
 /** Parsed head of a target's response. */
 @Value.Immutable
@@ -49,6 +50,16 @@
      */
     OptionalInt rejectionLimitPerSecond();
 
+    /**
+     * Returns what the target says of the requests per second that it takes from all processes together.
+     *
+     * @return statement; none by default
+     */
+    @Value.Default
+    default RateStatement rateStatement() {
+        return RateStatement.NONE;
+    }
+
     /**
      * Returns how long the target keeps an idle connection open.
      *
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -167,6 +167,8 @@
     SUBJECT("subject"),
     /** Runs of a request, one after the other, or targets lost with a part, that may have crashed. */
     CRASHES("crashes"),
+    /** Requests per second that a target has stated it takes. */
+    STATED_RATE("statedRate"),
     /** Part of the fixed retry allowance that this process may use. */
     RETRY_ALLOWANCE("retryAllowance"),
     /** Retries of this process in the current window. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -77,7 +77,8 @@
             EventField.AGE_MILLIS,
             EventField.TARGET_VERSION,
             EventField.LAST_EVENT,
-            EventField.RESUMES),
+            EventField.RESUMES,
+            EventField.STATED_RATE),
     /** A request ended. */
     REQUEST_ENDED(
             Level.INFO,
@@ -250,6 +251,18 @@
             EventField.PACE_MILLIS,
             EventField.OCCUPANCY,
             EventField.SAMPLES),
+    /**
+     * A target states that it takes another rate of requests than before, or any, by its own answer or as a peer has
+     * reported.
+     */
+    TARGET_RATE_CHANGED(
+            Level.WARN,
+            EventField.SERVICE,
+            EventField.TARGET,
+            EventField.FROM,
+            EventField.TO,
+            EventField.PEER,
+            EventField.AGE_MILLIS),
     /** A coordinator did not respond in time and is skipped for a while. */
     COORDINATOR_SILENT(Level.WARN, EventField.PEER, EventField.SERVICE, EventField.AGE_MILLIS),
     /** A peer was evicted after a long silence. */
