Keep the rate that a target states as one bound over all fronts

Cause: no front read the rate, and nothing bounded the requests to one target over all fronts.

Change: one table of statements and counts in each front (StatedRates), passed on at once and with the gossip; the coordinator of the service, also of a plain one, grants by a bucket for each target, the totals of what all coordinators counted reach the next one with the member reports; a front sends what no coordinator has counted only by its own part of the rate, and asks so right before each send.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -484,7 +484,7 @@
             return resumesStream() ? DispatchResult.HELD : DispatchResult.NO_TARGET;
         }
         Candidate candidate = chosen.get();
-        candidate.recordDispatch(nowMillis);
+        front.recordLocalDispatch(candidate, nowMillis);
         PlacementTicket placed = front.coordination().placedLocally(service, suspectFingerprint(), candidate);
         placed.sharedBy(organisationDigest(), tierRank);
         placed.charged(front.localQueues().charge(service, this));
@@ -553,7 +553,8 @@
         if (deadlineAtMillis - nowMillis < MIN_REMAINING_MILLIS
                 || !front.mayReceive(current.entry())
                 || becameSuspect
-                || assessment.quarantined()) {
+                || assessment.quarantined()
+                || !front.statedRates().admits(current.run())) {
             current.entry().pool().release(acquired);
             current.end(RunEvent.RUN_GIVEN_UP);
             place(nowMillis);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -66,6 +66,7 @@
     private final FrontSettings settings;
     private final MemberTable members;
     private final TargetRegistry targets;
+    private final StatedRateTracker statedRates;
     private final PeerDatagrams datagrams;
     private final Ticker ticker;
     private final Coordinator coordinator;
@@ -85,6 +86,7 @@
      * @param settings settings of this process
      * @param members members of the fleet
      * @param targets all known targets
+     * @param statedRates rates that targets state
      * @param datagrams datagrams to and from peers
      * @param ticker monotonic clock
      * @param coordinators creates the coordinator, given the listener for its decisions
@@ -94,6 +96,7 @@
             FrontSettings settings,
             MemberTable members,
             TargetRegistry targets,
+            StatedRateTracker statedRates,
             PeerDatagrams datagrams,
             Ticker ticker,
             Function<DecisionListener, Coordinator> coordinators,
@@ -101,6 +104,7 @@
         this.settings = settings;
         this.members = members;
         this.targets = targets;
+        this.statedRates = statedRates;
         this.datagrams = datagrams;
         this.ticker = ticker;
         this.coordinatedServices = coordinatedServices;
@@ -149,13 +153,16 @@
         return names;
     }
 
-    /** Returns the addresses of the highest-ranked coordinators of each service with requests in flight here. */
+    /**
+     * Returns the addresses of the highest-ranked coordinators of each service with requests in flight here, and of
+     * those whose requests this process may count as their coordinator.
+     */
     Collection<String> coordinatorIps() {
         Set<String> ips = new LinkedHashSet<>();
-        activeServices()
-                .forEach(service -> ranking(service).stream()
-                        .limit(RUN_REPORT_RECIPIENTS)
-                        .forEach(report -> ips.add(report.getIp())));
+        Set<String> services = activeServices();
+        services.addAll(statedRates.services());
+        services.forEach(service ->
+                ranking(service).stream().limit(RUN_REPORT_RECIPIENTS).forEach(report -> ips.add(report.getIp())));
         return ips;
     }
 
@@ -416,9 +423,13 @@
                 || !targets.mayReceive(entry)
                 || !ticket.listener().accepts(entry.state().target())) {
             // The published items are newer here than at the coordinator, so its grant cannot be used.
-            report(ticket, RunEvent.RUN_GIVEN_UP, 0);
-            tickets.remove(ticket.id());
-            ticket.listener().grantUnusable(reply.getTarget());
+            declineGrant(ticket, reply);
+            return;
+        }
+        boolean countedHere = !reply.getRateCounted() && statedRates.limits(reply.getTarget());
+        if (countedHere && !statedRates.tryCount(reply.getTarget())) {
+            statedRates.sendTo(reply.getTarget(), ticket.coordinatorIp());
+            declineGrant(ticket, reply);
             return;
         }
         TargetState state = entry.state();
@@ -431,7 +442,14 @@
                         reply.getOccupancy(),
                         reply.getPredictedMillis(),
                         reply.getPredictedMillis(),
-                        0));
+                        0,
+                        reply.getRateCounted() || countedHere));
+    }
+
+    private void declineGrant(PlacementTicket ticket, PlacementReply reply) {
+        report(ticket, RunEvent.RUN_GIVEN_UP, 0);
+        tickets.remove(ticket.id());
+        ticket.listener().grantUnusable(reply.getTarget());
     }
 
     private void receiveRequest(String from, PlacementAsk request, long nowMillis) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
@@ -21,6 +21,7 @@
     private final TargetRegistry targets;
     private final QuotaLedger quotas;
     private final ItemFeed feed;
+    private final StatedRateTracker statedRates;
     private final Ticker ticker;
     private boolean remoteLoadsChanged;
     private long aggregatedAtMillis;
@@ -31,12 +32,14 @@
             TargetRegistry targets,
             QuotaLedger quotas,
             ItemFeed feed,
+            StatedRateTracker statedRates,
             Ticker ticker) {
         this.settings = settings;
         this.members = members;
         this.targets = targets;
         this.quotas = quotas;
         this.feed = feed;
+        this.statedRates = statedRates;
         this.ticker = ticker;
     }
 
@@ -70,12 +73,14 @@
         quotas.admittedTotals()
                 .forEach((digest, total) ->
                         report.addQuotasBuilder().setOrganisationDigest(digest).setAdmittedTotal(total));
+        statedRates.addTo(report);
         members.updateLocalReport(report);
     }
 
     /** Applies another member's report: its admitted quota totals at once, its load at the next aggregation. */
     void applyReport(MemberReport report) {
         remoteLoadsChanged = true;
+        statedRates.applyReport(report);
         feed.reportReceived(report);
         report.getQuotasList()
                 .forEach(quota -> quotas.receiveTotal(
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -111,7 +111,7 @@
     /** Whether no stream can have begun before this process knew the targets, since the whole fleet was started. */
     private final boolean observedLongEnough;
 
-    private final StatedRateTracker statedRates = new StatedRateTracker();
+    private final StatedRateTracker statedRates;
     private final StreamTracker streams;
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
@@ -150,6 +150,9 @@
                 metrics,
                 settings.policy().isEnabled(Mechanism.LEARNED_LIMITS),
                 this::reachChanged);
+        datagrams = new PeerDatagrams(settings);
+        statedRates = new StatedRateTracker(settings, members, datagrams, ticker, random);
+        targets.trackRates(statedRates);
         relayPeers = new RelayPeers(settings.name(), members::servingMembers, random);
         OwnReach ownReach = new OwnReach(loop, targets);
         targets.connectThrough(
@@ -164,18 +167,25 @@
                 prompts,
                 this::localColdAllowance,
                 () -> members.largeFleet() ? random.nextDouble() * PREDICTION_JITTER : 0,
-                settings.policy());
+                settings.policy(),
+                statedRates.ofProcess());
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror, metrics);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
-        fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, ticker);
-        datagrams = new PeerDatagrams(settings);
+        fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, statedRates, ticker);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
         streams = new StreamTracker(settings, members, datagrams, loop, ticker, this::onlyVersions);
         targets.onVersionChange(streams::targetRestarted);
         coordination = new Coordination(
-                settings, members, targets, datagrams, ticker, this::createCoordinator, this::isCoordinated);
+                settings,
+                members,
+                targets,
+                statedRates,
+                datagrams,
+                ticker,
+                this::createCoordinator,
+                this::isCoordinated);
         gossip = new Gossip(
                 settings,
                 members,
@@ -184,7 +194,8 @@
                 datagrams,
                 fleetState::applyReport,
                 coordination::coordinatorIps,
-                crashes);
+                crashes,
+                statedRates);
         callers = new CallerAcceptor(this, loop, callerPort);
     }
 
@@ -494,6 +505,7 @@
         targets.sweep();
         crashes.sweep();
         streams.sweep();
+        statedRates.sweep(targets.ids());
         pathMonitor.recheckLostPaths();
         List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowMillis));
         members.expire(nowMillis)
@@ -531,8 +543,12 @@
     }
 
     private Coordinator createCoordinator(DecisionListener decisions) {
-        TargetSelector selector =
-                new TargetSelector(prompts, this::coordinatorColdAllowance, () -> 0, settings.policy());
+        TargetSelector selector = new TargetSelector(
+                prompts,
+                this::coordinatorColdAllowance,
+                () -> 0,
+                settings.policy(),
+                statedRates.table().ofCoordinator());
         return new Coordinator(ImmutableCoordinatorDependencies.builder()
                 .localName(settings.name())
                 .targetSelector(selector)
@@ -541,6 +557,7 @@
                 .evacuatedDataCentres(targets::evacuated)
                 .quotas(quotas)
                 .crashes(crashes.ledger())
+                .statedRates(statedRates.table())
                 .lostRunListener(crashes::record)
                 .decisionListener(decisions)
                 .targetOutcomeListener(targets)
@@ -569,10 +586,11 @@
 
     /**
      * Tells whether one process places the requests of a service for the whole fleet: requests to engines, which are
-     * ordered and balanced that way, and to targets that must not be filled by several processes at once.
+     * ordered and balanced that way, and to targets that must not be filled by several processes at once, or that state
+     * how many requests they take from all processes together.
      */
     private boolean isCoordinated(String service) {
-        return targets.rejectionsLimited(service) || isEngine(service);
+        return targets.rejectionsLimited(service) || isEngine(service) || statedRates.limitsService(service);
     }
 
     private boolean isEngine(String service) {
@@ -652,6 +670,11 @@
         return placement.select(demand, targets.ofService(demand.service()), targets.evacuated(), nowMillis);
     }
 
+    /** Records that this process sends a request to a target that it has chosen itself. */
+    void recordLocalDispatch(Candidate candidate, long nowMillis) {
+        placement.recordDispatch(candidate, nowMillis);
+    }
+
     /** Tells whether a target that was just selected may still receive a request. */
     boolean mayReceive(TargetEntry entry) {
         return targets.mayReceive(entry);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
@@ -31,6 +31,8 @@
     private static final int MAX_DATAGRAM_BYTES = 1_300;
     /** Maximum number of heartbeats in a datagram; with one or two reports they fill it. */
     private static final int MAX_HEARTBEATS = 90;
+    /** Number of heartbeats that take as much room as a target's stated rate. */
+    private static final int HEARTBEATS_PER_RATE = 5;
     /** Probability that a round also contacts the seeds, so that the parts of a partitioned fleet meet again. */
     private static final double SEED_PROBABILITY = 0.1;
 
@@ -48,6 +50,7 @@
     private final Listener listener;
     private final Supplier<Collection<String>> coordinatorIps;
     private final CrashTracker crashes;
+    private final StatedRateTracker statedRates;
     private boolean unknownMemberSeen;
     private int roundCount;
 
@@ -59,7 +62,8 @@
             PeerDatagrams datagrams,
             Listener listener,
             Supplier<Collection<String>> coordinatorIps,
-            CrashTracker crashes) {
+            CrashTracker crashes,
+            StatedRateTracker statedRates) {
         this.settings = settings;
         this.members = members;
         this.ticker = ticker;
@@ -68,6 +72,7 @@
         this.listener = listener;
         this.coordinatorIps = coordinatorIps;
         this.crashes = crashes;
+        this.statedRates = statedRates;
         datagrams.addListener(this::handleDatagram);
     }
 
@@ -96,6 +101,7 @@
         addSeeds(ips, fewPeersKnown);
         FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
         crashes.addTo(datagram);
+        statedRates.addTo(datagram);
         addReports(datagram, shuffledAliveMembers());
         send(datagram.setRosterWanted(fewPeersKnown || unknownMemberSeen).build(), ips);
     }
@@ -117,7 +123,9 @@
         addSeeds(ips, false);
         FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
         crashes.addTo(datagram);
-        for (MemberHeartbeat heartbeat : members.heartbeats(MAX_HEARTBEATS, ticker.nowMillis())) {
+        statedRates.addTo(datagram);
+        int maxHeartbeats = MAX_HEARTBEATS - HEARTBEATS_PER_RATE * datagram.getStatedRatesCount();
+        for (MemberHeartbeat heartbeat : members.heartbeats(maxHeartbeats, ticker.nowMillis())) {
             datagram.addBeatMembers(heartbeat.nameDigest())
                     .addBeatIncarnations(heartbeat.incarnationDigest())
                     .addBeatSequences((int) heartbeat.sequence())
@@ -184,6 +192,7 @@
 
     private void sendRoster(String ip) {
         crashes.sendAllTo(ip);
+        statedRates.sendAllTo(ip);
         List<Member> remaining = shuffledAliveMembers();
         do {
             FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
@@ -125,6 +125,7 @@
                 .setOccupancy((float) candidate.occupancy())
                 .setPredictedMillis((float) candidate.firstEventMillis())
                 .setCold(candidate.coldAllowance() > 0)
+                .setRateCounted(candidate.rateCounted())
                 .build();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -60,6 +60,7 @@
     private final TargetPaths paths;
     private TargetConnector connector;
     private Consumer<String> crashListener = targetId -> {};
+    private StatedRateTracker statedRates;
     private BiConsumer<Target, Target> versionChangeListener = (before, after) -> {};
     private final Map<String, Integer> rejectionLimitsPerSecond = new HashMap<>();
     private Set<String> evacuated = Set.of();
@@ -92,6 +93,11 @@
         connector = targetConnector;
     }
 
+    /** Sets the tracker of the rates that targets state, which has to know of their restarts and health checks. */
+    void trackRates(StatedRateTracker tracker) {
+        statedRates = tracker;
+    }
+
     /** Sets the consumer of the ids of targets that have crashed. */
     void onCrash(Consumer<String> listener) {
         crashListener = listener;
@@ -145,6 +151,9 @@
                 && !entry.state().target().draining()) {
             crashed(entry);
         }
+        if (knownStartUnixMillis != target.startedUnixMillis()) {
+            statedRates.restarted(target);
+        }
         Target before = entry.state().target();
         entry.state().update(target);
         if (!before.version().equals(target.version())) {
@@ -299,6 +308,11 @@
                 .allMatch(startedUnixMillis -> startedUnixMillis > 0 && startedUnixMillis < sinceUnixMillis);
     }
 
+    /** Returns the ids of all targets. */
+    Set<String> ids() {
+        return entries.keySet();
+    }
+
     Collection<TargetEntry> all() {
         return entries.values();
     }
@@ -468,6 +482,7 @@
     private void evict(String targetId) {
         TargetEntry entry = entries.remove(targetId);
         paths.forget(targetId);
+        statedRates.removed(targetId);
         entry.pool().closeIdle();
         byService.get(entry.state().target().service()).remove(targetId);
     }
@@ -494,6 +509,7 @@
                 return;
             }
             probe.connection = acquired.connection().get();
+            statedRates.probed(target.id());
             loop.schedule(probe::timedOut, PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             probe.connection.send(check, Unpooled.EMPTY_BUFFER, "", probe);
         });
@@ -513,6 +529,7 @@
         @Override
         public void head(HttpResponse response, ResponseHead head) {
             entry.bytesReceived(ticker.nowMillis());
+            statedRates.probeAnswered(entry.state().target(), head);
             coldMillis = dialect.readHealth(response, entry.state().target().id());
         }
 
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
@@ -23,6 +23,7 @@
 import org.whinwharf.front.DispatchParameters;
 import org.whinwharf.front.RequestHead;
 import org.whinwharf.front.ResponseHead;
+import org.whinwharf.traffic.rate.RateStatement;
 import org.whinwharf.traffic.target.PromptPart;
 
 class PlatformDialectTest {
@@ -142,6 +143,17 @@
         assertThat(dialect.readResponse(response).rejectionLimitPerSecond(), is(OptionalInt.of(0)));
     }
 
+    /** Guards against workers that get more requests than they take because the limit is not read. */
+    @Test
+    void requestLimitIsReadFromAnyResponse() {
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.SERVICE_UNAVAILABLE);
+        assertThat(dialect.readResponse(response).rateStatement(), is(RateStatement.NONE));
+        response.headers().add("Server-Limit", "3.6").add("server-limit", "2.4");
+        assertThat(dialect.readResponse(response).rateStatement().requestsPerSecond(), is(2.4));
+        response.headers().set("Server-Limit", "");
+        assertThat(dialect.readResponse(response).rateStatement().kind(), is(RateStatement.Kind.UNREADABLE));
+    }
+
     /** The address of a removed target is reused by another target, which is healthy. */
     @Test
     void healthyResponseOfAnotherTargetIsRejected() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorDependencies.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/CoordinatorDependencies.java
@@ -12,6 +12,7 @@
 import org.whinwharf.traffic.placement.TargetSelector;
 import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.quota.QuotaLedger;
+import org.whinwharf.traffic.rate.StatedRates;
 import org.whinwharf.traffic.share.OrganisationWeights;
 import org.whinwharf.traffic.share.ShareListener;
 import org.whinwharf.traffic.target.PromptCacheIndex;
@@ -154,6 +155,16 @@
         return run -> {};
     }
 
+    /**
+     * Returns the rates that targets state.
+     *
+     * @return rates; none by default
+     */
+    @Value.Default
+    default StatedRates statedRates() {
+        return new StatedRates();
+    }
+
     /**
      * Returns the scheduling policy.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -337,8 +337,10 @@
                 scheduling ? queue.backlogAgeAheadMillis(rank, nowMillis) : queue.backlogAgeMillis(rank, nowMillis);
         long ageForRetryMillis = dependencies.policy().isEnabled(Mechanism.ADVICE_BY_STANDING) ? backlogAgeMillis : 0;
         int queuedAhead = queue.queuedAhead(rejected, nowMillis);
-        long earliestMillis = QueueTimeouts.retryAfterMillis(
-                ageForRetryMillis, dependencies.random().getAsDouble());
+        long earliestMillis = Math.max(
+                QueueTimeouts.retryAfterMillis(
+                        ageForRetryMillis, dependencies.random().getAsDouble()),
+                statedRatesAllowInMillis(queuedAhead, nowMillis));
         boolean scheduled = scheduling && backlogAgeMillis > 0;
         return new RejectionDetails(
                 scheduled ? scheduledMillis(rejected, earliestMillis, nowMillis) : earliestMillis,
@@ -348,6 +350,15 @@
                 0);
     }
 
+    /** Returns when the targets take a request behind those ahead of it by the rates that all of them state. */
+    private long statedRatesAllowInMillis(int queuedAhead, long nowMillis) {
+        return Math.min(
+                QueueTimeouts.MAX_RETRY_AFTER_MILLIS,
+                dependencies
+                        .statedRates()
+                        .takenInMillis(dependencies.targets().apply(service), queuedAhead + 1, nowMillis));
+    }
+
     private long scheduledMillis(QueuedPlacement rejected, long earliestMillis, long nowMillis) {
         return returnSchedule.retryAfterMillis(
                 rejected.request.demand().tierRank(),
@@ -535,7 +546,7 @@
                             organisationDigest,
                             request.demand().tierRank()),
                     nowMillis);
-            candidate.recordDispatch(nowMillis);
+            dependencies.targetSelector().recordDispatch(candidate, nowMillis);
             dependencies.promptCache().recordPrefill(request.demand().promptParts(), targetId, nowMillis);
             ShareCharge charge = shares.charge(queueRank, this, nowMillis);
             grants.put(key, new Grant(request, candidate, charge, new PaceObserver.Start()));
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Candidate.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/Candidate.java
@@ -13,6 +13,7 @@
  * @param scoreMillis score of the target, lowest is best: the predicted time to the first event plus weighted times
  *     after it
  * @param coldAllowance requests per second that this process may send to the cold target; 0 if it is warm
+ * @param rateCounted whether the request is counted against the rate that the target states
  */
 public record Candidate(
         TargetState state,
@@ -21,7 +22,8 @@
         double occupancy,
         double firstEventMillis,
         double scoreMillis,
-        int coldAllowance) {
+        int coldAllowance,
+        boolean rateCounted) {
     /**
      * Records that the request is dispatched to the target.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/placement/TargetSelector.java
@@ -6,6 +6,7 @@
 import org.whinwharf.traffic.catalog.TierRank;
 import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.policy.Policy;
+import org.whinwharf.traffic.rate.RateAdmission;
 import org.whinwharf.traffic.target.PromptCacheIndex;
 import org.whinwharf.traffic.target.TargetSpeed;
 import org.whinwharf.traffic.target.TargetState;
@@ -58,6 +59,7 @@
     private final PromptCacheIndex promptCache;
     private final ColdShares coldShares;
     private final DoubleSupplier jitter;
+    private final RateAdmission rates;
     private final boolean usesBeyondSlots;
     private final boolean reservesByRank;
     private final boolean usesPromptMemory;
@@ -87,6 +89,25 @@
      * @param policy enabled mechanisms
      */
     public TargetSelector(PromptCacheIndex promptCache, ColdShares coldShares, DoubleSupplier jitter, Policy policy) {
+        this(promptCache, coldShares, jitter, policy, RateAdmission.UNLIMITED);
+    }
+
+    /**
+     * Creates a selector for targets that may state how many requests they take.
+     *
+     * @param promptCache record of the targets that have read each prompt
+     * @param coldShares share of this process in the requests to cold targets
+     * @param jitter random fraction by which the score of an engine is increased, drawn for each engine
+     * @param policy enabled mechanisms
+     * @param rates admission of requests to targets that state a rate
+     */
+    public TargetSelector(
+            PromptCacheIndex promptCache,
+            ColdShares coldShares,
+            DoubleSupplier jitter,
+            Policy policy,
+            RateAdmission rates) {
+        this.rates = rates;
         this.promptCache = promptCache;
         this.coldShares = coldShares;
         this.jitter = jitter;
@@ -124,7 +145,15 @@
                     continue;
                 }
             }
-            Candidate candidate = score(state, demand, state.occupancy(), allowance, nowMillis);
+            String targetId = state.target().id();
+            boolean rateLimited = rates.limits(targetId);
+            if (rateLimited && !rates.admits(targetId, nowMillis)) {
+                continue;
+            }
+            Candidate candidate = score(state, demand, state.occupancy(), allowance, rateLimited, nowMillis);
+            if (rateLimited && !demand.suspect() && rates.overdue(targetId, nowMillis)) {
+                return Optional.of(candidate);
+            }
             if (best == null || candidate.scoreMillis() < best.scoreMillis()) {
                 best = candidate;
             }
@@ -132,6 +161,19 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Records that a request is dispatched to a selected target.
+     *
+     * @param candidate target that this selector has selected
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void recordDispatch(Candidate candidate, long nowMillis) {
+        candidate.recordDispatch(nowMillis);
+        if (candidate.rateCounted()) {
+            rates.dispatched(candidate.state().target().id(), nowMillis);
+        }
+    }
+
     /** Returns the number of requests up to which a target gets requests of a rank; an idle target gets one always. */
     private int maxInFlight(TargetState state, int tierRank) {
         int slots = state.target().slots();
@@ -177,7 +219,7 @@
             long withinMillis,
             long nowMillis) {
         return targets.stream()
-                .filter(state -> eligible(state, demand, evacuatedDataCentres, nowMillis) && !state.cold(nowMillis))
+                .filter(state -> worthWaitingFor(state, demand, evacuatedDataCentres, nowMillis))
                 .anyMatch(state -> firstEventMillisOnceFree(state, demand, nowMillis) <= withinMillis);
     }
 
@@ -209,7 +251,7 @@
     public boolean anyTargetEndsInTime(
             Demand demand, Collection<TargetState> targets, Collection<String> evacuatedDataCentres, long nowMillis) {
         return targets.stream()
-                .filter(state -> eligible(state, demand, evacuatedDataCentres, nowMillis) && !state.cold(nowMillis))
+                .filter(state -> worthWaitingFor(state, demand, evacuatedDataCentres, nowMillis))
                 .anyMatch(state -> endsInTime(demand, state, firstEventMillisOnceFree(state, demand, nowMillis)));
     }
 
@@ -217,6 +259,16 @@
         return speed(state).estimatedFirstEventMillis(uncachedTokens(demand, state, nowMillis), 1) + SLOT_WAIT_MILLIS;
     }
 
+    /**
+     * Tells whether a slot of a full target can be waited for: one that is cold or limited may not take the request.
+     */
+    private boolean worthWaitingFor(
+            TargetState state, Demand demand, Collection<String> evacuatedDataCentres, long nowMillis) {
+        return eligible(state, demand, evacuatedDataCentres, nowMillis)
+                && !state.cold(nowMillis)
+                && !rates.limits(state.target().id());
+    }
+
     private boolean eligible(
             TargetState state, Demand demand, Collection<String> evacuatedDataCentres, long nowMillis) {
         return state.usable(nowMillis)
@@ -231,7 +283,8 @@
                         || state.target().models().contains(demand.model()));
     }
 
-    private Candidate score(TargetState state, Demand demand, double occupancy, int allowance, long nowMillis) {
+    private Candidate score(
+            TargetState state, Demand demand, double occupancy, int allowance, boolean rateCounted, long nowMillis) {
         double penaltyMillis =
                 demand.dataCentre().equals(state.target().dataCentre()) ? 0 : CROSS_DATA_CENTRE_PENALTY_MILLIS;
         long uncachedTokens = uncachedTokens(demand, state, nowMillis);
@@ -251,6 +304,13 @@
         }
         double jitterFactor = demand.promptTokens() > 0 ? 1 + jitter.getAsDouble() : 1;
         return new Candidate(
-                state, uncachedTokens, tokensAhead, occupancy, predictedMillis, scoreMillis * jitterFactor, allowance);
+                state,
+                uncachedTokens,
+                tokensAhead,
+                occupancy,
+                predictedMillis,
+                scoreMillis * jitterFactor,
+                allowance,
+                rateCounted);
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/policy/Mechanism.java
@@ -46,5 +46,7 @@
     /** Rejected callers are told times at which there is room, dealt out so that they do not all return at once. */
     SCHEDULED_RETURNS,
     /** Callers are directed to hosts in proportion to their processor time, and not to those that coordinate. */
-    HOSTS_BY_CAPACITY
+    HOSTS_BY_CAPACITY,
+    /** Targets that state how many requests per second they take get no more from all processes together. */
+    STATED_RATES
 }
