--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import org.whinwharf.traffic.policy.Policy;
 
 /** Several fronts before common targets, which each front reaches over paths of its own that can be cut. */
 final class CutFleet implements AutoCloseable {
@@ -70,6 +71,13 @@
         return front;
     }
 
+    /** Starts a further front with another policy, waits until the others know it, and returns its index. */
+    int startFront(Policy policy) throws Exception {
+        addFront(new FrontFixture(List.of(fronts.get(0).ip()), 120, false, limits, new TestDialect(), policy));
+        awaitFleet();
+        return fronts.size() - 1;
+    }
+
     private void addFront() throws IOException {
         List<String> seeds =
                 fronts.isEmpty() ? List.of() : List.of(fronts.get(0).ip());
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -24,6 +24,7 @@
 import org.whinwharf.traffic.catalog.Route;
 import org.whinwharf.traffic.catalog.RouteKind;
 import org.whinwharf.traffic.catalog.ServiceWeight;
+import org.whinwharf.traffic.policy.Policy;
 import org.whinwharf.traffic.target.ImmutableTarget;
 import org.whinwharf.wire.fleet.RelayOpen;
 
@@ -88,6 +89,17 @@
             boolean freshFleet,
             FleetLimits limits,
             TestDialect dialect) {
+        this(seedIps, coordinatorTimeoutMillis, freshFleet, limits, dialect, Policy.ALL_ENABLED);
+    }
+
+    /** Starts a front with the given policy. */
+    FrontFixture(
+            List<String> seedIps,
+            long coordinatorTimeoutMillis,
+            boolean freshFleet,
+            FleetLimits limits,
+            TestDialect dialect,
+            Policy policy) {
         settings = ImmutableFrontSettings.builder()
                 .coordinatorTimeoutMillis(coordinatorTimeoutMillis)
                 .name("front-" + ip)
@@ -103,6 +115,7 @@
                 .stopGraceMillis(8_000)
                 .metricsPort(METRICS_PORT)
                 .relayPort(RELAY_PORT)
+                .policy(policy)
                 .build();
         front = new Front(settings, dialect, callerPort(ip));
         front.start();
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RatedFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RatedFleet.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
@@ -24,6 +25,7 @@
     private static final int SLACK_REQUESTS = 5;
     private static final int SLOTS = 8;
     private static final int CALLER_THREADS = 120;
+    private static final int KEPT_TIMEOUT_MILLIS = 6_000;
 
     /** Settings of a fleet. */
     record Setup(int fronts, int targets, boolean engine, long serviceMillis) {}
@@ -34,6 +36,7 @@
     private final Map<Integer, String> statements = new ConcurrentHashMap<>();
     private final Map<Integer, Queue<Long>> arrivalMillis = new ConcurrentHashMap<>();
     private final Map<Integer, AtomicInteger> running = new ConcurrentHashMap<>();
+    private final Set<Integer> avoided = ConcurrentHashMap.newKeySet();
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
     private final long beganNanos;
@@ -92,15 +95,27 @@
         }
     }
 
-    private void call() throws IOException {
-        int number = sent.getAndIncrement();
-        List<FrontFixture> alive = new ArrayList<>();
+    /** Returns the fronts that serve and that callers turn to. */
+    List<FrontFixture> serving() {
+        List<FrontFixture> serving = new ArrayList<>();
         for (int i = 0; i < fleet.size(); i++) {
-            if (!fleet.front(i).killed() && fleet.front(i).front().ready()) {
-                alive.add(fleet.front(i));
+            FrontFixture front = fleet.front(i);
+            if (!front.killed() && front.front().ready() && !avoided.contains(i)) {
+                serving.add(front);
             }
         }
-        FrontFixture front = alive.get(number % alive.size());
+        return serving;
+    }
+
+    /** Lets callers turn to other fronts than the given one. */
+    void avoid(int front) {
+        avoided.add(front);
+    }
+
+    private void call() throws IOException {
+        int number = sent.getAndIncrement();
+        List<FrontFixture> serving = serving();
+        FrontFixture front = serving.get(number % serving.size());
         try {
             String response = front.exchange(FrontFixture.request("POST", "/unsafe/x", "r" + number, true));
             answered.addAndGet(response.startsWith("HTTP/1.1 200") ? 1 : 0);
@@ -111,6 +126,33 @@
         }
     }
 
+    /** Sends one request after the other over connections that are kept until their front is gone. */
+    void callOverKeptConnections(long pauseMillis, long untilMillis) throws IOException, InterruptedException {
+        while (nowMillis() < untilMillis) {
+            List<FrontFixture> serving = serving();
+            FrontFixture front = serving.get(sent.get() % serving.size());
+            try (KeptConnection connection = new KeptConnection(front.connect(), KEPT_TIMEOUT_MILLIS)) {
+                while (connection.open() && !front.killed() && nowMillis() < untilMillis) {
+                    int number = sent.getAndIncrement();
+                    int status = connection
+                            .exchange(FrontFixture.request("POST", "/unsafe/x", "k" + number, false))
+                            .status();
+                    answered.addAndGet(status == 200 ? 1 : 0);
+                    Thread.sleep(pauseMillis);
+                }
+            } catch (SocketException e) {
+                if (!front.killed()) {
+                    throw e;
+                }
+            }
+        }
+    }
+
+    /** Tells whether no front that runs takes any target for limited. */
+    boolean noLimitKnown() {
+        return serving().stream().noneMatch(front -> front.front().statedRates().limitedTargets() > 0);
+    }
+
     private void answer(String request, Socket socket) throws IOException {
         int target = fleet.targetOf(socket);
         arrivalMillis.get(target).add(nowMillis());
