Pass on how many rejections the targets of a service bear

Evidence: RejectionLimitTest.frontThatHasJustStartedKeepsTheLimit, plain targets: 5 rejections in a second, 4 allowed, 1 of 4 cases red on the code before.

Change: the limit moves from TargetRegistry into RejectionLimitTracker, which sends a change to all peers at once, repeats it with the gossip, and takes the newest statement; an answer without a limit ends only limits stated before its request was sent. The first gossip goes out at the start and not 150 ms later.

Measured: RejectionLimitTest 4 of 4, once.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejectionLimitTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejectionLimitTest.java
@@ -43,16 +43,40 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void overloadedTargetsRejectWithinTheirLimit(boolean engine) throws Exception {
+        overloadAndObserve(engine, (fleet, callers) -> List.of());
+    }
+
+    /** Guards against a front that has just started and fills targets whose limit it has not read yet. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void frontThatHasJustStartedKeepsTheLimit(boolean engine) throws Exception {
+        overloadAndObserve(engine, (fleet, callers) -> callAll(fleet.startFrontBeside(0), "new", callers));
+    }
+
+    /** Something that happens while targets are overloaded; returns the callers that it adds. */
+    private interface Incident {
+        List<Future<?>> happen(CutFleet fleet, ExecutorService callers) throws Exception;
+    }
+
+    private List<Future<?>> callAll(FrontFixture front, String name, ExecutorService callers) {
+        List<Future<?>> results = new ArrayList<>();
+        for (int i = 0; i < CALLERS_PER_FRONT; i++) {
+            String caller = name + i + "n";
+            results.add(callers.submit(() -> call(front, caller)));
+        }
+        return results;
+    }
+
+    private void overloadAndObserve(boolean engine, Incident incident) throws Exception {
         try (CutFleet fleet = new CutFleet(FRONTS, TARGETS, engine, this::answer)) {
             ExecutorService callers = Executors.newCachedThreadPool();
             List<Future<?>> results = new ArrayList<>();
-            for (int i = 0; i < FRONTS * CALLERS_PER_FRONT; i++) {
-                FrontFixture front = fleet.front(i % FRONTS);
-                String name = "c" + i + "n";
-                results.add(callers.submit(() -> call(front, name)));
+            for (int i = 0; i < FRONTS; i++) {
+                results.addAll(callAll(fleet.front(i), "f" + i + "c", callers));
             }
             Thread.sleep(NOTICE_MILLIS);
             observing = true;
+            results.addAll(incident.happen(fleet, callers));
             Thread.sleep(OBSERVED_MILLIS);
             stopping = true;
             for (Future<?> result : results) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -605,7 +605,11 @@
     /** Handles the head of a run's response. */
     void head(ActiveRun run, HttpResponse response, ResponseHead responseHead) {
         if (!responseHead.wrongTarget()) {
-            front.updateRejectionLimit(service, responseHead.rejectionLimitPerSecond());
+            front.rejectionLimits()
+                    .answered(
+                            service,
+                            responseHead.rejectionLimitPerSecond(),
+                            run.run().sentAtMillis());
         }
         if (runs.othersMayAnswer(run) && !answers(responseHead)) {
             refused(run, responseHead);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -112,6 +111,7 @@
     private final boolean observedLongEnough;
 
     private final StatedRateTracker statedRates;
+    private final RejectionLimitTracker rejectionLimits;
     private final StreamTracker streams;
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
@@ -153,6 +153,8 @@
         datagrams = new PeerDatagrams(settings);
         statedRates = new StatedRateTracker(settings, members, datagrams, ticker, random);
         targets.trackRates(statedRates);
+        rejectionLimits = new RejectionLimitTracker(settings, members, datagrams, ticker, random);
+        targets.trackRejectionLimits(rejectionLimits);
         relayPeers = new RelayPeers(settings.name(), members::servingMembers, random);
         OwnReach ownReach = new OwnReach(loop, targets);
         targets.connectThrough(
@@ -195,7 +197,8 @@
                 fleetState::applyReport,
                 coordination::coordinatorIps,
                 crashes,
-                statedRates);
+                statedRates,
+                rejectionLimits);
         callers = new CallerAcceptor(this, loop, callerPort);
     }
 
@@ -238,6 +241,8 @@
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
+        // What peers know of targets is needed for the first request.
+        loop.execute(() -> runLogged("gossip", this::gossipRound));
         scheduleRepeatedly("gossip", GOSSIP_INTERVAL_MILLIS, this::gossipRound);
         loop.execute(this::tickAndScheduleNext);
         scheduleRepeatedly("upkeep", SWEEP_INTERVAL_MILLIS, this::sweep);
@@ -590,7 +595,7 @@
      * how many requests they take from all processes together.
      */
     private boolean isCoordinated(String service) {
-        return targets.rejectionsLimited(service) || isEngine(service) || statedRates.limitsService(service);
+        return rejectionLimits.limited(service) || isEngine(service) || statedRates.limitsService(service);
     }
 
     private boolean isEngine(String service) {
@@ -716,9 +721,8 @@
         run.resumed();
     }
 
-    /** Applies what a response says of the rejections that the targets of a service can bear. */
-    void updateRejectionLimit(String service, OptionalInt limitPerSecond) {
-        targets.updateRejectionLimit(service, limitPerSecond);
+    RejectionLimitTracker rejectionLimits() {
+        return rejectionLimits;
     }
 
     CrashTracker crashes() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
@@ -51,6 +51,7 @@
     private final Supplier<Collection<String>> coordinatorIps;
     private final CrashTracker crashes;
     private final StatedRateTracker statedRates;
+    private final RejectionLimitTracker rejectionLimits;
     private boolean unknownMemberSeen;
     private int roundCount;
 
@@ -63,7 +64,8 @@
             Listener listener,
             Supplier<Collection<String>> coordinatorIps,
             CrashTracker crashes,
-            StatedRateTracker statedRates) {
+            StatedRateTracker statedRates,
+            RejectionLimitTracker rejectionLimits) {
         this.settings = settings;
         this.members = members;
         this.ticker = ticker;
@@ -73,6 +75,7 @@
         this.coordinatorIps = coordinatorIps;
         this.crashes = crashes;
         this.statedRates = statedRates;
+        this.rejectionLimits = rejectionLimits;
         datagrams.addListener(this::handleDatagram);
     }
 
@@ -102,6 +105,7 @@
         FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
         crashes.addTo(datagram);
         statedRates.addTo(datagram);
+        rejectionLimits.addTo(datagram);
         addReports(datagram, shuffledAliveMembers());
         send(datagram.setRosterWanted(fewPeersKnown || unknownMemberSeen).build(), ips);
     }
@@ -124,6 +128,7 @@
         FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
         crashes.addTo(datagram);
         statedRates.addTo(datagram);
+        rejectionLimits.addTo(datagram);
         int maxHeartbeats = MAX_HEARTBEATS - HEARTBEATS_PER_RATE * datagram.getStatedRatesCount();
         for (MemberHeartbeat heartbeat : members.heartbeats(maxHeartbeats, ticker.nowMillis())) {
             datagram.addBeatMembers(heartbeat.nameDigest())
@@ -196,6 +201,7 @@
         List<Member> remaining = shuffledAliveMembers();
         do {
             FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
+            rejectionLimits.addTo(datagram);
             List<Member> notAdded = addReports(datagram, remaining);
             datagrams.send(datagram.build(), ip);
             remaining = notAdded.size() < remaining.size() ? notAdded : List.of();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -13,9 +13,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -62,7 +60,7 @@
     private Consumer<String> crashListener = targetId -> {};
     private StatedRateTracker statedRates;
     private BiConsumer<Target, Target> versionChangeListener = (before, after) -> {};
-    private final Map<String, Integer> rejectionLimitsPerSecond = new HashMap<>();
+    private RejectionLimitTracker rejectionLimits;
     private Set<String> evacuated = Set.of();
 
     /**
@@ -98,6 +96,13 @@
         statedRates = tracker;
     }
 
+    /** Sets the tracker of the rejections that targets bear. */
+    void trackRejectionLimits(RejectionLimitTracker tracker) {
+        rejectionLimits = tracker;
+        tracker.onChange(
+                (service, limited) -> ofService(service).forEach(state -> state.setRejectionsLimited(limited)));
+    }
+
     /** Sets the consumer of the ids of targets that have crashed. */
     void onCrash(Consumer<String> listener) {
         crashListener = listener;
@@ -174,31 +179,10 @@
     private TargetEntry newEntry(Target target) {
         TargetState state = new TargetState(
                 target, baselines.computeIfAbsent(target.service(), name -> new SpeedBaseline(speedsCompared)));
-        state.setRejectionsLimited(rejectionsLimited(target.service()));
+        state.setRejectionsLimited(rejectionLimits.limited(target.service()));
         return new TargetEntry(state, new TargetConnectionPool(connector, target, ticker));
     }
 
-    /** Applies what the latest response of a service's targets says of the rejections that they can bear. */
-    void updateRejectionLimit(String service, OptionalInt limitPerSecond) {
-        Integer known = rejectionLimitsPerSecond.get(service);
-        Integer current = limitPerSecond.isPresent() ? limitPerSecond.getAsInt() : null;
-        if (Objects.equals(known, current)) {
-            return;
-        }
-        if (current == null) {
-            rejectionLimitsPerSecond.remove(service);
-        } else {
-            rejectionLimitsPerSecond.put(service, current);
-        }
-        FrontLog.rejectionLimitChanged(service, limitPerSecond);
-        ofService(service).forEach(state -> state.setRejectionsLimited(current != null));
-    }
-
-    /** Tells whether the targets of a service crash when they reject too many requests in a second. */
-    boolean rejectionsLimited(String service) {
-        return rejectionLimitsPerSecond.containsKey(service);
-    }
-
     /** Records that a target's entry was removed; the target counts as gone from the given time on. */
     void remove(String targetId, long goneAtMillis) {
         TargetEntry entry = entries.get(targetId);
