--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -110,8 +110,7 @@
     /** Whether no stream can have begun before this process knew the targets, since the whole fleet was started. */
     private final boolean observedLongEnough;
 
-    private final StatedRateTracker statedRates;
-    private final RejectionLimitTracker rejectionLimits;
+    private final StatedLimits statedLimits;
     private final StreamTracker streams;
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
@@ -151,10 +150,8 @@
                 settings.policy().isEnabled(Mechanism.LEARNED_LIMITS),
                 this::reachChanged);
         datagrams = new PeerDatagrams(settings);
-        statedRates = new StatedRateTracker(settings, members, datagrams, ticker, random);
-        targets.trackRates(statedRates);
-        rejectionLimits = new RejectionLimitTracker(settings, members, datagrams, ticker, random);
-        targets.trackRejectionLimits(rejectionLimits);
+        statedLimits = new StatedLimits(settings, members, targets, datagrams, ticker, random);
+        StatedRateTracker rates = statedLimits.rates();
         relayPeers = new RelayPeers(settings.name(), members::servingMembers, random);
         OwnReach ownReach = new OwnReach(loop, targets);
         targets.connectThrough(
@@ -170,24 +167,17 @@
                 this::localColdAllowance,
                 () -> members.largeFleet() ? random.nextDouble() * PREDICTION_JITTER : 0,
                 settings.policy(),
-                statedRates.ofProcess());
+                rates.ofProcess());
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror, metrics);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
-        fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, statedRates, ticker);
+        fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, rates, ticker);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
         streams = new StreamTracker(settings, members, datagrams, loop, ticker, this::onlyVersions);
         targets.onVersionChange(streams::targetRestarted);
         coordination = new Coordination(
-                settings,
-                members,
-                targets,
-                statedRates,
-                datagrams,
-                ticker,
-                this::createCoordinator,
-                this::isCoordinated);
+                settings, members, targets, rates, datagrams, ticker, this::createCoordinator, this::isCoordinated);
         gossip = new Gossip(
                 settings,
                 members,
@@ -197,8 +187,7 @@
                 fleetState::applyReport,
                 coordination::coordinatorIps,
                 crashes,
-                statedRates,
-                rejectionLimits);
+                statedLimits);
         callers = new CallerAcceptor(this, loop, callerPort);
     }
 
@@ -304,10 +293,7 @@
                 "Runs remembered because their targets may have crashed under them",
                 crashes.ledger()::size);
         metrics.gauge("whinwharf.streams.remembered", "Streams whose software version is remembered", streams::size);
-        metrics.gauge(
-                "whinwharf.targets.rate.limited",
-                "Targets that state the rate of requests that they take",
-                statedRates::limitedTargets);
+        metrics.gauge("whinwharf.targets.rate.limited", "Targets that state a rate", statedRates()::limitedTargets);
         metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
         new HttpEndpoint(loop, (method, uri) -> new HttpEndpoint.Response(200, "text/plain", metrics.scrape()))
                 .bind(settings.ip(), settings.metricsPort())
@@ -510,7 +496,7 @@
         targets.sweep();
         crashes.sweep();
         streams.sweep();
-        statedRates.sweep(targets.ids());
+        statedRates().sweep(targets.ids());
         pathMonitor.recheckLostPaths();
         List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowMillis));
         members.expire(nowMillis)
@@ -553,7 +539,7 @@
                 this::coordinatorColdAllowance,
                 () -> 0,
                 settings.policy(),
-                statedRates.table().ofCoordinator());
+                statedRates().table().ofCoordinator());
         return new Coordinator(ImmutableCoordinatorDependencies.builder()
                 .localName(settings.name())
                 .targetSelector(selector)
@@ -562,7 +548,7 @@
                 .evacuatedDataCentres(targets::evacuated)
                 .quotas(quotas)
                 .crashes(crashes.ledger())
-                .statedRates(statedRates.table())
+                .statedRates(statedRates().table())
                 .lostRunListener(crashes::record)
                 .decisionListener(decisions)
                 .targetOutcomeListener(targets)
@@ -595,7 +581,7 @@
      * how many requests they take from all processes together.
      */
     private boolean isCoordinated(String service) {
-        return rejectionLimits.limited(service) || isEngine(service) || statedRates.limitsService(service);
+        return isEngine(service) || statedLimits.needCoordinator(service);
     }
 
     private boolean isEngine(String service) {
@@ -722,7 +708,7 @@
     }
 
     RejectionLimitTracker rejectionLimits() {
-        return rejectionLimits;
+        return statedLimits.rejections();
     }
 
     CrashTracker crashes() {
@@ -730,7 +716,7 @@
     }
 
     StatedRateTracker statedRates() {
-        return statedRates;
+        return statedLimits.rates();
     }
 
     LostRunRecorder lostRuns() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
@@ -50,8 +50,7 @@
     private final Listener listener;
     private final Supplier<Collection<String>> coordinatorIps;
     private final CrashTracker crashes;
-    private final StatedRateTracker statedRates;
-    private final RejectionLimitTracker rejectionLimits;
+    private final StatedLimits statedLimits;
     private boolean unknownMemberSeen;
     private int roundCount;
 
@@ -64,8 +63,7 @@
             Listener listener,
             Supplier<Collection<String>> coordinatorIps,
             CrashTracker crashes,
-            StatedRateTracker statedRates,
-            RejectionLimitTracker rejectionLimits) {
+            StatedLimits statedLimits) {
         this.settings = settings;
         this.members = members;
         this.ticker = ticker;
@@ -74,8 +72,7 @@
         this.listener = listener;
         this.coordinatorIps = coordinatorIps;
         this.crashes = crashes;
-        this.statedRates = statedRates;
-        this.rejectionLimits = rejectionLimits;
+        this.statedLimits = statedLimits;
         datagrams.addListener(this::handleDatagram);
     }
 
@@ -104,8 +101,7 @@
         addSeeds(ips, fewPeersKnown);
         FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
         crashes.addTo(datagram);
-        statedRates.addTo(datagram);
-        rejectionLimits.addTo(datagram);
+        statedLimits.addTo(datagram);
         addReports(datagram, shuffledAliveMembers());
         send(datagram.setRosterWanted(fewPeersKnown || unknownMemberSeen).build(), ips);
     }
@@ -127,8 +123,7 @@
         addSeeds(ips, false);
         FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
         crashes.addTo(datagram);
-        statedRates.addTo(datagram);
-        rejectionLimits.addTo(datagram);
+        statedLimits.addTo(datagram);
         int maxHeartbeats = MAX_HEARTBEATS - HEARTBEATS_PER_RATE * datagram.getStatedRatesCount();
         for (MemberHeartbeat heartbeat : members.heartbeats(maxHeartbeats, ticker.nowMillis())) {
             datagram.addBeatMembers(heartbeat.nameDigest())
@@ -197,11 +192,10 @@
 
     private void sendRoster(String ip) {
         crashes.sendAllTo(ip);
-        statedRates.sendAllTo(ip);
+        statedLimits.sendAllTo(ip);
         List<Member> remaining = shuffledAliveMembers();
         do {
             FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
-            rejectionLimits.addTo(datagram);
             List<Member> notAdded = addReports(datagram, remaining);
             datagrams.send(datagram.build(), ip);
             remaining = notAdded.size() < remaining.size() ? notAdded : List.of();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RejectionLimitTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RejectionLimitTracker.java
@@ -1,8 +1,6 @@
 package org.whinwharf.front;
 
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
 import java.util.Random;
@@ -66,20 +64,23 @@
         if (!says) {
             return;
         }
-        long nowMillis = ticker.nowMillis();
-        boolean changed = known == null || !known.limitPerSecond().equals(limitPerSecond);
-        apply(service, new Statement(random.nextLong(), limitPerSecond, nowMillis));
-        if (changed) {
+        if (apply(service, new Statement(random.nextLong(), limitPerSecond, ticker.nowMillis()))) {
+            members.alive(ticker.nowMillis())
+                    .forEach(member -> sendAllTo(member.report().getIp()));
+        }
+    }
+
+    /** Sends all limits to a peer, if there are any. */
+    void sendAllTo(String ip) {
+        if (!statements.isEmpty()) {
             FleetDatagram.Builder datagram = FleetDatagram.newBuilder().setFrom(settings.name());
             addTo(datagram);
-            Collection<String> ips = members.alive(nowMillis).stream()
-                    .map(member -> member.report().getIp())
-                    .toList();
-            datagrams.send(datagram.build(), ips);
+            datagrams.send(datagram.build(), ip);
         }
     }
 
-    private void apply(String service, Statement statement) {
+    /** Replaces what is known of a service; returns whether that is another limit. */
+    private boolean apply(String service, Statement statement) {
         Statement before = statements.put(service, statement);
         boolean changed = before == null
                 ? statement.limitPerSecond().isPresent()
@@ -88,6 +89,7 @@
             FrontLog.rejectionLimitChanged(service, statement.limitPerSecond());
             changeListener.accept(service, statement.limitPerSecond().isPresent());
         }
+        return changed;
     }
 
     /** Adds all limits to a datagram. */
@@ -102,12 +104,8 @@
     }
 
     private void receive(FleetDatagram datagram) {
-        merge(datagram.getRejectionLimitsList());
-    }
-
-    private void merge(List<RejectionLimitReport> reports) {
         long nowMillis = ticker.nowMillis();
-        for (RejectionLimitReport report : reports) {
+        for (RejectionLimitReport report : datagram.getRejectionLimitsList()) {
             Statement known = statements.get(report.getService());
             Statement reported = new Statement(
                     report.getId(),
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/rate/StatedRates.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/rate/StatedRates.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,7 +11,6 @@
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.IntSupplier;
-import java.util.stream.Collectors;
 import org.whinwharf.traffic.target.TargetState;
 
 /**
@@ -38,6 +38,9 @@
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private final Map<Integer, String> idsByDigest = new HashMap<>();
+    /** Number of limited targets of each service that has any. */
+    private final Map<String, Integer> limitedByService = new HashMap<>();
+
     private int limitedTargets;
 
     /** Number of requests that a process has counted, since the process started. */
@@ -72,6 +75,7 @@
             return ofFleet.hasToken();
         }
 
+        /** Tells whether this process may decide without a coordinator; each question keeps its own tokens coming. */
         private boolean hasLocalToken(int processes, long nowMillis) {
             if (nowMillis - lastLocalDecisionAtMillis > LOCAL_IDLE_MILLIS) {
                 ofProcess.clear(nowMillis);
@@ -125,22 +129,30 @@
             entry = new Entry(rate, nowMillis);
             entries.put(rate.targetId(), entry);
             idsByDigest.put(rate.targetId().hashCode(), rate.targetId());
-            limitedTargets += entry.limited() ? 1 : 0;
+            if (entry.limited()) {
+                limitedChanged(entry, 1);
+            }
             return entry.limited();
         }
         boolean changed = !entry.rate.statement().equals(rate.statement());
         boolean wasLimited = entry.limited();
         entry.rate = rate;
         if (entry.limited() && !wasLimited) {
-            limitedTargets++;
+            limitedChanged(entry, 1);
             entry.ofFleet.clear(nowMillis);
             entry.lastDispatchAtMillis = nowMillis;
         } else if (!entry.limited() && wasLimited) {
-            limitedTargets--;
+            limitedChanged(entry, -1);
         }
         return changed;
     }
 
+    private void limitedChanged(Entry entry, int difference) {
+        limitedTargets += difference;
+        limitedByService.merge(
+                entry.rate.service(), difference, (left, right) -> left + right == 0 ? null : left + right);
+    }
+
     /**
      * Returns what is known of a target, also that a limit has ended.
      *
@@ -188,12 +200,7 @@
      * @return names
      */
     public Set<String> services() {
-        return limitedTargets == 0
-                ? Set.of()
-                : entries.values().stream()
-                        .filter(Entry::limited)
-                        .map(entry -> entry.rate.service())
-                        .collect(Collectors.toSet());
+        return Collections.unmodifiableSet(limitedByService.keySet());
     }
 
     /**
@@ -203,7 +210,7 @@
      * @return true if one does
      */
     public boolean limitsService(String service) {
-        return limitedTargets > 0 && services().contains(service);
+        return limitedByService.containsKey(service);
     }
 
     /**
@@ -291,7 +298,9 @@
         Entry entry = entries.remove(targetId);
         if (entry != null) {
             idsByDigest.remove(targetId.hashCode());
-            limitedTargets -= entry.limited() ? 1 : 0;
+            if (entry.limited()) {
+                limitedChanged(entry, -1);
+            }
         }
     }
 
