Requests counted at a higher rate do not starve a target that states a lower one

What callers saw: nothing yet.

Change: a change of the rate, and the limit of debts, leave the next token no more than four seconds or one token's time away.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/StatedRatesTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/StatedRatesTest.java
@@ -98,6 +98,19 @@
         assertThat(rates.ofCoordinator().admits(TARGET, 3_500), is(true));
     }
 
+    /** Guards against a target that states a lower rate and is starved by what was counted at the higher one. */
+    @Test
+    void requestsCountedAtAHigherRateDoNotStarveTheTarget() {
+        state(8, 0);
+        for (int i = 0; i < 40; i++) {
+            rates.count(TARGET, 1_000);
+        }
+        state(0.2, 1_100);
+        assertThat(dispatchAll(List.of(rates.ofCoordinator()), 1_100, 7_100).size(), is(1));
+        rates.count(TARGET, 7_100);
+        assertThat(dispatchAll(List.of(rates.ofCoordinator()), 7_100, 12_200).size(), is(1));
+    }
+
     /** Guards against an answer that was begun before the target stated a rate and ends the limit. */
     @Test
     void answerThatBeganBeforeTheStatementDoesNotEndTheLimit() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/rate/StatedRates.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/rate/StatedRates.java
@@ -143,6 +143,8 @@
             entry.lastDispatchAtMillis = nowMillis;
         } else if (!entry.limited() && wasLimited) {
             limitedChanged(entry, -1);
+        } else if (changed) {
+            entry.ofFleet.rateChanged(entry.requestsPerSecond());
         }
         return changed;
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/rate/TokenBucket.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/rate/TokenBucket.java
@@ -33,6 +33,16 @@
 
     /** Takes tokens, also those that are still to come. */
     void take(double tokens, double tokensPerSecond) {
-        level = Math.max(-Math.max(1, MAX_DEBT_SECONDS * tokensPerSecond), level - tokens);
+        level = limitDebt(level - tokens, tokensPerSecond);
+    }
+
+    /** Takes all tokens away, and the debts that would hold back requests for too long at another rate. */
+    void rateChanged(double tokensPerSecond) {
+        level = limitDebt(Math.min(0, level), tokensPerSecond);
+    }
+
+    /** Limits debts so that the next token comes within their maximum time, or that of one token if it is longer. */
+    private static double limitDebt(double wanted, double tokensPerSecond) {
+        return Math.max(Math.min(0, 1 - MAX_DEBT_SECONDS * tokensPerSecond), wanted);
     }
 }
