Log and count responses that are not known to answer the request of their connection

One line (response-unmatched) and one counter by reason. No change of behaviour; AnswerTest and FrontMetricsTest pass.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -286,6 +286,31 @@
         return event;
     }
 
+    /**
+     * Logs that a target has sent a response that is not known to answer the request of its connection.
+     *
+     * @param attemptId attempt of that request; empty for a health check, or if none was sent
+     * @param status status of the response; 0 if it was not read
+     * @param namedAttemptId attempt that the response names; empty if it names none
+     * @param carriedRequests requests that the connection has carried
+     */
+    static void responseUnmatched(
+            Target target,
+            UnmatchedResponse reason,
+            String attemptId,
+            int status,
+            String namedAttemptId,
+            int carriedRequests) {
+        EventLog.event(LogEvent.RESPONSE_UNMATCHED)
+                .with(EventField.REQUEST, attemptId)
+                .with(EventField.TARGET, target.id())
+                .with(EventField.KIND, reason.tag())
+                .with(EventField.STATUS, status)
+                .with(EventField.NAMED_ATTEMPT, namedAttemptId)
+                .with(EventField.CARRIED, carriedRequests)
+                .call();
+    }
+
     static void runLost(CallerExchange exchange, TargetRun run, TargetFailure failure, FailureReview.Verdict verdict) {
         EventLog event = EventLog.event(LogEvent.RUN_LOST)
                 .with(EventField.REQUEST, exchange.head().attemptId())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -28,6 +28,7 @@
     private final Map<ItemsRequestOutcome, Counter> itemsRequests = new EnumMap<>(ItemsRequestOutcome.class);
     private final Map<ResponseEnding, Counter> responseEndings = new HashMap<>();
     private final Map<ResumptionOutcome, Counter> resumptions = new EnumMap<>(ResumptionOutcome.class);
+    private final Map<UnmatchedResponse, Counter> unmatchedResponses = new EnumMap<>(UnmatchedResponse.class);
     private final Map<RetryDecision, Counter> silentRuns = new EnumMap<>(RetryDecision.class);
     private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
     private final Map<RouteKind, Timer> queueTimes = new EnumMap<>(RouteKind.class);
@@ -155,6 +156,19 @@
                 .increment();
     }
 
+    /** Counts a response that is not known to answer the request of its connection. */
+    void responseUnmatched(UnmatchedResponse reason) {
+        unmatchedResponses
+                .computeIfAbsent(
+                        reason,
+                        key -> counter(
+                                "whinwharf.responses.unmatched",
+                                "Responses that are not known to answer the request of their connection",
+                                "reason",
+                                key.tag()))
+                .increment();
+    }
+
     /** Counts a request to a peer for published items. */
     void itemsRequested(ItemsRequestOutcome outcome) {
         itemsRequests
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -52,6 +52,7 @@
     private TargetListener listener;
     private String attemptId = "";
     private ChannelFuture written;
+    private int carriedRequests;
     private int skippedResponses;
     private long skippedBytes;
     private boolean reusable = true;
@@ -105,6 +106,7 @@
         listener = responseListener;
         attemptId = id;
         phase = Phase.AWAITING_HEAD;
+        carriedRequests++;
         skippedResponses = 0;
         skippedBytes = 0;
         if (body.isReadable() || HttpUtil.isContentLengthSet(request)) {
@@ -153,6 +155,9 @@
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         lastByteAtMillis = pool.nowMillis();
         firstByteAtMillis = Math.min(firstByteAtMillis, lastByteAtMillis);
+        if (phase == Phase.IDLE) {
+            pool.responseUnmatched(UnmatchedResponse.UNREQUESTED, "", 0, "", carriedRequests);
+        }
         if (phase == Phase.IDLE || phase == Phase.CLOSED) {
             close();
             return;
@@ -183,14 +188,22 @@
                 && !answer.attemptId().isEmpty()
                 && !answer.attemptId().equals(attemptId);
         if (otherAttempt) {
+            unmatched(UnmatchedResponse.OTHER_ATTEMPT, answer);
             reusable = false;
             skip();
             return;
         }
+        if (answer.attemptId().isEmpty() && !attemptId.isEmpty()) {
+            unmatched(UnmatchedResponse.UNNAMED, answer);
+        }
         phase = Phase.READING_BODY;
         listener.head(response, answer);
     }
 
+    private void unmatched(UnmatchedResponse reason, ResponseHead answer) {
+        pool.responseUnmatched(reason, attemptId, answer.status(), answer.attemptId(), carriedRequests);
+    }
+
     private void skip() {
         phase = Phase.SKIPPING_BODY;
         skippedResponses++;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -17,6 +17,7 @@
     private final TargetConnector connector;
     private final Target target;
     private final Ticker ticker;
+    private final FrontMetrics metrics;
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> direct = new HashSet<>();
 
@@ -25,7 +26,8 @@
      *
      * @param target the target; its id, address and data centre are used
      */
-    TargetConnectionPool(TargetConnector connector, Target target, Ticker ticker) {
+    TargetConnectionPool(TargetConnector connector, Target target, Ticker ticker, FrontMetrics metrics) {
+        this.metrics = metrics;
         this.connector = connector;
         this.target = target;
         this.ticker = ticker;
@@ -121,6 +123,13 @@
         }
     }
 
+    /** Records a response that is not known to answer the request of its connection. */
+    void responseUnmatched(
+            UnmatchedResponse reason, String attemptId, int status, String namedAttemptId, int carriedRequests) {
+        metrics.responseUnmatched(reason);
+        FrontLog.responseUnmatched(target, reason, attemptId, status, namedAttemptId, carriedRequests);
+    }
+
     long nowMillis() {
         return ticker.nowMillis();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -180,7 +180,7 @@
         TargetState state = new TargetState(
                 target, baselines.computeIfAbsent(target.service(), name -> new SpeedBaseline(speedsCompared)));
         state.setRejectionsLimited(rejectionLimits.limited(target.service()));
-        return new TargetEntry(state, new TargetConnectionPool(connector, target, ticker));
+        return new TargetEntry(state, new TargetConnectionPool(connector, target, ticker, metrics));
     }
 
     /** Records that a target's entry was removed; the target counts as gone from the given time on. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -55,6 +55,10 @@
     STREAM_VERSION("streamVersion"),
     /** Id of the attempt that brought the first event of a resumed stream. */
     RESUMES("resumes"),
+    /** Id of the attempt that a response names; empty if it names none. */
+    NAMED_ATTEMPT("namedAttempt"),
+    /** Requests that a connection to a target has carried, with the current one. */
+    CARRIED("carried"),
     /** Id of the last event that the caller of a resumed stream has received. */
     LAST_EVENT("lastEvent"),
     /** Slice as service/dataCentre/index. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -314,6 +314,15 @@
             EventField.PEER,
             EventField.REASON,
             EventField.VERDICT),
+    /** A target has sent a response that is not known to answer the request of its connection. */
+    RESPONSE_UNMATCHED(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.TARGET,
+            EventField.KIND,
+            EventField.STATUS,
+            EventField.NAMED_ATTEMPT,
+            EventField.CARRIED),
     /** A target has sent nothing of its answer to a request for too long. */
     RUN_SILENT(
             Level.INFO,
