Reuse a connection to a target only after a response that names its attempt

Callers saw requests that may run once run two or three times, and refusals as not run of requests that had run, where targets answer twice.

Now the connection is closed after a response that names no attempt, so that no second copy can stand before a later answer, and a response that names none can only be the current request's. Health checks skip responses that name an attempt. A HEAD request gets a connection of its own, because second copies are decoded by the method of the request that waits.

Weighed: to keep the connection and take a later nameless response for one that may have run, which turns true refusals into errors that nobody may repeat; to keep it for idempotent requests only, which leaves false refusals. Closing costs one connection for each rejection without an id.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -510,7 +510,14 @@
         ActiveRun placed = new ActiveRun(front, this, new TargetRun(front.entry(targetId), chosen, placement));
         runs.add(placed);
         front.prompts().recordPrefill(head.promptParts(), targetId, nowMillis);
-        placed.entry().pool().acquire(!route.idempotent(), result -> connectionAcquired(placed, result));
+        placed.entry().pool().acquire(connectionReuse(), result -> connectionAcquired(placed, result));
+    }
+
+    private ConnectionReuse connectionReuse() {
+        if (method().equals(HttpMethod.HEAD)) {
+            return ConnectionReuse.NONE;
+        }
+        return route.idempotent() ? ConnectionReuse.ANY : ConnectionReuse.RECENT;
     }
 
     private void connectionAcquired(ActiveRun current, ConnectResult result) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -21,8 +22,10 @@
  * One connection to a target; it carries one request at a time.
  *
  * <p>Targets may send a response twice, late, truncated or not at all. A response that carries the id of another
- * attempt is skipped. After any irregularity the connection is closed once the response is complete, so that no stray
- * byte can be read as the response to the next request.
+ * attempt is skipped. A response that names no attempt can only answer the current request, because no earlier response
+ * over the connection was like that: the connection is reused only after a response that names its attempt. After any
+ * irregularity the connection is closed once the response is complete, so that no stray byte can be read as the
+ * response to the next request.
  */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
     /** Keep-alive time assumed for a target that does not announce one. */
@@ -101,7 +104,7 @@
         return firstByteAtMillis < atMillis && lastByteAtMillis > atMillis + MAX_TRANSIT_MILLIS;
     }
 
-    /** Sends a request; with an empty attempt id, any response is accepted. */
+    /** Sends a request; with an empty attempt id, it is answered by a response that names no attempt. */
     void send(HttpRequest request, ByteBuf body, String id, TargetListener responseListener) {
         listener = responseListener;
         attemptId = id;
@@ -113,6 +116,10 @@
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         channel.pipeline().get(TargetAnswerDecoder.class).setRequestMethod(request.method());
+        if (request.method().equals(HttpMethod.HEAD)) {
+            // A second copy of its response has no body either, whatever the next request is.
+            reusable = false;
+        }
         channel.write(request);
         if (body.isReadable()) {
             channel.write(new DefaultHttpContent(body.retainedDuplicate()));
@@ -184,17 +191,19 @@
             reusable = false;
         }
         answer.keepAliveMillis().ifPresent(millis -> keepAliveMillis = millis);
-        boolean otherAttempt = !attemptId.isEmpty()
-                && !answer.attemptId().isEmpty()
-                && !answer.attemptId().equals(attemptId);
-        if (otherAttempt) {
+        boolean unnamed = answer.attemptId().isEmpty();
+        if (!unnamed && !answer.attemptId().equals(attemptId)) {
             unmatched(UnmatchedResponse.OTHER_ATTEMPT, answer);
             reusable = false;
             skip();
             return;
         }
-        if (answer.attemptId().isEmpty() && !attemptId.isEmpty()) {
-            unmatched(UnmatchedResponse.UNNAMED, answer);
+        if (unnamed) {
+            // A second copy of it could not be told from the answer to the next request.
+            reusable = false;
+            if (!attemptId.isEmpty()) {
+                unmatched(UnmatchedResponse.UNNAMED, answer);
+            }
         }
         phase = Phase.READING_BODY;
         listener.head(response, answer);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -11,9 +11,6 @@
 
 /** Pool of this process's connections to one target, direct and relayed ones. */
 final class TargetConnectionPool {
-    /** Maximum idle time of a connection used for a request that must not be lost when the target closes it. */
-    private static final long MAX_FRESH_IDLE_MILLIS = 1_000;
-
     private final TargetConnector connector;
     private final Target target;
     private final Ticker ticker;
@@ -38,8 +35,8 @@
     }
 
     /** Passes an idle or a new connection to the consumer, or the reason why none can be established. */
-    void acquire(boolean mustBeFresh, Consumer<ConnectResult> consumer) {
-        TargetConnection connection = pollIdle(mustBeFresh);
+    void acquire(ConnectionReuse reuse, Consumer<ConnectResult> consumer) {
+        TargetConnection connection = pollIdle(reuse);
         if (connection != null) {
             consumer.accept(ConnectResult.connected(connection));
         } else {
@@ -49,7 +46,7 @@
 
     /** Does the same for a health check, which asks no peer about a target that seems to be down. */
     void acquireForProbe(Consumer<ConnectResult> consumer) {
-        TargetConnection connection = pollIdle(true);
+        TargetConnection connection = pollIdle(ConnectionReuse.RECENT);
         if (connection != null) {
             consumer.accept(ConnectResult.connected(connection));
         } else {
@@ -66,12 +63,14 @@
     }
 
     /** Returns an idle connection that can be used; null if there is none. */
-    private TargetConnection pollIdle(boolean mustBeFresh) {
+    private TargetConnection pollIdle(ConnectionReuse reuse) {
+        if (reuse == ConnectionReuse.NONE) {
+            return null;
+        }
         long nowMillis = ticker.nowMillis();
         while (!idle.isEmpty()) {
             TargetConnection connection = idle.pollLast();
-            boolean expired = connection.stale(nowMillis)
-                    || mustBeFresh && connection.idleMillis(nowMillis) > MAX_FRESH_IDLE_MILLIS;
+            boolean expired = connection.stale(nowMillis) || !reuse.allows(connection.idleMillis(nowMillis));
             if (connection.usable() && !expired) {
                 return connection;
             }
