--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -0,0 +1,217 @@
+package org.whinwharf.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.front.CallerPort;
+import org.whinwharf.front.Front;
+import org.whinwharf.front.ImmutableFrontSettings;
+import org.whinwharf.platform.fleet.StoreStandIn;
+
+/** Tests that a front takes over what the store publishes, whatever else is published beside it. */
+class StoreWatchTest {
+    private static final int CALLER_PORT = 18_411;
+    private static final int PEER_PORT = 18_412;
+    private static final int READ_TIMEOUT_MILLIS = 5_000;
+    /** Time limit for applying a change, from its confirmation. */
+    private static final long APPLY_LIMIT_MILLIS = 2_000;
+
+    private static final long POLL_MILLIS = 20;
+    /** Values that a field may have by mistake. */
+    private static final List<String> ODD_VALUES = List.of(
+            "null",
+            "true",
+            "-1",
+            "0",
+            "0.5",
+            "1e999",
+            "99999999999999999999999",
+            "\"\"",
+            "\"x\"",
+            "\"\\u0000\\ud800\"",
+            "[]",
+            "[1,null,{}]",
+            "{}",
+            "{\"a\":[[[]]]}");
+
+    private static final List<String> ODD_KEYS =
+            List.of("servers/", "op/", "op/evacuate/", "op/evacuate/z", "op/configuration", "x", "servers/a/b");
+    private static final List<String> WORKER = List.of(
+            "\"service\":\"s\"",
+            "\"address\":\"127.0.0.1:9\"",
+            "\"zone\":\"z\"",
+            "\"version\":\"v\"",
+            "\"slots\":4",
+            "\"state\":\"ready\"",
+            "\"cold-left-ms\":0",
+            "\"seq\":1",
+            "\"born\":1");
+    private static final List<String> ROUTE = List.of(
+            "\"name\":\"a\"",
+            "\"host\":\"h\"",
+            "\"prefix\":\"/a/\"",
+            "\"kind\":\"safe\"",
+            "\"timeout-ms\":900",
+            "\"slo-ms\":100",
+            "\"service\":\"s\"",
+            "\"attempts\":2",
+            "\"priority\":0",
+            "\"public\":true",
+            "\"resumable\":false",
+            "\"gap-target-ms\":1",
+            "\"traffic-split\":[{\"service\":\"s\",\"weight\":1}]");
+    private static final List<String> SERVICE = List.of(
+            "\"name\":\"s\"",
+            "\"health-path\":\"/healthz\"",
+            "\"max-conns\":9",
+            "\"cold-start-s\":1",
+            "\"cold-per-s\":1",
+            "\"engine\":{\"slots\":4}");
+    private static final List<String> TENANT = List.of(
+            "\"name\":\"t\"",
+            "\"api-keys\":[\"k\"]",
+            "\"rate-per-s\":10",
+            "\"burst\":10",
+            "\"plain-tokens\":200",
+            "\"priority\":1");
+
+    private final String ip = "127."
+            + ThreadLocalRandom.current().nextInt(1, 250) + "."
+            + ThreadLocalRandom.current().nextInt(1, 250) + ".1";
+    private final StoreStandIn store = new StoreStandIn(ip, 0);
+    private Front front;
+    private int version;
+
+    @BeforeEach
+    void startFront() throws Exception {
+        store.start();
+        publishVersion("", "", "");
+        front = new Front(
+                ImmutableFrontSettings.builder()
+                        .name("front")
+                        .ip(ip)
+                        .dataCentre("z")
+                        .callerAddress(ip + ":" + CALLER_PORT)
+                        .peerPort(PEER_PORT)
+                        .seedIps(List.of())
+                        .freshFleet(true)
+                        .retryRatio(0.2)
+                        .retryAllowance(50)
+                        .retryWindowMillis(10_000)
+                        .stopGraceMillis(1_000)
+                        .metricsPort(0)
+                        .relayPort(0)
+                        .build(),
+                new PlatformDialect(),
+                CallerPort.open(ip + ":" + CALLER_PORT));
+        front.start();
+        new StoreWatch(front, store.address()).start();
+        assertThat("first version in force", inForce(READ_TIMEOUT_MILLIS), is(true));
+    }
+
+    @AfterEach
+    void stopFront() {
+        front.loop().shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS);
+        store.stop();
+    }
+
+    /** Guards against an entry of another writer that ends the watch, so that no later change comes into force. */
+    @Test
+    void oddEntriesOfWorkersDoNotKeepLaterChangesBack() throws Exception {
+        List<String> entries = variants(WORKER);
+        for (int i = 0; i < entries.size(); i++) {
+            store.put("servers/odd" + i, entries.get(i));
+        }
+        publishVersion("", "", "");
+        assertThat("in force", inForce(APPLY_LIMIT_MILLIS), is(true));
+    }
+
+    /** Guards against a part of a configuration that keeps the rest of it, or all later ones, out of force. */
+    @Test
+    void oddPartsOfAConfigurationDoNotKeepTheRestBack() throws Exception {
+        publishVersion("," + String.join(",", variants(ROUTE)), "", "");
+        assertThat("with odd routes", inForce(APPLY_LIMIT_MILLIS), is(true));
+        publishVersion("", "," + String.join(",", variants(SERVICE)), "");
+        assertThat("with odd services", inForce(APPLY_LIMIT_MILLIS), is(true));
+        publishVersion("", "", String.join(",", variants(TENANT)));
+        assertThat("with odd tenants", inForce(APPLY_LIMIT_MILLIS), is(true));
+    }
+
+    /** Guards against keys and bytes of other writers that end the watch. */
+    @Test
+    void oddItemsDoNotKeepLaterChangesBack() throws Exception {
+        for (String key : ODD_KEYS) {
+            for (String value : List.of("", "{", "\u0000\u00ff", "[]", "null", "{\"a\":1}{")) {
+                store.put(key, value);
+            }
+            publishVersion("", "", "");
+            assertThat("in force after " + key, inForce(APPLY_LIMIT_MILLIS), is(true));
+            store.remove(key);
+        }
+    }
+
+    /** Returns objects with these members, each with one of them replaced by an odd value or left out. */
+    private static List<String> variants(List<String> members) {
+        List<String> variants = new ArrayList<>();
+        for (int i = 0; i < members.size(); i++) {
+            String name = members.get(i).substring(0, members.get(i).indexOf(':'));
+            List<String> changed = new ArrayList<>(members);
+            for (String odd : ODD_VALUES) {
+                changed.set(i, name + ":" + odd);
+                variants.add("{" + String.join(",", changed) + "}");
+            }
+            changed.remove(i);
+            variants.add("{" + String.join(",", changed) + "}");
+        }
+        return variants;
+    }
+
+    /** Publishes the next version, which differs from the one before in the only route that it surely has. */
+    private void publishVersion(String routes, String services, String tenants) {
+        version++;
+        store.put(
+                "op/config",
+                "{\"version\":" + version + ",\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/r" + version
+                        + "/\",\"kind\":\"safe\",\"timeout-ms\":300,\"slo-ms\":100,\"service\":\"none\","
+                        + "\"attempts\":1,\"public\":true}" + routes
+                        + "],\"services\":[{\"name\":\"none\",\"health-path\":\"/\"}" + services
+                        + "],\"limits\":{},\"tenants\":[" + tenants + "]}");
+    }
+
+    /** Tells whether the newest version comes into force within a time. */
+    private boolean inForce(long limitMillis) throws Exception {
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
+        while (System.nanoTime() < endNanos) {
+            if (!statusOf("/r" + version + "/x").equals("404")) {
+                return true;
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+        return false;
+    }
+
+    private String statusOf(String path) throws IOException {
+        try (Socket socket = new Socket(ip, CALLER_PORT)) {
+            socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+            socket.getOutputStream()
+                    .write(("GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nX-Deadline-Ms: 50\r\n"
+                                    + "Connection: close\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
+            String line = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII))
+                    .readLine();
+            return line == null ? "" : line.split(" ")[1];
+        }
+    }
+}
