A configuration whose version is no integer does not keep all later ones out of force

Callers would see CONFIG for good: a version such as 1e999 was taken for the highest number there is, so every front took that document and refused all later ones.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.front.CallerPort;
 import org.whinwharf.front.Front;
 import org.whinwharf.front.ImmutableFrontSettings;
@@ -149,6 +151,24 @@
         assertThat("with odd tenants", inForce(APPLY_LIMIT_MILLIS), is(true));
     }
 
+    /** Guards against a document that is no configuration and keeps all later ones out of force. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "{",
+                "[]",
+                "null",
+                "{\"version\":\"x\",\"routes\":[]}",
+                "{\"version\":1e999,\"routes\":[]}",
+                "{\"version\":99999999999999999999999,\"routes\":[]}"
+            })
+    void oddDocumentDoesNotKeepLaterOnesBack(String document) throws Exception {
+        store.put("op/config", document);
+        publishVersion("", "", "");
+        assertThat("in force", inForce(APPLY_LIMIT_MILLIS), is(true));
+    }
+
     /** Guards against keys and bytes of other writers that end the watch. */
     @Test
     void oddItemsDoNotKeepLaterChangesBack() throws Exception {
