Failing test of streams resumed after all fronts were killed and one version has left

Three fronts, six targets of two versions, 20 streams broken off after their third event; all fronts are killed and three started, to which only the second version is published, long in service. 12 (plain service) and 10 (engines) of 20 were joined from two versions. While both versions serve: 0 of 20 each.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutFleet.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.function.IntPredicate;
 import org.whinwharf.traffic.policy.Policy;
 
 /** Several fronts before common targets, which each front reaches over paths of its own that can be cut. */
@@ -93,14 +94,38 @@
         fronts.forEach(front -> front.republishCatalog(catalogVersion, limits, engine));
     }
 
+    /**
+     * Kills all fronts, and starts as many that know nothing but the published targets that are given.
+     *
+     * @param published tells by a target's index whether it is still published
+     */
+    List<FrontFixture> restartAllFronts(IntPredicate published) throws IOException {
+        fronts.forEach(FrontFixture::kill);
+        List<FrontFixture> restarted = new ArrayList<>();
+        for (int i = fronts.size(); i > 0; i--) {
+            List<String> seeds = restarted.stream().map(FrontFixture::ip).toList();
+            FrontFixture front = addFront(new FrontFixture(seeds, 120, false, limits), published);
+            publishCatalog(front);
+            front.run(() -> front.front().feed().applySnapshot(List.of(), 1));
+            restarted.add(front);
+        }
+        return restarted;
+    }
+
     private FrontFixture addFront(FrontFixture front) throws IOException {
+        return addFront(front, target -> true);
+    }
+
+    private FrontFixture addFront(FrontFixture front, IntPredicate published) throws IOException {
         fronts.add(front);
         List<CutLink> ofFront = new ArrayList<>();
         links.add(ofFront);
         for (int j = 0; j < targets.size(); j++) {
             CutLink link = new CutLink(front.ip(), "127.0.0.1", targets.get(j).port());
             ofFront.add(link);
-            front.publish("t" + j, front.ip(), link.port(), 8, 1, 0, versions.get(j));
+            if (published.test(j)) {
+                front.publish("t" + j, front.ip(), link.port(), 8, 1, 0, versions.get(j));
+            }
         }
         return front;
     }
