Infer the version of a stream only from what was observed of the past

Callers saw streams joined from two versions: all fronts were killed at once and came back, the targets of the version that had begun the streams had left, and those of the other had served for long. Cause: a process that had just started took the absence of young targets for proof that there had been no other version (noneStartedWithin), though it only looks at the targets that are there. The same class: a process that was frozen or cut off and caught up by a full copy counted its whole life as observation, and certified versions to its peers.

Now a process knows since when it has observed every published target without a gap (PublicationObservation), begins anew after a full copy or after changes of a peer that come late, and infers a version only if that covers the time that a stream of the route can have lasted. So that streams still go on where one version served all along (20 of 20 in the test), a process that did not start with the whole fleet reads the store's history back to its oldest event once (StoreHistory): versions of targets that have left count as seen, and a removal of which nothing else is known leaves the past unknown. Log lines and a gauge tell the time that is known. Settings: storeHistorySeconds, from the platform's history-s; without it nothing is inferred from the history.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
@@ -7,10 +7,16 @@
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.whinwharf.traffic.stream.ImmutableTargetHistory;
+import org.whinwharf.traffic.stream.TargetHistory;
 
 /** Tests streams that callers resume after all fronts were killed at once, with everything that they remembered. */
 class RejoinedStreamTest {
     private static final List<String> TWO_VERSIONS = List.of("v1", "v2", "v1", "v2", "v1", "v2");
+    private static final List<String> ONE_VERSION = List.of("v1", "v1", "v1", "v1", "v1", "v1");
+    /** Time for which the store keeps its history; longer than a stream lasts with the timeout of these fleets. */
+    private static final long HISTORY_MILLIS = 20_000;
+
     private static final int FRONTS = 3;
     private static final int STREAMS = 20;
 
@@ -37,6 +43,81 @@
         }
     }
 
+    /** Guards against refusing all streams where the store's history shows that there was one version all along. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamOfTheOnlyVersionIsResumed(boolean engine) throws Exception {
+        try (VersionedFleet fleet = start(ONE_VERSION, engine)) {
+            List<VersionedFleet.Received> begun = begin(fleet);
+            List<FrontFixture> restarted = fleet.fleet().restartAllFronts(target -> true);
+            restarted.forEach(front -> addHistory(front, HISTORY_MILLIS));
+            List<VersionedFleet.Received> resumed = resume(fleet, restarted, begun);
+            assertThat("went on", wentOn(resumed), is((long) STREAMS));
+        }
+    }
+
+    /** Guards against a version that the store's history names and that is overlooked, because its targets are gone. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamIsNotResumedIfTheHistoryNamesAnotherVersion(boolean engine) throws Exception {
+        try (VersionedFleet fleet = start(TWO_VERSIONS, engine)) {
+            List<VersionedFleet.Received> begun = begin(fleet);
+            List<FrontFixture> restarted = fleet.fleet()
+                    .restartAllFronts(target -> fleet.fleet().version(target).equals("v2"));
+            restarted.forEach(front -> addHistory(front, HISTORY_MILLIS, "v1"));
+            List<VersionedFleet.Received> resumed = resume(fleet, restarted, begun);
+            assertThat("mixed", mixed(resumed), is(0L));
+            assertThat("went on", wentOn(resumed), is(0L));
+        }
+    }
+
+    /** Guards against a history that tells nothing, because a target left of which it knows only that. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamIsNotResumedIfAnUnknownTargetHasLeft(boolean engine) throws Exception {
+        try (VersionedFleet fleet = start(TWO_VERSIONS, engine)) {
+            List<VersionedFleet.Received> begun = begin(fleet);
+            List<FrontFixture> restarted = fleet.fleet()
+                    .restartAllFronts(target -> fleet.fleet().version(target).equals("v2"));
+            restarted.forEach(front -> addHistory(front, 0));
+            assertThat("mixed", mixed(resume(fleet, restarted, begun)), is(0L));
+        }
+    }
+
+    /** Guards against a front that takes its whole life for observation, though it was cut off meanwhile. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void frontThatCaughtUpByACopyDoesNotTakeItForTheWholePast(boolean engine) throws Exception {
+        try (VersionedFleet fleet = start(ONE_VERSION, engine)) {
+            FrontFixture front = fleet.fleet().front(0);
+            front.run(() -> front.front().feed().applySnapshot(List.of(), 1));
+            assertThat("resumed", resumeUnknown(fleet, front, "a").wentOn(), is(true));
+            front.run(() -> front.front().feed().applySnapshot(List.of(), 2));
+            assertThat("resumed after a gap", resumeUnknown(fleet, front, "b").wentOn(), is(false));
+        }
+    }
+
+    private static VersionedFleet.Received resumeUnknown(VersionedFleet fleet, FrontFixture front, String stream)
+            throws Exception {
+        return fleet.call(
+                front,
+                "resumed-" + stream,
+                new VersionedFleet.Received(stream, "unknown-" + stream, List.of("v1", "v1", "v1"), "", false));
+    }
+
+    private static void addHistory(FrontFixture front, long reachMillis, String... versions) {
+        ImmutableTargetHistory.Builder history =
+                ImmutableTargetHistory.builder().reachMillis(reachMillis);
+        for (String version : versions) {
+            history.addVersions(new TargetHistory.PublishedVersion("service", version));
+        }
+        front.run(() -> front.front().addHistory(history.build()));
+    }
+
+    private static long wentOn(List<VersionedFleet.Received> streams) {
+        return streams.stream().filter(VersionedFleet.Received::wentOn).count();
+    }
+
     private static VersionedFleet start(List<String> versions, boolean engine) throws Exception {
         return new VersionedFleet(FRONTS, versions, engine, 1, VersionedFleet.Interruption.BROKEN_OFF);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -25,6 +25,7 @@
 import org.whinwharf.traffic.stream.ImmutableStreamOrigin;
 import org.whinwharf.traffic.stream.StreamKey;
 import org.whinwharf.traffic.stream.StreamOrigin;
+import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.target.TargetSpeed;
 import org.whinwharf.traffic.waiting.DispatchResult;
@@ -199,7 +200,10 @@
      */
     private Optional<StreamOrigin> onlyPossibleOrigin(Map<String, String> certifiedVersions) {
         return route.onlyService()
-                .flatMap(only -> front.onlyVersion(only, Optional.ofNullable(certifiedVersions.get(only)))
+                .flatMap(only -> front.onlyVersion(
+                                only,
+                                Optional.ofNullable(certifiedVersions.get(only)),
+                                StreamOrigins.maxAgeMillis(route.timeoutMillis()))
                         .map(version -> ImmutableStreamOrigin.builder()
                                 .key(resumedStreamKey())
                                 .service(only)
@@ -1181,6 +1185,11 @@
         return front.nowMillis();
     }
 
+    /** Returns for how long every published target has been known, in milliseconds. */
+    long observedMillis() {
+        return front.observedMillis();
+    }
+
     /** Returns the time in milliseconds since the request arrived. */
     long ageMillis() {
         return front.nowMillis() - arrivedAtMillis;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -41,6 +41,7 @@
 import org.whinwharf.traffic.retry.RetryBudget;
 import org.whinwharf.traffic.share.OrganisationWeights;
 import org.whinwharf.traffic.stream.StreamOrigins;
+import org.whinwharf.traffic.stream.TargetHistory;
 import org.whinwharf.traffic.target.PromptCacheIndex;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.wire.fleet.MemberPhase;
@@ -107,8 +108,6 @@
     private final PeerDatagrams datagrams;
     private final Gossip gossip;
     private final CrashTracker crashes;
-    /** Whether no stream can have begun before this process knew the targets, since the whole fleet was started. */
-    private final boolean observedLongEnough;
 
     private final StatedLimits statedLimits;
     private final StreamTracker streams;
@@ -140,7 +139,6 @@
                 .setIncarnation(System.currentTimeMillis())
                 .build());
         quotas = new QuotaLedger(settings.freshFleet());
-        observedLongEnough = settings.freshFleet();
         targets = new TargetRegistry(
                 loop,
                 dialect,
@@ -171,6 +169,10 @@
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror, metrics);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
+        feed.onObservationBegan(this::observationBegan);
+        if (settings.freshFleet()) {
+            targets.observation().beginWithFleet();
+        }
         fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, rates, ticker);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
@@ -292,6 +294,10 @@
                 "whinwharf.lost.runs",
                 "Runs remembered because their targets may have crashed under them",
                 crashes.ledger()::size);
+        metrics.gauge(
+                "whinwharf.targets.observed.seconds",
+                "Time for which every target that was published is known, at most that of a stream",
+                () -> TimeUnit.MILLISECONDS.toSeconds(Math.min(StreamOrigins.RETENTION_MILLIS, observedMillis())));
         metrics.gauge("whinwharf.streams.remembered", "Streams whose software version is remembered", streams::size);
         metrics.gauge("whinwharf.targets.rate.limited", "Targets that state a rate", statedRates()::limitedTargets);
         metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
@@ -764,23 +770,61 @@
      * Returns the only software version at which a stream of a service can have begun.
      *
      * @param certifiedVersion version that a peer says is the only one; empty if none does
+     * @param maxAgeMillis time in milliseconds for which the stream can have lasted
      * @return version; empty if there were several, or there may have been
      */
-    Optional<String> onlyVersion(String service, Optional<String> certifiedVersion) {
+    Optional<String> onlyVersion(String service, Optional<String> certifiedVersion, long maxAgeMillis) {
         return feed.ageMillis() > MAX_VERSIONS_AGE_MILLIS
                 ? Optional.empty()
-                : targets.onlyVersion(service)
-                        .filter(version -> observedLongEnough
-                                || ticker.nowMillis() - startedAtMillis > StreamOrigins.RETENTION_MILLIS
-                                || certifiedVersion.filter(version::equals).isPresent()
-                                || targets.noneStartedWithin(service, StreamOrigins.RETENTION_MILLIS));
+                : targets.onlyVersion(service, certifiedVersion, maxAgeMillis);
+    }
+
+    /** Returns for how long this process has known of every target that was published, in milliseconds. */
+    long observedMillis() {
+        return targets.observation().ageMillis(ticker.nowMillis());
+    }
+
+    /**
+     * Adds what the publishing service knows of targets that were published before this process began to watch.
+     *
+     * @param history history of the targets
+     */
+    public void addHistory(TargetHistory history) {
+        targets.addHistory(history);
+        EventLog.event(LogEvent.TARGETS_OBSERVED)
+                .with(EventField.REASON, "history")
+                .with(EventField.REVISION, feed.revision())
+                .with(EventField.AGE_MILLIS, history.reachMillis())
+                .call();
+    }
+
+    /**
+     * Tells whether targets may have been published and removed before this process began to watch.
+     *
+     * @return false if the whole fleet was started with this process
+     */
+    public boolean hasUnobservedPast() {
+        return !settings.freshFleet();
+    }
+
+    /** Records that items were replaced as a whole, so that targets may have come and gone unnoticed. */
+    private void observationBegan(boolean first) {
+        if (first && settings.freshFleet()) {
+            return;
+        }
+        targets.observation().begin(ticker.nowMillis());
+        EventLog.event(LogEvent.TARGETS_OBSERVED)
+                .with(EventField.REASON, first ? "first-copy" : "gap")
+                .with(EventField.REVISION, feed.revision())
+                .with(EventField.AGE_MILLIS, 0)
+                .call();
     }
 
     private Map<String, String> onlyVersions() {
         Map<String, String> versions = new HashMap<>();
         targets.services()
-                .forEach(service ->
-                        onlyVersion(service, Optional.empty()).ifPresent(version -> versions.put(service, version)));
+                .forEach(service -> onlyVersion(service, Optional.empty(), StreamOrigins.RETENTION_MILLIS)
+                        .ifPresent(version -> versions.put(service, version)));
         return versions;
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -211,7 +211,7 @@
                 .with(EventField.STREAM_VERSION, origin.version());
         exchange.head().resumedAttemptId().ifPresent(id -> event.with(EventField.RESUMES, id));
         if (finding.origin().isEmpty()) {
-            event.with(EventField.SOURCE, "only-version");
+            event.with(EventField.SOURCE, "only-version").with(EventField.AGE_MILLIS, exchange.observedMillis());
         } else {
             event.with(EventField.SOURCE, finding.source().isEmpty() ? "own" : "peer")
                     .with(EventField.AGE_MILLIS, exchange.nowMillis() - origin.recordedAtMillis());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
 import org.whinwharf.runtime.log.LogEvent;
@@ -58,6 +59,8 @@
     /** Watchers in each data centre of a larger fleet: one may fail while another is being replaced. */
     private static final int WATCHERS_PER_DATA_CENTRE = 3;
 
+    /** Time between two answers of peers in which no target can have been published and removed unnoticed. */
+    private static final long MAX_PEER_CHANGES_MILLIS = 3_000;
     /** Age beyond which items are stale: longer than a watch, the interval after it and a poll of a peer together. */
     private static final long STALE_THRESHOLD_MILLIS = 4_750;
     /** Delay between the takeovers of successive processes; longer than a first answer takes to reach the next one. */
@@ -85,6 +88,7 @@
     private final Ticker ticker;
     private final Random random;
     private final PublisherAvailability service = new PublisherAvailability();
+    private Consumer<Boolean> observationListener = first -> {};
     private Listener listener = (value, afterInitialSnapshot, readableForMillis) -> {};
     private long lastServiceReadAtMillis = Long.MIN_VALUE / 2;
     private long confirmedAtMillis;
@@ -127,6 +131,15 @@
         listener = newListener;
     }
 
+    /**
+     * Sets the listener for copies between which items may have come and gone unnoticed.
+     *
+     * @param newListener receives true for the first copy
+     */
+    void onObservationBegan(Consumer<Boolean> newListener) {
+        observationListener = newListener;
+    }
+
     /**
      * Returns the revision of the local items.
      *
@@ -204,6 +217,7 @@
     public void applySnapshot(Collection<PublishedValue> all, long revision) {
         boolean afterInitialSnapshot = mirror.revision() > 0;
         recordServiceRead();
+        observationListener.accept(!afterInitialSnapshot);
         notifyChanges(mirror.replace(all, revision), afterInitialSnapshot);
     }
 
@@ -339,6 +353,11 @@
 
     private void applyPeerAnswer(ItemsAnswer answer) {
         long nowMillis = ticker.nowMillis();
+        // Changes of a peer hold only the newest state of each item.
+        boolean gap = answer.getComplete() || nowMillis - confirmedAtMillis > MAX_PEER_CHANGES_MILLIS;
+        if (gap) {
+            observationListener.accept(mirror.revision() == 0);
+        }
         confirmedAtMillis = Math.max(confirmedAtMillis, nowMillis - answer.getAgeMillis());
         service.peerReported(answer, nowMillis);
         boolean afterInitialSnapshot = mirror.revision() > 0;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -27,7 +27,9 @@
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.coordination.TargetOutcomeListener;
 import org.whinwharf.traffic.path.TargetPaths;
+import org.whinwharf.traffic.stream.PublicationObservation;
 import org.whinwharf.traffic.stream.ServiceVersions;
+import org.whinwharf.traffic.stream.TargetHistory;
 import org.whinwharf.traffic.target.SpeedBaseline;
 import org.whinwharf.traffic.target.Target;
 import org.whinwharf.traffic.target.TargetState;
@@ -54,6 +56,7 @@
     private final Map<String, SpeedBaseline> baselines = new HashMap<>();
     private final boolean speedsCompared;
     private final ServiceVersions versions = new ServiceVersions();
+    private final PublicationObservation observation;
     private final FrontMetrics metrics;
     private final TargetPaths paths;
     private TargetConnector connector;
@@ -83,6 +86,7 @@
         this.loop = loop;
         this.dialect = dialect;
         this.ticker = ticker;
+        observation = new PublicationObservation(ticker.nowMillis());
         this.catalog = catalog;
     }
 
@@ -274,18 +278,38 @@
         return byService.keySet();
     }
 
+    /** Tells since when this process knows of every target that was published. */
+    PublicationObservation observation() {
+        return observation;
+    }
+
+    /** Adds what the publishing service knows of targets that were published before this process began to watch. */
+    void addHistory(TargetHistory history) {
+        long nowMillis = ticker.nowMillis();
+        history.versions().forEach(known -> versions.seen(known.service(), known.version(), nowMillis));
+        observation.extendBack(nowMillis - history.reachMillis());
+    }
+
     /**
-     * Returns the only version that this process has lately seen at targets of a service; empty if there were others.
+     * Returns the only version that targets of a service can have had lately; empty if there were others, or may have
+     * been.
+     *
+     * @param certifiedVersion version that a peer says is the only one; empty if none does
+     * @param spanMillis time up to now in milliseconds
      */
-    Optional<String> onlyVersion(String service) {
+    Optional<String> onlyVersion(String service, Optional<String> certifiedVersion, long spanMillis) {
         long nowMillis = ticker.nowMillis();
         ofService(service)
                 .forEach(state -> versions.seen(service, state.target().version(), nowMillis));
-        return versions.onlyVersion(service, nowMillis);
+        boolean observed = observation.covers(spanMillis, nowMillis)
+                && (!observation.dependsOnHistory() || noneStartedWithin(service, spanMillis));
+        return versions.onlyVersion(service, nowMillis, spanMillis)
+                .filter(version ->
+                        observed || certifiedVersion.filter(version::equals).isPresent());
     }
 
     /** Tells whether no target of a service has started lately, so that none has replaced one of another version. */
-    boolean noneStartedWithin(String service, long millis) {
+    private boolean noneStartedWithin(String service, long millis) {
         long sinceUnixMillis = System.currentTimeMillis() - millis;
         return ofService(service).stream()
                 .mapToLong(state -> state.target().startedUnixMillis())
--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
@@ -0,0 +1,119 @@
+package org.whinwharf.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.platform.fleet.StoreFault;
+import org.whinwharf.platform.fleet.StoreStandIn;
+import org.whinwharf.traffic.stream.TargetHistory;
+import org.whinwharf.traffic.stream.TargetHistory.PublishedVersion;
+
+/** Tests what a front that has just started learns from the store's history. */
+class StoreHistoryTest {
+    private static final long KEPT_MILLIS = 20_000;
+    private static final long TIMEOUT_SECONDS = 20;
+
+    private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final StoreStandIn store = new StoreStandIn("127.0.0.1", 0);
+
+    @BeforeEach
+    void startStore() {
+        store.start();
+    }
+
+    @AfterEach
+    void stop() {
+        store.stop();
+        loop.shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS);
+    }
+
+    /** Guards against a version that is overlooked because its last worker has left. */
+    @Test
+    void versionOfAWorkerThatLeftIsNamed() throws Exception {
+        write("a", "v1");
+        write("b", "v2");
+        store.remove("servers/a");
+        TargetHistory history = read();
+        assertThat(
+                history.versions(),
+                containsInAnyOrder(new PublishedVersion("s", "v1"), new PublishedVersion("s", "v2")));
+        assertThat(history.reachMillis(), is(KEPT_MILLIS));
+    }
+
+    /** Guards against a removal that names no version and is taken for nothing. */
+    @Test
+    void departureOfAnUnknownWorkerLeavesThePastUnknown() throws Exception {
+        write("a", "v1");
+        store.discardHistory();
+        store.remove("servers/a");
+        write("b", "v2");
+        assertThat(read().reachMillis(), is(0L));
+    }
+
+    /** Guards against a history of which only the newest part is read, and against calls without end. */
+    @Test
+    void historyIsReadUpToItsOldestEvent() throws Exception {
+        for (int i = 0; i < 300; i++) {
+            store.put("op/x", "before");
+        }
+        store.discardHistory();
+        write("a", "v1");
+        for (int i = 0; i < 300; i++) {
+            store.put("op/x", "after");
+        }
+        assertThat(read().versions(), containsInAnyOrder(new PublishedVersion("s", "v1")));
+    }
+
+    /** Guards against refusing every stream where nothing has changed for as long as the store remembers. */
+    @Test
+    void quietStoreHasNoOtherVersions() throws Exception {
+        write("a", "v1");
+        store.discardHistory();
+        TargetHistory history = read();
+        assertThat(history.versions(), empty());
+        assertThat(history.reachMillis(), is(KEPT_MILLIS));
+    }
+
+    /** Guards against a search that ends with the first refused call, as those of a fleet that starts at once are. */
+    @Test
+    void refusedCallsAreRepeated() throws Exception {
+        write("a", "v1");
+        store.remove("servers/a");
+        store.begin(StoreFault.BUSY);
+        CompletableFuture<TargetHistory> reading = startReading();
+        store.awaitAnswers(2);
+        store.endFaults();
+        assertThat(
+                reading.get(TIMEOUT_SECONDS, TimeUnit.SECONDS).versions(),
+                containsInAnyOrder(new PublishedVersion("s", "v1")));
+    }
+
+    private void write(String id, String version) {
+        store.put(
+                "servers/" + id,
+                "{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"version\":\"" + version
+                        + "\",\"slots\":4,\"state\":\"ready\",\"born\":1}");
+    }
+
+    private TargetHistory read() throws Exception {
+        return startReading().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<TargetHistory> startReading() {
+        CompletableFuture<TargetHistory> read = new CompletableFuture<>();
+        StoreClient client = new StoreClient(loop, store.address());
+        StoreHistory history = new StoreHistory(loop, client, "servers/", KEPT_MILLIS, read::complete);
+        loop.execute(() -> history.readBackFrom(store.revision()));
+        return read;
+    }
+}
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -119,7 +119,7 @@
                 new PlatformDialect(),
                 CallerPort.open(ip + ":" + CALLER_PORT));
         front.start();
-        new StoreWatch(front, store.address()).start();
+        new StoreWatch(front, store.address(), 0).start();
         assertThat("first version in force", inForce(READ_TIMEOUT_MILLIS), is(true));
     }
 
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployFile.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployFile.java
@@ -13,6 +13,7 @@
 final class DeployFile {
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
     private static final Pattern TEMPLATE = Pattern.compile("(?m)^template = \"(.*)\"$");
+    private static final Pattern SECTION = Pattern.compile("\\{\\{#([a-z0-9_.-]+)}}(.*?)\\{\\{/\\1}}", Pattern.DOTALL);
     private static final Pattern PLACEHOLDER = Pattern.compile("\\{\\{([a-z0-9_.-]+)\\|json}}");
 
     private final Path root;
@@ -90,8 +91,11 @@
      *     maps
      */
     String settings(Map<String, Object> fields) {
+        String sections = SECTION.matcher(template)
+                .replaceAll(
+                        match -> Matcher.quoteReplacement(field(fields, match.group(1)) == null ? "" : match.group(2)));
         return PLACEHOLDER
-                .matcher(template)
+                .matcher(sections)
                 .replaceAll(match -> Matcher.quoteReplacement(json(field(fields, match.group(1)))));
     }
 
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
@@ -73,7 +73,7 @@
                 "bounds",
                 Map.of("retry-ratio", 0.2, "retry-slack", 54, "retry-window-s", 10, "grace-s", 8, "ttl_max_s", 5),
                 "platform",
-                Map.of("address", storeAddress),
+                Map.of("address", storeAddress, "history-s", StoreStandIn.HISTORY_SECONDS),
                 "limits",
                 Map.of("cores", 1, "cpu-share", 0.75)));
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreStandIn.java
@@ -25,6 +25,9 @@
 
 /** Stand-in for the platform's metadata store: items, their history and watches, and faults on request. */
 public final class StoreStandIn implements Service, AutoCloseable {
+    /** Time for which the history is kept, unless it is discarded before. */
+    static final int HISTORY_SECONDS = 20;
+
     private static final int BACKLOG = 512;
     private static final int MAX_ITEMS_PER_PAGE = 500;
     private static final int MAX_PAGE_BYTES = 1_000_000;
@@ -39,7 +42,7 @@
      */
     public record Confirmation(long revision, long atNanos) {}
 
-    private record Item(String key, byte[] value, long revision, long createdAt) {
+    private record Item(String key, byte[] value, long revision, long createdAt, long atNanos) {
         String json() {
             return value == null
                     ? "{\"key\":\"" + key + "\",\"revision\":" + revision + ",\"removed\":true}"
@@ -65,6 +68,7 @@
     private final Set<Socket> watching = ConcurrentHashMap.newKeySet();
     private ServerSocket server;
     private long revision = 1;
+    private long answers;
     /** Revision up to which the history is discarded. */
     private long discardedRevision;
 
@@ -130,7 +134,7 @@
     private synchronized Confirmation change(String key, byte[] value) {
         revision++;
         Item known = items.get(key);
-        Item next = new Item(key, value, revision, known == null ? revision : known.createdAt());
+        Item next = new Item(key, value, revision, known == null ? revision : known.createdAt(), System.nanoTime());
         if (value == null) {
             items.remove(key);
         } else {
@@ -148,6 +152,13 @@
         notifyAll();
     }
 
+    private void expireHistory() {
+        long sinceNanos = System.nanoTime() - TimeUnit.SECONDS.toNanos(HISTORY_SECONDS);
+        while (!history.isEmpty() && history.get(0).atNanos() < sinceNanos) {
+            discardedRevision = history.remove(0).revision();
+        }
+    }
+
     /** Closes the connections of all waiting watches. */
     public void cutWatches() {
         watching.forEach(StoreStandIn::closeQuietly);
@@ -201,6 +212,7 @@
                 skipHeaders(in);
                 Answer answer = answer(uri, socket);
                 open = write(socket, openedAtNanos, answer);
+                countAnswer();
                 line = open ? in.readLine() : null;
             }
         } catch (IOException e) {
@@ -218,6 +230,19 @@
         }
     }
 
+    /** Waits until the store has answered, or failed to answer, a number of calls from now on. */
+    public synchronized void awaitAnswers(int count) throws InterruptedException {
+        long last = answers + count;
+        while (answers < last) {
+            wait();
+        }
+    }
+
+    private synchronized void countAnswer() {
+        answers++;
+        notifyAll();
+    }
+
     private boolean write(Socket socket, long openedAtNanos, Answer answer) throws IOException {
         for (ActiveFault active : faults) {
             if (active.frontIps().test(ipOf(socket))
@@ -295,6 +320,7 @@
     private synchronized Answer watch(String prefix, long after, long waitMillis) {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.min(waitMillis, MAX_WATCH_MILLIS));
         while (true) {
+            expireHistory();
             if (after < discardedRevision) {
                 return Answer.of(410, "{}");
             }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -167,6 +167,10 @@
     CATALOG_IN_FORCE(Level.INFO, EventField.VERSION, EventField.REVISION, EventField.SOURCE),
     /** A published item was invalid and was ignored. */
     ITEM_REFUSED(Level.WARN, EventField.NAME, EventField.REVISION, EventField.REASON),
+    /** The time from which on every published target is known has changed; its age is the time before now. */
+    TARGETS_OBSERVED(Level.INFO, EventField.REASON, EventField.REVISION, EventField.AGE_MILLIS),
+    /** The history of published items cannot be read; streams that nobody remembers are refused for a while. */
+    HISTORY_UNREADABLE(Level.WARN, EventField.REASON),
     /** The source from which published items are read changed. */
     ITEMS_SOURCE(Level.INFO, EventField.FROM, EventField.TO, EventField.REVISION, EventField.REASON),
     /** A request to a peer for its items failed or did not complete. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/ServiceVersions.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/ServiceVersions.java
@@ -1,6 +1,7 @@
 package org.whinwharf.traffic.stream;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -41,11 +42,27 @@
      * @return version; empty if there were none or several within {@link StreamOrigins#RETENTION_MILLIS}
      */
     public Optional<String> onlyVersion(String service, long nowMillis) {
+        return onlyVersion(service, nowMillis, StreamOrigins.RETENTION_MILLIS);
+    }
+
+    /**
+     * Returns the only version that targets of a service have had lately.
+     *
+     * @param service name of the service
+     * @param nowMillis monotonic time in milliseconds
+     * @param spanMillis time up to now in milliseconds, at most {@link StreamOrigins#RETENTION_MILLIS}
+     * @return version; empty if there were none or several within that time
+     */
+    public Optional<String> onlyVersion(String service, long nowMillis, long spanMillis) {
         Map<String, Long> versions = lastSeenAtMillis.get(service);
         if (versions == null) {
             return Optional.empty();
         }
         versions.values().removeIf(atMillis -> nowMillis - atMillis > StreamOrigins.RETENTION_MILLIS);
-        return versions.size() == 1 ? versions.keySet().stream().findFirst() : Optional.empty();
+        List<String> within = versions.entrySet().stream()
+                .filter(seen -> nowMillis - seen.getValue() <= spanMillis)
+                .map(Map.Entry::getKey)
+                .toList();
+        return within.size() == 1 ? Optional.of(within.get(0)) : Optional.empty();
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamOrigins.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamOrigins.java
@@ -14,12 +14,24 @@
 public final class StreamOrigins {
     /** Time for which an origin is kept: longer than callers follow a stream over all their attempts. */
     public static final long RETENTION_MILLIS = 30_000;
+    /** Attempts, of one timeout each, over which a caller follows a stream at most. */
+    private static final int MAX_ATTEMPTS = 2;
     /** Maximum number of origins, about 2 MB. */
     private static final int MAX_ORIGINS = 20_000;
 
     /** In the order in which they were recorded. */
     private final Map<StreamKey, StreamOrigin> origins = new LinkedHashMap<>();
 
+    /**
+     * Returns for how long before now a resumed stream can have begun.
+     *
+     * @param timeoutMillis timeout of its route in milliseconds
+     * @return time in milliseconds
+     */
+    public static long maxAgeMillis(long timeoutMillis) {
+        return Math.min(RETENTION_MILLIS, MAX_ATTEMPTS * timeoutMillis);
+    }
+
     /**
      * Records an origin. Of two for the same stream, the later one holds.
      *
