Move the inference of stream versions out of the front's wiring

VersionObserver holds what is inferred of streams that nobody remembers; no change of behaviour. RejoinedStreamTest, StreamVersionTest pass.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -200,7 +200,8 @@
      */
     private Optional<StreamOrigin> onlyPossibleOrigin(Map<String, String> certifiedVersions) {
         return route.onlyService()
-                .flatMap(only -> front.onlyVersion(
+                .flatMap(only -> front.versions()
+                        .onlyVersion(
                                 only,
                                 Optional.ofNullable(certifiedVersions.get(only)),
                                 StreamOrigins.maxAgeMillis(route.timeoutMillis()))
@@ -1187,7 +1188,7 @@
 
     /** Returns for how long every published target has been known, in milliseconds. */
     long observedMillis() {
-        return front.observedMillis();
+        return front.versions().observedMillis();
     }
 
     /** Returns the time in milliseconds since the request arrived. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -76,8 +76,6 @@
     private static final long CATALOG_WAIT_LIMIT_MILLIS = 600;
     /** Delay after the start until metrics are served, so that requests are served first. */
     private static final long METRICS_START_DELAY_MILLIS = 2_000;
-    /** Maximum age of the published items by which a service can be said to have one software version only. */
-    private static final long MAX_VERSIONS_AGE_MILLIS = 3_000;
     /** Time before the end of the grace period at which the process stops even if requests are in flight. */
     private static final long STOP_MARGIN_MILLIS = 600;
 
@@ -110,6 +108,7 @@
     private final CrashTracker crashes;
 
     private final StatedLimits statedLimits;
+    private final VersionObserver versions;
     private final StreamTracker streams;
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
@@ -169,14 +168,11 @@
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror, metrics);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
-        feed.onObservationBegan(this::observationBegan);
-        if (settings.freshFleet()) {
-            targets.observation().beginWithFleet();
-        }
+        versions = new VersionObserver(settings.freshFleet(), targets, feed, ticker);
         fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, rates, ticker);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
-        streams = new StreamTracker(settings, members, datagrams, loop, ticker, this::onlyVersions);
+        streams = new StreamTracker(settings, members, datagrams, loop, ticker, versions::onlyVersions);
         targets.onVersionChange(streams::targetRestarted);
         coordination = new Coordination(
                 settings, members, targets, rates, datagrams, ticker, this::createCoordinator, this::isCoordinated);
@@ -294,11 +290,7 @@
                 "whinwharf.lost.runs",
                 "Runs remembered because their targets may have crashed under them",
                 crashes.ledger()::size);
-        metrics.gauge(
-                "whinwharf.targets.observed.seconds",
-                "Time for which every target that was published is known, at most that of a stream",
-                () -> TimeUnit.MILLISECONDS.toSeconds(Math.min(StreamOrigins.RETENTION_MILLIS, observedMillis())));
-        metrics.gauge("whinwharf.streams.remembered", "Streams whose software version is remembered", streams::size);
+        registerStreamGauges();
         metrics.gauge("whinwharf.targets.rate.limited", "Targets that state a rate", statedRates()::limitedTargets);
         metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
         new HttpEndpoint(loop, (method, uri) -> new HttpEndpoint.Response(200, "text/plain", metrics.scrape()))
@@ -310,6 +302,15 @@
                 });
     }
 
+    private void registerStreamGauges() {
+        metrics.gauge(
+                "whinwharf.targets.observed.seconds",
+                "Time for which every target that was published is known, at most that of a stream",
+                () -> TimeUnit.MILLISECONDS.toSeconds(
+                        Math.min(StreamOrigins.RETENTION_MILLIS, versions.observedMillis())));
+        metrics.gauge("whinwharf.streams.remembered", "Streams whose software version is remembered", streams::size);
+    }
+
     private void scheduleRepeatedly(String name, long millis, Runnable task) {
         loop.scheduleWithFixedDelay(() -> runLogged(name, task), millis, millis, TimeUnit.MILLISECONDS);
     }
@@ -766,22 +767,9 @@
         return targets.hasTarget(service, version, id -> !tried.contains(id) && !pathless.contains(id));
     }
 
-    /**
-     * Returns the only software version at which a stream of a service can have begun.
-     *
-     * @param certifiedVersion version that a peer says is the only one; empty if none does
-     * @param maxAgeMillis time in milliseconds for which the stream can have lasted
-     * @return version; empty if there were several, or there may have been
-     */
-    Optional<String> onlyVersion(String service, Optional<String> certifiedVersion, long maxAgeMillis) {
-        return feed.ageMillis() > MAX_VERSIONS_AGE_MILLIS
-                ? Optional.empty()
-                : targets.onlyVersion(service, certifiedVersion, maxAgeMillis);
-    }
-
-    /** Returns for how long this process has known of every target that was published, in milliseconds. */
-    long observedMillis() {
-        return targets.observation().ageMillis(ticker.nowMillis());
+    /** Returns what is known of the versions at which streams can have begun. */
+    VersionObserver versions() {
+        return versions;
     }
 
     /**
@@ -790,12 +778,7 @@
      * @param history history of the targets
      */
     public void addHistory(TargetHistory history) {
-        targets.addHistory(history);
-        EventLog.event(LogEvent.TARGETS_OBSERVED)
-                .with(EventField.REASON, "history")
-                .with(EventField.REVISION, feed.revision())
-                .with(EventField.AGE_MILLIS, history.reachMillis())
-                .call();
+        versions.addHistory(history);
     }
 
     /**
@@ -807,27 +790,6 @@
         return !settings.freshFleet();
     }
 
-    /** Records that items were replaced as a whole, so that targets may have come and gone unnoticed. */
-    private void observationBegan(boolean first) {
-        if (first && settings.freshFleet()) {
-            return;
-        }
-        targets.observation().begin(ticker.nowMillis());
-        EventLog.event(LogEvent.TARGETS_OBSERVED)
-                .with(EventField.REASON, first ? "first-copy" : "gap")
-                .with(EventField.REVISION, feed.revision())
-                .with(EventField.AGE_MILLIS, 0)
-                .call();
-    }
-
-    private Map<String, String> onlyVersions() {
-        Map<String, String> versions = new HashMap<>();
-        targets.services()
-                .forEach(service -> onlyVersion(service, Optional.empty(), StreamOrigins.RETENTION_MILLIS)
-                        .ifPresent(version -> versions.put(service, version)));
-        return versions;
-    }
-
     /** Sends a health check to a target; its response shows that the target is not silent. */
     void probe(TargetEntry entry) {
         targets.probe(entry);
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
@@ -0,0 +1,88 @@
+package org.whinwharf.front;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.whinwharf.runtime.log.EventField;
+import org.whinwharf.runtime.log.EventLog;
+import org.whinwharf.runtime.log.LogEvent;
+import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.stream.StreamOrigins;
+import org.whinwharf.traffic.stream.TargetHistory;
+
+/** Infers at which software version a stream has begun that no process remembers, from the targets observed so far. */
+final class VersionObserver {
+    /** Maximum age of the published items by which a service can be said to have one software version only. */
+    private static final long MAX_ITEMS_AGE_MILLIS = 3_000;
+
+    private final boolean freshFleet;
+    private final TargetRegistry targets;
+    private final ItemFeed feed;
+    private final Ticker ticker;
+
+    /**
+     * Creates an observer.
+     *
+     * @param freshFleet true if the whole fleet starts for the first time, so that no stream is older than this process
+     */
+    VersionObserver(boolean freshFleet, TargetRegistry targets, ItemFeed feed, Ticker ticker) {
+        this.freshFleet = freshFleet;
+        this.targets = targets;
+        this.feed = feed;
+        this.ticker = ticker;
+        feed.onObservationBegan(this::observationBegan);
+        if (freshFleet) {
+            targets.observation().beginWithFleet();
+        }
+    }
+
+    /**
+     * Returns the only software version at which a stream of a service can have begun.
+     *
+     * @param certifiedVersion version that a peer says is the only one; empty if none does
+     * @param maxAgeMillis time in milliseconds for which the stream can have lasted
+     * @return version; empty if there were several, or there may have been
+     */
+    Optional<String> onlyVersion(String service, Optional<String> certifiedVersion, long maxAgeMillis) {
+        return feed.ageMillis() > MAX_ITEMS_AGE_MILLIS
+                ? Optional.empty()
+                : targets.onlyVersion(service, certifiedVersion, maxAgeMillis);
+    }
+
+    /** Returns the services of which this process can tell others that they have had one version only, with it. */
+    Map<String, String> onlyVersions() {
+        Map<String, String> versions = new HashMap<>();
+        targets.services()
+                .forEach(service -> onlyVersion(service, Optional.empty(), StreamOrigins.RETENTION_MILLIS)
+                        .ifPresent(version -> versions.put(service, version)));
+        return versions;
+    }
+
+    /** Returns for how long this process has known of every target that was published, in milliseconds. */
+    long observedMillis() {
+        return targets.observation().ageMillis(ticker.nowMillis());
+    }
+
+    /** Adds what the publishing service knows of targets that were published before this process began to watch. */
+    void addHistory(TargetHistory history) {
+        targets.addHistory(history);
+        logObserved("history", history.reachMillis());
+    }
+
+    /** Records that items were replaced as a whole, so that targets may have come and gone unnoticed. */
+    private void observationBegan(boolean first) {
+        if (first && freshFleet) {
+            return;
+        }
+        targets.observation().begin(ticker.nowMillis());
+        logObserved(first ? "first-copy" : "gap", 0);
+    }
+
+    private void logObserved(String reason, long knownMillis) {
+        EventLog.event(LogEvent.TARGETS_OBSERVED)
+                .with(EventField.REASON, reason)
+                .with(EventField.REVISION, feed.revision())
+                .with(EventField.AGE_MILLIS, knownMillis)
+                .call();
+    }
+}
