Resume streams at the version of the target that still reports their run

Cause: a front that has just started asked only its peers, which know as little as it does.

Now the targets of an engine service that may have begun the stream are asked which attempts they work on. A target may go on after its front is gone, longest where the host went dark, and its report lags. Targets of two versions that name it, a caller that names no attempt, or no report: refused as before.

frontThatCaughtUpByACopyDoesNotTakeItForTheWholePast failed once in seven runs, beside load: a peer that had observed all along had caught up from the front under test and certified the version, which is allowed. The test now has one front, and checks the same.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.traffic.stream.ImmutableTargetHistory;
@@ -43,6 +44,19 @@
         }
     }
 
+    /** Guards against refusing streams while both versions serve, though their targets report that they still run. */
+    @Test
+    void streamIsResumedAtTheVersionOfTheTargetThatReportsItsRun() throws Exception {
+        try (VersionedFleet fleet = start(TWO_VERSIONS, true)) {
+            List<VersionedFleet.Received> begun = begin(fleet);
+            fleet.reportRuns();
+            List<FrontFixture> restarted = fleet.fleet().restartAllFronts(target -> true);
+            List<VersionedFleet.Received> resumed = resume(fleet, restarted, begun);
+            assertThat("mixed", mixed(resumed), is(0L));
+            assertThat("went on", wentOn(resumed), is((long) STREAMS));
+        }
+    }
+
     /** Guards against refusing all streams where the store's history shows that there was one version all along. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
@@ -88,7 +102,7 @@
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void frontThatCaughtUpByACopyDoesNotTakeItForTheWholePast(boolean engine) throws Exception {
-        try (VersionedFleet fleet = start(ONE_VERSION, engine)) {
+        try (VersionedFleet fleet = start(1, ONE_VERSION, engine)) {
             FrontFixture front = fleet.fleet().front(0);
             front.run(() -> front.front().feed().applySnapshot(List.of(), 1));
             assertThat("resumed", resumeUnknown(fleet, front, "a").wentOn(), is(true));
@@ -119,7 +133,11 @@
     }
 
     private static VersionedFleet start(List<String> versions, boolean engine) throws Exception {
-        return new VersionedFleet(FRONTS, versions, engine, 1, VersionedFleet.Interruption.BROKEN_OFF);
+        return start(FRONTS, versions, engine);
+    }
+
+    private static VersionedFleet start(int fronts, List<String> versions, boolean engine) throws Exception {
+        return new VersionedFleet(fronts, versions, engine, 1, VersionedFleet.Interruption.BROKEN_OFF);
     }
 
     private static List<VersionedFleet.Received> begin(VersionedFleet fleet) throws Exception {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.whinwharf.traffic.rate.RateStatement;
@@ -121,4 +122,14 @@
     public OptionalLong readHealth(HttpResponse response, String targetId) {
         return response.status().code() == 200 ? OptionalLong.of(0) : OptionalLong.empty();
     }
+
+    @Override
+    public FullHttpRequest runsRequest(String address) {
+        return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/runs");
+    }
+
+    @Override
+    public Set<String> readRuns(String body) {
+        return Set.of(body.split(","));
+    }
 }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
@@ -6,6 +6,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -91,6 +94,10 @@
 
     private final CutFleet fleet;
     private final Interruption interruption;
+    /** Attempts whose first events each target has sent, by the target's index. */
+    private final Map<Integer, Set<String>> runs = new ConcurrentHashMap<>();
+
+    private volatile boolean runsReported;
 
     /**
      * Starts a fleet.
@@ -180,10 +187,18 @@
             FakeTarget.write(socket, FakeTarget.answer(request, 200, ""));
             return;
         }
+        if (request.startsWith("GET /runs")) {
+            answerRuns(request, socket);
+            return;
+        }
         String version = fleet.version(fleet.targetOf(socket));
         Matcher resumed = RESUME_AFTER.matcher(request.toLowerCase(Locale.ROOT));
         int after = resumed.find() ? Integer.parseInt(resumed.group(1)) : 0;
         int last = interruption.lastEvent(after);
+        if (after == 0) {
+            runs.computeIfAbsent(fleet.targetOf(socket), target -> ConcurrentHashMap.newKeySet())
+                    .add(FakeTarget.attemptId(request));
+        }
         FakeTarget.write(
                 socket,
                 "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attemptId(request)
@@ -200,6 +215,20 @@
         }
     }
 
+    /** Lets targets report their runs from now on, also those whose connections have ended. */
+    void reportRuns() {
+        runsReported = true;
+    }
+
+    private void answerRuns(String request, Socket socket) throws IOException {
+        Set<String> attempts = runs.getOrDefault(fleet.targetOf(socket), Set.of());
+        String body = runsReported ? String.join(",", attempts) : "";
+        FakeTarget.write(
+                socket,
+                "HTTP/1.1 " + (runsReported ? 200 : 404) + " X\r\nContent-Length: " + body.length() + "\r\n\r\n"
+                        + body);
+    }
+
     @Override
     public void close() throws IOException {
         fleet.close();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -178,21 +178,58 @@
         if (stage != Stage.RESOLVING_ORIGIN) {
             return;
         }
-        Optional<StreamOrigin> origin = finding.origin()
-                .or(() -> onlyPossibleOrigin(finding.onlyVersions()))
-                .filter(StreamOrigin::versionKnown);
+        if (finding.origin().isPresent()) {
+            resumeAt(
+                    finding.origin().filter(StreamOrigin::versionKnown),
+                    finding.source().isEmpty() ? OriginSource.OWN : OriginSource.PEER,
+                    finding);
+            return;
+        }
+        Optional<StreamOrigin> inferred = onlyPossibleOrigin(finding.onlyVersions());
+        if (inferred.isPresent()) {
+            resumeAt(inferred, OriginSource.ONLY_VERSION, finding);
+        } else {
+            findAtTargets(finding);
+        }
+    }
+
+    /** Asks the targets to which the first attempt was sent whether one still works on it. */
+    private void findAtTargets(StreamTracker.Finding finding) {
+        Optional<String> firstAttemptId = head.resumedAttemptId();
+        String firstService = route.selectService(firstAttemptId.orElse(head.attemptId()));
+        if (firstAttemptId.isEmpty() || !front.isEngine(firstService)) {
+            resumeAt(Optional.empty(), OriginSource.TARGET, finding);
+            return;
+        }
+        front.runInquiry().find(firstService, firstAttemptId.get(), version -> {
+            if (stage == Stage.RESOLVING_ORIGIN) {
+                resumeAt(version.map(found -> origin(firstService, found)), OriginSource.TARGET, finding);
+            }
+        });
+    }
+
+    private void resumeAt(Optional<StreamOrigin> origin, OriginSource source, StreamTracker.Finding finding) {
         if (origin.isEmpty()) {
             notResumed(ResumptionOutcome.UNKNOWN, finding.silentProcesses());
         } else if (!route.leadsTo(origin.get().service())) {
             stream.resumes(origin.get());
             notResumed(ResumptionOutcome.ROUTE_CHANGED, finding.silentProcesses());
         } else {
-            FrontLog.originFound(this, origin.get(), finding);
+            FrontLog.originFound(this, origin.get(), source, finding);
             stream.resumes(origin.get());
             serveBy(origin.get().service());
         }
     }
 
+    private StreamOrigin origin(String originService, String version) {
+        return ImmutableStreamOrigin.builder()
+                .key(resumedStreamKey())
+                .service(originService)
+                .version(version)
+                .recordedAtMillis(front.nowMillis())
+                .build();
+    }
+
     /**
      * Returns the origin of a stream that no process knows, if it can only have begun at one service and version.
      *
@@ -205,12 +242,7 @@
                                 only,
                                 Optional.ofNullable(certifiedVersions.get(only)),
                                 StreamOrigins.maxAgeMillis(route.timeoutMillis()))
-                        .map(version -> ImmutableStreamOrigin.builder()
-                                .key(resumedStreamKey())
-                                .service(only)
-                                .version(version)
-                                .recordedAtMillis(front.nowMillis())
-                                .build()));
+                        .map(version -> origin(only, version)));
     }
 
     private StreamKey resumedStreamKey() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -109,6 +109,7 @@
 
     private final StatedLimits statedLimits;
     private final VersionObserver versions;
+    private final RunInquiry runInquiry;
     private final StreamTracker streams;
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
@@ -172,6 +173,7 @@
         fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, rates, ticker);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
+        runInquiry = new RunInquiry(loop, dialect, targets, ticker);
         streams = new StreamTracker(settings, members, datagrams, loop, ticker, versions::onlyVersions);
         targets.onVersionChange(streams::targetRestarted);
         coordination = new Coordination(
@@ -591,7 +593,7 @@
         return isEngine(service) || statedLimits.needCoordinator(service);
     }
 
-    private boolean isEngine(String service) {
+    boolean isEngine(String service) {
         return catalog.flatMap(known -> known.service(service))
                 .map(TargetService::engine)
                 .orElse(false);
@@ -767,6 +769,10 @@
         return targets.hasTarget(service, version, id -> !tried.contains(id) && !pathless.contains(id));
     }
 
+    RunInquiry runInquiry() {
+        return runInquiry;
+    }
+
     /** Returns what is known of the versions at which streams can have begun. */
     VersionObserver versions() {
         return versions;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -203,18 +203,19 @@
         event.call();
     }
 
-    /** Logs at which version a stream began that a caller resumes, and who knew it; nobody if it was inferred. */
-    static void originFound(CallerExchange exchange, StreamOrigin origin, StreamTracker.Finding finding) {
+    /** Logs at which version a stream began that a caller resumes, and who knew it. */
+    static void originFound(
+            CallerExchange exchange, StreamOrigin origin, OriginSource source, StreamTracker.Finding finding) {
         EventLog event = EventLog.event(LogEvent.STREAM_ORIGIN)
                 .with(EventField.REQUEST, exchange.head().attemptId())
                 .with(EventField.SERVICE, origin.service())
                 .with(EventField.STREAM_VERSION, origin.version());
         exchange.head().resumedAttemptId().ifPresent(id -> event.with(EventField.RESUMES, id));
-        if (finding.origin().isEmpty()) {
-            event.with(EventField.SOURCE, "only-version").with(EventField.AGE_MILLIS, exchange.observedMillis());
+        event.with(EventField.SOURCE, source.tag());
+        if (source == OriginSource.ONLY_VERSION) {
+            event.with(EventField.AGE_MILLIS, exchange.observedMillis());
         } else {
-            event.with(EventField.SOURCE, finding.source().isEmpty() ? "own" : "peer")
-                    .with(EventField.AGE_MILLIS, exchange.nowMillis() - origin.recordedAtMillis());
+            event.with(EventField.AGE_MILLIS, exchange.nowMillis() - origin.recordedAtMillis());
         }
         if (!finding.source().isEmpty()) {
             event.with(EventField.PEER, finding.source());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpDialect.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpDialect.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Translates between HTTP heads and the types of this package, by the header names that callers and targets use.
@@ -63,4 +64,20 @@
      * @return how long the target stays cold, in milliseconds; empty when it is unhealthy or another target responded
      */
     OptionalLong readHealth(HttpResponse response, String targetId);
+
+    /**
+     * Creates a request for the runs that a target works on.
+     *
+     * @param address address of the target
+     * @return the request
+     */
+    FullHttpRequest runsRequest(String address);
+
+    /**
+     * Parses the response to such a request.
+     *
+     * @param body body of the response
+     * @return ids of the attempts whose runs the target works on; empty if the body is not readable
+     */
+    Set<String> readRuns(String body);
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -162,4 +163,15 @@
         assertThat(dialect.readHealth(response, "i-1"), is(OptionalLong.empty()));
         assertThat(dialect.readHealth(response, "i-2"), is(OptionalLong.of(1_500)));
     }
+
+    /** Guards against a report of another form, or of another program at the address, that is taken for runs. */
+    @Test
+    void runsOfAReportAreNamedByTheirAttempts() {
+        assertThat(
+                dialect.readRuns("{\"state\":\"ready\",\"runs\":[[\"a\",10,2,0],[\"b\",5,0,1]]}"),
+                is(Set.of("a", "b")));
+        assertThat(dialect.readRuns("{\"runs\":[[],{},5]}"), is(Set.of()));
+        assertThat(dialect.readRuns("{}"), is(Set.of()));
+        assertThat(dialect.readRuns("no report"), is(Set.of()));
+    }
 }
