Keep and pass on what targets have reported of runs after a restart of all fronts

Callers of streams that a first take-up had found were refused at the next front: a caller that was turned away for its quota came back one or two seconds later, at a front that knew nothing, when the run had ended and no target reported it any longer.

Now a version that a target reported is recorded like any other origin, so its owners know it; reports are kept for as long as callers resume streams; and a front that starts after others asks the targets of each engine service once when it begins to serve (up to 64 of a service), as runs end meanwhile.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -203,7 +203,10 @@
         }
         front.runInquiry().find(firstService, firstAttemptId.get(), version -> {
             if (stage == Stage.RESOLVING_ORIGIN) {
-                resumeAt(version.map(found -> origin(firstService, found)), OriginSource.TARGET, finding);
+                Optional<StreamOrigin> reported = version.map(found -> origin(firstService, found));
+                // The caller may come back to another process after the run has ended.
+                reported.ifPresent(front.streams()::record);
+                resumeAt(reported, OriginSource.TARGET, finding);
             }
         });
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -457,6 +457,9 @@
     private void becomeReady() {
         if (phase == MemberPhase.MEMBER_STARTING && acceptingCallers && catalog.isPresent()) {
             phase = MemberPhase.MEMBER_SERVING;
+            if (hasUnobservedPast()) {
+                targets.services().stream().filter(this::isEngine).forEach(runInquiry::askAhead);
+            }
             phaseChanged();
             EventLog.event(LogEvent.READY)
                     .with(EventField.REVISION, feed.revision())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.target.Target;
 
 /**
@@ -26,21 +27,45 @@
 final class RunInquiry {
     /** Time for which reports are awaited; a caller waits meanwhile. */
     private static final long TIMEOUT_MILLIS = 400;
-    /** Time for which the reports of a service are used again, so that many streams cause one inquiry. */
+    /** Minimum time between two inquiries about one service, so that many streams cause one. */
     private static final long REUSE_MILLIS = 1_000;
     /** Maximum size of the body of a report. */
     private static final int MAX_REPORT_BYTES = 256 * 1_024;
 
+    /** Maximum number of targets that are asked before a caller resumes a stream. */
+    private static final int MAX_ASKED_AHEAD = 64;
+
+    /**
+     * What a target has reported of a run.
+     *
+     * @param versions versions of the targets that reported it
+     * @param atMillis monotonic time of the latest report
+     */
+    private record ReportedRun(Set<String> versions, long atMillis) {}
+
     /** What the targets of one service have reported, and the searches that wait for it. */
     private static final class Reports {
-        private final Map<String, Set<String>> versionsByAttempt = new HashMap<>();
+        /** By the id of the attempt; kept after the run has ended, for as long as callers resume its stream. */
+        private final Map<String, ReportedRun> runs = new HashMap<>();
+
         private final List<Runnable> waiting = new ArrayList<>();
-        private long askedAtMillis;
+        private long askedAtMillis = Long.MIN_VALUE / 2;
         private int pending;
 
+        private void add(String attemptId, String version, long nowMillis) {
+            Set<String> versions = new HashSet<>(Set.of(version));
+            ReportedRun known = runs.get(attemptId);
+            if (known != null) {
+                versions.addAll(known.versions());
+            }
+            runs.put(attemptId, new ReportedRun(versions, nowMillis));
+        }
+
         private Optional<String> versionOf(String attemptId) {
-            Set<String> versions = versionsByAttempt.getOrDefault(attemptId, Set.of());
-            return versions.size() == 1 ? versions.stream().findFirst() : Optional.empty();
+            ReportedRun run = runs.get(attemptId);
+            return run != null && run.versions().size() == 1
+                    ? run.versions().stream().findFirst()
+                    : Optional.empty();
         }
 
         private void end() {
@@ -70,9 +95,14 @@
      * @param consumer receives the version; nothing if no target reports the run, or targets of several versions do
      */
     void find(String service, String attemptId, Consumer<Optional<String>> consumer) {
-        Reports known = reportsByService.get(service);
-        boolean current = known != null && ticker.nowMillis() - known.askedAtMillis < REUSE_MILLIS;
-        Reports reports = current ? known : ask(service);
+        Reports reports = reportsOf(service);
+        if (reports.runs.containsKey(attemptId)) {
+            consumer.accept(reports.versionOf(attemptId));
+            return;
+        }
+        if (reports.pending == 0 && ticker.nowMillis() - reports.askedAtMillis >= REUSE_MILLIS) {
+            ask(service, reports);
+        }
         if (reports.pending == 0) {
             consumer.accept(reports.versionOf(attemptId));
         } else {
@@ -80,10 +110,21 @@
         }
     }
 
-    private Reports ask(String service) {
-        Reports reports = new Reports();
-        reports.askedAtMillis = ticker.nowMillis();
-        reportsByService.put(service, reports);
+    /** Asks the targets of a service before a caller resumes a stream, since runs end meanwhile. */
+    void askAhead(String service) {
+        if (targets.ofService(service).size() <= MAX_ASKED_AHEAD) {
+            ask(service, reportsOf(service));
+        }
+    }
+
+    private Reports reportsOf(String service) {
+        return reportsByService.computeIfAbsent(service, name -> new Reports());
+    }
+
+    private void ask(String service, Reports reports) {
+        long nowMillis = ticker.nowMillis();
+        reports.runs.values().removeIf(run -> nowMillis - run.atMillis() > StreamOrigins.RETENTION_MILLIS);
+        reports.askedAtMillis = nowMillis;
         List<TargetEntry> asked = targets.ofService(service).stream()
                 .map(state -> targets.entry(state.target().id()))
                 .toList();
@@ -99,7 +140,6 @@
             report.connection.send(dialect.runsRequest(target.address()), Unpooled.EMPTY_BUFFER, "", report);
         }));
         loop.schedule(reports::end, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        return reports;
     }
 
     private static void reported(Reports reports) {
@@ -146,9 +186,7 @@
         public void complete() {
             if (readable) {
                 dialect.readRuns(body.toString(StandardCharsets.UTF_8))
-                        .forEach(attemptId -> reports.versionsByAttempt
-                                .computeIfAbsent(attemptId, id -> new HashSet<>())
-                                .add(version));
+                        .forEach(attemptId -> reports.add(attemptId, version, ticker.nowMillis()));
             }
             end();
         }
