Pass removals on to peers that know items which never came here

Callers saw requests reach targets whose entries were gone. A process dropped the removal of an item that it had never stored, because a watch or a peer told it of the newest state only, or because a full copy shows nothing of what came and went before it. A peer that had seen the item come and then took its changes from this process rose to the revision behind the removal, and kept the target for good: its own watch went on after that revision too.

Removals of unknown items are retained for peers, without telling the listener, and a peer whose revision is before that of a copy gets a full copy.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ItemMirrorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ItemMirrorTest.java
@@ -48,6 +48,31 @@
         assertThat(mirror.apply(List.of(item("a", 11)), 11), hasSize(1));
     }
 
+    /**
+     * Guards against a peer that keeps a target for good after its removal: it saw the target come, and this process
+     * has seen only its newest state, which is the removal.
+     */
+    @Test
+    void removalOfAnItemThatWasNeverKnownIsPassedOn() {
+        mirror.replace(List.of(item("a", 1)), 1);
+        assertThat(mirror.apply(List.of(new PublishedValue("b", null, 5)), 5), empty());
+        List<PublishedValue> changes = mirror.changesAfter(3).orElseThrow();
+        assertThat(changes, hasSize(1));
+        assertThat(changes.get(0).removed(), is(true));
+    }
+
+    /**
+     * Guards against the same after a copy, which tells nothing of what came and went before it: only a full copy does
+     * for a peer that is not as far.
+     */
+    @Test
+    void peerWithARevisionBeforeACopyGetsAFullCopy() {
+        mirror.replace(List.of(item("a", 1)), 1);
+        mirror.replace(List.of(item("a", 1)), 9);
+        assertThat(mirror.changesAfter(5).isPresent(), is(false));
+        assertThat(mirror.changesAfter(9).isPresent(), is(true));
+    }
+
     /** Guards against sending every version that a peer missed, although it needs only the newest. */
     @Test
     void peerThatMissedVersionsGetsTheNewestOnly() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
@@ -65,11 +65,10 @@
                 changed.add(new PublishedValue(known.key(), null, atRevision));
             }
         }
-        if (revision == 0) {
-            compactedRevision = atRevision;
-        }
         changed.forEach(this::put);
         revision = atRevision;
+        // A copy does not tell of items that came and went since the revision before it.
+        compactedRevision = atRevision;
         return changed;
     }
 
@@ -86,9 +85,12 @@
             PublishedValue known = items.get(event.key());
             // A stored item may be newer than the mirror's revision because pages of a copy are read one after another.
             long storedRevision = known == null ? revision : known.revision();
-            if (event.revision() > storedRevision && (known != null || !event.removed())) {
+            if (event.revision() > storedRevision) {
+                // Peers may know an item of which only the removal came here.
                 put(event);
-                changed.add(event);
+                if (known != null || !event.removed()) {
+                    changed.add(event);
+                }
             }
         }
         revision = Math.max(revision, upToRevision);
