Keep reading the published items after a failure in handling one

One exception below the handling of an answer closed the connection to the store after the pending callback was cleared, and nothing read the store again, for the life of the process. The mirror held all items of the answer by then, so those behind the failed one never came again, by peers neither. A value that is no base64 made the whole answer unreadable, and each read of it again.

No published value is known that makes the handling throw.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.whinwharf.traffic.items.ItemMirror;
 import org.whinwharf.traffic.items.PublishedValue;
@@ -285,6 +286,33 @@
         assertThat(feed.shouldWatch(), is(false));
     }
 
+    /** Guards against one item whose handling fails and that keeps the items behind it out of force. */
+    @Test
+    void itemWhoseHandlingFailsDoesNotKeepOthersBack() {
+        List<String> handled = new ArrayList<>();
+        feed.listener((value, afterInitialSnapshot, readable) -> {
+            if (value.key().equals("servers/bad")) {
+                throw new IllegalStateException("bad");
+            }
+            handled.add(value.key());
+        });
+        feed.applySnapshot(values(41, "servers/bad", "servers/a"), 41);
+        feed.applyWatchEvents(values(42, "servers/bad", "servers/b"), 42);
+        feed.serviceReadFailed("reset");
+        receiveFleetReports(43);
+        feed.tick();
+        peers.answerLast(removal(43, "servers/bad")
+                .addItems(PublishedItem.newBuilder().setKey("servers/c").setRevision(43)));
+        assertThat(handled, contains("servers/a", "servers/b", "servers/c"));
+        assertThat(feed.refusedItems(), is(3L));
+    }
+
+    private static List<PublishedValue> values(long revision, String... keys) {
+        return Stream.of(keys)
+                .map(key -> new PublishedValue(key, new byte[0], revision))
+                .toList();
+    }
+
     /** Receives heartbeats of the same fleet, which carry no revisions. */
     private void receiveFleetHeartbeats() {
         for (int i = 1; i <= FLEET_SIZE; i++) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -267,8 +267,7 @@
                 "whinwharf.catalog.version",
                 "Version in force",
                 () -> catalog.map(Catalog::version).orElse(0L));
-        metrics.gauge("whinwharf.items.revision", "Revision of the published items", feed::revision);
-        metrics.gauge("whinwharf.watching", "1 while the own watch works", () -> feed.watchHealthy() ? 1 : 0);
+        registerItemGauges();
         metrics.gauge(
                 "whinwharf.targets.known",
                 "Published targets",
@@ -302,6 +301,13 @@
                 });
     }
 
+    private void registerItemGauges() {
+        metrics.gauge("whinwharf.items.revision", "Revision of the published items", feed::revision);
+        metrics.gauge(
+                "whinwharf.items.refused", "Published items that were not used since the start", feed::refusedItems);
+        metrics.gauge("whinwharf.watching", "1 while the own watch works", () -> feed.watchHealthy() ? 1 : 0);
+    }
+
     private void registerStreamGauges() {
         metrics.gauge(
                 "whinwharf.targets.observed.seconds",
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -107,6 +107,8 @@
     /** Monotonic time since which peers have held newer items. */
     private long behindSinceMillis;
 
+    private long refusedItems;
+
     ItemFeed(
             FrontSettings settings,
             MemberTable members,
@@ -393,9 +395,38 @@
 
     private void notifyChanges(List<PublishedValue> changed, boolean afterInitialSnapshot) {
         long readableForMillis = readableForMillis();
-        changed.forEach(value -> listener.itemChanged(value, afterInitialSnapshot, readableForMillis));
+        changed.forEach(value -> notifyChange(value, afterInitialSnapshot, readableForMillis));
         if (!changed.isEmpty()) {
             peers.itemsChanged();
         }
     }
+
+    /** Passes one change on. A failure concerns this item alone: the mirror holds the others, so none comes again. */
+    private void notifyChange(PublishedValue value, boolean afterInitialSnapshot, long readableForMillis) {
+        try {
+            listener.itemChanged(value, afterInitialSnapshot, readableForMillis);
+        } catch (RuntimeException e) {
+            itemRefused(value, String.valueOf(e));
+        }
+    }
+
+    /**
+     * Records an item that is not used.
+     *
+     * @param value the item
+     * @param reason why it is not used, for the log
+     */
+    public void itemRefused(PublishedValue value, String reason) {
+        refusedItems++;
+        EventLog.event(LogEvent.ITEM_REFUSED)
+                .with(EventField.NAME, value.key())
+                .with(EventField.REVISION, value.revision())
+                .with(EventField.REASON, reason)
+                .call();
+    }
+
+    /** Returns the number of items that were not used. */
+    long refusedItems() {
+        return refusedItems;
+    }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
@@ -1,6 +1,7 @@
 package org.whinwharf.platform;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -23,6 +24,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.whinwharf.platform.fleet.StoreStandIn;
 
 class StoreClientTest {
     private static final String IP = "127.0.0.1";
@@ -81,6 +83,36 @@
         assertThat(outcomeOfUnframedResponse(SHORT_PAGE), is("2 items of 0"));
     }
 
+    /** Guards against a response whose handling fails and after which nobody makes the next call. */
+    @Test
+    void failureInTheHandlingOfAResponseIsReported() throws Exception {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        try (StoreStandIn store = new StoreStandIn(IP, 0)) {
+            store.start();
+            StoreClient client = new StoreClient(loop, store.address());
+            loop.execute(() -> client.range("op/", "", new StoreClient.Callback() {
+                @Override
+                public void succeeded(StoreClient.Page page) {
+                    throw new IllegalStateException("not handled");
+                }
+
+                @Override
+                public void failed(int status, String reason) {
+                    outcome.complete(reason);
+                }
+            }));
+            assertThat(outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), containsString("not handled"));
+        }
+    }
+
+    /** Guards against one item that cannot be read and that keeps all others of its page back. */
+    @Test
+    void itemThatIsUnreadableDoesNotKeepItsPageBack() throws Exception {
+        String page = "{\"items\":[{\"key\":\"op/a\",\"value\":\"*\",\"revision\":4},{\"value\":\"\"},null,"
+                + "{\"key\":\"op/b\",\"value\":\"AAAA\",\"revision\":5}],\"truncated\":false,\"store-revision\":5}";
+        assertThat(outcomeOfUnframedResponse(page), is("4 items of 3"));
+    }
+
     private String outcomeOfUnframedResponse(String body) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName(IP))) {
             Thread thread = new Thread(() -> respondUnframed(server, body), "unframed store");
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -10,16 +10,20 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.front.CallerPort;
 import org.whinwharf.front.Front;
 import org.whinwharf.front.ImmutableFrontSettings;
+import org.whinwharf.platform.fleet.StoreFault;
 import org.whinwharf.platform.fleet.StoreStandIn;
 
 /** Tests that a front takes over what the store publishes, whatever else is published beside it. */
@@ -30,6 +34,9 @@
     /** Time limit for applying a change, from its confirmation. */
     private static final long APPLY_LIMIT_MILLIS = 2_000;
 
+    /** Time after a fault of the store from which on the front counts as in touch. */
+    private static final long CONTACT_LIMIT_MILLIS = 3_000;
+
     private static final long POLL_MILLIS = 20;
     /** Values that a field may have by mistake. */
     private static final List<String> ODD_VALUES = List.of(
@@ -182,6 +189,40 @@
         }
     }
 
+    /** Guards against one failure in the handling of an answer that ends the watch for good. */
+    @Test
+    void failureInTheHandlingOfAnItemDoesNotEndTheWatch() throws Exception {
+        AtomicInteger handled = new AtomicInteger();
+        front.loop()
+                .submit(() -> front.feed().listener((value, afterInitialSnapshot, readableForMillis) -> {
+                    if (handled.getAndIncrement() == 0) {
+                        throw new IllegalStateException("the first item is not handled");
+                    }
+                }))
+                .sync();
+        store.put("servers/a", "{}");
+        assertThat("first", await(() -> handled.get() == 1, APPLY_LIMIT_MILLIS), is(true));
+        store.put("servers/b", "{}");
+        assertThat("second", await(() -> handled.get() == 2, APPLY_LIMIT_MILLIS), is(true));
+    }
+
+    /** Guards against a watch that recovers too slowly, or not at all, from what the store did to it. */
+    @ParameterizedTest
+    @EnumSource(StoreFault.class)
+    void changeIsInForceSoonAfterAFaultOfTheStore(StoreFault fault) throws Exception {
+        for (boolean discarded : new boolean[] {false, true}) {
+            store.begin(fault);
+            publishVersion("", "", "");
+            if (discarded) {
+                store.discardHistory();
+            }
+            store.awaitAnswers(3);
+            store.endFaults();
+            publishVersion("", "", "");
+            assertThat("in force after " + fault, inForce(CONTACT_LIMIT_MILLIS), is(true));
+        }
+    }
+
     /** Returns objects with these members, each with one of them replaced by an odd value or left out. */
     private static List<String> variants(List<String> members) {
         List<String> variants = new ArrayList<>();
@@ -212,9 +253,13 @@
 
     /** Tells whether the newest version comes into force within a time. */
     private boolean inForce(long limitMillis) throws Exception {
+        return await(() -> !statusOf("/r" + version + "/x").equals("404"), limitMillis);
+    }
+
+    private static boolean await(Callable<Boolean> condition, long limitMillis) throws Exception {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
         while (System.nanoTime() < endNanos) {
-            if (!statusOf("/r" + version + "/x").equals("404")) {
+            if (condition.call()) {
                 return true;
             }
             TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
