Let a learned limit grow back within some ten answers

What callers saw: a target that bears its 8 slots again kept a limit of 3 for seconds. TargetLimitTest.limitGrowsBackWithinTenAnswers failed (expected 0, was 3).

Cause: trials of one request more came 1 to 4 s apart, four answers decided each of them, four more were waited for before the next step, and steps only doubled from one request on.

Now a limit is tried after four answers and 250 ms; a trial ends with two answers whose slope leaves no doubt, else with four; after a success the limit doubles on trial at once, with the trial's answers as the new pace; after a failure half the way to what failed is tried. The slope weighs each answer by how far its load differs.

--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetLimit.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetLimit.java
@@ -14,8 +14,9 @@
  * through the pace over the number of requests, both as logarithms, bends from level to a slope of about 1. A target
  * that is slow at any load has no such bend and keeps its slots.
  *
- * <p>A limited target gets no requests that would show that it bears more. At intervals the limit is therefore raised
- * on trial, by one request first, and lowered by one if that was in vain. Not thread-safe.
+ * <p>A limited target gets no requests that would show that it bears more. At short intervals the limit is therefore
+ * raised on trial, by one request first, and lowered by one if that was in vain. A trial ends with the first answers
+ * that leave no doubt. Not thread-safe.
  */
 public final class TargetLimit {
     /** Events of an answer below which its pace depends on single steps of the target. */
@@ -26,11 +27,13 @@
     private static final long MAX_SAMPLE_AGE_MILLIS = 10_000;
     /** Number of answers without which no bend is looked for. */
     private static final int MIN_SAMPLES = 8;
-    /** Number of answers beyond the bend without which it does not count. */
+    /** Number of answers beyond the bend without which it does not count; they decide a trial in any case. */
     private static final int MIN_SAMPLES_BEYOND = 4;
+    /** Number of answers that decide a trial if they leave no doubt. */
+    private static final int MIN_SAMPLES_OF_CLEAR_TRIAL = 2;
     /** Slope from which further requests do not increase the throughput noticeably. */
     private static final double MAX_SLOPE = 0.9;
-    /** Standard errors by which a slope must exceed its limit at a target without a limit. */
+    /** Standard errors by which a slope must differ from its limit to leave no doubt. */
     private static final double REQUIRED_ERRORS = 3;
     /** Standard errors of a slope from which it is too uncertain to tell anything. */
     private static final double MAX_ERROR = 0.5;
@@ -40,23 +43,30 @@
     private static final double SHIFTED_PACE = 1.6;
     /** Answers in a row that show it. */
     private static final int SHIFTED_ANSWERS = 3;
-    /** Interval between trials: at first, and after many in vain. */
-    private static final long MIN_TRIAL_INTERVAL_MILLIS = 1_000;
-
-    private static final long MAX_TRIAL_INTERVAL_MILLIS = 4_000;
+    /** Standard deviation of the logarithm of the pace that is assumed at least. */
+    private static final double MIN_DEVIATION = 0.1;
+    /** Minimum time between trials. */
+    private static final long TRIAL_INTERVAL_MILLIS = 250;
+    /** Minimum number of answers between trials. */
+    private static final int ANSWERS_BETWEEN_TRIALS = 4;
 
     private final Deque<Sample> samples = new ArrayDeque<>();
     private int limit;
     private double paceWithinMillis;
     private int answersWithin;
+    /** Sum of the squared deviations of the logarithm of the pace from that of the mean. */
+    private double squaredDeviations;
+
     private int shiftedAnswers;
     private boolean tryLower;
     /** Whether fewer requests at once were found to be worse at the present speed. */
     private boolean lowerIsWorse;
 
-    private int step = 1;
+    /** Lowest number of requests that is taken for useless at the present speed; above the slots without one. */
+    private int useless;
+
     private int limitBeforeTrial;
-    private long trialIntervalMillis = MIN_TRIAL_INTERVAL_MILLIS;
+    private int answersSinceTrial;
     private long nextTrialAtMillis;
 
     private record Sample(double load, double paceMillis, long atMillis) {}
@@ -108,7 +118,8 @@
     public void adopt(int requests, long nowMillis) {
         if (limit == 0 && samples.isEmpty()) {
             limit = requests;
-            nextTrialAtMillis = nowMillis + trialIntervalMillis;
+            useless = requests + 1;
+            nextTrialAtMillis = nowMillis + TRIAL_INTERVAL_MILLIS;
         }
     }
 
@@ -135,7 +146,10 @@
         } else if (limit > 0) {
             lowerOrTry(slots, nowMillis);
         } else {
-            bend(slots).ifPresent(requests -> setLimit(requests, nowMillis));
+            bend(slots).ifPresent(requests -> {
+                useless = requests + 1;
+                setLimit(requests, nowMillis);
+            });
         }
         return settled() != before;
     }
@@ -147,8 +161,7 @@
             return false;
         }
         if (answersWithin < MIN_SAMPLES_BEYOND) {
-            answersWithin++;
-            paceWithinMillis += (paceMillis - paceWithinMillis) / answersWithin;
+            recordWithin(paceMillis);
             return false;
         }
         boolean shifted = paceMillis > paceWithinMillis * SHIFTED_PACE || paceMillis < paceWithinMillis / SHIFTED_PACE;
@@ -156,24 +169,30 @@
         return shiftedAnswers >= SHIFTED_ANSWERS;
     }
 
+    private void recordWithin(double paceMillis) {
+        if (answersWithin > 0) {
+            double deviation = Math.log(paceMillis / paceWithinMillis);
+            squaredDeviations += deviation * deviation * answersWithin / (answersWithin + 1);
+        }
+        answersWithin++;
+        paceWithinMillis += (paceMillis - paceWithinMillis) / answersWithin;
+    }
+
     /** Keeps the limit of a target whose speed has changed, but not its pace, and soon tries to raise it. */
     private void relearnPace(long nowMillis) {
         int restored = limitBeforeTrial > 0 ? limitBeforeTrial : limit;
         samples.clear();
         tryLower = false;
         lowerIsWorse = false;
-        trialIntervalMillis = MIN_TRIAL_INTERVAL_MILLIS;
+        useless = restored + 1;
         setLimit(restored, nowMillis);
-        nextTrialAtMillis = nowMillis;
     }
 
     private void removeLimit() {
         limit = 0;
         limitBeforeTrial = 0;
-        step = 1;
         tryLower = false;
         lowerIsWorse = false;
-        trialIntervalMillis = MIN_TRIAL_INTERVAL_MILLIS;
         samples.clear();
         forgetPace();
     }
@@ -181,69 +200,99 @@
     private void forgetPace() {
         answersWithin = 0;
         paceWithinMillis = 0;
+        squaredDeviations = 0;
         shiftedAnswers = 0;
     }
 
     private void setLimit(int requests, long nowMillis) {
+        restoreLimit(requests, nowMillis);
+        forgetPace();
+    }
+
+    private void restoreLimit(int requests, long nowMillis) {
         limit = requests;
         limitBeforeTrial = 0;
-        step = 1;
         samples.removeIf(sample -> sample.load() > requests * (1 + DISTINCT_LOAD));
-        forgetPace();
-        nextTrialAtMillis = nowMillis + trialIntervalMillis;
+        answersSinceTrial = 0;
+        nextTrialAtMillis = nowMillis + TRIAL_INTERVAL_MILLIS;
     }
 
     /** Lowers a limit that is still too high, or changes it on trial once the target has been filled up to it. */
     private void lowerOrTry(int slots, long nowMillis) {
-        if (answersWithin < MIN_SAMPLES_BEYOND || nowMillis < nextTrialAtMillis) {
+        answersSinceTrial++;
+        if (answersWithin < MIN_SAMPLES_BEYOND
+                || answersSinceTrial < ANSWERS_BETWEEN_TRIALS
+                || nowMillis < nextTrialAtMillis) {
             return;
         }
-        if (samples.getLast().load() < limit * (1 - DISTINCT_LOAD)) {
-            return;
+        if (samples.getLast().load() >= limit * (1 - DISTINCT_LOAD)) {
+            startTrial(tryLower ? limit - 1 : nextHigher(slots), nowMillis);
         }
+    }
+
+    private void startTrial(int requests, long nowMillis) {
         limitBeforeTrial = limit;
-        limit = tryLower ? limit - 1 : Math.min(slots, limit + step);
+        limit = requests;
+        nextTrialAtMillis = nowMillis;
     }
 
-    /** Keeps a limit that was changed on trial and goes on in the same direction, or restores it. */
+    /** Returns the double of the limit, or half the way to what is useless, which is asked again itself at last. */
+    private int nextHigher(int slots) {
+        int requests = useless > slots ? limit * 2 : limit + Math.max(1, (useless - limit) / 2);
+        return Math.min(slots, requests);
+    }
+
+    /** Ends a trial once its answers tell whether the higher number of requests adds to the throughput. */
     private void judgeTrial(int slots, long nowMillis) {
         boolean lowered = limit < limitBeforeTrial;
-        int answers = 0;
-        double sum = 0;
+        List<Sample> trial = new ArrayList<>();
+        double sumXx = 0;
+        double sumXy = 0;
         for (Sample sample : samples) {
             boolean ofTrial = lowered
                     ? sample.load() < limitBeforeTrial * (1 - DISTINCT_LOAD / 2)
                             && sample.load() > limit * (1 - DISTINCT_LOAD)
                     : sample.load() > limitBeforeTrial * (1 + DISTINCT_LOAD / 2);
             if (ofTrial && sample.atMillis() >= nextTrialAtMillis) {
-                answers++;
-                sum += Math.log(sample.paceMillis() / paceWithinMillis) / Math.log(sample.load() / limitBeforeTrial);
+                double x = Math.log(sample.load() / limitBeforeTrial);
+                trial.add(sample);
+                sumXx += x * x;
+                sumXy += x * Math.log(sample.paceMillis() / paceWithinMillis);
             }
         }
-        if (answers < MIN_SAMPLES_BEYOND) {
+        if (trial.size() < MIN_SAMPLES_OF_CLEAR_TRIAL) {
             return;
         }
-        boolean higherIsUseless = sum / answers >= MAX_SLOPE;
+        double slope = sumXy / sumXx;
+        double deviation = Math.max(MIN_DEVIATION, Math.sqrt(squaredDeviations / (answersWithin - 1)));
+        boolean clear = Math.abs(slope - MAX_SLOPE) >= REQUIRED_ERRORS * deviation / Math.sqrt(sumXx);
+        if (clear || trial.size() >= MIN_SAMPLES_BEYOND) {
+            endTrial(trial, slope >= MAX_SLOPE, slots, nowMillis);
+        }
+    }
+
+    /** Restores a limit that was changed on trial in vain, or keeps the change and goes on in the same direction. */
+    private void endTrial(List<Sample> trial, boolean higherIsUseless, int slots, long nowMillis) {
+        boolean lowered = limit < limitBeforeTrial;
         if (higherIsUseless != lowered) {
-            int restored = limitBeforeTrial;
             lowerIsWorse |= lowered;
-            tryLower = !lowerIsWorse && restored > 1;
-            trialIntervalMillis = Math.min(MAX_TRIAL_INTERVAL_MILLIS, trialIntervalMillis * 2);
-            double knownPaceMillis = paceWithinMillis;
-            setLimit(restored, nowMillis);
-            paceWithinMillis = knownPaceMillis;
-            answersWithin = MIN_SAMPLES_BEYOND;
+            useless = lowered ? useless : limit;
+            tryLower = !lowerIsWorse && limitBeforeTrial > 1;
+            restoreLimit(limitBeforeTrial, nowMillis);
         } else if (lowered) {
+            useless = limitBeforeTrial;
             tryLower = limit > 1;
             setLimit(limit, nowMillis);
         } else if (limit >= slots) {
             removeLimit();
         } else {
             lowerIsWorse = true;
-            int nextStep = step * 2;
+            useless = limit < useless ? useless : slots + 1;
             setLimit(limit, nowMillis);
-            step = nextStep;
-            nextTrialAtMillis = nowMillis;
+            trial.forEach(sample -> recordWithin(sample.paceMillis()));
+            if (limit + 1 < useless) {
+                startTrial(nextHigher(slots), nowMillis);
+            }
         }
     }
 
