Compare the runs of one process by its own clock

They place a run by the age its report states, as if it had taken no time. A tolerance for runs of one process was 0, as if these delays were the same.

Reports now carry when the request was sent by the clock of the process that lost it. Runs of one process are placed at their distances by that clock, as early as the least delayed of them, before they are counted. The process half of a run's id names the start of the process too, since a later one of the same name may have another clock. Reports of older fronts are taken as before.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -58,6 +58,8 @@
     private final EventLoopGroup loop;
     private final Ticker ticker;
     private final Random random;
+    /** Name of this process that a later one of the same name, whose clock may be another, does not have. */
+    private final String origin;
     /** Runs of which more is known than was sent to the peers, by their ids. */
     private final Map<Long, LostRun> unsent = new LinkedHashMap<>();
 
@@ -82,6 +84,7 @@
         this.loop = loop;
         this.ticker = ticker;
         this.random = random;
+        origin = settings.name() + '@' + ticker.nowMillis();
         datagrams.addListener((datagram, senderIp) -> receive(datagram));
     }
 
@@ -118,11 +121,12 @@
     /** Records a run that was lost with its connection, or in silence, and returns it. */
     LostRun runLost(CallerExchange exchange, TargetRun run, CrashEvidence evidence) {
         LostRun lost = ImmutableLostRun.builder()
-                .id(LostRun.id(settings.name(), random.nextInt()))
+                .id(LostRun.id(origin, random.nextInt()))
                 .fingerprint(exchange.fingerprint())
                 .sharedParts(exchange.sharedParts())
                 .targetId(run.entry().state().target().id())
                 .sentAtMillis(run.sentAtMillis())
+                .originSentMillis(run.sentAtMillis())
                 .endedAtMillis(ticker.nowMillis())
                 .evidence(evidence)
                 .build();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunMessages.java
@@ -1,5 +1,6 @@
 package org.whinwharf.front;
 
+import java.util.OptionalLong;
 import java.util.Set;
 import org.whinwharf.traffic.crash.CrashEvidence;
 import org.whinwharf.traffic.crash.Fingerprint;
@@ -21,6 +22,7 @@
     static LostRunReport toReport(LostRun run, Set<Fingerprint> unservedParts, long nowMillis) {
         LostRunReport.Builder report = LostRunReport.newBuilder();
         unservedParts.forEach(part -> report.addSharedParts(part.bits()));
+        run.originSentMillis().ifPresent(report::setOriginSentMillis);
         return report.setRun(run.id())
                 .setFingerprint(run.fingerprint().bits())
                 .setTarget(run.targetId())
@@ -43,6 +45,10 @@
                         .toList())
                 .targetId(report.getTarget())
                 .sentAtMillis(nowMillis - report.getSentAgeMillis())
+                .originSentMillis(
+                        report.hasOriginSentMillis()
+                                ? OptionalLong.of(report.getOriginSentMillis())
+                                : OptionalLong.empty())
                 .endedAtMillis(nowMillis - report.getEndedAgeMillis())
                 .evidence(fromWire(report.getEvidence()))
                 .build();
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CrashLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CrashLedgerTest.java
@@ -48,6 +48,26 @@
         assertThat(ledger.assess(REQUEST, 70).retryAfterMillis(), greaterThan(60_000L));
     }
 
+    /**
+     * Guards against sending a request on at the processes that hear late of one of its lost runs and soon of the next.
+     */
+    @Test
+    void runsOfOneProcessCountHoweverLateTheirReportsAre() {
+        ledger.record(reported("a", 0, 340, 241), 700);
+        ledger.record(reported("b", 350, 640, 200), 900);
+        ledger.record(reported("c", 650, 770, 0), 900);
+        assertThat(status(REQUEST, 1_000), is(Assessment.Status.QUARANTINED));
+        assertThat(ledger.assess(REQUEST, 1_000).crashes(), is(3));
+    }
+
+    /** Guards against two runs at once that count twice, as the report of one of them was late. */
+    @Test
+    void runsOfOneProcessThatOverlapCountOnceHoweverLateTheirReportsAre() {
+        ledger.record(reported("a", 0, 100, 0), 100);
+        ledger.record(reported("b", 20, 120, 200), 320);
+        assertThat(ledger.assess(REQUEST, 400).crashes(), is(1));
+    }
+
     /** Guards against targets that restart so quickly that nobody notices that they crashed. */
     @Test
     void threeLostConnectionsQuarantine() {
@@ -271,6 +291,20 @@
         ledger.record(run(nextId++, fingerprint, targetId, sentAtMillis, endedAtMillis, evidence), endedAtMillis);
     }
 
+    /** Returns a run of another process, as its report tells of it after a delay. */
+    private LostRun reported(String targetId, long sentAtMillis, long endedAtMillis, long delayMillis) {
+        return ImmutableLostRun.builder()
+                .from(run(
+                        LostRun.id("origin", (int) nextId++),
+                        REQUEST,
+                        targetId,
+                        sentAtMillis + delayMillis,
+                        endedAtMillis + delayMillis,
+                        CrashEvidence.CRASHED))
+                .originSentMillis(5_000_000 + sentAtMillis)
+                .build();
+    }
+
     private static LostRun run(
             long id,
             Fingerprint fingerprint,
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/LostRun.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/LostRun.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.immutables.value.Value;
 
@@ -24,7 +25,7 @@
     long id();
 
     /**
-     * Returns the process whose clock the times of the run are by.
+     * Returns the process that lost the run.
      *
      * @return digest of its name: the upper half of the id
      */
@@ -35,7 +36,7 @@
     /**
      * Returns an id.
      *
-     * @param processName name of the process whose clock the times of the run are by
+     * @param processName name of the process that lost the run
      * @param number number that differs for each lost run of the process
      * @return id
      */
@@ -71,6 +72,14 @@
      */
     long sentAtMillis();
 
+    /**
+     * Returns when the request was sent, by the clock of the process that lost the run. It tells the runs of a process
+     * apart however long its messages took.
+     *
+     * @return monotonic time in milliseconds of that process; empty if it has not told
+     */
+    OptionalLong originSentMillis();
+
     /**
      * Returns when the run ended.
      *
@@ -99,13 +108,13 @@
     /**
      * Returns the maximum number of runs of which none overlaps another.
      *
-     * @param sorted runs, in the order of their ends
+     * @param runs lost runs
      * @return number of runs, one after the other
      */
-    static int consecutive(Collection<LostRun> sorted) {
+    static int consecutive(Collection<LostRun> runs) {
         int count = 0;
         LostRun last = null;
-        for (LostRun run : sorted) {
+        for (LostRun run : RunAlignment.align(runs)) {
             if (last == null || run.isAfter(last)) {
                 count++;
                 last = run;
