Take the removal of an unknown item in a peer's changes for a gap

A front that is cut off from the store gets changes from peers, which hold only the newest state of each item. A target that was published and removed between two answers appears as a removal that the mirror skips, so that its version remains unknown and the front still says that there was one only: streams that began there can be joined with those of the other version.

ItemFeedTest.removalOfAnUnknownItemIsAGap failed before: expected [true, false], no item was false. The observation now begins anew at such a removal; nothing is inferred until it is long enough again.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -300,6 +300,21 @@
         }
     }
 
+    /** Guards against a target that came and went between two answers of peers, which name its removal only. */
+    @Test
+    void removalOfAnUnknownItemIsAGap() {
+        List<Boolean> began = new ArrayList<>();
+        feed.onObservationBegan(began::add);
+        feed.applySnapshot(List.of(new PublishedValue("servers/e", new byte[0], 40)), 40);
+        receiveFleetReports(41);
+        feed.tick();
+        peers.answerLast(41, "servers/e");
+        assertThat(began, contains(true));
+        feed.tick();
+        peers.answerLast(43, "servers/f");
+        assertThat(began, contains(true, false));
+    }
+
     private void receiveFleetReports(long revision) {
         for (int i = 1; i <= FLEET_SIZE; i++) {
             members.receive(report(String.format("front-%02d", i), revision, i <= 3), nowMillis);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -353,15 +353,17 @@
 
     private void applyPeerAnswer(ItemsAnswer answer) {
         long nowMillis = ticker.nowMillis();
+        List<PublishedValue> values = PeerItems.toPublishedValues(answer.getItemsList());
         // Changes of a peer hold only the newest state of each item.
-        boolean gap = answer.getComplete() || nowMillis - confirmedAtMillis > MAX_PEER_CHANGES_MILLIS;
+        boolean gap = answer.getComplete()
+                || nowMillis - confirmedAtMillis > MAX_PEER_CHANGES_MILLIS
+                || mirror.missedItem(values);
         if (gap) {
             observationListener.accept(mirror.revision() == 0);
         }
         confirmedAtMillis = Math.max(confirmedAtMillis, nowMillis - answer.getAgeMillis());
         service.peerReported(answer, nowMillis);
         boolean afterInitialSnapshot = mirror.revision() > 0;
-        List<PublishedValue> values = PeerItems.toPublishedValues(answer.getItemsList());
         notifyChanges(
                 answer.getComplete()
                         ? mirror.replace(values, answer.getRevision())
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/items/ItemMirror.java
@@ -95,6 +95,18 @@
         return changed;
     }
 
+    /**
+     * Tells whether changes that name only the newest state of each item show that an item came and went unnoticed.
+     *
+     * @param changes changes that follow the mirror's revision
+     * @return true if an item was removed of which the mirror knows nothing else
+     */
+    public boolean missedItem(Collection<PublishedValue> changes) {
+        return changes.stream()
+                .anyMatch(
+                        change -> change.removed() && change.revision() > revision && !items.containsKey(change.key()));
+    }
+
     /**
      * Returns the changes after a revision, with only the newest state of each item.
      *
