A copy without newer items is no gap in the observation of targets

After all fronts of a fleet are killed, each reads the store while a peer that was faster sends its copy.

Nothing can have come and gone between two copies of one revision. ItemFeedTest.copyWithoutNewerItemsIsNoGap failed before: expected [true], not matched: false.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -315,6 +315,20 @@
         assertThat(began, contains(true, false));
     }
 
+    /** Guards against forgetting what was observed when the service confirms the copy of a peer. */
+    @Test
+    void copyWithoutNewerItemsIsNoGap() {
+        List<Boolean> began = new ArrayList<>();
+        feed.onObservationBegan(began::add);
+        receiveFleetReports(41);
+        feed.tick();
+        peers.answerLast(ItemsAnswer.newBuilder().setComplete(true).setRevision(41));
+        feed.applySnapshot(List.of(), 41);
+        assertThat(began, contains(true));
+        feed.applySnapshot(List.of(), 42);
+        assertThat(began, contains(true, false));
+    }
+
     private void receiveFleetReports(long revision) {
         for (int i = 1; i <= FLEET_SIZE; i++) {
             members.receive(report(String.format("front-%02d", i), revision, i <= 3), nowMillis);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -217,7 +217,9 @@
     public void applySnapshot(Collection<PublishedValue> all, long revision) {
         boolean afterInitialSnapshot = mirror.revision() > 0;
         recordServiceRead();
-        observationListener.accept(!afterInitialSnapshot);
+        if (revision > mirror.revision()) {
+            observationListener.accept(!afterInitialSnapshot);
+        }
         notifyChanges(mirror.replace(all, revision), afterInitialSnapshot);
     }
 
@@ -356,8 +358,8 @@
         List<PublishedValue> values = PeerItems.toPublishedValues(answer.getItemsList());
         // Changes of a peer hold only the newest state of each item.
         boolean gap = answer.getComplete()
-                || nowMillis - confirmedAtMillis > MAX_PEER_CHANGES_MILLIS
-                || mirror.missedItem(values);
+                ? answer.getRevision() > mirror.revision()
+                : nowMillis - confirmedAtMillis > MAX_PEER_CHANGES_MILLIS || mirror.missedItem(values);
         if (gap) {
             observationListener.accept(mirror.revision() == 0);
         }
