A history that was read before a gap does not cover the gap

The store's history is read beside the watch, and refused calls are repeated for seconds. If a copy replaced the items meanwhile, the history extended the observation back over the gap, in which targets of another version may have come and gone: their streams can be joined with those of the version that is there.

RejoinedStreamTest.historyThatWasReadBeforeAGapDoesNotCoverIt fails without the comparison in VersionObserver (a stream of an unknown version went on, with and without engine), and passes with it. The versions that the history names still count.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.traffic.stream.ImmutableTargetHistory;
@@ -97,6 +98,24 @@
         }
     }
 
+    /** Guards against a history that hides a gap, because it was read before the gap and told after it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void historyThatWasReadBeforeAGapDoesNotCoverIt(boolean engine) throws Exception {
+        try (VersionedFleet fleet = start(ONE_VERSION, engine)) {
+            FrontFixture front = fleet.fleet().front(0);
+            front.run(() -> {
+                Consumer<TargetHistory> consumer = front.front().historyConsumer();
+                front.front().feed().applySnapshot(List.of(), 1);
+                front.front().feed().applySnapshot(List.of(), 2);
+                consumer.accept(ImmutableTargetHistory.builder()
+                        .reachMillis(HISTORY_MILLIS)
+                        .build());
+            });
+            assertThat("resumed", resumeUnknown(fleet, front, "a").wentOn(), is(false));
+        }
+    }
+
     private static VersionedFleet.Received resumeUnknown(VersionedFleet fleet, FrontFixture front, String stream)
             throws Exception {
         return fleet.call(
@@ -111,7 +130,7 @@
         for (String version : versions) {
             history.addVersions(new TargetHistory.PublishedVersion("service", version));
         }
-        front.run(() -> front.front().addHistory(history.build()));
+        front.run(() -> front.front().historyConsumer().accept(history.build()));
     }
 
     private static long wentOn(List<VersionedFleet.Received> streams) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.whinwharf.lifecycle.Service;
 import org.whinwharf.runtime.log.EventField;
@@ -773,12 +774,13 @@
     }
 
     /**
-     * Adds what the publishing service knows of targets that were published before this process began to watch.
+     * Returns a consumer of what the publishing service knows of targets that were published before this process began
+     * to watch.
      *
-     * @param history history of the targets
+     * @return consumer, to be called on the front's thread with a history that is read from now on
      */
-    public void addHistory(TargetHistory history) {
-        versions.addHistory(history);
+    public Consumer<TargetHistory> historyConsumer() {
+        return versions.historyConsumer();
     }
 
     /**
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
@@ -3,10 +3,12 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
 import org.whinwharf.runtime.log.LogEvent;
 import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.stream.ImmutableTargetHistory;
 import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.stream.TargetHistory;
 
@@ -19,6 +21,8 @@
     private final TargetRegistry targets;
     private final ItemFeed feed;
     private final Ticker ticker;
+    /** Number of times that the observation has begun anew. */
+    private long observations;
 
     /**
      * Creates an observer.
@@ -63,10 +67,18 @@
         return targets.observation().ageMillis(ticker.nowMillis());
     }
 
-    /** Adds what the publishing service knows of targets that were published before this process began to watch. */
-    void addHistory(TargetHistory history) {
-        targets.addHistory(history);
-        logObserved("history", history.reachMillis());
+    /**
+     * Returns a consumer of what the publishing service knows of targets that were published before this process began
+     * to watch. A history that is read from now on does not show what comes and goes in a later gap.
+     */
+    Consumer<TargetHistory> historyConsumer() {
+        long observation = observations;
+        return history -> {
+            boolean current = observations == observation;
+            targets.addHistory(
+                    current ? history : ImmutableTargetHistory.copyOf(history).withReachMillis(0));
+            logObserved(current ? "history" : "outdated-history", history.reachMillis());
+        };
     }
 
     /** Records that items were replaced as a whole, so that targets may have come and gone unnoticed. */
@@ -74,6 +86,7 @@
         if (first && freshFleet) {
             return;
         }
+        observations++;
         targets.observation().begin(ticker.nowMillis());
         logObserved(first ? "first-copy" : "gap", 0);
     }
