--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
@@ -0,0 +1,107 @@
+package org.whinwharf.platform;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.whinwharf.front.CallerPort;
+import org.whinwharf.front.Front;
+import org.whinwharf.front.ImmutableFrontSettings;
+import org.whinwharf.platform.fleet.BrokenStream;
+import org.whinwharf.platform.fleet.DeployedFleet;
+import org.whinwharf.platform.fleet.StoreStandIn;
+import org.whinwharf.platform.fleet.StreamWorker;
+import org.whinwharf.traffic.items.PublishedValue;
+
+/** Tests which streams go on at a front that was started anew and reads the store's history. */
+class StoreWatchHistoryTest {
+    private static final int CALLER_PORT = 18_421;
+    private static final int PEER_PORT = 18_422;
+    private static final long HISTORY_MILLIS = 20_000;
+    private static final long LONG_AGO_MILLIS = TimeUnit.HOURS.toMillis(1);
+    private static final String PATH = "/r/a";
+    private static final String CONFIG = "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/r/\","
+            + "\"kind\":\"streaming\",\"resumable\":true,\"gap-target-ms\":300,\"timeout-ms\":10000,\"slo-ms\":300,"
+            + "\"service\":\"s\",\"attempts\":1,\"public\":true}],"
+            + "\"services\":[{\"name\":\"s\",\"health-path\":\"/healthz\"}],\"limits\":{},\"tenants\":[]}";
+
+    private final String network = "127."
+            + ThreadLocalRandom.current().nextInt(1, 250) + "."
+            + ThreadLocalRandom.current().nextInt(1, 250) + ".";
+    private final String ip = network + "1";
+    private final StoreStandIn store = new StoreStandIn(ip, 0);
+    private final StreamWorker worker =
+            new StreamWorker("i-1", "s", "v1", network + "2", System.currentTimeMillis() - LONG_AGO_MILLIS);
+    private Front front;
+    private int attempts;
+
+    @BeforeEach
+    void startFront() throws Exception {
+        store.start();
+        worker.start();
+        store.put("op/config", CONFIG);
+        store.put(worker.key(), worker.entry("ready"));
+        front = new Front(
+                ImmutableFrontSettings.builder()
+                        .name("front")
+                        .ip(ip)
+                        .dataCentre("za")
+                        .callerAddress(ip + ":" + CALLER_PORT)
+                        .peerPort(PEER_PORT)
+                        .seedIps(List.of())
+                        .freshFleet(false)
+                        .retryRatio(0.2)
+                        .retryAllowance(50)
+                        .retryWindowMillis(10_000)
+                        .stopGraceMillis(1_000)
+                        .metricsPort(0)
+                        .relayPort(0)
+                        .build(),
+                new PlatformDialect(),
+                CallerPort.open(ip + ":" + CALLER_PORT));
+        front.start();
+    }
+
+    @AfterEach
+    void stop() {
+        front.loop().shutdownGracefully(0, 1_000, TimeUnit.MILLISECONDS);
+        store.stop();
+        worker.stop();
+    }
+
+    /** Guards against a front that never reads the history because a peer's copy comes before the store's. */
+    @Test
+    void streamOfTheOnlyVersionGoesOnIfTheFirstCopyIsOfAPeer() throws Exception {
+        StoreWatch watch = new StoreWatch(front, store.address(), HISTORY_MILLIS);
+        watch.start();
+        front.loop()
+                .submit(() -> front.feed()
+                        .applySnapshot(
+                                List.of(
+                                        value("op/config", CONFIG, store.revision() - 1),
+                                        value(worker.key(), worker.entry("ready"), store.revision())),
+                                store.revision()))
+                .get();
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HISTORY_MILLIS / 2);
+        DeployedFleet.await("history", () -> streamGoesOn() || System.nanoTime() > endNanos);
+        assertThat("went on before the front has watched for long", streamGoesOn(), is(true));
+    }
+
+    private static PublishedValue value(String key, String text, long revision) {
+        return new PublishedValue(key, text.getBytes(StandardCharsets.UTF_8), revision);
+    }
+
+    private boolean streamGoesOn() {
+        attempts++;
+        return BrokenStream.begun(PATH, "before", "v1")
+                .call(new InetSocketAddress(ip, CALLER_PORT), "attempt" + attempts, true)
+                .wentOn();
+    }
+}
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -116,6 +117,11 @@
         return CALLER_PORT;
     }
 
+    /** Returns the address to which callers connect. */
+    public InetSocketAddress callerAddress() {
+        return new InetSocketAddress(ip, CALLER_PORT);
+    }
+
     /** Returns the port of the directory. */
     public int directoryPort() {
         return DIRECTORY_PORT;
