Tell from the store's history what ran under each worker's id before

A worker that was started anew with another version under its id and left within the history was taken for known, as its last entry was: the test of young targets looks only at those that are there. A stream of the former version was joined with one of the latter (streamOfAWorkerThatWasStartedAnewAndLeftIsNotJoined: mixed, at the first attempt). On the other hand a new worker of the only version kept every stream of its service from going on, and the removal of an entry that was never a worker's kept those of all services (the two other tests: not resumed within 10 s).

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -21,12 +21,15 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.TargetService;
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.coordination.TargetOutcomeListener;
 import org.whinwharf.traffic.path.TargetPaths;
+import org.whinwharf.traffic.stream.ImmutableTargetHistory;
 import org.whinwharf.traffic.stream.PublicationObservation;
 import org.whinwharf.traffic.stream.ServiceVersions;
 import org.whinwharf.traffic.stream.TargetHistory;
@@ -57,6 +60,10 @@
     private final boolean speedsCompared;
     private final ServiceVersions versions = new ServiceVersions();
     private final PublicationObservation observation;
+    /** What the publishing service knows of the time before the observation began. */
+    private TargetHistory history =
+            ImmutableTargetHistory.builder().reachMillis(0).build();
+
     private final FrontMetrics metrics;
     private final TargetPaths paths;
     private TargetConnector connector;
@@ -284,10 +291,11 @@
     }
 
     /** Adds what the publishing service knows of targets that were published before this process began to watch. */
-    void addHistory(TargetHistory history) {
+    void addHistory(TargetHistory added) {
         long nowMillis = ticker.nowMillis();
-        history.versions().forEach(known -> versions.seen(known.service(), known.version(), nowMillis));
-        observation.extendBack(nowMillis - history.reachMillis());
+        history = added;
+        added.versions().forEach(known -> versions.seen(known.service(), known.version(), nowMillis));
+        observation.extendBack(nowMillis - added.reachMillis());
     }
 
     /**
@@ -308,11 +316,16 @@
                         observed || certifiedVersion.filter(version::equals).isPresent());
     }
 
-    /** Tells whether no target of a service has started lately, so that none has replaced one of another version. */
+    /** Tells whether no target of a service can lately have replaced one of another version under its id unnoticed. */
     private boolean noneStartedWithin(String service, long millis) {
         long sinceUnixMillis = System.currentTimeMillis() - millis;
-        return ofService(service).stream()
-                .mapToLong(state -> state.target().startedUnixMillis())
+        LongStream starts = ofService(service).stream()
+                .map(TargetState::target)
+                .filter(target -> !history.targetIds().contains(target.id()))
+                .mapToLong(Target::startedUnixMillis);
+        LongStream startsInHistory =
+                Stream.ofNullable(history.unexplainedStarts().get(service)).mapToLong(Long::longValue);
+        return LongStream.concat(starts, startsInHistory)
                 .allMatch(startedUnixMillis -> startedUnixMillis > 0 && startedUnixMillis < sinceUnixMillis);
     }
 
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -26,6 +27,7 @@
     private static final int PEER_PORT = 18_422;
     private static final long HISTORY_MILLIS = 20_000;
     private static final long LONG_AGO_MILLIS = TimeUnit.HOURS.toMillis(1);
+    private static final String READY = "ready";
     private static final String PATH = "/r/a";
     private static final String CONFIG = "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/r/\","
             + "\"kind\":\"streaming\",\"resumable\":true,\"gap-target-ms\":300,\"timeout-ms\":10000,\"slo-ms\":300,"
@@ -43,11 +45,15 @@
     private int attempts;
 
     @BeforeEach
-    void startFront() throws Exception {
+    void startStore() {
         store.start();
         worker.start();
         store.put("op/config", CONFIG);
-        store.put(worker.key(), worker.entry("ready"));
+        store.put(worker.key(), worker.entry(READY));
+        store.discardHistory();
+    }
+
+    private void startFront() throws Exception {
         front = new Front(
                 ImmutableFrontSettings.builder()
                         .name("front")
@@ -67,6 +73,7 @@
                 new PlatformDialect(),
                 CallerPort.open(ip + ":" + CALLER_PORT));
         front.start();
+        new StoreWatch(front, store.address(), HISTORY_MILLIS).start();
     }
 
     @AfterEach
@@ -79,29 +86,67 @@
     /** Guards against a front that never reads the history because a peer's copy comes before the store's. */
     @Test
     void streamOfTheOnlyVersionGoesOnIfTheFirstCopyIsOfAPeer() throws Exception {
-        StoreWatch watch = new StoreWatch(front, store.address(), HISTORY_MILLIS);
-        watch.start();
+        startFront();
         front.loop()
                 .submit(() -> front.feed()
                         .applySnapshot(
                                 List.of(
                                         value("op/config", CONFIG, store.revision() - 1),
-                                        value(worker.key(), worker.entry("ready"), store.revision())),
+                                        value(worker.key(), worker.entry(READY), store.revision())),
                                 store.revision()))
                 .get();
-        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HISTORY_MILLIS / 2);
-        DeployedFleet.await("history", () -> streamGoesOn() || System.nanoTime() > endNanos);
-        assertThat("went on before the front has watched for long", streamGoesOn(), is(true));
+        assertThat(
+                "went on before the front has watched for long", resumed("v1").wentOn(), is(true));
+    }
+
+    /** Guards against refusing all streams because a worker has started, though the history shows that it is new. */
+    @Test
+    void streamOfTheOnlyVersionGoesOnThoughAWorkerHasStarted() throws Exception {
+        store.put("servers/i-2", describe("i-2", "v1", 0).entry(READY));
+        startFront();
+        assertThat(
+                "went on before the front has watched for long", resumed("v1").wentOn(), is(true));
+    }
+
+    /** Guards against refusing all streams because something left that was no entry of a worker at any time. */
+    @Test
+    void streamOfTheOnlyVersionGoesOnThoughAnOddEntryWasRemoved() throws Exception {
+        store.put("servers/odd", "{");
+        store.remove("servers/odd");
+        startFront();
+        assertThat(
+                "went on before the front has watched for long", resumed("v1").wentOn(), is(true));
+    }
+
+    /** Guards against the version of a worker that was started anew with another one under its id, and has left. */
+    @Test
+    void streamOfAWorkerThatWasStartedAnewAndLeftIsNotJoined() throws Exception {
+        store.put("servers/i-2", describe("i-2", "v2", LONG_AGO_MILLIS).entry(READY));
+        store.discardHistory();
+        store.put("servers/i-2", describe("i-2", "v1", 0).entry(READY));
+        store.remove("servers/i-2");
+        startFront();
+        assertThat("mixed", resumed("v2").mixed(), is(false));
+    }
+
+    private StreamWorker describe(String id, String version, long ageMillis) {
+        return new StreamWorker(id, "s", version, network + "3", System.currentTimeMillis() - ageMillis);
     }
 
     private static PublishedValue value(String key, String text, long revision) {
         return new PublishedValue(key, text.getBytes(StandardCharsets.UTF_8), revision);
     }
 
-    private boolean streamGoesOn() {
-        attempts++;
-        return BrokenStream.begun(PATH, "before", "v1")
-                .call(new InetSocketAddress(ip, CALLER_PORT), "attempt" + attempts, true)
-                .wentOn();
+    /** Resumes a stream until it goes on, or for half of the time after which the front needs no history. */
+    private BrokenStream resumed(String version) {
+        AtomicReference<BrokenStream> last = new AtomicReference<>();
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HISTORY_MILLIS / 2);
+        DeployedFleet.await("stream", () -> {
+            attempts++;
+            last.set(BrokenStream.begun(PATH, "before", version)
+                    .call(new InetSocketAddress(ip, CALLER_PORT), "attempt" + attempts, true));
+            return last.get().complete() || System.nanoTime() > endNanos;
+        });
+        return last.get();
     }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StreamWorker.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StreamWorker.java
@@ -27,6 +27,7 @@
     public static final int EVENTS_BEFORE_BREAK = 3;
 
     private static final int BACKLOG = 128;
+    private static final int UNUSED_PORT = 9;
 
     private final String id;
     private final String service;
@@ -83,9 +84,10 @@
         return "servers/" + id;
     }
 
-    /** Returns the worker's entry in the store, in the state given. */
+    /** Returns the entry in the store, in the state given; a worker that is not started cannot be reached. */
     public String entry(String state) {
-        return "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":" + server.getLocalPort()
+        return "{\"service\":\"" + service + "\",\"address\":\"" + ip + ":"
+                + (server == null ? UNUSED_PORT : server.getLocalPort())
                 + "\",\"zone\":\"za\",\"version\":\"" + version
                 + "\",\"slots\":64,\"state\":\"" + state + "\",\"cold-left-ms\":0,\"seq\":1,\"born\":" + bornUnixMillis
                 + "}";
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/TargetHistory.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/TargetHistory.java
@@ -1,5 +1,6 @@
 package org.whinwharf.traffic.stream;
 
+import java.util.Map;
 import java.util.Set;
 import org.immutables.value.Value;
 
@@ -21,6 +22,21 @@
      */
     Set<PublishedVersion> versions();
 
+    /**
+     * Returns the targets whose changes the history shows.
+     *
+     * @return ids; what ran under them before is known, or else among {@link #unexplainedStarts()}
+     */
+    Set<String> targetIds();
+
+    /**
+     * Returns the latest start of a target of each service of which the history does not show what ran under its id
+     * before.
+     *
+     * @return Unix times in milliseconds by name of the service; 0 if a target does not say when it started
+     */
+    Map<String, Long> unexplainedStarts();
+
     /**
      * Returns how far back the history is complete: every target that was published since then is published still or
      * among {@link #versions()}.
