Send nothing to the address that a target has left

A target that is published at another address or for another service gets a new entry. Requests that waited for a connection held the former one, which stayed in use for them, so they went to the former address: of a worker that is gone, or of another one. The former entry now counts as removed, and they are placed again.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import org.whinwharf.traffic.catalog.CallerLimits;
@@ -404,6 +405,18 @@
         }
     }
 
+    /** Returns the current entry of a target. */
+    TargetEntry entry(String targetId) {
+        return front.entry(targetId);
+    }
+
+    /** Tells whether a request that holds an entry may be sent to it. */
+    boolean mayReceive(TargetEntry entry) {
+        AtomicBoolean answer = new AtomicBoolean();
+        run(() -> answer.set(front.mayReceive(entry)));
+        return answer.get();
+    }
+
     void run(Runnable action) {
         try {
             front.loop().submit(action).get();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -489,6 +489,8 @@
 
     private void evict(String targetId) {
         TargetEntry entry = entries.remove(targetId);
+        // Requests that wait for a connection hold the entry.
+        entry.state().markRemovedAt(ticker.nowMillis());
         paths.forget(targetId);
         statedRates.removed(targetId);
         entry.pool().closeIdle();
