Log and count items that are ahead of the publishing service

It is not mended. A front could read a copy and go back, as the store's answers are linearizable, but peers that are still ahead would give it the items back, and the protocol between fronts has no mark of whose items they are.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -307,6 +307,15 @@
         assertThat(feed.refusedItems(), is(3L));
     }
 
+    /** Guards against items that hide all changes of the service, without a sign of it. */
+    @Test
+    void itemsAheadOfTheServiceAreReported() {
+        feed.watchAnswered(41, 12);
+        assertThat(feed.revisionsAhead(), is(29L));
+        feed.watchAnswered(41, 41);
+        assertThat(feed.revisionsAhead(), is(0L));
+    }
+
     private static List<PublishedValue> values(long revision, String... keys) {
         return Stream.of(keys)
                 .map(key -> new PublishedValue(key, new byte[0], revision))
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -303,6 +303,10 @@
 
     private void registerItemGauges() {
         metrics.gauge("whinwharf.items.revision", "Revision of the published items", feed::revision);
+        metrics.gauge(
+                "whinwharf.items.ahead",
+                "Revisions by which the items are ahead of the publishing service",
+                feed::revisionsAhead);
         metrics.gauge(
                 "whinwharf.items.refused", "Published items that were not used since the start", feed::refusedItems);
         metrics.gauge("whinwharf.watching", "1 while the own watch works", () -> feed.watchHealthy() ? 1 : 0);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -108,6 +108,7 @@
     private long behindSinceMillis;
 
     private long refusedItems;
+    private long revisionsAhead;
 
     ItemFeed(
             FrontSettings settings,
@@ -234,6 +235,29 @@
         notifyChanges(mirror.apply(events, revision), true);
     }
 
+    /**
+     * Records at which revision a watch of the service began and was answered. The service's revision never falls, so
+     * items at a higher one came from elsewhere, and hide its changes.
+     *
+     * @param itemsRevision revision of the local items when the watch began
+     * @param serviceRevision revision of the service when it answered
+     */
+    public void watchAnswered(long itemsRevision, long serviceRevision) {
+        boolean wasAhead = revisionsAhead > 0;
+        revisionsAhead = Math.max(0, itemsRevision - serviceRevision);
+        if (revisionsAhead > 0 && !wasAhead) {
+            EventLog.event(LogEvent.ITEMS_AHEAD)
+                    .with(EventField.REVISION, itemsRevision)
+                    .with(EventField.REASON, "service at " + serviceRevision)
+                    .call();
+        }
+    }
+
+    /** Returns by how many revisions the items were ahead of the service when it answered last. */
+    long revisionsAhead() {
+        return revisionsAhead;
+    }
+
     /**
      * Records a failed read of the service.
      *
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -173,6 +173,8 @@
     HISTORY_UNREADABLE(Level.WARN, EventField.REASON),
     /** The source from which published items are read changed. */
     ITEMS_SOURCE(Level.INFO, EventField.FROM, EventField.TO, EventField.REVISION, EventField.REASON),
+    /** The publishing service is at an older revision than the items, so its changes are not seen. */
+    ITEMS_AHEAD(Level.ERROR, EventField.REVISION, EventField.REASON),
     /** A request to a peer for its items failed or did not complete. */
     ITEMS_QUESTION_FAILED(
             Level.WARN,
