--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -6,6 +6,8 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -206,6 +208,58 @@
         assertThat("second", await(() -> handled.get() == 2, APPLY_LIMIT_MILLIS), is(true));
     }
 
+    /** Guards against requests to a worker whose entry no longer names a worker to use. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "{",
+                "[]",
+                "{\"state\":\"draining\"}",
+                "{\"service\":\"s\",\"address\":\"ADDRESS\",\"zone\":\"z\",\"version\":\"v\",\"slots\":0,\"state\":\"draining\"}",
+                "{\"service\":\"s\",\"address\":\"ADDRESS\",\"zone\":\"z\",\"version\":\"v\",\"slots\":4,\"state\":\"stopped\"}"
+            })
+    void workerWhoseEntryBecomesInvalidGetsNoRequests(String invalid) throws Exception {
+        try (ServerSocket worker = new ServerSocket(0, 50, InetAddress.getByName(ip))) {
+            Thread thread = new Thread(() -> answerAll(worker), "worker");
+            thread.setDaemon(true);
+            thread.start();
+            String address = ip + ":" + worker.getLocalPort();
+            String valid = "{" + String.join(",", WORKER).replace("127.0.0.1:9", address) + "}";
+            publishVersion(",{" + String.join(",", ROUTE) + "}", "", "");
+            store.put("servers/a", valid);
+            assertThat("used", await(() -> statusOf("/a/x").equals("200"), READ_TIMEOUT_MILLIS), is(true));
+            store.put("servers/a", invalid.replace("ADDRESS", address));
+            assertThat("out of use", await(() -> statusOf("/a/x").equals("503"), APPLY_LIMIT_MILLIS), is(true));
+            for (int i = 0; i < 5; i++) {
+                assertThat(statusOf("/a/x"), is("503"));
+            }
+            store.put("servers/a", valid);
+            assertThat("used again", await(() -> statusOf("/a/x").equals("200"), READ_TIMEOUT_MILLIS), is(true));
+        }
+    }
+
+    /** Answers one request on each connection. */
+    private static void answerAll(ServerSocket worker) {
+        while (!worker.isClosed()) {
+            try (Socket socket = worker.accept()) {
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+                String line = in.readLine();
+                while (line != null && !line.isEmpty()) {
+                    line = in.readLine();
+                }
+                socket.getOutputStream()
+                        .write(("HTTP/1.1 200 X\r\nX-Attempt-Id: a\r\nX-Server-Seal: s\r\nContent-Length: 0\r\n"
+                                        + "Connection: close\r\n\r\n")
+                                .getBytes(StandardCharsets.US_ASCII));
+            } catch (IOException e) {
+                // The front closed the connection, or the test the socket, by which the loop ends.
+                continue;
+            }
+        }
+    }
+
     /** Guards against a watch that recovers too slowly, or not at all, from what the store did to it. */
     @ParameterizedTest
     @EnumSource(StoreFault.class)
