A span that a process has observed itself needs no history

Once the history had extended the observation, its limits bound the process for good: a target that started an hour later kept all streams of its service that nobody remembers from going on until it was older than a stream, and peers got no certificate.

PublicationObservation now asks for the history only in a span that the process has not observed itself.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -310,7 +310,7 @@
         ofService(service)
                 .forEach(state -> versions.seen(service, state.target().version(), nowMillis));
         boolean observed = observation.covers(spanMillis, nowMillis)
-                && (!observation.dependsOnHistory() || noneStartedWithin(service, spanMillis));
+                && (!observation.dependsOnHistory(spanMillis, nowMillis) || noneStartedWithin(service, spanMillis));
         return versions.onlyVersion(service, nowMillis, spanMillis)
                 .filter(version ->
                         observed || certifiedVersion.filter(version::equals).isPresent());
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PublicationObservationTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PublicationObservationTest.java
@@ -32,13 +32,21 @@
     void historyExtendsTheObservationUntilTheNextGap() {
         observation.extendBack(1_200);
         assertThat(observation.covers(500, 1_500), is(true));
-        assertThat(observation.dependsOnHistory(), is(false));
+        assertThat(observation.dependsOnHistory(500, 1_500), is(false));
         observation.extendBack(-4_000);
         assertThat(observation.covers(5_000, 1_000), is(true));
-        assertThat(observation.dependsOnHistory(), is(true));
+        assertThat(observation.dependsOnHistory(5_000, 1_000), is(true));
         observation.begin(1_500);
         assertThat(observation.covers(500, 1_600), is(false));
-        assertThat(observation.dependsOnHistory(), is(false));
+        assertThat(observation.dependsOnHistory(500, 1_600), is(false));
+    }
+
+    /** Guards against limits of the history that bind a process which has observed everything itself for long. */
+    @Test
+    void historyIsNotNeededForWhatWasObserved() {
+        observation.extendBack(-4_000);
+        assertThat(observation.dependsOnHistory(500, 1_400), is(true));
+        assertThat(observation.dependsOnHistory(500, 1_500), is(false));
     }
 
     /** Guards against asking for a longer past than a stream can have. */
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/PublicationObservation.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/PublicationObservation.java
@@ -11,7 +11,8 @@
     private static final long BEGINNING_MILLIS = Long.MIN_VALUE / 2;
 
     private long sinceMillis;
-    private boolean dependsOnHistory;
+    /** Time from which the history of the publishing service is complete, up to the observation. */
+    private long historySinceMillis = Long.MAX_VALUE;
 
     /**
      * Creates an observation that begins now.
@@ -25,7 +26,7 @@
     /** Records that no target served before this process knew of it, as the whole fleet starts for the first time. */
     public void beginWithFleet() {
         sinceMillis = BEGINNING_MILLIS;
-        dependsOnHistory = false;
+        historySinceMillis = Long.MAX_VALUE;
     }
 
     /**
@@ -35,7 +36,7 @@
      */
     public void begin(long nowMillis) {
         sinceMillis = nowMillis;
-        dependsOnHistory = false;
+        historySinceMillis = Long.MAX_VALUE;
     }
 
     /**
@@ -44,10 +45,7 @@
      * @param fromMillis monotonic time in milliseconds from which its history is complete
      */
     public void extendBack(long fromMillis) {
-        if (fromMillis < sinceMillis) {
-            sinceMillis = fromMillis;
-            dependsOnHistory = true;
-        }
+        historySinceMillis = fromMillis;
     }
 
     /**
@@ -58,17 +56,19 @@
      * @return true if every target that was published in the span is known
      */
     public boolean covers(long spanMillis, long nowMillis) {
-        return nowMillis - sinceMillis >= spanMillis;
+        return ageMillis(nowMillis) >= spanMillis;
     }
 
     /**
-     * Tells whether the observation began with the history of the publishing service, which does not show under which
-     * version a target ran before it was started anew under the same name.
+     * Tells whether a span is covered only by the history of the publishing service, which does not always show under
+     * which version a target ran before it was started anew under the same name.
      *
-     * @return true if it did
+     * @param spanMillis length of the span in milliseconds
+     * @param nowMillis monotonic time in milliseconds
+     * @return true if the span is covered, but not by what this process has observed itself
      */
-    public boolean dependsOnHistory() {
-        return dependsOnHistory;
+    public boolean dependsOnHistory(long spanMillis, long nowMillis) {
+        return nowMillis - sinceMillis < spanMillis && covers(spanMillis, nowMillis);
     }
 
     /**
@@ -78,6 +78,6 @@
      * @return time in milliseconds, very long if from the beginning
      */
     public long ageMillis(long nowMillis) {
-        return nowMillis - sinceMillis;
+        return nowMillis - Math.min(sinceMillis, historySinceMillis);
     }
 }
