A target has lived on only if a connection spans the whole run

A connection with bytes before the end of the run, as that front saw it, and bytes later was taken for proof that the target had lived on; it had been opened after the crash.

The target may have crashed at any time since the request was sent, so the connection must have carried bytes before that, by more than a report may take.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingRequestTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CrashingRequestTest.java
@@ -17,6 +17,8 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -34,6 +36,10 @@
 
     private static final int ATTEMPTS = 6;
     private static final long ATTEMPT_INTERVAL_MILLIS = 400;
+    /** Time from a crash until a front notices it, within the time that a response may take. */
+    private static final long NOTICE_MILLIS = 300;
+    /** More than the time after a lost run in which its target may show that it has lived on. */
+    private static final long LIFE_SIGN_MILLIS = 800;
 
     static Stream<Arguments> crashes() {
         return Stream.of(CrashingFleet.Crash.values())
@@ -104,6 +110,49 @@
         }
     }
 
+    /** Guards against a crash that is taken for a lost path, as its front notices it long after the target is back. */
+    @Test
+    void crashNoticedAfterTheRestartIsHeldAgainstItsRequest() throws Exception {
+        AtomicInteger crashes = new AtomicInteger();
+        AtomicReference<CutFleet> started = new AtomicReference<>();
+        FakeTarget.Script script = (request, socket) -> {
+            if (request.contains("/crash ")) {
+                crashes.incrementAndGet();
+                crashUnnoticedByTheFirstFront(started.get(), started.get().targetOf(socket));
+            } else {
+                FakeTarget.write(socket, FakeTarget.answer(request, 200, "whole"));
+            }
+        };
+        ExecutorService callers = Executors.newSingleThreadExecutor();
+        try (CutFleet fleet = new CutFleet(2, FRONTS, false, script)) {
+            started.set(fleet);
+            fleet.requestsFor(1, "GET", "/safe/x", ATTEMPT_INTERVAL_MILLIS);
+            long harmlessMillis = ATTEMPTS * (NOTICE_MILLIS * MAX_CRASHES + LIFE_SIGN_MILLIS);
+            Future<List<String>> harmless =
+                    callers.submit(() -> fleet.requestsFor(1, "GET", "/safe/x", harmlessMillis));
+            for (int i = 0; i < ATTEMPTS; i++) {
+                fleet.front(0).exchange(FrontFixture.request("GET", "/safe/crash", "attempt" + i, ""));
+                Thread.sleep(LIFE_SIGN_MILLIS);
+            }
+            assertThat(crashes.get(), lessThanOrEqualTo(MAX_CRASHES));
+            harmless.get();
+        } finally {
+            callers.shutdownNow();
+        }
+    }
+
+    /** Ends all connections of a target that is back at once, those of the first front later. */
+    private static void crashUnnoticedByTheFirstFront(CutFleet fleet, int target) throws IOException {
+        CutLink late = fleet.links(0).get(target);
+        fleet.links(1).get(target).resetOpen();
+        try {
+            Thread.sleep(NOTICE_MILLIS);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+        late.resetOpen();
+    }
+
     /** Guards against a front that has just started and knows of no crash. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -164,7 +164,8 @@
 
     private void checkLifeSign(LostRun run) {
         TargetEntry entry = targets.entry(run.targetId());
-        if (entry != null && entry.pool().livedOn(run.endedAtMillis())) {
+        // A target that is back at once answers before the front that lost the run may have noticed it.
+        if (entry != null && entry.pool().livedOn(run.sentAtMillis(), run.endedAtMillis())) {
             livedOn(run);
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -98,10 +98,11 @@
     }
 
     /**
-     * Tells whether the target has sent bytes over the connection before the given time and later than on their way.
+     * Tells whether the target has sent bytes over the connection before the given period and after it, by more than
+     * they, or a report of the period, may have been on their way.
      */
-    boolean spans(long atMillis) {
-        return firstByteAtMillis < atMillis && lastByteAtMillis > atMillis + MAX_TRANSIT_MILLIS;
+    boolean spans(long fromMillis, long toMillis) {
+        return firstByteAtMillis < fromMillis - MAX_TRANSIT_MILLIS && lastByteAtMillis > toMillis + MAX_TRANSIT_MILLIS;
     }
 
     /** Sends a request; with an empty attempt id, it is answered by a response that names no attempt. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -96,11 +96,11 @@
     }
 
     /**
-     * Tells whether the target has sent bytes over one direct connection before the given time and after it, so that it
-     * can't have crashed then.
+     * Tells whether the target has sent bytes over one direct connection before the given period and after it, so that
+     * it can't have crashed meanwhile.
      */
-    boolean livedOn(long atMillis) {
-        return direct.stream().anyMatch(connection -> connection.spans(atMillis));
+    boolean livedOn(long fromMillis, long toMillis) {
+        return direct.stream().anyMatch(connection -> connection.spans(fromMillis, toMillis));
     }
 
     /** Closes connections that have been idle for longer than their keep-alive time. */
