--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleet.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleet.java
@@ -15,7 +15,13 @@
 /** Seven fronts in four zones as processes of their own, before one store, all on loopback addresses. */
 public final class DeployedFleet implements Service, AutoCloseable {
     private static final List<String> ZONES = List.of("za", "za", "zb", "zb", "zc", "zc", "zd");
+    /** Number of fronts. */
+    static final int FRONTS = ZONES.size();
+
     private static final int SEEDS = 3;
+    /** Last byte of the store's address for the first front. */
+    private static final int FIRST_STORE_IP = 240;
+
     private static final int STORE_PORT = 8225;
     private static final long START_TIMEOUT_SECONDS = 60;
     private static final long POLL_MILLIS = 50;
@@ -37,13 +43,15 @@
             seeds.add(FrontProcess.seedAddress(network + (i + 1)));
         }
         for (int i = 0; i < ZONES.size(); i++) {
+            String storeIp = ip(FIRST_STORE_IP + i);
+            store.addAddress(storeIp, ip(i + 1));
             fronts.add(new FrontProcess(
                     deployFile,
                     "front-" + ZONES.get(i) + "-" + (i + 1),
                     network + (i + 1),
                     ZONES.get(i),
                     seeds,
-                    network + "250:" + STORE_PORT,
+                    storeIp + ":" + STORE_PORT,
                     folder));
         }
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreFault.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreFault.java
@@ -29,6 +29,13 @@
             return openedAtNanos < beganAtNanos;
         }
     },
+    /** Calls are never answered, over whichever connection. */
+    UNANSWERED {
+        @Override
+        boolean answer(Socket socket, int status, byte[] body) {
+            return true;
+        }
+    },
     /** Calls are refused as unavailable. */
     BUSY {
         @Override
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreStandIn.java
@@ -66,7 +66,10 @@
     private final List<ActiveFault> faults = new CopyOnWriteArrayList<>();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final Set<Socket> watching = ConcurrentHashMap.newKeySet();
-    private ServerSocket server;
+    /** IP addresses of the fronts that use an address of the store of their own, by that address. */
+    private final Map<String, String> frontIpByStoreIp = new HashMap<>();
+
+    private final List<ServerSocket> servers = new ArrayList<>();
     private long revision = 1;
     private long answers;
     /** Revision up to which the history is discarded. */
@@ -82,21 +85,37 @@
         address = new InetSocketAddress(ip, port);
     }
 
+    /**
+     * Adds an address that only one front uses, so that faults can apply to it alone; to be called before the start.
+     *
+     * @param storeIp another address of the store, with the same port
+     * @param frontIp address by which faults name the front
+     */
+    public void addAddress(String storeIp, String frontIp) {
+        frontIpByStoreIp.put(storeIp, frontIp);
+    }
+
     @Override
     public void start() {
+        listen(address);
+        frontIpByStoreIp.keySet().forEach(ip -> listen(new InetSocketAddress(ip, address.getPort())));
+    }
+
+    private void listen(InetSocketAddress at) {
         try {
-            server = new ServerSocket();
+            ServerSocket server = new ServerSocket();
             server.setReuseAddress(true);
-            server.bind(address, BACKLOG);
+            server.bind(at, BACKLOG);
+            servers.add(server);
+            startThread(() -> accept(server), "store");
         } catch (IOException e) {
-            throw new IllegalStateException("cannot listen on " + address, e);
+            throw new IllegalStateException("cannot listen on " + at, e);
         }
-        startThread(this::accept, "store");
     }
 
     @Override
     public void stop() {
-        closeQuietly(server);
+        servers.forEach(StoreStandIn::closeQuietly);
         connections.forEach(StoreStandIn::closeQuietly);
     }
 
@@ -108,7 +127,7 @@
     /** Returns the address as IP:PORT. */
     public String address() {
         InetAddress ip = address.getAddress();
-        return ip.getHostAddress() + ":" + server.getLocalPort();
+        return ip.getHostAddress() + ":" + servers.get(0).getLocalPort();
     }
 
     /** Returns the current revision. */
@@ -177,16 +196,23 @@
         begin(fault, ip -> true);
     }
 
+    /** Ends a fault towards the fronts for which it was begun. */
+    public void end(StoreFault fault, Predicate<String> frontIps) {
+        faults.removeIf(active -> active.fault() == fault && active.frontIps() == frontIps);
+    }
+
     /** Ends all faults. */
     public void endFaults() {
         faults.clear();
     }
 
-    private static String ipOf(Socket socket) {
-        return socket.getInetAddress().getHostAddress();
+    private String ipOf(Socket socket) {
+        return frontIpByStoreIp.getOrDefault(
+                socket.getLocalAddress().getHostAddress(),
+                socket.getInetAddress().getHostAddress());
     }
 
-    private void accept() {
+    private void accept(ServerSocket server) {
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
