--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleetTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleetTest.java
@@ -4,6 +4,8 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
+import java.io.IOException;
+import java.net.Socket;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -30,4 +32,28 @@
             assertThat(front.log(), containsString("\"event\":\"drained\""));
         }
     }
+
+    /** Guards against a front that a signal about changed settings ends while it starts. */
+    @Test
+    void startingFrontSurvivesHangUp() throws Exception {
+        try (DeployedFleet fleet = new DeployedFleet()) {
+            fleet.store().put("op/config", CONFIG);
+            fleet.store().start();
+            FrontProcess front = fleet.fronts().get(0);
+            front.start();
+            DeployedFleet.await("caller port", () -> accepts(front));
+            front.hangUp();
+            DeployedFleet.await("ready", () -> !front.running() || fleet.ready(front));
+            assertThat("running", front.running(), is(true));
+        }
+    }
+
+    private static boolean accepts(FrontProcess front) {
+        try (Socket socket = new Socket(front.ip(), front.callerPort())) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            // The port is not open yet.
+            return false;
+        }
+    }
 }
