--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetConfigSoakTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetConfigSoakTest.java
@@ -80,10 +80,11 @@
                 TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_CHANGE_PAUSE_MILLIS));
             }
             injection.stopped();
+            System.out.println("seed " + seed + ", fillers " + fillers + ", " + faults);
             fleet.awaitReady();
             TimeUnit.MILLISECONDS.sleep(ContactRecord.CONTACT_MILLIS + APPLY_MILLIS);
             FleetVerdict verdict = scenario.finish();
-            System.out.println("seed " + seed + ", fillers " + fillers + ": " + verdict.figures() + "; " + faults);
+            System.out.println("seed " + seed + ": " + verdict.figures());
             assertThat("seed " + seed + " " + verdict.figures(), verdict.breaches(), is(empty()));
             assertThat(verdict.served(), greaterThan(MIN_SERVED));
         }
