Failing tests of peers that keep removed items after a full copy

What callers may see: a front that takes its items from a peer goes on sending to targets whose entries were removed, or keeps a data centre evacuated, until it reads a full copy itself. Not shown with fronts; only the mirrors are tested.

Cause: after a full copy (history discarded, or caught up from a peer) a mirror answers peers behind the copy with the changes it knows of, though items that came and went meanwhile are in neither copy. And an item that was removed between the revision of a copy and its last page is recorded as removed at the copy's revision; the event of the real removal is skipped as unknown, so peers between the two revisions never hear of it.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ItemMirrorTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/ItemMirrorTest.java
@@ -48,6 +48,39 @@
         assertThat(mirror.apply(List.of(item("a", 11)), 11), hasSize(1));
     }
 
+    /** Guards against a peer that keeps an item which came and went before the copy that this mirror caught up by. */
+    @Test
+    void peerReceivesRemovalThatTheCopySkipped() {
+        ItemMirror peer = new ItemMirror();
+        mirror.replace(List.of(item("a", 1)), 1);
+        peer.replace(List.of(item("a", 1)), 1);
+        peer.apply(List.of(item("b", 2)), 2);
+        mirror.replace(List.of(item("a", 1)), 4);
+        update(peer);
+        assertThat(peer.all(), hasSize(1));
+    }
+
+    /** Guards against a peer that keeps an item which was removed between the revision of a copy and its last page. */
+    @Test
+    void peerReceivesRemovalBetweenPagesOfTheCopy() {
+        ItemMirror peer = new ItemMirror();
+        mirror.replace(List.of(item("a", 1), item("b", 1)), 1);
+        peer.replace(List.of(item("a", 1), item("b", 1)), 1);
+        peer.apply(List.of(item("a", 4)), 4);
+        mirror.replace(List.of(item("a", 4)), 4);
+        mirror.apply(List.of(new PublishedValue("b", null, 5)), 5);
+        update(peer);
+        assertThat(peer.all(), hasSize(1));
+    }
+
+    /** Brings a peer up to the mirror as the answer to its request does. */
+    private void update(ItemMirror peer) {
+        mirror.changesAfter(peer.revision())
+                .ifPresentOrElse(
+                        changes -> peer.apply(changes, mirror.revision()),
+                        () -> peer.replace(mirror.all(), mirror.revision()));
+    }
+
     /** Guards against sending every version that a peer missed, although it needs only the newest. */
     @Test
     void peerThatMissedVersionsGetsTheNewestOnly() {
