--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/AttemptKind.java
@@ -0,0 +1,72 @@
+package org.whinwharf.platform.fleet;
+
+import java.util.Arrays;
+
+/** Kinds of attempts, each with a route of its own. */
+enum AttemptKind {
+    SAFE("GET", "/safe/", true, false, "\"kind\":\"safe\",\"attempts\":3"),
+    UNSAFE("POST", "/unsafe/", false, false, "\"kind\":\"unsafe\",\"attempts\":2"),
+    RESUMABLE("POST", "/resumable/", true, true, "\"kind\":\"streaming\",\"resumable\":true,\"attempts\":3"),
+    STREAM("POST", "/stream/", false, true, "\"kind\":\"streaming\",\"attempts\":2");
+
+    /** Time limit of each attempt. */
+    static final int TIMEOUT_MILLIS = 3_000;
+
+    private final String method;
+    private final String prefix;
+    private final boolean repeatable;
+    private final boolean streaming;
+    private final String route;
+
+    AttemptKind(String method, String prefix, boolean repeatable, boolean streaming, String route) {
+        this.method = method;
+        this.prefix = prefix;
+        this.repeatable = repeatable;
+        this.streaming = streaming;
+        this.route = route;
+    }
+
+    String method() {
+        return method;
+    }
+
+    String prefix() {
+        return prefix;
+    }
+
+    /** Tells whether an attempt may run more than once. */
+    boolean repeatable() {
+        return repeatable;
+    }
+
+    /** Tells whether the answer is a stream of events, whose number ends the path. */
+    boolean streaming() {
+        return streaming;
+    }
+
+    /** Returns the kind of a path. */
+    static AttemptKind of(String path) {
+        return Arrays.stream(values())
+                .filter(kind -> path.startsWith(kind.prefix))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException(path));
+    }
+
+    /** Returns the number of events of a stream. */
+    static int events(String path) {
+        return Integer.parseInt(path.substring(path.lastIndexOf('/') + 1));
+    }
+
+    /** Returns a configuration with a route for each kind. */
+    static String config(int version, String host, String service) {
+        String routes = Arrays.stream(values())
+                .map(kind -> "{\"name\":\"" + kind + "\",\"host\":\"" + host + "\",\"prefix\":\"" + kind.prefix + "\","
+                        + kind.route + ",\"timeout-ms\":" + TIMEOUT_MILLIS + ",\"slo-ms\":300,\"gap-target-ms\":500,"
+                        + "\"service\":\"" + service + "\",\"public\":true}")
+                .reduce((all, next) -> all + "," + next)
+                .orElseThrow();
+        return "{\"version\":" + version + ",\"routes\":[" + routes + "],\"services\":[{\"name\":\"" + service
+                + "\",\"health-path\":\"" + WorkerStandIn.HEALTH_PATH
+                + "\",\"max-conns\":60}],\"limits\":{},\"tenants\":[]}";
+    }
+}
--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerStandIn.java
@@ -0,0 +1,216 @@
+package org.whinwharf.platform.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** A caller that sends one request after another, over a kept connection or new ones, and records each attempt. */
+final class CallerStandIn implements Runnable {
+    /** Host of all requests. */
+    static final String HOST = "h";
+
+    private static final Pattern EVENT_ID = Pattern.compile("id: (\\d+)\ndata: [^\n]*\n\n");
+    private static final int CONNECT_MILLIS = 1_000;
+    private static final int MAX_EVENTS = 12;
+    private static final int MAX_TRIES = 4;
+    private static final int MAX_PAUSE_MILLIS = 60;
+    private static final int MAX_PATIENCE_MILLIS = 120;
+    private static final double MAX_RETRY_SECONDS = 1;
+    /** One of so many attempts ends early by the caller. */
+    private static final int LEFT_INTERVAL = 25;
+
+    private final String name;
+    private final Supplier<List<InetSocketAddress>> fronts;
+    private final FleetRecord record;
+    private final Random random;
+    private final boolean keepsConnection;
+    private int requests;
+    private int attempts;
+    private Socket socket;
+    private HttpReader in;
+    private volatile boolean stopped;
+
+    /**
+     * Creates a caller.
+     *
+     * @param name name, with which the ids of its attempts begin
+     * @param fronts addresses to which it may connect now
+     * @param keepsConnection whether it uses a connection for many requests
+     */
+    CallerStandIn(
+            String name,
+            Supplier<List<InetSocketAddress>> fronts,
+            FleetRecord record,
+            boolean keepsConnection,
+            long seed) {
+        this.name = name;
+        this.fronts = fronts;
+        this.record = record;
+        this.keepsConnection = keepsConnection;
+        random = new Random(seed);
+    }
+
+    /** Lets it end after the request that it sends now. */
+    void stop() {
+        stopped = true;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!stopped) {
+                request();
+                TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            disconnect();
+        }
+    }
+
+    /** Sends a request, again where its kind allows it, and resumes a stream that was broken off. */
+    private void request() throws InterruptedException {
+        AttemptKind kind = AttemptKind.values()[random.nextInt(AttemptKind.values().length)];
+        String path = kind.prefix() + name + "-" + requests++ + "/" + (1 + random.nextInt(MAX_EVENTS));
+        String firstAttempt = "";
+        int lastEvent = 0;
+        for (int i = 0; i < MAX_TRIES; i++) {
+            CallerAnswer answer = attempt(kind, path, firstAttempt, lastEvent);
+            record.add(answer);
+            int received = lastEvent(answer.body(), lastEvent);
+            if (received > lastEvent && firstAttempt.isEmpty()) {
+                firstAttempt = answer.attemptId();
+            }
+            lastEvent = received;
+            boolean refused =
+                    answer.end() == CallerAnswer.End.COMPLETE && (answer.status() == 503 || answer.status() == 429);
+            boolean failed = answer.end() == CallerAnswer.End.CLOSED || answer.status() >= 500;
+            if (!refused && !(failed && kind.repeatable())) {
+                return;
+            }
+            disconnect();
+            TimeUnit.MILLISECONDS.sleep(refused ? retryAfterMillis : 0);
+        }
+    }
+
+    private long retryAfterMillis;
+
+    private static int lastEvent(String body, int before) {
+        int last = before;
+        Matcher matcher = EVENT_ID.matcher(body);
+        while (matcher.find()) {
+            last = Integer.parseInt(matcher.group(1));
+        }
+        return last;
+    }
+
+    private CallerAnswer attempt(AttemptKind kind, String path, String firstAttempt, int lastEvent) {
+        String attemptId = name + "-a" + attempts++;
+        boolean kept = socket != null;
+        String head = "";
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        CallerAnswer.End end = CallerAnswer.End.COMPLETE;
+        boolean impatient = random.nextInt(LEFT_INTERVAL) == 0;
+        int patienceMillis = impatient ? 1 + random.nextInt(MAX_PATIENCE_MILLIS) : 2 * AttemptKind.TIMEOUT_MILLIS;
+        String front = "";
+        int strayBytes = 0;
+        long sentNanos = System.nanoTime();
+        try {
+            connect();
+            front = socket.getInetAddress().getHostAddress();
+            strayBytes = in.available();
+            in.setTimeoutMillis(patienceMillis);
+            String text = requestText(kind, path, attemptId, firstAttempt, lastEvent);
+            sentNanos = System.nanoTime();
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            head = in.head();
+            if (head.isEmpty()) {
+                end = CallerAnswer.End.CLOSED;
+            } else {
+                in.body(head, true, body);
+            }
+        } catch (SocketTimeoutException e) {
+            end = impatient ? CallerAnswer.End.LEFT : CallerAnswer.End.TIMED_OUT;
+        } catch (IOException e) {
+            end = CallerAnswer.End.CLOSED;
+        }
+        if (!keepsConnection
+                || end != CallerAnswer.End.COMPLETE
+                || "close".equalsIgnoreCase(HttpReader.header(head, "Connection"))) {
+            disconnect();
+        }
+        String retryAfter = HttpReader.header(head, "Retry-After");
+        retryAfterMillis =
+                retryAfter.isEmpty() ? 0 : (long) (1_000 * Math.min(MAX_RETRY_SECONDS, Double.parseDouble(retryAfter)));
+        return new CallerAnswer(
+                attemptId,
+                path,
+                front,
+                kept,
+                sentNanos,
+                System.nanoTime(),
+                status(head),
+                HttpReader.header(head, "X-Attempt-Id"),
+                HttpReader.header(head, "X-Server-Seal"),
+                body.toString(StandardCharsets.ISO_8859_1),
+                end,
+                firstAttempt,
+                lastEvent,
+                strayBytes);
+    }
+
+    /** Returns the status of an answer; 0 if there is none, -1 if what came is no answer. */
+    private static int status(String head) {
+        Matcher matcher = Pattern.compile("HTTP/1\\.1 (\\d{3})( |\n)").matcher(head);
+        int other = head.isEmpty() ? 0 : -1;
+        return matcher.lookingAt() ? Integer.parseInt(matcher.group(1)) : other;
+    }
+
+    private String requestText(AttemptKind kind, String path, String attemptId, String firstAttempt, int lastEvent) {
+        String resumption =
+                lastEvent == 0 ? "" : "Last-Event-Id: " + lastEvent + "\r\nResumes: " + firstAttempt + "\r\n";
+        String content = kind.method().equals("POST") ? "content of " + attemptId : "";
+        return kind.method() + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Attempt-Id: " + attemptId
+                + "\r\nX-Deadline-Ms: " + AttemptKind.TIMEOUT_MILLIS + "\r\n" + resumption
+                + (content.isEmpty() ? "" : "Content-Length: " + content.length() + "\r\n")
+                + "\r\n" + content;
+    }
+
+    private void connect() throws IOException {
+        if (socket != null) {
+            return;
+        }
+        List<InetSocketAddress> choice = fronts.get();
+        Socket opened = new Socket();
+        try {
+            opened.setTcpNoDelay(true);
+            opened.connect(choice.get(random.nextInt(choice.size())), CONNECT_MILLIS);
+            in = new HttpReader(opened);
+            socket = opened;
+        } catch (IOException e) {
+            opened.close();
+            throw e;
+        }
+    }
+
+    private void disconnect() {
+        if (socket != null) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+            socket = null;
+        }
+    }
+}
--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetSummary.java
@@ -0,0 +1,44 @@
+package org.whinwharf.platform.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+
+/** Figures of a play, in one line. */
+final class FleetSummary {
+    private FleetSummary() {}
+
+    /** Returns the counts of breaches by rule, of answers by end and status, and of runs by end. */
+    static String of(long seed, FleetHistory history, List<String> breaches) {
+        Map<String, Long> rules = count(breaches.stream()
+                .map(text -> text.lines().findFirst().orElse("").split(" ")[0])
+                .toList());
+        Map<String, Long> answers = count(history.answers().stream()
+                .map(answer -> answer.end() + " " + answer.status())
+                .toList());
+        Map<String, Long> runs = count(history.runs().stream()
+                .map(run -> run.end() + " " + run.status())
+                .toList());
+        long closedStreams = history.answers().stream()
+                .filter(answer ->
+                        answer.kind().streaming() && answer.status() == 200 && answer.end() == CallerAnswer.End.CLOSED)
+                .count();
+        long resumed = history.answers().stream()
+                .filter(answer -> !answer.firstAttemptId().isEmpty())
+                .count();
+        long elsewhere = history.answers().stream()
+                .filter(answer -> answer.status() == 200 && answer.end() != CallerAnswer.End.COMPLETE)
+                .filter(answer -> history.runWithSeal(answer.seal())
+                        .filter(run -> run.status() != 200)
+                        .isPresent())
+                .count();
+        return "seed " + seed + ": breaches " + rules + ", answers " + answers + ", runs " + runs
+                + ", streams with a success and a closed channel " + closedStreams + ", resumed attempts " + resumed
+                + ", incomplete successes whose run has another status " + elsewhere;
+    }
+
+    private static Map<String, Long> count(List<String> keys) {
+        return keys.stream().collect(Collectors.groupingBy(key -> key, TreeMap::new, Collectors.counting()));
+    }
+}
--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -0,0 +1,299 @@
+package org.whinwharf.platform.fleet;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** One connection to a worker, which serves one request at a time. */
+final class WorkerConnection {
+    private static final int MAX_PLAIN_MILLIS = 60;
+    private static final int MAX_LONG_MILLIS = 500;
+    private static final int MAX_EVENT_MILLIS = 50;
+    private static final int MAX_BODY_LINES = 200;
+    private static final int MAX_REPEAT_MILLIS = 20;
+    /** One of so many plain requests takes long. */
+    private static final int LONG_INTERVAL = 20;
+
+    private static final String GARBAGE = "\u0001\u0002 no answer \r\n\r\n";
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+
+    /** How the end of a body is told. */
+    private enum Framing {
+        LENGTH {
+            @Override
+            String header(int length) {
+                return "Keep-Alive: timeout=30\r\nContent-Length: " + length;
+            }
+        },
+        CHUNKS {
+            @Override
+            String header(int length) {
+                return "Transfer-Encoding: chunked";
+            }
+        },
+        CONNECTION {
+            @Override
+            String header(int length) {
+                return "Connection: close";
+            }
+        };
+
+        abstract String header(int length);
+    }
+
+    private final WorkerStandIn worker;
+    private final Socket socket;
+    private final HttpReader in;
+    /** Answer that is written again before the next one; empty if none. */
+    private String before = "";
+    /** Whether the connection ends after what is written again. */
+    private boolean endsAfterRepetition;
+
+    WorkerConnection(WorkerStandIn worker, Socket socket) throws IOException {
+        this.worker = worker;
+        this.socket = socket;
+        in = new HttpReader(socket);
+    }
+
+    /** Serves requests until the connection ends. */
+    void serve() throws IOException {
+        String head = in.head();
+        boolean open = true;
+        while (open && !head.isEmpty()) {
+            in.body(head, false, new ByteArrayOutputStream());
+            open = answer(head);
+            head = open ? in.head() : "";
+        }
+    }
+
+    private boolean answer(String head) throws IOException {
+        String path = head.split(" ")[1];
+        String expected = HttpReader.header(head, "X-Expect-Instance");
+        boolean health = path.equals(WorkerStandIn.HEALTH_PATH);
+        if (!expected.isEmpty() && !expected.equals(worker.identity().id())) {
+            return reject(head, 421, WorkerFault.NONE);
+        }
+        if (!worker.takeSlot()) {
+            return reject(head, 503, worker.drawFault());
+        }
+        try {
+            return health ? answerHealthCheck() : execute(head, path);
+        } finally {
+            worker.releaseSlot();
+        }
+    }
+
+    private boolean answerHealthCheck() throws IOException {
+        int status = worker.leavingSinceNanos().isPresent() ? 503 : 200;
+        String answer = "HTTP/1.1 " + status + " X\r\nX-Instance-Id: "
+                + worker.identity().id() + "\r\nContent-Length: 0\r\n\r\n";
+        WorkerFault fault = worker.drawFault();
+        return write(answer, fault.repeats() ? fault : WorkerFault.NONE);
+    }
+
+    private boolean reject(String head, int status, WorkerFault fault) throws IOException {
+        WorkerRun run = begin(head, false);
+        String attempt = worker.draw(2) == 0 ? "" : "X-Attempt-Id: " + run.attemptId() + "\r\n";
+        WorkerFault used = fault.repeats() ? fault : WorkerFault.NONE;
+        worker.record().put(run.ended(WorkerRun.End.WRITTEN, status, "", used.repeats()));
+        return write(
+                "HTTP/1.1 " + status + " X\r\n" + attempt
+                        + "X-Not-Executed: 1\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n",
+                used);
+    }
+
+    private WorkerRun begin(String head, boolean executed) {
+        String afterEvent = HttpReader.header(head, "Last-Event-Id");
+        long nowNanos = System.nanoTime();
+        WorkerRun run = new WorkerRun(
+                worker.record().nextNumber(),
+                worker.identity().id(),
+                worker.identity().version(),
+                HttpReader.header(head, "X-Attempt-Id"),
+                head.split(" ")[1],
+                HttpReader.header(head, "X-Tenant"),
+                afterEvent.isEmpty() ? 0 : Integer.parseInt(afterEvent),
+                executed,
+                0,
+                WorkerRun.End.RUNNING,
+                "",
+                false,
+                nowNanos,
+                nowNanos,
+                worker.leavingSinceNanos());
+        worker.record().put(run);
+        return run;
+    }
+
+    /** Runs a request; its record is complete before its last bytes are written, and is corrected if that fails. */
+    private boolean execute(String head, String path) throws IOException {
+        WorkerRun run = begin(head, true);
+        WorkerFault fault = worker.drawFault();
+        Output output = new Output(run);
+        try {
+            String limit = HttpReader.header(head, "X-Deadline-Ms");
+            long limitMillis = limit.isEmpty() ? AttemptKind.TIMEOUT_MILLIS : Long.parseLong(limit);
+            boolean streams = AttemptKind.of(path).streaming() && fault.status() == 200;
+            return streams ? stream(output, fault, limitMillis) : plain(output, fault, limitMillis);
+        } catch (IOException e) {
+            boolean own = endsAfterRepetition || fault == WorkerFault.RESET || fault == WorkerFault.TRUNCATED;
+            WorkerRun.End left = own ? WorkerRun.End.BROKEN_OFF : WorkerRun.End.CALLER_LEFT;
+            WorkerRun.End end = worker.crashed() ? WorkerRun.End.CRASHED : left;
+            worker.record().put(run.ended(end, output.status, output.body.toString(), false));
+            throw e;
+        }
+    }
+
+    /** What was written of one answer. */
+    private static final class Output {
+        private final WorkerRun run;
+        private final StringBuilder all = new StringBuilder();
+        private final StringBuilder body = new StringBuilder();
+        private int status;
+
+        Output(WorkerRun run) {
+            this.run = run;
+        }
+    }
+
+    private boolean plain(Output output, WorkerFault fault, long limitMillis) throws IOException {
+        WorkerRun run = output.run;
+        int millis = worker.draw(LONG_INTERVAL) == 0 ? worker.draw(MAX_LONG_MILLIS) : worker.draw(MAX_PLAIN_MILLIS);
+        if (!in.staysOpen(fault == WorkerFault.SILENT ? limitMillis : Math.min(millis, limitMillis))) {
+            throw new IOException("the caller left");
+        }
+        output.status = millis > limitMillis ? WorkerFault.LATE.status() : fault.status();
+        output.body
+                .append("run ")
+                .append(run.seal())
+                .append(" of ")
+                .append(run.attemptId())
+                .append('\n');
+        output.body.append((run.seal() + "\n").repeat(worker.draw(MAX_BODY_LINES)));
+        Framing framing = Framing.values()[worker.draw(Framing.values().length)];
+        output.all.append(head(output, framing, output.body.length()));
+        if (framing == Framing.CHUNKS) {
+            int half = output.body.length() / 2;
+            output.all.append(chunk(output.body.substring(0, half))).append(chunk(output.body.substring(half)));
+            output.all.append(LAST_CHUNK);
+        } else {
+            output.all.append(output.body);
+        }
+        if (fault == WorkerFault.GARBAGE || fault == WorkerFault.SILENT) {
+            output.status = 0;
+            end(output, fault);
+            send(fault == WorkerFault.GARBAGE ? GARBAGE : "");
+            return false;
+        }
+        // Only a reset tells that an answer which ends with its connection is incomplete.
+        WorkerFault used = framing == Framing.CONNECTION && fault.answers()
+                ? WorkerFault.NONE
+                : framing == Framing.CONNECTION ? WorkerFault.RESET : fault;
+        end(output, used);
+        return write(output.all.toString(), used) && framing != Framing.CONNECTION;
+    }
+
+    private String head(Output output, Framing framing, int length) {
+        return "HTTP/1.1 " + output.status + " X\r\nX-Attempt-Id: " + output.run.attemptId() + "\r\nX-Server-Seal: "
+                + output.run.seal() + "\r\n"
+                + framing.header(length)
+                + "\r\n\r\n";
+    }
+
+    private static String chunk(String text) {
+        return text.isEmpty() ? "" : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private boolean stream(Output output, WorkerFault fault, long limitMillis) throws IOException {
+        WorkerRun run = output.run;
+        int events = AttemptKind.events(run.path());
+        int breakAfter = fault.answers() ? events : run.afterEvent() + worker.draw(events - run.afterEvent() + 1);
+        long endNanos = run.beganNanos() + limitMillis * 1_000_000;
+        output.status = 200;
+        output.all.append(
+                head(output, Framing.CHUNKS, 0).replaceFirst("\r\n", "\r\nContent-Type: text/event-stream\r\n"));
+        send(before + output.all);
+        before = "";
+        if (endsAfterRepetition) {
+            throw new IOException("ended by a repeated answer");
+        }
+        for (int id = run.afterEvent() + 1; id <= breakAfter; id++) {
+            if (!in.staysOpen(worker.draw(MAX_EVENT_MILLIS)) || System.nanoTime() > endNanos) {
+                throw new IOException("the caller left, or the time was up");
+            }
+            String event = "id: " + id + "\ndata: " + run.seal() + " " + run.version() + "\n\n";
+            send(chunk(event));
+            output.body.append(event);
+            output.all.append(chunk(event));
+        }
+        end(output, fault);
+        if (fault.answers()) {
+            output.all.append(LAST_CHUNK);
+            send(LAST_CHUNK);
+            return finish(output.all.toString(), fault);
+        }
+        if (fault == WorkerFault.SILENT) {
+            in.staysOpen((endNanos - System.nanoTime()) / 1_000_000);
+        } else if (fault == WorkerFault.GARBAGE) {
+            send(GARBAGE);
+        } else if (fault == WorkerFault.RESET) {
+            WorkerStandIn.reset(socket);
+        } else {
+            send(chunk("id: " + (breakAfter + 1) + "\nda"));
+        }
+        return false;
+    }
+
+    private void end(Output output, WorkerFault fault) {
+        worker.record()
+                .put(output.run.ended(
+                        fault.answers() ? WorkerRun.End.WRITTEN : WorkerRun.End.BROKEN_OFF,
+                        output.status,
+                        output.body.toString(),
+                        fault.repeats()));
+    }
+
+    /** Writes an answer as a fault has it; returns whether the connection stays open. */
+    private boolean write(String answer, WorkerFault fault) throws IOException {
+        if (fault == WorkerFault.TRUNCATED || fault == WorkerFault.RESET) {
+            send(before + answer.substring(0, worker.draw(answer.length())));
+            if (fault == WorkerFault.RESET) {
+                WorkerStandIn.reset(socket);
+            }
+            return false;
+        }
+        if (endsAfterRepetition) {
+            send(before);
+            throw new IOException("ended by a repeated answer");
+        }
+        send(before + answer);
+        before = "";
+        return finish(answer, fault);
+    }
+
+    /** Writes what follows a complete answer. */
+    private boolean finish(String answer, WorkerFault fault) throws IOException {
+        switch (fault) {
+            case REPEATED_AT_ONCE -> send(answer);
+            case REPEATED_SOON -> {
+                in.staysOpen(worker.draw(MAX_REPEAT_MILLIS));
+                send(answer);
+            }
+            case REPEATED_BEFORE_NEXT -> before = answer;
+            case HALF_REPEATED_BEFORE_NEXT -> {
+                before = answer.substring(0, answer.length() / 2);
+                endsAfterRepetition = true;
+            }
+            case MORE_BYTES -> send(GARBAGE);
+            default -> {
+                return true;
+            }
+        }
+        return true;
+    }
+
+    private void send(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+}
--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerFault.java
@@ -0,0 +1,53 @@
+package org.whinwharf.platform.fleet;
+
+/** What a faulty worker does with the answer to a request. */
+enum WorkerFault {
+    NONE,
+    /** The answer is written a second time at once. */
+    REPEATED_AT_ONCE,
+    /** The answer is written a second time some milliseconds later. */
+    REPEATED_SOON,
+    /** The answer is written a second time right before the next answer on its connection. */
+    REPEATED_BEFORE_NEXT,
+    /** Half of the answer is written a second time right before the next answer, instead of which the channel ends. */
+    HALF_REPEATED_BEFORE_NEXT,
+    /** The connection is closed in the middle of the answer. */
+    TRUNCATED,
+    /** The connection is reset in the middle of the answer. */
+    RESET,
+    /** Bytes that are no answer are written instead of it, or in the middle of a stream. */
+    GARBAGE,
+    /** Bytes that are no answer follow the complete answer. */
+    MORE_BYTES,
+    /** Nothing more is written until the other side leaves or the time is up. */
+    SILENT,
+    /** The request ran and is answered with 500. */
+    FAILED,
+    /** The request ran and is answered with 504. */
+    LATE;
+
+    /** Tells whether the whole answer is written. */
+    boolean answers() {
+        return switch (this) {
+            case TRUNCATED, RESET, GARBAGE, SILENT -> false;
+            default -> true;
+        };
+    }
+
+    /** Returns the status of an answer to a request that ran. */
+    int status() {
+        return switch (this) {
+            case FAILED -> 500;
+            case LATE -> 504;
+            default -> 200;
+        };
+    }
+
+    /** Tells whether the answer is written a second time. */
+    boolean repeats() {
+        return switch (this) {
+            case REPEATED_AT_ONCE, REPEATED_SOON, REPEATED_BEFORE_NEXT, HALF_REPEATED_BEFORE_NEXT -> true;
+            default -> false;
+        };
+    }
+}
--- /dev/null
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
@@ -0,0 +1,230 @@
+package org.whinwharf.platform.fleet;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.whinwharf.lifecycle.Service;
+
+/** One lifetime of a worker: its entry in the store, its connections, its slots and its faults from a seed. */
+final class WorkerStandIn implements Service, AutoCloseable {
+    /** Path of health checks. */
+    static final String HEALTH_PATH = "/healthz";
+
+    private static final int BACKLOG = 128;
+    private static final int SLOTS = 4;
+    private static final int MAX_QUEUED = 2;
+    private static final long MAX_QUEUE_MILLIS = 300;
+
+    private final StoreStandIn store;
+    private final FleetRecord record;
+    private final Identity identity;
+    private final InetSocketAddress address;
+    private final double faultProbability;
+    private final Random random;
+    private final Semaphore slots = new Semaphore(SLOTS, true);
+    private final AtomicInteger queued = new AtomicInteger();
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final long bornMillis = System.currentTimeMillis();
+    private ServerSocket server;
+    private volatile OptionalLong leavingSinceNanos = OptionalLong.empty();
+    private volatile boolean crashed;
+
+    /**
+     * What a worker says of itself.
+     *
+     * @param id its id
+     * @param service its service
+     * @param zone its zone
+     * @param version version of its software
+     */
+    record Identity(String id, String service, String zone, String version) {}
+
+    /**
+     * Describes a worker that is not started.
+     *
+     * @param faultProbability share of the requests whose answers are faulty
+     */
+    WorkerStandIn(
+            StoreStandIn store,
+            FleetRecord record,
+            Identity identity,
+            InetSocketAddress address,
+            double faultProbability,
+            long seed) {
+        this.store = store;
+        this.record = record;
+        this.identity = identity;
+        this.address = address;
+        this.faultProbability = faultProbability;
+        random = new Random(seed);
+    }
+
+    @Override
+    public void start() {
+        try {
+            server = new ServerSocket();
+            server.setReuseAddress(true);
+            server.bind(address, BACKLOG);
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot listen on " + address, e);
+        }
+        startThread(this::accept);
+        publish("ready");
+    }
+
+    private StoreStandIn.Confirmation publish(String state) {
+        return store.put(
+                "servers/" + identity.id(),
+                "{\"service\":\"" + identity.service() + "\",\"address\":\""
+                        + address.getAddress().getHostAddress() + ":" + address.getPort() + "\",\"zone\":\""
+                        + identity.zone() + "\",\"version\":\"" + identity.version() + "\",\"slots\":" + SLOTS
+                        + ",\"state\":\"" + state + "\",\"cold-left-ms\":0,\"seq\":0,\"born\":" + bornMillis + "}");
+    }
+
+    /** Says that it leaves; it goes on serving until it is stopped. */
+    void leave() {
+        leavingSinceNanos = OptionalLong.of(publish("draining").atNanos());
+    }
+
+    /** Removes its entry without a word before; it goes on serving until it is stopped. */
+    void leaveUnannounced() {
+        leavingSinceNanos =
+                OptionalLong.of(store.remove("servers/" + identity.id()).atNanos());
+    }
+
+    /** Resets all connections; the entry stays until it is removed or replaced. */
+    void crash() {
+        crashed = true;
+        closeServer();
+        connections.forEach(WorkerStandIn::reset);
+    }
+
+    /** Removes the entry. */
+    void removeEntry() {
+        store.remove("servers/" + identity.id());
+    }
+
+    /** Ends the connections after their requests. */
+    @Override
+    public void stop() {
+        closeServer();
+        connections.forEach(WorkerStandIn::reset);
+    }
+
+    @Override
+    public void close() {
+        stop();
+    }
+
+    Identity identity() {
+        return identity;
+    }
+
+    FleetRecord record() {
+        return record;
+    }
+
+    OptionalLong leavingSinceNanos() {
+        return leavingSinceNanos;
+    }
+
+    boolean crashed() {
+        return crashed;
+    }
+
+    /** Draws a fault, or none. */
+    WorkerFault drawFault() {
+        synchronized (random) {
+            WorkerFault[] faults = WorkerFault.values();
+            return random.nextDouble() < faultProbability ? faults[random.nextInt(faults.length)] : WorkerFault.NONE;
+        }
+    }
+
+    /** Draws a number below a bound. */
+    int draw(int bound) {
+        synchronized (random) {
+            return random.nextInt(bound);
+        }
+    }
+
+    /** Waits for a slot in the short queue; returns false if the queue is full or the slot does not come in time. */
+    boolean takeSlot() throws IOException {
+        if (slots.tryAcquire()) {
+            return true;
+        }
+        if (queued.incrementAndGet() > MAX_QUEUED) {
+            queued.decrementAndGet();
+            return false;
+        }
+        try {
+            return slots.tryAcquire(MAX_QUEUE_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        } finally {
+            queued.decrementAndGet();
+        }
+    }
+
+    void releaseSlot() {
+        slots.release();
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                socket.setTcpNoDelay(true);
+                connections.add(socket);
+                startThread(() -> serve(socket));
+            } catch (IOException e) {
+                // Closed, by which the loop ends.
+                continue;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            new WorkerConnection(this, socket).serve();
+        } catch (IOException e) {
+            // The connection was closed by the front or by a fault; the run that it ended has its record.
+            return;
+        } finally {
+            connections.remove(socket);
+        }
+    }
+
+    private void startThread(Runnable action) {
+        Thread thread = new Thread(action, identity.id());
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private void closeServer() {
+        try {
+            server.close();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Closes a connection by a reset. */
+    static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException e) {
+            // Closed by the other side before.
+            return;
+        }
+    }
+}
