--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
@@ -21,9 +21,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.whinwharf.platform.fleet.StoreFault;
 import org.whinwharf.platform.fleet.StoreStandIn;
 
 class StoreClientTest {
@@ -113,6 +115,37 @@
         assertThat(outcomeOfUnframedResponse(page), is("4 items of 3"));
     }
 
+    /** Guards against a copy without the items of one call, for which the answer to the call before was taken. */
+    @Test
+    void secondAnswerToACallIsNotTakenForThatToTheNext() throws Exception {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        try (StoreStandIn store = new StoreStandIn(IP, 0)) {
+            store.start();
+            store.put("op/a", "");
+            store.put("servers/b", "");
+            store.begin(StoreFault.TWICE);
+            StoreClient client = new StoreClient(loop, store.address());
+            StoreClient.Callback second = new PageCallback(
+                    page -> outcome.complete(page.values().get(0).key()), outcome::complete);
+            loop.execute(() -> client.range(
+                    "op/", "", new PageCallback(page -> client.range("servers/", "", second), outcome::complete)));
+            assertThat(outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), is("servers/b"));
+        }
+    }
+
+    private record PageCallback(Consumer<StoreClient.Page> pages, Consumer<String> failures)
+            implements StoreClient.Callback {
+        @Override
+        public void succeeded(StoreClient.Page page) {
+            pages.accept(page);
+        }
+
+        @Override
+        public void failed(int status, String reason) {
+            failures.accept(reason);
+        }
+    }
+
     private String outcomeOfUnframedResponse(String body) throws Exception {
         try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getByName(IP))) {
             Thread thread = new Thread(() -> respondUnframed(server, body), "unframed store");
