Test copies of many pages beside changes and a history that is discarded

Covers more than 500 items, with items that come, change and go between the pages of a copy and the watch after it.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -11,8 +11,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -260,6 +264,41 @@
         }
     }
 
+    /** Guards against items that are lost, or come back, between the pages of a copy and the watch after it. */
+    @Test
+    void changesBetweenThePagesOfACopyAreNotLost() throws Exception {
+        Map<String, Long> seen = new ConcurrentHashMap<>();
+        front.loop()
+                .submit(() -> front.feed().listener((value, afterInitialSnapshot, readableForMillis) -> {
+                    if (value.removed()) {
+                        seen.remove(value.key());
+                    } else {
+                        seen.put(value.key(), value.revision());
+                    }
+                }))
+                .sync();
+        Map<String, Long> published = new HashMap<>();
+        Random random = new Random(1);
+        store.begin(StoreFault.LATE);
+        for (int burst = 0; burst < 40; burst++) {
+            for (int i = 0; i < 100; i++) {
+                String key = "servers/" + random.nextInt(1_500);
+                if (published.containsKey(key) && random.nextInt(3) == 0) {
+                    published.remove(key);
+                    store.remove(key);
+                } else {
+                    published.put(key, store.put(key, "{}").revision());
+                }
+            }
+            if (burst % 5 == 0) {
+                store.discardHistory();
+            }
+            store.awaitAnswers(1);
+        }
+        store.endFaults();
+        assertThat("all seen", await(() -> seen.equals(published), CONTACT_LIMIT_MILLIS), is(true));
+    }
+
     /** Guards against a watch that recovers too slowly, or not at all, from what the store did to it. */
     @ParameterizedTest
     @EnumSource(StoreFault.class)
