Allow for clocks that differ when a target's start is compared with a span

Where the history does not show what ran under a target's id before, the target must have started before the stream. Its start is by its own clock: on a host whose clock is half a second ahead, or is set, a younger target looked older, and a stream of the version before it could be joined.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.traffic.stream.ImmutableTargetHistory;
+import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.stream.TargetHistory;
 
 /** Tests streams that callers resume after all fronts were killed at once, with everything that they remembered. */
@@ -18,6 +19,7 @@
     /** Time for which the store keeps its history; longer than a stream lasts with the timeout of these fleets. */
     private static final long HISTORY_MILLIS = 20_000;
 
+    private static final long CLOCK_DIFFERENCE_MILLIS = 500;
     private static final int FRONTS = 3;
     private static final int STREAMS = 20;
 
@@ -116,6 +118,24 @@
         }
     }
 
+    /** Guards against a clock ahead of a target's, by which its start under a known id looks older than the stream. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamIsNotResumedIfOnlyTheClockShowsThatNoTargetWasReplaced(boolean engine) throws Exception {
+        try (VersionedFleet fleet = start(ONE_VERSION, engine)) {
+            FrontFixture front = fleet.fleet().restartAllFronts(target -> true).get(0);
+            long spanMillis = StreamOrigins.maxAgeMillis(FleetLimits.DEFAULT.timeoutMillis());
+            front.run(() -> front.front()
+                    .historyConsumer()
+                    .accept(ImmutableTargetHistory.builder()
+                            .reachMillis(HISTORY_MILLIS)
+                            .putUnexplainedStarts(
+                                    "service", System.currentTimeMillis() - spanMillis - CLOCK_DIFFERENCE_MILLIS)
+                            .build()));
+            assertThat("resumed", resumeUnknown(fleet, front, "a").wentOn(), is(false));
+        }
+    }
+
     private static VersionedFleet.Received resumeUnknown(VersionedFleet fleet, FrontFixture front, String stream)
             throws Exception {
         return fleet.call(
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
@@ -45,8 +45,6 @@
     private static final int MAX_ASKS = 3;
     /** Maximum number of origins in one datagram; with usual names it stays below the usual MTU. */
     private static final int MAX_ORIGINS_PER_DATAGRAM = 24;
-    /** Tolerance for the clocks of targets when their start is compared with the time of a connection. */
-    private static final long CLOCK_TOLERANCE_MILLIS = 3_000;
 
     /**
      * Result of a search for an origin.
@@ -153,10 +151,10 @@
         long nowMillis = ticker.nowMillis();
         long restartedAtMillis = nowMillis - (System.currentTimeMillis() - after.startedUnixMillis());
         long sinceRestartMillis = firstRuns.get(key).connectedAtMillis() - restartedAtMillis;
-        if (sinceRestartMillis < -CLOCK_TOLERANCE_MILLIS) {
+        if (sinceRestartMillis < -StreamOrigins.CLOCK_TOLERANCE_MILLIS) {
             return;
         }
-        String version = sinceRestartMillis > CLOCK_TOLERANCE_MILLIS ? after.version() : "";
+        String version = sinceRestartMillis > StreamOrigins.CLOCK_TOLERANCE_MILLIS ? after.version() : "";
         known(key).filter(origin -> origin.version().equals(before.version())).ifPresent(origin -> {
             FrontLog.originCorrected(origin, before, version, nowMillis);
             record(ImmutableStreamOrigin.copyOf(origin).withVersion(version).withRecordedAtMillis(nowMillis));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -32,6 +32,7 @@
 import org.whinwharf.traffic.stream.ImmutableTargetHistory;
 import org.whinwharf.traffic.stream.PublicationObservation;
 import org.whinwharf.traffic.stream.ServiceVersions;
+import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.stream.TargetHistory;
 import org.whinwharf.traffic.target.SpeedBaseline;
 import org.whinwharf.traffic.target.Target;
@@ -318,7 +319,7 @@
 
     /** Tells whether no target of a service can lately have replaced one of another version under its id unnoticed. */
     private boolean noneStartedWithin(String service, long millis) {
-        long sinceUnixMillis = System.currentTimeMillis() - millis;
+        long sinceUnixMillis = System.currentTimeMillis() - millis - StreamOrigins.CLOCK_TOLERANCE_MILLIS;
         LongStream starts = ofService(service).stream()
                 .map(TargetState::target)
                 .filter(target -> !history.targetIds().contains(target.id()))
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamOrigins.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamOrigins.java
@@ -14,6 +14,8 @@
 public final class StreamOrigins {
     /** Time for which an origin is kept: longer than callers follow a stream over all their attempts. */
     public static final long RETENTION_MILLIS = 30_000;
+    /** Tolerance for the clocks of targets when their starts are compared with times of this process. */
+    public static final long CLOCK_TOLERANCE_MILLIS = 3_000;
     /** Attempts, of one timeout each, over which a caller follows a stream at most. */
     private static final int MAX_ATTEMPTS = 2;
     /** Maximum number of origins, about 2 MB. */
