Rig: mixes of faults, slow streams and a version that leaves as all fronts are killed

Each worker draws a mix of faults for a time: mostly repeated answers, mostly broken ones, some of all or none, with or without rejections. Callers resume a stream for as long as all fronts take to come back; the old version leaves at that moment.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerStandIn.java
@@ -22,7 +22,11 @@
     private static final int CONNECT_MILLIS = 1_000;
     private static final int MAX_EVENTS = 12;
     private static final int MAX_TRIES = 4;
-    private static final int MAX_PAUSE_MILLIS = 60;
+    /** Tries to resume a stream, which outlast a restart of all fronts. */
+    private static final int MAX_RESUMPTIONS = 25;
+
+    private static final int RESUMPTION_MILLIS = 200;
+    private static final int MAX_PAUSE_MILLIS = 30;
     private static final int MAX_PATIENCE_MILLIS = 120;
     private static final double MAX_RETRY_SECONDS = 1;
     /** One of so many attempts ends early by the caller. */
@@ -84,7 +88,7 @@
         String path = kind.prefix() + name + "-" + requests++ + "/" + (1 + random.nextInt(MAX_EVENTS));
         String firstAttempt = "";
         int lastEvent = 0;
-        for (int i = 0; i < MAX_TRIES; i++) {
+        for (int i = 0; i < (lastEvent > 0 ? MAX_RESUMPTIONS : MAX_TRIES) && !stopped; i++) {
             CallerAnswer answer = attempt(kind, path, firstAttempt, lastEvent);
             record.add(answer);
             int received = lastEvent(answer.body(), lastEvent);
@@ -99,7 +103,8 @@
                 return;
             }
             disconnect();
-            TimeUnit.MILLISECONDS.sleep(refused ? retryAfterMillis : 0);
+            TimeUnit.MILLISECONDS.sleep(
+                    Math.max(refused ? retryAfterMillis : 0, lastEvent > 0 ? RESUMPTION_MILLIS : 0));
         }
     }
 
@@ -191,6 +196,9 @@
             return;
         }
         List<InetSocketAddress> choice = fronts.get();
+        if (choice.isEmpty()) {
+            throw new IOException("no front runs");
+        }
         Socket opened = new Socket();
         try {
             opened.setTcpNoDelay(true);
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -19,14 +18,16 @@
     private static final int WORKERS = 8;
     private static final int FIRST_WORKER_IP = 50;
     private static final int WORKER_PORT = 9_000;
-    private static final int CALLERS = 20;
-    private static final double FAULT_PROBABILITY = 0.25;
+    private static final int CALLERS = 24;
     private static final long PLAY_MILLIS = 14_000;
     private static final int MAX_FAULT_INTERVAL_MILLIS = 900;
     /** Time for which a worker that says that it leaves serves on, in which it must get nothing at the end. */
     private static final long LEAVE_MILLIS = 2_800;
 
     private static final int MAX_DOWN_MILLIS = 1_500;
+    /** Time for which the places of the old version are empty after it has left. */
+    private static final long AFTER_RELEASE_MILLIS = 4_000;
+
     /** Time without an impairment after which a front is in touch. */
     private static final long CONTACT_MILLIS = 3_000;
 
@@ -43,7 +44,7 @@
     private final Map<String, List<long[]>> impairments = new ConcurrentHashMap<>();
 
     private int lifetimes;
-    private int version = 1;
+    private volatile boolean oldVersionLeft;
 
     FleetPlay(Random random) throws IOException {
         this.random = random;
@@ -55,7 +56,7 @@
         fleet.store().put("op/config", AttemptKind.config(1, CallerStandIn.HOST, SERVICE));
         fleet.start();
         for (int i = 0; i < WORKERS; i++) {
-            startWorker(i, "w" + lifetimes++);
+            startWorker(i, "w" + lifetimes++, versionOf(i));
         }
         fleet.awaitReady();
         List<Thread> threads = new ArrayList<>();
@@ -81,60 +82,65 @@
                 .toList();
     }
 
-    private synchronized void startWorker(int place, String id) {
+    private synchronized void startWorker(int place, String id, int version) {
         WorkerStandIn worker = new WorkerStandIn(
                 fleet.store(),
                 record,
                 new WorkerStandIn.Identity(id, SERVICE, "z" + "abcd".charAt(place % 4), "v" + version),
                 new InetSocketAddress(fleet.ip(FIRST_WORKER_IP + place), WORKER_PORT),
-                FAULT_PROBABILITY,
+                FaultMix.draw(random),
                 random.nextLong());
         worker.start();
         workers[place] = worker;
         busy[place] = false;
     }
 
+    /** Returns the version of a new lifetime: each half of the places has its own, until the old one has left. */
+    private int versionOf(int place) {
+        return oldVersionLeft || place >= WORKERS / 2 ? 2 : 1;
+    }
+
     private void injectFaults() throws InterruptedException {
         long startNanos = System.nanoTime();
-        boolean allKilled = false;
-        while (System.nanoTime() - startNanos < TimeUnit.MILLISECONDS.toNanos(PLAY_MILLIS)) {
+        long halfNanos = TimeUnit.MILLISECONDS.toNanos(PLAY_MILLIS / 2);
+        while (System.nanoTime() - startNanos < 2 * halfNanos) {
             TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_FAULT_INTERVAL_MILLIS));
-            int place = random.nextInt(WORKERS);
-            switch (random.nextInt(6)) {
-                case 0 -> crash(place);
+            // Targets of the new version that have just started keep any inference about versions from being drawn.
+            int place = random.nextInt(oldVersionLeft ? WORKERS : WORKERS / 2);
+            workers[random.nextInt(WORKERS)].setFaults(FaultMix.draw(random));
+            switch (random.nextInt(5)) {
+                case 0 -> crash(place, random.nextBoolean());
                 case 1, 2 -> leave(place);
-                case 3 -> releaseNext();
-                case 4 -> killFronts(1);
+                case 3 -> killFronts(1, () -> {});
                 default -> fleet.store().cutWatches();
             }
-            if (!allKilled && System.nanoTime() - startNanos > TimeUnit.MILLISECONDS.toNanos(PLAY_MILLIS / 2)) {
-                allKilled = true;
-                killFronts(fleet.fronts().size());
+            if (!oldVersionLeft && System.nanoTime() - startNanos > halfNanos) {
+                oldVersionLeft = true;
+                killFronts(fleet.fronts().size(), () -> {
+                    for (int i = 0; i < WORKERS / 2; i++) {
+                        crash(i, false);
+                    }
+                });
             }
         }
     }
 
-    private synchronized void releaseNext() {
-        version = 1 + random.nextInt(2);
-    }
-
-    private synchronized void crash(int place) {
+    private synchronized void crash(int place, boolean sameId) {
         if (busy[place]) {
             return;
         }
         busy[place] = true;
         WorkerStandIn worker = workers[place];
         worker.crash();
-        boolean sameId = random.nextBoolean();
+        if (!sameId) {
+            worker.removeEntry();
+        }
         String next = sameId ? worker.identity().id() : "w" + lifetimes++;
         schedule.schedule(
                 () -> {
-                    if (!sameId) {
-                        worker.removeEntry();
-                    }
-                    startWorker(place, next);
+                    startWorker(place, next, versionOf(place));
                 },
-                random.nextInt(MAX_DOWN_MILLIS),
+                oldVersionLeft ? AFTER_RELEASE_MILLIS : random.nextInt(MAX_DOWN_MILLIS),
                 TimeUnit.MILLISECONDS);
     }
 
@@ -154,23 +160,31 @@
                 () -> {
                     worker.stop();
                     worker.removeEntry();
-                    startWorker(place, next);
+                    startWorker(place, next, versionOf(place));
                 },
                 LEAVE_MILLIS,
                 TimeUnit.MILLISECONDS);
     }
 
-    private void killFronts(int count) {
-        List<FrontProcess> running = new ArrayList<>(
-                fleet.fronts().stream().filter(FrontProcess::running).toList());
-        running.sort(Comparator.comparing(FrontProcess::name));
-        long nowNanos = System.nanoTime();
-        int first = random.nextInt(running.size());
+    /**
+     * Kills fronts and starts them again.
+     *
+     * @param between what happens while they are down
+     */
+    private void killFronts(int count, Runnable between) {
+        List<FrontProcess> fronts = fleet.fronts();
+        int first = random.nextInt(fronts.size());
+        List<FrontProcess> killed = new ArrayList<>();
+        long beganNanos = System.nanoTime();
         for (int i = 0; i < count; i++) {
-            FrontProcess front = running.get((first + i) % running.size());
+            FrontProcess front = fronts.get((first + i) % fronts.size());
             front.kill();
+            killed.add(front);
+        }
+        between.run();
+        for (FrontProcess front : killed) {
             front.start();
-            long[] span = {nowNanos, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CONTACT_MILLIS)};
+            long[] span = {beganNanos, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CONTACT_MILLIS)};
             impairments
                     .computeIfAbsent(front.ip(), ip -> new CopyOnWriteArrayList<>())
                     .add(span);
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -10,6 +10,10 @@
     private static final int MAX_PLAIN_MILLIS = 60;
     private static final int MAX_LONG_MILLIS = 500;
     private static final int MAX_EVENT_MILLIS = 50;
+    private static final int MAX_SLOW_EVENT_MILLIS = 250;
+    /** One of so many streams is slow. */
+    private static final int SLOW_INTERVAL = 4;
+
     private static final int MAX_BODY_LINES = 200;
     private static final int MAX_REPEAT_MILLIS = 20;
     /** One of so many plain requests takes long. */
@@ -74,7 +78,7 @@
         if (!expected.isEmpty() && !expected.equals(worker.identity().id())) {
             return reject(head, 421, WorkerFault.NONE);
         }
-        if (!worker.takeSlot()) {
+        if (worker.drawRejection() || !worker.takeSlot()) {
             return reject(head, 503, worker.drawFault());
         }
         try {
@@ -210,6 +214,7 @@
         int events = AttemptKind.events(run.path());
         int breakAfter = fault.answers() ? events : run.afterEvent() + worker.draw(events - run.afterEvent() + 1);
         long endNanos = run.beganNanos() + limitMillis * 1_000_000;
+        int maxEventMillis = worker.draw(SLOW_INTERVAL) == 0 ? MAX_SLOW_EVENT_MILLIS : MAX_EVENT_MILLIS;
         output.status = 200;
         output.all.append(
                 head(output, Framing.CHUNKS, 0).replaceFirst("\r\n", "\r\nContent-Type: text/event-stream\r\n"));
@@ -219,7 +224,7 @@
             throw new IOException("ended by a repeated answer");
         }
         for (int id = run.afterEvent() + 1; id <= breakAfter; id++) {
-            if (!in.staysOpen(worker.draw(MAX_EVENT_MILLIS)) || System.nanoTime() > endNanos) {
+            if (!in.staysOpen(worker.draw(maxEventMillis)) || System.nanoTime() > endNanos) {
                 throw new IOException("the caller left, or the time was up");
             }
             String event = "id: " + id + "\ndata: " + run.seal() + " " + run.version() + "\n\n";
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
@@ -27,7 +27,7 @@
     private final FleetRecord record;
     private final Identity identity;
     private final InetSocketAddress address;
-    private final double faultProbability;
+    private volatile FaultMix faults;
     private final Random random;
     private final Semaphore slots = new Semaphore(SLOTS, true);
     private final AtomicInteger queued = new AtomicInteger();
@@ -50,20 +50,20 @@
     /**
      * Describes a worker that is not started.
      *
-     * @param faultProbability share of the requests whose answers are faulty
+     * @param faults its faults at the beginning
      */
     WorkerStandIn(
             StoreStandIn store,
             FleetRecord record,
             Identity identity,
             InetSocketAddress address,
-            double faultProbability,
+            FaultMix faults,
             long seed) {
         this.store = store;
         this.record = record;
         this.identity = identity;
         this.address = address;
-        this.faultProbability = faultProbability;
+        this.faults = faults;
         random = new Random(seed);
     }
 
@@ -143,11 +143,22 @@
     /** Draws a fault, or none. */
     WorkerFault drawFault() {
         synchronized (random) {
-            WorkerFault[] faults = WorkerFault.values();
-            return random.nextDouble() < faultProbability ? faults[random.nextInt(faults.length)] : WorkerFault.NONE;
+            return faults.drawFault(random);
         }
     }
 
+    /** Draws whether a request is rejected though there is a slot. */
+    boolean drawRejection() {
+        synchronized (random) {
+            return faults.drawRejection(random);
+        }
+    }
+
+    /** Changes its faults. */
+    void setFaults(FaultMix mix) {
+        faults = mix;
+    }
+
     /** Draws a number below a bound. */
     int draw(int bound) {
         synchronized (random) {
