Published items that came before the watch of the store come into force

Callers met a front that never had a configuration, or one that did not know targets, routes and departures which its peers had long had, until each of them changed (CONFIG, on real processes only). Cause: the program starts the front, which asks peers for items, before the watch sets the feed's listener; items that came between went to the empty listener, and the mirror counted them as applied, so the watch went on behind them. Simulated processes run from start to start in one go; on real machines seven of them start side by side, and the classes of the watch are loaded meanwhile.

The watch now takes the listener's place on the front's thread and passes on what came before.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -134,6 +134,17 @@
         listener = newListener;
     }
 
+    /**
+     * Sets the listener for changes and passes it the items that came before, from peers.
+     *
+     * @param newListener the listener, called on the front's thread, as this method is
+     */
+    public void listenFromBeginning(Listener newListener) {
+        listener = newListener;
+        long readableForMillis = readableForMillis();
+        List.copyOf(mirror.all()).forEach(value -> notifyChange(value, false, readableForMillis));
+    }
+
     /**
      * Sets the listener for copies between which items may have come and gone unnoticed.
      *
