A watch that was cut is no outage in which entries expire

Requests reached targets later than 2,000 ms after the store had confirmed that their entries were gone (DRAIN). Cause: any failed read counted as an outage of the store, and its end only from the next answer; after a watch that was cut, that is a long poll which may end with the removal itself. The removal was then taken for an entry that expired in the outage and may come back, and honoured 2,000 ms after it was read.

ItemFeedTest.removalAfterAWatchThatWasCutIsNoExpiry tells the case by its times.

Now the store counts as there while it holds a call, up to its cut, and from the begin of the call that it answers. Only a time of one second without it, the shortest lifetime of an entry on the platform, is an outage, since no entry can expire in less.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -119,6 +119,19 @@
         assertThat(readableForMillis, contains(Long.MAX_VALUE, 1_500L));
     }
 
+    /** Guards against sending to a target that has left, because the watch was cut and made anew a moment before. */
+    @Test
+    void removalAfterAWatchThatWasCutIsNoExpiry() {
+        List<Long> readableForMillis = new ArrayList<>();
+        feed.applySnapshot(List.of(new PublishedValue("servers/e", new byte[0], 40)), 40);
+        feed.listener((value, afterInitialSnapshot, readable) -> readableForMillis.add(readable));
+        nowMillis = 10_000;
+        feed.serviceInterrupted("cut");
+        nowMillis = 11_300;
+        feed.applyWatchEvents(List.of(new PublishedValue("servers/e", null, 42)), 42, 10_400);
+        assertThat(readableForMillis, contains(Long.MAX_VALUE));
+    }
+
     /**
      * Guards against dropping live targets in an outage: their entries expire while the service is unreadable, so no
      * removal counts as final until it returns.
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -230,7 +230,7 @@
      */
     public void applySnapshot(Collection<PublishedValue> all, long revision) {
         boolean afterInitialSnapshot = mirror.revision() > 0;
-        recordServiceRead();
+        recordServiceRead(ticker.nowMillis());
         if (revision > mirror.revision()) {
             observationListener.accept(!afterInitialSnapshot);
         }
@@ -244,7 +244,18 @@
      * @param revision revision up to which the events are complete
      */
     public void applyWatchEvents(Collection<PublishedValue> events, long revision) {
-        recordServiceRead();
+        applyWatchEvents(events, revision, ticker.nowMillis());
+    }
+
+    /**
+     * Applies the events that a watch of the service returned.
+     *
+     * @param events changes in order; empty when nothing changed
+     * @param revision revision up to which the events are complete
+     * @param askedAtMillis monotonic time in milliseconds at which the watch began; the service was there from then on
+     */
+    public void applyWatchEvents(Collection<PublishedValue> events, long revision, long askedAtMillis) {
+        recordServiceRead(askedAtMillis);
         notifyChanges(mirror.apply(events, revision), true);
     }
 
@@ -282,6 +293,16 @@
         }
     }
 
+    /**
+     * Records that a watch which the service held was cut, so that the service was there until now.
+     *
+     * @param reason cause of the failure, for the log
+     */
+    public void serviceInterrupted(String reason) {
+        service.held(ticker.nowMillis());
+        serviceReadFailed(reason);
+    }
+
     /**
      * {@inheritDoc}
      *
@@ -410,10 +431,10 @@
                 afterInitialSnapshot);
     }
 
-    private void recordServiceRead() {
+    private void recordServiceRead(long askedAtMillis) {
         lastServiceReadAtMillis = ticker.nowMillis();
         confirmedAtMillis = lastServiceReadAtMillis;
-        if (service.readSucceeded(lastServiceReadAtMillis)) {
+        if (service.readSucceeded(lastServiceReadAtMillis, askedAtMillis)) {
             logSourceChange("peers", "service", "");
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PublisherAvailability.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PublisherAvailability.java
@@ -14,7 +14,18 @@
     /** Time after an outage during which removed entries may have expired and may be published again. */
     private static final long EXPIRED_ENTRIES_RETURN_MILLIS = 3_000;
 
+    /**
+     * Minimum length of an outage in which an entry can expire: the shortest lifetime of an entry that the service
+     * grants. A connection that is cut and made anew is no outage.
+     */
+    private static final long MIN_OUTAGE_MILLIS = 1_000;
+
+    /** Monotonic time in milliseconds until which the service is known to have been there. */
+    private long aliveAtMillis;
+    /** Monotonic time in milliseconds at which a read last failed in an outage that was long enough. */
     private long failedAtMillis = Long.MIN_VALUE / 2;
+
+    private long lastFailureAtMillis;
     private long recoveredAtMillis = Long.MIN_VALUE / 2;
     private boolean readable;
     /** True once a peer reported whether the service is readable; peers of earlier releases do not report it. */
@@ -30,24 +41,32 @@
      * @return true when its previous read succeeded
      */
     boolean readFailed(long nowMillis) {
-        failedAtMillis = nowMillis;
+        lastFailureAtMillis = nowMillis;
         boolean wasReadable = readable;
         readable = false;
         return wasReadable;
     }
 
+    /** Records that the service held a call of this process until now, though it did not answer it. */
+    void held(long nowMillis) {
+        aliveAtMillis = nowMillis;
+    }
+
     /**
      * Records that this process read the service.
      *
+     * @param askedAtMillis monotonic time in milliseconds from which the service held the call
      * @return true when its previous read failed or there was none
      */
-    boolean readSucceeded(long nowMillis) {
-        if (readable) {
-            return false;
+    boolean readSucceeded(long nowMillis, long askedAtMillis) {
+        boolean wasReadable = readable;
+        if (!wasReadable && askedAtMillis - aliveAtMillis >= MIN_OUTAGE_MILLIS) {
+            failedAtMillis = lastFailureAtMillis;
+            recoveredAtMillis = askedAtMillis;
         }
         readable = true;
-        recoveredAtMillis = nowMillis;
-        return true;
+        aliveAtMillis = nowMillis;
+        return !wasReadable;
     }
 
     /** Records the availability that a peer reports in an answer with items. */
@@ -76,10 +95,13 @@
         if (peerReported && !watching) {
             return readableByPeer ? unboundedIfLong(nowMillis - readableByPeerSinceMillis) : 0;
         }
-        if (nowMillis - failedAtMillis >= EXPIRED_ENTRIES_RETURN_MILLIS) {
-            return Long.MAX_VALUE;
+        boolean outage = !readable && nowMillis - aliveAtMillis >= MIN_OUTAGE_MILLIS;
+        if (outage && nowMillis - lastFailureAtMillis < EXPIRED_ENTRIES_RETURN_MILLIS) {
+            return 0;
         }
-        return readable ? nowMillis - recoveredAtMillis : 0;
+        return nowMillis - failedAtMillis >= EXPIRED_ENTRIES_RETURN_MILLIS
+                ? Long.MAX_VALUE
+                : nowMillis - recoveredAtMillis;
     }
 
     private static long unboundedIfLong(long millis) {
