--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -27,6 +28,9 @@
     private static final long LONG_AGO_MILLIS = TimeUnit.HOURS.toMillis(1);
 
     private static final long LEFT_MILLIS = 5_000;
+    /** Time in which fronts have surely asked for the history. */
+    private static final long HISTORY_READ_MILLIS = 1_000;
+
     private static final String LONG = "long";
     private static final String SHORT = "short";
     private static final int LONG_TIMEOUT_MILLIS = 10_000;
@@ -80,6 +84,28 @@
         assertThat("went on after the other had left for long", wentOn(SHORT + "/left"), is((long) STREAMS));
     }
 
+    /** Guards against a history that was discarded right before and is taken for one in which nothing happened. */
+    @Test
+    void streamsAreNotJoinedAfterTheStoreDiscardedItsHistory() throws Exception {
+        startWorkers("one", LONG_AGO_MILLIS, "v1", "v1");
+        List<StreamWorker> leaving = new ArrayList<>(startWorkers("left", LONG_AGO_MILLIS, "v1"));
+        startWorkers("left", LONG_AGO_MILLIS, "v2");
+        leaving.addAll(startWorkers("replaced", LONG_AGO_MILLIS, "v1", "v1"));
+        start("one", "left", "replaced");
+        begin(LONG + "/one", LONG + "/left", LONG + "/replaced");
+        assertThat("versions of left", firstVersions(LONG + "/left"), hasItem("v1"));
+        startWorkers("replaced", 0, "v2", "v2");
+        leaving.forEach(this::leave);
+        fleet.store().discardHistory();
+        fleet.fronts().parallelStream().forEach(FrontProcess::kill);
+        fleet.fronts().forEach(FrontProcess::start);
+        fleet.awaitReady();
+        takeUp(fleet.fronts());
+        awaitMillis(HISTORY_READ_MILLIS);
+        takeUp(fleet.fronts());
+        assertNoneMixed();
+    }
+
     /** Guards against fronts that take the time in which they were frozen or cut off for one without other versions. */
     @Test
     void streamsAreNotJoinedAtFrontsThatMissedAVersion() throws Exception {
@@ -230,12 +256,14 @@
     }
 
     private void assertNoneMixed() {
-        Map<String, Long> mixed = streams.entrySet().stream()
+        Map<String, Long> mixed = counts(BrokenStream::mixed);
+        assertThat("mixed " + mixed + ", went on " + counts(BrokenStream::wentOn), mixed.values(), everyItem(is(0L)));
+    }
+
+    private Map<String, Long> counts(Predicate<BrokenStream> condition) {
+        return streams.entrySet().stream()
                 .collect(Collectors.toMap(
                         Map.Entry::getKey,
-                        entry -> entry.getValue().stream()
-                                .filter(BrokenStream::mixed)
-                                .count()));
-        assertThat("mixed " + mixed, mixed.values(), everyItem(is(0L)));
+                        entry -> entry.getValue().stream().filter(condition).count()));
     }
 }
