Failing test of a stream resumed after its route's timeout was shortened

The front asks whether one version only was there for two timeouts of the route.

Not mended: the former timeout is in the store's history of the configuration, which is not read yet.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
@@ -129,6 +129,16 @@
         assertThat("mixed", resumed("v2").mixed(), is(false));
     }
 
+    /** Guards against a route whose timeout was shortened after the stream began. */
+    @Test
+    void streamIsNotJoinedIfTheTimeoutOfItsRouteWasShortened() throws Exception {
+        store.put("servers/i-2", describe("i-2", "v2", LONG_AGO_MILLIS).entry(READY));
+        store.remove("servers/i-2");
+        store.put("op/config", CONFIG.replace("\"version\":1", "\"version\":2").replace("10000", "1000"));
+        startFront();
+        assertThat("mixed", resumed("v2").mixed(), is(false));
+    }
+
     private StreamWorker describe(String id, String version, long ageMillis) {
         return new StreamWorker(id, "s", version, network + "3", System.currentTimeMillis() - ageMillis);
     }
