Cut every front's watch in the test of a worker that leaves after cuts

Inferred: a front that was in the pause between two watches has no cut, takes the removal at once, and its peers take it from there. Equally strict otherwise.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CutWatchDrainTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CutWatchDrainTest.java
@@ -16,7 +16,13 @@
     private static final int FIRST_WORKER_IP = 50;
     private static final int WORKER_PORT = 9_000;
     private static final int CALLERS = 14;
-    private static final int MIN_RUNS = 20;
+    /** Cuts in a row, which last longer than the pause between two watches, so that each front has one cut. */
+    private static final int CUTS = 12;
+
+    private static final long CUT_INTERVAL_MILLIS = 60;
+    /** Runs at the worker before it leaves, in whose time the fronts have come to wait for the store's next change. */
+    private static final int MIN_RUNS = 100;
+
     /** Time from a worker's leaving to its end, longer than the time limit for requests to it. */
     private static final long LEAVE_MILLIS = 3_500;
 
@@ -54,7 +60,10 @@
             threads.forEach(Thread::start);
             String leaving = workers.get(0).identity().id();
             DeployedFleet.await("runs", () -> runsAt(record, leaving) > MIN_RUNS);
-            fleet.store().cutWatches();
+            for (int i = 0; i < CUTS; i++) {
+                fleet.store().cutWatches();
+                TimeUnit.MILLISECONDS.sleep(CUT_INTERVAL_MILLIS);
+            }
             workers.get(0).leaveUnannounced();
             TimeUnit.MILLISECONDS.sleep(LEAVE_MILLIS);
             callers.forEach(CallerStandIn::stop);
