Hold crashes against a part only if several requests were lost with it

A part is quarantined only if at least two requests were lost with it. Until then it stays a suspect, of which one request runs at a time, so that the next lost request with the crashing part quarantines that part.

SharedPartTest.partsOfOneRequestAreNotQuarantinedWithIt: QUARANTINED before, SUSPECT asked; passes. CrashLedgerTest, SharedPartTest, CoordinatorTest and CrashingPartTest (8 of 8) pass.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/SharedPartTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/SharedPartTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
 
 import java.util.ArrayList;
 import java.util.Collections;
@@ -50,6 +51,20 @@
         assertThat(status(COMMON, 220), is(Assessment.Status.CLEAN));
     }
 
+    /** Guards against refusing sound parts that came along with a request that crashed one target after the other. */
+    @Test
+    void partsOfOneRequestAreNotQuarantinedWithIt() {
+        Fingerprint fatal = request("fatal");
+        for (int i = 0; i < 3; i++) {
+            lose(run(nextRun++, fatal, "target" + i, 100 * i, 100 * i + 10, FATAL, RARE));
+        }
+        assertThat(ledger.assess(fatal, Set.of(FATAL, RARE), 220).quarantined(), is(true));
+        assertThat(status(RARE, 220), is(Assessment.Status.SUSPECT));
+        lose("d", 300, 310, FATAL);
+        assertThat(status(FATAL, 320), is(Assessment.Status.QUARANTINED));
+        assertThat(status(RARE, 320), not(Assessment.Status.QUARANTINED));
+    }
+
     /** Guards against taking crashes within a second for one event, where the requests come together. */
     @Test
     void crashesAtAboutTheSameTimeCountEach() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/SharedPartLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/SharedPartLedger.java
@@ -257,7 +257,14 @@
     }
 
     private boolean tooManyLost(Fingerprint part, List<LostRun> sorted) {
-        return crashes(part, sorted) >= MAX_LOST_TARGETS && LostRun.consecutive(sorted) > 1;
+        return crashes(part, sorted) >= MAX_LOST_TARGETS
+                && LostRun.consecutive(sorted) > 1
+                && ofSeveralRequests(sorted);
+    }
+
+    /** Tells whether the runs of a part may be held against it, and not just against the one request that has it. */
+    private static boolean ofSeveralRequests(Collection<LostRun> runs) {
+        return runs.stream().map(LostRun::fingerprint).distinct().limit(2).count() > 1;
     }
 
     /** Returns the number of crashes that count for the quarantine of a part, of those that ended the given runs. */
