--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleetTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleetTest.java
@@ -4,8 +4,6 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
-import java.io.IOException;
-import java.net.Socket;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -41,19 +39,10 @@
             fleet.store().start();
             FrontProcess front = fleet.fronts().get(0);
             front.start();
-            DeployedFleet.await("caller port", () -> accepts(front));
+            DeployedFleet.await("caller port", front::accepts);
             front.hangUp();
             DeployedFleet.await("ready", () -> !front.running() || fleet.ready(front));
             assertThat("running", front.running(), is(true));
         }
     }
-
-    private static boolean accepts(FrontProcess front) {
-        try (Socket socket = new Socket(front.ip(), front.callerPort())) {
-            return socket.isConnected();
-        } catch (IOException e) {
-            // The port is not open yet.
-            return false;
-        }
-    }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetConfigSoakTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetConfigSoakTest.java
@@ -163,21 +163,21 @@
         }
 
         private void discardHistoryUnheard() throws InterruptedException {
-            FleetOperations.StoreImpairment unheard = operations.begin(StoreFault.UNANSWERED, ALL);
+            FleetOperations.Impairment unheard = operations.begin(StoreFault.UNANSWERED, ALL);
             TimeUnit.SECONDS.sleep(1);
             operations.discardHistory();
             unheard.end();
         }
 
         private void startWhileStoreIsDown(List<Integer> fronts, long millis) throws InterruptedException {
-            FleetOperations.StoreImpairment down = operations.begin(StoreFault.DOWN, ALL);
+            FleetOperations.Impairment down = operations.begin(StoreFault.DOWN, ALL);
             operations.killAndStart(fronts, random.nextInt(MAX_DOWN_MILLIS));
             TimeUnit.MILLISECONDS.sleep(millis);
             down.end();
         }
 
         private void impairTwice(List<Integer> fronts, long millis) throws InterruptedException {
-            FleetOperations.StoreImpairment other = operations.begin(storeFault(), ALL);
+            FleetOperations.Impairment other = operations.begin(storeFault(), ALL);
             operations.impairStore(storeFault(), fronts, millis);
             operations.freeze(fronts, millis);
             other.end();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetOperations.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetOperations.java
@@ -58,18 +58,28 @@
         spans.forEach(ContactRecord.Span::end);
     }
 
-    /** Freezes fronts for a time. */
-    void freeze(List<Integer> fronts, long millis) throws InterruptedException {
+    /** Freezes fronts until the impairment is ended. */
+    Impairment freeze(List<Integer> fronts) {
         List<ContactRecord.Span> spans = impair(fronts);
         fronts.forEach(front -> process(front).freeze());
+        return () -> {
+            fronts.forEach(front -> process(front).resume());
+            spans.forEach(ContactRecord.Span::end);
+        };
+    }
+
+    /** Freezes fronts for a time. */
+    void freeze(List<Integer> fronts, long millis) throws InterruptedException {
+        Impairment frozen = freeze(fronts);
         TimeUnit.MILLISECONDS.sleep(millis);
-        fronts.forEach(front -> process(front).resume());
-        spans.forEach(ContactRecord.Span::end);
+        frozen.end();
     }
 
-    /** Tells fronts that their settings have changed. */
+    /**
+     * Tells fronts that their settings have changed; not before their program runs, as the virtual machine ends then.
+     */
     void hangUp(List<Integer> fronts) {
-        fronts.forEach(front -> process(front).hangUp());
+        fronts.stream().map(this::process).filter(FrontProcess::accepts).forEach(FrontProcess::hangUp);
     }
 
     private List<ContactRecord.Span> impair(List<Integer> fronts) {
@@ -81,7 +91,7 @@
     }
 
     /** Begins a fault of the store towards some fronts. */
-    StoreImpairment begin(StoreFault fault, List<Integer> fronts) {
+    Impairment begin(StoreFault fault, List<Integer> fronts) {
         List<String> ips = new ArrayList<>();
         fronts.forEach(front -> ips.add(process(front).ip()));
         boolean all = fronts.size() == DeployedFleet.FRONTS;
@@ -97,7 +107,7 @@
 
     /** Impairs the store towards some fronts for a time. */
     void impairStore(StoreFault fault, List<Integer> fronts, long millis) throws InterruptedException {
-        StoreImpairment impairment = begin(fault, fronts);
+        Impairment impairment = begin(fault, fronts);
         TimeUnit.MILLISECONDS.sleep(millis);
         impairment.end();
     }
@@ -116,9 +126,9 @@
         span.end();
     }
 
-    /** A fault of the store that lasts until it is ended. */
+    /** What lasts until it is ended. */
     @FunctionalInterface
-    interface StoreImpairment {
+    interface Impairment {
         void end();
     }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -132,6 +133,16 @@
         return current != null && current.isAlive();
     }
 
+    /** Tells whether callers can connect, which is so from the start of the program on. */
+    public boolean accepts() {
+        try (Socket socket = new Socket(ip, CALLER_PORT)) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            // The port is not open.
+            return false;
+        }
+    }
+
     /** Ends the process at once. */
     public void kill() {
         process.destroyForcibly();
