--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetConfigTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetConfigTest.java
@@ -51,7 +51,7 @@
     @Test
     void changesHoldInTimeWhileStoreRefusesSomeFronts() throws Exception {
         play(scenario -> {
-            FleetOperations.StoreImpairment busy = scenario.operations().begin(StoreFault.BUSY, SOME);
+            FleetOperations.Impairment busy = scenario.operations().begin(StoreFault.BUSY, SOME);
             changeAll(scenario);
             busy.end();
         });
@@ -61,7 +61,7 @@
     @Test
     void changesHoldAfterHistoryIsDiscardedUnheard() throws Exception {
         play(scenario -> {
-            FleetOperations.StoreImpairment unheard = scenario.operations().begin(StoreFault.UNANSWERED, ALL);
+            FleetOperations.Impairment unheard = scenario.operations().begin(StoreFault.UNANSWERED, ALL);
             changeAll(scenario);
             scenario.operations().discardHistory();
             unheard.end();
