--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/ItemsBeforeWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/ItemsBeforeWatchTest.java
@@ -8,15 +8,11 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
-import org.whinwharf.front.CallerPort;
 import org.whinwharf.front.Front;
-import org.whinwharf.front.ImmutableFrontSettings;
 import org.whinwharf.platform.fleet.StoreStandIn;
 
 /** Tests a front to which peers send the published items before its own watch of the store begins. */
 class ItemsBeforeWatchTest {
-    private static final int CALLER_PORT = 18_421;
-    private static final int PEER_PORT = 18_422;
     /** Time limit for applying a change. */
     private static final long APPLY_LIMIT_MILLIS = 2_000;
     /** Time limit for what only prepares the test. */
@@ -34,8 +30,8 @@
     /** Guards against items that never come into force because peers sent them before the watch of the store began. */
     @Test
     void itemsThatPeersSendBeforeTheWatchBeginsComeIntoForce() throws Exception {
-        Front peer = front("peer", network + "1", List.of());
-        Front late = front("late", network + "2", List.of(network + "1"));
+        Front peer = LocalFront.create("peer", network + "1", List.of(), false);
+        Front late = LocalFront.create("late", network + "2", List.of(network + "1"), false);
         try (StoreStandIn store = new StoreStandIn(network + "250", 0)) {
             store.start();
             store.put("op/config", CONFIG);
@@ -52,27 +48,6 @@
         }
     }
 
-    private static Front front(String name, String ip, List<String> seedIps) throws Exception {
-        return new Front(
-                ImmutableFrontSettings.builder()
-                        .name(name)
-                        .ip(ip)
-                        .dataCentre("z")
-                        .callerAddress(ip + ":" + CALLER_PORT)
-                        .peerPort(PEER_PORT)
-                        .seedIps(seedIps)
-                        .freshFleet(false)
-                        .retryRatio(0.2)
-                        .retryAllowance(50)
-                        .retryWindowMillis(10_000)
-                        .stopGraceMillis(1_000)
-                        .metricsPort(0)
-                        .relayPort(0)
-                        .build(),
-                new PlatformDialect(),
-                CallerPort.open(ip + ":" + CALLER_PORT));
-    }
-
     private static boolean await(BooleanSupplier condition, long limitMillis) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMillis);
         while (!condition.getAsBoolean()) {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
@@ -12,9 +12,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.whinwharf.front.CallerPort;
 import org.whinwharf.front.Front;
-import org.whinwharf.front.ImmutableFrontSettings;
 import org.whinwharf.platform.fleet.BrokenStream;
 import org.whinwharf.platform.fleet.DeployedFleet;
 import org.whinwharf.platform.fleet.StoreStandIn;
@@ -23,8 +21,6 @@
 
 /** Tests which streams go on at a front that was started anew and reads the store's history. */
 class StoreWatchHistoryTest {
-    private static final int CALLER_PORT = 18_421;
-    private static final int PEER_PORT = 18_422;
     private static final long HISTORY_MILLIS = 20_000;
     private static final long LONG_AGO_MILLIS = TimeUnit.HOURS.toMillis(1);
     private static final String READY = "ready";
@@ -54,24 +50,7 @@
     }
 
     private void startFront() throws Exception {
-        front = new Front(
-                ImmutableFrontSettings.builder()
-                        .name("front")
-                        .ip(ip)
-                        .dataCentre("za")
-                        .callerAddress(ip + ":" + CALLER_PORT)
-                        .peerPort(PEER_PORT)
-                        .seedIps(List.of())
-                        .freshFleet(false)
-                        .retryRatio(0.2)
-                        .retryAllowance(50)
-                        .retryWindowMillis(10_000)
-                        .stopGraceMillis(1_000)
-                        .metricsPort(0)
-                        .relayPort(0)
-                        .build(),
-                new PlatformDialect(),
-                CallerPort.open(ip + ":" + CALLER_PORT));
+        front = LocalFront.create("front", ip, List.of(), false);
         front.start();
         new StoreWatch(front, store.address(), HISTORY_MILLIS).start();
     }
@@ -154,7 +133,7 @@
         DeployedFleet.await("stream", () -> {
             attempts++;
             last.set(BrokenStream.begun(PATH, "before", version)
-                    .call(new InetSocketAddress(ip, CALLER_PORT), "attempt" + attempts, true));
+                    .call(new InetSocketAddress(ip, LocalFront.CALLER_PORT), "attempt" + attempts, true));
             return last.get().complete() || System.nanoTime() > endNanos;
         });
         return last.get();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -26,16 +26,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.whinwharf.front.CallerPort;
 import org.whinwharf.front.Front;
-import org.whinwharf.front.ImmutableFrontSettings;
 import org.whinwharf.platform.fleet.StoreFault;
 import org.whinwharf.platform.fleet.StoreStandIn;
 
 /** Tests that a front takes over what the store publishes, whatever else is published beside it. */
 class StoreWatchTest {
-    private static final int CALLER_PORT = 18_411;
-    private static final int PEER_PORT = 18_412;
     private static final int READ_TIMEOUT_MILLIS = 5_000;
     /** Time limit for applying a change, from its confirmation. */
     private static final long APPLY_LIMIT_MILLIS = 2_000;
@@ -113,24 +109,7 @@
     void startFront() throws Exception {
         store.start();
         publishVersion("", "", "");
-        front = new Front(
-                ImmutableFrontSettings.builder()
-                        .name("front")
-                        .ip(ip)
-                        .dataCentre("z")
-                        .callerAddress(ip + ":" + CALLER_PORT)
-                        .peerPort(PEER_PORT)
-                        .seedIps(List.of())
-                        .freshFleet(true)
-                        .retryRatio(0.2)
-                        .retryAllowance(50)
-                        .retryWindowMillis(10_000)
-                        .stopGraceMillis(1_000)
-                        .metricsPort(0)
-                        .relayPort(0)
-                        .build(),
-                new PlatformDialect(),
-                CallerPort.open(ip + ":" + CALLER_PORT));
+        front = LocalFront.create("front", ip, List.of(), true);
         front.start();
         new StoreWatch(front, store.address(), 0).start();
         assertThat("first version in force", inForce(READ_TIMEOUT_MILLIS), is(true));
@@ -361,7 +340,7 @@
     }
 
     private String statusOf(String path) throws IOException {
-        try (Socket socket = new Socket(ip, CALLER_PORT)) {
+        try (Socket socket = new Socket(ip, LocalFront.CALLER_PORT)) {
             socket.setSoTimeout(READ_TIMEOUT_MILLIS);
             socket.getOutputStream()
                     .write(("GET " + path + " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\nX-Deadline-Ms: 50\r\n"
