A store that cannot be connected to is no interrupted watch

A front would drop live targets whose entries expired while the store's host was dark: a connection that timed out after 500 ms counted as a watch that the store had held until then, so no outage was seen and each removal counted as final.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -7,8 +7,10 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -39,6 +41,7 @@
     /** Time after a fault of the store from which on the front counts as in touch. */
     private static final long CONTACT_LIMIT_MILLIS = 3_000;
 
+    private static final int CONNECT_TIMEOUT_MILLIS = 200;
     private static final long POLL_MILLIS = 20;
     /** Values that a field may have by mistake. */
     private static final List<String> ODD_VALUES = List.of(
@@ -295,6 +298,37 @@
         }
     }
 
+    /** Guards against taking a store that cannot be connected to for one that was only interrupted. */
+    @Test
+    void storeThatCannotBeConnectedToIsOut() throws Exception {
+        String address = store.address();
+        int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+        store.stop();
+        List<Socket> waiting = new ArrayList<>();
+        try (ServerSocket full = new ServerSocket()) {
+            full.setReuseAddress(true);
+            full.bind(new InetSocketAddress(ip, port), 1);
+            assertThat("full", await(() -> cannotConnect(port, waiting), READ_TIMEOUT_MILLIS), is(true));
+            assertThat("outage", await(() -> front.feed().readableForMillis() == 0, READ_TIMEOUT_MILLIS), is(true));
+        } finally {
+            for (Socket socket : waiting) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Takes one place more of those that wait to be accepted; tells whether there was none. */
+    private boolean cannotConnect(int port, List<Socket> waiting) throws IOException {
+        Socket socket = new Socket();
+        waiting.add(socket);
+        try {
+            socket.connect(new InetSocketAddress(ip, port), CONNECT_TIMEOUT_MILLIS);
+            return false;
+        } catch (SocketTimeoutException e) {
+            return true;
+        }
+    }
+
     /** Returns objects with these members, each with one of them replaced by an odd value or left out. */
     private static List<String> variants(List<String> members) {
         List<String> variants = new ArrayList<>();
