Remember the version of a target that comes back at another address

A stream could be joined from two versions where the last target of a version restarts under its id at another address with another version, long after it was published: its entry was dropped without a note that its version had been there until now. Found by the review, by reading; versionOfATargetThatMovedIsNotForgotten guards the path, but passed before too, as the version is remembered for 30 s from the publication and the test does not wait.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RejoinedStreamTest.java
@@ -4,7 +4,9 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -150,6 +152,20 @@
         }
     }
 
+    /** Guards against forgetting the version of a target that comes back at another address with another version. */
+    @Test
+    void versionOfATargetThatMovedIsNotForgotten() throws Exception {
+        try (FrontFixture front = new FrontFixture()) {
+            front.publish("t", front.ip(), 9, 8, 1, 0, "v1");
+            front.publish("u", front.ip(), 10, 8, 1, 0, "v2");
+            front.publish("t", front.ip(), 11, 8, 2, 0, "v2");
+            front.run(() -> front.front().feed().applySnapshot(List.of(), 1));
+            Map<String, String> only = new HashMap<>();
+            front.run(() -> only.putAll(front.front().versions().onlyVersions()));
+            assertThat(only, is(Map.of()));
+        }
+    }
+
     private static VersionedFleet.Received resumeUnknown(VersionedFleet fleet, FrontFixture front, String stream)
             throws Exception {
         return fleet.call(
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -145,6 +145,8 @@
         boolean serviceChanged =
                 entry != null && !entry.state().target().service().equals(target.service());
         if (addressChanged || serviceChanged) {
+            Target before = entry.state().target();
+            versions.seen(before.service(), before.version(), nowMillis);
             evict(target.id());
             entry = null;
         }
