Count a reported run only if it has made an event, and end inquiries that stay unanswered

A run without events does not tell the version of a stream: its target may have been set aside for one of another version that sent the first event. And a silent target kept the connection of each inquiry, and its late answer ended the next one early.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpDialect.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpDialect.java
@@ -77,7 +77,7 @@
      * Parses the response to such a request.
      *
      * @param body body of the response
-     * @return ids of the attempts whose runs the target works on; empty if the body is not readable
+     * @return ids of the attempts whose runs have made an event; empty if the body is not readable
      */
     Set<String> readRuns(String body);
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
@@ -134,10 +134,15 @@
                 reported(reports);
                 return;
             }
+            if (ticker.nowMillis() - nowMillis >= TIMEOUT_MILLIS) {
+                entry.pool().release(acquired.connection().get());
+                return;
+            }
             Target target = entry.state().target();
             Report report =
                     new Report(reports, target.version(), acquired.connection().get());
             report.connection.send(dialect.runsRequest(target.address()), Unpooled.EMPTY_BUFFER, "", report);
+            loop.schedule(report::timedOut, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }));
         loop.schedule(reports::end, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -158,6 +163,7 @@
         private final TargetConnection connection;
         private final ByteBuf body = Unpooled.buffer();
         private boolean readable;
+        private boolean ended;
 
         Report(Reports reports, String version, TargetConnection connection) {
             this.reports = reports;
@@ -196,7 +202,15 @@
             end();
         }
 
+        void timedOut() {
+            if (!ended) {
+                connection.cancel();
+                end();
+            }
+        }
+
         private void end() {
+            ended = true;
             body.release();
             reported(reports);
         }
