A peer's answer without changes is no gap in the observation

While the store is down for all, each answer of a peer that is older than three seconds began the observation of targets anew, though nothing can have changed at the same revision: streams that nobody remembers were refused for up to 30 s after, and a line was logged each time. Found by the review, by reading; ItemFeedTest passes.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -415,9 +415,9 @@
         long nowMillis = ticker.nowMillis();
         List<PublishedValue> values = PeerItems.toPublishedValues(answer.getItemsList());
         // Changes of a peer hold only the newest state of each item.
-        boolean gap = answer.getComplete()
-                ? answer.getRevision() > mirror.revision()
-                : nowMillis - confirmedAtMillis > MAX_PEER_CHANGES_MILLIS || mirror.missedItem(values);
+        boolean late = nowMillis - confirmedAtMillis > MAX_PEER_CHANGES_MILLIS;
+        boolean gap =
+                answer.getRevision() > mirror.revision() && (answer.getComplete() || late || mirror.missedItem(values));
         if (gap) {
             observationListener.accept(mirror.revision() == 0);
         }
