--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreDecoderTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreDecoderTest.java
@@ -93,4 +93,13 @@
     void malformedEntryYieldsNoTarget(String text) {
         assertThat(StoreDecoder.target("i-1", json(text)).isPresent(), is(false));
     }
+
+    /** Guards against an entry that is nested so deeply that reading it exhausts the stack of the front's thread. */
+    @Test
+    void deeplyNestedEntryYieldsNoTarget() {
+        String entry = "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'v','slots':7,'state':'ready','x':";
+        assertThat(StoreDecoder.target("i-1", json(entry + "[]}")).isPresent(), is(true));
+        String deep = "[".repeat(900) + "]".repeat(900);
+        assertThat(StoreDecoder.target("i-1", json(entry + deep + "}")).isPresent(), is(false));
+    }
 }
