--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -76,7 +76,8 @@
          * @param value the changed item or its removal
          * @param afterInitialSnapshot false for the items of the first snapshot
          * @param readableForMillis time in milliseconds for which the service has been readable without interruption; 0
-         *     while it is unreadable, {@link Long#MAX_VALUE} when no outage is known or the last one ended long ago
+         *     in an outage long enough for entries to expire, {@link Long#MAX_VALUE} when no outage is known or the
+         *     last one ended long ago
          */
         void itemChanged(PublishedValue value, boolean afterInitialSnapshot, long readableForMillis);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFreshness.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFreshness.java
@@ -12,8 +12,8 @@
     /**
      * Returns how long the publishing service has been readable without interruption.
      *
-     * @return milliseconds; 0 while it is unreadable, {@link Long#MAX_VALUE} when no outage is known or the last one
-     *     ended long ago
+     * @return milliseconds; 0 in an outage long enough for entries to expire, {@link Long#MAX_VALUE} when no outage is
+     *     known or the last one ended long ago
      */
     long readableForMillis();
 
