Begin the streams of the test of rejoined fleets at the version that leaves

A stream is now begun with further attempts until one brings an event, and the version that stays is published after the streams have begun, so that all 14 belong to the one that leaves: the checks are the same and meet more streams.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
@@ -60,12 +61,12 @@
         startWorkers("one", LONG_AGO_MILLIS, "v1", "v1");
         startWorkers("both", LONG_AGO_MILLIS, "v1", "v2");
         List<StreamWorker> leaving = new ArrayList<>(startWorkers("left", LONG_AGO_MILLIS, "v1"));
-        startWorkers("left", LONG_AGO_MILLIS, "v2");
         leaving.addAll(startWorkers("replaced", LONG_AGO_MILLIS, "v1", "v1"));
         start("one", "both", "left", "replaced");
         fleet.store().discardHistory();
         begin(LONG + "/one", LONG + "/both", LONG + "/left", LONG + "/replaced");
         assertThat("versions of left", firstVersions(LONG + "/left"), hasItem("v1"));
+        startWorkers("left", LONG_AGO_MILLIS, "v2");
         startWorkers("replaced", 0, "v2", "v2");
         startWorkers("one", 0, "v1");
         leaving.forEach(this::leave);
@@ -89,11 +90,11 @@
     void streamsAreNotJoinedAfterTheStoreDiscardedItsHistory() throws Exception {
         startWorkers("one", LONG_AGO_MILLIS, "v1", "v1");
         List<StreamWorker> leaving = new ArrayList<>(startWorkers("left", LONG_AGO_MILLIS, "v1"));
-        startWorkers("left", LONG_AGO_MILLIS, "v2");
         leaving.addAll(startWorkers("replaced", LONG_AGO_MILLIS, "v1", "v1"));
         start("one", "left", "replaced");
         begin(LONG + "/one", LONG + "/left", LONG + "/replaced");
         assertThat("versions of left", firstVersions(LONG + "/left"), hasItem("v1"));
+        startWorkers("left", LONG_AGO_MILLIS, "v2");
         startWorkers("replaced", 0, "v2", "v2");
         leaving.forEach(this::leave);
         fleet.store().discardHistory();
@@ -213,8 +214,7 @@
     private void beginAt(List<FrontProcess> fronts, String route) {
         List<BrokenStream> begun = new ArrayList<>();
         for (int i = 0; i < STREAMS; i++) {
-            BrokenStream stream = BrokenStream.nothing("/" + route + "/" + i);
-            begun.add(stream.call(fronts.get(i % fronts.size()).callerAddress(), nextAttempt(), false));
+            begun.add(begin(fronts.get(i % fronts.size()), "/" + route + "/" + i));
         }
         streams.put(route, begun);
         assertThat(
@@ -223,6 +223,16 @@
                 everyItem(is(StreamWorker.EVENTS_BEFORE_BREAK)));
     }
 
+    /** Begins a stream, with further attempts until one brings an event. */
+    private BrokenStream begin(FrontProcess front, String path) {
+        AtomicReference<BrokenStream> stream = new AtomicReference<>(BrokenStream.nothing(path));
+        DeployedFleet.await("first event of " + path, () -> {
+            stream.updateAndGet(nothing -> nothing.call(front.callerAddress(), nextAttempt(), false));
+            return !stream.get().versions().isEmpty();
+        });
+        return stream.get();
+    }
+
     private List<String> firstVersions(String route) {
         return streams.get(route).stream()
                 .map(stream -> stream.versions().get(0))
