Wait until the stopped store has let go of its port in the test of a full backlog

StoreWatchTest.storeThatCannotBeConnectedToIsOut ended with BindException once, in a run of all modules beside other work: the thread that accepts may still hold the socket when stop has returned. The test binds again until it can, and checks the same.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -6,6 +6,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -307,7 +308,7 @@
         List<Socket> waiting = new ArrayList<>();
         try (ServerSocket full = new ServerSocket()) {
             full.setReuseAddress(true);
-            full.bind(new InetSocketAddress(ip, port), 1);
+            assertThat("bound", await(() -> tryBind(full, port), READ_TIMEOUT_MILLIS), is(true));
             assertThat("full", await(() -> cannotConnect(port, waiting), READ_TIMEOUT_MILLIS), is(true));
             assertThat("outage", await(() -> front.feed().readableForMillis() == 0, READ_TIMEOUT_MILLIS), is(true));
         } finally {
@@ -317,6 +318,16 @@
         }
     }
 
+    /** Binds to the port of the store, which may not have let go of it yet. */
+    private boolean tryBind(ServerSocket server, int port) throws IOException {
+        try {
+            server.bind(new InetSocketAddress(ip, port), 1);
+            return true;
+        } catch (BindException e) {
+            return false;
+        }
+    }
+
     /** Takes one place more of those that wait to be accepted; tells whether there was none. */
     private boolean cannotConnect(int port, List<Socket> waiting) throws IOException {
         Socket socket = new Socket();
