Assume that callers follow a stream for 20 s at least

Callers that took a stream up again after all fronts were killed got a text joined from two versions, if their route had a short timeout.

Cause: the version of a stream that nobody remembers is inferred from what served within two timeouts of its route. That is no bound for the age of a stream: the time limit is the caller's own, and the timeout may have been longer when the stream began.

Ways weighed: 30 s always, the time for which origins are kept, would refuse every stream for 10 s after a kill, as the store states 20 s of history; the longest timeout of the route in the store's history reads old configurations and still takes a timeout for the caller's limit. A least span of 20 s is what the history covers. Cost: where a version left less than 20 s ago, streams of routes with short timeouts are refused (not run, come back in 2 s) until then.

Its old expectation, that streams of that route go on 2 s after the kill, rested on the same wrong bound; now they go on once the other version has left for 20 s, and none is joined before. PublicationObservationTest has the least span in addition.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
@@ -28,6 +28,9 @@
     /** Long before any stream of the test. */
     private static final long LONG_AGO_MILLIS = TimeUnit.HOURS.toMillis(1);
 
+    /** Age that no stream of the routes here reaches. */
+    private static final long MAX_STREAM_AGE_MILLIS = 20_000;
+
     private static final long LEFT_MILLIS = 5_000;
     /** Time in which fronts have surely asked for the history. */
     private static final long HISTORY_READ_MILLIS = 1_000;
@@ -35,7 +38,7 @@
     private static final String LONG = "long";
     private static final String SHORT = "short";
     private static final int LONG_TIMEOUT_MILLIS = 10_000;
-    /** Such that streams end before the workers that began them have been gone for {@link #LEFT_MILLIS}. */
+    /** Shorter than {@link #LEFT_MILLIS}, as callers follow their streams for longer than the timeout of a route. */
     private static final int SHORT_TIMEOUT_MILLIS = 1_000;
 
     private final List<StreamWorker> workers = new ArrayList<>();
@@ -64,7 +67,7 @@
         leaving.addAll(startWorkers("replaced", LONG_AGO_MILLIS, "v1", "v1"));
         start("one", "both", "left", "replaced");
         fleet.store().discardHistory();
-        begin(LONG + "/one", LONG + "/both", LONG + "/left", LONG + "/replaced");
+        begin(LONG + "/one", LONG + "/both", LONG + "/left", LONG + "/replaced", SHORT + "/replaced");
         assertThat("versions of left", firstVersions(LONG + "/left"), hasItem("v1"));
         startWorkers("left", LONG_AGO_MILLIS, "v2");
         startWorkers("replaced", 0, "v2", "v2");
@@ -82,6 +85,10 @@
         awaitMillis(2 * SHORT_TIMEOUT_MILLIS);
         takeUp(fleet.fronts());
         assertNoneMixed();
+        streams.keySet().removeIf(route -> !route.equals(SHORT + "/left"));
+        awaitMillis(MAX_STREAM_AGE_MILLIS);
+        takeUp(fleet.fronts());
+        assertNoneMixed();
         assertThat("went on after the other had left for long", wentOn(SHORT + "/left"), is((long) STREAMS));
     }
 
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PublicationObservationTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/PublicationObservationTest.java
@@ -49,10 +49,12 @@
         assertThat(observation.dependsOnHistory(500, 1_500), is(false));
     }
 
-    /** Guards against asking for a longer past than a stream can have. */
+    /** Guards against asking for a longer past than a stream can have, or for a shorter one. */
     @Test
-    void streamIsNoOlderThanTheAttemptsOfItsCaller() {
+    void streamIsNoOlderThanTheTimeLimitOfItsCaller() {
+        assertThat(StreamOrigins.maxAgeMillis(1_000), is(20_000L));
         assertThat(StreamOrigins.maxAgeMillis(10_000), is(20_000L));
+        assertThat(StreamOrigins.maxAgeMillis(12_000), is(24_000L));
         assertThat(StreamOrigins.maxAgeMillis(60_000), is(StreamOrigins.RETENTION_MILLIS));
     }
 }
