Take failed reads for an outage only if entries can have expired in it

Cause: a removal after an outage of the store may be an expiry, so it is honoured two seconds later. Any second without a successful or held call counted as such an outage. A watch that is cut within 100 ms of its begin cannot be told from a refused call, and a series of cuts hits each new watch early; on a slow machine the twelve cuts of the test take more than a second.

Ways weighed: a shorter time from which a cut watch counts as held takes refusing calls for answers; asking peers whether they read the service does not help when all watches are cut. An entry expires after three heartbeat intervals, and its last write is one interval old at most when an outage begins, so no outage below one and a half intervals can have expired it. The interval is in the deployment's file (1,200 ms there); without it the second stays.

ItemFeedTest covers both sides of the bound. An outage that begins as silence and goes on with refusals can still be taken for shorter than it was.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -132,6 +133,37 @@
         assertThat(readableForMillis, contains(Long.MAX_VALUE));
     }
 
+    /** Guards against sending to a target that left after failed reads that were too short for its entry to expire. */
+    @Test
+    void removalIsNoExpiryIfReadsFailedForLessThanALifetime() {
+        assertThat(readableForMillisAfterFailedReads(1_700), is(Long.MAX_VALUE));
+        assertThat(readableForMillisAfterFailedReads(2_400), is(0L));
+    }
+
+    /** Returns the time for which the service counts as readable at a removal that the first read brings. */
+    private static long readableForMillisAfterFailedReads(long failedForMillis) {
+        AtomicLong clockMillis = new AtomicLong(10_000);
+        ItemFeed heartbeatFeed = new ItemFeed(
+                ImmutableFrontSettings.builder()
+                        .from(FeedFixture.settings("front-50", "10.0.0.50", "a"))
+                        .targetHeartbeatMillis(1_200)
+                        .build(),
+                new MemberTable(report("front-50", 0, false)),
+                new ItemMirror(),
+                new FakePeers(),
+                clockMillis::get,
+                new Random(1));
+        AtomicLong readableForMillis = new AtomicLong(-1);
+        heartbeatFeed.applySnapshot(List.of(new PublishedValue("servers/e", new byte[0], 40)), 40);
+        heartbeatFeed.listener((value, afterInitialSnapshot, readable) -> readableForMillis.set(readable));
+        for (long waitedMillis = 0; waitedMillis < failedForMillis; waitedMillis += 100) {
+            heartbeatFeed.serviceReadFailed("closed");
+            clockMillis.addAndGet(100);
+        }
+        heartbeatFeed.applyWatchEvents(List.of(new PublishedValue("servers/e", null, 42)), 42);
+        return readableForMillis.get();
+    }
+
     /**
      * Guards against dropping live targets in an outage: their entries expire while the service is unreadable, so no
      * removal counts as final until it returns.
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontSettings.java
@@ -101,6 +101,16 @@
         return 0;
     }
 
+    /**
+     * Returns the time between two writes of a target to its entry, which expires after three such times without one.
+     *
+     * @return time in milliseconds; 0 when unknown
+     */
+    @Value.Default
+    default long targetHeartbeatMillis() {
+        return 0;
+    }
+
     /**
      * Returns the processor time that this process may use.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -88,7 +88,7 @@
     private final PeerItemSource peers;
     private final Ticker ticker;
     private final Random random;
-    private final PublisherAvailability service = new PublisherAvailability();
+    private final PublisherAvailability service;
     private Consumer<Boolean> observationListener = first -> {};
     private Listener listener = (value, afterInitialSnapshot, readableForMillis) -> {};
     private long lastServiceReadAtMillis = Long.MIN_VALUE / 2;
@@ -119,6 +119,7 @@
             Ticker ticker,
             Random random) {
         this.settings = settings;
+        service = new PublisherAvailability(settings.targetHeartbeatMillis());
         this.members = members;
         this.mirror = mirror;
         this.peers = peers;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PublisherAvailability.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PublisherAvailability.java
@@ -14,12 +14,16 @@
     /** Time after an outage during which removed entries may have expired and may be published again. */
     private static final long EXPIRED_ENTRIES_RETURN_MILLIS = 3_000;
 
+    /** Minimum length of an outage in which an entry can expire, if the targets' heartbeat interval is unknown. */
+    private static final long DEFAULT_MIN_OUTAGE_MILLIS = 1_000;
     /**
-     * Minimum length of an outage in which an entry can expire: the shortest lifetime of an entry that the service
-     * grants. A connection that is cut and made anew is no outage.
+     * The same in heartbeat intervals. An entry expires after three of them, and its last write is one old at most when
+     * an outage begins; the rest is a margin for late writes.
      */
-    private static final long MIN_OUTAGE_MILLIS = 1_000;
+    private static final double MIN_OUTAGE_HEARTBEATS = 1.5;
 
+    /** Minimum length of an outage in which an entry can expire; calls that fail for a shorter time are no outage. */
+    private final long minOutageMillis;
     /** Monotonic time in milliseconds until which the service is known to have been there. */
     private long aliveAtMillis;
     /** Monotonic time in milliseconds at which a read last failed in an outage that was long enough. */
@@ -35,6 +39,17 @@
     /** Monotonic time in milliseconds since which the service is readable according to that answer. */
     private long readableByPeerSinceMillis;
 
+    /**
+     * Creates a record without observations.
+     *
+     * @param targetHeartbeatMillis time between two writes of a target to its entry; 0 if unknown
+     */
+    PublisherAvailability(long targetHeartbeatMillis) {
+        minOutageMillis = targetHeartbeatMillis == 0
+                ? DEFAULT_MIN_OUTAGE_MILLIS
+                : (long) (MIN_OUTAGE_HEARTBEATS * targetHeartbeatMillis);
+    }
+
     /**
      * Records that this process failed to read the service.
      *
@@ -60,7 +75,7 @@
      */
     boolean readSucceeded(long nowMillis, long askedAtMillis) {
         boolean wasReadable = readable;
-        if (!wasReadable && askedAtMillis - aliveAtMillis >= MIN_OUTAGE_MILLIS) {
+        if (!wasReadable && askedAtMillis - aliveAtMillis >= minOutageMillis) {
             failedAtMillis = lastFailureAtMillis;
             recoveredAtMillis = askedAtMillis;
         }
@@ -95,7 +110,7 @@
         if (peerReported && !watching) {
             return readableByPeer ? unboundedIfLong(nowMillis - readableByPeerSinceMillis) : 0;
         }
-        boolean outage = !readable && nowMillis - aliveAtMillis >= MIN_OUTAGE_MILLIS;
+        boolean outage = !readable && nowMillis - aliveAtMillis >= minOutageMillis;
         if (outage && nowMillis - lastFailureAtMillis < EXPIRED_ENTRIES_RETURN_MILLIS) {
             return 0;
         }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/FrontFileReaderTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/FrontFileReaderTest.java
@@ -20,7 +20,8 @@
              "readyAddress": "10.0.0.1:2", "directoryAddress": "10.0.0.1:3", "peerPort": 4,
              "seedAddresses": ["10.0.0.2:4", "10.0.0.3:4"], "freshFleet": true, "retryRatio": 0.2, "retryAllowance": 54,
              "retryWindowSeconds": 10, "stopGraceSeconds": 8, "directorySeconds": 5, "storeAddress": "10.0.0.9:5",
-             "storeHistorySeconds": 20, "metricsPort": 6, "relayPort": 7, "cores": 2, "coreShare": 0.75, "disabledMechanisms": ["JOINED_RANKS"]}
+             "storeHistorySeconds": 20, "targetHeartbeatMillis": 1200, "metricsPort": 6, "relayPort": 7, "cores": 2,
+             "coreShare": 0.75, "disabledMechanisms": ["JOINED_RANKS"]}
             """;
 
     @TempDir
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
@@ -18,6 +18,7 @@
     private static final int CONTROL_PORT = 8229;
     private static final int DIRECTORY_PORT = 8220;
     private static final List<Integer> PEER_PORTS = List.of(7600, 7615);
+    private static final int WORKER_HEARTBEAT_MILLIS = 1_200;
     private static final long EXIT_TIMEOUT_SECONDS = 20;
     private static final List<String> PASSED_VARIABLES = List.of("PATH", "HOME", "JAVA_HOME", "LANG");
 
@@ -78,6 +79,7 @@
                 Map.of("address", storeAddress, "history-s", StoreStandIn.HISTORY_SECONDS),
                 "limits",
                 Map.of("cores", 1, "cpu-share", 0.75)));
+        fields.put("heartbeat-ms", WORKER_HEARTBEAT_MILLIS);
     }
 
     /** Returns the address under which a front is a seed of others. */
