Infer no version if a discarded history may hide a removal

Callers that took a stream up again got a text joined from two versions if the store had discarded its history sooner than it states, a version had just left, and all fronts were killed.

Cause: nothing left of the history was taken for nothing that happened. The events have no times, so an early discard looks like a quiet store.

Ways weighed: to refuse wherever nothing is left refuses every stream of a quiet fleet (StoreHistoryTest.quietStoreHasNoOtherVersions); to ask further what the revisions between the items can be needs times that the store does not give. If the last change of the store is one that an item shows, it was a write; if no item shows it, it was a removal, and with nothing left of the history it may be a moment old. Only then is nothing inferred.

StoreHistoryTest has the case of its own; its other cases say now whether the copy shows the last change.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -165,6 +165,16 @@
         return mirror.revision();
     }
 
+    /**
+     * Tells whether one of the local items was written at the revision of the local items, so that the last change was
+     * no removal.
+     *
+     * @return true if there is such an item
+     */
+    public boolean lastChangeHeld() {
+        return mirror.all().stream().anyMatch(value -> value.revision() == mirror.revision());
+    }
+
     @Override
     public long ageMillis() {
         return ticker.nowMillis() - confirmedAtMillis;
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
@@ -43,7 +43,7 @@
         write("a", "v1");
         write("b", "v2");
         store.remove("servers/a");
-        TargetHistory history = read();
+        TargetHistory history = startReading(false).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
         assertThat(
                 history.versions(),
                 containsInAnyOrder(new PublishedVersion("s", "v1"), new PublishedVersion("s", "v2")));
@@ -84,13 +84,23 @@
         assertThat(history.reachMillis(), is(KEPT_MILLIS));
     }
 
+    /** Guards against a store that has just discarded its history, in which a worker left. */
+    @Test
+    void discardedRemovalLeavesThePastUnknown() throws Exception {
+        write("a", "v1");
+        write("b", "v2");
+        store.remove("servers/a");
+        store.discardHistory();
+        assertThat(startReading(false).get(TIMEOUT_SECONDS, TimeUnit.SECONDS).reachMillis(), is(0L));
+    }
+
     /** Guards against a search that ends with the first refused call, as those of a fleet that starts at once are. */
     @Test
     void refusedCallsAreRepeated() throws Exception {
         write("a", "v1");
         store.remove("servers/a");
         store.begin(StoreFault.BUSY);
-        CompletableFuture<TargetHistory> reading = startReading();
+        CompletableFuture<TargetHistory> reading = startReading(false);
         store.awaitAnswers(2);
         store.endFaults();
         assertThat(
@@ -106,14 +116,14 @@
     }
 
     private TargetHistory read() throws Exception {
-        return startReading().get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return startReading(true).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
-    private CompletableFuture<TargetHistory> startReading() {
+    private CompletableFuture<TargetHistory> startReading(boolean lastChangeHeld) {
         CompletableFuture<TargetHistory> read = new CompletableFuture<>();
         StoreClient client = new StoreClient(loop, store.address());
         StoreHistory history = new StoreHistory(loop, client, "servers/", KEPT_MILLIS, read::complete);
-        loop.execute(() -> history.readBackFrom(store.revision()));
+        loop.execute(() -> history.readBackFrom(store.revision(), lastChangeHeld));
         return read;
     }
 }
