--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -40,34 +40,10 @@
      * host.
      */
     private static final long WATCH_CATCH_UP_MILLIS = 400;
-    /**
-     * Pause between watches of the first watcher of a data centre, during which changes are coalesced. In a large
-     * fleet, engines change their entries many times a second, and each change ends a watch; coalescing them reduces
-     * the number of calls to a third. The strictest time limit for applying a change, two seconds for a departing
-     * target, is ten times as long.
-     */
-    private static final long COALESCE_MILLIS = 200;
-    /**
-     * The same pause of the other watchers after a change. They hear of most changes from the first one, and watch to
-     * be in touch when it is cut off or leaves.
-     */
-    private static final long STANDBY_COALESCE_MILLIS = 600;
     /** Time for which a peer may hold a poll until an item changes. */
     private static final long PEER_LONG_POLL_MILLIS = 1_000;
-    /** Fleet size up to which every process watches the service. */
-    private static final int SMALL_FLEET_LIMIT = 12;
-    /** Watchers in each data centre of a larger fleet: one may fail while another is being replaced. */
-    private static final int WATCHERS_PER_DATA_CENTRE = 3;
-
     /** Time between two answers of peers in which no target can have been published and removed unnoticed. */
     private static final long MAX_PEER_CHANGES_MILLIS = 3_000;
-    /** Age beyond which items are stale: longer than a watch, the interval after it and a poll of a peer together. */
-    private static final long STALE_THRESHOLD_MILLIS = 4_750;
-    /** Delay between the takeovers of successive processes; longer than a first answer takes to reach the next one. */
-    private static final long TAKE_OVER_STAGGER_MILLIS = 500;
-    /** Time for which a process watches after a takeover. */
-    private static final long TAKE_OVER_DURATION_MILLIS = 10_000;
-
     /** Receives changes of published items. */
     public interface Listener {
         /**
@@ -89,11 +65,11 @@
     private final Ticker ticker;
     private final Random random;
     private final PublisherAvailability service;
+    private final WatcherRole role;
     private Consumer<Boolean> observationListener = first -> {};
     private Listener listener = (value, afterInitialSnapshot, readableForMillis) -> {};
     private long lastServiceReadAtMillis = Long.MIN_VALUE / 2;
     private long confirmedAtMillis;
-    private long takenOverUntilMillis = Long.MIN_VALUE;
     private boolean pollInFlight;
     private boolean catchUpInFlight;
     private String lastPeerIp = "";
@@ -120,6 +96,7 @@
             Random random) {
         this.settings = settings;
         service = new PublisherAvailability(settings.targetHeartbeatMillis());
+        role = new WatcherRole(settings, members, ticker);
         this.members = members;
         this.mirror = mirror;
         this.peers = peers;
@@ -186,7 +163,7 @@
      * @return true for the first processes of the data centre by name, in a small fleet, and after a takeover
      */
     public boolean shouldWatch() {
-        return ticker.nowMillis() < takenOverUntilMillis || watchRank() < WATCHERS_PER_DATA_CENTRE;
+        return role.shouldWatch();
     }
 
     /**
@@ -197,41 +174,7 @@
      * @return time in milliseconds
      */
     public long watchPauseMillis(boolean changed) {
-        boolean standby = rankInDataCentre(members.alive(ticker.nowMillis())) > 0;
-        return changed && standby ? STANDBY_COALESCE_MILLIS : COALESCE_MILLIS;
-    }
-
-    /** Returns the rank in the data centre; 0 in a small fleet, where every process watches. */
-    private int watchRank() {
-        List<Member> alive = members.alive(ticker.nowMillis());
-        return alive.size() < SMALL_FLEET_LIMIT ? 0 : rankInDataCentre(alive);
-    }
-
-    /** Returns how many live processes of this data centre precede this one by name. */
-    private int rankInDataCentre(List<Member> alive) {
-        int rank = 0;
-        for (Member member : alive) {
-            MemberReport report = member.report();
-            boolean sameDataCentre = report.getDataCentre().equals(settings.dataCentre());
-            if (sameDataCentre && report.getName().compareTo(settings.name()) < 0) {
-                rank++;
-            }
-        }
-        return rank;
-    }
-
-    /**
-     * Starts to watch when the items are stale, because all designated watchers may be cut off from the service. The
-     * other processes take over one after the other by rank, until one of them gets an answer.
-     */
-    private void takeOverIfStale() {
-        if (mirror.revision() == 0 || ageMillis() <= STALE_THRESHOLD_MILLIS) {
-            return;
-        }
-        int position = Math.max(0, watchRank() - WATCHERS_PER_DATA_CENTRE);
-        if (ageMillis() > STALE_THRESHOLD_MILLIS + position * TAKE_OVER_STAGGER_MILLIS) {
-            takenOverUntilMillis = ticker.nowMillis() + TAKE_OVER_DURATION_MILLIS;
-        }
+        return role.pauseMillis(changed);
     }
 
     /**
@@ -370,7 +313,9 @@
 
     /** Requests items from peers when they have newer ones or when the local watch does not work. */
     void tick() {
-        takeOverIfStale();
+        if (mirror.revision() > 0) {
+            role.takeOverIfStale(ageMillis());
+        }
         catchUp();
         if (pollInFlight || watchHealthy()) {
             return;
