--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -43,6 +44,13 @@
     private static final long CONTACT_LIMIT_MILLIS = 3_000;
 
     private static final int CONNECT_TIMEOUT_MILLIS = 200;
+    /** Time for which the store discards its history after each change. */
+    private static final long DISCARDING_MILLIS = 2_000;
+    /** Pause of the first watcher between two watches. */
+    private static final long PAUSE_MILLIS = 200;
+    /** Calls of a copy: the refused watch and a page of each of the two prefixes. */
+    private static final long CALLS_OF_COPY = 3;
+
     private static final long POLL_MILLIS = 20;
     /** Values that a field may have by mistake. */
     private static final List<String> ODD_VALUES = List.of(
@@ -282,6 +290,22 @@
         assertThat("all seen", await(() -> seen.equals(published), CONTACT_LIMIT_MILLIS), is(true));
     }
 
+    /** Guards against copies without a pause, which take the read calls of the whole fleet from the store. */
+    @Test
+    void copiesAfterDiscardedHistoriesPauseAsWatchesDo() throws Exception {
+        long answered = store.answers();
+        long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(DISCARDING_MILLIS);
+        while (System.nanoTime() < endNanos) {
+            store.put("servers/a", "{}");
+            store.discardHistory();
+            TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
+        }
+        assertThat(
+                store.answers() - answered, lessThanOrEqualTo(CALLS_OF_COPY * (DISCARDING_MILLIS / PAUSE_MILLIS + 2)));
+        publishVersion("", "", "");
+        assertThat("in force", inForce(APPLY_LIMIT_MILLIS), is(true));
+    }
+
     /** Guards against a watch that recovers too slowly, or not at all, from what the store did to it. */
     @ParameterizedTest
     @EnumSource(StoreFault.class)
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreStandIn.java
@@ -264,6 +264,11 @@
         }
     }
 
+    /** Returns how many calls the store has answered, or failed to answer. */
+    public synchronized long answers() {
+        return answers;
+    }
+
     private synchronized void countAnswer() {
         answers++;
         notifyAll();
