--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
@@ -94,6 +94,39 @@
         assertThat(startReading(false).get(TIMEOUT_SECONDS, TimeUnit.SECONDS).reachMillis(), is(0L));
     }
 
+    /**
+     * Guards against a worker that left between the pages of the copy, so that neither the copy nor the history names
+     * it.
+     */
+    @Test
+    void removalDuringTheCopyLeavesThePastUnknown() throws Exception {
+        write("a", "v1");
+        write("b", "v2");
+        store.discardHistory();
+        long copyRevision = store.revision();
+        store.remove("servers/a");
+        assertThat(
+                readFrom(copyRevision, true)
+                        .get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                        .reachMillis(),
+                is(0L));
+    }
+
+    /** Guards against taking a history that begins after the copy for one that covers the time before it. */
+    @Test
+    void historyThatBeginsAfterTheCopyLeavesThePastUnknown() throws Exception {
+        write("a", "v1");
+        write("b", "v2");
+        long copyRevision = store.revision();
+        store.remove("servers/a");
+        store.discardHistory();
+        assertThat(
+                readFrom(copyRevision, true)
+                        .get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                        .reachMillis(),
+                is(0L));
+    }
+
     /** Guards against a search that ends with the first refused call, as those of a fleet that starts at once are. */
     @Test
     void refusedCallsAreRepeated() throws Exception {
@@ -120,10 +153,14 @@
     }
 
     private CompletableFuture<TargetHistory> startReading(boolean lastChangeHeld) {
+        return readFrom(store.revision(), lastChangeHeld);
+    }
+
+    private CompletableFuture<TargetHistory> readFrom(long copyRevision, boolean lastChangeHeld) {
         CompletableFuture<TargetHistory> read = new CompletableFuture<>();
         StoreClient client = new StoreClient(loop, store.address());
         StoreHistory history = new StoreHistory(loop, client, "servers/", KEPT_MILLIS, read::complete);
-        loop.execute(() -> history.readBackFrom(store.revision(), lastChangeHeld));
+        loop.execute(() -> history.readBackFrom(copyRevision, lastChangeHeld));
         return read;
     }
 }
