--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
@@ -133,6 +133,29 @@
         }
     }
 
+    /**
+     * Guards against changes that are lost because a second copy of a page stands for the events up to its revision.
+     */
+    @Test
+    void secondAnswerToARangeIsNotTakenForThatToAWatch() throws Exception {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        try (StoreStandIn store = new StoreStandIn(IP, 0)) {
+            store.start();
+            long copyRevision = store.put("op/a", "").revision();
+            store.put("op/a", "");
+            store.put("servers/b", "");
+            store.begin(StoreFault.TWICE);
+            StoreClient client = new StoreClient(loop, store.address());
+            StoreClient.Callback events = new PageCallback(
+                    page -> outcome.complete(page.values().get(0).key()), outcome::complete);
+            loop.execute(() -> client.range(
+                    "servers/",
+                    "",
+                    new PageCallback(page -> client.watch("", copyRevision, 0, events), outcome::complete)));
+            assertThat(outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), is("op/a"));
+        }
+    }
+
     private record PageCallback(Consumer<StoreClient.Page> pages, Consumer<String> failures)
             implements StoreClient.Callback {
         @Override
