Judge departures that were confirmed while the store was impaired

What callers saw: nothing; a check of the rig was blind. A worker that said that it leaves, or whose entry was removed, while the store was impaired or less than 3 s after that was never judged for DRAIN, however late a request reached it and however sound all was by then.

Cause: the verdict skipped the whole departure if the store was not stable at its confirmation. Faults follow each other within seconds in FleetConfigSoakTest, so that this was most of them.

Evidence: planted breaches for DRAIN and EVAC, of which there were none. Before the mend, one of the nine tests of FleetVerdictTest failed: no breach for a request 3,100 ms after a departure that was confirmed right after an impairment, the store being stable for over 3 s.

Ways weighed: extended bounds while the store is impaired, as for EVAC: a removed entry may come back for two seconds from each return of the service, so that no bound is known to hold then. Chosen: leave that, and judge each departure at the times at which the store has been stable and all fronts have run for 3 s, as CONFIG and EVAC do.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetVerdict.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetVerdict.java
@@ -192,12 +192,12 @@
         }
     }
 
-    /** Judges the requests that reached workers that had left. */
+    /**
+     * Judges the requests that reached workers that had left; a departure while the store is impaired must hold as well
+     * once the store and the fronts have been sound for long enough.
+     */
     void judgeDepartures(List<Departure> departures) {
         for (Departure departure : departures) {
-            if (!contact.stable(departure.confirmedNanos(), departure.confirmedNanos())) {
-                continue;
-            }
             for (RecordingTarget.Arrival arrival : departure.target().arrivals()) {
                 long lateMillis = TimeUnit.NANOSECONDS.toMillis(arrival.atNanos() - departure.confirmedNanos());
                 boolean bound = allRan(arrival) && contact.stable(arrival.atNanos(), arrival.atNanos());
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetVerdictTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetVerdictTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.Test;
 import org.whinwharf.platform.fleet.FleetCallers.Exchange;
 import org.whinwharf.platform.fleet.FleetCallers.Subject;
+import org.whinwharf.platform.fleet.FleetVerdict.Departure;
+import org.whinwharf.platform.fleet.FleetVerdict.Evacuation;
 
 /** Tests that the verdict on a fleet finds breaches, and only these. */
 class FleetVerdictTest {
@@ -76,6 +78,85 @@
         assertThat(breaches(exchange(0, 7_100, "s")), is(empty()));
     }
 
+    /** Guards against a verdict that passes over a request at a worker that has left (DRAIN). */
+    @Test
+    void requestAtWorkerThatLeftIsBreachAfterBound() {
+        assertThat(breachesOfDeparture(-1, 2_000), is(empty()));
+        assertThat(breachesOfDeparture(2_001), contains(startsWith("DRAIN 0-a reached t 2001 ms")));
+        assertThat(breachesOfDeparture(60_000), contains(startsWith("DRAIN 0-a reached t 60000 ms")));
+    }
+
+    /** Guards against departures that are never judged because the store was impaired when they were confirmed. */
+    @Test
+    void departureWhileStoreIsImpairedIsJudgedWhenItIsStable() {
+        contact.storeImpaired(ContactRecord.Part.STORE_UNSTABLE).end();
+        assertThat(breachesOfDeparture(2_900), is(empty()));
+        assertThat(breachesOfDeparture(3_100), contains(startsWith("DRAIN 0-a reached t 3100 ms")));
+        contact.storeImpaired(ContactRecord.Part.STORE_LOST).end();
+        assertThat(breachesOfDeparture(2_900), is(empty()));
+        assertThat(breachesOfDeparture(3_100), contains(startsWith("DRAIN 0-a reached t 3100 ms")));
+    }
+
+    /** Guards against bounds on departures for a store or a front that was impaired in the time before. */
+    @Test
+    void departureIsBoundOnlyInTouch() {
+        ContactRecord.Span front = contact.frontImpaired(6);
+        assertThat(breachesOfDeparture(4_000), is(empty()));
+        front.end();
+        assertThat(breachesOfDeparture(2_900), is(empty()));
+        assertThat(breachesOfDeparture(3_100), contains(startsWith("DRAIN")));
+        contact.storeImpaired(ContactRecord.Part.STORE_UNSTABLE);
+        assertThat(breachesOfDeparture(4_000), is(empty()));
+    }
+
+    /** Guards against a verdict that passes over a request in an evacuated zone (EVAC). */
+    @Test
+    void requestInEvacuatedZoneIsBreachAfterBound() {
+        assertThat(breachesOfEvacuation("za", 9_000, -1, 5_000), is(empty()));
+        assertThat(breachesOfEvacuation("za", 9_000, 5_001), contains(startsWith("EVAC 0-a reached t 5001 ms")));
+        assertThat(breachesOfEvacuation("za", 9_000, 9_000), is(empty()));
+        assertThat(breachesOfEvacuation("zb", 9_000, 5_001), is(empty()));
+    }
+
+    /** Guards against bounds on evacuations for a store or a front that was impaired in the time before. */
+    @Test
+    void evacuationIsBoundOnlyInTouch() {
+        ContactRecord.Span front = contact.frontImpaired(6);
+        assertThat(breachesOfEvacuation("za", 90_000, 6_000), is(empty()));
+        front.end();
+        assertThat(breachesOfEvacuation("za", 90_000, 6_000), contains(startsWith("EVAC")));
+        contact.storeImpaired(ContactRecord.Part.STORE_UNSTABLE);
+        assertThat(breachesOfEvacuation("za", 90_000, 10_000), is(empty()));
+        assertThat(breachesOfEvacuation("za", 90_000, 10_001), contains(startsWith("EVAC 0-a reached t 10001 ms")));
+        contact.storeImpaired(ContactRecord.Part.STORE_LOST);
+        assertThat(breachesOfEvacuation("za", 90_000, 10_001), is(empty()));
+    }
+
+    private List<String> breachesOfDeparture(long... arrivedMillis) {
+        long confirmedNanos = System.nanoTime();
+        FleetVerdict verdict = new FleetVerdict(history, contact);
+        verdict.judgeDepartures(List.of(new Departure(target(confirmedNanos, arrivedMillis), confirmedNanos)));
+        return verdict.breaches();
+    }
+
+    private List<String> breachesOfEvacuation(String zone, long endMillis, long... arrivedMillis) {
+        long confirmedNanos = System.nanoTime();
+        long endNanos = confirmedNanos + TimeUnit.MILLISECONDS.toNanos(endMillis);
+        FleetVerdict verdict = new FleetVerdict(history, contact);
+        verdict.judgeEvacuations(
+                List.of(new Evacuation(zone, confirmedNanos, endNanos)),
+                List.of(target(confirmedNanos, arrivedMillis)));
+        return verdict.breaches();
+    }
+
+    private static RecordingTarget target(long sinceNanos, long... arrivedMillis) {
+        RecordingTarget target = new RecordingTarget("t", "s", "za", "127.0.0.1", 0);
+        for (long millis : arrivedMillis) {
+            target.arrived(new RecordingTarget.Arrival("0-a", sinceNanos + TimeUnit.MILLISECONDS.toNanos(millis)));
+        }
+        return target;
+    }
+
     private List<String> breaches(Exchange... exchanges) {
         FleetVerdict verdict = new FleetVerdict(history, contact);
         verdict.judgeAnswers(List.of(exchanges));
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RecordingTarget.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RecordingTarget.java
@@ -109,6 +109,11 @@
         return List.copyOf(arrivals);
     }
 
+    /** Records a request that was meant for this worker. */
+    void arrived(Arrival arrival) {
+        arrivals.add(arrival);
+    }
+
     private void accept() {
         while (!server.isClosed()) {
             try {
@@ -163,7 +168,7 @@
         } else if (!headers.getOrDefault("x-expect-instance", id).equals(id)) {
             write(socket, "421 Misdirected", "X-Not-Executed: 1\r\nX-Attempt-Id: " + attempt + "\r\n", "");
         } else {
-            arrivals.add(new Arrival(attempt, System.nanoTime()));
+            arrived(new Arrival(attempt, System.nanoTime()));
             pause();
             write(
                     socket,
