End each play of FleetConfigSoakTest with an evacuated zone

What callers saw: nothing; the play hardly judged EVAC. An evacuation is bound after 5 s, and only while all fronts have run for 3 s, but in the play it is taken back after a second or two, under faults.

Ways weighed: fewer changes or faults, so that more evacuations last: this takes from what the play is for.

Now the play evacuates a zone once the faults have ended, unless one is evacuated, and lasts 7 s from then instead of 5 s. The seeds play the same changes and faults as before.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetConfigSoakTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetConfigSoakTest.java
@@ -34,7 +34,9 @@
     private static final int MAX_DOWN_MILLIS = 1_500;
     private static final int MAX_CHANGE_PAUSE_MILLIS = 900;
     private static final int MAX_BURST = 10;
-    private static final long APPLY_MILLIS = 2_000;
+    /** Time without faults at the end: the bound of an evacuation, and as long as requests are judged by it. */
+    private static final long END_MILLIS = 7_000;
+
     private static final int MIN_SERVED = 50;
     /** Number of routes in each configuration of one seed in four. */
     private static final int LARGE_ROUTES = 4_000;
@@ -81,8 +83,9 @@
             }
             injection.stopped();
             System.out.println("seed " + seed + ", fillers " + fillers + ", " + faults);
+            scenario.evacuate();
             fleet.awaitReady();
-            TimeUnit.MILLISECONDS.sleep(ContactRecord.CONTACT_MILLIS + APPLY_MILLIS);
+            TimeUnit.MILLISECONDS.sleep(END_MILLIS);
             FleetVerdict verdict = scenario.finish();
             System.out.println("seed " + seed + ": " + verdict.figures());
             assertThat("seed " + seed + " " + verdict.figures(), verdict.breaches(), is(empty()));
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetScenario.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetScenario.java
@@ -185,6 +185,13 @@
         }
     }
 
+    /** Leaves a zone evacuated, for the time before the end. */
+    void evacuate() {
+        if (evacuatedZone.isEmpty()) {
+            toggleEvacuation();
+        }
+    }
+
     /** Ends the callers and judges what they and the workers saw. */
     FleetVerdict finish() {
         callers.stop();
