Date an answer that was read late by its call

A process that was frozen took its items for fresh until its next read: it could infer the only version of a service, for a stream that nobody remembers, from targets of before the freeze.

Cause: the answer to a watch counted as an observation of the moment at which it was read. One that the store had sent at the begin of a freeze was read right after it.

Evidence: ItemFeedTest.answerThatIsReadLateDoesNotMakeItemsFresh, an age of 0 before, 10,000 ms after a freeze of 10 s now. No joined stream was played for it: the next read follows within some hundred milliseconds.

Ways weighed: to count every answer as old as its call makes the items of each long poll two seconds older, which peers take for stale. A watch is answered or given up within 2.9 s, so only a later answer is dated by its call. An answer that takes longer over a slow link is dated so, too, and is followed by a read from a peer.

The answers of peers are dated by when they are read, as before.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -140,10 +140,25 @@
         assertThat(readableForMillisAfterFailedReads(2_400), is(0L));
     }
 
-    /** Returns the time for which the service counts as readable at a removal that the first read brings. */
-    private static long readableForMillisAfterFailedReads(long failedForMillis) {
+    /** Guards against a frozen process that takes its items for fresh because it reads an old answer late. */
+    @Test
+    void answerThatIsReadLateDoesNotMakeItemsFresh() {
         AtomicLong clockMillis = new AtomicLong(10_000);
-        ItemFeed heartbeatFeed = new ItemFeed(
+        ItemFeed frozenFeed = heartbeatFeed(clockMillis);
+        frozenFeed.applySnapshot(List.of(), 40);
+        long askedAtMillis = clockMillis.get();
+        clockMillis.addAndGet(2_000);
+        frozenFeed.applyWatchEvents(List.of(), 40, askedAtMillis);
+        assertThat("after a long poll", frozenFeed.ageMillis(), is(0L));
+        long askedAgainAtMillis = clockMillis.get();
+        clockMillis.addAndGet(10_000);
+        frozenFeed.applyWatchEvents(List.of(), 40, askedAgainAtMillis);
+        assertThat("after a freeze", frozenFeed.ageMillis(), is(10_000L));
+        assertThat("healthy", frozenFeed.watchHealthy(), is(false));
+    }
+
+    private static ItemFeed heartbeatFeed(AtomicLong clockMillis) {
+        return new ItemFeed(
                 ImmutableFrontSettings.builder()
                         .from(FeedFixture.settings("front-50", "10.0.0.50", "a"))
                         .targetHeartbeatMillis(1_200)
@@ -153,6 +168,12 @@
                 new FakePeers(),
                 clockMillis::get,
                 new Random(1));
+    }
+
+    /** Returns the time for which the service counts as readable at a removal that the first read brings. */
+    private static long readableForMillisAfterFailedReads(long failedForMillis) {
+        AtomicLong clockMillis = new AtomicLong(10_000);
+        ItemFeed heartbeatFeed = heartbeatFeed(clockMillis);
         AtomicLong readableForMillis = new AtomicLong(-1);
         heartbeatFeed.applySnapshot(List.of(new PublishedValue("servers/e", new byte[0], 40)), 40);
         heartbeatFeed.listener((value, afterInitialSnapshot, readable) -> readableForMillis.set(readable));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -389,9 +389,12 @@
     }
 
     private void recordServiceRead(long askedAtMillis) {
-        lastServiceReadAtMillis = ticker.nowMillis();
-        confirmedAtMillis = lastServiceReadAtMillis;
-        if (service.readSucceeded(lastServiceReadAtMillis, askedAtMillis)) {
+        long nowMillis = ticker.nowMillis();
+        // No call is held for so long: the answer waited for this process, and only the call has a known time.
+        boolean readLate = nowMillis - askedAtMillis > WATCH_TIMEOUT_MILLIS;
+        lastServiceReadAtMillis = readLate ? askedAtMillis : nowMillis;
+        confirmedAtMillis = Math.max(confirmedAtMillis, lastServiceReadAtMillis);
+        if (service.readSucceeded(nowMillis, askedAtMillis)) {
             logSourceChange("peers", "service", "");
         }
     }
