--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -135,9 +135,9 @@
 
     /** Guards against sending to a target that left after failed reads that were too short for its entry to expire. */
     @Test
-    void removalIsNoExpiryIfReadsFailedForLessThanALifetime() {
+    void removalIsNoExpiryIfReadsFailedForLessThanOneAndAHalfHeartbeats() {
         assertThat(readableForMillisAfterFailedReads(1_700), is(Long.MAX_VALUE));
-        assertThat(readableForMillisAfterFailedReads(2_400), is(0L));
+        assertThat(readableForMillisAfterFailedReads(1_800), is(0L));
     }
 
     /** Guards against a frozen process that takes its items for fresh because it reads an old answer late. */
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
@@ -28,7 +28,7 @@
     /** Long before any stream of the test. */
     private static final long LONG_AGO_MILLIS = TimeUnit.HOURS.toMillis(1);
 
-    /** Age that no stream of the routes here reaches. */
+    /** Time for which callers follow a stream, whatever the timeout of its route. */
     private static final long MAX_STREAM_AGE_MILLIS = 20_000;
 
     private static final long LEFT_MILLIS = 5_000;
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamOrigins.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamOrigins.java
@@ -16,13 +16,13 @@
     public static final long RETENTION_MILLIS = 30_000;
     /** Tolerance for the clocks of targets when their starts are compared with times of this process. */
     public static final long CLOCK_TOLERANCE_MILLIS = 3_000;
-    /** Time limit of a caller for a stream and its resumptions, in timeouts of the route. */
-    private static final int TIMEOUTS_OF_CALLER = 2;
+    /** Time for which a caller follows a stream over all its attempts, in timeouts of the route. */
+    private static final int FOLLOWED_TIMEOUTS = 2;
     /**
-     * Least time limit of a caller that is assumed: it is the caller's own, and the timeout of the route may have been
-     * longer when the stream began.
+     * Least time for which a caller is taken to follow a stream: its time limit is its own, and the timeout of the
+     * route may have been longer when the stream began.
      */
-    private static final long MIN_TIME_LIMIT_MILLIS = 20_000;
+    private static final long MIN_FOLLOWED_MILLIS = 20_000;
     /** Maximum number of origins, about 2 MB. */
     private static final int MAX_ORIGINS = 20_000;
 
@@ -36,7 +36,7 @@
      * @return time in milliseconds
      */
     public static long maxAgeMillis(long timeoutMillis) {
-        return Math.min(RETENTION_MILLIS, Math.max(MIN_TIME_LIMIT_MILLIS, TIMEOUTS_OF_CALLER * timeoutMillis));
+        return Math.min(RETENTION_MILLIS, Math.max(MIN_FOLLOWED_MILLIS, FOLLOWED_TIMEOUTS * timeoutMillis));
     }
 
     /**
