Count a lost run from its silence, and hold its request until reviewed

What callers saw: a fourth target crashed under a request that silent targets had crashed under (SilentRunTest.requestUnderWhichSilentTargetsCrashIsQuarantined).

Cause, traced in the logs of two failed runs of a trial that only held the request (below): the second run fell silent and was replaced, and its connection was reset 3 and 118 ms after the third was sent. The two overlap and counted once. The record of the second target's silence counts only if the target is known to have crashed, which no front had noticed when the caller's repeat was sent, 388 and 375 ms after the loss of the third.

Two more tests hold what must not change: a target heard after its silence, and runs too few to decide anything.

Ways weighed: - Count a lost run from its silence at once. A front that loses its paths would refuse sound requests before the review clears them. - Only hold the request until the review of silent runs. A sign of life after the silence clears its record, and the run counts until its end as before.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CrashLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/CrashLedgerTest.java
@@ -141,6 +141,68 @@
         assertThat(ledger.targetCrashed("a", 2_020), is(empty()));
     }
 
+    /**
+     * Guards against a fourth target for a request whose second run was silent when the third was sent, and lost later:
+     * the two count once until the second target is known to have crashed.
+     */
+    @Test
+    void suspectWaitsUntilCrashOfSilentTargetIsKnown() {
+        loseBesideOther("a", 0, 300, CrashEvidence.CRASHED);
+        lose(REQUEST, "b", 1_100, 1_900, CrashEvidence.SILENT);
+        loseBesideOther("b", 1_100, 2_210, CrashEvidence.LOST);
+        loseBesideOther("c", 2_200, 3_000, CrashEvidence.LOST);
+        assertThat(ledger.assess(REQUEST, 3_040).crashes(), is(2));
+        assertThat(ledger.assess(REQUEST, 3_040).settlesAtMillis(), greaterThan(3_060L));
+        ledger.targetCrashed("b", 3_060);
+        assertThat(status(REQUEST, 3_060), is(Assessment.Status.QUARANTINED));
+    }
+
+    /** Guards against the same where nobody notices that the silent target has crashed, and nothing clears its run. */
+    @Test
+    void runThatFellSilentCountsBeforeItsReplacement() {
+        loseBesideOther("a", 0, 300, CrashEvidence.CRASHED);
+        lose(REQUEST, "b", 1_100, 1_900, CrashEvidence.POSSIBLE);
+        loseBesideOther("b", 1_100, 2_210, CrashEvidence.LOST);
+        loseBesideOther("c", 2_200, 3_000, CrashEvidence.LOST);
+        assertThat(status(REQUEST, 3_040), is(Assessment.Status.SUSPECT));
+        assertThat(status(REQUEST, 3_300), is(Assessment.Status.QUARANTINED));
+    }
+
+    /** Guards against holding a lost connection against a request from its silence on if its target has sent since. */
+    @Test
+    void runThatWasHeardAfterItsSilenceCountsUntilItsEnd() {
+        loseBesideOther("a", 0, 300, CrashEvidence.CRASHED);
+        lose(REQUEST, "b", 1_100, 1_900, CrashEvidence.SILENT);
+        ledger.livedOn(nextId - 1, 2_000);
+        loseBesideOther("b", 1_100, 2_210, CrashEvidence.LOST);
+        loseBesideOther("c", 2_200, 3_000, CrashEvidence.LOST);
+        assertThat(status(REQUEST, 3_300), is(Assessment.Status.SUSPECT));
+    }
+
+    /**
+     * Guards against a fourth target where the caller has left the third one, which is not known to have crashed yet.
+     */
+    @Test
+    void suspectWaitsUntilCrashOfAbandonedTargetIsKnown() {
+        loseBesideOther("a", 0, 300, CrashEvidence.CRASHED);
+        loseBesideOther("b", 1_100, 2_000, CrashEvidence.CRASHED);
+        loseBesideOther("c", 2_200, 3_000, CrashEvidence.POSSIBLE);
+        assertThat(ledger.assess(REQUEST, 3_010).settlesAtMillis(), greaterThan(3_019L));
+        ledger.targetCrashed("c", 3_019);
+        assertThat(status(REQUEST, 3_019), is(Assessment.Status.QUARANTINED));
+    }
+
+    /** Guards against holding a request for the targets of runs that were too few, or are known to have lived on. */
+    @Test
+    void suspectWaitsForNoTargetThatDecidesNothing() {
+        loseBesideOther("a", 0, 300, CrashEvidence.CRASHED);
+        loseBesideOther("b", 1_100, 2_000, CrashEvidence.CRASHED);
+        assertThat(ledger.assess(REQUEST, 2_030).settlesAtMillis(), is(2_030L));
+        lose(REQUEST, "c", 2_200, 3_000, CrashEvidence.POSSIBLE);
+        ledger.livedOn(nextId - 1, 3_010);
+        assertThat(ledger.assess(REQUEST, 3_020).settlesAtMillis(), lessThanOrEqualTo(3_020L));
+    }
+
     /** Guards against blaming a request for a crash of its target long after its end. */
     @Test
     void laterCrashOfTheTargetChangesNothing() {
@@ -291,6 +353,12 @@
         ledger.record(run(nextId++, fingerprint, targetId, sentAtMillis, endedAtMillis, evidence), endedAtMillis);
     }
 
+    /** Records a run of the request, and one of another request that another target lost at the same time. */
+    private void loseBesideOther(String targetId, long sentAtMillis, long endedAtMillis, CrashEvidence evidence) {
+        lose(REQUEST, targetId, sentAtMillis, endedAtMillis, evidence);
+        lose(fingerprint("other"), "beside " + targetId, sentAtMillis, endedAtMillis, CrashEvidence.CRASHED);
+    }
+
     /** Returns a run of another process, as its report tells of it after a delay. */
     private LostRun reported(String targetId, long sentAtMillis, long endedAtMillis, long delayMillis) {
         return ImmutableLostRun.builder()
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/CrashLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/crash/CrashLedger.java
@@ -266,9 +266,14 @@
         if (lost == 1 && loneCrashes.isEmpty() && (settled || lone.isEmpty())) {
             return new Assessment(Assessment.Status.WEAK_SUSPECT, fingerprint, lost, 0, 0);
         }
-        boolean tooManyLost = lost >= MAX_LOST_TARGETS || lost > 1 && lostTargets(lone) >= MAX_LOST_TARGETS;
+        long decidedAtMillis = decidedAtMillis(current);
+        int lostSinceSilence = nowMillis < decidedAtMillis ? lost : LostRun.consecutive(untilSilence(counted, current));
+        boolean tooManyLost = lost >= MAX_LOST_TARGETS
+                || lostSinceSilence >= MAX_LOST_TARGETS
+                || lost > 1 && lostTargets(lone) >= MAX_LOST_TARGETS;
         if (!tooManyLost && LostRun.consecutive(loneCrashes) < MAX_LONE_CRASHES) {
-            return new Assessment(Assessment.Status.SUSPECT, fingerprint, lost, 0, settlesAtMillis);
+            return new Assessment(
+                    Assessment.Status.SUSPECT, fingerprint, lost, 0, Math.max(settlesAtMillis, decidedAtMillis));
         }
         long nextExpiryMillis =
                 counted.stream().mapToLong(LostRun::expiresAtMillis).min().getAsLong();
@@ -276,6 +281,50 @@
                 Assessment.Status.QUARANTINED, fingerprint, lost, nextExpiryMillis - nowMillis, settlesAtMillis);
     }
 
+    /**
+     * Returns when it is known whether the targets of a request's runs have crashed, if it is to be quarantined in that
+     * case; 0 if not. A run that fell silent and was lost later overlaps the one that replaced it, but does not if its
+     * target crashed when it fell silent.
+     */
+    private static long decidedAtMillis(List<LostRun> current) {
+        List<LostRun> notCleared = current.stream()
+                .filter(run -> run.evidence() != CrashEvidence.CLEARED)
+                .toList();
+        if (LostRun.consecutive(notCleared) < MAX_LOST_TARGETS) {
+            return 0;
+        }
+        return notCleared.stream()
+                .filter(run -> run.evidence() != CrashEvidence.CRASHED)
+                .mapToLong(run -> run.endedAtMillis() + CrashEvidence.SILENT.settlingMillis())
+                .max()
+                .orElse(0);
+    }
+
+    /**
+     * Returns counted runs that end when their targets fell silent, as far as nothing was heard of them since. The loss
+     * of such a connection is no event in common with the run that replaced it if the target had crashed before.
+     */
+    private static List<LostRun> untilSilence(List<LostRun> counted, List<LostRun> current) {
+        return counted.stream()
+                .map(run -> {
+                    long millis = current.stream()
+                            .filter(other -> other.evidence() != CrashEvidence.CLEARED && sameSending(run, other))
+                            .mapToLong(other -> other.endedAtMillis() - other.sentAtMillis())
+                            .min()
+                            .orElseThrow();
+                    return (LostRun) ImmutableLostRun.copyOf(run).withEndedAtMillis(run.sentAtMillis() + millis);
+                })
+                .toList();
+    }
+
+    /** Tells whether two records are of one sending of a request, recorded in silence and at its end. */
+    private static boolean sameSending(LostRun run, LostRun other) {
+        return run.process() == other.process()
+                && run.targetId().equals(other.targetId())
+                && run.originSentMillis().equals(other.originSentMillis())
+                && (run.originSentMillis().isPresent() || run.sentAtMillis() == other.sentAtMillis());
+    }
+
     /** Returns the runs of a request that are not to be forgotten yet, in the order of their ends. */
     private List<LostRun> current(Fingerprint fingerprint, long nowMillis) {
         return runsOf(fingerprint).stream()
