--- /dev/null
+++ b/review/standins/Worker.java
@@ -0,0 +1,133 @@
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Semaphore;
+
+/** Stand-in for a sound worker, a model worker or a plain one, that registers itself in the store. */
+final class Worker {
+    private static final int HEARTBEAT_MILLIS = 1_200;
+    private static final int EVENTS = 4;
+    private static final int LONG_EVENTS = 300;
+    private static final int EVENT_MILLIS = 15;
+    private static final int PLAIN_MILLIS = 20;
+
+    private final String id;
+    private final String service;
+    private final String zone;
+    private final int slots;
+    private final boolean engine;
+    private final long bornUnixMillis = System.currentTimeMillis();
+    private final ServerSocket server = new ServerSocket();
+    private final Semaphore freeSlots;
+
+    Worker(Store store, String ip, String id, String service, String zone, int slots, boolean engine)
+            throws Exception {
+        this.id = id;
+        this.service = service;
+        this.zone = zone;
+        this.slots = slots;
+        this.engine = engine;
+        freeSlots = new Semaphore(slots, true);
+        server.bind(new InetSocketAddress(ip, 0), 256);
+        Harness.thread("worker", () -> {
+            while (true) {
+                Socket socket = server.accept();
+                Harness.thread("worker-connection", () -> serve(socket));
+            }
+        });
+        Harness.thread("heartbeat", () -> {
+            for (int seq = 1; ; seq++) {
+                store.put("servers/" + id, entry(seq));
+                Thread.sleep(HEARTBEAT_MILLIS);
+            }
+        });
+    }
+
+    String id() {
+        return id;
+    }
+
+    private String entry(int seq) {
+        String models = engine ? ",\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]" : "";
+        return "{\"service\":\"" + service + "\",\"address\":\"" + server.getInetAddress().getHostAddress() + ":"
+                + server.getLocalPort() + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" + slots
+                + ",\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":" + seq + ",\"born\":" + bornUnixMillis + models
+                + "}";
+    }
+
+    private void serve(Socket socket) throws Exception {
+        try (socket) {
+            socket.setTcpNoDelay(true);
+            HttpInput input = new HttpInput(socket.getInputStream());
+            OutputStream output = socket.getOutputStream();
+            while (true) {
+                HttpInput.Head head = input.readHead();
+                if (head == null) {
+                    return;
+                }
+                byte[] body = input.readBody(head);
+                answer(head, body, output);
+                output.flush();
+            }
+        }
+    }
+
+    private void answer(HttpInput.Head head, byte[] body, OutputStream output) throws Exception {
+        String path = head.start().split(" ")[1];
+        if (path.equals("/healthz")) {
+            write(output, "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+        if (path.equals("/whinwharf/report")) {
+            String report = "{\"stage\":\"both\",\"models\":[],\"busy\":false,\"seq\":0,\"queued\":0,\"active\":0,"
+                    + "\"kv-used\":0,\"kv-total\":90000,\"handles\":0,\"runs\":[],\"born\":" + bornUnixMillis + "}";
+            write(output, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + report.length()
+                    + "\r\n\r\n" + report);
+            return;
+        }
+        String attempt = head.header("x-attempt-id");
+        String expected = head.header("x-expect-instance");
+        String common = "X-Attempt-Id: " + attempt + "\r\nKeep-Alive: timeout=15\r\n";
+        if (attempt.isEmpty() || !expected.isEmpty() && !expected.equals(id)) {
+            write(output, "HTTP/1.1 " + (attempt.isEmpty() ? "400 X" : "421 X") + "\r\nX-Not-Executed: 1\r\n" + common
+                    + "Content-Length: 0\r\n\r\n");
+            return;
+        }
+        freeSlots.acquire();
+        try {
+            Harness.record("run", id, attempt, head.start());
+            String seal = "X-Server-Seal: " + id + "." + attempt + "\r\n";
+            if (engine) {
+                stream(head, common + seal + "X-Weight-Versions: 1\r\n", attempt, output);
+            } else {
+                Thread.sleep(PLAIN_MILLIS);
+                String text = "answer of " + id + " to " + attempt;
+                boolean withBody = !head.start().startsWith("HEAD ");
+                write(output, "HTTP/1.1 200 OK\r\n" + common + seal + "Content-Length: " + text.length() + "\r\n\r\n"
+                        + (withBody ? text : ""));
+            }
+        } finally {
+            freeSlots.release();
+        }
+    }
+
+    private void stream(HttpInput.Head head, String headers, String attempt, OutputStream output) throws Exception {
+        String last = head.header("last-event-id");
+        write(output, "HTTP/1.1 200 OK\r\n" + headers
+                + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        int lastEvent = head.start().contains("/long") ? LONG_EVENTS : EVENTS;
+        for (int event = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; event <= lastEvent; event++) {
+            Thread.sleep(EVENT_MILLIS);
+            String text = "id: " + event + "\ndata: event " + event + " of " + attempt + "\n\n";
+            write(output, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            output.flush();
+        }
+        write(output, "0\r\n\r\n");
+    }
+
+    private static void write(OutputStream output, String text) throws Exception {
+        output.write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+}
