--- a/review/standins/Channel.java
+++ b/review/standins/Channel.java
@@ -20,11 +20,23 @@
 
     /** Sends a request and reads its answer, which a HEAD request ends after the head. */
     Answer call(String request, int waitMillis) {
+        return call(request, waitMillis, Integer.MAX_VALUE);
+    }
+
+    /** Does the same at a limited pace. */
+    Answer call(String request, int waitMillis, int bytesPerSecond) {
         long sentAtMillis = Harness.nowMillis();
         HttpInput.Head head = null;
         try {
             socket.setSoTimeout(waitMillis);
-            socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+            byte[] bytes = request.getBytes(StandardCharsets.ISO_8859_1);
+            int part = Math.max(1, bytesPerSecond / 100);
+            for (int from = 0; from < bytes.length; from += part) {
+                if (from > 0) {
+                    Thread.sleep(10);
+                }
+                socket.getOutputStream().write(bytes, from, Math.min(part, bytes.length - from));
+            }
             socket.getOutputStream().flush();
             head = input.readHead();
             if (head == null) {
