Review case 2: every front coordinates alone after requests with long prompt lists

Datagrams above Netty's default of 2,048 bytes are cut off on arrival. A request with some 130 parts or more in X-Prompt-Prefix makes its front take one coordinator after the other for silent, until it coordinates itself. Each of seven coordinators then grants a cold worker half of what it bears (FAILBACK).

--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -1,4 +1,3 @@
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -18,8 +17,7 @@
 
     Deployment(int frontCount, int engineCount, int plainCount) throws Exception {
         Path root = Path.of("").toAbsolutePath();
-        Path folder = Files.createTempDirectory("review-case");
-        Harness.record("logs and settings", folder.getFileName().toString());
+        Path folder = Harness.temporaryFolder();
         String network = Harness.freeNetwork(
                 FrontProcess.FRONT_PORT,
                 FrontProcess.READY_PORT,
@@ -112,6 +110,18 @@
                 + "\r\nContent-Length: 5\r\n\r\nhello";
     }
 
+    /** Returns a request for a short stream whose prompt has several parts, the last one its own. */
+    static String session(String attempt, int parts, int deadlineMillis) {
+        StringBuilder prefix = new StringBuilder("5c1e07a2:60");
+        for (int part = 2; part < parts; part++) {
+            prefix.append(String.format(",%s%02x:20", attempt.substring(6), part));
+        }
+        int tokens = 60 + 20 * Math.max(0, parts - 2) + 140;
+        return generation(attempt, deadlineMillis)
+                .replaceFirst("X-Prompt-Prefix: [^,]*", "X-Prompt-Prefix: " + prefix)
+                .replace("X-Token-Usage: 200,40", "X-Token-Usage: " + tokens + ",40");
+    }
+
     /** Returns a request without a body to a plain service. */
     static String plain(String method, String path, String attempt, int deadlineMillis) {
         return method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Attempt-Id: " + attempt
--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -1,3 +1,4 @@
+import java.io.IOException;
 import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -8,10 +9,15 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 
 /** What all cases share: threads, the record of a run, addresses, and the deployment under test. */
 final class Harness {
     private static final long START_NANOS = System.nanoTime();
+    /** Less than the 120 seconds that a script may take. */
+    private static final long MAX_RUN_MILLIS = 110_000;
+
+    private static final List<Path> folders = new ArrayList<>();
     private static PrintWriter record;
 
     /** Work of a thread, which may end with a failure, such as a closed connection. */
@@ -92,6 +98,11 @@
 
     /** Runs a case: exits with its verdict, or with 2 if it could not run. */
     static void main(String name, Callable<Boolean> held) {
+        Runtime.getRuntime().addShutdownHook(new Thread(FrontProcess::killAll));
+        thread("watchdog", () -> {
+            Thread.sleep(MAX_RUN_MILLIS);
+            end(name, 2);
+        });
         int exit = 2;
         try {
             exit = held.call() ? 0 : 1;
@@ -99,7 +110,33 @@
             record("could not run", String.valueOf(e));
             e.printStackTrace();
         }
+        end(name, exit);
+    }
+
+    private static void end(String name, int exit) {
         System.out.println(name + ": " + (exit == 0 ? "held" : exit == 1 ? "BROKEN" : "could not run"));
-        Runtime.getRuntime().halt(FrontProcess.killAll() ? exit : 2);
+        boolean ended = FrontProcess.killAll();
+        deleteFolders();
+        Runtime.getRuntime().halt(ended ? exit : 2);
+    }
+
+    /** Creates a temporary folder, which is deleted at the end; its content is kept if REVIEW_KEEP is set. */
+    static synchronized Path temporaryFolder() throws IOException {
+        Path folder = Files.createTempDirectory("review-case");
+        folders.add(folder);
+        return folder;
+    }
+
+    private static synchronized void deleteFolders() {
+        for (Path folder : System.getenv("REVIEW_KEEP") == null ? folders : List.<Path>of()) {
+            try (Stream<Path> files = Files.list(folder)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+                Files.delete(folder);
+            } catch (IOException e) {
+                System.err.println("not deleted: " + e);
+            }
+        }
     }
 }
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -3,6 +3,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 
 /** Stand-in for a sound worker, a model worker or a plain one, that registers itself in the store. */
@@ -11,49 +15,118 @@
     private static final int EVENTS = 4;
     private static final int LONG_EVENTS = 300;
     private static final int EVENT_MILLIS = 15;
+    private static final int PROMPT_TOKENS_PER_MILLI = 62;
     private static final int PLAIN_MILLIS = 20;
 
-    private final String id;
+    private static final int COLD_MILLIS = 3_000;
+
+    private final Store store;
+    private final InetSocketAddress address;
+    private final Set<Socket> channels = ConcurrentHashMap.newKeySet();
+    private final Deque<Long> coldArrivals = new ArrayDeque<>();
+    private volatile String id;
     private final String service;
     private final String zone;
     private final int slots;
     private final boolean engine;
-    private final long bornUnixMillis = System.currentTimeMillis();
-    private final ServerSocket server = new ServerSocket();
-    private final Semaphore freeSlots;
+    private volatile long bornUnixMillis = System.currentTimeMillis();
+    private volatile long coldUntilMillis;
+    private volatile ServerSocket server;
+    private volatile Semaphore freeSlots;
+    private int lives = 1;
+    private int mostInSecondWhileCold;
 
     Worker(Store store, String ip, String id, String service, String zone, int slots, boolean engine)
             throws Exception {
+        this.store = store;
         this.id = id;
         this.service = service;
         this.zone = zone;
         this.slots = slots;
         this.engine = engine;
+        try (ServerSocket probe = new ServerSocket()) {
+            probe.bind(new InetSocketAddress(ip, 0));
+            address = new InetSocketAddress(ip, probe.getLocalPort());
+        }
+        listen();
+        Harness.thread("heartbeat", () -> {
+            for (int seq = 1; ; seq++) {
+                if (server != null) {
+                    store.put("servers/" + this.id, entry(seq));
+                }
+                Thread.sleep(HEARTBEAT_MILLIS);
+            }
+        });
+    }
+
+    private void listen() throws Exception {
         freeSlots = new Semaphore(slots, true);
-        server.bind(new InetSocketAddress(ip, 0), 256);
+        ServerSocket opened = new ServerSocket();
+        opened.bind(address, 256);
+        server = opened;
         Harness.thread("worker", () -> {
             while (true) {
-                Socket socket = server.accept();
+                Socket socket = opened.accept();
+                channels.add(socket);
                 Harness.thread("worker-connection", () -> serve(socket));
             }
         });
-        Harness.thread("heartbeat", () -> {
-            for (int seq = 1; ; seq++) {
-                store.put("servers/" + id, entry(seq));
-                Thread.sleep(HEARTBEAT_MILLIS);
-            }
+    }
+
+    /** Crashes; the store removes the entry after three heartbeats, and a new lifetime begins cold, with a new id. */
+    void restart(int downMillis) throws Exception {
+        Harness.record("down", id);
+        server.close();
+        server = null;
+        for (Socket socket : channels) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+        channels.clear();
+        Harness.thread("restart", () -> {
+            Thread.sleep(Math.min(downMillis, 3 * HEARTBEAT_MILLIS));
+            store.put("servers/" + id, null);
+            Thread.sleep(Math.max(0, downMillis - 3 * HEARTBEAT_MILLIS));
+            lives++;
+            id = id.split("-l")[0] + "-l" + lives;
+            bornUnixMillis = System.currentTimeMillis();
+            coldUntilMillis = Harness.nowMillis() + COLD_MILLIS;
+            listen();
+            store.put("servers/" + id, entry(0));
+            Harness.record("up, cold", id);
         });
     }
 
+    /** Counts a request that reaches a cold worker. */
+    private synchronized void arrived(String attempt) {
+        long nowMillis = Harness.nowMillis();
+        if (nowMillis < coldUntilMillis) {
+            coldArrivals.add(nowMillis);
+            while (coldArrivals.peek() <= nowMillis - 1_000) {
+                coldArrivals.poll();
+            }
+            mostInSecondWhileCold = Math.max(mostInSecondWhileCold, coldArrivals.size());
+            Harness.record("arrived, cold", id, attempt, coldArrivals.size() + " in a second");
+        }
+    }
+
+    synchronized int mostInSecondWhileCold() {
+        return mostInSecondWhileCold;
+    }
+
+    private long coldLeftMillis() {
+        return Math.max(0, coldUntilMillis - Harness.nowMillis());
+    }
+
     String id() {
         return id;
     }
 
     private String entry(int seq) {
         String models = engine ? ",\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]" : "";
-        return "{\"service\":\"" + service + "\",\"address\":\"" + server.getInetAddress().getHostAddress() + ":"
-                + server.getLocalPort() + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" + slots
-                + ",\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":" + seq + ",\"born\":" + bornUnixMillis + models
+        return "{\"service\":\"" + service + "\",\"address\":\"" + address.getAddress().getHostAddress() + ":"
+                + address.getPort() + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":" + slots
+                + ",\"state\":\"ready\",\"cold-left-ms\":" + coldLeftMillis() + ",\"seq\":" + seq + ",\"born\":" + bornUnixMillis + models
                 + "}";
     }
 
@@ -77,7 +150,8 @@
     private void answer(HttpInput.Head head, byte[] body, OutputStream output) throws Exception {
         String path = head.start().split(" ")[1];
         if (path.equals("/healthz")) {
-            write(output, "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+            write(output, "HTTP/1.1 200 OK\r\nX-Instance-Id: " + id + "\r\nX-Cold-Ms: " + coldLeftMillis()
+                    + "\r\nContent-Length: 0\r\n\r\n");
             return;
         }
         if (path.equals("/whinwharf/report")) {
@@ -95,7 +169,9 @@
                     + "Content-Length: 0\r\n\r\n");
             return;
         }
-        freeSlots.acquire();
+        arrived(attempt);
+        Semaphore slotsOfLife = freeSlots;
+        slotsOfLife.acquire();
         try {
             Harness.record("run", id, attempt, head.start());
             String seal = "X-Server-Seal: " + id + "." + attempt + "\r\n";
@@ -109,7 +185,7 @@
                         + (withBody ? text : ""));
             }
         } finally {
-            freeSlots.release();
+            slotsOfLife.release();
         }
     }
 
@@ -117,6 +193,8 @@
         String last = head.header("last-event-id");
         write(output, "HTTP/1.1 200 OK\r\n" + headers
                 + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        String usage = head.header("x-token-usage");
+        Thread.sleep(usage.isEmpty() ? 0 : Integer.parseInt(usage.split(",")[0]) / PROMPT_TOKENS_PER_MILLI);
         int lastEvent = head.start().contains("/long") ? LONG_EVENTS : EVENTS;
         for (int event = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; event <= lastEvent; event++) {
             Thread.sleep(EVENT_MILLIS);
