Review case 2: with 250 organisations each front admits the whole quota

A front reports the use of every organisation that it has ever served in one datagram. From some 200 organisations on it is longer than the receive buffer of 2,048 bytes, no front understands another, and after 20 s each admits the whole quota (QUOTA).

--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -14,6 +14,7 @@
     final List<Worker> engines = new ArrayList<>();
     final List<Worker> plains = new ArrayList<>();
     final List<FrontProcess> fronts = new ArrayList<>();
+    private String tenants = tenant("hule930", KEY, 1_000_000);
 
     Deployment(int frontCount, int engineCount, int plainCount) throws Exception {
         Path root = Path.of("").toAbsolutePath();
@@ -59,8 +60,17 @@
                 + "\"cold-start-s\":0.0,\"cold-per-s\":0.0}],"
                 + "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,"
                 + "\"idle-timeout-ms\":15000},"
-                + "\"tenants\":[{\"name\":\"hule930\",\"api-keys\":[\"" + KEY + "\"],\"priority\":1,"
-                + "\"unit\":\"token_count\",\"plain-tokens\":200,\"rate-per-s\":1000000,\"burst\":1000000}]}");
+                + "\"tenants\":[" + tenants + "]}");
+    }
+
+    static String tenant(String name, String key, int tokensPerSecond) {
+        return "{\"name\":\"" + name + "\",\"api-keys\":[\"" + key + "\"],\"priority\":1,\"unit\":\"token_count\","
+                + "\"plain-tokens\":200,\"rate-per-s\":" + tokensPerSecond + ",\"burst\":" + tokensPerSecond + "}";
+    }
+
+    /** Sets the tenants of the versions that are written from now on. */
+    void tenants(String json) {
+        tenants = json;
     }
 
     static String route(
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -173,7 +173,8 @@
         Semaphore slotsOfLife = freeSlots;
         slotsOfLife.acquire();
         try {
-            Harness.record("run", id, attempt, head.start());
+            Harness.record("run", id, attempt, head.start(), head.header("x-tenant"));
+            TokenCounter.ran(head.header("x-tenant"), head.header("x-token-usage"));
             String seal = "X-Server-Seal: " + id + "." + attempt + "\r\n";
             if (engine) {
                 stream(head, common + seal + "X-Weight-Versions: 1\r\n", attempt, output);
