--- a/review/standins/ColdReturn.java
+++ b/review/standins/ColdReturn.java
@@ -45,6 +45,7 @@
         for (Thread requester : requesters) {
             requester.join();
         }
+        Harness.requireAnswers(answers.getOrDefault("200 whole", 0), 1_000);
         int most = fleet.engines.stream().mapToInt(Worker::mostInSecondWhileCold).max().orElseThrow();
         double allowed = COLD_PER_SECOND * COLD_EXCESS + COLD_SLACK;
         String summary = "at most " + most + " requests reached a cold worker in a second, allowed " + allowed + "; answers "
--- a/review/standins/Harness.java
+++ b/review/standins/Harness.java
@@ -7,8 +7,10 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.Callable;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Stream;
 
 /** What all cases share: threads, the record of a run, addresses, and the deployment under test. */
@@ -18,6 +20,7 @@
     private static final long MAX_RUN_MILLIS = 110_000;
 
     private static final List<Path> folders = new ArrayList<>();
+    private static final Map<String, Long> sentAtMillis = new ConcurrentHashMap<>();
     private static PrintWriter record;
 
     /** Work of a thread, which may end with a failure, such as a closed connection. */
@@ -58,6 +61,22 @@
         }
     }
 
+    /** Remembers when a requester began to send an attempt. */
+    static void sending(String attempt) {
+        sentAtMillis.put(attempt, nowMillis());
+    }
+
+    static long sentAtMillis(String attempt) {
+        return sentAtMillis.getOrDefault(attempt, Long.MIN_VALUE);
+    }
+
+    /** Ends a case that has too few answers to say anything. */
+    static void requireAnswers(int answers, int least) {
+        if (answers < least) {
+            throw new IllegalStateException("only " + answers + " answers");
+        }
+    }
+
     static boolean trouble() {
         return !"0".equals(System.getenv("TROUBLE"));
     }
