Fleet soak and front tests: targets that are killed in answers without a declared end, known failures

Callers saw streams end as complete before their last event. The stand-ins reset every connection when a worker crashed, and no worker of the fleet streamed without a declared end, so that the soak could not meet the case. WorkerCrash now draws between a killed process, whose connections the system closes in order, and a reset; one stream in four ends with its connection, and plain answers of that framing are written in two parts.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
@@ -8,7 +8,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -27,6 +29,7 @@
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final AtomicInteger connectionCount = new AtomicInteger();
     private final BlockingQueue<String> closedConnections = new LinkedBlockingQueue<>();
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
 
     FakeTarget(String ip, Script script) throws IOException {
         this(ip, script, SYSTEM_RECEIVE_BUFFER);
@@ -112,6 +115,7 @@
 
     private void serve(Socket socket) {
         String last = "";
+        connections.add(socket);
         connectionCount.incrementAndGet();
         try (socket) {
             InputStream in = socket.getInputStream();
@@ -125,6 +129,7 @@
         } catch (IOException e) {
             last = last + e.getMessage();
         }
+        connections.remove(socket);
         connectionCount.decrementAndGet();
         closedConnections.add(last);
     }
@@ -143,6 +148,15 @@
         return "";
     }
 
+    /** Ends as a process does that is killed: its system closes the port and all connections in order. */
+    void kill() throws IOException {
+        server.close();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
+    /** Stops listening; open connections stay. */
     @Override
     public void close() throws IOException {
         server.close();
--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
@@ -0,0 +1,129 @@
+package org.whinwharf.front;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Verifies what becomes of responses without a declared end when their connection ends in order, by what becomes of the
+ * target.
+ */
+class UndeclaredEndTest {
+    private static final long DEADLINE_MILLIS = 5_000;
+    private static final String FIRST_EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    private static final String LAST_EVENT = "id: 3\ndata: c\n\n";
+    private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
+
+    private static final int REQUESTS = 20;
+
+    private final AtomicInteger runs = new AtomicInteger();
+    private FrontFixture fixture;
+
+    @BeforeEach
+    void startFront() {
+        fixture = new FrontFixture();
+    }
+
+    @AfterEach
+    void stopFront() throws IOException {
+        fixture.close();
+    }
+
+    /** Writes the head of a response without a declared end, and what was written of its body. */
+    private static void write(String request, Socket socket, String body) throws IOException {
+        FakeTarget.write(
+                socket,
+                "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attemptId(request) + "\r\nSigned: yes\r\n\r\n" + body);
+    }
+
+    /**
+     * Starts a target that is killed once it has written the given part of the first response of all targets, and
+     * resumes streams after the second event and serves others whole otherwise.
+     */
+    private void target(String id, String part, String whole) throws IOException {
+        AtomicReference<FakeTarget> target = new AtomicReference<>();
+        target.set(fixture.target(id, (request, socket) -> {
+            if (runs.getAndIncrement() == 0) {
+                write(request, socket, part);
+                target.get().kill();
+            } else {
+                boolean resumes = request.toLowerCase(Locale.ROOT).contains("resume-after: 2");
+                write(request, socket, resumes ? LAST_EVENT : whole);
+                socket.close();
+            }
+        }));
+    }
+
+    private String request(String method, String path, String attempt) throws IOException {
+        return fixture.exchange(FrontFixture.request(method, path, attempt, true));
+    }
+
+    /** Guards against a stream that reaches its caller as complete though its target was killed between two events. */
+    @Test
+    void streamOfKilledTargetIsBrokenOff() throws IOException {
+        target("t", FIRST_EVENTS, "");
+        fixture.publishCatalog(1, DEADLINE_MILLIS);
+        String response = request("POST", "/stream/x", "a");
+        assertThat(response, containsString("data: b"));
+        assertThat(response, not(containsString(LAST_CHUNK)));
+    }
+
+    /** Guards against ending a stream that another target could go on with after its target was killed. */
+    @Test
+    void resumableStreamOfKilledTargetIsResumed() throws IOException {
+        target("t", FIRST_EVENTS, "");
+        target("u", FIRST_EVENTS, "");
+        fixture.publishCatalog(2, DEADLINE_MILLIS);
+        String response = request("POST", "/resumable/x", "a");
+        assertThat(response.replaceAll("(?m)^[0-9a-f]+\r\n|\r\n", ""), endsWith(FIRST_EVENTS + LAST_EVENT));
+        assertThat(response, endsWith(LAST_CHUNK));
+    }
+
+    /** Guards against delivering the received part of a plain response as a whole one after its target was killed. */
+    @Test
+    void plainResponseOfKilledTargetIsNotDelivered() throws IOException {
+        target("t", "half", "");
+        fixture.publishCatalog(1, DEADLINE_MILLIS);
+        assertThat(request("POST", "/unsafe/x", "a"), startsWith("HTTP/1.1 502"));
+    }
+
+    /** Guards against failing a request that may be repeated because its target was killed in its response. */
+    @Test
+    void repeatablePlainRequestOfKilledTargetIsServedElsewhere() throws IOException {
+        target("t", "half", "half and half");
+        target("u", "half", "half and half");
+        fixture.publishCatalog(2, DEADLINE_MILLIS);
+        assertThat(request("GET", "/safe/x", "a"), endsWith("\r\n\r\nhalf and half"));
+    }
+
+    /** Guards against not delivering, or not in full, what a target that goes on has ended with its connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"/safe/x", "/unsafe/x", "/stream/x", "/resumable/x"})
+    void responsesOfTargetThatGoesOnAreDelivered(String path) throws IOException {
+        runs.set(1);
+        target("t", "", FIRST_EVENTS);
+        fixture.publishCatalog(1, DEADLINE_MILLIS);
+        for (int i = 0; i < REQUESTS; i++) {
+            String response = request(path.startsWith("/safe") ? "GET" : "POST", path, "a" + i);
+            assertThat(response, startsWith("HTTP/1.1 200"));
+            assertThat(response, containsString(FIRST_EVENTS));
+            assertThat(
+                    response, endsWith(path.contains("able") || path.contains("stream") ? LAST_CHUNK : FIRST_EVENTS));
+        }
+        assertThat("requests, with health checks if there are any", runs.get(), is(1 + REQUESTS));
+    }
+}
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
@@ -131,7 +131,7 @@
         }
         busy[place] = true;
         WorkerStandIn worker = workers[place];
-        worker.crash();
+        worker.crash(WorkerCrash.values()[random.nextInt(WorkerCrash.values().length)]);
         if (!sameId) {
             worker.removeEntry();
         }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -20,7 +20,10 @@
     private static final int LONG_INTERVAL = 20;
 
     private static final String GARBAGE = "\u0001\u0002 no answer \r\n\r\n";
-    private static final String LAST_CHUNK = "0\r\n\r\n";
+    /** Time between the parts of a plain answer that ends with its connection. */
+    private static final int MAX_PART_MILLIS = 40;
+    /** One of so many streams ends with its connection. */
+    private static final int UNDECLARED_INTERVAL = 4;
 
     /** How the end of a body is told. */
     private enum Framing {
@@ -35,7 +38,18 @@
             String header(int length) {
                 return "Transfer-Encoding: chunked";
             }
+
+            @Override
+            String part(String text) {
+                return text.isEmpty() ? "" : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+            }
+
+            @Override
+            String end() {
+                return "0\r\n\r\n";
+            }
         },
+        /** Nothing but the end of the connection tells it. */
         CONNECTION {
             @Override
             String header(int length) {
@@ -44,6 +58,25 @@
         };
 
         abstract String header(int length);
+
+        /** Returns what is written of a part of the body. */
+        String part(String text) {
+            return text;
+        }
+
+        /** Returns what is written after the body. */
+        String end() {
+            return "";
+        }
+
+        /** Returns the fault instead of one that a response of this framing can't have. */
+        WorkerFault possible(WorkerFault fault) {
+            if (this != CONNECTION) {
+                return fault;
+            }
+            // Only a reset tells that an answer which ends with its connection is incomplete.
+            return fault.answers() ? WorkerFault.NONE : WorkerFault.RESET;
+        }
     }
 
     private final WorkerStandIn worker;
@@ -176,26 +209,26 @@
                 .append('\n');
         output.body.append((run.seal() + "\n").repeat(worker.draw(MAX_BODY_LINES)));
         Framing framing = Framing.values()[worker.draw(Framing.values().length)];
-        output.all.append(head(output, framing, output.body.length()));
-        if (framing == Framing.CHUNKS) {
-            int half = output.body.length() / 2;
-            output.all.append(chunk(output.body.substring(0, half))).append(chunk(output.body.substring(half)));
-            output.all.append(LAST_CHUNK);
-        } else {
-            output.all.append(output.body);
-        }
+        int half = output.body.length() / 2;
+        String first = head(output, framing, output.body.length()) + framing.part(output.body.substring(0, half));
+        String second = framing.part(output.body.substring(half)) + framing.end();
         if (fault == WorkerFault.GARBAGE || fault == WorkerFault.SILENT) {
             output.status = 0;
             end(output, fault);
             send(fault == WorkerFault.GARBAGE ? GARBAGE : "");
             return false;
         }
-        // Only a reset tells that an answer which ends with its connection is incomplete.
-        WorkerFault used = framing == Framing.CONNECTION && fault.answers()
-                ? WorkerFault.NONE
-                : framing == Framing.CONNECTION ? WorkerFault.RESET : fault;
+        WorkerFault used = framing.possible(fault);
         end(output, used);
-        return write(output.all.toString(), used) && framing != Framing.CONNECTION;
+        if (framing == Framing.CONNECTION && used == WorkerFault.NONE) {
+            write(first, used);
+            if (!in.staysOpen(worker.draw(MAX_PART_MILLIS))) {
+                throw new IOException("the caller left");
+            }
+            send(second);
+            return false;
+        }
+        return write(first + second, used) && framing != Framing.CONNECTION;
     }
 
     private String head(Output output, Framing framing, int length) {
@@ -205,19 +238,16 @@
                 + "\r\n\r\n";
     }
 
-    private static String chunk(String text) {
-        return text.isEmpty() ? "" : Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-    }
-
-    private boolean stream(Output output, WorkerFault fault, long limitMillis) throws IOException {
+    private boolean stream(Output output, WorkerFault drawn, long limitMillis) throws IOException {
         WorkerRun run = output.run;
+        Framing framing = worker.draw(UNDECLARED_INTERVAL) == 0 ? Framing.CONNECTION : Framing.CHUNKS;
+        WorkerFault fault = framing.possible(drawn);
         int events = AttemptKind.events(run.path());
         int breakAfter = fault.answers() ? events : run.afterEvent() + worker.draw(events - run.afterEvent() + 1);
         long endNanos = run.beganNanos() + limitMillis * 1_000_000;
         int maxEventMillis = worker.draw(SLOW_INTERVAL) == 0 ? MAX_SLOW_EVENT_MILLIS : MAX_EVENT_MILLIS;
         output.status = 200;
-        output.all.append(
-                head(output, Framing.CHUNKS, 0).replaceFirst("\r\n", "\r\nContent-Type: text/event-stream\r\n"));
+        output.all.append(head(output, framing, 0).replaceFirst("\r\n", "\r\nContent-Type: text/event-stream\r\n"));
         send(before + output.all);
         before = "";
         if (endsAfterRepetition) {
@@ -225,18 +255,21 @@
         }
         for (int id = run.afterEvent() + 1; id <= breakAfter; id++) {
             if (!in.staysOpen(worker.draw(maxEventMillis)) || System.nanoTime() > endNanos) {
+                if (framing == Framing.CONNECTION && !worker.crashed()) {
+                    WorkerStandIn.reset(socket);
+                }
                 throw new IOException("the caller left, or the time was up");
             }
             String event = "id: " + id + "\ndata: " + run.seal() + " " + run.version() + "\n\n";
-            send(chunk(event));
+            send(framing.part(event));
             output.body.append(event);
-            output.all.append(chunk(event));
+            output.all.append(framing.part(event));
         }
         end(output, fault);
         if (fault.answers()) {
-            output.all.append(LAST_CHUNK);
-            send(LAST_CHUNK);
-            return finish(output.all.toString(), fault);
+            output.all.append(framing.end());
+            send(framing.end());
+            return finish(output.all.toString(), fault) && framing != Framing.CONNECTION;
         }
         if (fault == WorkerFault.SILENT) {
             in.staysOpen((endNanos - System.nanoTime()) / 1_000_000);
@@ -245,7 +278,7 @@
         } else if (fault == WorkerFault.RESET) {
             WorkerStandIn.reset(socket);
         } else {
-            send(chunk("id: " + (breakAfter + 1) + "\nda"));
+            send(framing.part("id: " + (breakAfter + 1) + "\nda"));
         }
         return false;
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
@@ -100,11 +100,11 @@
                 OptionalLong.of(store.remove("servers/" + identity.id()).atNanos());
     }
 
-    /** Resets all connections; the entry stays until it is removed or replaced. */
-    void crash() {
+    /** Ends at once, in the middle of its answers; the entry stays until it is removed or replaced. */
+    void crash(WorkerCrash kind) {
         crashed = true;
         closeServer();
-        connections.forEach(WorkerStandIn::reset);
+        connections.forEach(kind::end);
     }
 
     /** Removes the entry. */
