Check after an undeclared end whether the target lived on, in log and metrics

LivenessCheck connects to the target anew after such an end; response-end-checked and whinwharf_undeclared_ends_total say what became of it. Delivery is unchanged.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -312,6 +312,23 @@
                 .call();
     }
 
+    /**
+     * Logs what became of a target whose response only the end of its connection had ended.
+     *
+     * @param otherConnections connections to the target that were open at the end
+     * @param tookMillis time from the end to this result in milliseconds
+     */
+    static void responseEndChecked(
+            Target target, String attemptId, TargetLiveness liveness, int otherConnections, long tookMillis) {
+        EventLog.event(LogEvent.RESPONSE_END_CHECKED)
+                .with(EventField.REQUEST, attemptId)
+                .with(EventField.TARGET, target.id())
+                .with(EventField.VERDICT, liveness.tag())
+                .with(EventField.OTHER_CONNECTIONS, otherConnections)
+                .with(EventField.AGE_MILLIS, tookMillis)
+                .call();
+    }
+
     static void runLost(CallerExchange exchange, TargetRun run, TargetFailure failure, FailureReview.Verdict verdict) {
         EventLog event = EventLog.event(LogEvent.RUN_LOST)
                 .with(EventField.REQUEST, exchange.head().attemptId())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -29,6 +29,7 @@
     private final Map<ResponseEnding, Counter> responseEndings = new HashMap<>();
     private final Map<ResumptionOutcome, Counter> resumptions = new EnumMap<>(ResumptionOutcome.class);
     private final Map<UnmatchedResponse, Counter> unmatchedResponses = new EnumMap<>(UnmatchedResponse.class);
+    private final Map<TargetLiveness, Counter> undeclaredEnds = new EnumMap<>(TargetLiveness.class);
     private final Map<RetryDecision, Counter> silentRuns = new EnumMap<>(RetryDecision.class);
     private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
     private final Map<RouteKind, Timer> queueTimes = new EnumMap<>(RouteKind.class);
@@ -156,6 +157,19 @@
                 .increment();
     }
 
+    /** Counts a response without a declared end whose connection ended in order. */
+    void undeclaredEnd(TargetLiveness liveness) {
+        undeclaredEnds
+                .computeIfAbsent(
+                        liveness,
+                        key -> Counter.builder("whinwharf.undeclared.ends")
+                                .description(
+                                        "Responses ended by their connections in order, by what became of the target")
+                                .tag("target", key.tag())
+                                .register(registry))
+                .increment();
+    }
+
     /** Counts a response that is not known to answer the request of its connection. */
     void responseUnmatched(UnmatchedResponse reason) {
         unmatchedResponses
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -55,6 +55,10 @@
     private TargetListener listener;
     private String attemptId = "";
     private ChannelFuture written;
+    private HttpMethod requestMethod = HttpMethod.GET;
+    /** Framing of the current response; null before its head. */
+    private BodyFraming framing;
+
     private int carriedRequests;
     private int skippedResponses;
     private long skippedBytes;
@@ -116,7 +120,8 @@
         if (body.isReadable() || HttpUtil.isContentLengthSet(request)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
-        channel.pipeline().get(TargetAnswerDecoder.class).setRequestMethod(request.method());
+        requestMethod = request.method();
+        channel.pipeline().get(TargetAnswerDecoder.class).setRequestMethod(requestMethod);
         if (request.method().equals(HttpMethod.HEAD)) {
             // A second copy of its response has no body either, whatever the next request is.
             reusable = false;
@@ -154,6 +159,11 @@
         return phase == Phase.IDLE && !link.inputEnded() && link.usable();
     }
 
+    /** Tells whether neither side has ended the connection. */
+    boolean open() {
+        return phase != Phase.CLOSED && !link.inputEnded();
+    }
+
     void close() {
         phase = Phase.CLOSED;
         channel.close();
@@ -207,6 +217,7 @@
             }
         }
         phase = Phase.READING_BODY;
+        framing = BodyFraming.of(response, requestMethod);
         listener.head(response, answer);
     }
 
@@ -246,6 +257,9 @@
                 fail(link.lossCause());
                 return;
             }
+            if (!framing.endDeclared()) {
+                pool.checkLiveness(this, attemptId, liveness -> {});
+            }
             finish();
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -4,8 +4,10 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.target.Target;
 
@@ -17,6 +19,7 @@
     private final FrontMetrics metrics;
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> direct = new HashSet<>();
+    private final LivenessCheck livenessCheck = new LivenessCheck(this);
 
     /**
      * Creates an empty pool.
@@ -103,6 +106,33 @@
         return direct.stream().anyMatch(connection -> connection.spans(fromMillis, toMillis));
     }
 
+    /**
+     * Finds out whether the target lived on after it had ended a connection in order, which is all that tells the end
+     * of a response from the end of the target.
+     *
+     * @param attemptId attempt whose response ended
+     */
+    void checkLiveness(TargetConnection ended, String attemptId, Consumer<TargetLiveness> consumer) {
+        List<TargetConnection> others =
+                direct.stream().filter(connection -> connection != ended).toList();
+        long endedAtMillis = ticker.nowMillis();
+        livenessCheck.check(ended, others, liveness -> {
+            metrics.undeclaredEnd(liveness);
+            FrontLog.responseEndChecked(target, attemptId, liveness, others.size(), ticker.nowMillis() - endedAtMillis);
+            consumer.accept(liveness);
+        });
+    }
+
+    /** Returns the direct connections that neither side has ended. */
+    Set<TargetConnection> openDirect() {
+        return direct.stream().filter(TargetConnection::open).collect(Collectors.toSet());
+    }
+
+    /** Tells whether another process is known to have taken the target's place since the given time. */
+    boolean targetReplacedSince(long sinceMillis) {
+        return connector.replacedSince(target, sinceMillis);
+    }
+
     /** Closes connections that have been idle for longer than their keep-alive time. */
     void closeStale() {
         long nowMillis = ticker.nowMillis();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
@@ -82,6 +82,11 @@
         new Attempt(pool, askPeers, consumer).start();
     }
 
+    /** Tells whether another process is known to have taken a target's place since the given time. */
+    boolean replacedSince(Target target, long sinceMillis) {
+        return targets.replacedSince(target, sinceMillis);
+    }
+
     private TargetPaths paths() {
         return targets.paths();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
@@ -11,6 +11,7 @@
     private long lastReachedAtMillis = Long.MIN_VALUE;
     private long lastAnswerAtMillis = Long.MIN_VALUE;
     private long crashedAtMillis = Long.MIN_VALUE;
+    private long restartedAtMillis = Long.MIN_VALUE;
 
     TargetEntry(TargetState state, TargetConnectionPool pool) {
         this.state = state;
@@ -46,6 +47,16 @@
         crashedAtMillis = nowMillis;
     }
 
+    /** Records that the target was published with another start time than before. */
+    void restarted(long nowMillis) {
+        restartedAtMillis = nowMillis;
+    }
+
+    /** Tells whether the target was published with another start time at or after the given time. */
+    boolean restartedSince(long sinceMillis) {
+        return restartedAtMillis >= sinceMillis;
+    }
+
     /** Tells whether the target is known to have crashed at or after the given time. */
     boolean crashedSince(long sinceMillis) {
         return crashedAtMillis >= sinceMillis;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -171,6 +171,7 @@
             crashed(entry);
         }
         if (knownStartUnixMillis != target.startedUnixMillis()) {
+            entry.restarted(nowMillis);
             statedRates.restarted(target);
         }
         Target before = entry.state().target();
@@ -240,6 +241,24 @@
                 || evacuated.contains(target.dataCentre());
     }
 
+    /**
+     * Tells whether another process is known to have taken a target's place: the target was published with another
+     * start time since the given time, or another target has its address.
+     */
+    boolean replacedSince(Target target, long sinceMillis) {
+        TargetEntry entry = entries.get(target.id());
+        if (entry != null && entry.restartedSince(sinceMillis)) {
+            return true;
+        }
+        return entries.values().stream()
+                .map(other -> other.state().target())
+                .anyMatch(other -> !other.id().equals(target.id())
+                        && other.address().equals(target.address())
+                        && (entry == null
+                                || other.startedUnixMillis()
+                                        > entry.state().target().startedUnixMillis()));
+    }
+
     /** Returns a random sample of the targets, whatever their health. */
     List<TargetEntry> sample(int maxCount) {
         List<TargetEntry> all = new ArrayList<>(entries.values());
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -165,6 +165,8 @@
     FINGERPRINT("fingerprint"),
     /** Digests of the parts of a prompt that other requests may share, in hexadecimal, separated by commas. */
     SHARED_PARTS("sharedParts"),
+    /** Further connections of this process to a target. */
+    OTHER_CONNECTIONS("otherConnections"),
     /** What the loss of a run's connection shows, or whether a request may be sent after such losses. */
     VERDICT("verdict"),
     /** Fingerprint that a verdict is on: that of a request or of a part that it shares with others. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -320,6 +320,14 @@
             EventField.PEER,
             EventField.REASON,
             EventField.VERDICT),
+    /** A response that declared no end has ended with its connection; tells whether its target lived on. */
+    RESPONSE_END_CHECKED(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.TARGET,
+            EventField.VERDICT,
+            EventField.OTHER_CONNECTIONS,
+            EventField.AGE_MILLIS),
     /** A target has sent a response that is not known to answer the request of its connection. */
     RESPONSE_UNMATCHED(
             Level.INFO,
