Complete a response without a declared end only if its target lived on

Callers saw streams end as complete before their last event, and plain responses with half a body as successes. A response without length or chunks ends with its connection, and a process that is killed has its connections closed in the same way when nothing unread lies in them; the front took any end of input at an event boundary for the end.

The end is held now until the target has shown that it lives on. It accepts a new connection, which takes the place of the one that ended, or it accepts none and keeps others that stood before. Otherwise the run has failed like one whose connection was closed before its declared end: resumed, sent elsewhere, answered 502, or broken off at the caller. Events are passed on as they come; only the end waits, for one round trip.

Why it works: a process that ends closes its port with its connections, so that an attempt begun after the end of the connection is refused.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -21,6 +21,9 @@
 /**
  * One connection to a target; it carries one request at a time.
  *
+ * <p>A response that declares no end and ends with the connection is complete only if its target lives on: a process
+ * that is killed has its connections closed in the same way.
+ *
  * <p>Targets may send a response twice, late, truncated or not at all. A response that carries the id of another
  * attempt is skipped. A response that names no attempt can only answer the current request, because no earlier response
  * over the connection was like that: the connection is reused only after a response that names its attempt. After any
@@ -44,6 +47,8 @@
         AWAITING_HEAD,
         READING_BODY,
         SKIPPING_BODY,
+        /** The target has ended the connection, and perhaps the response. */
+        CHECKING_END,
         CLOSED
     }
 
@@ -161,7 +166,7 @@
 
     /** Tells whether neither side has ended the connection. */
     boolean open() {
-        return phase != Phase.CLOSED && !link.inputEnded();
+        return phase != Phase.CHECKING_END && phase != Phase.CLOSED && !link.inputEnded();
     }
 
     void close() {
@@ -176,6 +181,9 @@
         if (phase == Phase.IDLE) {
             pool.responseUnmatched(UnmatchedResponse.UNREQUESTED, "", 0, "", carriedRequests);
         }
+        if (phase == Phase.CHECKING_END) {
+            return;
+        }
         if (phase == Phase.IDLE || phase == Phase.CLOSED) {
             close();
             return;
@@ -257,10 +265,11 @@
                 fail(link.lossCause());
                 return;
             }
-            if (!framing.endDeclared()) {
-                pool.checkLiveness(this, attemptId, liveness -> {});
+            if (framing.endDeclared()) {
+                finish();
+            } else {
+                checkEnd();
             }
-            finish();
         }
     }
 
@@ -278,7 +287,34 @@
         current.complete();
     }
 
+    /**
+     * Holds the end of a response that only its connection has ended, until it is known whether the target lives on.
+     */
+    private void checkEnd() {
+        phase = Phase.CHECKING_END;
+        pool.checkLiveness(this, attemptId, liveness -> channel.eventLoop().execute(() -> endChecked(liveness)));
+        channel.close();
+    }
+
+    private void endChecked(TargetLiveness liveness) {
+        TargetListener current = listener;
+        listener = null;
+        phase = Phase.CLOSED;
+        if (current == null) {
+            // The request was cancelled meanwhile.
+            return;
+        }
+        if (liveness.shown()) {
+            current.complete();
+        } else {
+            current.failed(TargetFailure.CLOSED);
+        }
+    }
+
     private void fail(TargetFailure failure) {
+        if (phase == Phase.CHECKING_END) {
+            return;
+        }
         TargetListener current = listener;
         listener = null;
         close();
