Tests of undeclared ends: targets that stop listening, that are replaced, and behind a peer

The other sides of the check: a target that listens no more but keeps another connection has not ended, so its whole response is delivered; a process that has the address of a killed target, or its id with another start time, is not that target; and a front that reaches the target through a peer only goes by what the peer reaches.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
@@ -9,7 +9,9 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
@@ -126,4 +128,78 @@
         }
         assertThat("requests, with health checks if there are any", runs.get(), is(1 + REQUESTS));
     }
+
+    /** Guards against discarding a whole response because its target, which is being stopped, listens no more. */
+    @Test
+    void responseOfTargetThatOnlyStopsListeningIsDelivered() throws Exception {
+        CountDownLatch released = new CountDownLatch(1);
+        AtomicReference<FakeTarget> target = new AtomicReference<>();
+        target.set(fixture.target("t", (request, socket) -> {
+            if (request.contains("/safe/long")) {
+                FrontFixture.awaitLatch(released);
+                FakeTarget.write(socket, FakeTarget.answer(request, 200, "long"));
+                return;
+            }
+            target.get().close();
+            write(request, socket, "whole");
+            socket.close();
+        }));
+        fixture.publishCatalog(1, DEADLINE_MILLIS);
+        try (Socket caller = fixture.connect()) {
+            FakeTarget.write(caller, FrontFixture.request("GET", "/safe/long", "a", true));
+            FrontFixture.await(() -> target.get().requests().size() == 1);
+            assertThat(request("POST", "/unsafe/x", "b"), endsWith("\r\n\r\nwhole"));
+            released.countDown();
+            assertThat(FrontFixture.readAll(caller), endsWith("\r\n\r\nlong"));
+        }
+    }
+
+    /** Guards against taking another process at the address of a killed target for that target. */
+    @ParameterizedTest
+    @ValueSource(strings = {"t", "u"})
+    void streamOfReplacedTargetIsBrokenOff(String idAfterwards) throws Exception {
+        CountDownLatch replaced = new CountDownLatch(1);
+        AtomicReference<FakeTarget> target = new AtomicReference<>();
+        target.set(fixture.target("t", (request, socket) -> {
+            write(request, socket, FIRST_EVENTS);
+            FrontFixture.awaitLatch(replaced);
+            socket.close();
+        }));
+        fixture.publishCatalog(1, DEADLINE_MILLIS);
+        try (Socket caller = fixture.connect()) {
+            FakeTarget.write(caller, FrontFixture.request("POST", "/stream/x", "a", true));
+            FrontFixture.await(() -> target.get().requests().size() == 1);
+            fixture.publish(idAfterwards, fixture.ip(), target.get().port(), 8, 2);
+            replaced.countDown();
+            assertThat(FrontFixture.readAll(caller), not(containsString(LAST_CHUNK)));
+        }
+    }
+
+    /** Guards against the same at a front that reaches the target through a peer only, and against losing the whole. */
+    @Test
+    void responseThatIsRelayedIsCompleteOnlyIfItsTargetLivesOn() throws Exception {
+        try (FrontFixture peer = new FrontFixture(List.of(fixture.ip()));
+                FakeTarget refused = new FakeTarget(fixture.ip(), (request, socket) -> {})) {
+            int closedPort = refused.port();
+            refused.close();
+            AtomicReference<FakeTarget> target = new AtomicReference<>();
+            target.set(peer.target("t", (request, socket) -> {
+                write(request, socket, FIRST_EVENTS);
+                if (request.contains("/stream/killed")) {
+                    target.get().kill();
+                } else {
+                    socket.close();
+                }
+            }));
+            peer.target("other", (request, socket) -> {});
+            fixture.publish("t", fixture.ip(), closedPort, 8);
+            fixture.publishCatalog(1, DEADLINE_MILLIS);
+            peer.publishCatalog(1, DEADLINE_MILLIS);
+            FrontFixture.await(() -> fixture.advertisedFronts() == 2);
+            assertThat(request("POST", "/stream/whole", "a"), endsWith(LAST_CHUNK));
+            String broken = request("POST", "/stream/killed", "b");
+            assertThat(broken, containsString("data: b"));
+            assertThat(broken, not(containsString(LAST_CHUNK)));
+        }
+    }
 }
