End the front's own answers to HEAD with their heads

The encoder of callers' connections knew nothing of the request. One place decides now what follows a head: CallerResponseEncoder, which is told the method of each request. Request targets with other than printable ASCII characters, which reached the target as other bytes, are rejected with 400.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerAcceptor.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerAcceptor.java
@@ -15,7 +15,6 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
-import io.netty.handler.codec.http.HttpResponseEncoder;
 
 /** Accepts connections from callers and sets up their pipelines. */
 final class CallerAcceptor {
@@ -47,7 +46,7 @@
                         channel.pipeline()
                                 .addLast(new ReceiveMonitor(connection))
                                 .addLast(new StrictDecoder(front.limits().maxHeaderBytes()))
-                                .addLast(new HttpResponseEncoder())
+                                .addLast(new CallerResponseEncoder())
                                 .addLast(connection);
                     }
                 })
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -44,6 +44,9 @@
     /** Number of queued messages of pipelined requests above which reading stops; well-behaved callers send fewer. */
     private static final int MAX_QUEUED_MESSAGES = 64;
 
+    /** The last printable character of ASCII; others would reach the target as other bytes. */
+    private static final char MAX_URI_CHARACTER = '~';
+
     private static final String CALLER_CLOSED = "caller-closed";
 
     private final Front front;
@@ -96,6 +99,9 @@
 
     private void process(HttpObject httpObject) {
         if (httpObject.decoderResult().isFailure()) {
+            if (httpObject instanceof HttpRequest head) {
+                channel.pipeline().get(CallerResponseEncoder.class).setRequestMethod(head.method());
+            }
             ReferenceCountUtil.release(httpObject);
             rejectMalformed(httpObject.decoderResult().cause());
             return;
@@ -114,6 +120,7 @@
 
     private void startRequest(HttpRequest head) {
         receivingHead = false;
+        channel.pipeline().get(CallerResponseEncoder.class).setRequestMethod(head.method());
         String invalidPart = validateHead(head);
         if (invalidPart != null) {
             reject(ErrorKind.MALFORMED, invalidPart);
@@ -147,7 +154,9 @@
         if (headers.getAll(HttpHeaderNames.HOST).size() != 1) {
             return "host";
         }
-        if (!head.uri().startsWith("/") || head.method().equals(HttpMethod.CONNECT)) {
+        if (!head.uri().startsWith("/")
+                || head.uri().chars().anyMatch(unit -> unit <= ' ' || unit > MAX_URI_CHARACTER)
+                || head.method().equals(HttpMethod.CONNECT)) {
             return "request target";
         }
         return null;
