Place a request once in a turn, and let the loop's tasks outlive any failure

A request that has too little time left is answered when it is placed. A placement after one that failed is a new turn of the event loop, so that the depth of the stack does not depend on how fast attempts fail.

Not part of this: a thread that watches for a loop that makes no progress, and readiness that ends with repeated failures.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -70,6 +70,8 @@
         /** A placement request was sent to a coordinator. */
         AWAITING_PLACEMENT,
         CONNECTING,
+        /** To be placed in the next turn of the event loop. */
+        PLACING_AGAIN,
         SENT,
         ENDED
     }
@@ -302,6 +304,10 @@
     }
 
     private void place(long nowMillis) {
+        if (deadlineAtMillis - nowMillis < MIN_REMAINING_MILLIS) {
+            tooLateToPlace(nowMillis);
+            return;
+        }
         Assessment assessment = front.crashes().assess(this);
         if (assessment.quarantined()) {
             quarantined(assessment.retryAfterMillis());
@@ -329,6 +335,14 @@
         }
     }
 
+    private void tooLateToPlace(long nowMillis) {
+        if (runs.replacing()) {
+            keepSilentRun();
+        } else {
+            deadlineReached(nowMillis);
+        }
+    }
+
     /**
      * Returns for how long a request waits for another one that shows whether targets crash under their common part.
      */
@@ -440,7 +454,7 @@
     public void grantUnusable(String targetId) {
         if (crashAssessment.suspect()) {
             // Only the coordinator knows where other suspects run.
-            placeElsewhere(targetId, front.nowMillis());
+            placeElsewhere(targetId);
         } else {
             coordinatorUnavailable();
         }
@@ -571,23 +585,33 @@
         } else if (result.status() == ConnectResult.Status.UNREACHABLE) {
             current.end(RunEvent.RUN_UNREACHABLE);
             front.targetFailed(current.entry(), TargetFailure.UNREACHABLE);
-            place(nowMillis);
+            placeAgain();
         } else {
             current.end(RunEvent.RUN_GIVEN_UP);
-            placeElsewhere(current.entry().state().target().id(), nowMillis);
+            placeElsewhere(current.entry().state().target().id());
         }
     }
 
     /** Places the request at another target, because this process has no path to the granted one. */
-    private void placeElsewhere(String pathlessTargetId, long nowMillis) {
+    private void placeElsewhere(String pathlessTargetId) {
         pathlessTargetIds.add(pathlessTargetId);
         if (pathlessTargetIds.size() < MAX_TARGETS_WITHOUT_PATH) {
-            place(nowMillis);
+            placeAgain();
         } else {
             rejectWithoutPath();
         }
     }
 
+    /** Places the request in a new turn of the event loop: attempts that fail at once would nest without a bound. */
+    private void placeAgain() {
+        stage = Stage.PLACING_AGAIN;
+        front.loop().execute(() -> {
+            if (stage == Stage.PLACING_AGAIN) {
+                place(front.nowMillis());
+            }
+        });
+    }
+
     private void rejectWithoutPath() {
         ErrorKind kind = runs.mayHaveExecuted() ? ErrorKind.TARGET_LOST : ErrorKind.NO_TARGET;
         respondWithError(new ErrorResponse(kind, NO_PATH_RETRY_AFTER_MILLIS));
@@ -604,13 +628,13 @@
                 || !front.statedRates().admits(current.run())) {
             current.entry().pool().release(acquired);
             current.end(RunEvent.RUN_GIVEN_UP);
-            place(nowMillis);
+            placeAgain();
             return;
         }
         if (!accepts(current.entry().state().target())) {
             current.entry().pool().release(acquired);
             current.end(RunEvent.RUN_GIVEN_UP);
-            placeElsewhere(current.entry().state().target().id(), nowMillis);
+            placeElsewhere(current.entry().state().target().id());
             return;
         }
         if (!caller.isCallerConnected()) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -102,6 +102,7 @@
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private final Set<CallerExchange> exchanges = new LinkedHashSet<>();
     private final FrontMetrics metrics = new FrontMetrics();
+    private final TaskGuard tasks = new TaskGuard(metrics, ticker);
     private final CallerAcceptor callers;
     private final FleetStateExchange fleetState;
     private final PeerDatagrams datagrams;
@@ -232,12 +233,12 @@
             throw new UncheckedIOException(e);
         }
         // What peers know of targets is needed for the first request.
-        loop.execute(() -> runLogged("gossip", this::gossipRound));
+        loop.execute(() -> tasks.run("gossip", this::gossipRound));
         scheduleRepeatedly("gossip", GOSSIP_INTERVAL_MILLIS, this::gossipRound);
         loop.execute(this::tickAndScheduleNext);
         scheduleRepeatedly("upkeep", SWEEP_INTERVAL_MILLIS, this::sweep);
         loop.schedule(
-                () -> runLogged("metrics", this::startMetrics), METRICS_START_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                () -> tasks.run("metrics", this::startMetrics), METRICS_START_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         EventLog.event(LogEvent.STARTED)
                 .with(EventField.HOST, settings.name())
                 .with(EventField.ROLE, "front")
@@ -325,19 +326,11 @@
     }
 
     private void scheduleRepeatedly(String name, long millis, Runnable task) {
-        loop.scheduleWithFixedDelay(() -> runLogged(name, task), millis, millis, TimeUnit.MILLISECONDS);
-    }
-
-    private static void runLogged(String name, Runnable task) {
-        try {
-            task.run();
-        } catch (RuntimeException e) {
-            FrontLog.taskFailed(name, e);
-        }
+        loop.scheduleWithFixedDelay(() -> tasks.run(name, task), millis, millis, TimeUnit.MILLISECONDS);
     }
 
     private void tickAndScheduleNext() {
-        runLogged("requests", this::tick);
+        tick();
         boolean queued = coordination.hasPendingRequests() || localQueues.size() > 0;
         long pauseMillis = queued ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
         loop.schedule(this::tickAndScheduleNext, pauseMillis, TimeUnit.MILLISECONDS);
@@ -502,26 +495,27 @@
 
     private void tick() {
         long nowMillis = ticker.nowMillis();
-        fleetState.updateRemoteLoads(nowMillis);
-        coordination.tick();
-        pathMonitor.checkSilence(nowMillis);
-        List.copyOf(exchanges).forEach(exchange -> exchange.checkTimeouts(nowMillis));
-        localQueues.advance(nowMillis);
+        tasks.run("loads", () -> fleetState.updateRemoteLoads(nowMillis));
+        tasks.run("coordination", coordination::tick);
+        tasks.run("paths", () -> pathMonitor.checkSilence(nowMillis));
+        List.copyOf(exchanges).forEach(exchange -> tasks.run("requests", () -> exchange.checkTimeouts(nowMillis)));
+        tasks.run("queues", () -> localQueues.advance(nowMillis));
         if (phase == MemberPhase.MEMBER_LEAVING) {
-            drain(nowMillis);
+            tasks.run("drain", () -> drain(nowMillis));
         }
     }
 
     private void sweep() {
         long nowMillis = ticker.nowMillis();
-        acceptOnceReady();
-        feed.tick();
-        targets.sweep();
-        crashes.sweep();
-        streams.sweep();
-        statedRates().sweep(targets.ids());
-        pathMonitor.recheckLostPaths();
-        List.copyOf(connections).forEach(connection -> connection.checkTimeouts(nowMillis));
+        tasks.run("accept", this::acceptOnceReady);
+        tasks.run("items", feed::tick);
+        tasks.run("targets", targets::sweep);
+        tasks.run("crashes", crashes::sweep);
+        tasks.run("streams", streams::sweep);
+        tasks.run("rates", () -> statedRates().sweep(targets.ids()));
+        tasks.run("paths", pathMonitor::recheckLostPaths);
+        List.copyOf(connections)
+                .forEach(connection -> tasks.run("connections", () -> connection.checkTimeouts(nowMillis)));
         members.expire(nowMillis)
                 .forEach(name -> EventLog.event(LogEvent.MEMBER_FORGOTTEN)
                         .with(EventField.PEER, name)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -30,6 +30,7 @@
     private final Map<ResumptionOutcome, Counter> resumptions = new EnumMap<>(ResumptionOutcome.class);
     private final Map<UnmatchedResponse, Counter> unmatchedResponses = new EnumMap<>(UnmatchedResponse.class);
     private final Map<TargetLiveness, Counter> undeclaredEnds = new EnumMap<>(TargetLiveness.class);
+    private final Map<String, Counter> taskFailures = new HashMap<>();
     private final Map<RetryDecision, Counter> silentRuns = new EnumMap<>(RetryDecision.class);
     private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
     private final Map<RouteKind, Timer> queueTimes = new EnumMap<>(RouteKind.class);
@@ -71,6 +72,18 @@
         answered.increment();
     }
 
+    /** Counts a task of the event loop that threw something; it goes on. */
+    void taskFailed(String name) {
+        taskFailures
+                .computeIfAbsent(
+                        name,
+                        key -> Counter.builder("whinwharf.task.failures")
+                                .description("Runs of a task that threw something")
+                                .tag("task", key)
+                                .register(registry))
+                .increment();
+    }
+
     void retried() {
         retries.increment();
     }
