Tell the target from a process that has taken its place, after an undeclared end

Three things tell them apart now. While a response without a declared end is read, another connection stands beside it: it ends with the process, whoever listens afterwards, and if it still stands the target has lived on. Without another one, a new connection counts only if it is accepted within 100 ms of the last time at which the loop had looked at its connections, sooner than a process starts. In all other cases the process that accepts has to answer a health check under the target's id.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -495,6 +495,7 @@
 
     private void tick() {
         long nowMillis = ticker.nowMillis();
+        targets.turnBegins(nowMillis);
         tasks.run("loads", () -> fleetState.updateRemoteLoads(nowMillis));
         tasks.run("coordination", coordination::tick);
         tasks.run("paths", () -> pathMonitor.checkSilence(nowMillis));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LivenessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LivenessCheck.java
@@ -11,17 +11,27 @@
  * <p>A process that is killed has its connections closed in order by its system, just as one does that has written a
  * response without a declared end. Only what the target does next tells them apart: one that lives on accepts a new
  * connection, which takes the place of the one that it ended, or at least keeps those that it had.
+ *
+ * <p>A connection that is accepted late, or after all others have ended, may be one to the process after it. The target
+ * then has to say who it is.
  */
 final class LivenessCheck {
     /**
      * An end that is not explained yet.
      *
      * @param ended the connection
+     * @param sinceMillis time since which the target may have ended it; earlier than the time at which this was noticed
      * @param others connections that stood at that time
      * @param consumer receives the result
      */
     private record PendingEnd(
-            TargetConnection ended, List<TargetConnection> others, Consumer<TargetLiveness> consumer) {}
+            TargetConnection ended,
+            long sinceMillis,
+            List<TargetConnection> others,
+            Consumer<TargetLiveness> consumer) {}
+
+    /** Minimum time in which another process can listen in the place of one that has ended. */
+    private static final long MIN_RESTART_MILLIS = 100;
 
     private final TargetConnectionPool pool;
     /** Ends since the latest attempt to connect began, about which it says nothing. */
@@ -36,10 +46,15 @@
     /**
      * Checks the target after it has ended a connection in order.
      *
+     * @param sinceMillis time since which the target may have ended it
      * @param others other direct connections to the target that are open
      */
-    void check(TargetConnection ended, List<TargetConnection> others, Consumer<TargetLiveness> consumer) {
-        waiting.add(new PendingEnd(ended, others, consumer));
+    void check(
+            TargetConnection ended,
+            long sinceMillis,
+            List<TargetConnection> others,
+            Consumer<TargetLiveness> consumer) {
+        waiting.add(new PendingEnd(ended, sinceMillis, others, consumer));
         if (!connecting) {
             connect();
         }
@@ -52,23 +67,31 @@
         pool.connectAnew(result -> {
             connecting = false;
             Set<TargetConnection> open = pool.openDirect();
-            ends.forEach(end -> end.consumer().accept(liveness(end, result.status(), open)));
+            ends.forEach(end -> conclude(end, result.status(), open));
             if (!waiting.isEmpty() && !connecting) {
                 connect();
             }
         });
     }
 
-    private TargetLiveness liveness(PendingEnd end, ConnectResult.Status status, Set<TargetConnection> open) {
+    private void conclude(PendingEnd end, ConnectResult.Status status, Set<TargetConnection> open) {
+        boolean connected = status == ConnectResult.Status.CONNECTED;
+        boolean prompt = pool.nowMillis() - end.sinceMillis() < MIN_RESTART_MILLIS;
         if (pool.targetReplacedSince(end.ended().openedAtMillis())) {
-            return TargetLiveness.REPLACED;
-        }
-        if (status == ConnectResult.Status.CONNECTED) {
-            return TargetLiveness.ACCEPTS;
-        }
-        if (end.others().stream().anyMatch(open::contains)) {
-            return TargetLiveness.KEEPS_CONNECTIONS;
+            end.consumer().accept(TargetLiveness.REPLACED);
+        } else if (end.others().stream().anyMatch(open::contains)) {
+            end.consumer().accept(TargetLiveness.KEEPS_CONNECTIONS);
+        } else if (connected && prompt && end.others().isEmpty()) {
+            end.consumer().accept(TargetLiveness.ACCEPTS);
+        } else if (connected) {
+            pool.confirmInstance(
+                    confirmed -> end.consumer().accept(confirmed ? TargetLiveness.ANSWERS : TargetLiveness.UNKNOWN));
+        } else {
+            end.consumer()
+                    .accept(
+                            status == ConnectResult.Status.UNREACHABLE
+                                    ? TargetLiveness.UNREACHABLE
+                                    : TargetLiveness.UNKNOWN);
         }
-        return status == ConnectResult.Status.UNREACHABLE ? TargetLiveness.UNREACHABLE : TargetLiveness.UNKNOWN;
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -257,6 +257,10 @@
         }
         if (content.content().isReadable()) {
             listener.content(content.content().retain());
+            if (!framing.endDeclared()) {
+                // Not if the response ends within this read, as a short one does.
+                channel.eventLoop().execute(this::secureEnd);
+            }
         }
         if (last && phase == Phase.READING_BODY) {
             if (!channel.isActive()) {
@@ -287,6 +291,12 @@
         current.complete();
     }
 
+    private void secureEnd() {
+        if (phase == Phase.READING_BODY) {
+            pool.standBeside(this);
+        }
+    }
+
     /**
      * Holds the end of a response that only its connection has ended, until it is known whether the target lives on.
      */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -20,6 +20,8 @@
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> direct = new HashSet<>();
     private final LivenessCheck livenessCheck = new LivenessCheck(this);
+    /** Whether a connection is being opened to stand beside another one. */
+    private boolean openingSecond;
 
     /**
      * Creates an empty pool.
@@ -116,13 +118,31 @@
         List<TargetConnection> others =
                 direct.stream().filter(connection -> connection != ended).toList();
         long endedAtMillis = ticker.nowMillis();
-        livenessCheck.check(ended, others, liveness -> {
+        livenessCheck.check(ended, Math.min(endedAtMillis, connector.turnAtMillis()), others, liveness -> {
             metrics.undeclaredEnd(liveness);
             FrontLog.responseEndChecked(target, attemptId, liveness, others.size(), ticker.nowMillis() - endedAtMillis);
             consumer.accept(liveness);
         });
     }
 
+    /**
+     * Sees to it that another connection stands beside one whose response declares no end, since its fate will show
+     * that of the target.
+     */
+    void standBeside(TargetConnection reading) {
+        boolean alone = direct.contains(reading)
+                && direct.stream().noneMatch(connection -> connection != reading && connection.open());
+        if (alone && !openingSecond) {
+            openingSecond = true;
+            connectAnew(result -> openingSecond = false);
+        }
+    }
+
+    /** Finds out whether the process that accepts connections is the target. */
+    void confirmInstance(Consumer<Boolean> consumer) {
+        connector.confirmInstance(target, consumer);
+    }
+
     /** Returns the direct connections that neither side has ended. */
     Set<TargetConnection> openDirect() {
         return direct.stream().filter(TargetConnection::open).collect(Collectors.toSet());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
@@ -87,6 +87,16 @@
         return targets.replacedSince(target, sinceMillis);
     }
 
+    /** Returns a time after which this process has looked at its connections, in monotonic milliseconds. */
+    long turnAtMillis() {
+        return targets.turnAtMillis();
+    }
+
+    /** Finds out by a health check whether the process that accepts connections is the target. */
+    void confirmInstance(Target target, Consumer<Boolean> consumer) {
+        targets.confirmInstance(target, consumer);
+    }
+
     private TargetPaths paths() {
         return targets.paths();
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetLiveness.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetLiveness.java
@@ -4,15 +4,17 @@
 
 /** Whether a target still ran after it had ended a connection, and what shows it. */
 enum TargetLiveness {
-    /** It accepted a new connection. */
-    ACCEPTS(true),
-    /** It accepts no connections, but keeps others that stood before, as one does that is being stopped. */
+    /** It keeps other connections that stood before, whether it accepts new ones or not. */
     KEEPS_CONNECTIONS(true),
+    /** It accepted a new connection sooner than another process can have taken its place. */
+    ACCEPTS(true),
+    /** It answered a health check under its id. */
+    ANSWERS(true),
     /** Another process has its place. */
     REPLACED(false),
     /** It cannot be reached. */
     UNREACHABLE(false),
-    /** Nothing shows it, since neither this process nor a peer has a path to the target. */
+    /** Nothing shows it: there is no path to the target, or what accepts connections may be another process. */
     UNKNOWN(false);
 
     private final boolean shown;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -73,6 +73,7 @@
     private BiConsumer<Target, Target> versionChangeListener = (before, after) -> {};
     private RejectionLimitTracker rejectionLimits;
     private Set<String> evacuated = Set.of();
+    private long turnAtMillis;
 
     /**
      * Creates an empty registry.
@@ -539,14 +540,52 @@
                 .orElse(0L);
     }
 
-    /** Sends a health check to a target. */
-    void probe(TargetEntry entry) {
-        Target target = entry.state().target();
+    /** Records that the event loop begins a turn. */
+    void turnBegins(long nowMillis) {
+        turnAtMillis = nowMillis;
+    }
+
+    /** Returns the monotonic time in milliseconds at which the latest recorded turn of the event loop began. */
+    long turnAtMillis() {
+        return turnAtMillis;
+    }
+
+    /**
+     * Finds out by a health check whether the process at a target's address has the target's id.
+     *
+     * @param consumer receives false also if there is no answer in time
+     */
+    void confirmInstance(Target target, Consumer<Boolean> consumer) {
+        TargetEntry entry = entries.get(target.id());
+        if (entry == null) {
+            consumer.accept(false);
+            return;
+        }
+        entry.pool().acquireForProbe(acquired -> {
+            if (acquired.connection().isEmpty()) {
+                consumer.accept(false);
+                return;
+            }
+            InstanceCheck check =
+                    new InstanceCheck(target.id(), acquired.connection().get(), consumer);
+            loop.schedule(() -> check.concluded(false), PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            statedRates.probed(target.id());
+            check.connection.send(healthCheck(target), Unpooled.EMPTY_BUFFER, "", check);
+        });
+    }
+
+    private FullHttpRequest healthCheck(Target target) {
         String path = catalog.get()
                 .flatMap(known -> known.service(target.service()))
                 .map(TargetService::healthPath)
                 .orElse("/");
-        FullHttpRequest check = dialect.healthCheck(target.address(), path);
+        return dialect.healthCheck(target.address(), path);
+    }
+
+    /** Sends a health check to a target. */
+    void probe(TargetEntry entry) {
+        Target target = entry.state().target();
+        FullHttpRequest check = healthCheck(target);
         Probe probe = new Probe(entry);
         entry.pool().acquireForProbe(acquired -> {
             if (acquired.connection().isEmpty()) {
@@ -560,6 +599,48 @@
         });
     }
 
+    /** A health check of which only the head of the answer counts. */
+    private final class InstanceCheck implements TargetListener {
+        private final String targetId;
+        private final TargetConnection connection;
+        private final Consumer<Boolean> consumer;
+        private boolean ended;
+
+        InstanceCheck(String targetId, TargetConnection connection, Consumer<Boolean> consumer) {
+            this.targetId = targetId;
+            this.connection = connection;
+            this.consumer = consumer;
+        }
+
+        @Override
+        public void head(HttpResponse response, ResponseHead head) {
+            concluded(dialect.readHealth(response, targetId).isPresent());
+        }
+
+        @Override
+        public void content(ByteBuf chunk) {
+            chunk.release();
+        }
+
+        @Override
+        public void complete() {
+            concluded(false);
+        }
+
+        @Override
+        public void failed(TargetFailure failure) {
+            concluded(false);
+        }
+
+        void concluded(boolean confirmed) {
+            if (!ended) {
+                ended = true;
+                connection.cancel();
+                consumer.accept(confirmed);
+            }
+        }
+    }
+
     private final class Probe implements TargetListener {
         private final TargetEntry entry;
         private TargetConnection connection;
