Ask for the target itself where a late front can not tell it from the next process

The health check after a late end went by the answer of any healthy process with the id, so that a full target, which rejects health checks, seemed to be gone and its whole response was discarded. It names the target now: any other process answers that it is the wrong one, and a rejection by the right one is as good as an answer. The time since which the target may have ended was that of the latest tick, which after a stall runs before the connections are looked at; a tick that comes late no longer counts.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -118,6 +118,13 @@
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path);
     }
 
+    @Override
+    public FullHttpRequest instanceCheck(String address, String path, String targetId) {
+        FullHttpRequest check = healthCheck(address, path);
+        check.headers().set("Expect-Target", targetId);
+        return check;
+    }
+
     @Override
     public OptionalLong readHealth(HttpResponse response, String targetId) {
         return response.status().code() == 200 ? OptionalLong.of(0) : OptionalLong.empty();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -60,6 +60,8 @@
     private static final long TICK_INTERVAL_MILLIS = 20;
     /** Interval between checks while no request is queued; the timeouts of running requests are 500 ms and more. */
     private static final long IDLE_TICK_INTERVAL_MILLIS = 60;
+    /** Delay of a check from which the event loop counts as late. */
+    private static final long LATE_TICK_MILLIS = 50;
     /** Interval between checks of idle connections, of ejected targets due for a probe and of silent peers. */
     private static final long SWEEP_INTERVAL_MILLIS = 250;
     /** Time for which new callers are accepted after a stop is requested, until earlier address lists have expired. */
@@ -123,6 +125,7 @@
     private boolean acceptStarted;
     private boolean acceptingCallers;
     private long startedAtMillis;
+    private long tickDueAtMillis;
     private long leavingAtMillis;
     private Runnable onStopped = () -> {};
 
@@ -223,6 +226,7 @@
     @Override
     public void start() {
         startedAtMillis = ticker.nowMillis();
+        tickDueAtMillis = startedAtMillis;
         peerItems.start(settings.ip(), settings.peerPort(), feed);
         if (settings.relayPort() > 0) {
             relays.start(settings.ip(), settings.relayPort());
@@ -333,6 +337,7 @@
         tick();
         boolean queued = coordination.hasPendingRequests() || localQueues.size() > 0;
         long pauseMillis = queued ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
+        tickDueAtMillis = ticker.nowMillis() + pauseMillis;
         loop.schedule(this::tickAndScheduleNext, pauseMillis, TimeUnit.MILLISECONDS);
     }
 
@@ -495,7 +500,7 @@
 
     private void tick() {
         long nowMillis = ticker.nowMillis();
-        targets.turnBegins(nowMillis);
+        targets.turnBegins(nowMillis, nowMillis - tickDueAtMillis > LATE_TICK_MILLIS);
         tasks.run("loads", () -> fleetState.updateRemoteLoads(nowMillis));
         tasks.run("coordination", coordination::tick);
         tasks.run("paths", () -> pathMonitor.checkSilence(nowMillis));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpDialect.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpDialect.java
@@ -56,6 +56,17 @@
      */
     FullHttpRequest healthCheck(String address, String path);
 
+    /**
+     * Creates a health check that is meant for one process: any other one at the address answers that it is the wrong
+     * target.
+     *
+     * @param address address of the target
+     * @param path path of the health check of the target's service
+     * @param targetId id of the target
+     * @return the request
+     */
+    FullHttpRequest instanceCheck(String address, String path, String targetId);
+
     /**
      * Parses the response to a health check.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -118,7 +118,7 @@
         List<TargetConnection> others =
                 direct.stream().filter(connection -> connection != ended).toList();
         long endedAtMillis = ticker.nowMillis();
-        livenessCheck.check(ended, Math.min(endedAtMillis, connector.turnAtMillis()), others, liveness -> {
+        livenessCheck.check(ended, Math.min(endedAtMillis, connector.lookedAtMillis()), others, liveness -> {
             metrics.undeclaredEnd(liveness);
             FrontLog.responseEndChecked(target, attemptId, liveness, others.size(), ticker.nowMillis() - endedAtMillis);
             consumer.accept(liveness);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
@@ -88,8 +88,8 @@
     }
 
     /** Returns a time after which this process has looked at its connections, in monotonic milliseconds. */
-    long turnAtMillis() {
-        return targets.turnAtMillis();
+    long lookedAtMillis() {
+        return targets.lookedAtMillis();
     }
 
     /** Finds out by a health check whether the process that accepts connections is the target. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetLiveness.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetLiveness.java
@@ -8,7 +8,7 @@
     KEEPS_CONNECTIONS(true),
     /** It accepted a new connection sooner than another process can have taken its place. */
     ACCEPTS(true),
-    /** It answered a health check under its id. */
+    /** It answered or rejected a health check that was meant for it. */
     ANSWERS(true),
     /** Another process has its place. */
     REPLACED(false),
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -74,6 +75,7 @@
     private RejectionLimitTracker rejectionLimits;
     private Set<String> evacuated = Set.of();
     private long turnAtMillis;
+    private long lookedAtMillis;
 
     /**
      * Creates an empty registry.
@@ -540,14 +542,20 @@
                 .orElse(0L);
     }
 
-    /** Records that the event loop begins a turn. */
-    void turnBegins(long nowMillis) {
+    /**
+     * Records that the event loop runs its timers.
+     *
+     * @param late whether it has been busy until now, so that it may not have looked at its connections since the time
+     *     before
+     */
+    void turnBegins(long nowMillis, boolean late) {
+        lookedAtMillis = late ? turnAtMillis : nowMillis;
         turnAtMillis = nowMillis;
     }
 
-    /** Returns the monotonic time in milliseconds at which the latest recorded turn of the event loop began. */
-    long turnAtMillis() {
-        return turnAtMillis;
+    /** Returns a monotonic time in milliseconds after which the event loop has looked at its connections. */
+    long lookedAtMillis() {
+        return lookedAtMillis;
     }
 
     /**
@@ -570,22 +578,25 @@
                     new InstanceCheck(target.id(), acquired.connection().get(), consumer);
             loop.schedule(() -> check.concluded(false), PROBE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             statedRates.probed(target.id());
-            check.connection.send(healthCheck(target), Unpooled.EMPTY_BUFFER, "", check);
+            check.connection.send(
+                    dialect.instanceCheck(target.address(), healthPath(target), target.id()),
+                    Unpooled.EMPTY_BUFFER,
+                    "",
+                    check);
         });
     }
 
-    private FullHttpRequest healthCheck(Target target) {
-        String path = catalog.get()
+    private String healthPath(Target target) {
+        return catalog.get()
                 .flatMap(known -> known.service(target.service()))
                 .map(TargetService::healthPath)
                 .orElse("/");
-        return dialect.healthCheck(target.address(), path);
     }
 
     /** Sends a health check to a target. */
     void probe(TargetEntry entry) {
         Target target = entry.state().target();
-        FullHttpRequest check = healthCheck(target);
+        FullHttpRequest check = dialect.healthCheck(target.address(), healthPath(target));
         Probe probe = new Probe(entry);
         entry.pool().acquireForProbe(acquired -> {
             if (acquired.connection().isEmpty()) {
@@ -614,7 +625,9 @@
 
         @Override
         public void head(HttpResponse response, ResponseHead head) {
-            concluded(dialect.readHealth(response, targetId).isPresent());
+            // A full or leaving target rejects the check, and it does so as the one that is asked for.
+            boolean healthy = dialect.readHealth(response, targetId).isPresent();
+            concluded(!head.wrongTarget() && (healthy || head.status() != HttpResponseStatus.OK.code()));
         }
 
         @Override
