Count only connections that are read, and that are old enough, as evidence after an undeclared end

Found by a review of the check. A connection whose caller is slow is not read, so that its end is not seen: it seemed to stand after its target was killed, and another response of that target was taken for whole. Connections that are not read show nothing now; nor do those that were opened so long after the target may have ended that they can lead to the next process, and an end may be as old as the pause in which its own connection was not read. Another process whose start is published while the health check is under way is not the target. The tick is scheduled again whatever throws before it, and a caller that is too slow with the head of a request after one of HEAD gets the body that its answer announces.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
@@ -33,10 +34,14 @@
     private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
 
     private static final int REQUESTS = 20;
+    private static final int EVENT_CHARACTERS = 10_000;
+    /** Together more than the buffers between a target and a caller that does not read hold. */
+    private static final int LARGE_EVENTS = 2_000;
     /** Longer than a process needs to start in the place of another one. */
     private static final long LATE_MILLIS = 200;
 
     private final AtomicInteger runs = new AtomicInteger();
+    private final AtomicInteger healthChecks = new AtomicInteger();
     private FrontFixture fixture;
 
     @BeforeEach
@@ -63,7 +68,10 @@
     private void target(String id, String part, String whole) throws IOException {
         AtomicReference<FakeTarget> target = new AtomicReference<>();
         target.set(fixture.target(id, (request, socket) -> {
-            if (runs.getAndIncrement() == 0) {
+            if (request.contains("/health")) {
+                healthChecks.incrementAndGet();
+                FakeTarget.write(socket, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+            } else if (runs.getAndIncrement() == 0) {
                 write(request, socket, part);
                 target.get().kill();
             } else {
@@ -74,6 +82,24 @@
         }));
     }
 
+    /** Returns the number of ends after which the target was shown to live on by a health check. */
+    private int endsWithHealthCheck() {
+        return fixture.front()
+                .metrics()
+                .scrape()
+                .lines()
+                .filter(line -> line.startsWith("whinwharf_undeclared_ends_total{target=\"answers\"}"))
+                .mapToInt(line -> (int) Double.parseDouble(line.substring(line.lastIndexOf(' ') + 1)))
+                .sum();
+    }
+
+    /** Returns the number of connections to a target that stand, as far as the front reads from them. */
+    private int openConnections(String targetId) {
+        int[] open = new int[1];
+        fixture.run(() -> open[0] = fixture.entry(targetId).pool().openDirect().size());
+        return open[0];
+    }
+
     private String request(String method, String path, String attempt) throws IOException {
         return fixture.exchange(FrontFixture.request(method, path, attempt, true));
     }
@@ -130,8 +156,10 @@
             assertThat(
                     response, endsWith(path.contains("able") || path.contains("stream") ? LAST_CHUNK : FIRST_EVENTS));
         }
-        int healthChecks = runs.get() - 1 - REQUESTS;
-        assertThat("health checks, as a late front sends some", healthChecks, lessThan(REQUESTS));
+        assertThat("runs", runs.get(), is(1 + REQUESTS));
+        int lateEnds = endsWithHealthCheck();
+        assertThat("health checks, of ends that were noticed late", healthChecks.get(), is(lateEnds));
+        assertThat("ends that were noticed late", lateEnds, lessThan(REQUESTS));
     }
 
     /** Guards against discarding a whole response because its target, which is being stopped, listens no more. */
@@ -180,6 +208,34 @@
         }
     }
 
+    /** Guards against taking a connection that is not read, since its caller is slow, for one that stands. */
+    @Test
+    void connectionThatIsNotReadShowsNothing() throws Exception {
+        AtomicReference<FakeTarget> target = new AtomicReference<>();
+        CountDownLatch filled = new CountDownLatch(1);
+        target.set(fixture.target("t", (request, socket) -> {
+            write(request, socket, FIRST_EVENTS);
+            if (request.contains("/stream/large")) {
+                String event = "data: " + "x".repeat(EVENT_CHARACTERS) + "\n\n";
+                for (int i = 0; i < LARGE_EVENTS; i++) {
+                    FakeTarget.write(socket, event);
+                }
+            }
+            FrontFixture.awaitLatch(filled);
+            target.get().kill();
+        }));
+        fixture.publishCatalog(1, DEADLINE_MILLIS);
+        try (Socket slow = fixture.connect();
+                Socket caller = fixture.connect()) {
+            FakeTarget.write(slow, FrontFixture.request("POST", "/stream/large", "a", true));
+            FrontFixture.await(() -> target.get().connectionCount() > openConnections("t"));
+            FakeTarget.write(caller, FrontFixture.request("POST", "/stream/x", "b", true));
+            FrontFixture.readUntil(caller, "data: b\n\n");
+            filled.countDown();
+            assertThat(FrontFixture.readAll(caller), not(containsString(LAST_CHUNK)));
+        }
+    }
+
     /**
      * Guards against taking the process after a killed target for that target when a busy front notices the end late,
      * and against discarding the response of a full target, which rejects health checks.
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -324,6 +324,9 @@
         long idleMillis = nowMillis - lastActivityMillis;
         boolean incomplete = receivingHead || request != null;
         if (incomplete && idleMillis > front.limits().headerTimeoutMillis()) {
+            if (receivingHead) {
+                channel.pipeline().get(CallerResponseEncoder.class).setRequestMethod(HttpMethod.GET);
+            }
             reject(ErrorKind.CALLER_TOO_SLOW, "incomplete request");
         } else if (!incomplete && idleMillis > front.limits().idleTimeoutMillis()) {
             closing = true;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -334,7 +334,14 @@
     }
 
     private void tickAndScheduleNext() {
-        tick();
+        try {
+            tick();
+        } finally {
+            scheduleNextTick();
+        }
+    }
+
+    private void scheduleNextTick() {
         boolean queued = coordination.hasPendingRequests() || localQueues.size() > 0;
         long pauseMillis = queued ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
         tickDueAtMillis = ticker.nowMillis() + pauseMillis;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LivenessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LivenessCheck.java
@@ -21,7 +21,7 @@
      *
      * @param ended the connection
      * @param sinceMillis time since which the target may have ended it; earlier than the time at which this was noticed
-     * @param others connections that stood at that time
+     * @param others connections that stood at that time, and still did when the end was noticed
      * @param consumer receives the result
      */
     private record PendingEnd(
@@ -31,7 +31,7 @@
             Consumer<TargetLiveness> consumer) {}
 
     /** Minimum time in which another process can listen in the place of one that has ended. */
-    private static final long MIN_RESTART_MILLIS = 100;
+    static final long MIN_RESTART_MILLIS = 100;
 
     private final TargetConnectionPool pool;
     /** Ends since the latest attempt to connect began, about which it says nothing. */
@@ -74,6 +74,13 @@
         });
     }
 
+    private TargetLiveness afterCheck(PendingEnd end, boolean answered) {
+        if (pool.targetReplacedSince(end.ended().openedAtMillis())) {
+            return TargetLiveness.REPLACED;
+        }
+        return answered ? TargetLiveness.ANSWERS : TargetLiveness.UNKNOWN;
+    }
+
     private void conclude(PendingEnd end, ConnectResult.Status status, Set<TargetConnection> open) {
         boolean connected = status == ConnectResult.Status.CONNECTED;
         boolean prompt = pool.nowMillis() - end.sinceMillis() < MIN_RESTART_MILLIS;
@@ -84,8 +91,7 @@
         } else if (connected && prompt && end.others().isEmpty()) {
             end.consumer().accept(TargetLiveness.ACCEPTS);
         } else if (connected) {
-            pool.confirmInstance(
-                    confirmed -> end.consumer().accept(confirmed ? TargetLiveness.ANSWERS : TargetLiveness.UNKNOWN));
+            pool.confirmInstance(answered -> end.consumer().accept(afterCheck(end, answered)));
         } else {
             end.consumer()
                     .accept(
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -71,6 +71,7 @@
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private final long openedAtMillis;
     private long idleSinceMillis;
+    private long pausedAtMillis = Long.MAX_VALUE;
     private long firstByteAtMillis = Long.MAX_VALUE;
     private long lastByteAtMillis = Long.MIN_VALUE;
 
@@ -119,6 +120,7 @@
         listener = responseListener;
         attemptId = id;
         phase = Phase.AWAITING_HEAD;
+        pausedAtMillis = Long.MAX_VALUE;
         carriedRequests++;
         skippedResponses = 0;
         skippedBytes = 0;
@@ -146,9 +148,20 @@
 
     /** Pauses or resumes reading, as the caller's connection becomes unwritable or writable. */
     void setReading(boolean on) {
+        if (!on && channel.config().isAutoRead()) {
+            pausedAtMillis = Math.min(pausedAtMillis, pool.nowMillis());
+        }
         channel.config().setAutoRead(on);
     }
 
+    /**
+     * Returns the monotonic time in milliseconds since which the end of the connection may have gone unread, as reading
+     * was paused for the current response; {@link Long#MAX_VALUE} if it never was.
+     */
+    long pausedAtMillis() {
+        return pausedAtMillis;
+    }
+
     /** Tells whether the connection has been idle for longer than the target's keep-alive time, less a margin. */
     boolean stale(long nowMillis) {
         return nowMillis - idleSinceMillis > Math.max(0, keepAliveMillis - KEEP_ALIVE_MARGIN_MILLIS);
@@ -164,9 +177,12 @@
         return phase == Phase.IDLE && !link.inputEnded() && link.usable();
     }
 
-    /** Tells whether neither side has ended the connection. */
+    /** Tells whether neither side has ended the connection, as far as this process reads from it. */
     boolean open() {
-        return phase != Phase.CHECKING_END && phase != Phase.CLOSED && !link.inputEnded();
+        return channel.config().isAutoRead()
+                && phase != Phase.CHECKING_END
+                && phase != Phase.CLOSED
+                && !link.inputEnded();
     }
 
     void close() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -115,10 +115,14 @@
      * @param attemptId attempt whose response ended
      */
     void checkLiveness(TargetConnection ended, String attemptId, Consumer<TargetLiveness> consumer) {
-        List<TargetConnection> others =
-                direct.stream().filter(connection -> connection != ended).toList();
         long endedAtMillis = ticker.nowMillis();
-        livenessCheck.check(ended, Math.min(endedAtMillis, connector.lookedAtMillis()), others, liveness -> {
+        long sinceMillis = Math.min(ended.pausedAtMillis(), Math.min(endedAtMillis, connector.lookedAtMillis()));
+        // A connection that was opened later may be one to another process.
+        List<TargetConnection> others = direct.stream()
+                .filter(connection -> connection != ended
+                        && connection.openedAtMillis() <= sinceMillis + LivenessCheck.MIN_RESTART_MILLIS)
+                .toList();
+        livenessCheck.check(ended, sinceMillis, others, liveness -> {
             metrics.undeclaredEnd(liveness);
             FrontLog.responseEndChecked(target, attemptId, liveness, others.size(), ticker.nowMillis() - endedAtMillis);
             consumer.accept(liveness);
