Names of the check of undeclared ends, and its pages

Renamed for a reader who has not seen the work: the second connection, the poll of the event loop, the instance check.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
@@ -242,7 +242,7 @@
      */
     @ParameterizedTest
     @CsvSource({"200, 200", "503, 200", "421, 502"})
-    void endThatIsNoticedLateNeedsTheWordOfItsTarget(int healthStatus, int expectedStatus) throws Exception {
+    void endThatIsNoticedLateIsConfirmedByItsTarget(int healthStatus, int expectedStatus) throws Exception {
         CountDownLatch released = new CountDownLatch(1);
         FakeTarget target = fixture.target("t", (request, socket) -> {
             if (request.contains("/health")) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -507,7 +507,7 @@
 
     private void tick() {
         long nowMillis = ticker.nowMillis();
-        targets.turnBegins(nowMillis, nowMillis - tickDueAtMillis > LATE_TICK_MILLIS);
+        targets.timersRun(nowMillis, nowMillis - tickDueAtMillis > LATE_TICK_MILLIS);
         tasks.run("loads", () -> fleetState.updateRemoteLoads(nowMillis));
         tasks.run("coordination", coordination::tick);
         tasks.run("paths", () -> pathMonitor.checkSilence(nowMillis));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LivenessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LivenessCheck.java
@@ -12,8 +12,8 @@
  * response without a declared end. Only what the target does next tells them apart: one that lives on accepts a new
  * connection, which takes the place of the one that it ended, or at least keeps those that it had.
  *
- * <p>A connection that is accepted late, or after all others have ended, may be one to the process after it. The target
- * then has to say who it is.
+ * <p>A connection that is accepted late, or after all others have ended, may lead to the process after it. The target
+ * then has to identify itself in a health check.
  */
 final class LivenessCheck {
     /**
@@ -74,7 +74,7 @@
         });
     }
 
-    private TargetLiveness afterCheck(PendingEnd end, boolean answered) {
+    private TargetLiveness resultOfInstanceCheck(PendingEnd end, boolean answered) {
         if (pool.targetReplacedSince(end.ended().openedAtMillis())) {
             return TargetLiveness.REPLACED;
         }
@@ -91,7 +91,7 @@
         } else if (connected && prompt && end.others().isEmpty()) {
             end.consumer().accept(TargetLiveness.ACCEPTS);
         } else if (connected) {
-            pool.confirmInstance(answered -> end.consumer().accept(afterCheck(end, answered)));
+            pool.confirmInstance(answered -> end.consumer().accept(resultOfInstanceCheck(end, answered)));
         } else {
             end.consumer()
                     .accept(
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -275,7 +275,7 @@
             listener.content(content.content().retain());
             if (!framing.endDeclared()) {
                 // Not if the response ends within this read, as a short one does.
-                channel.eventLoop().execute(this::secureEnd);
+                channel.eventLoop().execute(this::openSecondConnection);
             }
         }
         if (last && phase == Phase.READING_BODY) {
@@ -307,9 +307,9 @@
         current.complete();
     }
 
-    private void secureEnd() {
+    private void openSecondConnection() {
         if (phase == Phase.READING_BODY) {
-            pool.standBeside(this);
+            pool.ensureSecondConnection(this);
         }
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -20,7 +20,7 @@
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> direct = new HashSet<>();
     private final LivenessCheck livenessCheck = new LivenessCheck(this);
-    /** Whether a connection is being opened to stand beside another one. */
+    /** Whether a second connection is being opened. */
     private boolean openingSecond;
 
     /**
@@ -116,7 +116,7 @@
      */
     void checkLiveness(TargetConnection ended, String attemptId, Consumer<TargetLiveness> consumer) {
         long endedAtMillis = ticker.nowMillis();
-        long sinceMillis = Math.min(ended.pausedAtMillis(), Math.min(endedAtMillis, connector.lookedAtMillis()));
+        long sinceMillis = Math.min(ended.pausedAtMillis(), Math.min(endedAtMillis, connector.polledAtMillis()));
         // A connection that was opened later may be one to another process.
         List<TargetConnection> others = direct.stream()
                 .filter(connection -> connection != ended
@@ -130,10 +130,10 @@
     }
 
     /**
-     * Sees to it that another connection stands beside one whose response declares no end, since its fate will show
-     * that of the target.
+     * Opens another connection beside one whose response declares no end, unless there is one: whether it is still open
+     * at that end shows whether the target is.
      */
-    void standBeside(TargetConnection reading) {
+    void ensureSecondConnection(TargetConnection reading) {
         boolean alone = direct.contains(reading)
                 && direct.stream().noneMatch(connection -> connection != reading && connection.open());
         if (alone && !openingSecond) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
@@ -87,9 +87,9 @@
         return targets.replacedSince(target, sinceMillis);
     }
 
-    /** Returns a time after which this process has looked at its connections, in monotonic milliseconds. */
-    long lookedAtMillis() {
-        return targets.lookedAtMillis();
+    /** Returns a time after which the event loop has polled its connections, in monotonic milliseconds. */
+    long polledAtMillis() {
+        return targets.polledAtMillis();
     }
 
     /** Finds out by a health check whether the process that accepts connections is the target. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -74,8 +74,8 @@
     private BiConsumer<Target, Target> versionChangeListener = (before, after) -> {};
     private RejectionLimitTracker rejectionLimits;
     private Set<String> evacuated = Set.of();
-    private long turnAtMillis;
-    private long lookedAtMillis;
+    private long timersRanAtMillis;
+    private long polledAtMillis;
 
     /**
      * Creates an empty registry.
@@ -545,17 +545,16 @@
     /**
      * Records that the event loop runs its timers.
      *
-     * @param late whether it has been busy until now, so that it may not have looked at its connections since the time
-     *     before
+     * @param late whether they are run late, so that the loop may not have polled its connections since the time before
      */
-    void turnBegins(long nowMillis, boolean late) {
-        lookedAtMillis = late ? turnAtMillis : nowMillis;
-        turnAtMillis = nowMillis;
+    void timersRun(long nowMillis, boolean late) {
+        polledAtMillis = late ? timersRanAtMillis : nowMillis;
+        timersRanAtMillis = nowMillis;
     }
 
-    /** Returns a monotonic time in milliseconds after which the event loop has looked at its connections. */
-    long lookedAtMillis() {
-        return lookedAtMillis;
+    /** Returns a monotonic time in milliseconds after which the event loop has polled its connections. */
+    long polledAtMillis() {
+        return polledAtMillis;
     }
 
     /**
