Read up to 16 datagrams in a turn of the event loop again

The allocator that was set for longer datagrams reads one message in a turn, where the channel's own reads 16, so that replies waited behind each other and coordinators seemed silent.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerDatagrams.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerDatagrams.java
@@ -30,6 +30,8 @@
 
     /** Maximum size of a received datagram in bytes; the protocol allows none that is longer. */
     private static final int MAX_DATAGRAM_BYTES = 64 * 1_024;
+    /** Maximum number of datagrams that are read in one turn of the event loop; an allocator of its own reads one. */
+    private static final int MAX_DATAGRAMS_PER_READ = 16;
 
     private final FrontSettings settings;
     private final List<Listener> listeners = new ArrayList<>();
@@ -49,7 +51,9 @@
         channel = new Bootstrap()
                 .group(loop)
                 .channelFactory(() -> new NioDatagramChannel(socket))
-                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES).maxMessagesPerRead(MAX_DATAGRAMS_PER_READ))
                 .handler(new Receiver())
                 .bind(settings.ip(), settings.peerPort())
                 .syncUninterruptibly()
