Keep every scheduled task of the front's loop alive after a failure

The cause still acted elsewhere: the event loop keeps what a scheduled task throws in a future that nobody reads, and runs a periodic task no more.

GuardedEventLoopGroup runs each scheduled task in a TaskGuard, wherever it is scheduled.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -1,8 +1,6 @@
 package org.whinwharf.front;
 
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
@@ -86,7 +84,9 @@
     private final HttpDialect dialect;
     private final Ticker ticker = Ticker.system();
     private final Random random = new Random();
-    private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final FrontMetrics metrics = new FrontMetrics();
+    private final TaskGuard tasks = new TaskGuard(metrics, ticker);
+    private final EventLoopGroup loop = new GuardedEventLoopGroup(tasks);
     private final MemberTable members;
     private final TargetRegistry targets;
     private final RelayPeers relayPeers;
@@ -103,8 +103,6 @@
     private final OrganisationWeights organisationWeights = new OrganisationWeights();
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
     private final Set<CallerExchange> exchanges = new LinkedHashSet<>();
-    private final FrontMetrics metrics = new FrontMetrics();
-    private final TaskGuard tasks = new TaskGuard(metrics, ticker);
     private final CallerAcceptor callers;
     private final FleetStateExchange fleetState;
     private final PeerDatagrams datagrams;
@@ -126,6 +124,7 @@
     private boolean acceptingCallers;
     private long startedAtMillis;
     private long tickDueAtMillis;
+    private long tickPauseMillis;
     private long leavingAtMillis;
     private Runnable onStopped = () -> {};
 
@@ -241,8 +240,7 @@
         scheduleRepeatedly("gossip", GOSSIP_INTERVAL_MILLIS, this::gossipRound);
         loop.execute(this::tickAndScheduleNext);
         scheduleRepeatedly("upkeep", SWEEP_INTERVAL_MILLIS, this::sweep);
-        loop.schedule(
-                () -> tasks.run("metrics", this::startMetrics), METRICS_START_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::startMetrics, METRICS_START_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         EventLog.event(LogEvent.STARTED)
                 .with(EventField.HOST, settings.name())
                 .with(EventField.ROLE, "front")
@@ -334,18 +332,10 @@
     }
 
     private void tickAndScheduleNext() {
-        try {
-            tick();
-        } finally {
-            scheduleNextTick();
-        }
-    }
-
-    private void scheduleNextTick() {
-        boolean queued = coordination.hasPendingRequests() || localQueues.size() > 0;
-        long pauseMillis = queued ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
-        tickDueAtMillis = ticker.nowMillis() + pauseMillis;
-        loop.schedule(this::tickAndScheduleNext, pauseMillis, TimeUnit.MILLISECONDS);
+        tickPauseMillis = TICK_INTERVAL_MILLIS;
+        tasks.run("tick", this::tick);
+        tickDueAtMillis = ticker.nowMillis() + tickPauseMillis;
+        loop.schedule(this::tickAndScheduleNext, tickPauseMillis, TimeUnit.MILLISECONDS);
     }
 
     /** Begins a planned stop: reports this process as leaving and stops it once no request is in flight. */
@@ -516,6 +506,8 @@
         if (phase == MemberPhase.MEMBER_LEAVING) {
             tasks.run("drain", () -> drain(nowMillis));
         }
+        boolean queued = coordination.hasPendingRequests() || localQueues.size() > 0;
+        tickPauseMillis = queued ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
     }
 
     private void sweep() {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/AsyncLogWriterTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/AsyncLogWriterTest.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 class AsyncLogWriterTest {
@@ -49,6 +50,37 @@
         }
     }
 
+    /** Guards against an error in one write that ends the thread, so that all later lines are dropped in silence. */
+    @Test
+    void errorInAWriteDoesNotKeepLaterLinesBack() throws Exception {
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        AtomicBoolean failed = new AtomicBoolean();
+        AsyncLogWriter writer = new AsyncLogWriter(new PrintStream(read) {
+            @Override
+            public void write(byte[] bytes) {
+                if (failed.compareAndSet(false, true)) {
+                    throw new StackOverflowError();
+                }
+                read.writeBytes(bytes);
+            }
+        });
+        writer.start();
+        writer.append("first\n");
+        awaitFailure(failed);
+        writer.append("second\n");
+        awaitText(read, "second");
+        assertThat("the lost line is counted", text(read).contains("\"count\":1"), is(true));
+        writer.stop();
+    }
+
+    private static void awaitFailure(AtomicBoolean failed) throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+        while (!failed.get()) {
+            assertThat("written within the timeout", System.nanoTime() < endNanos, is(true));
+            Thread.sleep(1);
+        }
+    }
+
     private static void awaitText(ByteArrayOutputStream read, String expected) throws InterruptedException {
         long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
         while (!text(read).contains(expected)) {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -189,11 +189,25 @@
     /** Guards against one failure in the handling of an answer that ends the watch for good. */
     @Test
     void failureInTheHandlingOfAnItemDoesNotEndTheWatch() throws Exception {
+        assertWatchOutlives(() -> {
+            throw new IllegalStateException("the first item is not handled");
+        });
+    }
+
+    /** Guards against an error in the handling of an answer that ends the watch for good. */
+    @Test
+    void errorInTheHandlingOfAnItemDoesNotEndTheWatch() throws Exception {
+        assertWatchOutlives(() -> {
+            throw new StackOverflowError();
+        });
+    }
+
+    private void assertWatchOutlives(Runnable failure) throws Exception {
         AtomicInteger handled = new AtomicInteger();
         front.loop()
                 .submit(() -> front.feed().listener((value, afterInitialSnapshot, readableForMillis) -> {
                     if (handled.getAndIncrement() == 0) {
-                        throw new IllegalStateException("the first item is not handled");
+                        failure.run();
                     }
                 }))
                 .sync();
