Report the quota use of a bounded number of organisations at a time

Each report listed every organisation that the front had ever served, in one datagram: from some thousands on none could be sent, so that each front coordinated alone and admitted the whole quota.

Each entry says what the report before it said; a receiver that knows no earlier total charges the difference, so that one that has just started takes on no debt of the sender's whole life, and totals of peers need not be kept for good: 65,536 are. Processes of the release before send no such field and are charged as before; they read the new entries as totals.

Other ways weighed: several datagrams a round with all changes (bytes grow with requests beyond the bound, and reports of one round have one sequence number), and a connection between fronts (a slow reader delays all; seven times the connections).

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
@@ -16,6 +17,13 @@
  * and quotas.
  */
 final class FleetStateExchange {
+    /** Number of organisations whose unchanged totals a report of a small fleet repeats, since reports may be lost. */
+    private static final int REPEATED_TOTALS = 24;
+    /**
+     * The same in a large fleet, in which each process serves fewer organisations and coordinators read many reports.
+     */
+    private static final int LARGE_FLEET_REPEATED_TOTALS = 8;
+
     private final FrontSettings settings;
     private final MemberTable members;
     private final TargetRegistry targets;
@@ -47,8 +55,9 @@
      * Builds the next report of this process.
      *
      * @param phase phase of this process
+     * @param sent false if the report is not sent now; it says nothing of quotas then
      */
-    void updateLocalReport(MemberPhase phase) {
+    void updateLocalReport(MemberPhase phase, boolean sent) {
         MemberReport.Builder report = MemberReport.newBuilder()
                 .setName(settings.name())
                 .setIp(settings.ip())
@@ -70,9 +79,13 @@
                         .setPrefillTokens((int) entry.state().localPrefillTokens());
             }
         }
-        quotas.admittedTotals()
-                .forEach((digest, total) ->
-                        report.addQuotasBuilder().setOrganisationDigest(digest).setAdmittedTotal(total));
+        if (sent) {
+            quotas.nextReport(members.largeFleet() ? LARGE_FLEET_REPEATED_TOTALS : REPEATED_TOTALS, ticker.nowMillis())
+                    .forEach(entry -> report.addQuotasBuilder()
+                            .setOrganisationDigest(entry.organisationDigest())
+                            .setAdmittedTotal(entry.admittedTotal())
+                            .setReportedTotal(entry.reportedTotal()));
+        }
         statedRates.addTo(report);
         members.updateLocalReport(report);
     }
@@ -88,6 +101,7 @@
                         report.getIncarnation(),
                         quota.getOrganisationDigest(),
                         quota.getAdmittedTotal(),
+                        quota.hasReportedTotal() ? OptionalLong.of(quota.getReportedTotal()) : OptionalLong.empty(),
                         ticker.nowMillis()));
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -474,7 +474,7 @@
     }
 
     private void gossipRound() {
-        fleetState.updateLocalReport(phase);
+        fleetState.updateLocalReport(phase, gossip.nextRoundSends());
         gossip.runRound();
     }
 
@@ -491,7 +491,7 @@
     }
 
     private void phaseChanged() {
-        fleetState.updateLocalReport(phase);
+        fleetState.updateLocalReport(phase, true);
         gossip.runRoundNow();
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
@@ -76,14 +76,18 @@
         datagrams.addListener(this::handleDatagram);
     }
 
+    /** Tells whether the next round sends the local report; a large fleet sends it in some rounds only. */
+    boolean nextRoundSends() {
+        return !members.largeFleet() || (roundCount + 1) % LARGE_FLEET_ROUND_DIVISOR == 0;
+    }
+
     /** Sends the local report to peers, and as much of the other members' state as fits. */
     void runRound() {
+        boolean sends = nextRoundSends();
         roundCount++;
-        if (members.largeFleet()) {
-            if (roundCount % LARGE_FLEET_ROUND_DIVISOR == 0) {
-                runLargeFleetRound();
-            }
-        } else {
+        if (sends && members.largeFleet()) {
+            runLargeFleetRound();
+        } else if (sends) {
             runSmallFleetRound();
         }
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -1,7 +1,10 @@
 package org.whinwharf.traffic.quota;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.member.MemberTable;
@@ -9,30 +12,44 @@
 /** Quota accounts of all organisations, and the totals of admitted tokens that this process reports to the others. */
 public final class QuotaLedger {
     private static final long NO_BASELINE = -1;
+    /** Maximum number of totals of other processes that are kept, those updated last: about seven megabytes. */
+    private static final int MAX_REMOTE_TOTALS = 65_536;
 
     private final boolean freshFleet;
     private final Map<String, QuotaAccount> accounts = new HashMap<>();
-    private final Map<Integer, Long> admittedTotals = new HashMap<>();
+    private final AdmissionReports reports = new AdmissionReports();
     private final Map<Integer, Long> refundedTokens = new HashMap<>();
-    private final Map<String, ProcessTotals> totalsByProcess = new HashMap<>();
+    private final Map<String, ReportingProcess> processes = new HashMap<>();
+    private final Map<TotalKey, Long> remoteTotals = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<TotalKey, Long> eldest) {
+            return size() > MAX_REMOTE_TOTALS;
+        }
+    };
     private final Map<PendingAdmissionKey, Long> pendingAdmissions = new HashMap<>();
     private final Map<Integer, String> organisationNamesByDigest = new HashMap<>();
     private double reachableShare = 1;
     private int processCount = 1;
 
     /**
-     * Admitted totals reported by the current incarnation of one process, by digest of the organisation's name.
+     * A process that reports admitted totals.
      *
-     * @param baselineAtMillis time at which the process was first seen; the totals received at that time date from
-     *     before and are not charged; negative for none
+     * @param incarnation its current incarnation
+     * @param baselineAtMillis time at which the process was first seen; totals received at that time without the one
+     *     reported before are not charged, since they date from before; negative for none
      */
-    private record ProcessTotals(long incarnation, long baselineAtMillis, Map<Integer, Long> totals) {
+    private record ReportingProcess(long incarnation, long baselineAtMillis) {
         /** Returns whether the process was restarted after it was first seen. */
         boolean restarted() {
             return baselineAtMillis == NO_BASELINE;
         }
     }
 
+    /** Identifies the total that an incarnation of a process has reported of an organisation. */
+    private record TotalKey(String process, long incarnation, int organisationDigest) {}
+
     /** Identifies tokens already charged here for a process that will include them in a later report. */
     private record PendingAdmissionKey(String process, int organisationDigest) {}
 
@@ -111,7 +128,7 @@
     private void addToTotal(int digest, long tokens) {
         long refunded = Math.min(tokens, refundedTokens.getOrDefault(digest, 0L));
         refundedTokens.merge(digest, -refunded, Long::sum);
-        admittedTotals.merge(digest, tokens - refunded, Long::sum);
+        reports.add(digest, tokens - refunded);
     }
 
     /**
@@ -137,7 +154,7 @@
      */
     public long retryAfterMillis(String organisation) {
         QuotaAccount account = accounts.get(organisation);
-        return account == null ? 0 : account.retryAfterMillis(1 + totalsByProcess.size());
+        return account == null ? 0 : account.retryAfterMillis(1 + processes.size());
     }
 
     /**
@@ -170,7 +187,18 @@
      * @return totals by digest of the organisation's name
      */
     public Map<Integer, Long> admittedTotals() {
-        return admittedTotals;
+        return reports.admittedTotals();
+    }
+
+    /**
+     * Returns the entries of this process's next report, and takes them as reported.
+     *
+     * @param maxRepeats maximum number of entries that repeat earlier ones
+     * @param nowMillis monotonic time in milliseconds
+     * @return entries, a bounded number whatever the number of organisations
+     */
+    public List<AdmissionReports.Entry> nextReport(int maxRepeats, long nowMillis) {
+        return reports.next(maxRepeats, nowMillis);
     }
 
     /**
@@ -186,32 +214,54 @@
      * @param nowMillis monotonic time in milliseconds
      */
     public void receiveTotal(String process, long incarnation, int organisationDigest, long total, long nowMillis) {
-        ProcessTotals processTotals = totalsByProcess.get(process);
-        if (processTotals == null) {
-            processTotals = new ProcessTotals(incarnation, nowMillis, new HashMap<>());
-            totalsByProcess.put(process, processTotals);
-        } else if (processTotals.incarnation() != incarnation) {
-            processTotals = new ProcessTotals(incarnation, NO_BASELINE, new HashMap<>());
-            totalsByProcess.put(process, processTotals);
+        receiveTotal(process, incarnation, organisationDigest, total, OptionalLong.empty(), nowMillis);
+    }
+
+    /**
+     * Receives another process's admitted total, with the one that it reported before. Where no earlier total is known
+     * here, only the difference is charged.
+     *
+     * @param process name of the process
+     * @param incarnation incarnation of the process
+     * @param organisationDigest digest of the organisation's name
+     * @param total tokens that it admitted since its start
+     * @param reportedTotal the total that it reported before; empty if it does not tell, as it reports all totals
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void receiveTotal(
+            String process,
+            long incarnation,
+            int organisationDigest,
+            long total,
+            OptionalLong reportedTotal,
+            long nowMillis) {
+        ReportingProcess known = processes.get(process);
+        if (known == null) {
+            known = new ReportingProcess(incarnation, nowMillis);
+            processes.put(process, known);
+        } else if (known.incarnation() != incarnation) {
+            known = new ReportingProcess(incarnation, NO_BASELINE);
+            processes.put(process, known);
             pendingAdmissions.keySet().removeIf(key -> key.process().equals(process));
         }
-        long previousTotal = processTotals.totals().getOrDefault(organisationDigest, 0L);
-        if (total <= previousTotal) {
-            return;
+        TotalKey key = new TotalKey(process, incarnation, organisationDigest);
+        Long previous = remoteTotals.get(key);
+        long previousTotal = previous == null ? reportedTotal.orElse(0) : previous;
+        if (previous == null || total > previous) {
+            remoteTotals.put(key, total);
         }
-        processTotals.totals().put(organisationDigest, total);
-        if (previousTotal == 0 && processTotals.baselineAtMillis() == nowMillis) {
+        boolean baseline = previous == null && reportedTotal.isEmpty() && known.baselineAtMillis() == nowMillis;
+        if (total <= previousTotal || baseline) {
             return;
         }
         String name = organisationNamesByDigest.get(organisationDigest);
         QuotaAccount account = name == null ? null : accounts.get(name);
         if (account != null) {
-            long alreadyCharged = Math.min(
-                    total - previousTotal,
-                    pendingAdmissions.getOrDefault(new PendingAdmissionKey(process, organisationDigest), 0L));
-            pendingAdmissions.merge(new PendingAdmissionKey(process, organisationDigest), -alreadyCharged, Long::sum);
+            PendingAdmissionKey pending = new PendingAdmissionKey(process, organisationDigest);
+            long alreadyCharged = Math.min(total - previousTotal, pendingAdmissions.getOrDefault(pending, 0L));
+            addPending(pending, -alreadyCharged);
             long newTokens = total - previousTotal - alreadyCharged;
-            if (processTotals.restarted()) {
+            if (known.restarted()) {
                 // A process that was down has used nothing of the refill that was left to it.
                 account.recordRemoteAdmission(newTokens, nowMillis);
             } else {
@@ -220,6 +270,12 @@
         }
     }
 
+    private void addPending(PendingAdmissionKey key, long tokens) {
+        if (tokens != 0) {
+            pendingAdmissions.merge(key, tokens, (before, added) -> before + added == 0 ? null : before + added);
+        }
+    }
+
     /**
      * Admits a request of another process, for which this process is the coordinator.
      *
@@ -237,7 +293,7 @@
         if (!account.tryAdmit(tokens, nowMillis)) {
             return false;
         }
-        pendingAdmissions.merge(new PendingAdmissionKey(process, organisation.hashCode()), tokens, Long::sum);
+        addPending(new PendingAdmissionKey(process, organisation.hashCode()), tokens);
         return true;
     }
 
@@ -252,7 +308,7 @@
         QuotaAccount account = accounts.get(organisation);
         if (account != null) {
             account.refund(tokens);
-            pendingAdmissions.merge(new PendingAdmissionKey(process, organisation.hashCode()), -tokens, Long::sum);
+            addPending(new PendingAdmissionKey(process, organisation.hashCode()), -tokens);
         }
     }
 
