Send a coordinator only the parts of a prompt that placement uses

The choice of a target depends on the last part, by which prompts are remembered, and on the tokens of the first. The message holds these two, and ids of more than 64 characters are shortened in the same way there and in the index. The same target is chosen as with all parts; releases before read the message as one of a prompt with two parts, and estimate the same.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlacementMessagesTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlacementMessagesTest.java
@@ -2,16 +2,26 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.whinwharf.traffic.coordination.PlacementRequest;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
+import org.whinwharf.traffic.target.PromptCacheIndex;
+import org.whinwharf.traffic.target.PromptPart;
 import org.whinwharf.wire.fleet.PlacementAsk;
 
 class PlacementMessagesTest {
+    /** Leaves room below the usual length of a packet. */
+    private static final int MAX_REQUEST_BYTES = 400;
+
     private static final Demand DEMAND = ImmutableDemand.builder()
             .service("summaries")
             .dataCentre("zilina-a")
@@ -52,6 +62,32 @@
                 is(Optional.empty()));
     }
 
+    /**
+     * Guards against requests that grow with the parts of their prompts, or with the names of these, until no datagram
+     * holds them; the receiver estimates the same as the sender.
+     */
+    @ParameterizedTest
+    @CsvSource({"1, 8", "2, 8", "130, 8", "500, 8", "2000, 8", "1, 16000", "2, 8000"})
+    void partsOfThePromptDoNotLengthenTheRequest(int parts, int idLength) {
+        List<PromptPart> prompt = IntStream.range(0, parts)
+                .mapToObj(i -> new PromptPart(i + "x".repeat(idLength - 4), 10 + i))
+                .toList();
+        Demand demand = ImmutableDemand.builder()
+                .from(DEMAND)
+                .promptTokens(100_000)
+                .promptParts(prompt)
+                .build();
+        PlacementAsk message = PlacementMessages.placementRequest(1, demand, 600, 300, Optional.empty(), 0);
+        assertThat(message.getSerializedSize(), lessThan(MAX_REQUEST_BYTES));
+        PromptCacheIndex index = new PromptCacheIndex();
+        index.recordPrefill(prompt, "warm", 0);
+        for (String target : List.of("warm", "other")) {
+            assertThat(
+                    index.uncachedTokens(received(message).promptParts(), 100_000, target, 1),
+                    is(index.uncachedTokens(prompt, 100_000, target, 1)));
+        }
+    }
+
     private static PlacementAsk message() {
         return PlacementMessages.placementRequest(1, DEMAND, 600, 300, Optional.empty(), 0);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementMessages.java
@@ -11,6 +11,7 @@
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.placement.Demand;
 import org.whinwharf.traffic.placement.ImmutableDemand;
+import org.whinwharf.traffic.target.PromptCacheIndex;
 import org.whinwharf.traffic.target.PromptPart;
 import org.whinwharf.wire.fleet.LostRunReport;
 import org.whinwharf.wire.fleet.PlacementAsk;
@@ -46,7 +47,7 @@
                 .setDataCentre(demand.dataCentre());
         demand.requiredVersion().ifPresent(request::setRequiredVersion);
         organisation.ifPresent(name -> request.setOrganisation(name).setQuotaTokens(quotaTokens));
-        demand.promptParts()
+        PromptCacheIndex.indexedParts(demand.promptParts())
                 .forEach(part -> request.addParts(
                         PlacementPart.newBuilder().setId(part.id()).setTokens((int) part.tokens())));
         return request.build();
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/PromptCacheIndex.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/PromptCacheIndex.java
@@ -22,6 +22,10 @@
      * at full load it prefills three per second.
      */
     private static final long CACHE_RETENTION_MILLIS = 20_000;
+    /** Maximum length of a part's id; of a longer one, its beginning and its hash code stand for it. */
+    private static final int MAX_ID_LENGTH = 64;
+    /** Length of this beginning, which leaves room for the hash code. */
+    private static final int ID_PREFIX_LENGTH = 48;
 
     private final Map<String, Map<String, Long>> prefilledAtMillis = new LruMap<>(MAX_PROMPTS);
 
@@ -42,6 +46,24 @@
         }
     }
 
+    /**
+     * Returns the parts of a prompt that the index uses: the first and the last, with ids of bounded length. They may
+     * take the place of all parts in the other methods.
+     *
+     * @param parts the prompt's parts, in order
+     * @return at most two parts
+     */
+    public static List<PromptPart> indexedParts(List<PromptPart> parts) {
+        if (parts.isEmpty()) {
+            return List.of();
+        }
+        PromptPart last = new PromptPart(key(parts), last(parts).tokens());
+        return parts.size() == 1
+                ? List.of(last)
+                : List.of(
+                        new PromptPart(bounded(parts.get(0).id()), parts.get(0).tokens()), last);
+    }
+
     /**
      * Records that a target prefills a prompt.
      *
@@ -52,7 +74,7 @@
     public void recordPrefill(List<PromptPart> parts, String targetId, long nowMillis) {
         if (!parts.isEmpty()) {
             prefilledAtMillis
-                    .computeIfAbsent(last(parts).id(), id -> new LruMap<>(MAX_TARGETS_PER_PROMPT))
+                    .computeIfAbsent(key(parts), id -> new LruMap<>(MAX_TARGETS_PER_PROMPT))
                     .put(targetId, nowMillis);
         }
     }
@@ -71,7 +93,7 @@
             return promptTokens;
         }
         Long lastPrefillMillis =
-                prefilledAtMillis.getOrDefault(last(parts).id(), Map.of()).get(targetId);
+                prefilledAtMillis.getOrDefault(key(parts), Map.of()).get(targetId);
         if (lastPrefillMillis != null && nowMillis - lastPrefillMillis <= CACHE_RETENTION_MILLIS) {
             return 0;
         }
@@ -79,6 +101,17 @@
         return Math.max(0, promptTokens - sharedTokens);
     }
 
+    private static String key(List<PromptPart> parts) {
+        return bounded(last(parts).id());
+    }
+
+    /** Shortens a long id; two that become the same only make an estimate wrong. */
+    private static String bounded(String id) {
+        return id.length() <= MAX_ID_LENGTH
+                ? id
+                : id.substring(0, ID_PREFIX_LENGTH) + '#' + Integer.toHexString(id.hashCode());
+    }
+
     private static PromptPart last(List<PromptPart> parts) {
         return parts.get(parts.size() - 1);
     }
