Bound what several coordinators grant together, and what the parts of a split fleet use

Only the first two processes in rank that are heard from, replying or not, let a cold target receive requests as coordinators, half each. A process remembers for ten minutes those that it has removed and that did not say that they leave. While it and those it reaches are less than half of the fleet so known, quotas and stated rates are divided by all of them and cold capacity is shared out among their names. The majority takes the whole after 20 s, as before, so that the loss of a data centre of four costs nothing; two equal halves still use the whole each then (open).

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -217,6 +217,21 @@
         }
     }
 
+    /** Publishes routes to engines that take a number of requests a second while they are cold. */
+    void publishColdEngines(FleetLimits limits, double coldRequestsPerSecond) {
+        publishCatalog(
+                1,
+                "service",
+                limits.attempts(),
+                limits.timeoutMillis(),
+                true,
+                limits.objectiveMillis(),
+                coldRequestsPerSecond);
+        while (!front.ready()) {
+            Thread.onSpinWait();
+        }
+    }
+
     /** Publishes a later catalog whose routes differ from those before in their version only. */
     void republishCatalog(long catalogVersion, FleetLimits limits, boolean engine) {
         publishCatalog(
@@ -235,6 +250,17 @@
             long timeoutMillis,
             boolean engine,
             long objectiveMillis) {
+        publishCatalog(catalogVersion, service, attempts, timeoutMillis, engine, objectiveMillis, 0);
+    }
+
+    private void publishCatalog(
+            long catalogVersion,
+            String service,
+            int attempts,
+            long timeoutMillis,
+            boolean engine,
+            long objectiveMillis,
+            double coldRequestsPerSecond) {
         List<Route> routes = List.of(
                 route(service, "/safe/", RouteKind.SAFE, attempts, timeoutMillis, objectiveMillis, false),
                 route(service, "/unsafe/", RouteKind.UNSAFE, attempts, timeoutMillis, objectiveMillis, false),
@@ -249,7 +275,7 @@
                         .healthPath("/health")
                         .maxConnections(10)
                         .coldStartMillis(0)
-                        .coldRequestsPerSecond(0)
+                        .coldRequestsPerSecond(coldRequestsPerSecond)
                         .engine(engine)
                         .build()),
                 List.of())));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -76,6 +76,9 @@
     private final Map<String, String> lastCoordinators = new HashMap<>();
     private final Map<String, String> requesterIps = new HashMap<>();
     private final Map<String, List<MemberReport>> rankings = new HashMap<>();
+    /** Ranks of this process, by service, among all processes that are heard from. */
+    private final Map<String, Integer> localRanks = new HashMap<>();
+
     private long rankedAtMillis;
     private long nextId;
     private long runsReportedAtMillis;
@@ -146,6 +149,22 @@
                 .isPresent();
     }
 
+    /**
+     * Returns how many processes rank before this one as coordinators of a service, those included that are skipped
+     * because they did not reply.
+     */
+    int localRank(String service) {
+        long nowMillis = ticker.nowMillis();
+        expireRankings(nowMillis);
+        return localRanks.computeIfAbsent(service, name -> {
+            List<String> ranked = CoordinatorRanking.rank(name, members.servingMembers(nowMillis)).stream()
+                    .map(MemberReport::getName)
+                    .toList();
+            int rank = ranked.indexOf(settings.name());
+            return rank < 0 ? ranked.size() : rank;
+        });
+    }
+
     /** Returns the names of the coordinators of the given services, as far as they have one. */
     Set<String> coordinators(Collection<String> services) {
         Set<String> names = new LinkedHashSet<>();
@@ -337,11 +356,16 @@
 
     private List<MemberReport> ranking(String service) {
         long nowMillis = ticker.nowMillis();
+        expireRankings(nowMillis);
+        return rankings.computeIfAbsent(service, name -> rank(name, nowMillis));
+    }
+
+    private void expireRankings(long nowMillis) {
         if (nowMillis - rankedAtMillis >= MAX_RANKING_AGE_MILLIS) {
             rankedAtMillis = nowMillis;
             rankings.clear();
+            localRanks.clear();
         }
-        return rankings.computeIfAbsent(service, name -> rank(name, nowMillis));
     }
 
     private List<MemberReport> rank(String service, long nowMillis) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -77,6 +77,8 @@
     private static final long CATALOG_WAIT_LIMIT_MILLIS = 600;
     /** Delay after the start until metrics are served, so that requests are served first. */
     private static final long METRICS_START_DELAY_MILLIS = 2_000;
+    /** Number of processes that share the capacity of a cold target as coordinators of its service. */
+    private static final int COLD_COORDINATORS = 2;
     /** Time before the end of the grace period at which the process stops even if requests are in flight. */
     private static final long STOP_MARGIN_MILLIS = 600;
 
@@ -163,7 +165,7 @@
         pathMonitor = new PathMonitor(targets, ownReach, ticker, this::awaitedTarget);
         retryAllowance = new RetryAllowance(settings.expectsPeers());
         localQueues = new LocalQueues(loop, ticker, random::nextDouble, settings.policy(), organisationWeights);
-        coldShares = new RendezvousColdShares(settings.name(), this::servingNames, this::coldRate);
+        coldShares = new RendezvousColdShares(settings.name(), this::coldSenderNames, this::coldRate);
         placement = new TargetSelector(
                 prompts,
                 this::localColdAllowance,
@@ -590,11 +592,21 @@
     }
 
     /**
-     * Returns half of the capacity of a cold target, since for a short time two processes may both coordinate. In a
-     * service whose requests are placed locally this is zero, as there the whole capacity is shared out already.
+     * Returns the number of requests that this process, as a coordinator, may let a cold target receive: half of its
+     * capacity for each of the first two in rank, since for a short time both may coordinate. Any further process
+     * coordinates only because those before it seem silent to some, who may still hear them. In the minority of a fleet
+     * the capacity is shared out among all processes that may coordinate, and in a service whose requests are placed
+     * locally it is shared out already.
      */
     private int coordinatorColdAllowance(Target target) {
-        return isCoordinated(target.service()) ? (int) Math.max(1, coldRate(target) / 2) : 0;
+        if (!isCoordinated(target.service())) {
+            return 0;
+        }
+        if (members.inMinority(ticker.nowMillis())) {
+            return coldShares.allowance(target);
+        }
+        boolean mayCoordinate = coordination.localRank(target.service()) < COLD_COORDINATORS;
+        return mayCoordinate ? (int) Math.max(1, coldRate(target) / COLD_COORDINATORS) : 0;
     }
 
     /**
@@ -612,7 +624,10 @@
                 .orElse(false);
     }
 
-    private List<String> servingNames() {
+    private List<String> coldSenderNames() {
+        if (members.inMinority(ticker.nowMillis())) {
+            return members.possiblyServingNames(ticker.nowMillis());
+        }
         return members.serving(ticker.nowMillis()).stream()
                 .map(MemberReport::getName)
                 .collect(Collectors.toCollection(ArrayList::new));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StatedRateTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StatedRateTracker.java
@@ -54,10 +54,18 @@
         this.ticker = ticker;
         this.random = random;
         enabled = settings.policy().isEnabled(Mechanism.STATED_RATES);
-        ofProcess = table.ofProcess(() -> 1 + members.alive(ticker.nowMillis()).size());
+        ofProcess = table.ofProcess(this::rateSharers);
         datagrams.addListener((datagram, senderIp) -> receive(datagram));
     }
 
+    /** Returns the number of processes among which a rate is divided if no coordinator counts the requests. */
+    private int rateSharers() {
+        long nowMillis = ticker.nowMillis();
+        return members.inMinority(nowMillis)
+                ? members.possiblyServingNames(nowMillis).size()
+                : 1 + members.alive(nowMillis).size();
+    }
+
     /** Returns the rates, and what is counted against them. */
     StatedRates table() {
         return table;
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/MemberTableTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/MemberTableTest.java
@@ -37,6 +37,39 @@
         assertThat(table.reachableShare(MemberTable.EXPIRY_TIMEOUT_MILLIS + 1), closeTo(1, 0.001));
     }
 
+    /**
+     * Guards against parts of a partitioned fleet that each take the whole of what the fleet may use, once they have
+     * removed the others.
+     */
+    @Test
+    void processInTheMinorityCountsTheOthersAfterTheirRemoval() {
+        for (String name : List.of("a", "b", "c", "d", "e", "f")) {
+            table.receive(Fixtures.report(name, 1, 1), 0);
+        }
+        long removed = MemberTable.EXPIRY_TIMEOUT_MILLIS + 1;
+        table.expire(removed);
+        assertThat(table.inMinority(removed), is(true));
+        assertThat(table.reachableShare(removed), closeTo(1.2 / 7, 0.001));
+        assertThat(table.possiblyServingNames(removed), hasSize(7));
+        for (String name : List.of("a", "b", "c")) {
+            table.receive(Fixtures.report(name, 1, 2), removed);
+        }
+        assertThat("in the majority", table.inMinority(removed), is(false));
+        assertThat(table.reachableShare(removed), closeTo(1, 0.001));
+    }
+
+    /** Guards against a fleet that keeps allowances for processes that are gone for good. */
+    @Test
+    void removedProcessesAreForgottenInTheEnd() {
+        for (String name : List.of("a", "b")) {
+            table.receive(Fixtures.report(name, 1, 1), 0);
+        }
+        table.expire(MemberTable.EXPIRY_TIMEOUT_MILLIS + 1);
+        long forgotten = MemberTable.EXPIRY_TIMEOUT_MILLIS + 600_002;
+        table.expire(forgotten);
+        assertThat(table.reachableShare(forgotten), closeTo(1, 0.001));
+    }
+
     /**
      * A process is killed and restarted on a host whose wall clock was set back in between. Its new incarnation is
      * lower than the one its peers know. They would ignore its reports as stale and leave it out of the directory for
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.whinwharf.wire.fleet.MemberPhase;
 import org.whinwharf.wire.fleet.MemberReport;
@@ -34,11 +35,19 @@
     /** Time without a heartbeat after which a process is removed: longer than a restart or a short network outage. */
     public static final long EXPIRY_TIMEOUT_MILLIS = 20_000;
 
+    /**
+     * Time for which removed processes are remembered, as long as the reachable ones are the minority: longer than most
+     * network partitions.
+     */
+    private static final long LOST_RETENTION_MILLIS = TimeUnit.MINUTES.toMillis(10);
     /** Factor by which the reachable share exceeds the proportional share while processes are suspected. */
     private static final double SHARE_OVERCOMMIT_FACTOR = 1.2;
 
     private final Map<String, Entry> remoteMembers = new TreeMap<>();
     private final Map<Integer, Entry> entriesByNameDigest = new HashMap<>();
+    /** Times in milliseconds at which processes were removed that had not said that they leave, by their names. */
+    private final Map<String, Long> lostAtMillis = new HashMap<>();
+
     private MemberReport localReport;
 
     /**
@@ -160,6 +169,7 @@
         String name = member.report().getName();
         Entry entry = remoteMembers.computeIfAbsent(name, key -> new Entry());
         entry.member = member;
+        lostAtMillis.remove(name);
         entriesByNameDigest.put(name.hashCode(), entry);
     }
 
@@ -180,13 +190,58 @@
             boolean expire = left || silenceMillis > EXPIRY_TIMEOUT_MILLIS;
             if (expire) {
                 expired.add(member.report().getName());
+                if (!left) {
+                    lostAtMillis.put(member.report().getName(), nowMillis);
+                }
                 entriesByNameDigest.remove(member.report().getName().hashCode());
             }
             return expire;
         });
+        lostAtMillis.values().removeIf(lostAt -> nowMillis - lostAt > LOST_RETENTION_MILLIS);
         return expired;
     }
 
+    /**
+     * Returns whether this process and those that it reaches are the minority of the fleet that was last known, so that
+     * the others may well serve callers too.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return true in the smaller part of a partitioned fleet, or after the loss of most of its processes
+     */
+    public boolean inMinority(long nowMillis) {
+        return 2 * (1 + aliveCount(nowMillis)) < 1 + remoteMembers.size() + lostAtMillis.size();
+    }
+
+    /**
+     * Returns the names of all processes that may serve callers: this one, the known ones, suspected ones included,
+     * and, in the minority of a fleet, those that were removed.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @return names, this process's first
+     */
+    public List<String> possiblyServingNames(long nowMillis) {
+        List<String> names = new ArrayList<>();
+        names.add(localReport.getName());
+        names.addAll(remoteMembers.keySet());
+        if (inMinority(nowMillis)) {
+            names.addAll(lostAtMillis.keySet());
+        }
+        return names;
+    }
+
+    private int aliveCount(long nowMillis) {
+        int count = 0;
+        for (Entry entry : remoteMembers.values()) {
+            count += isAlive(entry.member, nowMillis) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private boolean isAlive(Member member, long nowMillis) {
+        long suspectTimeoutMillis = largeFleet() ? LARGE_FLEET_SUSPECT_TIMEOUT_MILLIS : SUSPECT_TIMEOUT_MILLIS;
+        return nowMillis - member.receivedAtMillis() <= suspectTimeoutMillis;
+    }
+
     /**
      * Returns the other processes that are not suspected.
      *
@@ -194,10 +249,9 @@
      * @return members, in a new modifiable list
      */
     public List<Member> alive(long nowMillis) {
-        long suspectTimeoutMillis = largeFleet() ? LARGE_FLEET_SUSPECT_TIMEOUT_MILLIS : SUSPECT_TIMEOUT_MILLIS;
         List<Member> alive = new ArrayList<>(remoteMembers.size());
         for (Entry entry : remoteMembers.values()) {
-            if (nowMillis - entry.member.receivedAtMillis() <= suspectTimeoutMillis) {
+            if (isAlive(entry.member, nowMillis)) {
                 alive.add(entry.member);
             }
         }
@@ -288,15 +342,16 @@
      * Returns the share of the fleet's quota refill that this process and the processes it can reach may use.
      *
      * <p>A suspected process may be down and use nothing, or be on the other side of a network partition and use its
-     * share. The result is somewhat larger than the proportional share because most suspected processes are restarting.
-     * Two halves of a partitioned fleet then exceed the quota by a fifth together, which is less than the tolerance of
-     * a quota window.
+     * share. In the minority of a fleet, the others count beyond their removal. The result is somewhat larger than the
+     * proportional share because most suspected processes are restarting. Two halves of a partitioned fleet then exceed
+     * the quota by a fifth together, which is less than the tolerance of a quota window.
      *
      * @param nowMillis monotonic time in milliseconds
      * @return share, this process included, above 0 and at most 1
      */
     public double reachableShare(long nowMillis) {
-        double proportionalShare = (1.0 + alive(nowMillis).size()) / (1.0 + remoteMembers.size());
+        double proportionalShare =
+                (1.0 + aliveCount(nowMillis)) / possiblyServingNames(nowMillis).size();
         return Math.min(1, proportionalShare * SHARE_OVERCOMMIT_FACTOR);
     }
 
