Count datagrams that cannot be sent or read, and agree on their maximum size

Sender and receiver use one constant; failures are counted in whinwharf_task_failures_total and logged once in 10 s, and each receiver of a datagram runs in a guard of its own.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -153,7 +153,7 @@
                 metrics,
                 settings.policy().isEnabled(Mechanism.LEARNED_LIMITS),
                 this::reachChanged);
-        datagrams = new PeerDatagrams(settings);
+        datagrams = new PeerDatagrams(settings, tasks);
         statedLimits = new StatedLimits(settings, members, targets, datagrams, ticker, random);
         StatedRateTracker rates = statedLimits.rates();
         relayPeers = new RelayPeers(settings.name(), members::servingMembers, random);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerDatagrams.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerDatagrams.java
@@ -28,18 +28,23 @@
         void datagramReceived(FleetDatagram datagram, String senderIp);
     }
 
-    /** Maximum size of a received datagram in bytes; the protocol allows none that is longer. */
-    private static final int MAX_DATAGRAM_BYTES = 64 * 1_024;
+    /** Maximum size of a datagram in bytes, sent or received; the protocol allows none that is longer. */
+    static final int MAX_DATAGRAM_BYTES = 65_507;
     /** Maximum number of datagrams that are read in one turn of the event loop; an allocator of its own reads one. */
     private static final int MAX_DATAGRAMS_PER_READ = 16;
 
+    private static final String SEND_TASK = "datagram to a peer";
+    private static final String RECEIVE_TASK = "datagram of a peer";
+
     private final FrontSettings settings;
+    private final TaskGuard tasks;
     private final List<Listener> listeners = new ArrayList<>();
     private DatagramChannel socket;
     private Channel channel;
 
-    PeerDatagrams(FrontSettings settings) {
+    PeerDatagrams(FrontSettings settings, TaskGuard tasks) {
         this.settings = settings;
+        this.tasks = tasks;
     }
 
     void addListener(Listener listener) {
@@ -75,15 +80,19 @@
      * Sends a datagram to the fronts on several hosts.
      *
      * <p>Writes directly to the socket and bypasses the channel. A full send buffer drops the datagram, as the network
-     * may; queueing it in the channel would only delay it.
+     * may; queueing it in the channel would only delay it. A datagram that is too long is dropped, counted and logged.
      */
     void send(FleetDatagram datagram, Collection<String> ips) {
         ByteBuffer bytes = ByteBuffer.wrap(datagram.toByteArray());
+        if (bytes.remaining() > MAX_DATAGRAM_BYTES) {
+            tasks.failed(SEND_TASK, new IOException("datagram of " + bytes.remaining() + " bytes"));
+            return;
+        }
         for (String ip : ips) {
             try {
                 socket.send(bytes.rewind(), new InetSocketAddress(ip, settings.peerPort()));
             } catch (IOException e) {
-                FrontLog.taskFailed("datagram to a peer", e);
+                tasks.failed(SEND_TASK, e);
             }
         }
     }
@@ -94,12 +103,12 @@
                 throws InvalidProtocolBufferException {
             FleetDatagram datagram = FleetDatagram.parseFrom(packet.content().nioBuffer());
             String senderIp = packet.sender().getAddress().getHostAddress();
-            listeners.forEach(listener -> listener.datagramReceived(datagram, senderIp));
+            listeners.forEach(listener -> tasks.run(RECEIVE_TASK, () -> listener.datagramReceived(datagram, senderIp)));
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            FrontLog.taskFailed("datagram of a peer", cause);
+            tasks.failed(RECEIVE_TASK, cause);
         }
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TaskGuard.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TaskGuard.java
@@ -36,7 +36,12 @@
         }
     }
 
-    private void failed(String name, Throwable cause) {
+    /**
+     * Counts a failure, and logs it unless one of the same name was logged a short time ago.
+     *
+     * @param name name in the log and in metrics
+     */
+    void failed(String name, Throwable cause) {
         metrics.taskFailed(name);
         long nowMillis = ticker.nowMillis();
         Long lastMillis = loggedAtMillis.get(name);
