Send long lists of running requests in parts

A front tells the coordinator of a service once a second which requests it has under way, in one datagram.

Messages of a list hold up to 30,000 bytes of runs and are applied together, once all have arrived. Lists that fit into one message are sent as before, so that releases before read them; of longer ones, some 700 runs and more, these take each part for the whole list.

Measured: RunListsTest 3 of 3 with 5,000 runs, CoordinationTest 3 of 3, SeveralCoordinatorsTest passes. That such a list could not be sent before is read from the code, not played.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -76,6 +76,7 @@
     private final Map<String, String> lastCoordinators = new HashMap<>();
     private final Map<String, String> requesterIps = new HashMap<>();
     private final Map<String, List<MemberReport>> rankings = new HashMap<>();
+    private final RunLists runLists = new RunLists();
     /** Ranks of this process, by service, among all processes that are heard from. */
     private final Map<String, Integer> localRanks = new HashMap<>();
 
@@ -338,16 +339,15 @@
         tickets.values().stream()
                 .filter(ticket -> ticket.service().equals(service))
                 .forEach(ticket -> ticket.addRunTo(runs));
-        RunsUnderWay runList =
-                RunsUnderWay.newBuilder().setService(service).addAllRuns(runs).build();
-        FleetDatagram message = datagram().addRuns(runList).build();
-        ranking(service).stream().limit(RUN_REPORT_RECIPIENTS).forEach(report -> {
-            if (report.getName().equals(settings.name())) {
-                receiveRuns(settings.name(), runList);
+        List<RunsUnderWay> parts = RunLists.split(service, runs, nextId++);
+        for (MemberReport recipient :
+                ranking(service).stream().limit(RUN_REPORT_RECIPIENTS).toList()) {
+            if (recipient.getName().equals(settings.name())) {
+                applyRuns(settings.name(), service, runs);
             } else {
-                datagrams.send(message, report.getIp());
+                parts.forEach(part -> datagrams.send(datagram().addRuns(part).build(), recipient.getIp()));
             }
-        });
+        }
     }
 
     private Optional<MemberReport> coordinatorOf(String service) {
@@ -396,14 +396,16 @@
                         progress.getTookMillis(),
                         progress.getEvents(),
                         nowMillis));
-        datagram.getRunsList().forEach(runList -> receiveRuns(from, runList));
+        for (RunsUnderWay message : datagram.getRunsList()) {
+            runLists.join(from, message).ifPresent(runs -> applyRuns(from, message.getService(), runs));
+        }
         datagram.getRepliesList().forEach(reply -> receiveReply(from, fromIp, reply));
     }
 
-    private void receiveRuns(String from, RunsUnderWay runList) {
+    private void applyRuns(String from, String service, List<RunUnderWay> list) {
         Map<Long, RunningRequests.Run> runs = new HashMap<>();
-        runList.getRunsList().forEach(run -> runs.put(run.getId(), PlacementMessages.run(run)));
-        coordinator.reportInFlight(from, runList.getService(), runs, ticker.nowMillis());
+        list.forEach(run -> runs.put(run.getId(), PlacementMessages.run(run)));
+        coordinator.reportInFlight(from, service, runs, ticker.nowMillis());
     }
 
     private void receiveReply(String from, String fromIp, PlacementReply reply) {
