Send datagrams to all peers whatever the address of one is

Each address is parsed without a name service, and a failure concerns its peer alone. Lists are emptied, and the next question about a stream is scheduled, before anything can fail.

The lists of CrashTracker and StreamTracker were mended by reading, without a test.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -33,7 +33,7 @@
 final class FrontFixture implements AutoCloseable {
     private static final AtomicInteger NEXT_ADDRESS = new AtomicInteger(1);
     private static final int CALLER_PORT = 18_211;
-    private static final int PEER_PORT = 18_212;
+    static final int PEER_PORT = 18_212;
     private static final int METRICS_PORT = 18_213;
     private static final int RELAY_PORT = 18_214;
     private static final long TIMEOUT_SECONDS = 20;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -255,6 +255,8 @@
         List<PartServingReport> reports = untoldServings.entrySet().stream()
                 .map(serving -> LostRunMessages.toReport(serving.getKey(), serving.getValue(), nowMillis))
                 .toList();
+        // Emptied before anything can fail, since the next serving is sent only if none is waiting.
+        untoldServings.clear();
         for (int from = 0; from < reports.size(); from += MAX_SERVINGS_PER_DATAGRAM) {
             datagrams.send(
                     FleetDatagram.newBuilder()
@@ -264,7 +266,6 @@
                             .build(),
                     ips);
         }
-        untoldServings.clear();
     }
 
     private void mergeServings(List<PartServingReport> reports) {
@@ -314,8 +315,10 @@
     }
 
     private void sendUnsent() {
-        send(unsent.values(), peerIps());
+        List<LostRun> runs = List.copyOf(unsent.values());
+        // Emptied before anything can fail, since the next run is sent only if none is waiting.
         unsent.clear();
+        send(runs, peerIps());
     }
 
     private List<String> peerIps() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerDatagrams.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PeerDatagrams.java
@@ -10,7 +10,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.util.NetUtil;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.StandardProtocolFamily;
 import java.nio.ByteBuffer;
@@ -90,13 +92,23 @@
         }
         for (String ip : ips) {
             try {
-                socket.send(bytes.rewind(), new InetSocketAddress(ip, settings.peerPort()));
-            } catch (IOException e) {
+                socket.send(bytes.rewind(), new InetSocketAddress(address(ip), settings.peerPort()));
+            } catch (IOException | RuntimeException e) {
+                // A peer that cannot be reached keeps the datagram from no other.
                 tasks.failed(SEND_TASK, e);
             }
         }
     }
 
+    /** Returns an address without asking a name service, which would block the event loop. */
+    private static InetAddress address(String ip) throws IOException {
+        InetAddress address = NetUtil.createInetAddressFromIpAddressString(ip);
+        if (address == null) {
+            throw new IOException("not an IP address: " + ip);
+        }
+        return address;
+    }
+
     private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
@@ -198,8 +198,8 @@
             return;
         }
         search.asks++;
-        datagrams.send(datagram().addStreamsAsked(key.bits()).build(), search.silentIpsByName.values());
         loop.schedule(() -> ask(key, search), ASK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        datagrams.send(datagram().addStreamsAsked(key.bits()).build(), search.silentIpsByName.values());
     }
 
     private void conclude(StreamKey key, Optional<StreamOrigin> origin, String source) {
