--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -8,7 +8,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
+import org.whinwharf.traffic.quota.AdmissionReports;
 import org.whinwharf.traffic.quota.QuotaLedger;
 
 /**
@@ -22,6 +24,7 @@
     private static final double MAX_ADMITTED_TOKENS = (RATE * 8 + RATE) * 1.25 + 140_000;
     private static final long REQUEST_TOKENS = 1_500;
     private static final long GOSSIP_INTERVAL_MILLIS = 150;
+    private static final int REPEATS = 24;
 
     @Test
     void allProcessesTogetherKeepToTheQuotaAndUseIt() {
@@ -267,16 +270,24 @@
 
     private static void exchangeTotals(List<QuotaLedger> fleet, int firstGroup, long now) {
         for (int from = 0; from < fleet.size(); from++) {
+            List<AdmissionReports.Entry> report = fleet.get(from).nextReport(REPEATS, now);
             for (int to = 0; to < fleet.size(); to++) {
                 boolean sameGroup = from < firstGroup == to < firstGroup;
                 if (from != to && sameGroup) {
-                    String process = "front-" + from;
-                    QuotaLedger receiver = fleet.get(to);
-                    fleet.get(from)
-                            .admittedTotals()
-                            .forEach((digest, total) -> receiver.receiveTotal(process, 1, digest, total, now));
+                    receive(fleet.get(to), "front-" + from, report, now);
                 }
             }
         }
     }
+
+    private static void receive(
+            QuotaLedger receiver, String process, List<AdmissionReports.Entry> report, long now) {
+        report.forEach(entry -> receiver.receiveTotal(
+                process,
+                1,
+                entry.organisationDigest(),
+                entry.admittedTotal(),
+                OptionalLong.of(entry.reportedTotal()),
+                now));
+    }
 }
