--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -212,6 +212,10 @@
     /** Publishes routes of all kinds with the given latency objective, from which queue timeouts are derived. */
     void publishCatalog(int attempts, long timeoutMillis, boolean engine, long objectiveMillis) {
         publishCatalog(1, "service", attempts, timeoutMillis, engine, objectiveMillis);
+        awaitReady();
+    }
+
+    private void awaitReady() {
         while (!front.ready()) {
             Thread.onSpinWait();
         }
@@ -227,9 +231,7 @@
                 true,
                 limits.objectiveMillis(),
                 coldRequestsPerSecond);
-        while (!front.ready()) {
-            Thread.onSpinWait();
-        }
+        awaitReady();
     }
 
     /** Publishes a later catalog whose routes differ from those before in their version only. */
