--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/QuotaLedgerTest.java
@@ -280,8 +280,7 @@
         }
     }
 
-    private static void receive(
-            QuotaLedger receiver, String process, List<AdmissionReports.Entry> report, long now) {
+    private static void receive(QuotaLedger receiver, String process, List<AdmissionReports.Entry> report, long now) {
         report.forEach(entry -> receiver.receiveTotal(
                 process,
                 1,
