Apply each part of a long list of running requests by itself

A part holds the requests whose ids modulo the number of parts are its number, so that it replaces what is known of just these. Nothing is kept between messages. The test that an incomplete list is not applied is replaced by one that the parts which arrive are, that ended requests go, and that those of a part which is always lost stay.

Measured: RunListsTest.partsAreAppliedWhileOthersAreLost, with the calls of the form before (scratch copy), fails; 3 of 3 now. CoordinatorTest 29 of 29, OrganisationShareTest 8, OrganisationSharesTest 17, CoordinationTest 3 of 3.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -76,7 +76,6 @@
     private final Map<String, String> lastCoordinators = new HashMap<>();
     private final Map<String, String> requesterIps = new HashMap<>();
     private final Map<String, List<MemberReport>> rankings = new HashMap<>();
-    private final RunLists runLists = new RunLists();
     /** Ranks of this process, by service, among all processes that are heard from. */
     private final Map<String, Integer> localRanks = new HashMap<>();
 
@@ -339,13 +338,14 @@
         tickets.values().stream()
                 .filter(ticket -> ticket.service().equals(service))
                 .forEach(ticket -> ticket.addRunTo(runs));
-        List<RunsUnderWay> parts = RunLists.split(service, runs, nextId++);
+        List<RunsUnderWay> messages = RunLists.toMessages(service, runs);
         for (MemberReport recipient :
                 ranking(service).stream().limit(RUN_REPORT_RECIPIENTS).toList()) {
             if (recipient.getName().equals(settings.name())) {
-                applyRuns(settings.name(), service, runs);
+                messages.forEach(message -> receiveRuns(settings.name(), message));
             } else {
-                parts.forEach(part -> datagrams.send(datagram().addRuns(part).build(), recipient.getIp()));
+                messages.forEach(
+                        message -> datagrams.send(datagram().addRuns(message).build(), recipient.getIp()));
             }
         }
     }
@@ -396,16 +396,14 @@
                         progress.getTookMillis(),
                         progress.getEvents(),
                         nowMillis));
-        for (RunsUnderWay message : datagram.getRunsList()) {
-            runLists.join(from, message).ifPresent(runs -> applyRuns(from, message.getService(), runs));
-        }
+        datagram.getRunsList().forEach(message -> receiveRuns(from, message));
         datagram.getRepliesList().forEach(reply -> receiveReply(from, fromIp, reply));
     }
 
-    private void applyRuns(String from, String service, List<RunUnderWay> list) {
+    private void receiveRuns(String from, RunsUnderWay message) {
         Map<Long, RunningRequests.Run> runs = new HashMap<>();
-        list.forEach(run -> runs.put(run.getId(), PlacementMessages.run(run)));
-        coordinator.reportInFlight(from, service, runs, ticker.nowMillis());
+        message.getRunsList().forEach(run -> runs.put(run.getId(), PlacementMessages.run(run)));
+        coordinator.reportInFlight(from, message.getService(), RunLists.partOf(message), runs, ticker.nowMillis());
     }
 
     private void receiveReply(String from, String fromIp, PlacementReply reply) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RunLists.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RunLists.java
@@ -1,81 +1,54 @@
 package org.whinwharf.front;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.Optional;
+import org.whinwharf.traffic.coordination.RunListPart;
 import org.whinwharf.wire.fleet.RunUnderWay;
 import org.whinwharf.wire.fleet.RunsUnderWay;
 
-/**
- * Splits lists of running requests into messages of bounded size, and joins the messages of peers.
- *
- * <p>A list replaces all that its receiver knew of the sender, so that it is applied only once all of its messages have
- * arrived.
- */
+/** Converts lists of running requests to and from messages of bounded size. */
 final class RunLists {
-    /** Maximum size of the runs in a message, in bytes. */
-    static final int MAX_RUN_BYTES = 30_000;
+    /** Size of the runs in a message, in bytes, from which a list is split further. */
+    private static final int MAX_RUN_BYTES = 30_000;
 
-    private final Map<Sender, Incomplete> incompleteLists = new HashMap<>();
+    private RunLists() {}
 
-    private record Sender(String process, String service) {}
-
-    /** The messages that have arrived of one list, by their numbers. */
-    private record Incomplete(long list, Map<Integer, RunsUnderWay> parts) {}
-
-    /**
-     * Returns the messages of a list.
-     *
-     * @param list number of the list, unique among those of this process
-     */
-    static List<RunsUnderWay> split(String service, List<RunUnderWay> runs, long list) {
-        List<RunsUnderWay.Builder> parts = new ArrayList<>();
-        RunsUnderWay.Builder last = RunsUnderWay.newBuilder().setService(service);
-        parts.add(last);
-        int bytes = 0;
-        for (RunUnderWay run : runs) {
-            bytes += run.getSerializedSize();
-            if (bytes > MAX_RUN_BYTES && last.getRunsCount() > 0) {
-                last = RunsUnderWay.newBuilder().setService(service);
-                parts.add(last);
-                bytes = run.getSerializedSize();
-            }
-            last.addRuns(run);
+    /** Returns the messages of a list; each holds a part that is applied without the others, since they may be lost. */
+    static List<RunsUnderWay> toMessages(String service, List<RunUnderWay> runs) {
+        int count = 1;
+        List<RunsUnderWay.Builder> parts = split(service, runs, count);
+        while (count < runs.size() && parts.stream().anyMatch(RunLists::tooLong)) {
+            count *= 2;
+            parts = split(service, runs, count);
         }
-        if (parts.size() > 1) {
-            for (int i = 0; i < parts.size(); i++) {
-                parts.get(i).setList(list).setPart(i).setParts(parts.size());
+        if (count > 1) {
+            for (int i = 0; i < count; i++) {
+                parts.get(i).setPart(i).setParts(count);
             }
         }
         return parts.stream().map(RunsUnderWay.Builder::build).toList();
     }
 
-    /**
-     * Receives a message.
-     *
-     * @param process name of the sender
-     * @return the runs of the whole list if the message completes one
-     */
-    Optional<List<RunUnderWay>> join(String process, RunsUnderWay message) {
-        Sender sender = new Sender(process, message.getService());
-        if (message.getParts() <= 1) {
-            incompleteLists.remove(sender);
-            return Optional.of(message.getRunsList());
-        }
-        Incomplete incomplete = incompleteLists.get(sender);
-        if (incomplete == null || incomplete.list() != message.getList()) {
-            incomplete = new Incomplete(message.getList(), new HashMap<>());
-            incompleteLists.put(sender, incomplete);
-        }
-        incomplete.parts().put(message.getPart(), message);
-        if (incomplete.parts().size() < message.getParts()) {
-            return Optional.empty();
+    private static boolean tooLong(RunsUnderWay.Builder message) {
+        return message.getRunsList().stream()
+                        .mapToInt(RunUnderWay::getSerializedSize)
+                        .sum()
+                > MAX_RUN_BYTES;
+    }
+
+    private static List<RunsUnderWay.Builder> split(String service, List<RunUnderWay> runs, int count) {
+        List<RunsUnderWay.Builder> parts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            RunListPart part = new RunListPart(i, count);
+            RunsUnderWay.Builder message = RunsUnderWay.newBuilder().setService(service);
+            runs.stream().filter(run -> part.holds(run.getId())).forEach(message::addRuns);
+            parts.add(message);
         }
-        incompleteLists.remove(sender);
-        List<RunUnderWay> runs = new ArrayList<>();
-        incomplete.parts().values().forEach(part -> runs.addAll(part.getRunsList()));
-        return Optional.of(runs);
+        return parts;
+    }
+
+    /** Returns the part that a message holds; a message without numbers holds the whole list. */
+    static RunListPart partOf(RunsUnderWay message) {
+        return message.getParts() > 1 ? new RunListPart(message.getPart(), message.getParts()) : RunListPart.WHOLE;
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/Coordinator.java
@@ -73,7 +73,21 @@
      * @param nowMillis monotonic time in milliseconds
      */
     public void reportInFlight(String process, String service, Map<Long, RunningRequests.Run> runs, long nowMillis) {
-        serviceCoordinator(service).reportInFlight(process, runs, nowMillis);
+        reportInFlight(process, service, RunListPart.WHOLE, runs, nowMillis);
+    }
+
+    /**
+     * Processes a report of a part of the requests that a process has in flight at the targets of a service.
+     *
+     * @param process name of the reporting process
+     * @param service name of the service
+     * @param part part that the report covers
+     * @param runs requests of this part in flight, by the ids of their placement requests
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void reportInFlight(
+            String process, String service, RunListPart part, Map<Long, RunningRequests.Run> runs, long nowMillis) {
+        serviceCoordinator(service).reportInFlight(process, part, runs, nowMillis);
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ObservedShares.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ObservedShares.java
@@ -18,15 +18,23 @@
     private static final long MAX_PERIOD_MILLIS = 2_000;
 
     private final OrganisationShares shares;
-    private final Map<String, Long> lastListAtMillis = new HashMap<>();
+    /** Times of the last lists in milliseconds, by process and number of the part. */
+    private final Map<String, Map<Integer, Long>> lastListAtMillis = new HashMap<>();
 
     ObservedShares(OrganisationShares shares) {
         this.shares = shares;
     }
 
     /** Charges the runs of a list of one process, except those that were charged when they were granted here. */
-    void record(String process, Map<Long, RunningRequests.Run> runs, LongPredicate grantedHere, long nowMillis) {
-        Long previousAtMillis = lastListAtMillis.put(process, nowMillis);
+    void record(
+            String process,
+            RunListPart part,
+            Map<Long, RunningRequests.Run> runs,
+            LongPredicate grantedHere,
+            long nowMillis) {
+        Long previousAtMillis = lastListAtMillis
+                .computeIfAbsent(process, name -> new HashMap<>())
+                .put(part.number(), nowMillis);
         long periodMillis = previousAtMillis == null
                 ? FIRST_PERIOD_MILLIS
                 : Math.min(MAX_PERIOD_MILLIS, nowMillis - previousAtMillis);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/RunningRequests.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/RunningRequests.java
@@ -139,19 +139,20 @@
     }
 
     /**
-     * Replaces the requests of a process with those that it reports. Keeps recent grants that the report may not
-     * include yet.
+     * Replaces the requests of a process with those that it reports, as far as the report covers them. Keeps recent
+     * grants that the report may not include yet.
      *
      * @param process name of the reporting process
-     * @param runs requests in flight, by the ids of their placement requests
+     * @param part part of the requests that the report covers
+     * @param runs requests of this part in flight, by the ids of their placement requests
      * @param nowMillis monotonic time in milliseconds
      */
-    public void reconcile(String process, Map<Long, Run> runs, long nowMillis) {
+    public void reconcile(String process, RunListPart part, Map<Long, Run> runs, long nowMillis) {
         lastReportAtMillis.put(process, nowMillis);
         Map<Long, Long> recent = grantedAtMillis.computeIfAbsent(process, name -> new HashMap<>());
         recent.values().removeIf(atMillis -> nowMillis - atMillis > MAX_GRANT_DELIVERY_MILLIS);
         for (Long id : List.copyOf(runsByProcess.getOrDefault(process, Map.of()).keySet())) {
-            if (!runs.containsKey(id) && !recent.containsKey(id)) {
+            if (part.holds(id) && !runs.containsKey(id) && !recent.containsKey(id)) {
                 recordEnd(process, id);
             }
         }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -201,11 +201,11 @@
         return new QueuedPlacement(request, key, assignment, headStartMillis, nowMillis);
     }
 
-    void reportInFlight(String process, Map<Long, RunningRequests.Run> runs, long nowMillis) {
+    void reportInFlight(String process, RunListPart part, Map<Long, RunningRequests.Run> runs, long nowMillis) {
         paces.advanceTo(nowMillis);
-        running.reconcile(process, runs, nowMillis);
+        running.reconcile(process, part, runs, nowMillis);
         removeEndedGrants(process, nowMillis);
-        observedShares.record(process, runs, id -> grants.containsKey(new RequestKey(process, id)), nowMillis);
+        observedShares.record(process, part, runs, id -> grants.containsKey(new RequestKey(process, id)), nowMillis);
     }
 
     /** Removes the grants of a process whose requests are no longer in flight. */
