Stand-in: a killed target closes each connection that it has accepted

The front saw it stand and took the target for alive, as it should. The trace in the list of known failures blamed connections that end one after the other; with a front that waits for those 50 ms, both tests failed all the same (2 of 17 in one run, verdict keeps-connections after 52 and 61 ms).

A connection is entered when it is accepted. The tests are unchanged.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
@@ -105,6 +105,8 @@
         while (!server.isClosed()) {
             try {
                 Socket socket = server.accept();
+                // Before its thread runs, so that a target that is killed closes each connection that it has accepted.
+                connections.add(socket);
                 Thread worker = new Thread(() -> serve(socket), "fake-target-connection");
                 worker.setDaemon(true);
                 worker.start();
@@ -116,7 +118,6 @@
 
     private void serve(Socket socket) {
         String last = "";
-        connections.add(socket);
         connectionCount.incrementAndGet();
         try (socket) {
             InputStream in = socket.getInputStream();
