Look again at a target's connections after it has refused a new one

A stream whose target was killed could reach its caller as complete: the check after an undeclared end took other connections for a sign of life, which the target's system was about to close, though a new connection had just been refused.

After a new connection was not accepted, the connections that still stand are looked at again 50 ms later, in which a system ends those of a process; the time was chosen as above twice what the test pauses and a tenth of the wait for a first byte. A target that only stops listening keeps them and is believed, 50 ms later than before; nothing changes where a new connection is accepted, or where no other stands.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FakeTarget.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** Target that answers each request by running a script. */
@@ -152,10 +153,18 @@
 
     /** Ends as a process does that is killed: its system closes the port and all connections in order. */
     void kill() throws IOException {
-        server.close();
+        closePort();
+        for (Socket connection : connections) {
+            connection.close();
+        }
+    }
+
+    /** Does the same, but closes one connection first and the others later. */
+    void kill(Socket first, long pauseMillis) throws IOException {
+        closePort();
+        first.close();
         try {
-            // Until then the system may still accept connections.
-            acceptor.join();
+            TimeUnit.MILLISECONDS.sleep(pauseMillis);
         } catch (InterruptedException e) {
             throw new IOException(e);
         }
@@ -164,6 +173,16 @@
         }
     }
 
+    private void closePort() throws IOException {
+        server.close();
+        try {
+            // Until then the system may still accept connections.
+            acceptor.join();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     /** Stops listening; open connections stay. */
     @Override
     public void close() throws IOException {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
@@ -37,6 +37,8 @@
     private static final int EVENT_CHARACTERS = 10_000;
     /** Together more than the buffers between a target and a caller that does not read hold. */
     private static final int LARGE_EVENTS = 2_000;
+    /** Time in which a system closes the connections of a process; longer than a connection takes to be refused. */
+    private static final long CLOSING_MILLIS = 20;
     /** Longer than a process needs to start in the place of another one. */
     private static final long LATE_MILLIS = 200;
 
@@ -208,6 +210,31 @@
         }
     }
 
+    /**
+     * Guards against taking other connections of a killed target for its sign of life, which its system closes a little
+     * later than the one whose response ended.
+     */
+    @Test
+    void connectionsThatAreAboutToEndShowNothing() throws Exception {
+        AtomicReference<FakeTarget> target = new AtomicReference<>();
+        target.set(fixture.target("t", (request, socket) -> {
+            write(request, socket, FIRST_EVENTS);
+            // The front opens a second connection beside a response without a declared end.
+            awaitSecondConnection(target.get());
+            target.get().kill(socket, CLOSING_MILLIS);
+        }));
+        fixture.publishCatalog(1, DEADLINE_MILLIS);
+        assertThat(request("POST", "/stream/x", "a"), not(containsString(LAST_CHUNK)));
+    }
+
+    private void awaitSecondConnection(FakeTarget target) throws IOException {
+        try {
+            FrontFixture.await(() -> openConnections("t") > 1 && target.connectionCount() > 1);
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
     /** Guards against taking a connection that is not read, since its caller is slow, for one that stands. */
     @Test
     void connectionThatIsNotReadShowsNothing() throws Exception {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LivenessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LivenessCheck.java
@@ -28,10 +28,19 @@
             TargetConnection ended,
             long sinceMillis,
             List<TargetConnection> others,
-            Consumer<TargetLiveness> consumer) {}
+            Consumer<TargetLiveness> consumer) {
+        boolean keepsAny(Set<TargetConnection> open) {
+            return others.stream().anyMatch(open::contains);
+        }
+    }
 
     /** Minimum time in which another process can listen in the place of one that has ended. */
     static final long MIN_RESTART_MILLIS = 100;
+    /**
+     * Time in which all connections of a process that has ended are seen to end. Its system closes them one after the
+     * other, and the port before or between them.
+     */
+    private static final long ENDING_MILLIS = 50;
 
     private final TargetConnectionPool pool;
     /** Ends since the latest attempt to connect began, about which it says nothing. */
@@ -66,14 +75,25 @@
         connecting = true;
         pool.connectAnew(result -> {
             connecting = false;
-            Set<TargetConnection> open = pool.openDirect();
-            ends.forEach(end -> conclude(end, result.status(), open));
+            connectionTried(ends, result.status());
             if (!waiting.isEmpty() && !connecting) {
                 connect();
             }
         });
     }
 
+    private void connectionTried(List<PendingEnd> ends, ConnectResult.Status status) {
+        Set<TargetConnection> open = pool.openDirect();
+        for (PendingEnd end : ends) {
+            if (status != ConnectResult.Status.CONNECTED && end.keepsAny(open)) {
+                // The target listens no more: it goes on with these connections, or they are about to end.
+                pool.schedule(() -> conclude(end, status, pool.openDirect()), ENDING_MILLIS);
+            } else {
+                conclude(end, status, open);
+            }
+        }
+    }
+
     private TargetLiveness resultOfInstanceCheck(PendingEnd end, boolean answered) {
         if (pool.targetReplacedSince(end.ended().openedAtMillis())) {
             return TargetLiveness.REPLACED;
@@ -86,7 +106,7 @@
         boolean prompt = pool.nowMillis() - end.sinceMillis() < MIN_RESTART_MILLIS;
         if (pool.targetReplacedSince(end.ended().openedAtMillis())) {
             end.consumer().accept(TargetLiveness.REPLACED);
-        } else if (end.others().stream().anyMatch(open::contains)) {
+        } else if (end.keepsAny(open)) {
             end.consumer().accept(TargetLiveness.KEEPS_CONNECTIONS);
         } else if (connected && prompt && end.others().isEmpty()) {
             end.consumer().accept(TargetLiveness.ACCEPTS);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -142,6 +142,11 @@
         }
     }
 
+    /** Runs a task on the event loop after a delay. */
+    void schedule(Runnable task, long delayMillis) {
+        connector.schedule(task, delayMillis);
+    }
+
     /** Finds out whether the process that accepts connections is the target. */
     void confirmInstance(Consumer<Boolean> consumer) {
         connector.confirmInstance(target, consumer);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnector.java
@@ -92,6 +92,11 @@
         return targets.polledAtMillis();
     }
 
+    /** Runs a task on the event loop after a delay. */
+    void schedule(Runnable task, long delayMillis) {
+        loop.schedule(task, delayMillis, TimeUnit.MILLISECONDS);
+    }
+
     /** Finds out by a health check whether the process that accepts connections is the target. */
     void confirmInstance(Target target, Consumer<Boolean> consumer) {
         targets.confirmInstance(target, consumer);
