Move the allowances of cold targets, and the choice of coordinators, into classes of their own

ColdAllowances and CoordinatorSelection hold these now, and the gauges of targets are registered apart. No behaviour changes.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -16,13 +16,11 @@
 import org.whinwharf.runtime.log.LogEvent;
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.coordination.Coordinator;
-import org.whinwharf.traffic.coordination.CoordinatorRanking;
 import org.whinwharf.traffic.coordination.DecisionListener;
 import org.whinwharf.traffic.coordination.PlacementRequest;
 import org.whinwharf.traffic.coordination.RejectionDetails;
 import org.whinwharf.traffic.coordination.RunningRequests;
 import org.whinwharf.traffic.crash.Fingerprint;
-import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.traffic.placement.Candidate;
 import org.whinwharf.traffic.target.TargetState;
@@ -47,8 +45,6 @@
 final class Coordination {
     /** Interval at which an unanswered request is resent, since datagrams may be lost: ten round-trip times. */
     private static final long RESEND_INTERVAL_MILLIS = 40;
-    /** Time for which a silent coordinator is skipped: about as long as a restart takes. */
-    private static final long SILENT_COORDINATOR_SKIP_MILLIS = 2_000;
     /**
      * Interval at which the placement request of a queued request is repeated, to check that the coordinator still has
      * it.
@@ -58,8 +54,6 @@
     private static final long RUN_REPORT_INTERVAL_MILLIS = 1_000;
     /** Number of processes that receive these lists: the coordinator and the next in rank, so that it can take over. */
     private static final int RUN_REPORT_RECIPIENTS = 2;
-    /** Age up to which a ranking is reused; ranking 90 processes for each request would cost more than the request. */
-    private static final long MAX_RANKING_AGE_MILLIS = 100;
     /** Number of coordinators tried for one request before it is placed locally. */
     private static final int MAX_COORDINATORS_TRIED = 2;
 
@@ -72,14 +66,9 @@
     private final Coordinator coordinator;
     private final Predicate<String> coordinatedServices;
     private final Map<Long, PlacementTicket> tickets = new LinkedHashMap<>();
-    private final Map<String, Long> skippedUntilMillis = new HashMap<>();
     private final Map<String, String> lastCoordinators = new HashMap<>();
     private final Map<String, String> requesterIps = new HashMap<>();
-    private final Map<String, List<MemberReport>> rankings = new HashMap<>();
-    /** Ranks of this process, by service, among all processes that are heard from. */
-    private final Map<String, Integer> localRanks = new HashMap<>();
-
-    private long rankedAtMillis;
+    private final CoordinatorSelection selection;
     private long nextId;
     private long runsReportedAtMillis;
 
@@ -111,6 +100,7 @@
         this.datagrams = datagrams;
         this.ticker = ticker;
         this.coordinatedServices = coordinatedServices;
+        selection = new CoordinatorSelection(settings.name(), members, ticker);
         coordinator = coordinators.apply(new ReplySender());
         nextId = members.localReport().getIncarnation() << 20;
         datagrams.addListener(this::receive);
@@ -149,20 +139,9 @@
                 .isPresent();
     }
 
-    /**
-     * Returns how many processes rank before this one as coordinators of a service, those included that are skipped
-     * because they did not reply.
-     */
+    /** Returns how many processes that are heard from rank before this one as coordinators of a service. */
     int localRank(String service) {
-        long nowMillis = ticker.nowMillis();
-        expireRankings(nowMillis);
-        return localRanks.computeIfAbsent(service, name -> {
-            List<String> ranked = CoordinatorRanking.rank(name, members.servingMembers(nowMillis)).stream()
-                    .map(MemberReport::getName)
-                    .toList();
-            int rank = ranked.indexOf(settings.name());
-            return rank < 0 ? ranked.size() : rank;
-        });
+        return selection.localRank(service);
     }
 
     /** Returns the names of the coordinators of the given services, as far as they have one. */
@@ -180,8 +159,9 @@
         Set<String> ips = new LinkedHashSet<>();
         Set<String> services = activeServices();
         services.addAll(statedRates.services());
-        services.forEach(service ->
-                ranking(service).stream().limit(RUN_REPORT_RECIPIENTS).forEach(report -> ips.add(report.getIp())));
+        services.forEach(service -> selection.ranking(service).stream()
+                .limit(RUN_REPORT_RECIPIENTS)
+                .forEach(report -> ips.add(report.getIp())));
         return ips;
     }
 
@@ -229,7 +209,7 @@
     private void sendToCoordinator(PlacementTicket ticket) {
         Optional<MemberReport> next = ticket.coordinatorsTried() >= MAX_COORDINATORS_TRIED
                 ? Optional.empty()
-                : ranking(ticket.service()).stream().findFirst();
+                : selection.ranking(ticket.service()).stream().findFirst();
         if (next.isEmpty()) {
             tickets.remove(ticket.id());
             ticket.listener().coordinatorUnavailable();
@@ -285,8 +265,7 @@
             return;
         }
         if (nowMillis - ticket.requestedAtMillis() >= settings.coordinatorTimeoutMillis()) {
-            skippedUntilMillis.put(ticket.coordinatorName(), nowMillis + SILENT_COORDINATOR_SKIP_MILLIS);
-            rankings.clear();
+            selection.skip(ticket.coordinatorName());
             FrontLog.coordinatorSilent(ticket, nowMillis - ticket.requestedAtMillis());
             report(ticket, RunEvent.RUN_GIVEN_UP, 0);
             sendToCoordinator(ticket);
@@ -340,7 +319,7 @@
                 .forEach(ticket -> ticket.addRunTo(runs));
         List<RunsUnderWay> messages = RunLists.toMessages(service, runs);
         for (MemberReport recipient :
-                ranking(service).stream().limit(RUN_REPORT_RECIPIENTS).toList()) {
+                selection.ranking(service).stream().limit(RUN_REPORT_RECIPIENTS).toList()) {
             if (recipient.getName().equals(settings.name())) {
                 messages.forEach(message -> receiveRuns(settings.name(), message));
             } else {
@@ -351,30 +330,9 @@
     }
 
     private Optional<MemberReport> coordinatorOf(String service) {
-        return coordinatedServices.test(service) ? ranking(service).stream().findFirst() : Optional.empty();
-    }
-
-    private List<MemberReport> ranking(String service) {
-        long nowMillis = ticker.nowMillis();
-        expireRankings(nowMillis);
-        return rankings.computeIfAbsent(service, name -> rank(name, nowMillis));
-    }
-
-    private void expireRankings(long nowMillis) {
-        if (nowMillis - rankedAtMillis >= MAX_RANKING_AGE_MILLIS) {
-            rankedAtMillis = nowMillis;
-            rankings.clear();
-            localRanks.clear();
-        }
-    }
-
-    private List<MemberReport> rank(String service, long nowMillis) {
-        skippedUntilMillis.values().removeIf(endMillis -> nowMillis >= endMillis);
-        List<Member> serving = members.servingMembers(nowMillis).stream()
-                .filter(member ->
-                        !skippedUntilMillis.containsKey(member.report().getName()))
-                .toList();
-        return CoordinatorRanking.rank(service, serving);
+        return coordinatedServices.test(service)
+                ? selection.ranking(service).stream().findFirst()
+                : Optional.empty();
     }
 
     private FleetDatagram.Builder datagram() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -13,7 +12,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.whinwharf.lifecycle.Service;
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
@@ -29,9 +27,7 @@
 import org.whinwharf.traffic.member.MemberTable;
 import org.whinwharf.traffic.path.RelayPeers;
 import org.whinwharf.traffic.placement.Candidate;
-import org.whinwharf.traffic.placement.ColdShares;
 import org.whinwharf.traffic.placement.Demand;
-import org.whinwharf.traffic.placement.RendezvousColdShares;
 import org.whinwharf.traffic.placement.TargetSelector;
 import org.whinwharf.traffic.policy.Mechanism;
 import org.whinwharf.traffic.policy.Policy;
@@ -77,8 +73,6 @@
     private static final long CATALOG_WAIT_LIMIT_MILLIS = 600;
     /** Delay after the start until metrics are served, so that requests are served first. */
     private static final long METRICS_START_DELAY_MILLIS = 2_000;
-    /** Number of processes that share the capacity of a cold target as coordinators of its service. */
-    private static final int COLD_COORDINATORS = 2;
     /** Time before the end of the grace period at which the process stops even if requests are in flight. */
     private static final long STOP_MARGIN_MILLIS = 600;
 
@@ -96,7 +90,7 @@
     private final FailureReview failureReview;
     private final PathMonitor pathMonitor;
     private final PromptCacheIndex prompts = new PromptCacheIndex();
-    private final ColdShares coldShares;
+    private final ColdAllowances coldAllowances;
     private final TargetSelector placement;
     private final QuotaLedger quotas;
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
@@ -165,10 +159,11 @@
         pathMonitor = new PathMonitor(targets, ownReach, ticker, this::awaitedTarget);
         retryAllowance = new RetryAllowance(settings.expectsPeers());
         localQueues = new LocalQueues(loop, ticker, random::nextDouble, settings.policy(), organisationWeights);
-        coldShares = new RendezvousColdShares(settings.name(), this::coldSenderNames, this::coldRate);
+        coldAllowances = new ColdAllowances(
+                settings.name(), members, ticker, this::isCoordinated, this::coordinatorRank, this::coldRate);
         placement = new TargetSelector(
                 prompts,
-                this::localColdAllowance,
+                coldAllowances::ofProcess,
                 () -> members.largeFleet() ? random.nextDouble() * PREDICTION_JITTER : 0,
                 settings.policy(),
                 rates.ofProcess());
@@ -276,14 +271,7 @@
                 "Version in force",
                 () -> catalog.map(Catalog::version).orElse(0L));
         registerItemGauges();
-        metrics.gauge(
-                "whinwharf.targets.known",
-                "Published targets",
-                () -> targets.reach("").knownTargets());
-        metrics.gauge(
-                "whinwharf.targets.reached",
-                "Targets reached over own connections within the last seconds",
-                () -> targets.reach("").reachedTargets());
+        registerTargetGauges();
         metrics.gauge(
                 "whinwharf.paths.lost",
                 "Targets that peers reach and this process does not",
@@ -298,8 +286,6 @@
                 "Runs remembered because their targets may have crashed under them",
                 crashes.ledger()::size);
         registerStreamGauges();
-        metrics.gauge("whinwharf.targets.rate.limited", "Targets that state a rate", statedRates()::limitedTargets);
-        metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
         new HttpEndpoint(loop, (method, uri) -> new HttpEndpoint.Response(200, "text/plain", metrics.scrape()))
                 .bind(settings.ip(), settings.metricsPort())
                 .addListener(bound -> {
@@ -309,6 +295,19 @@
                 });
     }
 
+    private void registerTargetGauges() {
+        metrics.gauge(
+                "whinwharf.targets.known",
+                "Published targets",
+                () -> targets.reach("").knownTargets());
+        metrics.gauge(
+                "whinwharf.targets.reached",
+                "Targets reached over own connections within the last seconds",
+                () -> targets.reach("").reachedTargets());
+        metrics.gauge("whinwharf.targets.rate.limited", "Targets that state a rate", statedRates()::limitedTargets);
+        metrics.gauge("whinwharf.targets.ejected", "Targets out of use after failures", targets::ejected);
+    }
+
     private void registerItemGauges() {
         metrics.gauge("whinwharf.items.revision", "Revision of the published items", feed::revision);
         metrics.gauge(
@@ -548,19 +547,10 @@
         }
     }
 
-    /**
-     * Returns the number of requests that local placement may send to a cold target. In a coordinated service this is
-     * zero: for a short time two processes may both coordinate it, and together they use the whole capacity of a cold
-     * target.
-     */
-    private int localColdAllowance(Target target) {
-        return isCoordinated(target.service()) ? 0 : coldShares.allowance(target);
-    }
-
     private Coordinator createCoordinator(DecisionListener decisions) {
         TargetSelector selector = new TargetSelector(
                 prompts,
-                this::coordinatorColdAllowance,
+                coldAllowances::ofCoordinator,
                 () -> 0,
                 settings.policy(),
                 statedRates().table().ofCoordinator());
@@ -591,24 +581,6 @@
         FrontLog.workChanged(service, tierRank, previousMillis, holdMillis);
     }
 
-    /**
-     * Returns the number of requests that this process, as a coordinator, may let a cold target receive: half of its
-     * capacity for each of the first two in rank, since for a short time both may coordinate. Any further process
-     * coordinates only because those before it seem silent to some, who may still hear them. In the minority of a fleet
-     * the capacity is shared out among all processes that may coordinate, and in a service whose requests are placed
-     * locally it is shared out already.
-     */
-    private int coordinatorColdAllowance(Target target) {
-        if (!isCoordinated(target.service())) {
-            return 0;
-        }
-        if (members.inMinority(ticker.nowMillis())) {
-            return coldShares.allowance(target);
-        }
-        boolean mayCoordinate = coordination.localRank(target.service()) < COLD_COORDINATORS;
-        return mayCoordinate ? (int) Math.max(1, coldRate(target) / COLD_COORDINATORS) : 0;
-    }
-
     /**
      * Tells whether one process places the requests of a service for the whole fleet: requests to engines, which are
      * ordered and balanced that way, and to targets that must not be filled by several processes at once, or that state
@@ -624,13 +596,8 @@
                 .orElse(false);
     }
 
-    private List<String> coldSenderNames() {
-        if (members.inMinority(ticker.nowMillis())) {
-            return members.possiblyServingNames(ticker.nowMillis());
-        }
-        return members.serving(ticker.nowMillis()).stream()
-                .map(MemberReport::getName)
-                .collect(Collectors.toCollection(ArrayList::new));
+    private int coordinatorRank(String service) {
+        return coordination.localRank(service);
     }
 
     private double coldRate(Target target) {
