Bound the targets that a report names

It names the 400 with most requests, some 5 KB; the load of the others, of one request mostly, is left out of what peers place plain requests by. The designed size has 600 targets, of which one of seven fronts uses some hundred at a time.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
@@ -1,6 +1,9 @@
 package org.whinwharf.front;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import org.whinwharf.time.Ticker;
@@ -9,6 +12,7 @@
 import org.whinwharf.traffic.quota.QuotaLedger;
 import org.whinwharf.wire.fleet.MemberPhase;
 import org.whinwharf.wire.fleet.MemberReport;
+import org.whinwharf.wire.fleet.TargetUse;
 
 /**
  * Exchanges load and quota use with the other members of the fleet.
@@ -24,6 +28,9 @@
      */
     private static final int LARGE_FLEET_REPEATED_TOTALS = 8;
 
+    /** Maximum number of targets in use that a report names, those with most requests: some 5 KB. */
+    static final int MAX_USES = 400;
+
     private final FrontSettings settings;
     private final MemberTable members;
     private final TargetRegistry targets;
@@ -69,15 +76,9 @@
                 .setProcessorPercent(settings.processorPercent())
                 .setRelayPort(settings.relayPort())
                 .setPartitioned(targets.paths().partitioned());
-        for (TargetEntry entry : targets.all()) {
-            // Large fleets propagate reports too slowly for placement decisions; there the coordinator keeps these
-            // counts.
-            if (entry.state().localInFlight() > 0 && !members.largeFleet()) {
-                report.addUsesBuilder()
-                        .setTargetDigest(entry.state().target().digest())
-                        .setRunning(entry.state().localInFlight())
-                        .setPrefillTokens((int) entry.state().localPrefillTokens());
-            }
+        // Large fleets propagate reports too slowly for placement decisions; there the coordinator keeps these counts.
+        if (!members.largeFleet()) {
+            report.addAllUses(mostUsed(localUses()));
         }
         if (sent) {
             quotas.nextReport(members.largeFleet() ? LARGE_FLEET_REPEATED_TOTALS : REPEATED_TOTALS, ticker.nowMillis())
@@ -90,6 +91,30 @@
         members.updateLocalReport(report);
     }
 
+    private List<TargetUse> localUses() {
+        List<TargetUse> uses = new ArrayList<>();
+        for (TargetEntry entry : targets.all()) {
+            if (entry.state().localInFlight() > 0) {
+                uses.add(TargetUse.newBuilder()
+                        .setTargetDigest(entry.state().target().digest())
+                        .setRunning(entry.state().localInFlight())
+                        .setPrefillTokens((int) entry.state().localPrefillTokens())
+                        .build());
+            }
+        }
+        return uses;
+    }
+
+    /** Returns the uses that fit into a report. */
+    static List<TargetUse> mostUsed(List<TargetUse> uses) {
+        return uses.size() <= MAX_USES
+                ? uses
+                : uses.stream()
+                        .sorted(Comparator.comparingInt(TargetUse::getRunning).reversed())
+                        .limit(MAX_USES)
+                        .toList();
+    }
+
     /** Applies another member's report: its admitted quota totals at once, its load at the next aggregation. */
     void applyReport(MemberReport report) {
         remoteLoadsChanged = true;
