--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -84,6 +84,7 @@
     private final TaskGuard tasks = new TaskGuard(metrics, ticker);
     private final EventLoopGroup loop = new GuardedEventLoopGroup(tasks);
     private final MemberTable members;
+    private final TickTimer ticks = new TickTimer(loop, tasks, ticker, this::tick, TICK_INTERVAL_MILLIS);
     private final TargetRegistry targets;
     private final RelayPeers relayPeers;
     private final RelayServer relays;
@@ -119,8 +120,6 @@
     private boolean acceptStarted;
     private boolean acceptingCallers;
     private long startedAtMillis;
-    private long tickDueAtMillis;
-    private long tickPauseMillis;
     private long leavingAtMillis;
     private Runnable onStopped = () -> {};
 
@@ -222,7 +221,6 @@
     @Override
     public void start() {
         startedAtMillis = ticker.nowMillis();
-        tickDueAtMillis = startedAtMillis;
         peerItems.start(settings.ip(), settings.peerPort(), feed);
         if (settings.relayPort() > 0) {
             relays.start(settings.ip(), settings.relayPort());
@@ -235,7 +233,7 @@
         // What peers know of targets is needed for the first request.
         loop.execute(() -> tasks.run("gossip", this::gossipRound));
         scheduleRepeatedly("gossip", GOSSIP_INTERVAL_MILLIS, this::gossipRound);
-        loop.execute(this::tickAndScheduleNext);
+        ticks.start();
         scheduleRepeatedly("upkeep", SWEEP_INTERVAL_MILLIS, this::sweep);
         loop.schedule(this::startMetrics, METRICS_START_DELAY_MILLIS, TimeUnit.MILLISECONDS);
         EventLog.event(LogEvent.STARTED)
@@ -332,13 +330,6 @@
         loop.scheduleWithFixedDelay(() -> tasks.run(name, task), millis, millis, TimeUnit.MILLISECONDS);
     }
 
-    private void tickAndScheduleNext() {
-        tickPauseMillis = TICK_INTERVAL_MILLIS;
-        tasks.run("tick", this::tick);
-        tickDueAtMillis = ticker.nowMillis() + tickPauseMillis;
-        loop.schedule(this::tickAndScheduleNext, tickPauseMillis, TimeUnit.MILLISECONDS);
-    }
-
     /** Begins a planned stop: reports this process as leaving and stops it once no request is in flight. */
     @Override
     public void stop() {
@@ -496,9 +487,9 @@
         gossip.runRoundNow();
     }
 
-    private void tick() {
+    private long tick(long lateMillis) {
         long nowMillis = ticker.nowMillis();
-        targets.timersRun(nowMillis, nowMillis - tickDueAtMillis > LATE_TICK_MILLIS);
+        targets.timersRun(nowMillis, lateMillis > LATE_TICK_MILLIS);
         tasks.run("loads", () -> fleetState.updateRemoteLoads(nowMillis));
         tasks.run("coordination", coordination::tick);
         tasks.run("paths", () -> pathMonitor.checkSilence(nowMillis));
@@ -508,11 +499,12 @@
             tasks.run("drain", () -> drain(nowMillis));
         }
         boolean queued = coordination.hasPendingRequests() || localQueues.size() > 0;
-        tickPauseMillis = queued ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
+        return queued ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
     }
 
     private void sweep() {
         long nowMillis = ticker.nowMillis();
+        ticks.resumeIfLost();
         tasks.run("accept", this::acceptOnceReady);
         tasks.run("items", feed::tick);
         tasks.run("targets", targets::sweep);
