Keep tasks alive whose failure can't be reported either

A periodic task ended for good if counting or logging its failure failed as well, as it may for lack of memory or stack: the guard let that second failure through (found on reading again). Such failures are counted without anything being allocated and shown in whinwharf_task_failures_unreported. The name of a task is looked up only when it fails, so that a healthy timer costs one object more than before the guard, and no string.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/GuardedEventLoopGroupTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/GuardedEventLoopGroupTest.java
@@ -48,4 +48,29 @@
                 .anyMatch(line -> line.startsWith("whinwharf_task_failures_total{task=\"GuardedEventLoopGroupTest\"}")
                         && line.endsWith(" 1.0")));
     }
+
+    /** Guards against a periodic task that ends because its failure can be neither logged nor counted. */
+    @Test
+    void periodicTaskGoesOnAfterAFailureThatCannotBeReported() throws InterruptedException {
+        CountDownLatch runs = new CountDownLatch(3);
+        loop.scheduleWithFixedDelay(
+                () -> {
+                    runs.countDown();
+                    throw new UnreportableError();
+                },
+                1,
+                1,
+                TimeUnit.MILLISECONDS);
+        assertThat("three runs", runs.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), is(true));
+    }
+
+    /** An error under which the log fails too. */
+    private static final class UnreportableError extends Error {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        public String toString() {
+            throw new StackOverflowError();
+        }
+    }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -260,6 +260,10 @@
                 "Largest use of an organisation in the last second relative to its share",
                 coordination::largestUseRatio);
         metrics.gauge("whinwharf.connections", "Connections of callers", connections::size);
+        metrics.gauge(
+                "whinwharf.task.failures.unreported",
+                "Runs of tasks that threw something which could not be logged",
+                tasks::unreportedFailures);
         metrics.gauge(
                 "whinwharf.peers",
                 "Other fronts heard from",
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/GuardedEventLoopGroup.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/GuardedEventLoopGroup.java
@@ -57,16 +57,7 @@
         }
 
         private Runnable guarded(Runnable task) {
-            return () -> guard.run(name(task), task);
-        }
-
-        /** Returns the name of the class that has scheduled a task. */
-        private static String name(Runnable task) {
-            String name = task.getClass().getName();
-            int nested = name.indexOf('$');
-            return name.substring(
-                    name.lastIndexOf('.', nested < 0 ? name.length() : nested) + 1,
-                    nested < 0 ? name.length() : nested);
+            return () -> guard.run(task);
         }
     }
 }
