Count the seeds that a front has never heard as others that may serve

The seeds in its settings show that there are others.

Seeds that have not been heard count like processes that were removed, for ten minutes at most.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -221,6 +221,11 @@
     @Override
     public void start() {
         startedAtMillis = ticker.nowMillis();
+        members.expect(
+                settings.seedIps().stream()
+                        .filter(ip -> !ip.equals(settings.ip()))
+                        .toList(),
+                startedAtMillis);
         peerItems.start(settings.ip(), settings.peerPort(), feed);
         if (settings.relayPort() > 0) {
             relays.start(settings.ip(), settings.relayPort());
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/MemberTableTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/MemberTableTest.java
@@ -58,6 +58,36 @@
         assertThat(table.reachableShare(removed), closeTo(1, 0.001));
     }
 
+    /**
+     * Guards against a process that has just started, hears from nobody since it is cut off, and takes the whole of
+     * what the fleet may use.
+     */
+    @Test
+    void processThatHasHeardNobodyCountsThoseItWasToldOf() {
+        table.expect(List.of("10.0.0.1", "10.0.0.2", "10.0.0.3"), 0);
+        assertThat(table.inMinority(0), is(true));
+        assertThat(table.reachableShare(0), closeTo(1.2 / 4, 0.001));
+        for (int i = 1; i <= 3; i++) {
+            table.receive(
+                    Fixtures.report("front-" + i, 1, 1).toBuilder()
+                            .setIp("10.0.0." + i)
+                            .build(),
+                    100);
+        }
+        assertThat(table.inMinority(100), is(false));
+        assertThat(table.possiblyServingNames(100), hasSize(4));
+        assertThat(table.reachableShare(100), closeTo(1, 0.001));
+    }
+
+    /** Guards against a fleet that keeps allowances for hosts that have been replaced. */
+    @Test
+    void expectedProcessesAreForgottenInTheEnd() {
+        table.expect(List.of("10.0.0.1", "10.0.0.2"), 0);
+        table.expire(600_001);
+        assertThat(table.inMinority(600_001), is(false));
+        assertThat(table.reachableShare(600_001), closeTo(1, 0.001));
+    }
+
     /** Guards against a fleet that keeps allowances for processes that are gone for good. */
     @Test
     void removedProcessesAreForgottenInTheEnd() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -48,6 +48,9 @@
     /** Times in milliseconds at which processes were removed that had not said that they leave, by their names. */
     private final Map<String, Long> lostAtMillis = new HashMap<>();
 
+    /** Times in milliseconds since which processes have been expected but not heard from, by their IP addresses. */
+    private final Map<String, Long> expectedSinceMillis = new HashMap<>();
+
     private MemberReport localReport;
 
     /**
@@ -59,6 +62,17 @@
         this.localReport = localReport;
     }
 
+    /**
+     * Adds processes that this one has been told of and has not heard from. They count like removed ones: a process
+     * that has just started and hears from nobody may be cut off, and does not have the fleet to itself.
+     *
+     * @param ips IP addresses, without that of this process
+     * @param nowMillis monotonic time in milliseconds
+     */
+    public void expect(Collection<String> ips, long nowMillis) {
+        ips.forEach(ip -> expectedSinceMillis.put(ip, nowMillis));
+    }
+
     /**
      * Returns this process's report.
      *
@@ -170,6 +184,7 @@
         Entry entry = remoteMembers.computeIfAbsent(name, key -> new Entry());
         entry.member = member;
         lostAtMillis.remove(name);
+        expectedSinceMillis.remove(member.report().getIp());
         entriesByNameDigest.put(name.hashCode(), entry);
     }
 
@@ -197,7 +212,8 @@
             }
             return expire;
         });
-        lostAtMillis.values().removeIf(lostAt -> nowMillis - lostAt > LOST_RETENTION_MILLIS);
+        lostAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > LOST_RETENTION_MILLIS);
+        expectedSinceMillis.values().removeIf(sinceMillis -> nowMillis - sinceMillis > LOST_RETENTION_MILLIS);
         return expired;
     }
 
@@ -209,7 +225,8 @@
      * @return true in the smaller part of a partitioned fleet, or after the loss of most of its processes
      */
     public boolean inMinority(long nowMillis) {
-        return 2 * (1 + aliveCount(nowMillis)) < 1 + remoteMembers.size() + lostAtMillis.size();
+        int known = 1 + remoteMembers.size() + lostAtMillis.size() + expectedSinceMillis.size();
+        return 2 * (1 + aliveCount(nowMillis)) < known;
     }
 
     /**
@@ -225,6 +242,8 @@
         names.addAll(remoteMembers.keySet());
         if (inMinority(nowMillis)) {
             names.addAll(lostAtMillis.keySet());
+            // Their names are not known.
+            names.addAll(expectedSinceMillis.keySet());
         }
         return names;
     }
