Record responses that follow a part of another one, and parts that arrive at idle connections

Callers were answered a success where the target's own record of the run holds a failure. Delivery is unchanged.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -218,6 +218,16 @@
         }
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        boolean undecoded =
+                channel.pipeline().get(TargetAnswerDecoder.class).hasUndecodedBytes();
+        if (phase == Phase.IDLE && undecoded) {
+            pool.responseUnmatched(UnmatchedResponse.UNREQUESTED, "", 0, "", carriedRequests);
+        }
+        context.fireChannelReadComplete();
+    }
+
     private void head(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skip();
@@ -228,6 +238,9 @@
             reusable = false;
         }
         answer.keepAliveMillis().ifPresent(millis -> keepAliveMillis = millis);
+        if (TargetAnswerDecoder.holdsAnotherStatusLine(response)) {
+            unmatched(UnmatchedResponse.CUT_OFF, answer);
+        }
         boolean unnamed = answer.attemptId().isEmpty();
         if (!unnamed && !answer.attemptId().equals(attemptId)) {
             unmatched(UnmatchedResponse.OTHER_ATTEMPT, answer);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/UnmatchedResponse.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/UnmatchedResponse.java
@@ -8,6 +8,8 @@
     OTHER_ATTEMPT,
     /** It names no attempt. */
     UNNAMED,
+    /** A part of another response stands before it. */
+    CUT_OFF,
     /** No request was sent over the connection since the last response. */
     UNREQUESTED;
 
