Begin a target's response at its own status line, and name what may answer without an id

Callers were answered a success where the target's own run had failed, failures for successes, "not run" for requests that had run, and whole bodies of other requests; sound responses were lost to 502 and 504.

Cause: bytes on a kept connection were counted to the request under way because of where they stand. The decoder read a head that was cut off and the next response as one head: status and first fields of the former, id, signature and body of the latter. A part of a response that arrived at an idle connection waited in the decoder, and the connection counted as usable. A response without an id was taken for the awaited one, and the framing of a response to another attempt was believed although its body may never come.

Now bytes that arrive while no request is under way close the connection, also if they make no head yet. After a request was sent, a head begins at the last status line before its empty line, and a response that answers no request is left at the next status line instead of at its declared end, which only the id of the attempt makes safe. Successes and failures without an id are believed on the first request of a connection, or where the target has sent such before and the connection has carried none; rejections without an id until the target has named one.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StrayResponseTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StrayResponseTest.java
@@ -26,7 +26,9 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-/** Tests targets that send a part of an earlier response, or one without the id of its attempt, on a kept connection. */
+/**
+ * Tests targets that send a part of an earlier response, or one without the id of its attempt, on a kept connection.
+ */
 class StrayResponseTest {
     private static final int CALLERS = 6;
     private static final int REQUESTS = 120;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
@@ -17,6 +18,8 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.EnumSet;
+import java.util.Set;
 
 /**
  * One connection to a target; it carries one request at a time.
@@ -24,11 +27,11 @@
  * <p>A response that declares no end and ends with the connection is complete only if its target lives on: a process
  * that is killed has its connections closed in the same way.
  *
- * <p>Targets may send a response twice, late, truncated or not at all. A response that carries the id of another
- * attempt is skipped. A response that names no attempt can only answer the current request, because no earlier response
- * over the connection was like that: the connection is reused only after a response that names its attempt. After any
- * irregularity the connection is closed once the response is complete, so that no stray byte can be read as the
- * response to the next request.
+ * <p>Targets may send a response twice, late, truncated or not at all. What arrives while no request is under way
+ * belongs to none, and closes the connection. After that only the bytes tell what they belong to: a response that
+ * carries the id of another attempt is skipped, and so is one that names no attempt where the target names its
+ * responses ({@link AttemptNaming}). After any irregularity the connection is closed once the response is complete, so
+ * that no stray byte can be read as the response to the next request.
  */
 final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
     /** Keep-alive time assumed for a target that does not announce one. */
@@ -46,7 +49,6 @@
         IDLE,
         AWAITING_HEAD,
         READING_BODY,
-        SKIPPING_BODY,
         /** The target has ended the connection, and perhaps the response. */
         CHECKING_END,
         CLOSED
@@ -56,6 +58,7 @@
     private final TargetConnectionPool pool;
     private final TargetLink link;
     private Channel channel;
+    private TargetAnswerDecoder decoder;
     private Phase phase = Phase.IDLE;
     private TargetListener listener;
     private String attemptId = "";
@@ -66,7 +69,11 @@
 
     private int carriedRequests;
     private int skippedResponses;
-    private long skippedBytes;
+    /** Whether a response that does not answer the request is being discarded. */
+    private boolean discarding;
+    /** Kinds of the responses that the connection has carried. */
+    private final Set<ResponseKind> carriedKinds = EnumSet.noneOf(ResponseKind.class);
+
     private boolean reusable = true;
     private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
     private final long openedAtMillis;
@@ -97,6 +104,7 @@
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
+        decoder = channel.pipeline().get(TargetAnswerDecoder.class);
     }
 
     @Override
@@ -123,12 +131,12 @@
         pausedAtMillis = Long.MAX_VALUE;
         carriedRequests++;
         skippedResponses = 0;
-        skippedBytes = 0;
+        discarding = false;
         if (body.isReadable() || HttpUtil.isContentLengthSet(request)) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         }
         requestMethod = request.method();
-        channel.pipeline().get(TargetAnswerDecoder.class).setRequestMethod(requestMethod);
+        decoder.expectResponse(requestMethod);
         if (request.method().equals(HttpMethod.HEAD)) {
             // A second copy of its response has no body either, whatever the next request is.
             reusable = false;
@@ -174,7 +182,7 @@
 
     /** Tells whether the connection is open and carries no request. */
     boolean usable() {
-        return phase == Phase.IDLE && !link.inputEnded() && link.usable();
+        return phase == Phase.IDLE && !link.inputEnded() && link.usable() && decoder.isBetweenResponses();
     }
 
     /**
@@ -196,18 +204,23 @@
     protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
         lastByteAtMillis = pool.nowMillis();
         firstByteAtMillis = Math.min(firstByteAtMillis, lastByteAtMillis);
-        if (phase == Phase.IDLE) {
-            pool.responseUnmatched(UnmatchedResponse.UNREQUESTED, "", 0, "", carriedRequests);
-        }
         if (phase == Phase.CHECKING_END) {
             return;
         }
-        if (phase == Phase.IDLE || phase == Phase.CLOSED) {
+        if (phase == Phase.IDLE) {
+            closeForUnrequestedBytes();
+            return;
+        }
+        if (phase == Phase.CLOSED) {
             close();
             return;
         }
         if (message.decoderResult().isFailure()) {
-            fail(TargetFailure.GARBLED);
+            if (discarding) {
+                decoder.discardResponse();
+            } else {
+                fail(TargetFailure.GARBLED);
+            }
             return;
         }
         if (message instanceof HttpResponse response) {
@@ -218,54 +231,81 @@
         }
     }
 
+    /** Closes an idle connection over which a part of a response has arrived, which can belong to no request. */
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
-        boolean undecoded =
-                channel.pipeline().get(TargetAnswerDecoder.class).hasUndecodedBytes();
-        if (phase == Phase.IDLE && undecoded) {
-            pool.responseUnmatched(UnmatchedResponse.UNREQUESTED, "", 0, "", carriedRequests);
+        if (phase == Phase.IDLE && !decoder.isBetweenResponses()) {
+            closeForUnrequestedBytes();
         }
         context.fireChannelReadComplete();
     }
 
+    private void closeForUnrequestedBytes() {
+        pool.responseUnmatched(UnmatchedResponse.UNREQUESTED, "", 0, "", carriedRequests);
+        close();
+    }
+
     private void head(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             skip();
             return;
         }
         ResponseHead answer = dialect.readResponse(response);
-        if (!HttpUtil.isKeepAlive(response)) {
-            reusable = false;
-        }
         answer.keepAliveMillis().ifPresent(millis -> keepAliveMillis = millis);
-        if (TargetAnswerDecoder.holdsAnotherStatusLine(response)) {
+        if (decoder.discardedBytes() > 0 && !discarding) {
             unmatched(UnmatchedResponse.CUT_OFF, answer);
+            reusable = false;
         }
-        boolean unnamed = answer.attemptId().isEmpty();
-        if (!unnamed && !answer.attemptId().equals(attemptId)) {
-            unmatched(UnmatchedResponse.OTHER_ATTEMPT, answer);
+        if (!answersRequest(answer)) {
             reusable = false;
+            discarding = true;
+            decoder.discardResponse();
             skip();
             return;
         }
-        if (unnamed) {
-            // A second copy of it could not be told from the answer to the next request.
+        if (!HttpUtil.isKeepAlive(response)) {
             reusable = false;
-            if (!attemptId.isEmpty()) {
-                unmatched(UnmatchedResponse.UNNAMED, answer);
-            }
         }
+        discarding = false;
         phase = Phase.READING_BODY;
         framing = BodyFraming.of(response, requestMethod);
         listener.head(response, answer);
     }
 
+    /** Tells whether a response answers the request under way, as far as its head shows. */
+    private boolean answersRequest(ResponseHead answer) {
+        ResponseKind kind = ResponseKind.of(answer);
+        if (!answer.attemptId().isEmpty()) {
+            boolean own = answer.attemptId().equals(attemptId);
+            if (own) {
+                pool.naming().recordNamed(kind);
+                carriedKinds.add(kind);
+                reusable &= pool.naming().alwaysNames(kind);
+            } else {
+                unmatched(UnmatchedResponse.OTHER_ATTEMPT, answer);
+            }
+            return own;
+        }
+        // A second copy of it could not be told from the answer to the next request.
+        reusable = false;
+        if (attemptId.isEmpty()) {
+            return true;
+        }
+        unmatched(UnmatchedResponse.UNNAMED, answer);
+        boolean first = carriedRequests == 1 && decoder.discardedBytes() == 0;
+        boolean fromTarget = answer.signed() || kind == ResponseKind.REJECTION;
+        if (first && fromTarget) {
+            pool.naming().recordUnnamed(kind);
+        }
+        boolean readWhole = !discarding || kind == ResponseKind.REJECTION;
+        return first || readWhole && pool.naming().mayOmit(kind, carriedKinds);
+    }
+
     private void unmatched(UnmatchedResponse reason, ResponseHead answer) {
         pool.responseUnmatched(reason, attemptId, answer.status(), answer.attemptId(), carriedRequests);
     }
 
     private void skip() {
-        phase = Phase.SKIPPING_BODY;
         skippedResponses++;
         if (skippedResponses > MAX_SKIPPED_RESPONSES) {
             fail(TargetFailure.GARBLED);
@@ -273,19 +313,10 @@
     }
 
     private void body(HttpContent content) {
-        boolean last = content instanceof LastHttpContent;
-        if (phase == Phase.SKIPPING_BODY) {
-            skippedBytes += content.content().readableBytes();
-            if (skippedBytes > Front.MAX_ANSWER_BYTES) {
-                fail(TargetFailure.GARBLED);
-            } else if (last) {
-                phase = Phase.AWAITING_HEAD;
-            }
-            return;
-        }
         if (phase != Phase.READING_BODY) {
             return;
         }
+        boolean last = content instanceof LastHttpContent;
         if (content.content().isReadable()) {
             listener.content(content.content().retain());
             if (!framing.endDeclared()) {
@@ -311,7 +342,8 @@
     private void finish() {
         TargetListener current = listener;
         listener = null;
-        if (reusable && written.isDone() && written.isSuccess() && !link.inputEnded()) {
+        boolean sent = written.isDone() && written.isSuccess();
+        if (reusable && sent && !link.inputEnded() && decoder.isBetweenResponses()) {
             phase = Phase.IDLE;
             idleSinceMillis = pool.nowMillis();
             channel.config().setAutoRead(true);
@@ -366,7 +398,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        fail(link.lossCause());
+        fail(cause instanceof DecoderException ? TargetFailure.GARBLED : link.lossCause());
     }
 
     /** Handles the end of input; the decoder has already delivered a response that lasts until then. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -19,6 +19,7 @@
     private final FrontMetrics metrics;
     private final Deque<TargetConnection> idle = new ArrayDeque<>();
     private final Set<TargetConnection> direct = new HashSet<>();
+    private final AttemptNaming naming = new AttemptNaming();
     private final LivenessCheck livenessCheck = new LivenessCheck(this);
     /** Whether a second connection is being opened. */
     private boolean openingSecond;
@@ -39,6 +40,11 @@
         return target;
     }
 
+    /** Returns what is known of the responses in which the target names the attempt. */
+    AttemptNaming naming() {
+        return naming;
+    }
+
     /** Passes an idle or a new connection to the consumer, or the reason why none can be established. */
     void acquire(ConnectionReuse reuse, Consumer<ConnectResult> consumer) {
         TargetConnection connection = pollIdle(reuse);
