--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -25,6 +25,9 @@
     /** One of so many streams ends with its connection. */
     private static final int UNDECLARED_INTERVAL = 4;
 
+    /** One of so many parts of answers ends behind the head. */
+    private static final int BODY_PART_INTERVAL = 4;
+
     /** How the end of a body is told. */
     private enum Framing {
         LENGTH {
@@ -314,11 +317,12 @@
     private boolean finish(String answer, WorkerFault fault) throws IOException {
         switch (fault) {
             case REPEATED_AT_ONCE -> send(answer);
-            case REPEATED_SOON -> {
-                in.staysOpen(worker.draw(MAX_REPEAT_MILLIS));
-                send(answer);
-            }
+            case REPEATED_SOON -> sendLater(answer);
             case REPEATED_BEFORE_NEXT -> before = answer;
+            case PART_REPEATED_SOON -> sendLater(partOf(answer));
+            case PART_REPEATED_BEFORE_NEXT -> before = partOf(answer);
+            case REPEATED_UNNAMED_SOON -> sendLater(unnamed(answer));
+            case REPEATED_UNNAMED_BEFORE_NEXT -> before = unnamed(answer);
             case HALF_REPEATED_BEFORE_NEXT -> {
                 before = answer.substring(0, answer.length() / 2);
                 endsAfterRepetition = true;
@@ -331,6 +335,21 @@
         return true;
     }
 
+    private void sendLater(String text) throws IOException {
+        in.staysOpen(worker.draw(MAX_REPEAT_MILLIS));
+        send(text);
+    }
+
+    /** Returns the beginning of an answer, mostly a part of its head. */
+    private String partOf(String answer) {
+        boolean inHead = worker.draw(BODY_PART_INTERVAL) > 0;
+        return answer.substring(0, worker.draw(inHead ? answer.indexOf("\r\n\r\n") : answer.length()));
+    }
+
+    private static String unnamed(String answer) {
+        return answer.replaceFirst("X-Attempt-Id: [^\r]*\r\n", "");
+    }
+
     private void send(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerFault.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerFault.java
@@ -11,6 +11,14 @@
     REPEATED_BEFORE_NEXT,
     /** Half of the answer is written a second time right before the next answer, instead of which the channel ends. */
     HALF_REPEATED_BEFORE_NEXT,
+    /** A part of the answer is written a second time some milliseconds later; the connection stays open. */
+    PART_REPEATED_SOON,
+    /** A part of the answer is written a second time right before the next answer; the connection stays open. */
+    PART_REPEATED_BEFORE_NEXT,
+    /** The answer is written a second time some milliseconds later, without the id of its attempt. */
+    REPEATED_UNNAMED_SOON,
+    /** The answer is written a second time right before the next answer, without the id of its attempt. */
+    REPEATED_UNNAMED_BEFORE_NEXT,
     /** The connection is closed in the middle of the answer. */
     TRUNCATED,
     /** The connection is reset in the middle of the answer. */
@@ -46,7 +54,14 @@
     /** Tells whether the answer is written a second time. */
     boolean repeats() {
         return switch (this) {
-            case REPEATED_AT_ONCE, REPEATED_SOON, REPEATED_BEFORE_NEXT, HALF_REPEATED_BEFORE_NEXT -> true;
+            case REPEATED_AT_ONCE,
+                    REPEATED_SOON,
+                    REPEATED_BEFORE_NEXT,
+                    HALF_REPEATED_BEFORE_NEXT,
+                    PART_REPEATED_SOON,
+                    PART_REPEATED_BEFORE_NEXT,
+                    REPEATED_UNNAMED_SOON,
+                    REPEATED_UNNAMED_BEFORE_NEXT -> true;
             default -> false;
         };
     }
