Send health checks and questions for runs over connections of their own

A stray response without an id over a kept connection was taken for the answer to a health check, for a statement that a target lives on, or for its list of runs: none of these names an attempt. The connection was closed after each of them anyway, so a new one costs no more connections.

healthCheckIsNotSentOverAConnectionThatHasCarriedRequests fails before (5 of 5 checks over used connections) and passes; SecondAnswerTest, UndeclaredEndTest, RunListsTest, RelayTest, SilentRunTest and RejoinedStreamTest pass.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StrayResponseTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StrayResponseTest.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -252,6 +253,32 @@
         assertThat(received.values(), everyItem(is(1)));
     }
 
+    /** Guards against an earlier response without an id that is taken for the answer to a health check. */
+    @Test
+    void healthCheckIsNotSentOverAConnectionThatHasCarriedRequests() throws Exception {
+        Set<Socket> used = ConcurrentHashMap.newKeySet();
+        List<Boolean> checksOverUsed = new CopyOnWriteArrayList<>();
+        try (FrontFixture fixture = new FrontFixture()) {
+            fixture.target("t", (request, socket) -> {
+                if (request.contains("/health")) {
+                    checksOverUsed.add(used.contains(socket));
+                    FakeTarget.write(socket, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+                } else {
+                    used.add(socket);
+                    FakeTarget.write(socket, new Response(FakeTarget.attemptId(request), 200, "ran").text());
+                }
+            });
+            fixture.publishCatalog(1, TIMEOUT_MILLIS);
+            for (int i = 0; i < FAILURE_INTERVAL; i++) {
+                fixture.exchange(FrontFixture.request("POST", "/unsafe/x", "a" + i, true));
+                int before = checksOverUsed.size();
+                fixture.run(() -> fixture.front().probe(fixture.front().entry("t")));
+                FrontFixture.await(() -> checksOverUsed.size() > before);
+            }
+        }
+        assertThat(checksOverUsed, everyItem(is(false)));
+    }
+
     /** Sends a request that may run once, and returns what is wrong with its response. */
     private static Optional<String> call(FrontFixture fixture, String attempt, Map<String, Response> runs) {
         String received;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -55,14 +55,12 @@
         }
     }
 
-    /** Does the same for a health check, which asks no peer about a target that seems to be down. */
+    /**
+     * Establishes a new connection for a request that names no attempt, since its answer could not be told from earlier
+     * responses over the connection. No peer is asked about a target that seems to be down.
+     */
     void acquireForProbe(Consumer<ConnectResult> consumer) {
-        TargetConnection connection = pollIdle(ConnectionReuse.RECENT);
-        if (connection != null) {
-            consumer.accept(ConnectResult.connected(connection));
-        } else {
-            connector.connect(this, false, consumer);
-        }
+        connector.connect(this, false, consumer);
     }
 
     /** Establishes a new connection, and keeps it for later requests; the consumer learns whether and how. */
