Count malformed heads among the responses that are skipped before the awaited one

A target that goes on with malformed heads after a response to another attempt held its connection, and the request, until the request's timeout: only well-formed heads were counted. EndlessResponseTest (MALFORMED_HEADS) fails before and passes.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/EndlessResponseTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/EndlessResponseTest.java
@@ -38,6 +38,10 @@
         INTERIM_RESPONSES("GET /safe/", "", "HTTP/1.1 100 Continue\r\n\r\n"),
         RESPONSES_TO_OTHERS("GET /safe/", "", "HTTP/1.1 200 X\r\nAttempt: other\r\nContent-Length: 0\r\n\r\n"),
         RESPONSE_TO_ANOTHER("GET /safe/", "HTTP/1.1 200 X\r\nAttempt: other\r\n\r\n", "x".repeat(PIECE_BYTES)),
+        MALFORMED_HEADS(
+                "GET /safe/",
+                "HTTP/1.1 200 X\r\nAttempt: other\r\n\r\n",
+                "HTTP/1.1 200 X\r\nno header\r\nContent-Length: x\r\n\r\n"),
         CHUNK_EXTENSION("GET /safe/", CHUNKED + "\r\n5;", "x".repeat(PIECE_BYTES)),
         TRAILERS("GET /safe/", CHUNKED + "\r\n0\r\n", "Noise: " + "x".repeat(100) + "\r\n"),
         BODY("GET /safe/", HEAD + "\r\n", "x".repeat(PIECE_BYTES)),
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -217,7 +217,7 @@
         }
         if (message.decoderResult().isFailure()) {
             if (discarding) {
-                decoder.discardResponse();
+                discardResponse();
             } else {
                 fail(TargetFailure.GARBLED);
             }
@@ -259,8 +259,7 @@
         if (!answersRequest(answer)) {
             reusable = false;
             discarding = true;
-            decoder.discardResponse();
-            skip();
+            discardResponse();
             return;
         }
         if (!HttpUtil.isKeepAlive(response)) {
@@ -305,6 +304,11 @@
         pool.responseUnmatched(reason, attemptId, answer.status(), answer.attemptId(), carriedRequests);
     }
 
+    private void discardResponse() {
+        decoder.discardResponse();
+        skip();
+    }
+
     private void skip() {
         skippedResponses++;
         if (skippedResponses > MAX_SKIPPED_RESPONSES) {
