Test the decoder of targets' responses over divisions of its input

Feeds stray parts of responses and sound responses in two reads at each position, byte by byte and in random portions; ends of input, HEAD, responses without a declared end, buffers and the time to discard a flood.

--- /dev/null
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetAnswerDecoderTest.java
@@ -0,0 +1,294 @@
+package org.whinwharf.front;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/** Tests the decoder of responses over every division of its input into reads. */
+class TargetAnswerDecoderTest {
+    private static final int MAX_HEADER_BYTES = 1_024;
+    private static final int RANDOM_DIVISIONS = 100;
+    private static final String OWN = "own";
+    private static final String STRAY_HEAD = "HTTP/1.1 200 Status\r\nAttempt: other\r\nSigned: yes\r\n";
+    private static final String SOUND_HEAD = "HTTP/1.1 500 Status\r\nAttempt: own\r\nSigned: yes\r\n";
+    private static final String SOUND = SOUND_HEAD + "Content-Length: 4\r\n\r\nbody";
+    private static final String SOUND_CHUNKED =
+            SOUND_HEAD + "Transfer-Encoding: chunked\r\n\r\n1\r\nb\r\n3\r\nody\r\n0\r\n\r\n";
+    private static final String SOUND_AFTER_INTERIM = "HTTP/1.1 100 Continue\r\n\r\n" + SOUND;
+    private static final String DELIVERED = "500 own [body]";
+
+    /** Connection that awaits the response to {@link #OWN} and discards the others, as a target's connection does. */
+    private static final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+        private final TargetAnswerDecoder decoder = new TargetAnswerDecoder(
+                new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setStrictLineParsing(true));
+        private final EmbeddedChannel channel = new EmbeddedChannel(decoder, this);
+        private final List<String> delivered = new ArrayList<>();
+        private final StringBuilder body = new StringBuilder();
+        private HttpResponse current;
+        private boolean discarding;
+
+        void send(HttpMethod method) {
+            discarding = false;
+            decoder.expectResponse(method);
+        }
+
+        void receive(String text, List<Integer> ends) {
+            byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+            int start = 0;
+            for (int end : ends) {
+                ByteBuf read = Unpooled.copiedBuffer(bytes, start, end - start);
+                channel.writeInbound(read);
+                start = end;
+            }
+        }
+
+        void receive(String text) {
+            receive(text, List.of(text.length()));
+        }
+
+        void endInput() {
+            channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+            if (message.decoderResult().isFailure()) {
+                if (discarding) {
+                    decoder.discardResponse();
+                } else {
+                    delivered.add("failure");
+                }
+                return;
+            }
+            if (message instanceof HttpResponse response
+                    && response.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+                discarding = !OWN.equals(response.headers().get("Attempt"));
+                if (discarding) {
+                    decoder.discardResponse();
+                } else {
+                    current = response;
+                }
+            }
+            if (message instanceof HttpContent content && current != null) {
+                body.append(content.content().toString(StandardCharsets.ISO_8859_1));
+                if (content instanceof LastHttpContent) {
+                    delivered.add(current.status().code() + " "
+                            + String.join(",", current.headers().getAll("Attempt")) + " [" + body + "]");
+                    current = null;
+                    body.setLength(0);
+                }
+            }
+        }
+    }
+
+    /** Returns divisions of an input: at each position, at every position, and at random ones. */
+    private static Stream<List<Integer>> divisions(int length) {
+        Random random = new Random(length);
+        Stream<List<Integer>> halves = IntStream.rangeClosed(1, length)
+                .mapToObj(end -> end == length ? List.of(length) : List.of(end, length));
+        Stream<List<Integer>> bytes =
+                Stream.of(IntStream.rangeClosed(1, length).boxed().toList());
+        Stream<List<Integer>> several = IntStream.range(0, RANDOM_DIVISIONS)
+                .mapToObj(i -> Stream.concat(
+                                random.ints(5, 1, length).boxed().distinct().sorted(), Stream.of(length))
+                        .toList());
+        return Stream.of(halves, bytes, several).flatMap(division -> division);
+    }
+
+    /** Returns what is delivered in each division in which it is not the expected response. */
+    private static List<String> wrong(String text, String expected) {
+        List<String> wrong = new ArrayList<>();
+        divisions(text.length()).forEach(ends -> {
+            Connection connection = new Connection();
+            connection.send(HttpMethod.GET);
+            connection.receive(text, ends);
+            boolean between = connection.decoder.isBetweenResponses();
+            if (!connection.delivered.equals(List.of(expected)) || !between) {
+                wrong.add(ends + ": " + connection.delivered + (between ? "" : ", not between responses"));
+            }
+            connection.channel.finishAndReleaseAll();
+        });
+        return wrong;
+    }
+
+    static Stream<Arguments> sounds() {
+        return Stream.of(SOUND, SOUND_CHUNKED, SOUND_AFTER_INTERIM).map(Arguments::of);
+    }
+
+    /** Guards against a sound response that is read differently as its bytes arrive in other portions. */
+    @ParameterizedTest
+    @MethodSource("sounds")
+    void soundResponseIsDelivered(String sound) {
+        assertThat(wrong(sound, DELIVERED), empty());
+    }
+
+    /** Guards against what is kept of a response, and moves the search for the next one on its connection. */
+    @Test
+    void responsesInSuccessionAreDelivered() {
+        String text = SOUND + SOUND_CHUNKED + SOUND_AFTER_INTERIM + SOUND;
+        divisions(text.length()).forEach(ends -> {
+            Connection connection = new Connection();
+            connection.send(HttpMethod.GET);
+            connection.receive(text, ends);
+            assertThat(ends.toString(), connection.delivered, is(List.of(DELIVERED, DELIVERED, DELIVERED, DELIVERED)));
+            connection.channel.finishAndReleaseAll();
+        });
+    }
+
+    static Stream<Arguments> strays() {
+        return Stream.of(
+                        STRAY_HEAD.substring(0, 12),
+                        STRAY_HEAD.substring(0, 14),
+                        STRAY_HEAD.substring(0, 20),
+                        STRAY_HEAD.substring(0, 21),
+                        STRAY_HEAD.substring(0, 30),
+                        STRAY_HEAD,
+                        STRAY_HEAD + "\r",
+                        STRAY_HEAD + "Content-Length: 400\r",
+                        STRAY_HEAD + "Content-Length: 400\r\n\r\nhalf",
+                        STRAY_HEAD + "Content-Length: 0\r\n\r\n",
+                        STRAY_HEAD + "Transfer-Encoding: chunked\r\n\r\nfff\r\nhalf",
+                        STRAY_HEAD + "\r\nhalf",
+                        STRAY_HEAD + "\r\nhalfHTTP/1.",
+                        STRAY_HEAD + "\r\nhalfHTTP/1.1 200 in a body\r\n\r\n",
+                        STRAY_HEAD + "\r\nhalfHTTP/1.1 200 X\r\nno field\r\n\r\nmore",
+                        STRAY_HEAD + "Content-Length: 4\r\n\r\nhalf" + STRAY_HEAD)
+                .flatMap(stray ->
+                        Stream.of(SOUND, SOUND_CHUNKED, SOUND_AFTER_INTERIM).map(sound -> Arguments.of(stray, sound)));
+    }
+
+    /** Guards against a part of another response that changes the next one, or loses it, by where a read ends. */
+    @ParameterizedTest
+    @MethodSource("strays")
+    void responseAfterPartOfAnotherIsDelivered(String stray, String sound) {
+        assertThat(wrong(stray + sound, DELIVERED), empty());
+    }
+
+    /** Guards against a body of a response to a HEAD request of another attempt that hides the next response. */
+    @Test
+    void responseToHeadIsDeliveredAfterAnotherWithABody() {
+        String text = STRAY_HEAD + "Content-Length: 4\r\n\r\nhalf" + SOUND_HEAD + "Content-Length: 4\r\n\r\n";
+        divisions(text.length()).forEach(ends -> {
+            Connection connection = new Connection();
+            connection.send(HttpMethod.HEAD);
+            connection.receive(text, ends);
+            assertThat(ends.toString(), connection.delivered, is(List.of("500 own []")));
+        });
+    }
+
+    /** Guards against an end of input that loses or repeats the end of a response without a declared one. */
+    @Test
+    void responseWithoutDeclaredEndEndsWithTheInput() {
+        String text = STRAY_HEAD + "\r\nhalf" + SOUND_HEAD + "\r\nbody HTTP/1.1 200 X\r\n\r\n";
+        divisions(text.length()).forEach(ends -> {
+            Connection connection = new Connection();
+            connection.send(HttpMethod.GET);
+            connection.receive(text, ends);
+            assertThat(ends.toString(), connection.delivered, empty());
+            connection.endInput();
+            connection.channel.close();
+            assertThat(ends.toString(), connection.delivered, is(List.of("500 own [body HTTP/1.1 200 X\r\n\r\n]")));
+        });
+    }
+
+    /** Guards against a response that is taken for complete where the input ends within its head. */
+    @Test
+    void headThatEndsWithTheInputIsNotDelivered() {
+        String head = SOUND_HEAD + "Content-Length: 0\r\n\r\n";
+        for (int length = 1; length < head.length(); length++) {
+            for (String before : List.of("", STRAY_HEAD + "\r\nhalf")) {
+                Connection connection = new Connection();
+                connection.send(HttpMethod.GET);
+                connection.receive(before + head.substring(0, length));
+                connection.endInput();
+                connection.channel.close();
+                assertThat(
+                        before + length,
+                        connection.delivered.stream()
+                                .filter(line -> line.startsWith("500"))
+                                .toList(),
+                        empty());
+            }
+        }
+    }
+
+    /** Guards against buffers that are kept or released twice as bytes are discarded. */
+    @Test
+    void discardedBuffersAreReleased() {
+        String text = "x" + STRAY_HEAD + STRAY_HEAD + "\r\nhalf" + SOUND + STRAY_HEAD;
+        divisions(text.length()).forEach(ends -> {
+            Connection connection = new Connection();
+            connection.send(HttpMethod.GET);
+            List<ByteBuf> reads = new ArrayList<>();
+            int start = 0;
+            for (int end : ends) {
+                ByteBuf read = Unpooled.copiedBuffer(text.substring(start, end), StandardCharsets.ISO_8859_1);
+                reads.add(read);
+                connection.channel.writeInbound(read);
+                start = end;
+            }
+            connection.channel.finishAndReleaseAll();
+            for (ByteBuf read : reads) {
+                assertThat(ends.toString(), read.refCnt(), is(0));
+            }
+        });
+    }
+
+    static Stream<Arguments> floods() {
+        return Stream.of(
+                        "x",
+                        "H",
+                        "HTTP/1.",
+                        "HTTP/1.1 200 ",
+                        "HTTP/1.1 200 X\r\n",
+                        "\r\n\r",
+                        "HTTP/1.1 200 X\r\na\r\n\r\n")
+                .map(Arguments::of);
+    }
+
+    /** Guards against work that grows with the square of the bytes that are discarded, and against keeping them. */
+    @ParameterizedTest
+    @MethodSource("floods")
+    @Timeout(value = 30, unit = TimeUnit.SECONDS)
+    void discardingIsLinear(String repeated) {
+        Connection connection = new Connection();
+        connection.send(HttpMethod.GET);
+        connection.receive(STRAY_HEAD + "\r\n");
+        String text = repeated.repeat(64 * 1_024 / repeated.length());
+        for (int i = 0; i < 32; i++) {
+            connection.receive(text);
+        }
+        for (int i = 0; i < text.length(); i++) {
+            connection.receive(text.substring(i, i + 1));
+        }
+        connection.receive("\r\n" + SOUND);
+        assertThat(connection.delivered, is(List.of(DELIVERED)));
+        assertThat(connection.decoder.isBetweenResponses(), is(true));
+    }
+}
