Close holes of the search for a response's head

Empty lines are skipped, the search begins anew wherever the superclass takes over, bytes that may still become a line are awaited, and the first response of a connection, which can have no stray part before it, is not searched. A later head that holds a status line behind a separator in a field is refused, since a part that ends there looks the same.

A stray part that ends right before a value was expected to be delivered there, and is expected to be refused now: it cannot be told from a quoted status line.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetAnswerDecoderTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetAnswerDecoderTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the decoder of responses over every division of its input into reads. */
 class TargetAnswerDecoderTest {
@@ -53,6 +54,16 @@
         private HttpResponse current;
         private boolean discarding;
 
+        /** Returns a connection that has carried a response, and awaits another one. */
+        static Connection kept() {
+            Connection connection = new Connection();
+            connection.send(HttpMethod.GET);
+            connection.receive(SOUND);
+            connection.delivered.clear();
+            connection.send(HttpMethod.GET);
+            return connection;
+        }
+
         void send(HttpMethod method) {
             discarding = false;
             decoder.expectResponse(method);
@@ -121,12 +132,11 @@
         return Stream.of(halves, bytes, several).flatMap(division -> division);
     }
 
-    /** Returns what is delivered in each division in which it is not the expected response. */
+    /** Returns what a kept connection delivers in each division in which it is not the expected response. */
     private static List<String> wrong(String text, String expected) {
         List<String> wrong = new ArrayList<>();
         divisions(text.length()).forEach(ends -> {
-            Connection connection = new Connection();
-            connection.send(HttpMethod.GET);
+            Connection connection = Connection.kept();
             connection.receive(text, ends);
             boolean between = connection.decoder.isBetweenResponses();
             if (!connection.delivered.equals(List.of(expected)) || !between) {
@@ -167,7 +177,7 @@
                         STRAY_HEAD.substring(0, 14),
                         STRAY_HEAD.substring(0, 20),
                         STRAY_HEAD.substring(0, 21),
-                        STRAY_HEAD.substring(0, 30),
+                        STRAY_HEAD.substring(0, 31),
                         STRAY_HEAD,
                         STRAY_HEAD + "\r",
                         STRAY_HEAD + "Content-Length: 400\r",
@@ -190,6 +200,89 @@
         assertThat(wrong(stray + sound, DELIVERED), empty());
     }
 
+    /** Guards against the status of a response that was cut off, behind bytes that are no head. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "\r\n", "half", "0\r\n\r\n", "HTTP/1."})
+    void statusOfAResponseCutOffBehindOtherBytesIsNotDelivered(String other) {
+        for (String stray : List.of("HTTP/1.1 200 S", STRAY_HEAD.substring(0, 21), STRAY_HEAD.substring(0, 30))) {
+            List<String> wrong = wrong(other + stray + SOUND, DELIVERED).stream()
+                    .filter(line -> line.contains("200 "))
+                    .toList();
+            assertThat(stray, wrong, empty());
+        }
+    }
+
+    /** Guards against a response that is lost, behind bytes that are no head, by where a read ends. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "\r\n", "half", "HTTP/1.", "HTTP/1.1 2", "HTTP/1.1 20"})
+    void responseBehindOtherBytesIsDelivered(String other) {
+        assertThat(wrong(other + SOUND, DELIVERED), empty());
+    }
+
+    /** Guards against a response that is lost behind lines that are no head and arrive in a read of their own. */
+    @Test
+    void responseBehindOtherLinesIsDelivered() {
+        assertThat(wrong("0\r\n\r\n" + SOUND, DELIVERED), empty());
+    }
+
+    /** Guards against a head just within the limit after which the next response is searched for too far behind. */
+    @Test
+    void responseAfterHeadAtTheLimitIsDelivered() {
+        String fill =
+                "Fill: " + "f".repeat(MAX_HEADER_BYTES - "Attempt: own,Signed: yes,Content-Length: 0,Fill: ".length());
+        String first = SOUND_HEAD + "Content-Length: 0\r\n" + fill + "\r\n\r\n";
+        Connection connection = new Connection();
+        connection.send(HttpMethod.GET);
+        connection.receive(first, List.of(first.length() - 2, first.length()));
+        assertThat(connection.delivered, is(List.of("500 own []")));
+        assertThat(connection.decoder.isBetweenResponses(), is(true));
+        connection.send(HttpMethod.GET);
+        connection.receive(SOUND);
+        assertThat(connection.delivered, is(List.of("500 own []", DELIVERED)));
+    }
+
+    /**
+     * Guards against a status line in a field of a response that takes the place of the response's own; over a kept
+     * connection it could also be the next one's.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"Via: 1.1 x\r\nUpstream: HTTP/1.1 200 OK\r\n", "Upstream: HTTP/1.1 200\r\n"})
+    void statusLineInAFieldIsNotTheStatus(String field) {
+        String sound = "HTTP/1.1 500 Status\r\n" + field + "Attempt: own\r\nContent-Length: 4\r\n\r\nbody";
+        divisions(sound.length()).forEach(ends -> {
+            Connection first = new Connection();
+            first.send(HttpMethod.GET);
+            first.receive(sound, ends);
+            assertThat(ends.toString(), first.delivered, is(List.of(DELIVERED)));
+            Connection kept = Connection.kept();
+            kept.receive(sound, ends);
+            assertThat(ends.toString(), kept.delivered.get(0), is("failure"));
+            first.channel.finishAndReleaseAll();
+            kept.channel.finishAndReleaseAll();
+        });
+    }
+
+    /** Guards against a part of another response that ends before a value, and changes the next response. */
+    @Test
+    void responseAfterPartThatEndsBeforeAValueIsRefused() {
+        String text = STRAY_HEAD.substring(0, STRAY_HEAD.indexOf("other")) + SOUND;
+        divisions(text.length()).forEach(ends -> {
+            Connection connection = Connection.kept();
+            connection.receive(text, ends);
+            assertThat(ends.toString(), connection.delivered.get(0), is("failure"));
+            connection.channel.finishAndReleaseAll();
+        });
+    }
+
+    /** Guards against a head that can never be parsed and is awaited to its end. */
+    @Test
+    void headWithBareLineFeedsFailsAtOnce() {
+        Connection connection = new Connection();
+        connection.send(HttpMethod.GET);
+        connection.receive(SOUND.replace("\r\n", "\n"));
+        assertThat(connection.delivered, is(List.of("failure")));
+    }
+
     /** Guards against a body of a response to a HEAD request of another attempt that hides the next response. */
     @Test
     void responseToHeadIsDeliveredAfterAnotherWithABody() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetAnswerDecoder.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetAnswerDecoder.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
@@ -16,7 +18,8 @@
  *
  * <p>A target may send a part of an earlier response, and then another response over the same connection. Where a
  * response ends that was cut off is unknown, so a head begins at the last status line before its empty line; what
- * stands before it is discarded.
+ * stands before it is discarded. The first response of a connection has none before it. A later one that may hold a
+ * status line in a field is refused, since nothing tells it from one that follows a part of another.
  */
 final class TargetAnswerDecoder extends HttpResponseDecoder {
     private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
@@ -34,8 +37,12 @@
         DISCARDING
     }
 
+    /** What stands before a status line that is quoted in a field, rather than cut off before it. */
+    private static final String QUOTING = " \t:=,;\"'([";
+
     private final int maxHeaderBytes;
     private Position position = Position.HEAD;
+    private int expectedResponses;
     private boolean answersHeadRequest;
     private boolean inputEnded;
     /** Bytes from the reader index on that hold no end of a head. */
@@ -51,6 +58,7 @@
     /** Prepares for the response to a request with the given method. */
     void expectResponse(HttpMethod method) {
         answersHeadRequest = method.equals(HttpMethod.HEAD);
+        expectedResponses++;
         discardedBytes = 0;
     }
 
@@ -88,17 +96,16 @@
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
         int before = out.size();
-        if (position == Position.DISCARDING) {
+        if (position == Position.HEAD) {
+            skipBlankLines(in);
+            if (expectedResponses <= 1) {
+                position = Position.NO_HEAD;
+            }
+        } else if (position == Position.DISCARDING) {
             discardToStatusLine(in);
         }
         if (position == Position.HEAD || position == Position.DISCARDING) {
-            int headBytes = findHead(in);
-            if (headBytes > 0) {
-                // Only the head: the superclass drops all that it is given with a head that it cannot parse.
-                super.decode(context, in.readSlice(headBytes), out);
-            } else if (position == Position.NO_HEAD) {
-                super.decode(context, in, out);
-            }
+            decodeHead(context, in, out);
         } else {
             super.decode(context, in, out);
         }
@@ -107,6 +114,29 @@
         }
     }
 
+    private void decodeHead(ChannelHandlerContext context, ByteBuf in, List<Object> out) throws Exception {
+        int headBytes = findHead(in);
+        if (headBytes > 0 && position == Position.HEAD && quotesStatusLine(in, in.readerIndex() + headBytes)) {
+            in.skipBytes(headBytes);
+            HttpMessage refused = createInvalidMessage();
+            refused.setDecoderResult(DecoderResult.failure(new CorruptedFrameException("status line in a field")));
+            out.add(refused);
+        } else if (headBytes > 0) {
+            int strayBytes = lastStatusLine(in, in.readerIndex() + headBytes) - in.readerIndex();
+            discard(in, strayBytes);
+            // Only the head: the superclass drops all that it is given with a head that it cannot parse.
+            super.decode(context, in.readSlice(headBytes - strayBytes), out);
+        } else if (position == Position.NO_HEAD) {
+            super.decode(context, in, out);
+        }
+    }
+
+    private static void skipBlankLines(ByteBuf in) {
+        while (in.isReadable() && (in.getByte(in.readerIndex()) == '\r' || in.getByte(in.readerIndex()) == '\n')) {
+            in.skipBytes(1);
+        }
+    }
+
     /** Skips what precedes the next status line; keeps the end of the input where one may begin. */
     private void discardToStatusLine(ByteBuf in) {
         int end = in.writerIndex();
@@ -127,53 +157,56 @@
     }
 
     /**
-     * Moves to the beginning of the next head.
+     * Finds the end of the next head.
      *
-     * @return length of the head; 0 if it is not complete, or there is none
+     * @return length up to that end, with stray bytes before the head; 0 if it is not complete, or there is none
      */
     private int findHead(ByteBuf in) {
         if (position == Position.HEAD && !mayBeStatusLine(in, in.readerIndex(), in.writerIndex())) {
             int statusLine = firstStatusLine(in);
             if (statusLine < 0) {
-                position = Position.NO_HEAD;
+                boolean lineComplete = in.bytesBefore((byte) '\n') >= 0;
+                if (lineComplete || in.readableBytes() > maxHeaderBytes || inputEnded) {
+                    noHead(in);
+                }
                 return 0;
             }
             discard(in, statusLine - in.readerIndex());
         }
-        int end = headEnd(in);
-        if (end < 0) {
-            if (in.readableBytes() > maxHeaderBytes || inputEnded) {
-                withoutHeadEnd(in);
+        int last = in.writerIndex() - HEAD_END.length;
+        for (int i = in.readerIndex() + searchedBytes; i <= last; i++) {
+            if (startsWith(in, i, HEAD_END)) {
+                searchedBytes = 0;
+                return i + HEAD_END.length - in.readerIndex();
+            }
+            if (in.getByte(i + 1) == '\n' && in.getByte(i) != '\r') {
+                noHead(in);
+                return 0;
             }
-            return 0;
         }
-        int start = lastStatusLine(in, end);
-        if (start > in.readerIndex()) {
-            discard(in, start - in.readerIndex());
+        searchedBytes = Math.max(0, last + 1 - in.readerIndex());
+        if (in.readableBytes() > maxHeaderBytes || inputEnded) {
+            noHead(in);
         }
-        searchedBytes = 0;
-        return end - start;
+        return 0;
     }
 
-    private void withoutHeadEnd(ByteBuf in) {
+    /** Handles bytes that may look like the beginning of a head and are none. */
+    private void noHead(ByteBuf in) {
         if (position == Position.DISCARDING) {
-            // It looks like a status line, and is none.
             discard(in, 1);
         } else {
             position = Position.NO_HEAD;
+            searchedBytes = 0;
         }
     }
 
-    /** Returns the index behind the next empty line; a negative number if there is none. */
-    private int headEnd(ByteBuf in) {
-        int last = in.writerIndex() - HEAD_END.length;
-        for (int i = in.readerIndex() + searchedBytes; i <= last; i++) {
-            if (startsWith(in, i, HEAD_END)) {
-                return i + HEAD_END.length;
-            }
-        }
-        searchedBytes = Math.max(0, last + 1 - in.readerIndex());
-        return -1;
+    /** Tells whether the last status line before the given index stands in a field, where it may belong. */
+    private static boolean quotesStatusLine(ByteBuf in, int end) {
+        int statusLine = lastStatusLine(in, end);
+        return statusLine > in.readerIndex()
+                && in.indexOf(in.readerIndex(), statusLine, (byte) '\n') >= 0
+                && QUOTING.indexOf(in.getByte(statusLine - 1)) >= 0;
     }
 
     private static int firstStatusLine(ByteBuf in) {
