Forget a response without an id after four of its kind that name theirs

One response without an id made a front open a connection for each later request to its target, for good: 20 for 20 requests in StrayBytesTimingTest.connectionsAreKeptAfterOneResponseWithoutName, 6 at most now. A response of another attempt before it no longer counts as none.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/AttemptNaming.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/AttemptNaming.java
@@ -1,6 +1,8 @@
 package org.whinwharf.front;
 
+import java.util.EnumMap;
 import java.util.EnumSet;
+import java.util.Map;
 import java.util.Set;
 
 /**
@@ -12,25 +14,30 @@
  * target may reject what it has not read; one that was named shows that the target names them.
  */
 final class AttemptNaming {
+    /** Number of responses in succession that name their attempt after which one without a name is forgotten. */
+    private static final int FORGETTING_RESPONSES = 4;
+
     private final Set<ResponseKind> named = EnumSet.noneOf(ResponseKind.class);
-    private final Set<ResponseKind> unnamed = EnumSet.noneOf(ResponseKind.class);
+    /** Kinds of which a response was without a name, with the number of those since that had one. */
+    private final Map<ResponseKind, Integer> namedSinceUnnamed = new EnumMap<>(ResponseKind.class);
 
     /** Records a response that names its attempt. */
     void recordNamed(ResponseKind kind) {
         named.add(kind);
+        namedSinceUnnamed.computeIfPresent(kind, (key, count) -> count + 1 < FORGETTING_RESPONSES ? count + 1 : null);
     }
 
     /** Records a response that names no attempt, and can only answer the request under way. */
     void recordUnnamed(ResponseKind kind) {
-        unnamed.add(kind);
+        namedSinceUnnamed.put(kind, 0);
     }
 
     /**
-     * Tells whether no response of a kind was without a name; otherwise a connection that has carried one is not used
-     * again.
+     * Tells whether no response of a kind was without a name lately; otherwise a connection that has carried one is not
+     * used again.
      */
     boolean alwaysNames(ResponseKind kind) {
-        return !unnamed.contains(kind);
+        return !namedSinceUnnamed.containsKey(kind);
     }
 
     /**
@@ -41,6 +48,6 @@
      */
     boolean mayOmit(ResponseKind kind, Set<ResponseKind> carriedKinds) {
         boolean usual = kind == ResponseKind.REJECTION && !named.contains(kind);
-        return usual || unnamed.contains(kind) && !carriedKinds.contains(kind);
+        return usual || namedSinceUnnamed.containsKey(kind) && !carriedKinds.contains(kind);
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -291,7 +291,7 @@
             return true;
         }
         unmatched(UnmatchedResponse.UNNAMED, answer);
-        boolean first = carriedRequests == 1 && decoder.discardedBytes() == 0;
+        boolean first = carriedRequests == 1 && !discarding;
         boolean fromTarget = answer.signed() || kind == ResponseKind.REJECTION;
         if (first && fromTarget) {
             pool.naming().recordUnnamed(kind);
