Ask another target after an undeclared end of one that breaks off responses

Callers got streams as complete that lacked their last events (rule ORDER) where a target lives on and ends single streams without length or chunks by an orderly close between two events. To the front such an end was the end of the response whenever its target was shown to live on, also where the same target had just cut off other responses.

A target is now remembered for 30 s after it has broken off a response that had begun (closed, reset, truncated or garbled). Within that time a resumable stream of it that ends without a declared end is resumed at another target after its last event. Events that follow go to the caller; if none do, if the other target fails, rejects or is silent for a second, or if the route, the attempts, the deadline or the retry budget allow no further run, the stream is complete, as before. Such runs may use half of the retry budget, so that requests that have failed find the other half.

Targets that break off nothing cost nothing: their streams run once (streamsOfTargetsThatBreakOffNoResponseRunOnce).

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UndeclaredEndTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -41,6 +42,8 @@
     private static final long CLOSING_MILLIS = 20;
     /** Longer than a process needs to start in the place of another one. */
     private static final long LATE_MILLIS = 200;
+    /** Enough to show the bound, and fewer than the retry allowance of the fixture. */
+    private static final int DOUBTED_STREAMS = 3;
 
     private final AtomicInteger runs = new AtomicInteger();
     private final AtomicInteger healthChecks = new AtomicInteger();
@@ -320,4 +323,191 @@
             assertThat(broken, not(containsString(LAST_CHUNK)));
         }
     }
+
+    /** Ways in which a target that lives on breaks off a response, as the front notices. */
+    private enum BreakOff {
+        DECLARED_LENGTH {
+            @Override
+            void write(String request, Socket socket) throws IOException {
+                FakeTarget.write(socket, head(request) + "Content-Length: 20\r\n\r\nhalf");
+                socket.close();
+            }
+        },
+        CHUNKS {
+            @Override
+            void write(String request, Socket socket) throws IOException {
+                FakeTarget.write(
+                        socket, head(request) + "Transfer-Encoding: chunked\r\n\r\n" + FakeTarget.chunk("half"));
+                socket.close();
+            }
+        },
+        RESET {
+            @Override
+            void write(String request, Socket socket) throws IOException {
+                FakeTarget.write(socket, head(request) + "\r\nhalf");
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        };
+
+        /** Writes the part of a response that is broken off. */
+        abstract void write(String request, Socket socket) throws IOException;
+
+        private static String head(String request) {
+            return "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attemptId(request) + "\r\nSigned: yes\r\n";
+        }
+    }
+
+    /** What a target answers to a request that resumes a stream. */
+    private enum Continuation {
+        LAST_EVENT(UndeclaredEndTest.LAST_EVENT, 200),
+        NOTHING("", 200) {
+            @Override
+            void write(String request, Socket socket) throws IOException {
+                FakeTarget.write(
+                        socket,
+                        "HTTP/1.1 200 X\r\nAttempt: " + FakeTarget.attemptId(request)
+                                + "\r\nSigned: yes\r\nContent-Length: 0\r\n\r\n");
+            }
+        },
+        NOTHING_UNDECLARED("", 200),
+        FAILURE("failed", 500),
+        REJECTION("", 503) {
+            @Override
+            void write(String request, Socket socket) throws IOException {
+                FakeTarget.write(
+                        socket,
+                        "HTTP/1.1 503 X\r\nAttempt: " + FakeTarget.attemptId(request)
+                                + "\r\nNot-Run: yes\r\nContent-Length: 0\r\n\r\n");
+            }
+        },
+        CLOSE("", 0) {
+            @Override
+            void write(String request, Socket socket) {
+                // The connection is closed without a response.
+            }
+        },
+        SILENCE("", 0) {
+            @Override
+            void write(String request, Socket socket) throws IOException {
+                socket.getInputStream().read();
+            }
+        };
+
+        private final String body;
+        private final int status;
+
+        Continuation(String body, int status) {
+            this.body = body;
+            this.status = status;
+        }
+
+        /** Writes the response; the connection is closed afterwards. */
+        void write(String request, Socket socket) throws IOException {
+            FakeTarget.write(
+                    socket,
+                    "HTTP/1.1 " + status + " X\r\nAttempt: " + FakeTarget.attemptId(request) + "\r\nSigned: yes\r\n\r\n"
+                            + body);
+        }
+
+        /** Returns the events of a stream whose first ones are continued so. */
+        String events() {
+            return this == LAST_EVENT ? FIRST_EVENTS + body : FIRST_EVENTS;
+        }
+    }
+
+    /**
+     * Starts a target that lives on, breaks off responses to repeatable requests, and ends streams without a declared
+     * end after the second event. Streams that are resumed after it are answered as given.
+     */
+    private void breakingTarget(String id, BreakOff breakOff, Continuation continuation) throws IOException {
+        fixture.target(id, (request, socket) -> {
+            if (request.contains("/health")) {
+                FakeTarget.write(socket, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
+            runs.getAndIncrement();
+            if (request.contains("/safe/")) {
+                breakOff.write(request, socket);
+                return;
+            }
+            if (request.toLowerCase(Locale.ROOT).contains("resume-after: 2")) {
+                continuation.write(request, socket);
+            } else {
+                write(request, socket, FIRST_EVENTS);
+            }
+            socket.close();
+        });
+    }
+
+    private static String events(String response) {
+        return response.substring(response.indexOf("\r\n\r\n") + 4).replaceAll("(?m)^[0-9a-f]+\r\n|\r\n", "");
+    }
+
+    /** Guards against a stream that is complete at its caller though its target, which lives on, broke it off. */
+    @ParameterizedTest
+    @EnumSource(BreakOff.class)
+    void streamOfTargetThatBreaksOffResponsesIsResumed(BreakOff breakOff) throws IOException {
+        breakingTarget("t", breakOff, Continuation.LAST_EVENT);
+        breakingTarget("u", breakOff, Continuation.LAST_EVENT);
+        fixture.publishCatalog(2, DEADLINE_MILLIS);
+        // Both targets break it off.
+        request("GET", "/safe/x", "a");
+        for (int i = 0; i < DOUBTED_STREAMS; i++) {
+            String response = request("POST", "/resumable/x", "b" + i);
+            assertThat(events(response), is(FIRST_EVENTS + LAST_EVENT));
+            assertThat(response, endsWith(LAST_CHUNK));
+        }
+    }
+
+    /** Guards against breaking off a whole stream because the target that was asked for the rest of it has none. */
+    @ParameterizedTest
+    @EnumSource(Continuation.class)
+    void streamThatCannotBeContinuedIsComplete(Continuation continuation) throws IOException {
+        breakingTarget("t", BreakOff.DECLARED_LENGTH, continuation);
+        breakingTarget("u", BreakOff.DECLARED_LENGTH, continuation);
+        fixture.publishCatalog(2, DEADLINE_MILLIS);
+        request("GET", "/safe/x", "a");
+        runs.set(0);
+        long sentAtNanos = System.nanoTime();
+        String response = request("POST", "/resumable/x", "b");
+        long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentAtNanos);
+        assertThat(events(response), is(continuation.events()));
+        assertThat(response, endsWith(LAST_CHUNK));
+        assertThat("runs", runs.get(), is(2));
+        assertThat("milliseconds", tookMillis, lessThan(DEADLINE_MILLIS / 2));
+    }
+
+    /** Guards against losing a whole stream where no other target is left, or the retry budget is used up. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void streamThatMayNotBeResumedIsComplete(boolean budgetUsedUp) throws IOException {
+        breakingTarget("t", BreakOff.DECLARED_LENGTH, Continuation.LAST_EVENT);
+        if (budgetUsedUp) {
+            breakingTarget("u", BreakOff.DECLARED_LENGTH, Continuation.LAST_EVENT);
+        }
+        fixture.publishCatalog(2, DEADLINE_MILLIS);
+        request("GET", "/safe/x", "a");
+        if (budgetUsedUp) {
+            fixture.reload(0, 0);
+        }
+        runs.set(0);
+        String response = request("POST", "/resumable/x", "b");
+        assertThat(events(response), is(FIRST_EVENTS));
+        assertThat(response, endsWith(LAST_CHUNK));
+        assertThat("runs", runs.get(), is(1));
+    }
+
+    /** Guards against a second run of each whole stream of targets that end none before its last event. */
+    @Test
+    void streamsOfTargetsThatBreakOffNoResponseRunOnce() throws IOException {
+        runs.set(1);
+        target("t", "", FIRST_EVENTS);
+        target("u", "", FIRST_EVENTS);
+        fixture.publishCatalog(2, DEADLINE_MILLIS);
+        for (int i = 0; i < REQUESTS; i++) {
+            assertThat(request("POST", "/resumable/x", "a" + i), endsWith(LAST_CHUNK));
+        }
+        assertThat("runs", runs.get(), is(1 + REQUESTS));
+    }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -61,6 +61,12 @@
      * service are back by then, and peers that were cut off may answer.
      */
     private static final long UNRESUMED_RETRY_AFTER_MILLIS = 2_000;
+    /** Time for which a target that broke off a response is expected to break off others. */
+    private static final long BREAK_OFF_MEMORY_MILLIS = 30_000;
+    /** Maximum time for which the end of a stream is held; callers of streams give up after longer gaps. */
+    private static final long MAX_CONFIRMATION_MILLIS = 1_000;
+    /** Part of the retry budget up to which ends are confirmed; the rest is left to requests that have failed. */
+    private static final double CONFIRMATION_SHARE = 0.5;
 
     private enum Stage {
         /** The processes that may know where the resumed stream began are being asked. */
@@ -111,6 +117,11 @@
     private Assessment crashAssessment = Assessment.CLEAN;
 
     private Optional<ResponseEnding> responseEnding = Optional.empty();
+    /**
+     * Time until which the end of a stream is held while another target is asked whether any event follows; empty if no
+     * end is held.
+     */
+    private OptionalLong endHeldUntilMillis = OptionalLong.empty();
 
     CallerExchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
         this.front = front;
@@ -758,6 +769,9 @@
 
     private void acceptContent(ActiveRun run, ByteBuf chunk) {
         boolean written = responseAssembler.content(chunk);
+        if (responseAssembler.hasStreamData()) {
+            endHeldUntilMillis = OptionalLong.empty();
+        }
         if (responseAssembler.isOversized()) {
             run.reject();
         } else if (written && !caller.writable()) {
@@ -779,7 +793,8 @@
         if (run.held() != null) {
             acceptHeld(run);
         }
-        if (!responseAssembler.notExecuted() && !responseAssembler.isComplete()) {
+        boolean nothingFollows = endHeldUntilMillis.isPresent();
+        if (!responseAssembler.notExecuted() && !responseAssembler.isComplete() && !nothingFollows) {
             failed(run, TargetFailure.TRUNCATED);
             return;
         }
@@ -808,8 +823,42 @@
                             responseAssembler.events(),
                             run.lastByteAtMillis());
             run.end(RunEvent.RUN_ANSWERED);
-            deliver();
+            if (nothingFollows || !mayGoOn(run, nowMillis)) {
+                deliver();
+            } else {
+                confirmEnd(run, nowMillis);
+            }
+        }
+    }
+
+    /**
+     * Tells whether a stream without a declared end may have been broken off by its target, which does so with other
+     * responses, and may be continued elsewhere. Takes a retry from the budget if so.
+     */
+    private boolean mayGoOn(ActiveRun run, long nowMillis) {
+        return responseAssembler.streamStarted()
+                && !responseAssembler.endDeclared()
+                && run.entry().brokeOffSince(nowMillis - BREAK_OFF_MEMORY_MILLIS)
+                && retryDecision(nowMillis, CONFIRMATION_SHARE) == RetryDecision.RETRY;
+    }
+
+    /** Holds the end of a stream, and asks another target whether any event follows. */
+    private void confirmEnd(ActiveRun run, long nowMillis) {
+        recordRetry(run, "undeclared end");
+        responseAssembler.discardIncomplete();
+        endHeldUntilMillis = OptionalLong.of(nowMillis + MAX_CONFIRMATION_MILLIS);
+        queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, nowMillis + MAX_CONFIRMATION_MILLIS);
+        place(nowMillis);
+    }
+
+    /** Ends the response as complete if its end was held. */
+    private boolean deliverHeldEnd() {
+        if (endHeldUntilMillis.isEmpty()) {
+            return false;
         }
+        responseAssembler.discardIncomplete();
+        deliver("end-unconfirmed");
+        return true;
     }
 
     private void notExecuted(ActiveRun run, boolean wrongTarget) {
@@ -844,13 +893,27 @@
     }
 
     private void deliver() {
+        deliver("answered");
+    }
+
+    private void deliver(String reason) {
         front.metrics().answered();
-        FrontLog.ended(this, entry(), "answered", responseAssembler.status(), ageMillis());
+        FrontLog.ended(this, entry(), reason, responseAssembler.status(), ageMillis());
         stage = Stage.ENDED;
         responseAssembler.deliver();
         end();
     }
 
+    /** Ends a response that has started and goes on nowhere. */
+    private void endStarted(String reason, TruncationCause cause) {
+        if (deliverHeldEnd()) {
+            return;
+        }
+        FrontLog.ended(this, entry(), reason, responseAssembler.status(), ageMillis());
+        end();
+        abortResponse(cause);
+    }
+
     /** Closes the caller's connection, because a response that has started cannot be completed. */
     private void abortResponse(TruncationCause cause) {
         front.metrics().streamTruncated(cause);
@@ -859,6 +922,9 @@
 
     /** Handles the failure of a run. */
     void failed(ActiveRun run, TargetFailure failure) {
+        if (failure.breaksOffResponse() && run.run().firstByteReceived()) {
+            run.entry().brokeOff(front.nowMillis());
+        }
         if (!runs.replacing()) {
             recordResponseEnding(failure.tag());
             run.endFailed(failure);
@@ -887,9 +953,7 @@
             return;
         }
         if (responseAssembler.streamStarted()) {
-            FrontLog.ended(this, entry(), "broken-off", responseAssembler.status(), ageMillis());
-            end();
-            abortResponse(failure.truncationCause());
+            endStarted("broken-off", failure.truncationCause());
             return;
         }
         Assessment assessment = front.crashes().assess(this);
@@ -903,6 +967,16 @@
 
     /** Decides whether a failed request is sent to another target, and takes the retry from the budget if so. */
     private RetryDecision retryDecision(long nowMillis) {
+        return retryDecision(nowMillis, budgetShare());
+    }
+
+    /** Returns the part of the retry budget that the request may use. */
+    private double budgetShare() {
+        return endHeldUntilMillis.isPresent() ? CONFIRMATION_SHARE : 1;
+    }
+
+    /** Decides the same with a part of the budget. */
+    private RetryDecision retryDecision(long nowMillis, double budgetShare) {
         if (!route.idempotent()) {
             return RetryDecision.NOT_IDEMPOTENT;
         }
@@ -921,7 +995,7 @@
         if (front.crashes().assess(this).quarantined()) {
             return RetryDecision.QUARANTINED;
         }
-        boolean allowed = front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance());
+        boolean allowed = front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance(), budgetShare);
         retryTakenAtMillis = nowMillis;
         return allowed ? RetryDecision.RETRY : RetryDecision.BUDGET_EXHAUSTED;
     }
@@ -948,14 +1022,12 @@
             return;
         }
         boolean mayRetry = runs.sentCount() < route.maxAttempts()
-                && front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance());
+                && front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance(), budgetShare());
         if (mayRetry && nowMillis < queueTimeoutAtMillis) {
             recordRetry(runs.latest(), "not executed");
             place(nowMillis);
         } else if (responseAssembler.streamStarted()) {
-            FrontLog.ended(this, entry(), "broken-off", responseAssembler.status(), ageMillis());
-            end();
-            abortResponse(TruncationCause.TARGET_LOST);
+            endStarted("broken-off", TruncationCause.TARGET_LOST);
         } else {
             ErrorKind kind = runs.mayHaveExecuted() ? ErrorKind.TARGET_LOST : ErrorKind.TARGET_REFUSED;
             respondWithError(new ErrorResponse(kind, front.localQueues().retryAfterMillis(service)));
@@ -998,6 +1070,12 @@
             deadlineReached(nowMillis);
             return;
         }
+        if (endHeldUntilMillis.isPresent() && nowMillis >= endHeldUntilMillis.getAsLong()) {
+            removeFromQueue();
+            abandonRuns(nowMillis);
+            deliverHeldEnd();
+            return;
+        }
         boolean unplaced = stage == Stage.QUEUED || stage == Stage.AWAITING_PLACEMENT;
         Assessment assessment = unplaced ? front.crashes().assess(this) : Assessment.CLEAN;
         if (assessment.quarantined()) {
@@ -1122,10 +1200,8 @@
     private void deadlineReached(long nowMillis) {
         removeFromQueue();
         if (responseAssembler.streamStarted()) {
-            FrontLog.ended(this, entry(), "timed-out", responseAssembler.status(), ageMillis());
             abandonRuns(nowMillis);
-            end();
-            abortResponse(TruncationCause.TIMED_OUT);
+            endStarted("timed-out", TruncationCause.TIMED_OUT);
             return;
         }
         boolean possiblyExecuted = runs.mayHaveExecuted();
@@ -1171,6 +1247,9 @@
             keepSilentRun();
             return;
         }
+        if (deliverHeldEnd()) {
+            return;
+        }
         if (quotaConsumed && !runs.mayHaveExecuted()) {
             organisation.ifPresent(known -> front.quotas().refund(known.name(), quotaTokens));
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -143,6 +143,11 @@
         return !unsignedSuccess && !oversized && !(streamStarted && bufferedBody != null);
     }
 
+    /** Returns whether any data of an event stream was received in the latest response. */
+    boolean hasStreamData() {
+        return !boundaryTracker.isEmpty();
+    }
+
     /** Returns the number of events of the latest response; 0 if it is no stream. */
     int events() {
         return boundaryTracker.events();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
@@ -12,6 +12,7 @@
     private long lastAnswerAtMillis = Long.MIN_VALUE;
     private long crashedAtMillis = Long.MIN_VALUE;
     private long restartedAtMillis = Long.MIN_VALUE;
+    private long brokeOffAtMillis = Long.MIN_VALUE;
 
     TargetEntry(TargetState state, TargetConnectionPool pool) {
         this.state = state;
@@ -52,6 +53,16 @@
         restartedAtMillis = nowMillis;
     }
 
+    /** Records that a response of the target ended before its end. */
+    void brokeOff(long nowMillis) {
+        brokeOffAtMillis = nowMillis;
+    }
+
+    /** Tells whether a response of the target ended before its end at or after the given time. */
+    boolean brokeOffSince(long sinceMillis) {
+        return brokeOffAtMillis >= sinceMillis;
+    }
+
     /** Tells whether the target was published with another start time at or after the given time. */
     boolean restartedSince(long sinceMillis) {
         return restartedAtMillis >= sinceMillis;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetFailure.java
@@ -70,6 +70,11 @@
         return Optional.ofNullable(crashEvidence);
     }
 
+    /** Tells whether the response was cut short or cannot be read, unless none had begun. */
+    boolean breaksOffResponse() {
+        return event == RunEvent.RUN_BROKEN;
+    }
+
     /** Returns the value in log lines and tags of metrics: the constant's name in lower case. */
     String tag() {
         return name().toLowerCase(Locale.ROOT);
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
@@ -54,6 +54,19 @@
         assertThat(budget.tryRetry(2, 1), is(true));
     }
 
+    /** Guards against retries that may wait and that use up the budget of those that may not. */
+    @Test
+    void retriesWithAShareLeaveTheRestOfTheBudget() {
+        RetryBudget budget = new RetryBudget(0, 10_000);
+        assertThat(budget.tryRetry(0, 4, 0.5), is(true));
+        assertThat(budget.tryRetry(0, 4, 0.5), is(true));
+        assertThat(budget.tryRetry(0, 4, 0.5), is(false));
+        assertThat(budget.tryRetry(0, 4), is(true));
+        assertThat(budget.tryRetry(0, 4, 0.5), is(false));
+        assertThat(budget.tryRetry(0, 4), is(true));
+        assertThat(budget.tryRetry(0, 4), is(false));
+    }
+
     /** Guards against a negative count after a retry that has left the window is returned. */
     @Test
     void cancellingWithoutRetryInTheWindowChangesNothing() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
@@ -59,8 +59,21 @@
      * @return true when the retry may be sent
      */
     public boolean tryRetry(long nowMillis, double allowance) {
+        return tryRetry(nowMillis, allowance, 1);
+    }
+
+    /**
+     * Takes one retry from a part of the budget, and leaves the rest to others.
+     *
+     * @param nowMillis monotonic time in milliseconds
+     * @param allowance this process's part of the fixed allowance
+     * @param share part of the budget up to which all retries in the window may add up, at most 1
+     * @return true when the retry may be sent
+     */
+    public boolean tryRetry(long nowMillis, double allowance, double share) {
         expire(nowMillis);
-        if (retriesAtMillis.size() + 1 > requestsAtMillis.size() * ratio * RATIO_UTILISATION + allowance) {
+        double budget = requestsAtMillis.size() * ratio * RATIO_UTILISATION + allowance;
+        if (retriesAtMillis.size() + 1 > budget * share) {
             return false;
         }
         retriesAtMillis.addLast(nowMillis);
