--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -337,6 +337,17 @@
         }
     }
 
+    /** Guards against a copy that is never read because the second answer to the watch is taken for its first page. */
+    @Test
+    void secondAnswerThatHistoryIsGoneDoesNotEndTheCopy() throws Exception {
+        store.begin(StoreFault.TWICE);
+        store.put("servers/a", "{}");
+        store.awaitAnswers(1);
+        publishVersion("", "", "");
+        store.discardHistory();
+        assertThat("in force", inForce(APPLY_LIMIT_MILLIS), is(true));
+    }
+
     /** Guards against taking a store that cannot be connected to for one that was only interrupted. */
     @Test
     void storeThatCannotBeConnectedToIsOut() throws Exception {
