Infer the service of a stream only if its route has led there all along

Callers whose route was moved to another service shortly before all fronts were killed got a stream joined from two services: the service of a stream that nobody remembers was taken from the configuration in force.

Other services are not affected. After a start, the store's history reaches back only if the first configuration read is older than its oldest readable revision, or the first of all: the history does not hold the one before its first event, so nothing tells where the routes led.

Fronts that are killed together within history-s of a new configuration therefore refuse streams that nobody remembers and no target reports, until they have watched for long enough.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -407,6 +407,7 @@
         }
         catalog = Optional.of(published);
         loop.execute(this::acceptOnceReady);
+        versions.catalogInForce(published);
         quotas.update(published, ticker.nowMillis());
         organisationWeights.update(published);
         EventLog.event(LogEvent.CATALOG_IN_FORCE)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
@@ -8,11 +8,16 @@
 import org.whinwharf.runtime.log.EventLog;
 import org.whinwharf.runtime.log.LogEvent;
 import org.whinwharf.time.Ticker;
+import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.stream.ImmutableTargetHistory;
+import org.whinwharf.traffic.stream.RouteHistory;
 import org.whinwharf.traffic.stream.StreamOrigins;
 import org.whinwharf.traffic.stream.TargetHistory;
 
-/** Infers at which software version a stream has begun that no process remembers, from the targets observed so far. */
+/**
+ * Infers at which software version a stream has begun that no process remembers, from the catalogs and targets observed
+ * so far.
+ */
 final class VersionObserver {
     /** Maximum age of the published items by which a service can be said to have one software version only. */
     private static final long MAX_ITEMS_AGE_MILLIS = 3_000;
@@ -21,6 +26,7 @@
     private final TargetRegistry targets;
     private final ItemFeed feed;
     private final Ticker ticker;
+    private final RouteHistory routes = new RouteHistory();
     /** Number of times that the observation has begun anew. */
     private long observations;
 
@@ -40,15 +46,20 @@
         }
     }
 
+    /** Records that a catalog is in force from now on. */
+    void catalogInForce(Catalog catalog) {
+        routes.inForce(catalog, ticker.nowMillis());
+    }
+
     /**
-     * Returns the only software version at which a stream of a service can have begun.
+     * Returns the only software version at which a stream can have begun whose route leads to a service only.
      *
      * @param certifiedVersion version that a peer says is the only one; empty if none does
      * @param maxAgeMillis time in milliseconds for which the stream can have lasted
-     * @return version; empty if there were several, or there may have been
+     * @return version; empty if there were several, or there may have been, or if such a route may have led elsewhere
      */
     Optional<String> onlyVersion(String service, Optional<String> certifiedVersion, long maxAgeMillis) {
-        return feed.ageMillis() > MAX_ITEMS_AGE_MILLIS
+        return feed.ageMillis() > MAX_ITEMS_AGE_MILLIS || routes.movedTo(service, maxAgeMillis, ticker.nowMillis())
                 ? Optional.empty()
                 : targets.onlyVersion(service, certifiedVersion, maxAgeMillis);
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.whinwharf.platform.fleet.StoreFault;
 import org.whinwharf.platform.fleet.StoreStandIn;
+import org.whinwharf.traffic.items.PublishedValue;
 import org.whinwharf.traffic.stream.TargetHistory;
 import org.whinwharf.traffic.stream.TargetHistory.PublishedVersion;
 
@@ -22,13 +24,16 @@
 class StoreHistoryTest {
     private static final long KEPT_MILLIS = 20_000;
     private static final long TIMEOUT_SECONDS = 20;
+    private static final String CONFIG_KEY = "op/config";
 
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final StoreStandIn store = new StoreStandIn("127.0.0.1", 0);
+    private Optional<PublishedValue> config = Optional.empty();
 
     @BeforeEach
     void startStore() {
         store.start();
+        writeConfig(store.revision() + 1);
     }
 
     @AfterEach
@@ -141,6 +146,40 @@
                 containsInAnyOrder(new PublishedVersion("s", "v1")));
     }
 
+    /** Guards against a configuration that has replaced one whose routes led to other services. */
+    @Test
+    void configurationThatWasReplacedLeavesThePastUnknown() throws Exception {
+        long created = config.orElseThrow().revision();
+        write("a", "v1");
+        store.discardHistory();
+        writeConfig(created);
+        assertThat(read().reachMillis(), is(0L));
+    }
+
+    /** Guards against refusing every stream because the configuration was replaced at any time. */
+    @Test
+    void configurationThatWasReplacedBeforeTheHistoryTellsThePast() throws Exception {
+        long created = config.orElseThrow().revision();
+        write("a", "v1");
+        writeConfig(created);
+        store.discardHistory();
+        write("b", "v1");
+        assertThat(read().reachMillis(), is(KEPT_MILLIS));
+    }
+
+    /** Guards against taking a copy without a configuration for one whose configuration has never changed. */
+    @Test
+    void unknownConfigurationLeavesThePastUnknown() throws Exception {
+        write("a", "v1");
+        config = Optional.empty();
+        assertThat(read().reachMillis(), is(0L));
+    }
+
+    private void writeConfig(long createdRevision) {
+        store.put(CONFIG_KEY, "{}");
+        config = Optional.of(new PublishedValue(CONFIG_KEY, new byte[0], store.revision(), createdRevision));
+    }
+
     private void write(String id, String version) {
         store.put(
                 "servers/" + id,
@@ -160,7 +199,7 @@
         CompletableFuture<TargetHistory> read = new CompletableFuture<>();
         StoreClient client = new StoreClient(loop, store.address());
         StoreHistory history = new StoreHistory(loop, client, "servers/", KEPT_MILLIS, read::complete);
-        loop.execute(() -> history.readBackFrom(copyRevision, lastChangeHeld));
+        loop.execute(() -> history.readBackFrom(copyRevision, lastChangeHeld, config));
         return read;
     }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
@@ -50,7 +50,11 @@
     }
 
     private void startFront() throws Exception {
-        front = LocalFront.create("front", ip, List.of(), false);
+        startFront(false);
+    }
+
+    private void startFront(boolean freshFleet) throws Exception {
+        front = LocalFront.create("front", ip, List.of(), freshFleet);
         front.start();
         new StoreWatch(front, store.address(), HISTORY_MILLIS).start();
     }
@@ -134,6 +138,44 @@
         assertThat("mixed", resumed("v2").mixed(), is(false));
     }
 
+    /** Guards against a front that has watched all the while, and saw the route lead to another service. */
+    @Test
+    void streamIsNotJoinedIfTheFrontSawItsRouteMoved() throws Exception {
+        store.put("op/config", bothServices(2, "t"));
+        startFront(true);
+        awaitItems();
+        store.put("op/config", bothServices(3, "s"));
+        awaitItems();
+        assertThat("mixed", resumed("v2").mixed(), is(false));
+    }
+
+    /** Guards against refusing streams after a change of the configuration that did not move their route. */
+    @Test
+    void streamGoesOnIfTheFrontSawAChangeThatDidNotMoveItsRoute() throws Exception {
+        startFront(true);
+        awaitItems();
+        store.put("op/config", bothServices(2, "s"));
+        awaitItems();
+        assertThat("went on", resumed("v1").wentOn(), is(true));
+    }
+
+    /** Waits until the front has applied all items of the store. */
+    private void awaitItems() {
+        DeployedFleet.await(
+                "items",
+                () -> front.loop()
+                        .submit(() -> front.feed().revision() == store.revision())
+                        .syncUninterruptibly()
+                        .getNow());
+    }
+
+    /** Returns a configuration with two services, whose route leads to one of them. */
+    private static String bothServices(int version, String service) {
+        return CONFIG.replace("\"services\":[", "\"services\":[{\"name\":\"t\",\"health-path\":\"/healthz\"},")
+                .replace("\"version\":1", "\"version\":" + version)
+                .replace("\"service\":\"s\"", "\"service\":\"" + service + "\"");
+    }
+
     private StreamWorker describe(String id, String version, long ageMillis) {
         return new StreamWorker(id, "s", version, network + "3", System.currentTimeMillis() - ageMillis);
     }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Catalog.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Catalog.java
@@ -2,9 +2,13 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * One version of the published configuration: routes, services, organisations and limits.
@@ -14,6 +18,7 @@
 public final class Catalog {
     private final long version;
     private final CallerLimits limits;
+    private final List<Route> routes;
     private final Map<String, HostRoutes> routesByHostName = new HashMap<>();
     private final Map<String, TargetService> services = new HashMap<>();
     private final Map<String, Organisation> organisations = new HashMap<>();
@@ -36,6 +41,7 @@
             Collection<Organisation> organisations) {
         this.version = version;
         this.limits = limits;
+        this.routes = List.copyOf(routes);
         routes.forEach(route -> routesByHostName
                 .computeIfAbsent(route.hostName(), name -> new HostRoutes())
                 .add(route));
@@ -76,6 +82,29 @@
         return routes == null ? Optional.empty() : routes.find(path);
     }
 
+    /**
+     * Returns the services to which routes lead only since a catalog that was in force before.
+     *
+     * @param former the other catalog
+     * @return names of services that handle all requests of a route, of which the other catalog led some elsewhere
+     */
+    public Set<String> servicesMovedTo(Catalog former) {
+        Set<String> moved = new HashSet<>();
+        // The longest prefix of either catalog that matches a path finds the same routes as the path.
+        Stream.concat(routes.stream(), former.routes.stream()).forEach(prefix -> {
+            Optional<String> service = onlyService(prefix);
+            if (former.route(prefix.hostName(), prefix.pathPrefix()).isPresent()
+                    && !service.equals(former.onlyService(prefix))) {
+                service.ifPresent(moved::add);
+            }
+        });
+        return moved;
+    }
+
+    private Optional<String> onlyService(Route prefix) {
+        return route(prefix.hostName(), prefix.pathPrefix()).flatMap(Route::onlyService);
+    }
+
     /**
      * Finds a service.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/TargetHistory.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/TargetHistory.java
@@ -39,9 +39,10 @@
 
     /**
      * Returns how far back the history is complete: every target that was published since then is published still or
-     * among {@link #versions()}.
+     * among {@link #versions()}, and the first catalog that this process read was in force all the while.
      *
-     * @return time in milliseconds; 0 if a target left of which nothing else is known
+     * @return time in milliseconds; 0 if a target left of which nothing else is known, or another catalog may have been
+     *     in force
      */
     long reachMillis();
 }
