Let a resumed stream wait for the history that may decide it

Callers that resumed a stream of the only version right after all fronts were started anew were refused, though the history that lets the stream go on was read a moment later. A front that got its first copy from a peer asked for the history only after the pause that follows the store's copy, 0.6 s after it was ready, and no request waited for it.

A resumed stream whose service has had one version as far as the front knows waits for it, for a second at most and only if its deadline allows more; a refused caller would stay away for two. Once the history is known, or the first such wait has ended without it, nothing waits any longer.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -201,11 +201,19 @@
         Optional<StreamOrigin> inferred = onlyPossibleOrigin(finding.onlyVersions());
         if (inferred.isPresent()) {
             resumeAt(inferred, OriginSource.ONLY_VERSION, finding);
-        } else {
+        } else if (!awaitsHistory(finding)) {
             findAtTargets(finding);
         }
     }
 
+    /** Waits for the history of the publishing service, which is shorter than coming back, if it may help. */
+    private boolean awaitsHistory(StreamTracker.Finding finding) {
+        long remainingMillis = deadlineAtMillis - front.nowMillis() - MIN_REMAINING_MILLIS;
+        return route.onlyService()
+                .filter(only -> front.versions().awaitHistory(only, remainingMillis, () -> originFound(finding)))
+                .isPresent();
+    }
+
     /** Asks the targets to which the first attempt was sent whether one still works on it. */
     private void findAtTargets(StreamTracker.Finding finding) {
         Optional<String> firstAttemptId = head.resumedAttemptId();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -169,7 +169,7 @@
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror, metrics);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
-        versions = new VersionObserver(settings.freshFleet(), targets, feed, ticker);
+        versions = new VersionObserver(loop, settings.freshFleet(), targets, feed, ticker);
         fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, rates, ticker);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
@@ -785,6 +785,11 @@
         return versions.historyConsumer();
     }
 
+    /** Records that the history of the publishing service is about to be read, for which resumed streams may wait. */
+    public void expectHistory() {
+        versions.expectHistory();
+    }
+
     /**
      * Tells whether targets may have been published and removed before this process began to watch.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -341,6 +341,11 @@
                         observed || certifiedVersion.filter(version::equals).isPresent());
     }
 
+    /** Tells whether all targets of a service that this process knows of have had one version lately. */
+    boolean hasOneVersion(String service) {
+        return versions.onlyVersion(service, ticker.nowMillis()).isPresent();
+    }
+
     /** Tells whether no target of a service can lately have replaced one of another version under its id unnoticed. */
     private boolean noneStartedWithin(String service, long millis) {
         long sinceUnixMillis = System.currentTimeMillis() - millis - StreamOrigins.CLOCK_TOLERANCE_MILLIS;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
@@ -1,8 +1,12 @@
 package org.whinwharf.front;
 
+import io.netty.channel.EventLoopGroup;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
@@ -22,11 +26,19 @@
     /** Maximum age of the published items by which a service can be said to have one software version only. */
     private static final long MAX_ITEMS_AGE_MILLIS = 3_000;
 
+    /** Maximum time for which a request waits for the history, which may be unreadable. */
+    private static final long MAX_HISTORY_WAIT_MILLIS = 1_000;
+
+    private final EventLoopGroup loop;
     private final boolean freshFleet;
     private final TargetRegistry targets;
     private final ItemFeed feed;
     private final Ticker ticker;
     private final RouteHistory routes = new RouteHistory();
+    /** Tasks that wait for the history of the publishing service. */
+    private final List<Runnable> awaitingHistory = new ArrayList<>();
+
+    private boolean historyExpected;
     /** Number of times that the observation has begun anew. */
     private long observations;
 
@@ -35,7 +47,8 @@
      *
      * @param freshFleet true if the whole fleet starts for the first time, so that no stream is older than this process
      */
-    VersionObserver(boolean freshFleet, TargetRegistry targets, ItemFeed feed, Ticker ticker) {
+    VersionObserver(EventLoopGroup loop, boolean freshFleet, TargetRegistry targets, ItemFeed feed, Ticker ticker) {
+        this.loop = loop;
         this.freshFleet = freshFleet;
         this.targets = targets;
         this.feed = feed;
@@ -64,6 +77,36 @@
                 : targets.onlyVersion(service, certifiedVersion, maxAgeMillis);
     }
 
+    /** Records that the history of the publishing service is about to be read. */
+    void expectHistory() {
+        historyExpected = true;
+    }
+
+    /**
+     * Runs a task once the history of the publishing service is known, or has not come in time, if it may show that a
+     * service has had one version only.
+     *
+     * @param remainingMillis time in milliseconds that the task has
+     * @return false if there is nothing to wait for, or no time; the task is not run then
+     */
+    boolean awaitHistory(String service, long remainingMillis, Runnable task) {
+        if (!historyExpected || remainingMillis <= MAX_HISTORY_WAIT_MILLIS || !targets.hasOneVersion(service)) {
+            return false;
+        }
+        if (awaitingHistory.isEmpty()) {
+            loop.schedule(this::historyEnded, MAX_HISTORY_WAIT_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        awaitingHistory.add(task);
+        return true;
+    }
+
+    private void historyEnded() {
+        historyExpected = false;
+        List<Runnable> tasks = List.copyOf(awaitingHistory);
+        awaitingHistory.clear();
+        tasks.forEach(Runnable::run);
+    }
+
     /** Returns the services of which this process can tell others that they have had one version only, with it. */
     Map<String, String> onlyVersions() {
         Map<String, String> versions = new HashMap<>();
@@ -89,6 +132,7 @@
             targets.addHistory(
                     current ? history : ImmutableTargetHistory.copyOf(history).withReachMillis(0));
             logObserved(current ? "history" : "outdated-history", history.reachMillis());
+            historyEnded();
         };
     }
 
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchHistoryTest.java
@@ -2,10 +2,13 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -15,6 +18,7 @@
 import org.whinwharf.front.Front;
 import org.whinwharf.platform.fleet.BrokenStream;
 import org.whinwharf.platform.fleet.DeployedFleet;
+import org.whinwharf.platform.fleet.StoreFault;
 import org.whinwharf.platform.fleet.StoreStandIn;
 import org.whinwharf.platform.fleet.StreamWorker;
 import org.whinwharf.traffic.items.PublishedValue;
@@ -23,6 +27,11 @@
 class StoreWatchHistoryTest {
     private static final long HISTORY_MILLIS = 20_000;
     private static final long LONG_AGO_MILLIS = TimeUnit.HOURS.toMillis(1);
+    /** Time for which the store refuses calls while a stream is resumed. */
+    private static final long UNREADABLE_MILLIS = 200;
+    /** Time in which a stream is refused although the history does not come. */
+    private static final long MAX_WAIT_MILLIS = 5_000;
+
     private static final String READY = "ready";
     private static final String PATH = "/r/a";
     private static final String CONFIG = "{\"version\":1,\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"prefix\":\"/r/\","
@@ -70,18 +79,34 @@
     @Test
     void streamOfTheOnlyVersionGoesOnIfTheFirstCopyIsOfAPeer() throws Exception {
         startFront();
-        front.loop()
-                .submit(() -> front.feed()
-                        .applySnapshot(
-                                List.of(
-                                        value("op/config", CONFIG, store.revision() - 1),
-                                        value(worker.key(), worker.entry(READY), store.revision())),
-                                store.revision()))
-                .get();
+        applyPeerCopy();
         assertThat(
                 "went on before the front has watched for long", resumed("v1").wentOn(), is(true));
     }
 
+    /** Guards against refusing streams right after a start though the history is about to show that they may go on. */
+    @Test
+    void streamWaitsForTheHistory() throws Exception {
+        store.begin(StoreFault.BUSY);
+        startFront();
+        applyPeerCopy();
+        CompletableFuture<BrokenStream> resumed = CompletableFuture.supplyAsync(() -> resumeOnce("v1"));
+        TimeUnit.MILLISECONDS.sleep(UNREADABLE_MILLIS);
+        store.endFaults();
+        assertThat("went on", resumed.get().wentOn(), is(true));
+    }
+
+    /** Guards against streams that are held for long though the history cannot be read. */
+    @Test
+    void streamIsRefusedIfTheHistoryDoesNotCome() throws Exception {
+        store.begin(StoreFault.BUSY);
+        startFront();
+        applyPeerCopy();
+        long beganAtNanos = System.nanoTime();
+        assertThat("status", resumeOnce("v1").status(), is(HttpResponseStatus.SERVICE_UNAVAILABLE.code()));
+        assertThat(System.nanoTime() - beganAtNanos, lessThan(TimeUnit.MILLISECONDS.toNanos(MAX_WAIT_MILLIS)));
+    }
+
     /** Guards against refusing all streams because a worker has started, though the history shows that it is new. */
     @Test
     void streamOfTheOnlyVersionGoesOnThoughAWorkerHasStarted() throws Exception {
@@ -180,18 +205,33 @@
         return new StreamWorker(id, "s", version, network + "3", System.currentTimeMillis() - ageMillis);
     }
 
+    private void applyPeerCopy() {
+        front.loop()
+                .submit(() -> front.feed()
+                        .applySnapshot(
+                                List.of(
+                                        value("op/config", CONFIG, store.revision() - 1),
+                                        value(worker.key(), worker.entry(READY), store.revision())),
+                                store.revision()))
+                .syncUninterruptibly();
+    }
+
     private static PublishedValue value(String key, String text, long revision) {
         return new PublishedValue(key, text.getBytes(StandardCharsets.UTF_8), revision);
     }
 
+    private BrokenStream resumeOnce(String version) {
+        attempts++;
+        return BrokenStream.begun(PATH, "before", version)
+                .call(new InetSocketAddress(ip, LocalFront.CALLER_PORT), "attempt" + attempts, true);
+    }
+
     /** Resumes a stream until it goes on, or for half of the time after which the front needs no history. */
     private BrokenStream resumed(String version) {
         AtomicReference<BrokenStream> last = new AtomicReference<>();
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(HISTORY_MILLIS / 2);
         DeployedFleet.await("stream", () -> {
-            attempts++;
-            last.set(BrokenStream.begun(PATH, "before", version)
-                    .call(new InetSocketAddress(ip, LocalFront.CALLER_PORT), "attempt" + attempts, true));
+            last.set(resumeOnce(version));
             return last.get().complete() || System.nanoTime() > endNanos;
         });
         return last.get();
