Bound the replaced catalogs that are kept for streams that nobody remembers

Each change of the configuration kept the one before it for 30 s, with all its organisations: a storm of changes could take more memory than a front has. At most sixteen are kept, without services and organisations; while more were replaced lately, all routes may have moved. RouteHistoryTest.manyChangesLeaveTheServiceUnknown.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RouteHistoryTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RouteHistoryTest.java
@@ -43,6 +43,17 @@
         assertThat("moved to s, later", history.movedTo("s", SPAN_MILLIS, LATE_MILLIS + 30_001), is(false));
     }
 
+    /** Guards against memory that grows with the number of changes, and against trusting what was dropped for it. */
+    @Test
+    void manyChangesLeaveTheServiceUnknown() {
+        history.inForce(catalog(route("/a/", "t")), 0);
+        for (int i = 1; i <= 20; i++) {
+            history.inForce(catalog(route("/a/", "s")), 1_000L * i);
+        }
+        assertThat("moved to s", history.movedTo("s", SPAN_MILLIS, 20_000), is(true));
+        assertThat("moved to s, later", history.movedTo("s", SPAN_MILLIS, LATE_MILLIS), is(false));
+    }
+
     /** Guards against a route that shared its requests among services until lately. */
     @Test
     void routeThatWasSplitDoesNotTellWhereStreamsBegan() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Catalog.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/catalog/Catalog.java
@@ -82,6 +82,15 @@
         return routes == null ? Optional.empty() : routes.find(path);
     }
 
+    /**
+     * Returns a catalog of the same routes, without services and organisations.
+     *
+     * @return catalog that takes less memory
+     */
+    public Catalog routesOnly() {
+        return new Catalog(version, limits, routes, List.of(), List.of());
+    }
+
     /**
      * Returns the services to which routes lead only since a catalog that was in force before.
      *
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/RouteHistory.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/RouteHistory.java
@@ -11,6 +11,11 @@
  * service to which a route leads now proves nothing while the stream may be older than the change.
  */
 public final class RouteHistory {
+    /**
+     * Maximum number of replaced catalogs that are kept; while more were replaced lately, all routes may have moved.
+     */
+    private static final int MAX_REPLACED = 16;
+
     /**
      * A catalog that was replaced.
      *
@@ -21,6 +26,7 @@
 
     private List<ReplacedCatalog> replaced = List.of();
     private Optional<Catalog> inForce = Optional.empty();
+    private long droppedAtMillis = Long.MIN_VALUE;
 
     /**
      * Records that a catalog is in force from now on.
@@ -36,7 +42,11 @@
                 .map(former -> new ReplacedCatalog(
                         former.catalog(), catalog.servicesMovedTo(former.catalog()), former.replacedAtMillis()))
                 .toList();
-        inForce = Optional.of(catalog);
+        inForce = Optional.of(catalog.routesOnly());
+        if (replaced.size() > MAX_REPLACED) {
+            droppedAtMillis = replaced.get(0).replacedAtMillis();
+            replaced = replaced.subList(1, replaced.size());
+        }
     }
 
     /**
@@ -48,8 +58,10 @@
      * @return true if a catalog that was in force within that time led requests of such a route elsewhere
      */
     public boolean movedTo(String service, long spanMillis, long nowMillis) {
-        return replaced.stream()
-                .anyMatch(former -> nowMillis - former.replacedAtMillis() <= spanMillis
-                        && former.movedTo().contains(service));
+        boolean unknown = droppedAtMillis != Long.MIN_VALUE && nowMillis - droppedAtMillis <= spanMillis;
+        return unknown
+                || replaced.stream()
+                        .anyMatch(former -> nowMillis - former.replacedAtMillis() <= spanMillis
+                                && former.movedTo().contains(service));
     }
 }
