--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreClientTest.java
@@ -133,6 +133,23 @@
         }
     }
 
+    /** Guards against a copy without the items of one call, for which a second page without any was taken. */
+    @Test
+    void secondAnswerWithoutItemsIsNotTakenForThatToTheNextCall() throws Exception {
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        try (StoreStandIn store = new StoreStandIn(IP, 0)) {
+            store.start();
+            store.put("servers/b", "");
+            store.begin(StoreFault.TWICE);
+            StoreClient client = new StoreClient(loop, store.address());
+            StoreClient.Callback second =
+                    new PageCallback(page -> outcome.complete(page.values().size() + " items"), outcome::complete);
+            loop.execute(() -> client.range(
+                    "op/", "", new PageCallback(page -> client.range("servers/", "", second), outcome::complete)));
+            assertThat(outcome.get(TIMEOUT_SECONDS, TimeUnit.SECONDS), is("1 items"));
+        }
+    }
+
     /**
      * Guards against changes that are lost because a second copy of a page stands for the events up to its revision.
      */
