--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -348,6 +348,21 @@
         assertThat("in force", inForce(APPLY_LIMIT_MILLIS), is(true));
     }
 
+    /**
+     * Guards against a small change that is taken for the rest of the large one before it, which came once and a half.
+     */
+    @ParameterizedTest
+    @EnumSource(
+            value = StoreFault.class,
+            names = {"PART_AGAIN", "PART_LATER"})
+    void partOfAnAnswerDoesNotHoldTheNextOneBack(StoreFault fault) throws Exception {
+        store.begin(fault);
+        publishVersion("," + String.join(",", variants(ROUTE)), "", "");
+        assertThat("large one in force", inForce(APPLY_LIMIT_MILLIS), is(true));
+        publishVersion("", "", "");
+        assertThat("small one in force", inForce(APPLY_LIMIT_MILLIS), is(true));
+    }
+
     /** Guards against taking a store that cannot be connected to for one that was only interrupted. */
     @Test
     void storeThatCannotBeConnectedToIsOut() throws Exception {
