Repeat parts of streams, and two of them together, in the test of stray responses

The test had targets that repeat parts of plain responses, over direct connections. Streams, which are sent on event by event, were in no play, nor were connections that a peer relays, two stray parts together, a part followed by the whole response, a whole one with another status, a chunked one that lacks its end, and bytes that are no response.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/KeptConnection.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/KeptConnection.java
@@ -69,6 +69,11 @@
         return new Response(status, body.toString(), ending, System.currentTimeMillis());
     }
 
+    /** Waits for the end of the connection; returns false if other bytes precede it. */
+    boolean endsNow() throws IOException {
+        return in.read() < 0;
+    }
+
     private String readHead() throws IOException {
         StringBuilder head = new StringBuilder();
         String line = readLine();
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StrayResponseTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StrayResponseTest.java
@@ -21,6 +21,8 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,6 +40,8 @@
     private static final int FAILURE_INTERVAL = 5;
 
     private static final int REJECTION_INTERVAL = 7;
+    private static final Pattern RESUMED = Pattern.compile("(?i)resume-after: (\\d+)");
+    private static final int MAX_EVENTS = 5;
     private static final long TIMEOUT_MILLIS = 5_000;
     private static final long PAUSE_MILLIS = 4;
     /** Length that a head declares whose body never follows; longer than the responses after it. */
@@ -104,14 +108,81 @@
         UNNAMED_OTHER_STATUS {
             @Override
             String of(Response response) {
-                int other = response.status() == 200 ? 500 : 200;
-                return new Response(response.attempt(), other, response.body())
-                        .text()
-                        .replace(response.attemptLine(), "");
+                return response.withOtherStatus().text().replace(response.attemptLine(), "");
+            }
+        },
+        UNNAMED_INSIDE_BODY {
+            @Override
+            String of(Response response) {
+                return INSIDE_BODY.of(response).replace(response.attemptLine(), "");
+            }
+        },
+        WHOLE {
+            @Override
+            String of(Response response) {
+                return response.text();
+            }
+        },
+        WHOLE_OTHER_STATUS {
+            @Override
+            String of(Response response) {
+                return response.withOtherStatus().text();
+            }
+        },
+        PART_AND_WHOLE {
+            @Override
+            String of(Response response) {
+                return AFTER_ATTEMPT.of(response) + response.text();
+            }
+        },
+        WHOLE_AND_PART {
+            @Override
+            String of(Response response) {
+                return response.text() + LENGTH_BEFORE_ATTEMPT.of(response);
+            }
+        },
+        TWO_PARTS {
+            @Override
+            String of(Response response) {
+                return INSIDE_CHUNK.of(response) + STATUS_LINE.of(response);
+            }
+        },
+        BEFORE_LAST_LINE {
+            @Override
+            String of(Response response) {
+                String chunked = response.chunked();
+                return chunked.substring(0, chunked.length() - 2);
+            }
+        },
+        INSIDE_EVENT {
+            @Override
+            String of(Response response) {
+                String chunked = response.chunked();
+                return chunked.substring(0, chunked.length() - 9);
+            }
+        },
+        NO_RESPONSE {
+            @Override
+            String of(Response response) {
+                return "\u0001\u0002 no response \r\n\r\n";
+            }
+        },
+        NO_RESPONSE_WITHOUT_END {
+            @Override
+            String of(Response response) {
+                return "Attempt: " + response.attempt();
             }
         };
 
         abstract String of(Response response);
+
+        /**
+         * Tells whether the response to the next request may be lost: bytes that are no response, and arrive between a
+         * request and its response, look like a faulty response to it.
+         */
+        boolean mayCostResponses(Timing timing) {
+            return timing == Timing.SOON && (this == NO_RESPONSE || this == NO_RESPONSE_WITHOUT_END);
+        }
     }
 
     /** When the stray bytes are sent. */
@@ -121,8 +192,25 @@
         BEFORE_NEXT
     }
 
+    /** What callers ask for. */
+    private enum Kind {
+        PLAIN("/unsafe/x"),
+        STREAM("/stream/x"),
+        RESUMABLE_STREAM("/resumable/x");
+
+        private final String path;
+
+        Kind(String path) {
+            this.path = path;
+        }
+    }
+
     /** A response of a target. */
-    private record Response(String attempt, int status, String body) {
+    private record Response(String attempt, int status, String body, boolean streamed) {
+        Response withOtherStatus() {
+            return new Response(attempt, status == 200 ? 500 : 200, body, streamed);
+        }
+
         String statusLine() {
             return "HTTP/1.1 " + status + " Status\r\n";
         }
@@ -131,9 +219,21 @@
             return "Attempt: " + attempt + "\r\n";
         }
 
+        private String fields() {
+            return statusLine() + attemptLine() + (status == 503 ? "Not-Run: 1\r\n" : "Signed: yes\r\n");
+        }
+
         String text() {
-            return statusLine() + attemptLine() + (status == 503 ? "Not-Run: 1\r\n" : "Signed: yes\r\n")
-                    + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+            return streamed ? chunked() : fields() + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        }
+
+        /** Returns the response with a chunk for each event. */
+        String chunked() {
+            StringBuilder chunks = new StringBuilder(fields()).append("Transfer-Encoding: chunked\r\n\r\n");
+            for (String event : body.split("(?<=\n\n)")) {
+                chunks.append(FakeTarget.chunk(event));
+            }
+            return chunks.append("0\r\n\r\n").toString();
         }
     }
 
@@ -190,48 +290,102 @@
             String attempt = FakeTarget.attemptId(request);
             int number = received.incrementAndGet();
             if (number % REJECTION_INTERVAL == 0) {
-                return new Response(attempt, 503, "full");
+                return new Response(attempt, 503, "full", false);
             }
-            Response response = number % FAILURE_INTERVAL == 0
-                    ? new Response(attempt, 500, "failed-" + attempt)
-                    : new Response(attempt, 200, "ran-" + attempt);
+            boolean streamed = !request.contains(Kind.PLAIN.path);
+            String body = streamed ? events(request, attempt) : "ran-" + attempt;
+            // A stream that may be resumed is repeated after a failure, with another result.
+            boolean fails = number % FAILURE_INTERVAL == 0 && !request.contains(Kind.RESUMABLE_STREAM.path);
+            Response response = fails
+                    ? new Response(attempt, 500, "failed-" + attempt, false)
+                    : new Response(attempt, 200, body, streamed);
             runs.put(attempt, response);
             return response;
         }
     }
 
+    /** Returns the events of a stream that the request asks for; their number depends on the attempt. */
+    private static String events(String request, String attempt) {
+        Matcher resumed = RESUMED.matcher(request);
+        int first = resumed.find() ? 1 + Integer.parseInt(resumed.group(1)) : 1;
+        StringBuilder events = new StringBuilder();
+        for (int id = first; id <= eventCount(attempt); id++) {
+            events.append("id: ").append(id).append("\ndata: ").append(attempt).append("\n\n");
+        }
+        return events.toString();
+    }
+
+    private static int eventCount(String attempt) {
+        return 1 + Math.floorMod(attempt.hashCode(), MAX_EVENTS);
+    }
+
     static Stream<Arguments> plays() {
-        return Stream.of(Stray.values())
-                .flatMap(stray -> Stream.of(Timing.values()).map(timing -> Arguments.of(stray, timing)));
+        return Stream.of(Kind.values())
+                .flatMap(kind -> Stream.of(Stray.values())
+                        .flatMap(stray -> Stream.of(Timing.values())
+                                .filter(timing -> kind != Kind.RESUMABLE_STREAM || timing == Timing.BEFORE_NEXT)
+                                .map(timing -> Arguments.of(kind, stray, timing))));
     }
 
     /** Guards against stray bytes of a target that are taken for the response to the next request, or a part of it. */
     @ParameterizedTest
     @MethodSource("plays")
-    void strayBytesAreNotTakenForTheNextResponse(Stray stray, Timing timing) throws Exception {
+    void strayBytesAreNotTakenForTheNextResponse(Kind kind, Stray stray, Timing timing) throws Exception {
         Map<String, Response> runs = new ConcurrentHashMap<>();
-        List<String> wrong = new CopyOnWriteArrayList<>();
-        ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
         ExecutorService later = Executors.newCachedThreadPool();
         try (FrontFixture fixture = new FrontFixture()) {
             for (int i = 0; i < TARGETS; i++) {
                 fixture.target("t" + i, new StutteringTarget(stray, timing, runs, later)::answer);
             }
             fixture.publishCatalog(TARGETS, TIMEOUT_MILLIS);
+            assertThat(wrongResponses(fixture, kind, stray.mayCostResponses(timing), runs), empty());
+        } finally {
+            later.shutdownNow();
+        }
+        assertThat("requests that ran", runs.size(), greaterThan(REQUESTS / 2));
+    }
+
+    static Stream<Arguments> relayedPlays() {
+        return Stream.of(Stray.STATUS_LINE, Stray.INSIDE_BODY, Stray.UNNAMED, Stray.PART_AND_WHOLE)
+                .flatMap(stray -> Stream.of(Timing.values()).map(timing -> Arguments.of(stray, timing)));
+    }
+
+    /** Guards against the same over connections that a peer relays. */
+    @ParameterizedTest
+    @MethodSource("relayedPlays")
+    void strayBytesOfRelayedConnectionsAreNotTakenForTheNextResponse(Stray stray, Timing timing) throws Exception {
+        Map<String, Response> runs = new ConcurrentHashMap<>();
+        ExecutorService later = Executors.newCachedThreadPool();
+        StutteringTarget target = new StutteringTarget(stray, timing, runs, later);
+        try (CutFleet fleet = new CutFleet(2, TARGETS, false, target::answer)) {
+            fleet.cut(0, CutLink.Cut.REFUSED);
+            assertThat(call(fleet.front(0), Kind.PLAIN, "partition", false, runs), is(Optional.empty()));
+            assertThat(wrongResponses(fleet.front(0), Kind.PLAIN, false, runs), empty());
+        } finally {
+            later.shutdownNow();
+        }
+        assertThat("requests that ran", runs.size(), greaterThan(REQUESTS / 2));
+    }
+
+    /** Sends requests over several connections at once, and returns what is wrong with their responses. */
+    private static List<String> wrongResponses(
+            FrontFixture fixture, Kind kind, boolean mayBeLost, Map<String, Response> runs) throws Exception {
+        List<String> wrong = new CopyOnWriteArrayList<>();
+        ExecutorService callers = Executors.newFixedThreadPool(CALLERS);
+        try {
             List<Future<?>> pending = new ArrayList<>();
             for (int i = 0; i < REQUESTS; i++) {
                 String attempt = "a" + i;
-                pending.add(callers.submit(() -> call(fixture, attempt, runs).ifPresent(wrong::add)));
+                pending.add(callers.submit(
+                        () -> call(fixture, kind, attempt, mayBeLost, runs).ifPresent(wrong::add)));
             }
             for (Future<?> call : pending) {
                 call.get();
             }
-            assertThat(wrong, empty());
         } finally {
             callers.shutdownNow();
-            later.shutdownNow();
         }
-        assertThat("requests that ran", runs.size(), greaterThan(REQUESTS / 2));
+        return wrong;
     }
 
     /** Guards against a second copy of a rejection that names the attempt which is sent to its target once more. */
@@ -242,7 +396,7 @@
             fixture.target("t", (request, socket) -> {
                 String attempt = FakeTarget.attemptId(request);
                 received.merge(attempt, 1, Integer::sum);
-                FakeTarget.write(socket, new Response(attempt, 503, "full").text());
+                FakeTarget.write(socket, new Response(attempt, 503, "full", false).text());
             });
             fixture.publishCatalog(TARGETS, TIMEOUT_MILLIS);
             for (int i = 0; i < FAILURE_INTERVAL; i++) {
@@ -265,7 +419,7 @@
                     FakeTarget.write(socket, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
                 } else {
                     used.add(socket);
-                    FakeTarget.write(socket, new Response(FakeTarget.attemptId(request), 200, "ran").text());
+                    FakeTarget.write(socket, new Response(FakeTarget.attemptId(request), 200, "ran", false).text());
                 }
             });
             fixture.publishCatalog(1, TIMEOUT_MILLIS);
@@ -279,18 +433,24 @@
         assertThat(checksOverUsed, everyItem(is(false)));
     }
 
-    /** Sends a request that may run once, and returns what is wrong with its response. */
-    private static Optional<String> call(FrontFixture fixture, String attempt, Map<String, Response> runs) {
-        String received;
-        try {
-            received = fixture.exchange(FrontFixture.request("POST", "/unsafe/x", attempt, true));
+    /** Sends a request, and returns what is wrong with its response. */
+    private static Optional<String> call(
+            FrontFixture fixture, Kind kind, String attempt, boolean mayBeLost, Map<String, Response> runs) {
+        KeptConnection.Response received;
+        boolean complete;
+        try (KeptConnection caller = new KeptConnection(fixture.connect(), 2 * (int) TIMEOUT_MILLIS)) {
+            received = caller.exchange(FrontFixture.request("POST", kind.path, attempt, true));
+            complete = received.ending() == KeptConnection.Ending.COMPLETE && caller.endsNow();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
         Response ran = runs.get(attempt);
         boolean right = ran == null
-                ? received.startsWith("HTTP/1.1 503")
-                : received.startsWith("HTTP/1.1 " + ran.status()) && received.endsWith("\r\n\r\n" + ran.body());
-        return right ? Optional.empty() : Optional.of(attempt + " ran as " + ran + ": " + received);
+                ? received.status() == 503
+                : received.status() == ran.status() && received.body().equals(ran.body());
+        boolean lost = mayBeLost && received.status() == 502;
+        return (right || lost) && complete
+                ? Optional.empty()
+                : Optional.of(attempt + " ran as " + ran + ": " + received);
     }
 }
