Stand-in workers repeat a part before the whole answer, other statuses, and bytes without an end

The workers of the fleet repeated either a part of an answer or all of it, with the id ahead of the length in each head. Now they may also send a part and then the whole, the whole with another status, or bytes that are no answer and have no end, right before the next answer; the length stands ahead of the id in half of the heads.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -20,6 +20,9 @@
     private static final int LONG_INTERVAL = 20;
 
     private static final String GARBAGE = "\u0001\u0002 no answer \r\n\r\n";
+    private static final String GARBAGE_WITHOUT_END = "no answer";
+    private static final String SUCCESS = "HTTP/1.1 200";
+    private static final String FAILURE = "HTTP/1.1 500";
     /** Time between the parts of a plain answer that ends with its connection. */
     private static final int MAX_PART_MILLIS = 40;
     /** One of so many streams ends with its connection. */
@@ -235,9 +238,11 @@
     }
 
     private String head(Output output, Framing framing, int length) {
-        return "HTTP/1.1 " + output.status + " X\r\nX-Attempt-Id: " + output.run.attemptId() + "\r\nX-Server-Seal: "
-                + output.run.seal() + "\r\n"
-                + framing.header(length)
+        String names = "X-Attempt-Id: " + output.run.attemptId() + "\r\nX-Server-Seal: " + output.run.seal();
+        String framed = framing.header(length);
+        boolean namesFirst = worker.draw(2) == 0;
+        return "HTTP/1.1 " + output.status + " X\r\n"
+                + (namesFirst ? names + "\r\n" + framed : framed + "\r\n" + names)
                 + "\r\n\r\n";
     }
 
@@ -323,6 +328,9 @@
             case PART_REPEATED_BEFORE_NEXT -> before = partOf(answer);
             case REPEATED_UNNAMED_SOON -> sendLater(unnamed(answer));
             case REPEATED_UNNAMED_BEFORE_NEXT -> before = unnamed(answer);
+            case PART_AND_WHOLE_REPEATED_BEFORE_NEXT -> before = partOf(answer) + answer;
+            case REPEATED_WITH_OTHER_STATUS_BEFORE_NEXT -> before = withOtherStatus(answer);
+            case GARBAGE_BEFORE_NEXT -> before = GARBAGE_WITHOUT_END;
             case HALF_REPEATED_BEFORE_NEXT -> {
                 before = answer.substring(0, answer.length() / 2);
                 endsAfterRepetition = true;
@@ -350,6 +358,11 @@
         return answer.replaceFirst("X-Attempt-Id: [^\r]*\r\n", "");
     }
 
+    private static String withOtherStatus(String answer) {
+        String status = answer.startsWith(SUCCESS) ? FAILURE : SUCCESS;
+        return status + answer.substring(SUCCESS.length());
+    }
+
     private void send(String text) throws IOException {
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerFault.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerFault.java
@@ -19,6 +19,12 @@
     REPEATED_UNNAMED_SOON,
     /** The answer is written a second time right before the next answer, without the id of its attempt. */
     REPEATED_UNNAMED_BEFORE_NEXT,
+    /** A part of the answer, and then all of it, is written a second time right before the next answer. */
+    PART_AND_WHOLE_REPEATED_BEFORE_NEXT,
+    /** The answer is written a second time right before the next answer, with another status. */
+    REPEATED_WITH_OTHER_STATUS_BEFORE_NEXT,
+    /** Bytes that are no answer and have no end are written right before the next answer. */
+    GARBAGE_BEFORE_NEXT,
     /** The connection is closed in the middle of the answer. */
     TRUNCATED,
     /** The connection is reset in the middle of the answer. */
@@ -51,7 +57,7 @@
         };
     }
 
-    /** Tells whether the answer is written a second time. */
+    /** Tells whether the answer, or something else that answers no request, is written after the answer. */
     boolean repeats() {
         return switch (this) {
             case REPEATED_AT_ONCE,
@@ -61,7 +67,10 @@
                     PART_REPEATED_SOON,
                     PART_REPEATED_BEFORE_NEXT,
                     REPEATED_UNNAMED_SOON,
-                    REPEATED_UNNAMED_BEFORE_NEXT -> true;
+                    REPEATED_UNNAMED_BEFORE_NEXT,
+                    PART_AND_WHOLE_REPEATED_BEFORE_NEXT,
+                    REPEATED_WITH_OTHER_STATUS_BEFORE_NEXT,
+                    GARBAGE_BEFORE_NEXT -> true;
             default -> false;
         };
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerRun.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerRun.java
@@ -16,7 +16,7 @@
  * @param status status that was written; 0 if none
  * @param end how it ended
  * @param body body of the whole answer; for streams, the events that were written
- * @param repeated whether the answer, or a part of it, was written again
+ * @param repeated whether the answer, a part of it, or other bytes that answer no request were written after it
  * @param beganNanos time of arrival
  * @param endedNanos time of the end; the time of arrival while it runs
  * @param leavingSinceNanos time at which the store confirmed that the worker leaves, if that was before the arrival
