Resume each stream that waited for the history in a turn of its own

A failure of one of the requests that wait for the history left all requests behind it waiting until their deadlines: they were resumed in one loop. AwaitedHistoryTest fails before (not resumed within 20 s) and passes: the event loop guards each task by itself.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
@@ -104,7 +104,8 @@
         historyExpected = false;
         List<Runnable> tasks = List.copyOf(awaitingHistory);
         awaitingHistory.clear();
-        tasks.forEach(Runnable::run);
+        // Each in a turn of its own, so that one that fails does not end the others.
+        tasks.forEach(loop::execute);
     }
 
     /** Returns the services of which this process can tell others that they have had one version only, with it. */
