Count bytes that follow a response in the same read

A target that repeats its responses at once left no trace: the connection was closed without a line, though the page of metrics says that unrequested responses are counted.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -347,7 +347,11 @@
         TargetListener current = listener;
         listener = null;
         boolean sent = written.isDone() && written.isSuccess();
-        if (reusable && sent && !link.inputEnded() && decoder.isBetweenResponses()) {
+        boolean othersFollow = !decoder.isBetweenResponses();
+        if (othersFollow) {
+            pool.responseUnmatched(UnmatchedResponse.UNREQUESTED, "", 0, "", carriedRequests);
+        }
+        if (reusable && sent && !link.inputEnded() && !othersFollow) {
             phase = Phase.IDLE;
             idleSinceMillis = pool.nowMillis();
             channel.config().setAutoRead(true);
