Bound empty lines and the search for a status line, and keep connections behind an empty line

Empty lines without end held a request and its connection, as the decoder had begun to skip them by itself without a bound; bytes before a complete line were searched from their beginning at each read, 123 s for 256 KB that arrive one by one (2 s for the 32 KB that a front reads, by the square); a healthy connection was closed where an empty line follows each response.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StrayBytesTimingTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/StrayBytesTimingTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.endsWith;
+import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.startsWith;
@@ -173,4 +174,35 @@
             assertThat(call(fixture, "a2"), endsWith("ran"));
         }
     }
+
+    /** Guards against healthy connections that are closed for an empty line behind each response. */
+    @Test
+    void connectionsAreKeptBehindEmptyLines() throws Exception {
+        Set<Socket> connections = ConcurrentHashMap.newKeySet();
+        try (FrontFixture fixture = new FrontFixture()) {
+            fixture.target("t", (request, socket) -> {
+                connections.add(socket);
+                FakeTarget.write(socket, FakeTarget.answer(request, 200, "ran") + "\r\n");
+            });
+            fixture.publishCatalog(1, TIMEOUT_MILLIS);
+            for (int i = 0; i < REQUESTS; i++) {
+                assertThat(call(fixture, "a" + i), endsWith("ran"));
+            }
+        }
+        assertThat(connections.size(), lessThanOrEqualTo(MAX_CONNECTIONS));
+    }
+
+    /** Guards against a target that repeats its responses at once without a trace in the metrics. */
+    @Test
+    void bytesBehindAResponseAreCounted() throws Exception {
+        try (FrontFixture fixture = new FrontFixture()) {
+            fixture.target("t", (request, socket) -> {
+                String answer = FakeTarget.answer(request, 200, "ran");
+                FakeTarget.write(socket, answer + answer);
+            });
+            fixture.publishCatalog(1, TIMEOUT_MILLIS);
+            assertThat(call(fixture, "a"), endsWith("ran"));
+            assertThat(fixture.counter("whinwharf_responses_unmatched_total"), is(1.0));
+        }
+    }
 }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetAnswerDecoderTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TargetAnswerDecoderTest.java
@@ -46,17 +46,30 @@
 
     /** Connection that awaits the response to {@link #OWN} and discards the others, as a target's connection does. */
     private static final class Connection extends SimpleChannelInboundHandler<HttpObject> {
-        private final TargetAnswerDecoder decoder = new TargetAnswerDecoder(
-                new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setStrictLineParsing(true));
-        private final EmbeddedChannel channel = new EmbeddedChannel(decoder, this);
+        private final TargetAnswerDecoder decoder;
+        private final EmbeddedChannel channel;
         private final List<String> delivered = new ArrayList<>();
         private final StringBuilder body = new StringBuilder();
         private HttpResponse current;
         private boolean discarding;
 
+        Connection() {
+            this(MAX_HEADER_BYTES);
+        }
+
+        Connection(int maxHeaderBytes) {
+            decoder = new TargetAnswerDecoder(
+                    new HttpDecoderConfig().setMaxHeaderSize(maxHeaderBytes).setStrictLineParsing(true));
+            channel = new EmbeddedChannel(decoder, this);
+        }
+
         /** Returns a connection that has carried a response, and awaits another one. */
         static Connection kept() {
-            Connection connection = new Connection();
+            return kept(MAX_HEADER_BYTES);
+        }
+
+        static Connection kept(int maxHeaderBytes) {
+            Connection connection = new Connection(maxHeaderBytes);
             connection.send(HttpMethod.GET);
             connection.receive(SOUND);
             connection.delivered.clear();
@@ -384,4 +397,27 @@
         assertThat(connection.delivered, is(List.of(DELIVERED)));
         assertThat(connection.decoder.isBetweenResponses(), is(true));
     }
+
+    /** Guards against empty lines without end that hold a request and its connection. */
+    @Test
+    void emptyLinesWithoutEndFail() {
+        Connection connection = Connection.kept();
+        for (int i = 0; i < MAX_HEADER_BYTES; i++) {
+            connection.receive("\r\n");
+        }
+        assertThat(connection.delivered, is(List.of("failure")));
+    }
+
+    /** Guards against work that grows with the square of the bytes before a line is complete. */
+    @Test
+    @Timeout(value = 2, unit = TimeUnit.SECONDS)
+    void awaitingALineIsLinear() {
+        int bytes = 256 * 1_024;
+        Connection connection = Connection.kept(bytes);
+        for (int i = 0; i < bytes; i++) {
+            connection.receive("x");
+        }
+        connection.receive(SOUND);
+        assertThat(connection.delivered, is(List.of(DELIVERED)));
+    }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetAnswerDecoder.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetAnswerDecoder.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ByteProcessor;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
@@ -23,6 +24,9 @@
  */
 final class TargetAnswerDecoder extends HttpResponseDecoder {
     private static final byte[] STATUS_LINE_START = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
+    /** Processes the bytes of empty lines. */
+    private static final ByteProcessor BLANK = value -> value == '\r' || value == '\n';
+
     private static final byte[] HEAD_END = "\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     /** Length of a status line up to its code. */
     private static final int STATUS_BYTES = "HTTP/1.1 200".length();
@@ -47,6 +51,10 @@
     private boolean inputEnded;
     /** Bytes from the reader index on that hold no end of a head. */
     private int searchedBytes;
+    /** Bytes from the reader index on at which no status line begins, before a line is complete. */
+    private int searchedLineBytes;
+    /** Bytes of empty lines since the last head. */
+    private int blankBytes;
     /** Bytes that belong to no request, since the last call of {@link #expectResponse}. */
     private long discardedBytes;
 
@@ -77,9 +85,9 @@
         return discardedBytes;
     }
 
-    /** Tells whether all bytes that were received belong to responses whose ends were decoded. */
+    /** Tells whether all bytes that were received, but for empty lines, belong to responses whose ends were decoded. */
     boolean isBetweenResponses() {
-        return position == Position.HEAD && actualReadableBytes() == 0;
+        return position == Position.HEAD && internalBuffer().forEachByte(BLANK) < 0;
     }
 
     @Override
@@ -98,7 +106,10 @@
         int before = out.size();
         if (position == Position.HEAD) {
             skipBlankLines(in);
-            if (expectedResponses <= 1) {
+            if (blankBytes > maxHeaderBytes) {
+                blankBytes = 0;
+                refuse("empty lines without end", out);
+            } else if (expectedResponses <= 1 && in.isReadable()) {
                 position = Position.NO_HEAD;
             }
         } else if (position == Position.DISCARDING) {
@@ -110,6 +121,7 @@
             super.decode(context, in, out);
         }
         for (Object decoded : out.subList(before, out.size())) {
+            blankBytes = 0;
             position = decoded instanceof LastHttpContent ? Position.HEAD : Position.BODY;
         }
     }
@@ -118,9 +130,7 @@
         int headBytes = findHead(in);
         if (headBytes > 0 && position == Position.HEAD && quotesStatusLine(in, in.readerIndex() + headBytes)) {
             in.skipBytes(headBytes);
-            HttpMessage refused = createInvalidMessage();
-            refused.setDecoderResult(DecoderResult.failure(new CorruptedFrameException("status line in a field")));
-            out.add(refused);
+            refuse("status line in a field", out);
         } else if (headBytes > 0) {
             int strayBytes = lastStatusLine(in, in.readerIndex() + headBytes) - in.readerIndex();
             discard(in, strayBytes);
@@ -131,10 +141,17 @@
         }
     }
 
-    private static void skipBlankLines(ByteBuf in) {
-        while (in.isReadable() && (in.getByte(in.readerIndex()) == '\r' || in.getByte(in.readerIndex()) == '\n')) {
-            in.skipBytes(1);
-        }
+    private void refuse(String reason, List<Object> out) {
+        HttpMessage refused = createInvalidMessage();
+        refused.setDecoderResult(DecoderResult.failure(new CorruptedFrameException(reason)));
+        out.add(refused);
+    }
+
+    private void skipBlankLines(ByteBuf in) {
+        int other = in.forEachByte(BLANK);
+        int bytes = other < 0 ? in.readableBytes() : other - in.readerIndex();
+        in.skipBytes(bytes);
+        blankBytes += bytes;
     }
 
     /** Skips what precedes the next status line; keeps the end of the input where one may begin. */
@@ -163,14 +180,17 @@
      */
     private int findHead(ByteBuf in) {
         if (position == Position.HEAD && !mayBeStatusLine(in, in.readerIndex(), in.writerIndex())) {
-            int statusLine = firstStatusLine(in);
+            int from = in.readerIndex() + searchedLineBytes;
+            int statusLine = firstStatusLine(in, from);
             if (statusLine < 0) {
-                boolean lineComplete = in.bytesBefore((byte) '\n') >= 0;
+                boolean lineComplete = in.indexOf(from, in.writerIndex(), (byte) '\n') >= 0;
+                searchedLineBytes = Math.max(0, in.readableBytes() - STATUS_BYTES + 1);
                 if (lineComplete || in.readableBytes() > maxHeaderBytes || inputEnded) {
                     noHead(in);
                 }
                 return 0;
             }
+            searchedLineBytes = 0;
             discard(in, statusLine - in.readerIndex());
         }
         int last = in.writerIndex() - HEAD_END.length;
@@ -198,6 +218,7 @@
         } else {
             position = Position.NO_HEAD;
             searchedBytes = 0;
+            searchedLineBytes = 0;
         }
     }
 
@@ -209,8 +230,8 @@
                 && QUOTING.indexOf(in.getByte(statusLine - 1)) >= 0;
     }
 
-    private static int firstStatusLine(ByteBuf in) {
-        for (int i = in.readerIndex(); i <= in.writerIndex() - STATUS_BYTES; i++) {
+    private static int firstStatusLine(ByteBuf in, int from) {
+        for (int i = from; i <= in.writerIndex() - STATUS_BYTES; i++) {
             if (isStatusLine(in, i)) {
                 return i;
             }
