Stand-in workers end streams in order between two events

The stand-in workers reset every stream without a declared end that they break off, so that no run of ours could show what becomes of one whose connection is closed in order by a worker that lives on.

Draws of the other soak are unchanged.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CutWatchDrainTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CutWatchDrainTest.java
@@ -44,6 +44,7 @@
                         record,
                         new WorkerStandIn.Identity("w" + i, "s", "za", "v1"),
                         new InetSocketAddress(fleet.ip(FIRST_WORKER_IP + i), WORKER_PORT),
+                        StreamEnds.WHOLE,
                         NO_FAULTS,
                         i);
                 worker.start();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleetSoakTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleetSoakTest.java
@@ -33,7 +33,7 @@
     void fleetKeepsTheRulesUnderFaults(long seed) throws Exception {
         FleetHistory history;
         List<String> breaches = new ArrayList<>();
-        try (FleetPlay play = new FleetPlay(new Random(seed))) {
+        try (FleetPlay play = new FleetPlay(new Random(seed), StreamEnds.WHOLE)) {
             history = play.play();
             breaches.addAll(FleetChecks.mixed(history));
             breaches.addAll(FleetChecks.twice(history));
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FaultMix.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FaultMix.java
@@ -12,11 +12,13 @@
  * @param rejectionProbability share of the requests that are rejected though there is a slot
  */
 record FaultMix(List<WorkerFault> faults, double probability, double rejectionProbability) {
-    private static final List<WorkerFault> ALL = List.of(WorkerFault.values());
+    private static final List<WorkerFault> ALL = Arrays.stream(WorkerFault.values())
+            .filter(fault -> fault != WorkerFault.ENDED_EARLY)
+            .toList();
     private static final List<WorkerFault> REPEATING =
             Arrays.stream(WorkerFault.values()).filter(WorkerFault::repeats).toList();
     private static final List<WorkerFault> BREAKING = Arrays.stream(WorkerFault.values())
-            .filter(fault -> !fault.answers())
+            .filter(fault -> !fault.answers() && fault != WorkerFault.ENDED_EARLY)
             .toList();
 
     /** Draws a mix: none, some of all kinds, mostly repeated answers, or mostly answers that are broken off. */
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
@@ -34,6 +34,7 @@
     private static final long CALLER_END_SECONDS = 20;
 
     private final Random random;
+    private final StreamEnds streamEnds;
     private final DeployedFleet fleet;
     private final FleetRecord record = new FleetRecord();
     private final WorkerStandIn[] workers = new WorkerStandIn[WORKERS];
@@ -46,8 +47,9 @@
     private int lifetimes;
     private volatile boolean oldVersionLeft;
 
-    FleetPlay(Random random) throws IOException {
+    FleetPlay(Random random, StreamEnds streamEnds) throws IOException {
         this.random = random;
+        this.streamEnds = streamEnds;
         fleet = new DeployedFleet();
     }
 
@@ -88,6 +90,7 @@
                 record,
                 new WorkerStandIn.Identity(id, SERVICE, "z" + "abcd".charAt(place % 4), "v" + version),
                 new InetSocketAddress(fleet.ip(FIRST_WORKER_IP + place), WORKER_PORT),
+                streamEnds,
                 FaultMix.draw(random),
                 random.nextLong());
         worker.start();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetSummary.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetSummary.java
@@ -33,8 +33,13 @@
                         .filter(run -> run.status() != 200)
                         .isPresent())
                 .count();
+        long wholeWithoutEnd = history.answers().stream()
+                .filter(answer -> answer.kind().streaming() && answer.end() == CallerAnswer.End.CLOSED)
+                .filter(answer -> answer.body().contains("id: " + AttemptKind.events(answer.path()) + "\n"))
+                .count();
         return "seed " + seed + ": breaches " + rules + ", answers " + answers + ", runs " + runs
                 + ", streams with a success and a closed channel " + closedStreams + ", resumed attempts " + resumed
+                + ", streams with all events and a closed channel " + wholeWithoutEnd
                 + ", incomplete successes whose run has another status " + elsewhere;
     }
 
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -25,9 +25,6 @@
     private static final String FAILURE = "HTTP/1.1 500";
     /** Time between the parts of a plain answer that ends with its connection. */
     private static final int MAX_PART_MILLIS = 40;
-    /** One of so many streams ends with its connection. */
-    private static final int UNDECLARED_INTERVAL = 4;
-
     /** One of so many parts of answers ends behind the head. */
     private static final int BODY_PART_INTERVAL = 4;
 
@@ -80,6 +77,9 @@
             if (this != CONNECTION) {
                 return fault;
             }
+            if (fault == WorkerFault.ENDED_EARLY) {
+                return fault;
+            }
             // Only a reset tells that an answer which ends with its connection is incomplete.
             return fault.answers() ? WorkerFault.NONE : WorkerFault.RESET;
         }
@@ -248,10 +248,14 @@
 
     private boolean stream(Output output, WorkerFault drawn, long limitMillis) throws IOException {
         WorkerRun run = output.run;
-        Framing framing = worker.draw(UNDECLARED_INTERVAL) == 0 ? Framing.CONNECTION : Framing.CHUNKS;
-        WorkerFault fault = framing.possible(drawn);
+        Framing framing = worker.drawUndeclared() ? Framing.CONNECTION : Framing.CHUNKS;
         int events = AttemptKind.events(run.path());
+        boolean endsEarly = run.afterEvent() < events && worker.drawEarlyEnd();
+        WorkerFault fault = framing.possible(endsEarly ? WorkerFault.ENDED_EARLY : drawn);
         int breakAfter = fault.answers() ? events : run.afterEvent() + worker.draw(events - run.afterEvent() + 1);
+        if (fault == WorkerFault.ENDED_EARLY) {
+            breakAfter = Math.min(breakAfter, events - 1);
+        }
         long endNanos = run.beganNanos() + limitMillis * 1_000_000;
         int maxEventMillis = worker.draw(SLOW_INTERVAL) == 0 ? MAX_SLOW_EVENT_MILLIS : MAX_EVENT_MILLIS;
         output.status = 200;
@@ -274,6 +278,10 @@
             output.all.append(framing.part(event));
         }
         end(output, fault);
+        if (fault == WorkerFault.ENDED_EARLY) {
+            recordEarlyEnd(output, framing);
+            return false;
+        }
         if (fault.answers()) {
             output.all.append(framing.end());
             send(framing.end());
@@ -300,6 +308,12 @@
                         fault.repeats()));
     }
 
+    private void recordEarlyEnd(Output output, Framing framing) {
+        if (framing == Framing.CONNECTION) {
+            worker.record().put(output.run.ended(WorkerRun.End.CUT, output.status, output.body.toString(), false));
+        }
+    }
+
     /** Writes an answer as a fault has it; returns whether the connection stays open. */
     private boolean write(String answer, WorkerFault fault) throws IOException {
         if (fault == WorkerFault.TRUNCATED || fault == WorkerFault.RESET) {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerFault.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerFault.java
@@ -29,6 +29,8 @@
     TRUNCATED,
     /** The connection is reset in the middle of the answer. */
     RESET,
+    /** The connection is closed in order between two events of a stream, or in the middle of another answer. */
+    ENDED_EARLY,
     /** Bytes that are no answer are written instead of it, or in the middle of a stream. */
     GARBAGE,
     /** Bytes that are no answer follow the complete answer. */
@@ -43,7 +45,7 @@
     /** Tells whether the whole answer is written. */
     boolean answers() {
         return switch (this) {
-            case TRUNCATED, RESET, GARBAGE, SILENT -> false;
+            case TRUNCATED, RESET, ENDED_EARLY, GARBAGE, SILENT -> false;
             default -> true;
         };
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerRun.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerRun.java
@@ -44,6 +44,8 @@
         WRITTEN,
         /** The worker wrote a part of its answer, no answer, or bytes that are none. */
         BROKEN_OFF,
+        /** The worker ended a stream that declares no end between two events, as it ends a whole one. */
+        CUT,
         /** The other side closed the connection. */
         CALLER_LEFT,
         CRASHED
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
@@ -27,6 +27,7 @@
     private final FleetRecord record;
     private final Identity identity;
     private final InetSocketAddress address;
+    private final StreamEnds streamEnds;
     private volatile FaultMix faults;
     private final Random random;
     private final Semaphore slots = new Semaphore(SLOTS, true);
@@ -51,6 +52,7 @@
     /**
      * Describes a worker that is not started.
      *
+     * @param streamEnds how it ends streams
      * @param faults its faults at the beginning
      */
     WorkerStandIn(
@@ -58,12 +60,14 @@
             FleetRecord record,
             Identity identity,
             InetSocketAddress address,
+            StreamEnds streamEnds,
             FaultMix faults,
             long seed) {
         this.store = store;
         this.record = record;
         this.identity = identity;
         this.address = address;
+        this.streamEnds = streamEnds;
         this.faults = faults;
         random = new Random(seed);
     }
@@ -155,6 +159,18 @@
         }
     }
 
+    /** Draws whether a stream ends with its connection. */
+    boolean drawUndeclared() {
+        return draw(streamEnds.undeclaredInterval()) == 0;
+    }
+
+    /** Draws whether a stream ends early; nothing is drawn where none does. */
+    boolean drawEarlyEnd() {
+        synchronized (random) {
+            return streamEnds.earlyEndProbability() > 0 && random.nextDouble() < streamEnds.earlyEndProbability();
+        }
+    }
+
     /** Draws whether a request is rejected though there is a slot. */
     boolean drawRejection() {
         synchronized (random) {
