Log and count why the end of a stream is passed on, or another target asked

Callers saw streams that were complete before their last event. Where a target ends a stream in order without a declared end, the front may ask another target for the rest, but no log or metric said why it did not, what it knew of the target, or what asking had shown.

Change: stream-end-judged has the decision, its reason, the time since the target last broke off a response, and the retry budget; stream-end-verified has what the other target showed. Metrics have the same names. Delivery is unchanged.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -67,6 +67,8 @@
     private static final long MAX_CONFIRMATION_MILLIS = 1_000;
     /** Part of the retry budget up to which ends are confirmed; the rest is left to requests that have failed. */
     private static final double CONFIRMATION_SHARE = 0.5;
+    /** Reason for passing on an end against which nothing speaks. */
+    private static final String NOT_DOUBTED = "not-doubted";
 
     private enum Stage {
         /** The processes that may know where the resumed stream began are being asked. */
@@ -122,6 +124,8 @@
      * end is held.
      */
     private OptionalLong endHeldUntilMillis = OptionalLong.empty();
+    /** Target whose end is held. */
+    private TargetEntry heldTarget;
 
     CallerExchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
         this.front = front;
@@ -778,7 +782,7 @@
     private void acceptContent(ActiveRun run, ByteBuf chunk) {
         boolean written = responseAssembler.content(chunk);
         if (responseAssembler.hasStreamData()) {
-            endHeldUntilMillis = OptionalLong.empty();
+            endVerified(EndVerdict.CUT);
         }
         if (responseAssembler.isOversized()) {
             run.reject();
@@ -831,29 +835,65 @@
                             responseAssembler.events(),
                             run.lastByteAtMillis());
             run.end(RunEvent.RUN_ANSWERED);
-            if (nothingFollows || !mayGoOn(run, nowMillis)) {
+            if (nothingFollows) {
+                endVerified(responseAssembler.endDeclared() ? EndVerdict.WHOLE : EndVerdict.UNKNOWN);
                 deliver();
+            } else if (responseAssembler.streamStarted() && !responseAssembler.endDeclared()) {
+                judgeEnd(run, nowMillis);
             } else {
-                confirmEnd(run, nowMillis);
+                deliver();
             }
         }
     }
 
     /**
-     * Tells whether a stream without a declared end may have been broken off by its target, which does so with other
-     * responses, and may be continued elsewhere. Takes a retry from the budget if so.
+     * Decides what becomes of the end of a stream that declared none. Its target may have cut the stream if it does so
+     * with other responses.
      */
-    private boolean mayGoOn(ActiveRun run, long nowMillis) {
-        return responseAssembler.streamStarted()
-                && !responseAssembler.endDeclared()
-                && run.entry().brokeOffSince(nowMillis - BREAK_OFF_MEMORY_MILLIS)
-                && retryDecision(nowMillis, CONFIRMATION_SHARE) == RetryDecision.RETRY;
+    private void judgeEnd(ActiveRun run, long nowMillis) {
+        if (!run.entry().brokeOffSince(nowMillis - BREAK_OFF_MEMORY_MILLIS)) {
+            recordEndDecision(run.entry(), EndDecision.PASSED_ON, NOT_DOUBTED);
+            deliver();
+            return;
+        }
+        RetryDecision retry = retryDecision(nowMillis, CONFIRMATION_SHARE);
+        if (retry == RetryDecision.RETRY) {
+            recordEndDecision(run.entry(), EndDecision.HELD, retry.tag());
+            confirmEnd(run, nowMillis);
+        } else {
+            recordEndDecision(run.entry(), EndDecision.PASSED_ON, retry.tag());
+            deliver();
+        }
+    }
+
+    private void recordEndDecision(TargetEntry target, EndDecision decision, String reason) {
+        front.metrics().streamEndJudged(decision, reason);
+        FrontLog.streamEndJudged(
+                this,
+                target.state().target(),
+                decision,
+                reason,
+                target.brokeOffAgeMillis(front.nowMillis()),
+                front.retryBudget(service),
+                front.retryAllowance());
+    }
+
+    /** Records what is shown of the end that is held, which is not held any longer. */
+    private void endVerified(EndVerdict verdict) {
+        if (endHeldUntilMillis.isEmpty()) {
+            return;
+        }
+        long heldMillis = front.nowMillis() - (endHeldUntilMillis.getAsLong() - MAX_CONFIRMATION_MILLIS);
+        endHeldUntilMillis = OptionalLong.empty();
+        front.metrics().streamEndVerified(verdict);
+        FrontLog.streamEndVerified(this, heldTarget.state().target(), verdict, heldMillis);
     }
 
     /** Holds the end of a stream, and asks another target whether any event follows. */
     private void confirmEnd(ActiveRun run, long nowMillis) {
         recordRetry(run, "undeclared end");
         responseAssembler.discardIncomplete();
+        heldTarget = run.entry();
         endHeldUntilMillis = OptionalLong.of(nowMillis + MAX_CONFIRMATION_MILLIS);
         queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, nowMillis + MAX_CONFIRMATION_MILLIS);
         place(nowMillis);
@@ -864,6 +904,7 @@
         if (endHeldUntilMillis.isEmpty()) {
             return false;
         }
+        endVerified(EndVerdict.UNKNOWN);
         responseAssembler.discardIncomplete();
         deliver("end-unconfirmed");
         return true;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.runtime.log.EventField;
@@ -329,6 +330,49 @@
                 .call();
     }
 
+    /**
+     * Logs what becomes of the end of a stream that declared none.
+     *
+     * @param reason what speaks for the decision
+     * @param brokeOffMillis time since the target last broke off a response, in milliseconds; empty if it never did
+     */
+    static void streamEndJudged(
+            CallerExchange exchange,
+            Target target,
+            EndDecision decision,
+            String reason,
+            OptionalLong brokeOffMillis,
+            RetryBudget budget,
+            double allowance) {
+        EventLog event = EventLog.event(LogEvent.STREAM_END_JUDGED)
+                .with(EventField.REQUEST, exchange.head().attemptId())
+                .with(EventField.SERVICE, exchange.service())
+                .with(EventField.TARGET, target.id())
+                .with(EventField.DECISION, decision.tag())
+                .with(EventField.REASON, reason)
+                .with(EventField.RETRY_ALLOWANCE, Math.round(allowance * 10) / 10.0)
+                .with(EventField.RETRIES, budget.retries())
+                .with(EventField.REQUESTS, budget.requests());
+        brokeOffMillis.ifPresent(millis -> event.with(EventField.AGE_MILLIS, millis));
+        event.call();
+    }
+
+    /**
+     * Logs what asking another target has shown of the end of a stream.
+     *
+     * @param ended target whose stream has ended
+     * @param heldMillis time for which the end was held, in milliseconds
+     */
+    static void streamEndVerified(CallerExchange exchange, Target ended, EndVerdict verdict, long heldMillis) {
+        EventLog.event(LogEvent.STREAM_END_VERIFIED)
+                .with(EventField.REQUEST, exchange.head().attemptId())
+                .with(EventField.SERVICE, exchange.service())
+                .with(EventField.TARGET, ended.id())
+                .with(EventField.VERDICT, verdict.tag())
+                .with(EventField.AGE_MILLIS, heldMillis)
+                .call();
+    }
+
     static void runLost(CallerExchange exchange, TargetRun run, TargetFailure failure, FailureReview.Verdict verdict) {
         EventLog event = EventLog.event(LogEvent.RUN_LOST)
                 .with(EventField.REQUEST, exchange.head().attemptId())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontMetrics.java
@@ -30,6 +30,8 @@
     private final Map<ResumptionOutcome, Counter> resumptions = new EnumMap<>(ResumptionOutcome.class);
     private final Map<UnmatchedResponse, Counter> unmatchedResponses = new EnumMap<>(UnmatchedResponse.class);
     private final Map<TargetLiveness, Counter> undeclaredEnds = new EnumMap<>(TargetLiveness.class);
+    private final Map<String, Counter> judgedEnds = new HashMap<>();
+    private final Map<EndVerdict, Counter> verifiedEnds = new EnumMap<>(EndVerdict.class);
     private final Map<String, Counter> taskFailures = new HashMap<>();
     private final Map<RetryDecision, Counter> silentRuns = new EnumMap<>(RetryDecision.class);
     private final Map<RouteKind, Timer> firstBytes = new EnumMap<>(RouteKind.class);
@@ -183,6 +185,36 @@
                 .increment();
     }
 
+    /**
+     * Counts a stream without a declared end whose end was judged.
+     *
+     * @param reason what speaks for the decision; one of a closed list
+     */
+    void streamEndJudged(EndDecision decision, String reason) {
+        judgedEnds
+                .computeIfAbsent(
+                        decision.tag() + ' ' + reason,
+                        key -> Counter.builder("whinwharf.stream.ends.judged")
+                                .description("Streams without a declared end, by what became of their ends and why")
+                                .tag("decision", decision.tag())
+                                .tag("reason", reason)
+                                .register(registry))
+                .increment();
+    }
+
+    /** Counts a stream after whose end another target was asked for more. */
+    void streamEndVerified(EndVerdict verdict) {
+        verifiedEnds
+                .computeIfAbsent(
+                        verdict,
+                        key -> counter(
+                                "whinwharf.stream.ends.verified",
+                                "Streams whose end was held to ask another target, by what that showed",
+                                "verdict",
+                                key.tag()))
+                .increment();
+    }
+
     /** Counts a response that is not known to answer the request of its connection. */
     void responseUnmatched(UnmatchedResponse reason) {
         unmatchedResponses
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
@@ -63,6 +63,13 @@
         return brokeOffAtMillis >= sinceMillis;
     }
 
+    /** Returns the time since a response of the target last ended before its end; empty if none has. */
+    OptionalLong brokeOffAgeMillis(long nowMillis) {
+        return brokeOffAtMillis == Long.MIN_VALUE
+                ? OptionalLong.empty()
+                : OptionalLong.of(nowMillis - brokeOffAtMillis);
+    }
+
     /** Tells whether the target was published with another start time at or after the given time. */
     boolean restartedSince(long sinceMillis) {
         return restartedAtMillis >= sinceMillis;
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -328,6 +328,29 @@
             EventField.VERDICT,
             EventField.OTHER_CONNECTIONS,
             EventField.AGE_MILLIS),
+    /**
+     * It was decided what becomes of the end of a stream that declared none; with the time since its target last broke
+     * off a response, and the retry budget.
+     */
+    STREAM_END_JUDGED(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.SERVICE,
+            EventField.TARGET,
+            EventField.DECISION,
+            EventField.REASON,
+            EventField.AGE_MILLIS,
+            EventField.RETRY_ALLOWANCE,
+            EventField.RETRIES,
+            EventField.REQUESTS),
+    /** Another target was asked whether any event follows the end of a target's stream; tells what that showed. */
+    STREAM_END_VERIFIED(
+            Level.INFO,
+            EventField.REQUEST,
+            EventField.SERVICE,
+            EventField.TARGET,
+            EventField.VERDICT,
+            EventField.AGE_MILLIS),
     /** A target has sent a response that is not known to answer the request of its connection. */
     RESPONSE_UNMATCHED(
             Level.INFO,
