Doubt the odd end where the streams of a service declare theirs

Callers saw a stream as complete that its target, which lives on, had cut. Cause: an end was doubted only if this front had seen this target break off another response in the last 30 s, so the first cut of each target counted as a whole stream.

Change: an undeclared end is doubted as well where such ends are few among the last 100 streams of the service: no more than the part of the retry budget that grows with requests lets verify. Where most ends are undeclared nothing changes, and nobody is asked in calm.

Why it works: what is odd at a service is asked about, and the budget bears it whatever the load.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -61,8 +61,6 @@
      * service are back by then, and peers that were cut off may answer.
      */
     private static final long UNRESUMED_RETRY_AFTER_MILLIS = 2_000;
-    /** Time for which a target that broke off a response is expected to break off others. */
-    private static final long BREAK_OFF_MEMORY_MILLIS = 30_000;
     /** Maximum time for which the end of a stream is held; callers of streams give up after longer gaps. */
     private static final long MAX_CONFIRMATION_MILLIS = 1_000;
     /** Part of the retry budget up to which ends are confirmed; the rest is left to requests that have failed. */
@@ -838,7 +836,7 @@
             if (nothingFollows) {
                 endVerified(responseAssembler.endDeclared() ? EndVerdict.WHOLE : EndVerdict.UNKNOWN);
                 deliver();
-            } else if (responseAssembler.streamStarted() && !responseAssembler.endDeclared()) {
+            } else if (responseAssembler.streamStarted()) {
                 judgeEnd(run, nowMillis);
             } else {
                 deliver();
@@ -846,12 +844,16 @@
         }
     }
 
-    /**
-     * Decides what becomes of the end of a stream that declared none. Its target may have cut the stream if it does so
-     * with other responses.
-     */
+    /** Decides what becomes of the end of a stream, which its target may have cut if it was not declared. */
     private void judgeEnd(ActiveRun run, long nowMillis) {
-        if (!run.entry().brokeOffSince(nowMillis - BREAK_OFF_MEMORY_MILLIS)) {
+        boolean declared = responseAssembler.endDeclared();
+        front.streamEnds().ended(service, declared);
+        if (declared) {
+            deliver();
+            return;
+        }
+        double verifiableShare = front.retryBudget(service).ratio() * CONFIRMATION_SHARE;
+        if (!front.streamEnds().doubted(service, run.entry(), verifiableShare)) {
             recordEndDecision(run.entry(), EndDecision.PASSED_ON, NOT_DOUBTED);
             deliver();
             return;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -110,6 +110,7 @@
     private final VersionObserver versions;
     private final RunInquiry runInquiry;
     private final StreamTracker streams;
+    private final StreamEndTracker streamEnds = new StreamEndTracker(ticker);
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
     private final LostRunRecorder lostRuns = new LostRunRecorder(this);
@@ -761,6 +762,11 @@
         return streams;
     }
 
+    /** Returns what is known of how targets end streams. */
+    StreamEndTracker streamEnds() {
+        return streamEnds;
+    }
+
     /** Tells whether a service has a target of a version, outside of the given sets, that is not on its way out. */
     boolean hasTarget(String service, String version, Set<String> tried, Set<String> pathless) {
         return targets.hasTarget(service, version, id -> !tried.contains(id) && !pathless.contains(id));
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
@@ -41,6 +41,15 @@
         windowMillis = newWindowMillis;
     }
 
+    /**
+     * Returns the limit that grows with the requests.
+     *
+     * @return maximum retries per request, over the whole fleet
+     */
+    public double ratio() {
+        return ratio;
+    }
+
     /**
      * Records a caller's request.
      *
