Let ends be doubted by what peers saw a target break off

Callers saw cut streams as complete though other fronts had seen the same target break off responses. Cause: the evidence was one front's, which sees a ninth of a target's responses; what peers report of lost runs was used for crashes only.

Change: a run that a peer lost with its connection counts as a response that its target broke off. No message is added: such runs are sent to all peers at once, and again with the gossip.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -299,6 +299,7 @@
             if (ledger.record(run, nowMillis)) {
                 log(run, "peer");
                 awaitLifeSign(run);
+                recordBreakOff(run);
                 if (run.evidence() == CrashEvidence.CRASHED) {
                     targetCrashed(run.targetId());
                 }
@@ -306,6 +307,14 @@
         }
     }
 
+    /** Records that a target broke off a response to a peer; its responses to this process may end early as well. */
+    private void recordBreakOff(LostRun run) {
+        TargetEntry entry = targets.entry(run.targetId());
+        if (entry != null && run.evidence() == CrashEvidence.LOST) {
+            entry.brokeOff(run.endedAtMillis());
+        }
+    }
+
     /** Sends runs to all peers at the end of the current event, which may concern more of them. */
     private void sendSoon(Collection<LostRun> runs) {
         if (unsent.isEmpty() && !runs.isEmpty()) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetEntry.java
@@ -53,9 +53,9 @@
         restartedAtMillis = nowMillis;
     }
 
-    /** Records that a response of the target ended before its end. */
-    void brokeOff(long nowMillis) {
-        brokeOffAtMillis = nowMillis;
+    /** Records that a response of the target to any process ended before its end. */
+    void brokeOff(long atMillis) {
+        brokeOffAtMillis = Math.max(brokeOffAtMillis, atMillis);
     }
 
     /** Tells whether a response of the target ended before its end at or after the given time. */
