Leave an unverified end open where the stream is more likely cut

Callers saw cut streams as complete where nobody could be asked: the route cannot be resumed, the retry budget is used up, or no target is left. Cause: whatever could not be verified was passed on as the end of the stream.

Change: what is found out of undeclared ends is kept for each service: a verified cut, a verified whole, or an end inside an event, which the bytes show. The caller's connection is then closed without an end, as for a stream that was broken off: it has all events, and may resume where its route allows.

Weighed: leaving every unverified end open (loses the ends of all whole streams of targets that declare none); passing all on (before). A target that was asked for the rest and ended without a declared end counts as having sent the rest, as UndeclaredEndTest asks.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -67,6 +67,8 @@
     private static final double CONFIRMATION_SHARE = 0.5;
     /** Reason for passing on an end against which nothing speaks. */
     private static final String NOT_DOUBTED = "not-doubted";
+    /** Reason for what follows when no target that was asked has answered in time. */
+    private static final String UNVERIFIED = "unverified";
 
     private enum Stage {
         /** The processes that may know where the resumed stream began are being asked. */
@@ -124,6 +126,8 @@
     private OptionalLong endHeldUntilMillis = OptionalLong.empty();
     /** Target whose end is held. */
     private TargetEntry heldTarget;
+    /** Whether a target that was asked what follows an end has sent it. */
+    private boolean continuedPastCut;
 
     CallerExchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
         this.front = front;
@@ -805,6 +809,9 @@
         }
         boolean nothingFollows = endHeldUntilMillis.isPresent();
         if (!responseAssembler.notExecuted() && !responseAssembler.isComplete() && !nothingFollows) {
+            if (responseAssembler.cutInsideEvent()) {
+                front.streamEnds().verified(service, EndVerdict.CUT);
+            }
             failed(run, TargetFailure.TRUNCATED);
             return;
         }
@@ -833,9 +840,11 @@
                             responseAssembler.events(),
                             run.lastByteAtMillis());
             run.end(RunEvent.RUN_ANSWERED);
-            if (nothingFollows) {
-                endVerified(responseAssembler.endDeclared() ? EndVerdict.WHOLE : EndVerdict.UNKNOWN);
+            if (nothingFollows && responseAssembler.endDeclared()) {
+                endVerified(EndVerdict.WHOLE);
                 deliver();
+            } else if (nothingFollows) {
+                endHeldStream();
             } else if (responseAssembler.streamStarted()) {
                 judgeEnd(run, nowMillis);
             } else {
@@ -852,8 +861,7 @@
             deliver();
             return;
         }
-        double verifiableShare = front.retryBudget(service).ratio() * CONFIRMATION_SHARE;
-        if (!front.streamEnds().doubted(service, run.entry(), verifiableShare)) {
+        if (!front.streamEnds().doubted(service, run.entry(), verifiableShare())) {
             recordEndDecision(run.entry(), EndDecision.PASSED_ON, NOT_DOUBTED);
             deliver();
             return;
@@ -863,9 +871,30 @@
             recordEndDecision(run.entry(), EndDecision.HELD, retry.tag());
             confirmEnd(run, nowMillis);
         } else {
-            recordEndDecision(run.entry(), EndDecision.PASSED_ON, retry.tag());
+            endUnverified(run.entry(), retry.tag());
+        }
+    }
+
+    /** Returns the share of the service's streams whose ends the retry budget lets verify, whatever the load. */
+    private double verifiableShare() {
+        return front.retryBudget(service).ratio() * CONFIRMATION_SHARE;
+    }
+
+    /**
+     * Ends a stream whose end is doubted and could not be verified. A caller that is told of no end has all events and
+     * may resume the stream; one that takes a part for the whole cannot notice. What a target has sent that was asked
+     * for the rest of the stream counts as the rest.
+     */
+    private void endUnverified(TargetEntry target, String reason) {
+        if (continuedPastCut || !front.streamEnds().likelyCut(service, target, verifiableShare())) {
+            recordEndDecision(target, EndDecision.PASSED_ON, reason);
             deliver();
+            return;
         }
+        recordEndDecision(target, EndDecision.LEFT_OPEN, reason);
+        FrontLog.ended(this, target, "end-unverified", responseAssembler.status(), ageMillis());
+        end();
+        abortResponse(TruncationCause.UNVERIFIED_END);
     }
 
     private void recordEndDecision(TargetEntry target, EndDecision decision, String reason) {
@@ -887,6 +916,8 @@
         }
         long heldMillis = front.nowMillis() - (endHeldUntilMillis.getAsLong() - MAX_CONFIRMATION_MILLIS);
         endHeldUntilMillis = OptionalLong.empty();
+        continuedPastCut |= verdict == EndVerdict.CUT;
+        front.streamEnds().verified(service, verdict);
         front.metrics().streamEndVerified(verdict);
         FrontLog.streamEndVerified(this, heldTarget.state().target(), verdict, heldMillis);
     }
@@ -901,14 +932,14 @@
         place(nowMillis);
     }
 
-    /** Ends the response as complete if its end was held. */
-    private boolean deliverHeldEnd() {
+    /** Ends a stream whose end was held and could not be verified; returns false if none was held. */
+    private boolean endHeldStream() {
         if (endHeldUntilMillis.isEmpty()) {
             return false;
         }
         endVerified(EndVerdict.UNKNOWN);
         responseAssembler.discardIncomplete();
-        deliver("end-unconfirmed");
+        endUnverified(heldTarget, UNVERIFIED);
         return true;
     }
 
@@ -944,12 +975,8 @@
     }
 
     private void deliver() {
-        deliver("answered");
-    }
-
-    private void deliver(String reason) {
         front.metrics().answered();
-        FrontLog.ended(this, entry(), reason, responseAssembler.status(), ageMillis());
+        FrontLog.ended(this, entry(), "answered", responseAssembler.status(), ageMillis());
         stage = Stage.ENDED;
         responseAssembler.deliver();
         end();
@@ -957,7 +984,7 @@
 
     /** Ends a response that has started and goes on nowhere. */
     private void endStarted(String reason, TruncationCause cause) {
-        if (deliverHeldEnd()) {
+        if (endHeldStream()) {
             return;
         }
         FrontLog.ended(this, entry(), reason, responseAssembler.status(), ageMillis());
@@ -1124,7 +1151,7 @@
         if (endHeldUntilMillis.isPresent() && nowMillis >= endHeldUntilMillis.getAsLong()) {
             removeFromQueue();
             abandonRuns(nowMillis);
-            deliverHeldEnd();
+            endHeldStream();
             return;
         }
         boolean unplaced = stage == Stage.QUEUED || stage == Stage.AWAITING_PLACEMENT;
@@ -1298,7 +1325,7 @@
             keepSilentRun();
             return;
         }
-        if (deliverHeldEnd()) {
+        if (endHeldStream()) {
             return;
         }
         if (quotaConsumed && !runs.mayHaveExecuted()) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EndDecision.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EndDecision.java
@@ -7,7 +7,9 @@
     /** It is passed on to the caller. */
     PASSED_ON,
     /** It is held, and another target is asked whether any event follows. */
-    HELD;
+    HELD,
+    /** The caller's connection is closed without an end, since nobody could be asked and the stream may be cut. */
+    LEFT_OPEN;
 
     /** Returns the value in log lines and tags of metrics: the constant's name in lower case, with hyphens. */
     String tag() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -110,7 +110,7 @@
     private final VersionObserver versions;
     private final RunInquiry runInquiry;
     private final StreamTracker streams;
-    private final StreamEndTracker streamEnds = new StreamEndTracker(ticker);
+    private final StreamEndTracker streamEnds = new StreamEndTracker(ticker, random);
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
     private final LostRunRecorder lostRuns = new LostRunRecorder(this);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -201,6 +201,11 @@
         return framing.endDeclared();
     }
 
+    /** Returns whether a stream ended inside an event, and nothing but the end of its connection told the end. */
+    boolean cutInsideEvent() {
+        return bufferedBody == null && !framing.endDeclared() && !boundaryTracker.atBoundary();
+    }
+
     /**
      * Returns whether a response that ended without a failure of its connection is complete. A stream is complete only
      * at an event boundary; if only the end of the connection ended it, at least one event must have arrived.
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TruncationCause.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TruncationCause.java
@@ -10,6 +10,8 @@
     TARGET_LOST,
     /** The target ended its response in the middle of an event. */
     PART_OF_EVENT,
+    /** The target declared no end, streams without one were cut lately, and whether events follow is not known. */
+    UNVERIFIED_END,
     /** The deadline of the request was reached. */
     TIMED_OUT,
     /** No target was available in time to resume the stream. */
