Share what is known of undeclared ends among the fronts

Callers saw cut streams as complete at fronts that had just started, or had seen few streams. Cause: each front knew its own part of the streams only.

Change: reports of a small fleet have the counts of streams by framing (13 bytes for each service); gossip carries up to two of the latest checks, the first cut that a front sees goes to all peers at once, and a front that starts gets all. All streams count for the share, broken off or not. Older fronts ignore the new fields; without them a front counts its own streams.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
@@ -170,6 +170,40 @@
         assertLeftOpen(stream(fixture, "/stream/cut"));
     }
 
+    /** Guards against the same where only another front has seen a stream that was cut. */
+    @Test
+    void endIsLeftOpenWhereAPeerHasSeenStreamsThatAreCut() throws Exception {
+        startTargets();
+        try (FrontFixture peer = peer()) {
+            stream(peer, "/stream/inside");
+            FrontFixture.await(() -> knowsOfCuts());
+            assertLeftOpen(stream(fixture, "/stream/cut"));
+        }
+    }
+
+    private boolean knowsOfCuts() {
+        boolean[] known = new boolean[1];
+        fixture.run(() -> known[0] = fixture.front().streamEnds().cutsShown("service"));
+        return known[0];
+    }
+
+    /** Guards against a front that takes each end for whole, since it has just started and saw no streams. */
+    @Test
+    void endIsDoubtedWhereTheStreamsOfPeersDeclareTheirs() throws Exception {
+        startTargets();
+        try (FrontFixture peer = peer()) {
+            streamDeclared(peer);
+            FrontFixture.await(this::peersReportStreams);
+            assertThat(events(stream(fixture, "/resumable/cut")), is(FIRST_EVENTS + LAST_EVENT));
+        }
+    }
+
+    private boolean peersReportStreams() {
+        boolean[] reported = new boolean[1];
+        fixture.run(() -> reported[0] = fixture.front().streamEnds().doubted("service", fixture.entry("t"), 1));
+        return reported[0];
+    }
+
     /** Guards against losing the ends of whole streams for longer than streams are found to be cut. */
     @Test
     void endIsPassedOnAgainOnceStreamsAreFoundWhole() throws IOException {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -855,9 +855,7 @@
 
     /** Decides what becomes of the end of a stream, which its target may have cut if it was not declared. */
     private void judgeEnd(ActiveRun run, long nowMillis) {
-        boolean declared = responseAssembler.endDeclared();
-        front.streamEnds().ended(service, declared);
-        if (declared) {
+        if (responseAssembler.endDeclared()) {
             deliver();
             return;
         }
@@ -961,7 +959,12 @@
 
     private void recordResponseEnding(String cause) {
         responseEnding = responseAssembler.ending(cause);
-        responseEnding.ifPresent(front.metrics()::responseEnded);
+        responseEnding.ifPresent(ending -> {
+            front.metrics().responseEnded(ending);
+            if (responseAssembler.isStream()) {
+                front.streamEnds().ended(service, ending.framing().endDeclared());
+            }
+        });
     }
 
     private void retryOrDeliverError(long nowMillis) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FleetStateExchange.java
@@ -37,6 +37,7 @@
     private final QuotaLedger quotas;
     private final ItemFeed feed;
     private final StatedRateTracker statedRates;
+    private final StreamEndTracker streamEnds;
     private final Ticker ticker;
     private boolean remoteLoadsChanged;
     private long aggregatedAtMillis;
@@ -48,6 +49,7 @@
             QuotaLedger quotas,
             ItemFeed feed,
             StatedRateTracker statedRates,
+            StreamEndTracker streamEnds,
             Ticker ticker) {
         this.settings = settings;
         this.members = members;
@@ -55,6 +57,7 @@
         this.quotas = quotas;
         this.feed = feed;
         this.statedRates = statedRates;
+        this.streamEnds = streamEnds;
         this.ticker = ticker;
     }
 
@@ -79,6 +82,7 @@
         // Large fleets propagate reports too slowly for placement decisions; there the coordinator keeps these counts.
         if (!members.largeFleet()) {
             report.addAllUses(mostUsed(localUses()));
+            streamEnds.addTo(report);
         }
         if (sent) {
             quotas.nextReport(members.largeFleet() ? LARGE_FLEET_REPEATED_TOTALS : REPEATED_TOTALS, ticker.nowMillis())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -110,7 +110,7 @@
     private final VersionObserver versions;
     private final RunInquiry runInquiry;
     private final StreamTracker streams;
-    private final StreamEndTracker streamEnds = new StreamEndTracker(ticker, random);
+    private final StreamEndTracker streamEnds;
     private final Coordination coordination;
     private final AdmissionControl admission = new AdmissionControl(this);
     private final LostRunRecorder lostRuns = new LostRunRecorder(this);
@@ -171,7 +171,8 @@
         peerItems = new PeerItems(loop, mirror, metrics);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
         versions = new VersionObserver(loop, settings.freshFleet(), targets, feed, ticker);
-        fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, rates, ticker);
+        streamEnds = new StreamEndTracker(settings, members, datagrams, this::inCatalog, ticker, random);
+        fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, rates, streamEnds, ticker);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
         runInquiry = new RunInquiry(loop, dialect, targets, ticker);
@@ -188,7 +189,8 @@
                 fleetState::applyReport,
                 coordination::coordinatorIps,
                 crashes,
-                statedLimits);
+                statedLimits,
+                streamEnds);
         callers = new CallerAcceptor(this, loop, callerPort);
     }
 
@@ -521,6 +523,7 @@
         tasks.run("targets", targets::sweep);
         tasks.run("crashes", crashes::sweep);
         tasks.run("streams", streams::sweep);
+        tasks.run("stream ends", streamEnds::sweep);
         tasks.run("rates", () -> statedRates().sweep(targets.ids()));
         tasks.run("paths", pathMonitor::recheckLostPaths);
         List.copyOf(connections)
@@ -593,6 +596,10 @@
         return isEngine(service) || statedLimits.needCoordinator(service);
     }
 
+    private boolean inCatalog(String service) {
+        return catalog.flatMap(known -> known.service(service)).isPresent();
+    }
+
     boolean isEngine(String service) {
         return catalog.flatMap(known -> known.service(service))
                 .map(TargetService::engine)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Gossip.java
@@ -51,6 +51,7 @@
     private final Supplier<Collection<String>> coordinatorIps;
     private final CrashTracker crashes;
     private final StatedLimits statedLimits;
+    private final StreamEndTracker streamEnds;
     private boolean unknownMemberSeen;
     private int roundCount;
 
@@ -63,7 +64,8 @@
             Listener listener,
             Supplier<Collection<String>> coordinatorIps,
             CrashTracker crashes,
-            StatedLimits statedLimits) {
+            StatedLimits statedLimits,
+            StreamEndTracker streamEnds) {
         this.settings = settings;
         this.members = members;
         this.ticker = ticker;
@@ -73,6 +75,7 @@
         this.coordinatorIps = coordinatorIps;
         this.crashes = crashes;
         this.statedLimits = statedLimits;
+        this.streamEnds = streamEnds;
         datagrams.addListener(this::handleDatagram);
     }
 
@@ -106,6 +109,7 @@
         FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
         crashes.addTo(datagram);
         statedLimits.addTo(datagram);
+        streamEnds.addTo(datagram);
         addReports(datagram, shuffledAliveMembers());
         send(datagram.setRosterWanted(fewPeersKnown || unknownMemberSeen).build(), ips);
     }
@@ -128,6 +132,7 @@
         FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
         crashes.addTo(datagram);
         statedLimits.addTo(datagram);
+        streamEnds.addTo(datagram);
         int maxHeartbeats = MAX_HEARTBEATS - HEARTBEATS_PER_RATE * datagram.getStatedRatesCount();
         for (MemberHeartbeat heartbeat : members.heartbeats(maxHeartbeats, ticker.nowMillis())) {
             datagram.addBeatMembers(heartbeat.nameDigest())
@@ -197,6 +202,7 @@
     private void sendRoster(String ip) {
         crashes.sendAllTo(ip);
         statedLimits.sendAllTo(ip);
+        streamEnds.sendAllTo(ip);
         List<Member> remaining = shuffledAliveMembers();
         do {
             FleetDatagram.Builder datagram = newDatagram().addMembers(members.localReport());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -201,9 +201,14 @@
         return framing.endDeclared();
     }
 
+    /** Returns whether the latest response is an event stream. */
+    boolean isStream() {
+        return bufferedBody == null && !notExecuted();
+    }
+
     /** Returns whether a stream ended inside an event, and nothing but the end of its connection told the end. */
     boolean cutInsideEvent() {
-        return bufferedBody == null && !framing.endDeclared() && !boundaryTracker.atBoundary();
+        return isStream() && !framing.endDeclared() && !boundaryTracker.atBoundary();
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamEndLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamEndLedger.java
@@ -1,6 +1,7 @@
 package org.whinwharf.traffic.stream;
 
 import java.util.BitSet;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.TreeSet;
@@ -30,7 +31,7 @@
     private final TreeSet<EndCheck> checks = new TreeSet<>(OLDEST_FIRST);
 
     /**
-     * Records the end of a stream.
+     * Records the end of a stream, whole or broken off.
      *
      * @param declared whether the response told where it ends, rather than ending with its connection
      */
@@ -41,13 +42,30 @@
     }
 
     /**
-     * Tells whether few of the latest streams had an undeclared end, so that such an end is odd.
+     * Tells whether few of the latest streams of all processes had an undeclared end, so that such an end is odd.
      *
      * @param maxShare largest share of undeclared ends that is few
+     * @param others counts of other processes
      * @return false also while too few streams have ended to tell
      */
-    public boolean undeclaredRare(double maxShare) {
-        return endCount >= MIN_ENDS && undeclared.cardinality() <= maxShare * endCount;
+    public boolean undeclaredRare(double maxShare, Collection<StreamEndCounts> others) {
+        int declared = endCount - undeclared.cardinality();
+        int undeclaredSum = undeclared.cardinality();
+        for (StreamEndCounts counts : others) {
+            declared += counts.declared();
+            undeclaredSum += counts.undeclared();
+        }
+        int all = declared + undeclaredSum;
+        return all >= MIN_ENDS && undeclaredSum <= maxShare * all;
+    }
+
+    /**
+     * Returns the counts of this process.
+     *
+     * @return latest streams
+     */
+    public StreamEndCounts counts() {
+        return new StreamEndCounts(endCount - undeclared.cardinality(), undeclared.cardinality());
     }
 
     /**
