Leave the odd unverified end open while any target breaks off responses

Callers saw the first cut stream of a target as complete where the route cannot be resumed. Cause: the odd end was left open only if its own target had broken off another response, though targets of a service share the fault for a while.

Change: a response that any target of the service broke off lately counts.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -884,7 +884,7 @@
      * for the rest of the stream counts as the rest.
      */
     private void endUnverified(TargetEntry target, String reason) {
-        if (continuedPastCut || !front.streamEnds().likelyCut(service, target, verifiableShare())) {
+        if (continuedPastCut || !front.streamEnds().likelyCut(service, verifiableShare())) {
             recordEndDecision(target, EndDecision.PASSED_ON, reason);
             deliver();
             return;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -171,7 +171,7 @@
         peerItems = new PeerItems(loop, mirror, metrics);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
         versions = new VersionObserver(loop, settings.freshFleet(), targets, feed, ticker);
-        streamEnds = new StreamEndTracker(settings, members, datagrams, this::inCatalog, ticker, random);
+        streamEnds = new StreamEndTracker(settings, members, targets, datagrams, this::inCatalog, ticker, random);
         fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, rates, streamEnds, ticker);
         crashes = new CrashTracker(settings, members, targets, datagrams, loop, ticker, random);
         targets.onCrash(crashes::targetCrashed);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamEndTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamEndTracker.java
@@ -34,6 +34,7 @@
 
     private final FrontSettings settings;
     private final MemberTable members;
+    private final TargetRegistry targets;
     private final PeerDatagrams datagrams;
     private final Predicate<String> inCatalog;
     private final Ticker ticker;
@@ -54,12 +55,14 @@
     StreamEndTracker(
             FrontSettings settings,
             MemberTable members,
+            TargetRegistry targets,
             PeerDatagrams datagrams,
             Predicate<String> inCatalog,
             Ticker ticker,
             Random random) {
         this.settings = settings;
         this.members = members;
+        this.targets = targets;
         this.datagrams = datagrams;
         this.inCatalog = inCatalog;
         this.ticker = ticker;
@@ -112,14 +115,19 @@
 
     /**
      * Tells whether an undeclared end is more likely a cut than the end of a whole stream, as far as it cannot be
-     * verified: streams of the service were found to be cut, or both the end is odd there and its target breaks off
+     * verified: streams of the service were found to be cut, or both the end is odd there and targets break off
      * responses.
      *
      * @param maxShare largest share of undeclared ends at which one is odd
      */
-    boolean likelyCut(String service, TargetEntry target, double maxShare) {
-        boolean suspicious = breaksOff(target) && rare(service, maxShare);
-        return cutsShown(service) || suspicious && !ledger(service).wholeShown(ticker.nowMillis());
+    boolean likelyCut(String service, double maxShare) {
+        if (cutsShown(service)) {
+            return true;
+        }
+        boolean brokenOff = targets.all().stream()
+                .filter(entry -> entry.state().target().service().equals(service))
+                .anyMatch(this::breaksOff);
+        return brokenOff && rare(service, maxShare) && !ledger(service).wholeShown(ticker.nowMillis());
     }
 
     private boolean breaksOff(TargetEntry target) {
