Count verifications of ends apart from other retries

Callers saw cut streams as complete while targets broke off many responses.

Change: verifications add up to half of the budget by themselves, and all retries to the whole of it as before. A failed request finds less of the budget while ends are doubted; one that is not repeated is told so, while a cut stream that looks complete is not.

Measured: RetryBudgetTest, one new case, failed before.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
@@ -77,4 +77,18 @@
         assertThat(budget.tryRetry(20_000, 1), is(true));
         assertThat(budget.tryRetry(20_000, 1), is(false));
     }
+
+    /** Guards against ends of streams that are not verified since failed requests have used half of the budget. */
+    @Test
+    void partialRetriesAreLimitedByThemselvesAndByTheWholeBudget() {
+        RetryBudget budget = new RetryBudget(0, 10_000);
+        for (int i = 0; i < 3; i++) {
+            assertThat(budget.tryRetry(0, 5), is(true));
+        }
+        assertThat(budget.tryRetry(0, 5, 0.5), is(true));
+        assertThat(budget.tryRetry(0, 5, 0.5), is(true));
+        assertThat("more than the budget", budget.tryRetry(0, 5, 0.5), is(false));
+        assertThat("more than the budget", budget.tryRetry(0, 5), is(false));
+        assertThat("in the next window", budget.tryRetry(10_001, 5, 0.5), is(true));
+    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
@@ -18,6 +18,8 @@
     private long windowMillis;
     private final Deque<Long> requestsAtMillis = new ArrayDeque<>();
     private final Deque<Long> retriesAtMillis = new ArrayDeque<>();
+    /** Those of the retries that may use a part of the budget only. */
+    private final Deque<Long> partialRetriesAtMillis = new ArrayDeque<>();
 
     /**
      * Creates a budget.
@@ -72,20 +74,24 @@
     }
 
     /**
-     * Takes one retry from a part of the budget, and leaves the rest to others.
+     * Takes one retry of those that together may use a part of the budget only, and leave the rest to others.
      *
      * @param nowMillis monotonic time in milliseconds
      * @param allowance this process's part of the fixed allowance
-     * @param share part of the budget up to which all retries in the window may add up, at most 1
+     * @param share part of the budget up to which such retries in the window may add up, at most 1
      * @return true when the retry may be sent
      */
     public boolean tryRetry(long nowMillis, double allowance, double share) {
         expire(nowMillis);
         double budget = requestsAtMillis.size() * ratio * RATIO_UTILISATION + allowance;
-        if (retriesAtMillis.size() + 1 > budget * share) {
+        boolean partial = share < 1;
+        if (retriesAtMillis.size() + 1 > budget || partial && partialRetriesAtMillis.size() + 1 > budget * share) {
             return false;
         }
         retriesAtMillis.addLast(nowMillis);
+        if (partial) {
+            partialRetriesAtMillis.addLast(nowMillis);
+        }
         return true;
     }
 
@@ -96,6 +102,7 @@
      */
     public void cancelRetry(long takenAtMillis) {
         retriesAtMillis.removeLastOccurrence(takenAtMillis);
+        partialRetriesAtMillis.removeLastOccurrence(takenAtMillis);
     }
 
     /**
@@ -118,11 +125,14 @@
 
     private void expire(long nowMillis) {
         long oldestMillis = nowMillis - windowMillis;
-        while (!requestsAtMillis.isEmpty() && requestsAtMillis.peekFirst() < oldestMillis) {
-            requestsAtMillis.removeFirst();
-        }
-        while (!retriesAtMillis.isEmpty() && retriesAtMillis.peekFirst() < oldestMillis) {
-            retriesAtMillis.removeFirst();
+        removeBefore(oldestMillis, requestsAtMillis);
+        removeBefore(oldestMillis, retriesAtMillis);
+        removeBefore(oldestMillis, partialRetriesAtMillis);
+    }
+
+    private static void removeBefore(long oldestMillis, Deque<Long> timesMillis) {
+        while (!timesMillis.isEmpty() && timesMillis.peekFirst() < oldestMillis) {
+            timesMillis.removeFirst();
         }
     }
 }
