Take an end for whole if two targets tell it, declared or not

Change: nothing follows if another target, which lives on, sends no event and ends in order. That both cut the stream at the same place takes a cut before the first event of the second, and is far less likely.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
@@ -61,7 +61,12 @@
             FakeTarget.write(socket, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
         } else if (request.toLowerCase(Locale.ROOT).contains("resume-after: 2")) {
             continuations.incrementAndGet();
-            writeDeclared(request, socket, request.contains("/cut") ? LAST_EVENT : "");
+            if (request.contains("/undeclared")) {
+                FakeTarget.write(socket, head(request, ""));
+                socket.close();
+            } else {
+                writeDeclared(request, socket, request.contains("/cut") ? LAST_EVENT : "");
+            }
         } else if (request.contains("/declared")) {
             writeDeclared(request, socket, FIRST_EVENTS);
         } else if (request.contains("/inside")) {
@@ -204,6 +209,16 @@
         return reported[0];
     }
 
+    /** Guards against losing a whole stream whose end two targets tell, neither of which declares it. */
+    @Test
+    void endThatAnotherTargetTellsWithoutDeclaringItIsPassedOn() throws IOException {
+        startTargets();
+        streamDeclared(fixture);
+        stream(fixture, "/stream/inside");
+        assertThat(stream(fixture, "/resumable/undeclared"), endsWith(LAST_CHUNK));
+        assertThat("ends that were asked about", continuations.get(), is(1));
+    }
+
     /** Guards against losing the ends of whole streams for longer than streams are found to be cut. */
     @Test
     void endIsPassedOnAgainOnceStreamsAreFoundWhole() throws IOException {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -840,11 +840,10 @@
                             responseAssembler.events(),
                             run.lastByteAtMillis());
             run.end(RunEvent.RUN_ANSWERED);
-            if (nothingFollows && responseAssembler.endDeclared()) {
+            if (nothingFollows) {
+                // Also if that end is not declared either: two targets hardly cut one stream at the same place.
                 endVerified(EndVerdict.WHOLE);
                 deliver();
-            } else if (nothingFollows) {
-                endHeldStream();
             } else if (responseAssembler.streamStarted()) {
                 judgeEnd(run, nowMillis);
             } else {
