Pass on the end of a stream that was continued past a cut inside an event

Callers of a resumable stream got all events and no end: its first target had ended it inside an event, the second sent the rest without a declared end, and the first cut counted as evidence against that.

Change: any cut that is shown of the stream itself is excepted.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -126,8 +126,8 @@
     private OptionalLong endHeldUntilMillis = OptionalLong.empty();
     /** Target whose end is held. */
     private TargetEntry heldTarget;
-    /** Whether a target that was asked what follows an end has sent it. */
-    private boolean continuedPastCut;
+    /** Whether the stream was found to be cut, so that what follows comes from a target that was asked for the rest. */
+    private boolean cutShown;
 
     CallerExchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
         this.front = front;
@@ -810,7 +810,7 @@
         boolean nothingFollows = endHeldUntilMillis.isPresent();
         if (!responseAssembler.notExecuted() && !responseAssembler.isComplete() && !nothingFollows) {
             if (responseAssembler.cutInsideEvent()) {
-                front.streamEnds().verified(service, EndVerdict.CUT);
+                recordEndCheck(EndVerdict.CUT);
             }
             failed(run, TargetFailure.TRUNCATED);
             return;
@@ -883,7 +883,7 @@
      * for the rest of the stream counts as the rest.
      */
     private void endUnverified(TargetEntry target, String reason) {
-        if (continuedPastCut || !front.streamEnds().likelyCut(service, verifiableShare())) {
+        if (cutShown || !front.streamEnds().likelyCut(service, verifiableShare())) {
             recordEndDecision(target, EndDecision.PASSED_ON, reason);
             deliver();
             return;
@@ -913,12 +913,16 @@
         }
         long heldMillis = front.nowMillis() - (endHeldUntilMillis.getAsLong() - MAX_CONFIRMATION_MILLIS);
         endHeldUntilMillis = OptionalLong.empty();
-        continuedPastCut |= verdict == EndVerdict.CUT;
-        front.streamEnds().verified(service, verdict);
+        recordEndCheck(verdict);
         front.metrics().streamEndVerified(verdict);
         FrontLog.streamEndVerified(this, heldTarget.state().target(), verdict, heldMillis);
     }
 
+    private void recordEndCheck(EndVerdict verdict) {
+        cutShown |= verdict == EndVerdict.CUT;
+        front.streamEnds().verified(service, verdict);
+    }
+
     /** Holds the end of a stream, and asks another target whether any event follows. */
     private void confirmEnd(ActiveRun run, long nowMillis) {
         recordRetry(run, "undeclared end");
