Keep what is held of a stream's end in one place

CallerExchange had the target and the time of a held end in two fields that were set and cleared apart, and used both confirm and verify for one thing. The stand-in worker records an early end once.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -62,14 +62,17 @@
      */
     private static final long UNRESUMED_RETRY_AFTER_MILLIS = 2_000;
     /** Maximum time for which the end of a stream is held; callers of streams give up after longer gaps. */
-    private static final long MAX_CONFIRMATION_MILLIS = 1_000;
-    /** Part of the retry budget up to which ends are confirmed; the rest is left to requests that have failed. */
-    private static final double CONFIRMATION_SHARE = 0.5;
+    private static final long MAX_VERIFICATION_MILLIS = 1_000;
+    /** Part of the retry budget up to which ends are verified; the rest is left to requests that have failed. */
+    private static final double VERIFICATION_SHARE = 0.5;
     /** Reason for passing on an end against which nothing speaks. */
     private static final String NOT_DOUBTED = "not-doubted";
     /** Reason for what follows when no target that was asked has answered in time. */
     private static final String UNVERIFIED = "unverified";
 
+    /** End of the stream of a target. */
+    private record HeldEnd(TargetEntry target, long heldAtMillis) {}
+
     private enum Stage {
         /** The processes that may know where the resumed stream began are being asked. */
         RESOLVING_ORIGIN,
@@ -119,13 +122,8 @@
     private Assessment crashAssessment = Assessment.CLEAN;
 
     private Optional<ResponseEnding> responseEnding = Optional.empty();
-    /**
-     * Time until which the end of a stream is held while another target is asked whether any event follows; empty if no
-     * end is held.
-     */
-    private OptionalLong endHeldUntilMillis = OptionalLong.empty();
-    /** Target whose end is held. */
-    private TargetEntry heldTarget;
+    /** End of the stream that is held while another target is asked whether any event follows. */
+    private Optional<HeldEnd> heldEnd = Optional.empty();
     /** Whether the stream was found to be cut, so that what follows comes from a target that was asked for the rest. */
     private boolean cutShown;
 
@@ -807,7 +805,7 @@
         if (run.held() != null) {
             acceptHeld(run);
         }
-        boolean nothingFollows = endHeldUntilMillis.isPresent();
+        boolean nothingFollows = heldEnd.isPresent();
         if (!responseAssembler.notExecuted() && !responseAssembler.isComplete() && !nothingFollows) {
             if (responseAssembler.cutInsideEvent()) {
                 recordEndCheck(EndVerdict.CUT);
@@ -863,10 +861,10 @@
             deliver();
             return;
         }
-        RetryDecision retry = retryDecision(nowMillis, CONFIRMATION_SHARE);
+        RetryDecision retry = retryDecision(nowMillis, VERIFICATION_SHARE);
         if (retry == RetryDecision.RETRY) {
             recordEndDecision(run.entry(), EndDecision.HELD, retry.tag());
-            confirmEnd(run, nowMillis);
+            holdEnd(run, nowMillis);
         } else {
             endUnverified(run.entry(), retry.tag());
         }
@@ -874,7 +872,7 @@
 
     /** Returns the share of the service's streams whose ends the retry budget lets verify, whatever the load. */
     private double verifiableShare() {
-        return front.retryBudget(service).ratio() * CONFIRMATION_SHARE;
+        return front.retryBudget(service).ratio() * VERIFICATION_SHARE;
     }
 
     /**
@@ -908,14 +906,15 @@
 
     /** Records what is shown of the end that is held, which is not held any longer. */
     private void endVerified(EndVerdict verdict) {
-        if (endHeldUntilMillis.isEmpty()) {
+        if (heldEnd.isEmpty()) {
             return;
         }
-        long heldMillis = front.nowMillis() - (endHeldUntilMillis.getAsLong() - MAX_CONFIRMATION_MILLIS);
-        endHeldUntilMillis = OptionalLong.empty();
+        HeldEnd held = heldEnd.get();
+        heldEnd = Optional.empty();
         recordEndCheck(verdict);
         front.metrics().streamEndVerified(verdict);
-        FrontLog.streamEndVerified(this, heldTarget.state().target(), verdict, heldMillis);
+        FrontLog.streamEndVerified(
+                this, held.target().state().target(), verdict, front.nowMillis() - held.heldAtMillis());
     }
 
     private void recordEndCheck(EndVerdict verdict) {
@@ -924,23 +923,23 @@
     }
 
     /** Holds the end of a stream, and asks another target whether any event follows. */
-    private void confirmEnd(ActiveRun run, long nowMillis) {
+    private void holdEnd(ActiveRun run, long nowMillis) {
         recordRetry(run, "undeclared end");
         responseAssembler.discardIncomplete();
-        heldTarget = run.entry();
-        endHeldUntilMillis = OptionalLong.of(nowMillis + MAX_CONFIRMATION_MILLIS);
-        queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, nowMillis + MAX_CONFIRMATION_MILLIS);
+        heldEnd = Optional.of(new HeldEnd(run.entry(), nowMillis));
+        queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, nowMillis + MAX_VERIFICATION_MILLIS);
         place(nowMillis);
     }
 
     /** Ends a stream whose end was held and could not be verified; returns false if none was held. */
     private boolean endHeldStream() {
-        if (endHeldUntilMillis.isEmpty()) {
+        if (heldEnd.isEmpty()) {
             return false;
         }
+        TargetEntry target = heldEnd.get().target();
         endVerified(EndVerdict.UNKNOWN);
         responseAssembler.discardIncomplete();
-        endUnverified(heldTarget, UNVERIFIED);
+        endUnverified(target, UNVERIFIED);
         return true;
     }
 
@@ -1056,7 +1055,7 @@
 
     /** Returns the part of the retry budget that the request may use. */
     private double budgetShare() {
-        return endHeldUntilMillis.isPresent() ? CONFIRMATION_SHARE : 1;
+        return heldEnd.isPresent() ? VERIFICATION_SHARE : 1;
     }
 
     /** Decides the same with a part of the budget. */
@@ -1154,7 +1153,7 @@
             deadlineReached(nowMillis);
             return;
         }
-        if (endHeldUntilMillis.isPresent() && nowMillis >= endHeldUntilMillis.getAsLong()) {
+        if (heldEnd.isPresent() && nowMillis - heldEnd.get().heldAtMillis() >= MAX_VERIFICATION_MILLIS) {
             removeFromQueue();
             abandonRuns(nowMillis);
             endHeldStream();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -277,9 +277,12 @@
             output.body.append(event);
             output.all.append(framing.part(event));
         }
+        if (fault == WorkerFault.ENDED_EARLY && framing == Framing.CONNECTION) {
+            worker.record().put(run.ended(WorkerRun.End.CUT, output.status, output.body.toString(), false));
+            return false;
+        }
         end(output, fault);
         if (fault == WorkerFault.ENDED_EARLY) {
-            recordEarlyEnd(output, framing);
             return false;
         }
         if (fault.answers()) {
@@ -308,12 +311,6 @@
                         fault.repeats()));
     }
 
-    private void recordEarlyEnd(Output output, Framing framing) {
-        if (framing == Framing.CONNECTION) {
-            worker.record().put(output.run.ended(WorkerRun.End.CUT, output.status, output.body.toString(), false));
-        }
-    }
-
     /** Writes an answer as a fault has it; returns whether the connection stays open. */
     private boolean write(String answer, WorkerFault fault) throws IOException {
         if (fault == WorkerFault.TRUNCATED || fault == WorkerFault.RESET) {
