Complete a resumed stream if two targets tell its end, declared or not

Callers whose stream is left open have all events and resume it at its end. Where no target declares ends they got 502 each time: an empty stream without a declared end was a failure of its target, however many sent it.

Change: if a second target sends nothing after the last event either, and both live on, the stream is complete. One alone still counts as a failure.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -219,6 +220,22 @@
         assertThat("ends that were asked about", continuations.get(), is(1));
     }
 
+    /**
+     * Guards against a caller that has all events of a whole stream and can't learn so, since no target declares it.
+     */
+    @Test
+    void streamThatItsCallerResumesAtItsEndIsComplete() throws IOException {
+        startTargets();
+        fixture.exchange(FrontFixture.request("POST", "/resumable/undeclared", "first", true));
+        String resumption = FrontFixture.request("POST", "/resumable/undeclared", "a", true)
+                .replaceFirst("\r\n", "\r\nResumes: first\r\nResume-After: 2\r\n");
+        String response = fixture.exchange(resumption);
+        assertThat(response, startsWith("HTTP/1.1 200"));
+        assertThat(events(response), is(""));
+        assertThat(response, endsWith("\r\n0\r\n\r\n"));
+        assertThat("targets that were asked", continuations.get(), is(2));
+    }
+
     /** Guards against losing the ends of whole streams for longer than streams are found to be cut. */
     @Test
     void endIsPassedOnAgainOnceStreamsAreFoundWhole() throws IOException {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -124,6 +124,8 @@
     private Optional<ResponseEnding> responseEnding = Optional.empty();
     /** End of the stream that is held while another target is asked whether any event follows. */
     private Optional<HeldEnd> heldEnd = Optional.empty();
+    /** Number of targets that have sent nothing after the last event, and declared no end. */
+    private int emptyContinuations;
     /** Whether the stream was found to be cut, so that what follows comes from a target that was asked for the rest. */
     private boolean cutShown;
 
@@ -805,7 +807,7 @@
         if (run.held() != null) {
             acceptHeld(run);
         }
-        boolean nothingFollows = heldEnd.isPresent();
+        boolean nothingFollows = heldEnd.isPresent() || toldTwiceThatNothingFollows();
         if (!responseAssembler.notExecuted() && !responseAssembler.isComplete() && !nothingFollows) {
             if (responseAssembler.cutInsideEvent()) {
                 recordEndCheck(EndVerdict.CUT);
@@ -850,6 +852,16 @@
         }
     }
 
+    /** Tells whether a second target has answered a resumed stream with nothing, and neither has declared that end. */
+    private boolean toldTwiceThatNothingFollows() {
+        boolean resumed =
+                responseAssembler.streamStarted() || head.lastEventId().isPresent();
+        if (resumed && responseAssembler.undeclaredAndEmpty()) {
+            emptyContinuations++;
+        }
+        return emptyContinuations > 1;
+    }
+
     /** Decides what becomes of the end of a stream, which its target may have cut if it was not declared. */
     private void judgeEnd(ActiveRun run, long nowMillis) {
         if (responseAssembler.endDeclared()) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -206,6 +206,11 @@
         return bufferedBody == null && !notExecuted();
     }
 
+    /** Returns whether the latest response is a stream without an event, and only its connection has told its end. */
+    boolean undeclaredAndEmpty() {
+        return isStream() && !framing.endDeclared() && boundaryTracker.isEmpty();
+    }
+
     /** Returns whether a stream ended inside an event, and nothing but the end of its connection told the end. */
     boolean cutInsideEvent() {
         return isStream() && !framing.endDeclared() && !boundaryTracker.atBoundary();
