End a stream whose end is held before its deadline

Callers saw the end of a whole stream after their deadline: an end without a declared one is held for up to a second while another target is asked, and a silent one held it until the deadline had passed.

Cause: only the tick after the deadline ended the hold.

The end is held until 150 ms before the deadline at most, more than two idle ticks of 60 ms; with less time left nobody is asked (reason deadline).

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.startsWith;
 
@@ -11,6 +12,7 @@
 import java.net.Socket;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -21,6 +23,9 @@
 /** Verifies what becomes of streams that targets which live on end between two events, by what the fleet has seen. */
 class CutStreamTest {
     private static final long DEADLINE_MILLIS = 5_000;
+    /** Shorter than the time for which an end may be held. */
+    private static final long SHORT_DEADLINE_MILLIS = 600;
+
     private static final String FIRST_EVENTS = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
     private static final String LAST_EVENT = "id: 3\ndata: c\n\n";
     private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
@@ -62,6 +67,9 @@
             FakeTarget.write(socket, "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n");
         } else if (request.toLowerCase(Locale.ROOT).contains("resume-after: 2")) {
             continuations.incrementAndGet();
+            if (request.contains("/silent")) {
+                return;
+            }
             if (request.contains("/undeclared")) {
                 FakeTarget.write(socket, head(request, ""));
                 socket.close();
@@ -83,9 +91,13 @@
     }
 
     private void startTargets() throws IOException {
+        startTargets(DEADLINE_MILLIS);
+    }
+
+    private void startTargets(long deadlineMillis) throws IOException {
         first = fixture.target("t", this::serve);
         second = fixture.target("u", this::serve);
-        fixture.publishCatalog(2, DEADLINE_MILLIS);
+        fixture.publishCatalog(2, deadlineMillis);
     }
 
     private static String stream(FrontFixture front, String path) throws IOException {
@@ -249,4 +261,16 @@
         assertThat("ends that were asked about", continuations.get(), is(1 + WHOLE_STREAMS));
         assertThat(stream(fixture, "/stream/whole"), endsWith(LAST_CHUNK));
     }
+
+    /** Guards against an end that is held until after the deadline, when its caller has given up. */
+    @Test
+    void endIsNotHeldBeyondTheDeadline() throws IOException {
+        startTargets(SHORT_DEADLINE_MILLIS);
+        streamDeclared(fixture);
+        long startNanos = System.nanoTime();
+        String response = stream(fixture, "/resumable/silent");
+        long tookMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertThat(response, endsWith(LAST_CHUNK));
+        assertThat(tookMillis, lessThan(SHORT_DEADLINE_MILLIS));
+    }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -63,6 +63,8 @@
     private static final long UNRESUMED_RETRY_AFTER_MILLIS = 2_000;
     /** Maximum time for which the end of a stream is held; callers of streams give up after longer gaps. */
     private static final long MAX_VERIFICATION_MILLIS = 1_000;
+    /** Time before the deadline at which an end is held no longer: more than two ticks, and the way to the caller. */
+    private static final long VERIFICATION_MARGIN_MILLIS = 150;
     /** Part of the retry budget up to which ends are verified; the rest is left to requests that have failed. */
     private static final double VERIFICATION_SHARE = 0.5;
     /** Reason for passing on an end against which nothing speaks. */
@@ -70,8 +72,8 @@
     /** Reason for what follows when no target that was asked has answered in time. */
     private static final String UNVERIFIED = "unverified";
 
-    /** End of the stream of a target. */
-    private record HeldEnd(TargetEntry target, long heldAtMillis) {}
+    /** End of the stream of a target, and how long it is held at most. */
+    private record HeldEnd(TargetEntry target, long heldAtMillis, long untilMillis) {}
 
     private enum Stage {
         /** The processes that may know where the resumed stream began are being asked. */
@@ -873,10 +875,12 @@
             deliver();
             return;
         }
-        RetryDecision retry = retryDecision(nowMillis, VERIFICATION_SHARE);
+        long untilMillis = Math.min(nowMillis + MAX_VERIFICATION_MILLIS, deadlineAtMillis - VERIFICATION_MARGIN_MILLIS);
+        RetryDecision retry =
+                nowMillis < untilMillis ? retryDecision(nowMillis, VERIFICATION_SHARE) : RetryDecision.DEADLINE;
         if (retry == RetryDecision.RETRY) {
             recordEndDecision(run.entry(), EndDecision.HELD, retry.tag());
-            holdEnd(run, nowMillis);
+            holdEnd(run, nowMillis, untilMillis);
         } else {
             endUnverified(run.entry(), retry.tag());
         }
@@ -935,11 +939,11 @@
     }
 
     /** Holds the end of a stream, and asks another target whether any event follows. */
-    private void holdEnd(ActiveRun run, long nowMillis) {
+    private void holdEnd(ActiveRun run, long nowMillis, long untilMillis) {
         recordRetry(run, "undeclared end");
         responseAssembler.discardIncomplete();
-        heldEnd = Optional.of(new HeldEnd(run.entry(), nowMillis));
-        queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, nowMillis + MAX_VERIFICATION_MILLIS);
+        heldEnd = Optional.of(new HeldEnd(run.entry(), nowMillis, untilMillis));
+        queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, untilMillis);
         place(nowMillis);
     }
 
@@ -1165,7 +1169,7 @@
             deadlineReached(nowMillis);
             return;
         }
-        if (heldEnd.isPresent() && nowMillis - heldEnd.get().heldAtMillis() >= MAX_VERIFICATION_MILLIS) {
+        if (heldEnd.isPresent() && nowMillis >= heldEnd.get().untilMillis()) {
             removeFromQueue();
             abandonRuns(nowMillis);
             endHeldStream();
