Continue no stream behind an event without an id

Callers got an event twice: a front that continued a stream, or asked another target whether its end was the end, named the last id that it had seen, though events without an id had gone to the caller behind it. The asked target sent these once more.

Cause: EventStreamFramer kept the last id, not whether any event follows it, and ResponseAssembler.canResume was true with any id.

The framer now knows whether an event follows the last id; behind one, a stream is not continued and its end not verified (NOT_RESUMABLE): it is broken off, or its end passed on or left open by what the other streams show. Comments, empty lines and retry fields are no events, and a stream is continued behind them as before. Price: streams with such events are broken off where they were continued with a repetition.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamFramer.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/EventStreamFramer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * Splits an event stream at event boundaries, so that another target can resume it after a failure.
@@ -13,9 +14,13 @@
  */
 final class EventStreamFramer {
     private static final String ID_FIELD = "id:";
+    private static final String RETRY_FIELD = "retry";
+    private static final char COMMENT = ':';
 
     private ByteBuf partialEvent = Unpooled.EMPTY_BUFFER;
     private Optional<String> lastEventId = Optional.empty();
+    /** Whether an event without an id has followed the last one that bears one. */
+    private boolean eventsBehindLastId;
 
     /**
      * Appends a chunk and returns the complete events received so far; the caller of the method releases the result.
@@ -50,6 +55,14 @@
         return lastEventId;
     }
 
+    /**
+     * Returns whether the last id stands for all complete events returned so far. Behind an event without an id no
+     * target can go on: one that is asked for what follows the last id sends that event once more.
+     */
+    boolean canContinue() {
+        return lastEventId.isPresent() && !eventsBehindLastId;
+    }
+
     /** Discards a partial event that is held back. */
     void discardPartialEvent() {
         partialEvent.release();
@@ -60,11 +73,18 @@
         String text = completeEvents.toString(StandardCharsets.UTF_8);
         int lineBreak = text.lastIndexOf("\n" + ID_FIELD);
         if (lineBreak < 0 && !text.startsWith(ID_FIELD)) {
+            eventsBehindLastId |= holdsEvent(text.lines());
             return;
         }
         int fieldStart = lineBreak + 1;
         int end = text.indexOf('\n', fieldStart);
         lastEventId = Optional.of(text.substring(fieldStart + ID_FIELD.length(), end < 0 ? text.length() : end)
                 .trim());
+        eventsBehindLastId = holdsEvent(text.substring(fieldStart).lines().dropWhile(line -> !line.isEmpty()));
+    }
+
+    /** Tells whether any line belongs to an event, rather than being empty, a comment or a delay. */
+    private static boolean holdsEvent(Stream<String> lines) {
+        return lines.anyMatch(line -> !line.isEmpty() && line.charAt(0) != COMMENT && !line.startsWith(RETRY_FIELD));
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ResponseAssembler.java
@@ -165,7 +165,7 @@
 
     /** Returns whether another target can continue the response from its current position. */
     boolean canResume() {
-        return !streamStarted || route.resumable() && framer.lastEventId().isPresent();
+        return !streamStarted || route.resumable() && framer.canContinue();
     }
 
     /** Returns the id of the last event forwarded to the caller; empty before the first. */
