Take no report of a restarted target for one of its published version

Callers got streams of two versions after all fronts were killed: a target had restarted under its id with another version, its entry still named the earlier one, and its report of the run was taken for proof of that one.

Cause: RunInquiry gave each reported run the version of the published entry, whichever process answered.

A report tells the start of its process (born). If the published start is known and another one, the report proves no version, and the stream is refused as of an unknown version. Both are written by the same process, so that no clocks are compared.

Not run with real processes.

Nothing in a response names the version.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
@@ -129,4 +129,24 @@
             assertNoneIsMixedWhenResumed(fleet, begun);
         }
     }
+
+    /** Guards against taking a report of the new process for one of the version that is still published. */
+    @Test
+    void streamReportedByARestartedTargetIsNotMixedBeforeTheRestartIsPublished() throws Exception {
+        try (VersionedFleet fleet = start(true)) {
+            fleet.restart(0, "v2");
+            List<VersionedFleet.Received> begun = begin(fleet);
+            assertSomeBeganAt("v2", begun);
+            fleet.reportRuns();
+            // The restarted fronts read the earlier version, which is still published.
+            fleet.fleet().setVersion(0, "v1");
+            List<FrontFixture> restarted = fleet.fleet().restartAllFronts(target -> true);
+            for (FrontFixture front : restarted) {
+                // Has the targets asked while all are published.
+                fleet.call(front, "c", new VersionedFleet.Received("x", "unknown", List.of("v1"), "", false));
+            }
+            fleet.fleet().publishRemoval(0);
+            assertNoneIsMixed(resume(fleet, restarted, begun));
+        }
+    }
 }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -137,6 +137,13 @@
 
     @Override
     public Set<String> readRuns(String body) {
-        return Set.of(body.split(","));
+        return Set.of(body.substring(body.indexOf(';') + 1).split(","));
+    }
+
+    /** The start comes before the runs, followed by a semicolon. */
+    @Override
+    public OptionalLong readReportedStart(String body) {
+        int end = body.indexOf(';');
+        return end < 0 ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(body.substring(0, end)));
     }
 }
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
@@ -97,6 +97,9 @@
     /** Attempts whose first events each target has sent, by the target's index. */
     private final Map<Integer, Set<String>> runs = new ConcurrentHashMap<>();
 
+    /** Start that each restarted target reports, by the target's index. */
+    private final Map<Integer, Long> starts = new ConcurrentHashMap<>();
+
     private volatile boolean runsReported;
 
     /**
@@ -133,6 +136,7 @@
     /** Restarts a target under its id with another software version, and leaves it to be published. */
     void restart(int target, String version) throws IOException {
         fleet.setVersion(target, version);
+        starts.put(target, System.currentTimeMillis());
         for (CutLink link : fleet.linksTo(target)) {
             link.resetOpen();
         }
@@ -222,7 +226,8 @@
 
     private void answerRuns(String request, Socket socket) throws IOException {
         Set<String> attempts = runs.getOrDefault(fleet.targetOf(socket), Set.of());
-        String body = runsReported ? String.join(",", attempts) : "";
+        Long start = starts.get(fleet.targetOf(socket));
+        String body = runsReported ? (start == null ? "" : start + ";") + String.join(",", attempts) : "";
         FakeTarget.write(
                 socket,
                 "HTTP/1.1 " + (runsReported ? 200 : 404) + " X\r\nContent-Length: " + body.length() + "\r\n\r\n"
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpDialect.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/HttpDialect.java
@@ -91,4 +91,12 @@
      * @return ids of the attempts whose runs have made an event; empty if the body is not readable
      */
     Set<String> readRuns(String body);
+
+    /**
+     * Parses the start of the process that sent such a response.
+     *
+     * @param body body of the response
+     * @return start, in Unix milliseconds; empty if the body does not tell it
+     */
+    OptionalLong readReportedStart(String body);
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -139,8 +140,7 @@
                 return;
             }
             Target target = entry.state().target();
-            Report report =
-                    new Report(reports, target.version(), acquired.connection().get());
+            Report report = new Report(reports, target, acquired.connection().get());
             report.connection.send(dialect.runsRequest(target.address()), Unpooled.EMPTY_BUFFER, "", report);
             loop.schedule(report::timedOut, TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }));
@@ -159,15 +159,15 @@
     /** The report of one target. */
     private final class Report implements TargetListener {
         private final Reports reports;
-        private final String version;
+        private final Target published;
         private final TargetConnection connection;
         private final ByteBuf body = Unpooled.buffer();
         private boolean readable;
         private boolean ended;
 
-        Report(Reports reports, String version, TargetConnection connection) {
+        Report(Reports reports, Target published, TargetConnection connection) {
             this.reports = reports;
-            this.version = version;
+            this.published = published;
             this.connection = connection;
         }
 
@@ -190,13 +190,22 @@
 
         @Override
         public void complete() {
-            if (readable) {
-                dialect.readRuns(body.toString(StandardCharsets.UTF_8))
-                        .forEach(attemptId -> reports.add(attemptId, version, ticker.nowMillis()));
+            String text = body.toString(StandardCharsets.UTF_8);
+            if (readable && isOfPublished(text)) {
+                dialect.readRuns(text)
+                        .forEach(attemptId -> reports.add(attemptId, published.version(), ticker.nowMillis()));
             }
             end();
         }
 
+        /** Tells whether the process that reports may be the published one, whose version is known. */
+        private boolean isOfPublished(String text) {
+            OptionalLong startedUnixMillis = dialect.readReportedStart(text);
+            return startedUnixMillis.isEmpty()
+                    || published.startedUnixMillis() <= 0
+                    || startedUnixMillis.getAsLong() == published.startedUnixMillis();
+        }
+
         @Override
         public void failed(TargetFailure failure) {
             end();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/PlatformDialectTest.java
@@ -172,4 +172,14 @@
         assertThat(dialect.readRuns("{}"), is(Set.of()));
         assertThat(dialect.readRuns("no report"), is(Set.of()));
     }
+
+    /** Guards against runs that are taken for those of a process which has ended. */
+    @Test
+    void reportTellsTheStartOfItsProcess() {
+        assertThat(
+                dialect.readReportedStart("{\"born\":1700000000000,\"runs\":[]}"), is(OptionalLong.of(1700000000000L)));
+        assertThat(dialect.readReportedStart("{\"born\":\"x\"}"), is(OptionalLong.empty()));
+        assertThat(dialect.readReportedStart("{}"), is(OptionalLong.empty()));
+        assertThat(dialect.readReportedStart("no report"), is(OptionalLong.empty()));
+    }
 }
