--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
@@ -113,6 +113,18 @@
         beginBeforeRestart(clockAheadMillis);
     }
 
+    /** Guards against the same where a clock has jumped by seconds. */
+    @Test
+    void streamBegunAfterARestartIsNotMixedWhereTheClockOfItsTargetIsFarAhead() throws Exception {
+        beginAfterRestart(6_000);
+    }
+
+    /** Guards against the same for streams that began before the restart, of a target whose clock has jumped back. */
+    @Test
+    void streamBegunBeforeARestartIsNotMixedWhereTheClockOfItsTargetIsFarBehind() throws Exception {
+        beginBeforeRestart(-6_000);
+    }
+
     /**
      * Guards against an origin that keeps the earlier version, as the entry lapsed before the restart was published.
      */
