Take one answer from each connection of an entry to a target

Callers of plain services got the body or status of another call with a success: where a target sends an answer, or a part of it, again, the entry's client took the copy for the answer of the next call on the kept connection.

Cause: answers of targets name no request; the client counts bytes to the call under way by where they stand.

Change: AnswerGuard lets the client close each connection after its answer, and drops what the same read brought behind it. Nothing of an earlier answer can then stand before a later one. The request still asks to keep the connection, since some servers may leave out the length otherwise (not run). Streams and cancellations go over the same client and get the same (stray bytes before those not tried).

Not measured: ports that wait after a close at the entry, which closes first.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryFixture.java
@@ -43,6 +43,9 @@
     static final Host FAR = target("engine-far", NETWORK.address(7), "lampa-far");
 
     static final Host PLAIN = target("plain-1", NETWORK.address(9), "zber-app");
+    /** A plain service that a test starts. */
+    static final Host LOOSE = target("plain-loose", NETWORK.address(6), "zber-loose");
+
     private static final String PLATFORM = NETWORK.address(10);
     // Below the ports that the system hands to outgoing connections: the daemons connect from their own addresses, and
     // a listener that comes up again could find its port taken by such a connection.
@@ -52,9 +55,9 @@
     private static final long BOUND_SECONDS = 30;
     private static EntryFixture shared;
 
-    final GrantingScheduler scheduler = new GrantingScheduler(ONE, List.of(ENGINE, FAR, PLAIN));
-    final GrantingScheduler otherScheduler = new GrantingScheduler(TWO, List.of(ENGINE, FAR, PLAIN));
-    final GrantingScheduler thirdScheduler = new GrantingScheduler(THREE, List.of(ENGINE, FAR, PLAIN));
+    final GrantingScheduler scheduler = new GrantingScheduler(ONE, List.of(ENGINE, FAR, PLAIN, LOOSE));
+    final GrantingScheduler otherScheduler = new GrantingScheduler(TWO, List.of(ENGINE, FAR, PLAIN, LOOSE));
+    final GrantingScheduler thirdScheduler = new GrantingScheduler(THREE, List.of(ENGINE, FAR, PLAIN, LOOSE));
     final EntryDaemon one = new EntryDaemon(settings(ONE));
     final EntryDaemon two = new EntryDaemon(settings(TWO));
     final HttpClient client =
@@ -214,7 +217,7 @@
     private static void startStandIns(Path directory) throws IOException {
         HostList list = HostList.newBuilder()
                 .setRevision(1)
-                .addAllHosts(List.of(ONE, TWO, THREE, ENGINE, FAR, PLAIN))
+                .addAllHosts(List.of(ONE, TWO, THREE, ENGINE, FAR, PLAIN, LOOSE))
                 .build();
         Path hosts = directory.resolve("hosts.json");
         Files.writeString(hosts, JsonFormat.printer().print(list));
@@ -250,7 +253,8 @@
                     {"name": "lampa-llm", "kind": "ENGINE", "models": ["lampa"], "maxBodyBytes": 20000},
                     {"name": "lampa-far", "kind": "ENGINE", "models": ["lampa"], "maxBodyBytes": 20000},
                     {"name": "zber-app", "kind": "PLAIN",
-                     "calls": [{"name": "book"}, {"name": "list", "idempotent": true}]}
+                     "calls": [{"name": "book"}, {"name": "list", "idempotent": true}]},
+                    {"name": "zber-loose", "kind": "PLAIN", "calls": [{"name": "list", "idempotent": true}]}
                   ],
                   "organisations": [
                     {"name": "orava", "credentials": [{"sha256128": "%s", "tier": "urgent"}]},
--- /dev/null
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/LooseTargetTest.java
@@ -0,0 +1,93 @@
+package org.whinwharf.entry;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class LooseTargetTest {
+    private static final int CALLS = 6;
+    private static final String CALL = "{\"service\":\"zber-loose\",\"call\":\"list\",\"body\":\"%s\"}";
+
+    private static EntryFixture fixture;
+
+    private LooseTarget target;
+
+    @BeforeAll
+    static void startFixture() throws IOException {
+        fixture = EntryFixture.shared();
+    }
+
+    @AfterEach
+    void stopTarget() {
+        target.stop();
+    }
+
+    // Guards against answers that are taken for those of later calls, as their copies stand before these.
+    @ParameterizedTest
+    @ValueSource(longs = {0, 1, 5, 20})
+    void copyOfAnAnswerIsNotTheAnswerOfTheNextCall(long delayMillis) {
+        start((connection, out, body) -> {
+            out.write(LooseTarget.whole(body));
+            if (delayMillis > 0) {
+                Thread.sleep(delayMillis);
+            }
+            out.write(LooseTarget.whole(body));
+        });
+        assertOwnAnswers();
+    }
+
+    // Guards against answers with bodies or statuses of answers before, of which all or a part comes right before them.
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncall-x", "HTTP/1.1 500 Wrong\r\nX-Part: "})
+    void bytesRightBeforeAnAnswerAreNotPartOfIt(String stray) {
+        Set<Socket> carried = ConcurrentHashMap.newKeySet();
+        start((connection, out, body) -> {
+            ByteArrayOutputStream both = new ByteArrayOutputStream();
+            if (!carried.add(connection)) {
+                both.writeBytes(LooseTarget.bytes(stray));
+            }
+            both.writeBytes(LooseTarget.whole(body));
+            both.writeTo(out);
+        });
+        assertOwnAnswers();
+    }
+
+    // Guards against an interim answer that is taken for the only one that its connection brings.
+    @Test
+    void answerBehindAnInterimOneIsDelivered() {
+        start((connection, out, body) -> {
+            out.write(LooseTarget.bytes("HTTP/1.1 100 Continue\r\n\r\n"));
+            out.write(LooseTarget.whole(body));
+        });
+        assertOwnAnswers();
+    }
+
+    private void start(LooseTarget.Answering answering) {
+        target = new LooseTarget(EntryFixture.LOOSE, answering);
+        target.start();
+    }
+
+    private void assertOwnAnswers() {
+        List<String> wrong = new ArrayList<>();
+        for (int i = 0; i < CALLS; i++) {
+            HttpResponse<String> response = fixture.post(EntryFixture.ONE, CALL.formatted("call-" + i));
+            if (!response.body().contains("\"text\":\"call-" + i + "\",\"tokens\":0,\"status\":200}")) {
+                wrong.add(i + ": " + response.statusCode() + " " + response.body());
+            }
+        }
+        assertThat(wrong, is(List.of()));
+    }
+}
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/Targets.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/Targets.java
@@ -76,7 +76,9 @@
         configuration.setMaxContentLength(MAX_CONTENT_BYTES);
         // The owners bound what is in flight; this bound only has to lie above theirs.
         configuration.getConnectionPoolConfiguration().setMaxConcurrentHttp1Connections(MAX_CONNECTIONS_PER_TARGET);
-        context.getBean(NettyClientCustomizer.Registry.class).register(guard);
+        NettyClientCustomizer.Registry customizers = context.getBean(NettyClientCustomizer.Registry.class);
+        customizers.register(guard);
+        customizers.register(new AnswerGuard());
         client = context.getBean(HttpClientRegistry.class).getDefaultClient();
         streams = (SseClient) client;
         duty.start();
