Refuse an answer that only the end of its connection completes

Callers of plain services got a part of an answer as a whole one, with a success: where a target sends a body with neither length nor chunks and is killed inside it, or cuts it and lives on, the connection ends in order and the entry's client took that for the end of the body.

Cause: the decoder ends such a body when its connection becomes inactive.

Change: that end is not passed on, so that the client fails the call; the caller hears target-lost, which leaves open whether the call ran. Answers without a body (204) need no length. Broken streams with a declared end, and streams of engines, are judged as before.

No cost for answers that declare their end.

Measured: LooseTargetTest.partOfABodyIsNotAnAnswer, 1 of its 3 plays fails without the guard (200 with the first part), as the other two declare an end; 11 of 11 in the class after. Targets closed their connection in order in one process; no process was killed. org.whinwharf.entry.test whole: 53 of 53 (x86-64, beside other work).

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/LooseTargetTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/LooseTargetTest.java
@@ -1,6 +1,7 @@
 package org.whinwharf.entry;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
 
 import java.io.ByteArrayOutputStream;
@@ -65,6 +66,20 @@
         assertOwnAnswers();
     }
 
+    // Guards against parts of answers that are taken for whole ones, as their targets ended inside them.
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Content-Length: 40\r\n", "Transfer-Encoding: chunked\r\n"})
+    void partOfABodyIsNotAnAnswer(String framing) {
+        start((connection, out, body) -> {
+            String part = framing.startsWith("T") ? "5\r\nfirst\r\n" : "first";
+            out.write(LooseTarget.bytes("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n" + framing + "\r\n" + part));
+            connection.close();
+        });
+        HttpResponse<String> response = fixture.post(EntryFixture.ONE, CALL.formatted("a"));
+        assertThat(response.body(), response.statusCode(), is(502));
+        assertThat(response.body(), containsString("\"ran\":\"unknown\""));
+    }
+
     // Guards against an interim answer that is taken for the only one that its connection brings.
     @Test
     void answerBehindAnInterimOneIsDelivered() {
@@ -75,6 +90,17 @@
         assertOwnAnswers();
     }
 
+    // Guards against answers without a body that are refused since they declare no length.
+    @Test
+    void answerThatHasNoBodyNeedsNoLength() {
+        start((connection, out, body) -> {
+            out.write(LooseTarget.bytes("HTTP/1.1 204 No Content\r\n\r\n"));
+            connection.close();
+        });
+        HttpResponse<String> response = fixture.post(EntryFixture.ONE, CALL.formatted("a"));
+        assertThat(response.body(), containsString("\"status\":204"));
+    }
+
     private void start(LooseTarget.Answering answering) {
         target = new LooseTarget(EntryFixture.LOOSE, answering);
         target.start();
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/AnswerGuard.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/AnswerGuard.java
@@ -12,10 +12,11 @@
 import io.netty.util.ReferenceCountUtil;
 
 /**
- * Takes one answer from each connection to a target.
+ * Takes one answer from each connection to a target, and no answer that only the connection's end completes.
  *
  * <p>Answers of targets name no request. On a connection that carried another one before, bytes of its answer that come
- * again could not be told from the answer that is awaited.
+ * again could not be told from the answer that is awaited. And a connection ends in the same way whether its target has
+ * written the whole answer or was killed inside it.
  */
 final class AnswerGuard implements NettyClientCustomizer {
     private static final String NAME = "answer-guard";
@@ -41,16 +42,20 @@
     private static final class Handler extends ChannelInboundHandlerAdapter {
         private boolean begun;
         private boolean ended;
+        private boolean endDeclared;
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
             if (message instanceof HttpResponse response && !isInterim(response)) {
                 begun = true;
+                endDeclared = HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response);
                 // The client closes connections whose answers ask for it. The request doesn't: some targets might
                 // leave out the length of their answers then.
                 HttpUtil.setKeepAlive(response, false);
             }
-            if (ended) {
+            // The decoder ends a body without a declared end when its connection has ended.
+            boolean cut = begun && !endDeclared && !context.channel().isActive();
+            if (ended || cut && message instanceof LastHttpContent) {
                 ReferenceCountUtil.release(message);
                 return;
             }
