--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -180,7 +180,12 @@
         targets.onVersionPublished(streams::targetPublished);
         coordination = new Coordination(
                 settings, members, targets, rates, datagrams, ticker, this::createCoordinator, this::isCoordinated);
-        gossip = new Gossip(
+        gossip = createGossip();
+        callers = new CallerAcceptor(this, loop, callerPort);
+    }
+
+    private Gossip createGossip() {
+        return new Gossip(
                 settings,
                 members,
                 ticker,
@@ -191,7 +196,6 @@
                 crashes,
                 statedLimits,
                 streamEnds);
-        callers = new CallerAcceptor(this, loop, callerPort);
     }
 
     /**
