Count no response without a body as a stream with a declared end

Callers of a service whose streams declare no end could get whole streams late, or without an end: responses to HEAD, and answers without an event to the question whether anything follows, counted as streams that declare theirs, so that the ends of the real ones seemed odd and were doubted.

Cause: each response on a streaming route was counted. Now it is if any byte of a stream came.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
@@ -273,4 +273,15 @@
         assertThat(response, endsWith(LAST_CHUNK));
         assertThat(tookMillis, lessThan(SHORT_DEADLINE_MILLIS));
     }
+
+    /** Guards against ends that seem odd, as responses to HEAD have no body and so declare theirs. */
+    @Test
+    void responsesWithoutAStreamAreNoStreamsWithADeclaredEnd() throws IOException {
+        startTargets();
+        for (int i = 0; i < DECLARED_STREAMS; i++) {
+            fixture.exchange(FrontFixture.request("HEAD", "/stream/declared", "h" + i, true));
+        }
+        assertThat(stream(fixture, "/resumable/whole"), endsWith(LAST_CHUNK));
+        assertThat("ends that were asked about", continuations.get(), is(0));
+    }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -979,7 +979,7 @@
         responseEnding = responseAssembler.ending(cause);
         responseEnding.ifPresent(ending -> {
             front.metrics().responseEnded(ending);
-            if (responseAssembler.isStream()) {
+            if (responseAssembler.isStream() && responseAssembler.hasStreamData()) {
                 front.streamEnds().ended(service, ending.framing().endDeclared());
             }
         });
