Let no process outweigh others in counts of undeclared ends

One peer with wrong counts decided for all fronts whether ends are odd; a sum beyond 2^31 made every end look usual, so that cuts were passed on. A peer that reports one service several times still counts several times.

--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/stream/StreamEndLedgerTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/stream/StreamEndLedgerTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -27,6 +28,18 @@
         assertThat(changed.undeclaredRare(MAX_SHARE, List.of()), is(false));
     }
 
+    /** Guards against a peer whose wrong counts outweigh those of all others. */
+    @ParameterizedTest
+    @CsvSource({"1000000, 0, 0, 100, false", "2147483647, 0, 100, 0, true", "0, 2147483647, 2000, 0, true"})
+    void noPeerOutweighsOthers(int declared, int undeclared, int ownDeclared, int ownUndeclared, boolean rare) {
+        List<StreamEndCounts> others = new ArrayList<>();
+        others.add(new StreamEndCounts(declared, undeclared));
+        for (int i = 0; i < 20; i++) {
+            others.add(new StreamEndCounts(ownDeclared, ownUndeclared));
+        }
+        assertThat(ledger(ownDeclared, ownUndeclared).undeclaredRare(MAX_SHARE, others), is(rare));
+    }
+
     private static StreamEndLedger ledger(int declared, int undeclared) {
         StreamEndLedger ledger = new StreamEndLedger();
         for (int i = 0; i < declared; i++) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamEndLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/stream/StreamEndLedger.java
@@ -45,15 +45,15 @@
      * Tells whether few of the latest streams of all processes had an undeclared end, so that such an end is odd.
      *
      * @param maxShare largest share of undeclared ends that is few
-     * @param others counts of other processes
+     * @param others counts of other processes; what is more than a process counts is ignored
      * @return false also while too few streams have ended to tell
      */
     public boolean undeclaredRare(double maxShare, Collection<StreamEndCounts> others) {
         int declared = endCount - undeclared.cardinality();
         int undeclaredSum = undeclared.cardinality();
         for (StreamEndCounts counts : others) {
-            declared += counts.declared();
-            undeclaredSum += counts.undeclared();
+            declared += Math.min(RECENT_ENDS, counts.declared());
+            undeclaredSum += Math.min(RECENT_ENDS, counts.undeclared());
         }
         int all = declared + undeclaredSum;
         return all >= MIN_ENDS && undeclaredSum <= maxShare * all;
