Test of an origin whose front is killed before a restart is published

Callers may get streams of two versions: a target restarts under its id with another version, begins streams while its entry names the earlier one, and the front that began them is killed before the restart is published. Their owners keep the earlier version.

Cause: only the front that began a stream knows its first run.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
@@ -142,6 +142,22 @@
         }
     }
 
+    /** Guards against an origin that keeps the earlier version, as its front was killed before the publication. */
+    @Test
+    void streamBegunAfterARestartIsNotMixedIfItsFrontIsKilledBeforeThePublication() throws Exception {
+        try (VersionedFleet fleet = start(false)) {
+            fleet.restart(0, "v2");
+            long restartedAtUnixMillis = System.currentTimeMillis();
+            List<VersionedFleet.Received> begun = begin(fleet);
+            assertSomeBeganAt("v2", begun);
+            fleet.fleet().front(0).kill();
+            FrontFixture left = fleet.fleet().front(1);
+            int port = fleet.fleet().links(1).get(0).port();
+            left.publish("t0", left.ip(), port, 8, restartedAtUnixMillis, 0, "v2");
+            assertNoneIsMixed(resume(fleet, List.of(left), begun));
+        }
+    }
+
     /** Guards against taking a report of the new process for one of the version that is still published. */
     @Test
     void streamReportedByARestartedTargetIsNotMixedBeforeTheRestartIsPublished() throws Exception {
