Return a retry to the part of the budget that it was taken of

A request that returned its retry, as no target was found in place of a silent one, also returned that of an end of another stream that was asked about in the same millisecond, so that more ends than half of the budget bears could be verified. RetryBudgetTest. cancelledRetryReturnsNoneOfThoseWithAShare failed before and passes; the request now says of which part it took its retry.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -114,6 +114,8 @@
     private ActiveRun assembledRun;
     /** Time of the latest retry in the retry budget. */
     private long retryTakenAtMillis;
+    /** Part of the retry budget of which it was taken. */
+    private double retryTakenShare;
 
     private ResponseAssembler responseAssembler;
     /** Null until it is needed, since most requests need none. */
@@ -1096,6 +1098,7 @@
         }
         boolean allowed = front.retryBudget(service).tryRetry(nowMillis, front.retryAllowance(), budgetShare);
         retryTakenAtMillis = nowMillis;
+        retryTakenShare = budgetShare;
         return allowed ? RetryDecision.RETRY : RetryDecision.BUDGET_EXHAUSTED;
     }
 
@@ -1227,14 +1230,14 @@
             ticket.ended(RunEvent.RUN_GIVEN_UP, 0);
         }
         if (!runs.replacementSent()) {
-            front.retryBudget(service).cancelRetry(retryTakenAtMillis);
+            front.retryBudget(service).cancelRetry(retryTakenAtMillis, retryTakenShare);
         }
     }
 
     /** Ends all runs, and returns the retry of a replacement that was not sent. */
     private void abandonRuns(long nowMillis) {
         if (runs.replacing() && !runs.replacementSent()) {
-            front.retryBudget(service).cancelRetry(retryTakenAtMillis);
+            front.retryBudget(service).cancelRetry(retryTakenAtMillis, retryTakenShare);
         }
         runs.abandon(nowMillis);
     }
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RetryBudgetTest.java
@@ -91,4 +91,16 @@
         assertThat("more than the budget", budget.tryRetry(0, 5), is(false));
         assertThat("in the next window", budget.tryRetry(10_001, 5, 0.5), is(true));
     }
+
+    /**
+     * Guards against more ends of streams that are verified than their part, as other requests return their retries.
+     */
+    @Test
+    void cancelledRetryReturnsNoneOfThoseWithAShare() {
+        RetryBudget budget = new RetryBudget(0, 10_000);
+        assertThat(budget.tryRetry(0, 4, 0.25), is(true));
+        assertThat(budget.tryRetry(0, 4), is(true));
+        budget.cancelRetry(0);
+        assertThat(budget.tryRetry(0, 4, 0.25), is(false));
+    }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/retry/RetryBudget.java
@@ -101,8 +101,20 @@
      * @param takenAtMillis monotonic time in milliseconds at which it was taken
      */
     public void cancelRetry(long takenAtMillis) {
-        retriesAtMillis.removeLastOccurrence(takenAtMillis);
-        partialRetriesAtMillis.removeLastOccurrence(takenAtMillis);
+        cancelRetry(takenAtMillis, 1);
+    }
+
+    /**
+     * Returns a retry that was not sent after all.
+     *
+     * @param takenAtMillis monotonic time in milliseconds at which it was taken
+     * @param share part of the budget of which it was taken
+     */
+    public void cancelRetry(long takenAtMillis, double share) {
+        boolean inWindow = retriesAtMillis.removeLastOccurrence(takenAtMillis);
+        if (inWindow && share < 1) {
+            partialRetriesAtMillis.removeLastOccurrence(takenAtMillis);
+        }
     }
 
     /**
