Test that a late answer of an ended call is not that of the next

A call whose deadline passes before its answer leaves its connection; with one answer from each connection, a client that used it again would wait in vain.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/LooseTargetTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/LooseTargetTest.java
@@ -20,6 +20,8 @@
 
 class LooseTargetTest {
     private static final int CALLS = 6;
+    private static final int DEADLINE_MILLIS = 300;
+    private static final int LATE_MILLIS = 600;
     private static final String CALL = "{\"service\":\"zber-loose\",\"call\":\"list\",\"body\":\"%s\"}";
 
     private static EntryFixture fixture;
@@ -90,6 +92,22 @@
         assertOwnAnswers();
     }
 
+    // Guards against calls that wait in vain, or get the answer of a call whose caller gave up before it came.
+    @Test
+    void lateAnswerOfAnEndedCallIsNotThatOfTheNext() throws InterruptedException {
+        start((connection, out, body) -> {
+            if (body.startsWith("late")) {
+                Thread.sleep(LATE_MILLIS);
+            }
+            out.write(LooseTarget.whole(body));
+        });
+        String late = CALL.formatted("late").replace("}", ",\"deadlineMillis\":" + DEADLINE_MILLIS + "}");
+        assertThat(fixture.post(EntryFixture.ONE, late).statusCode(), is(504));
+        assertOwnAnswers();
+        Thread.sleep(LATE_MILLIS);
+        assertOwnAnswers();
+    }
+
     // Guards against answers without a body that are refused since they declare no length.
     @Test
     void answerThatHasNoBodyNeedsNoLength() {
