Plays of the fleet with frozen fronts, silent directions and relays

The plays of real processes had faults of workers, restarts of fronts and cut watches only. StrainedFleetSoakTest adds, beside these: fronts stopped by SIGSTOP for 0.5 to 3 s; one direction between a front and a worker that is silent as long, ends of connections included, also of a worker that ends meanwhile; three fronts that cannot connect to about half of the places, where connections are refused or never established; by hand, every other front of another build. All six rules are checked as in DeployedFleetSoakTest.

Limits: a silent connection is silent to the stand-in only, so the system still acknowledges and accepts; DRAIN and LOST leave out the fronts that are frozen or silent and 3 s after, and DRAIN thereby most of a play.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployFile.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployFile.java
@@ -32,6 +32,11 @@
         while (!Files.exists(root.resolve("deploy/system.toml"))) {
             root = root.getParent();
         }
+        return read(root);
+    }
+
+    /** Reads the deploy file of a repository. */
+    static DeployFile read(Path root) {
         try {
             String text = Files.readString(root.resolve("deploy/system.toml"));
             String template = Files.readString(root.resolve(find(TEMPLATE, text)));
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleet.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/DeployedFleet.java
@@ -7,9 +7,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.IntFunction;
 import org.whinwharf.lifecycle.Service;
 
 /** Seven fronts in four zones as processes of their own, before one store, all on loopback addresses. */
@@ -37,6 +39,15 @@
 
     /** Describes a fleet that is not started. */
     public DeployedFleet() throws IOException {
+        this(i -> Optional.empty());
+    }
+
+    /**
+     * Describes a fleet that is not started.
+     *
+     * @param otherBuild root of the repository of another build for a front, by its index; empty for this one
+     */
+    DeployedFleet(IntFunction<Optional<Path>> otherBuild) throws IOException {
         Path folder = Files.createTempDirectory("whinwharf-fleet");
         List<String> seeds = new ArrayList<>();
         for (int i = 0; i < SEEDS; i++) {
@@ -46,7 +57,7 @@
             String storeIp = ip(FIRST_STORE_IP + i);
             store.addAddress(storeIp, ip(i + 1));
             fronts.add(new FrontProcess(
-                    deployFile,
+                    otherBuild.apply(i).map(DeployFile::read).orElse(deployFile),
                     "front-" + ZONES.get(i) + "-" + (i + 1),
                     network + (i + 1),
                     ZONES.get(i),
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
@@ -1,16 +1,24 @@
 package org.whinwharf.platform.fleet;
 
+import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** One play: a deployed fleet, workers that crash, leave and are released anew, callers, and fronts that are killed. */
 final class FleetPlay implements AutoCloseable {
@@ -32,29 +40,52 @@
     private static final long CONTACT_MILLIS = 3_000;
 
     private static final long CALLER_END_SECONDS = 20;
+    /** One of so many rounds of faults has a strain of each kind. */
+    private static final int STRAIN_INTERVAL = 2;
+
+    private static final int MIN_STRAIN_MILLIS = 500;
+    private static final int MAX_STRAIN_MILLIS = 3_000;
+    private static final int SEPARATED_FRONTS = 3;
+    /** Port at which separated fronts are told to find workers. */
+    private static final int CLOSED_PORT = 9_001;
+
+    private static final int BACKLOG_FILL = 4;
 
     private final Random random;
     private final StreamEnds streamEnds;
+    private final Set<Strain> strains;
     private final DeployedFleet fleet;
     private final FleetRecord record = new FleetRecord();
     private final WorkerStandIn[] workers = new WorkerStandIn[WORKERS];
     private final boolean[] busy = new boolean[WORKERS];
     private final ScheduledExecutorService schedule = Executors.newScheduledThreadPool(2);
     private final List<CallerStandIn> callers = new ArrayList<>();
+    private final List<Closeable> filled = new ArrayList<>();
     /** Impairments of each front by its address: begin and end. */
     private final Map<String, List<long[]>> impairments = new ConcurrentHashMap<>();
 
+    /** Connections that were silent for a while. */
+    private final AtomicInteger silenced = new AtomicInteger();
+
     private int lifetimes;
     private volatile boolean oldVersionLeft;
 
     FleetPlay(Random random, StreamEnds streamEnds) throws IOException {
+        this(random, streamEnds, Set.of(), new DeployedFleet());
+    }
+
+    FleetPlay(Random random, StreamEnds streamEnds, Set<Strain> strains, DeployedFleet fleet) {
         this.random = random;
         this.streamEnds = streamEnds;
-        fleet = new DeployedFleet();
+        this.strains = strains;
+        this.fleet = fleet;
     }
 
     /** Plays to the end and returns the records. */
     FleetHistory play() throws Exception {
+        if (strains.contains(Strain.RELAYED)) {
+            separate();
+        }
         fleet.store().put("op/config", AttemptKind.config(1, CallerStandIn.HOST, SERVICE));
         fleet.start();
         for (int i = 0; i < WORKERS; i++) {
@@ -117,6 +148,7 @@
                 case 3 -> killFronts(1, () -> {});
                 default -> fleet.store().cutWatches();
             }
+            strains.forEach(this::strain);
             if (!oldVersionLeft && System.nanoTime() - startNanos > halfNanos) {
                 oldVersionLeft = true;
                 killFronts(fleet.fronts().size(), () -> {
@@ -128,6 +160,76 @@
         }
     }
 
+    private void strain(Strain strain) {
+        FrontProcess front = fleet.fronts().get(random.nextInt(fleet.fronts().size()));
+        int place = random.nextInt(WORKERS);
+        Silence.Direction direction = Silence.Direction.values()[random.nextInt(Silence.Direction.values().length)];
+        long millis = MIN_STRAIN_MILLIS + random.nextInt(MAX_STRAIN_MILLIS - MIN_STRAIN_MILLIS);
+        if (random.nextInt(STRAIN_INTERVAL) > 0) {
+            return;
+        }
+        if (strain == Strain.FROZEN) {
+            front.freeze();
+            endLater(front, millis, front::resume);
+        } else if (strain == Strain.SILENT) {
+            WorkerStandIn worker = workers[place];
+            worker.begin(direction, front::holds);
+            endLater(front, millis, () -> silenced.addAndGet(worker.endSilence()));
+        }
+    }
+
+    private void endLater(FrontProcess front, long millis, Runnable end) {
+        long nowNanos = System.nanoTime();
+        impaired(front, nowNanos, nowNanos + TimeUnit.MILLISECONDS.toNanos(millis + CONTACT_MILLIS));
+        schedule.schedule(end, millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void impaired(FrontProcess front, long fromNanos, long untilNanos) {
+        impairments
+                .computeIfAbsent(front.ip(), ip -> new CopyOnWriteArrayList<>())
+                .add(new long[] {fromNanos, untilNanos});
+    }
+
+    /** Keeps some fronts from half of the places: at every other one connections are refused, or never established. */
+    private void separate() throws IOException {
+        int first = random.nextInt(fleet.fronts().size());
+        Map<String, Set<String>> unreachable = new HashMap<>();
+        for (int i = 0; i < SEPARATED_FRONTS; i++) {
+            Set<String> addresses = new HashSet<>();
+            for (int place = 0; place < WORKERS; place++) {
+                if (random.nextBoolean()) {
+                    addresses.add(fleet.ip(FIRST_WORKER_IP + place) + ":" + WORKER_PORT);
+                }
+            }
+            unreachable.put(
+                    fleet.fronts().get((first + i) % fleet.fronts().size()).ip(), addresses);
+        }
+        for (int place = 0; place < WORKERS; place += 2) {
+            fill(new InetSocketAddress(fleet.ip(FIRST_WORKER_IP + place), CLOSED_PORT));
+        }
+        fleet.store().setView((frontIp, value) -> {
+            String seen = value;
+            for (String address : unreachable.getOrDefault(frontIp, Set.of())) {
+                seen = seen.replace(
+                        "\"" + address + "\"",
+                        "\"" + address.substring(0, address.indexOf(':')) + ":" + CLOSED_PORT + "\"");
+            }
+            return seen;
+        });
+    }
+
+    /** Listens without accepting, so that the system drops further connections. */
+    private void fill(InetSocketAddress address) throws IOException {
+        ServerSocketChannel server = ServerSocketChannel.open().bind(address, 1);
+        filled.add(server);
+        for (int i = 0; i < BACKLOG_FILL; i++) {
+            SocketChannel connection = SocketChannel.open();
+            connection.configureBlocking(false);
+            connection.connect(address);
+            filled.add(connection);
+        }
+    }
+
     private synchronized void crash(int place, boolean sameId) {
         if (busy[place]) {
             return;
@@ -187,10 +289,7 @@
         between.run();
         for (FrontProcess front : killed) {
             front.start();
-            long[] span = {beganNanos, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CONTACT_MILLIS)};
-            impairments
-                    .computeIfAbsent(front.ip(), ip -> new CopyOnWriteArrayList<>())
-                    .add(span);
+            impaired(front, beganNanos, System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(CONTACT_MILLIS));
         }
     }
 
@@ -209,6 +308,11 @@
                 .noneMatch(span -> span[0] <= untilNanos && span[1] >= fromNanos);
     }
 
+    /** Returns the number of connections that were silent for a while. */
+    int silenced() {
+        return silenced.get();
+    }
+
     /** Returns the fleet, for the logs of its fronts. */
     DeployedFleet fleet() {
         return fleet;
@@ -221,8 +325,16 @@
         for (WorkerStandIn worker : workers) {
             if (worker != null) {
                 worker.stop();
+                worker.endSilence();
             }
         }
         fleet.close();
+        for (Closeable channel : filled) {
+            try {
+                channel.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
     }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
@@ -7,9 +7,12 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** One front, run as the platform runs it: the deployed command with filled-in settings, on its own address. */
 public final class FrontProcess implements AutoCloseable {
@@ -179,6 +182,39 @@
         signal("CONT");
     }
 
+    /** Tells whether the process has the other side of a connection; false if it cannot be told. */
+    boolean holds(Socket accepted) {
+        String local = String.format(":%04X", accepted.getPort());
+        byte[] ip = accepted.getLocalAddress().getAddress();
+        String remote = String.format("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], accepted.getLocalPort());
+        Set<String> links = new HashSet<>();
+        try {
+            for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
+                for (String line : Files.readAllLines(Path.of(table))) {
+                    String[] parts = line.trim().split("\\s+");
+                    if (parts[1].endsWith(local) && parts[2].endsWith(remote)) {
+                        links.add("socket:[" + parts[9] + "]");
+                    }
+                }
+            }
+            try (Stream<Path> open = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
+                return !links.isEmpty() && open.anyMatch(path -> links.contains(link(path)));
+            }
+        } catch (IOException | UncheckedIOException e) {
+            // The process has ended.
+            return false;
+        }
+    }
+
+    private static String link(Path path) {
+        try {
+            return Files.readSymbolicLink(path).toString();
+        } catch (IOException e) {
+            // Closed meanwhile.
+            return "";
+        }
+    }
+
     /** Waits until the process has ended and returns its exit code. */
     public int awaitExit() {
         try {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoreStandIn.java
@@ -19,7 +19,9 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BinaryOperator;
 import java.util.function.Predicate;
+import java.util.function.UnaryOperator;
 import java.util.stream.Collectors;
 import org.whinwharf.lifecycle.Service;
 
@@ -43,6 +45,17 @@
     public record Confirmation(long revision, long atNanos) {}
 
     private record Item(String key, byte[] value, long revision, long createdAt, long atNanos) {
+        Item seen(UnaryOperator<String> by) {
+            return value == null
+                    ? this
+                    : new Item(
+                            key,
+                            by.apply(new String(value, StandardCharsets.UTF_8)).getBytes(StandardCharsets.UTF_8),
+                            revision,
+                            createdAt,
+                            atNanos);
+        }
+
         String json() {
             return value == null
                     ? "{\"key\":\"" + key + "\",\"revision\":" + revision + ",\"removed\":true}"
@@ -70,6 +83,9 @@
     private final Map<String, String> frontIpByStoreIp = new HashMap<>();
 
     private final List<ServerSocket> servers = new ArrayList<>();
+    /** What a front sees of a value, by its address. */
+    private volatile BinaryOperator<String> view = (frontIp, value) -> value;
+
     private long revision = 1;
     private long answers;
     /** Revision up to which the history is discarded. */
@@ -95,6 +111,11 @@
         frontIpByStoreIp.put(storeIp, frontIp);
     }
 
+    /** Sets what each front sees of values: a function of its address and the value; to be called before the start. */
+    void setView(BinaryOperator<String> value) {
+        view = value;
+    }
+
     @Override
     public void start() {
         listen(address);
@@ -289,16 +310,19 @@
         String path = query < 0 ? uri : uri.substring(0, query);
         Map<String, String> parameters = query < 0 ? Map.of() : parseQuery(uri.substring(query + 1));
         String prefix = parameters.getOrDefault("prefix", "");
+        String frontIp = ipOf(socket);
+        UnaryOperator<String> seen = value -> view.apply(frontIp, value);
         return switch (path) {
-            case "/whinwharf/kv-key" -> key(parameters.getOrDefault("key", ""));
-            case "/whinwharf/kv-range" -> range(prefix, parameters.getOrDefault("after", ""));
+            case "/whinwharf/kv-key" -> key(parameters.getOrDefault("key", ""), seen);
+            case "/whinwharf/kv-range" -> range(prefix, parameters.getOrDefault("after", ""), seen);
             case WATCH_PATH -> {
                 watching.add(socket);
                 try {
                     yield watch(
                             prefix,
                             Long.parseLong(parameters.getOrDefault("after", "0")),
-                            Long.parseLong(parameters.getOrDefault("wait-ms", "0")));
+                            Long.parseLong(parameters.getOrDefault("wait-ms", "0")),
+                            seen);
                 } finally {
                     watching.remove(socket);
                 }
@@ -317,16 +341,16 @@
         return parameters;
     }
 
-    private synchronized Answer key(String key) {
+    private synchronized Answer key(String key, UnaryOperator<String> seen) {
         Item item = items.get(key);
-        return item == null
-                ? Answer.of(404, "{}")
-                : Answer.of(
-                        200,
-                        item.json().substring(0, item.json().length() - 1) + ",\"store-revision\":" + revision + "}");
+        if (item == null) {
+            return Answer.of(404, "{}");
+        }
+        String json = item.seen(seen).json();
+        return Answer.of(200, json.substring(0, json.length() - 1) + ",\"store-revision\":" + revision + "}");
     }
 
-    private synchronized Answer range(String prefix, String after) {
+    private synchronized Answer range(String prefix, String after, UnaryOperator<String> seen) {
         List<String> page = new ArrayList<>();
         int bytes = 0;
         boolean truncated = false;
@@ -339,8 +363,9 @@
             if (truncated) {
                 break;
             }
-            page.add(item.json());
-            bytes += item.json().length();
+            String json = item.seen(seen).json();
+            page.add(json);
+            bytes += json.length();
         }
         return Answer.of(
                 200,
@@ -348,7 +373,7 @@
                         + revision + "}");
     }
 
-    private synchronized Answer watch(String prefix, long after, long waitMillis) {
+    private synchronized Answer watch(String prefix, long after, long waitMillis, UnaryOperator<String> seen) {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(Math.min(waitMillis, MAX_WATCH_MILLIS));
         while (true) {
             expireHistory();
@@ -362,7 +387,9 @@
             if (!events.isEmpty() || leftMillis <= 0) {
                 return Answer.of(
                         200,
-                        events.stream().map(Item::json).collect(Collectors.joining(",", "{\"events\":[", "]"))
+                        events.stream()
+                                        .map(item -> item.seen(seen).json())
+                                        .collect(Collectors.joining(",", "{\"events\":[", "]"))
                                 + ",\"store-revision\":" + revision + "}");
             }
             try {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 
 /** One connection to a worker, which serves one request at a time. */
 final class WorkerConnection {
@@ -105,6 +106,10 @@
         boolean open = true;
         while (open && !head.isEmpty()) {
             in.body(head, false, new ByteArrayOutputStream());
+            worker.awaitSound(socket, Silence.Direction.TO_WORKER);
+            if (worker.ended()) {
+                worker.awaitSound(socket, Silence.Direction.TO_FRONT);
+            }
             open = answer(head);
             head = open ? in.head() : "";
         }
@@ -203,7 +208,7 @@
     private boolean plain(Output output, WorkerFault fault, long limitMillis) throws IOException {
         WorkerRun run = output.run;
         int millis = worker.draw(LONG_INTERVAL) == 0 ? worker.draw(MAX_LONG_MILLIS) : worker.draw(MAX_PLAIN_MILLIS);
-        if (!in.staysOpen(fault == WorkerFault.SILENT ? limitMillis : Math.min(millis, limitMillis))) {
+        if (!staysOpen(fault == WorkerFault.SILENT ? limitMillis : Math.min(millis, limitMillis))) {
             throw new IOException("the caller left");
         }
         output.status = millis > limitMillis ? WorkerFault.LATE.status() : fault.status();
@@ -228,7 +233,7 @@
         end(output, used);
         if (framing == Framing.CONNECTION && used == WorkerFault.NONE) {
             write(first, used);
-            if (!in.staysOpen(worker.draw(MAX_PART_MILLIS))) {
+            if (!staysOpen(worker.draw(MAX_PART_MILLIS))) {
                 throw new IOException("the caller left");
             }
             send(second);
@@ -266,9 +271,9 @@
             throw new IOException("ended by a repeated answer");
         }
         for (int id = run.afterEvent() + 1; id <= breakAfter; id++) {
-            if (!in.staysOpen(worker.draw(maxEventMillis)) || System.nanoTime() > endNanos) {
+            if (!staysOpen(worker.draw(maxEventMillis)) || System.nanoTime() > endNanos) {
                 if (framing == Framing.CONNECTION && !worker.crashed()) {
-                    WorkerStandIn.reset(socket);
+                    reset();
                 }
                 throw new IOException("the caller left, or the time was up");
             }
@@ -291,11 +296,11 @@
             return finish(output.all.toString(), fault) && framing != Framing.CONNECTION;
         }
         if (fault == WorkerFault.SILENT) {
-            in.staysOpen((endNanos - System.nanoTime()) / 1_000_000);
+            staysOpen((endNanos - System.nanoTime()) / 1_000_000);
         } else if (fault == WorkerFault.GARBAGE) {
             send(GARBAGE);
         } else if (fault == WorkerFault.RESET) {
-            WorkerStandIn.reset(socket);
+            reset();
         } else {
             send(framing.part("id: " + (breakAfter + 1) + "\nda"));
         }
@@ -316,7 +321,7 @@
         if (fault == WorkerFault.TRUNCATED || fault == WorkerFault.RESET) {
             send(before + answer.substring(0, worker.draw(answer.length())));
             if (fault == WorkerFault.RESET) {
-                WorkerStandIn.reset(socket);
+                reset();
             }
             return false;
         }
@@ -355,7 +360,7 @@
     }
 
     private void sendLater(String text) throws IOException {
-        in.staysOpen(worker.draw(MAX_REPEAT_MILLIS));
+        staysOpen(worker.draw(MAX_REPEAT_MILLIS));
         send(text);
     }
 
@@ -375,6 +380,26 @@
     }
 
     private void send(String text) throws IOException {
+        worker.awaitSound(socket, Silence.Direction.TO_FRONT);
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
+
+    private void reset() throws IOException {
+        worker.awaitSound(socket, Silence.Direction.TO_FRONT);
+        WorkerStandIn.reset(socket);
+    }
+
+    /** Waits for a time; returns false at once if the other side closes the connection and that arrives. */
+    private boolean staysOpen(long millis) throws IOException {
+        if (!worker.silent(socket, Silence.Direction.TO_WORKER)) {
+            return in.staysOpen(millis);
+        }
+        try {
+            TimeUnit.MILLISECONDS.sleep(Math.max(0, millis));
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import org.whinwharf.lifecycle.Service;
 
 /** One lifetime of a worker: its entry in the store, its connections, its slots and its faults from a seed. */
@@ -38,6 +39,10 @@
     private Thread acceptor;
     private volatile OptionalLong leavingSinceNanos = OptionalLong.empty();
     private volatile boolean crashed;
+    /** Whether it has crashed or was stopped. */
+    private volatile boolean ended;
+
+    private volatile Silence silence = new Silence(Silence.Direction.TO_FRONT, socket -> false, Set.of());
 
     /**
      * What a worker says of itself.
@@ -108,6 +113,7 @@
     /** Ends at once, in the middle of its answers; the entry stays until it is removed or replaced. */
     void crash(WorkerCrash kind) {
         crashed = true;
+        ended = true;
         closeServer();
         try {
             // Until then the system may still accept connections.
@@ -116,7 +122,7 @@
             Thread.currentThread().interrupt();
             throw new IllegalStateException(e);
         }
-        connections.forEach(kind::end);
+        connections.stream().filter(this::audible).forEach(kind::end);
     }
 
     /** Removes the entry. */
@@ -127,8 +133,49 @@
     /** Ends the connections after their requests. */
     @Override
     public void stop() {
+        ended = true;
         closeServer();
-        connections.forEach(WorkerStandIn::reset);
+        connections.stream().filter(this::audible).forEach(WorkerStandIn::reset);
+    }
+
+    /** Begins a silence instead of one before, in which the ends of its connections do not arrive either. */
+    void begin(Silence.Direction direction, Predicate<Socket> ofFront) {
+        endSilence();
+        silence = new Silence(direction, ofFront, connections);
+    }
+
+    /** Ends the silence; where the worker has ended meanwhile, the connections do so now. Returns their number. */
+    int endSilence() {
+        Set<Socket> silent = silence.end();
+        if (ended) {
+            silent.forEach(WorkerStandIn::reset);
+        }
+        return silent.size();
+    }
+
+    private boolean audible(Socket connection) {
+        return !silence.covers(connection, Silence.Direction.TO_FRONT);
+    }
+
+    /** Tells whether a connection is silent in a direction. */
+    boolean silent(Socket connection, Silence.Direction direction) {
+        return silence.covers(connection, direction);
+    }
+
+    /** Waits until a connection is no longer silent in a direction; fails if the worker has ended by then. */
+    void awaitSound(Socket connection, Silence.Direction direction) throws IOException {
+        if (!silence.covers(connection, direction)) {
+            return;
+        }
+        try {
+            silence.await(connection, direction);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+        if (ended) {
+            throw new IOException("the worker has ended");
+        }
     }
 
     @Override
@@ -152,6 +199,10 @@
         return crashed;
     }
 
+    boolean ended() {
+        return ended;
+    }
+
     /** Draws a fault, or none. */
     WorkerFault drawFault() {
         synchronized (random) {
@@ -228,8 +279,10 @@
     }
 
     private void serve(Socket socket) {
+        silence.opened(socket);
         try (socket) {
             new WorkerConnection(this, socket).serve();
+            awaitSound(socket, Silence.Direction.TO_FRONT);
         } catch (IOException e) {
             // The connection was closed by the front or by a fault; the run that it ended has its record.
             return;
