Read the ages in reports of lost runs without a sign

A peer whose report bears an age of 2^31 ms or more put the end of a run up to 24 days into the future. Since reports of peers tell which targets break off responses, the ends of the streams of that target would be doubted, and left open where they are odd, for as long; the run was held against its request as well.

Cause: the ages are unsigned on the wire and were subtracted as signed numbers. LostRunMessagesTest.runsOfPeersAreNotInTheFuture failed for 2 of 5 ages before and passes. Such a run now counts as one of long ago, which the ledger ignores. The ages of served parts are read likewise, without a test of their own.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CrashTracker.java
@@ -272,7 +272,7 @@
         long nowMillis = ticker.nowMillis();
         for (PartServingReport report : reports) {
             Fingerprint part = new Fingerprint(report.getPart());
-            ledger.partServed(part, nowMillis - report.getAgeMillis());
+            ledger.partServed(part, nowMillis - Integer.toUnsignedLong(report.getAgeMillis()));
             untoldServings.remove(part);
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunMessages.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/LostRunMessages.java
@@ -44,12 +44,12 @@
                         .map(Fingerprint::new)
                         .toList())
                 .targetId(report.getTarget())
-                .sentAtMillis(nowMillis - report.getSentAgeMillis())
+                .sentAtMillis(nowMillis - Integer.toUnsignedLong(report.getSentAgeMillis()))
                 .originSentMillis(
                         report.hasOriginSentMillis()
                                 ? OptionalLong.of(report.getOriginSentMillis())
                                 : OptionalLong.empty())
-                .endedAtMillis(nowMillis - report.getEndedAgeMillis())
+                .endedAtMillis(nowMillis - Integer.toUnsignedLong(report.getEndedAgeMillis()))
                 .evidence(fromWire(report.getEvidence()))
                 .build();
     }
