Return the retry of an end about which nobody was asked

An end that was held took a retry of the budget even if no target could be asked before it was released, so that other ends were left open or passed on for want of a budget that nobody had used. It is returned now, as that of a silent target without a replacement is.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
@@ -78,6 +78,10 @@
             }
         } else if (request.contains("/declared")) {
             writeDeclared(request, socket, FIRST_EVENTS);
+        } else if (request.contains("/alone")) {
+            (socket.getLocalPort() == first.port() ? second : first).kill();
+            FakeTarget.write(socket, head(request, "") + FIRST_EVENTS);
+            socket.close();
         } else if (request.contains("/inside")) {
             FakeTarget.write(socket, head(request, "") + FIRST_EVENTS + "id: 3\nda");
             socket.close();
@@ -284,4 +288,15 @@
         assertThat(stream(fixture, "/resumable/whole"), endsWith(LAST_CHUNK));
         assertThat("ends that were asked about", continuations.get(), is(0));
     }
+
+    /** Guards against a retry budget that is used up by ends about which nobody was asked. */
+    @Test
+    void retryIsReturnedIfNobodyWasAskedAboutAnEnd() throws IOException {
+        startTargets();
+        streamDeclared(fixture);
+        assertThat(stream(fixture, "/resumable/alone"), endsWith(LAST_CHUNK));
+        assertThat("ends that were held", fixture.counter("whinwharf_stream_ends_verified_total"), is(1.0));
+        assertThat("ends that were asked about", continuations.get(), is(0));
+        assertThat(fixture.front().retryBudget("service").retries(), is(0));
+    }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -72,8 +72,13 @@
     /** Reason for what follows when no target that was asked has answered in time. */
     private static final String UNVERIFIED = "unverified";
 
-    /** End of the stream of a target, and how long it is held at most. */
-    private record HeldEnd(TargetEntry target, long heldAtMillis, long untilMillis) {}
+    /**
+     * End of the stream of a target.
+     *
+     * @param untilMillis time until which it is held at most
+     * @param sentCount number of times that the request had been sent before another target was sought
+     */
+    private record HeldEnd(TargetEntry target, long heldAtMillis, long untilMillis, int sentCount) {}
 
     private enum Stage {
         /** The processes that may know where the resumed stream began are being asked. */
@@ -944,7 +949,7 @@
     private void holdEnd(ActiveRun run, long nowMillis, long untilMillis) {
         recordRetry(run, "undeclared end");
         responseAssembler.discardIncomplete();
-        heldEnd = Optional.of(new HeldEnd(run.entry(), nowMillis, untilMillis));
+        heldEnd = Optional.of(new HeldEnd(run.entry(), nowMillis, untilMillis, runs.sentCount()));
         queueTimeoutAtMillis = Math.max(queueTimeoutAtMillis, untilMillis);
         place(nowMillis);
     }
@@ -954,10 +959,13 @@
         if (heldEnd.isEmpty()) {
             return false;
         }
-        TargetEntry target = heldEnd.get().target();
+        HeldEnd held = heldEnd.get();
         endVerified(EndVerdict.UNKNOWN);
+        if (runs.sentCount() == held.sentCount()) {
+            front.retryBudget(service).cancelRetry(retryTakenAtMillis, retryTakenShare);
+        }
         responseAssembler.discardIncomplete();
-        endUnverified(target, UNVERIFIED);
+        endUnverified(held.target(), UNVERIFIED);
         return true;
     }
 
