Send a newcomer the checks of ends in several datagrams

A front that has just started learnt of no check where those of all services together exceed a datagram, which is then dropped and counted. Checks a datagram: 20.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
@@ -37,6 +37,9 @@
     /** Enough for each target to break off one. */
     private static final int BROKEN_STREAMS = 3;
 
+    /** More than one datagram holds. */
+    private static final int MANY_CHECKS = 5_000;
+
     private final AtomicInteger continuations = new AtomicInteger();
     private FrontFixture fixture;
     private FakeTarget first;
@@ -299,4 +302,17 @@
         assertThat("ends that were asked about", continuations.get(), is(0));
         assertThat(fixture.front().retryBudget("service").retries(), is(0));
     }
+
+    /** Guards against a newcomer that learns of no check, as those of all services exceed a datagram. */
+    @Test
+    void newcomerIsSentTheChecksOfManyServices() {
+        fixture.run(() -> {
+            StreamEndTracker ends = fixture.front().streamEnds();
+            for (int i = 0; i < MANY_CHECKS; i++) {
+                ends.verified("service" + i, EndVerdict.WHOLE);
+            }
+            ends.sendAllTo(fixture.ip());
+        });
+        assertThat(fixture.counter("whinwharf_task_failures_total"), is(0.0));
+    }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamEndTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamEndTracker.java
@@ -29,6 +29,8 @@
     private static final long BREAK_OFF_MEMORY_MILLIS = 30_000;
     /** Number of checks that a gossip datagram carries: the newest that found a cut, and another one. */
     private static final int CHECKS_PER_GOSSIP = 2;
+    /** Maximum number of checks that a newcomer is sent at once; stays below the usual MTU. */
+    private static final int MAX_CHECKS_PER_DATAGRAM = 20;
     /** Maximum number of services of which a report has counts. */
     private static final int MAX_REPORTED_SERVICES = 8;
 
@@ -175,9 +177,10 @@
     /** Sends all checks to a process that has just started or was cut off. */
     void sendAllTo(String ip) {
         List<ServiceCheck> checks = checks();
-        if (!checks.isEmpty()) {
+        for (int from = 0; from < checks.size(); from += MAX_CHECKS_PER_DATAGRAM) {
             FleetDatagram.Builder datagram = FleetDatagram.newBuilder().setFrom(settings.name());
-            checks.forEach(known -> datagram.addEndChecks(report(known)));
+            checks.subList(from, Math.min(checks.size(), from + MAX_CHECKS_PER_DATAGRAM))
+                    .forEach(known -> datagram.addEndChecks(report(known)));
             datagrams.send(datagram.build(), ip);
         }
     }
