Gossip checks of ends for a shorter time than they are remembered

Found in review, by reading: a check seems younger with each front that passes it on, so one that some fronts had forgotten could come back to them and keep ends doubted for longer than 30 s.

Checks are passed on for 20 s and remembered for 30. CutStreamTest and the tests beside it pass.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamEndTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamEndTracker.java
@@ -27,6 +27,11 @@
 final class StreamEndTracker {
     /** Time for which a target that broke off a response is expected to break off others. */
     private static final long BREAK_OFF_MEMORY_MILLIS = 30_000;
+    /**
+     * Time for which gossip repeats a check: shorter than it is remembered, as on its way it seems younger than it is,
+     * and must not come back to a process that has forgotten it.
+     */
+    private static final long GOSSIP_MILLIS = 20_000;
     /** Number of checks that a gossip datagram carries: the newest that found a cut, and another one. */
     private static final int CHECKS_PER_GOSSIP = 2;
     /** Maximum number of checks that a newcomer is sent at once; stays below the usual MTU. */
@@ -185,10 +190,13 @@
         }
     }
 
+    /** Returns the checks that are told to others. */
     private List<ServiceCheck> checks() {
+        long nowMillis = ticker.nowMillis();
         List<ServiceCheck> checks = new ArrayList<>();
-        ledgers.forEach((service, ledger) ->
-                ledger.checks(ticker.nowMillis()).forEach(check -> checks.add(new ServiceCheck(service, check))));
+        ledgers.forEach((service, ledger) -> ledger.checks(nowMillis).stream()
+                .filter(check -> nowMillis - check.checkedAtMillis() <= GOSSIP_MILLIS)
+                .forEach(check -> checks.add(new ServiceCheck(service, check))));
         return checks;
     }
 
