Log which target goes on with a stream, at once and before other lines

The record of the incident has no line that names either request. Each run leaves request-sent, but lines wait 200 ms for their batch, so that a killed process loses those of its last 200 ms, and when 4,096 lines wait, any further one is dropped.

stream-continued is written for each run that goes on with a stream: the target and what is known of its process, the target before, and who knew the version.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -121,6 +121,9 @@
     private long queueTimeoutAtMillis;
     private final StreamContinuation stream;
     private final ProcessCheck processCheck;
+    /** Who knew the version of a stream that the caller resumes; empty for any other request. */
+    private Optional<OriginSource> originSource = Optional.empty();
+
     private Stage stage = Stage.QUEUED;
     private boolean quotaConsumed;
     private PlacementTicket ticket;
@@ -286,6 +289,7 @@
             notResumed(ResumptionOutcome.ROUTE_CHANGED, finding.silentProcesses());
         } else {
             FrontLog.originFound(this, origin.get(), source, finding);
+            originSource = Optional.of(source);
             stream.resumes(origin.get());
             serveBy(origin.get().service());
         }
@@ -793,6 +797,7 @@
         stage = Stage.SENT;
         placed.sending(acquired, route, nowMillis);
         Target target = run.target();
+        Optional<String> previousTargetId = runs.sentTargetId();
         runs.sent();
         if (run.relayed()) {
             front.metrics().relayed();
@@ -803,6 +808,7 @@
                 target.id(), organisation.map(Organisation::name), deadlineAtMillis - nowMillis, lastEventId);
         if (stream.isBound()) {
             front.metrics().streamResumption(ResumptionOutcome.RESUMED);
+            FrontLog.streamContinued(this, run, previousTargetId, originSource, lastEventId);
         }
         front.metrics().recordQueueTime(route.kind(), nowMillis - arrivedAtMillis);
         FrontLog.sent(this, run, nowMillis - arrivedAtMillis, lastEventId);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -110,6 +110,36 @@
         event.call();
     }
 
+    /**
+     * Logs that a stream which has begun was sent to a target that is to go on with it.
+     *
+     * @param previousTargetId target of the attempt's run before; empty if there was none
+     * @param source who knew the version of a stream that the caller resumes; empty within a response
+     */
+    static void streamContinued(
+            CallerExchange exchange,
+            TargetRun run,
+            Optional<String> previousTargetId,
+            Optional<OriginSource> source,
+            Optional<String> lastEventId) {
+        EventLog event = EventLog.event(LogEvent.STREAM_CONTINUED)
+                .with(EventField.REQUEST, exchange.head().attemptId())
+                .with(EventField.SERVICE, run.target().service())
+                .with(EventField.TARGET, run.target().id())
+                .with(EventField.TARGET_VERSION, run.target().version())
+                .with(EventField.PROCESS, tag(run.processKnowledge()))
+                .with(EventField.CONNECTED_MILLIS, run.connectedMillis());
+        addStreamVersion(event, exchange);
+        exchange.head().resumedAttemptId().ifPresent(id -> event.with(EventField.RESUMES, id));
+        previousTargetId.ifPresent(id -> event.with(EventField.FROM, id));
+        source.ifPresent(known -> event.with(EventField.SOURCE, known.tag()));
+        lastEventId.ifPresent(id -> event.with(EventField.LAST_EVENT, id));
+        if (run.relayed()) {
+            event.with(EventField.PEER, run.peerName());
+        }
+        event.call();
+    }
+
     private static String tag(ProcessKnowledge knowledge) {
         return knowledge.name().toLowerCase(Locale.ROOT);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
@@ -27,6 +27,9 @@
     private static final long MAX_STREAM_OVERLAP_MILLIS = 200;
 
     private final Set<String> triedTargetIds = new HashSet<>();
+    /** Target of the latest run that was sent; empty before the first. */
+    private Optional<String> sentTargetId = Optional.empty();
+
     private int sentCount;
     private int possibleExecutions;
     /** Null before the first run. */
@@ -53,7 +56,8 @@
     void sent() {
         sentCount++;
         possibleExecutions++;
-        triedTargetIds.add(latest.run().target().id());
+        sentTargetId = Optional.of(latest.run().target().id());
+        triedTargetIds.add(sentTargetId.get());
     }
 
     /** Records that a target reported that it did not execute the request. */
@@ -66,6 +70,11 @@
         return sentCount;
     }
 
+    /** Returns the target to which the request was sent last; empty if it was sent to none. */
+    Optional<String> sentTargetId() {
+        return sentTargetId;
+    }
+
     /** Returns the ids of the targets to which the request was sent. */
     Set<String> triedTargetIds() {
         return Collections.unmodifiableSet(triedTargetIds);
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/AsyncLogWriterTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/AsyncLogWriterTest.java
@@ -34,6 +34,23 @@
         writer.stop();
     }
 
+    /** Guards against a stream that changes its target and leaves no line, because others had filled the buffer. */
+    @Test
+    void promptLineIsKeptWhenOthersAreDropped() throws Exception {
+        CountDownLatch readerContinues = new CountDownLatch(1);
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        AsyncLogWriter writer = new AsyncLogWriter(new PrintStream(new BlockedStream(readerContinues, read)));
+        writer.start();
+        for (int i = 0; i < LINES; i++) {
+            writer.append("line\n");
+        }
+        writer.appendPrompt("prompt\n");
+        readerContinues.countDown();
+        awaitText(read, "log-lines-dropped");
+        awaitText(read, "prompt");
+        writer.stop();
+    }
+
     /**
      * The process stops in an orderly way, possibly before the thread of the writer has run at all. The last lines
      * state the reason and must not be lost in the buffer.
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventLog.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventLog.java
@@ -4,12 +4,19 @@
 import java.util.Map;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.Marker;
+import org.apache.logging.log4j.MarkerManager;
 
 /** Builder of one log line, which describes one event. */
 public final class EventLog {
     /** Name of the logger that receives the events. */
     public static final String LOGGER_NAME = "whinwharf.events";
 
+    /**
+     * Marker of lines that are to be written soon, as the process may be killed, and before others if some are dropped.
+     */
+    public static final Marker PROMPT = MarkerManager.getMarker("PROMPT");
+
     private static final Logger LOG = LogManager.getLogger(LOGGER_NAME);
 
     private final LogEvent event;
@@ -88,7 +95,7 @@
     /** Writes the line, unless the level of the event is disabled. */
     public void call() {
         if (message != null) {
-            LOG.log(event.level(), message);
+            LOG.log(event.level(), event.prompt() ? PROMPT : null, message);
         }
     }
 
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -292,6 +292,7 @@
     /** It is known at which software version a stream began that a caller resumes, by whom, and how old that is. */
     STREAM_ORIGIN(
             Level.INFO,
+            true,
             EventField.REQUEST,
             EventField.RESUMES,
             EventField.SERVICE,
@@ -299,9 +300,26 @@
             EventField.SOURCE,
             EventField.PEER,
             EventField.AGE_MILLIS),
+    /** A stream that has begun was sent to a target that is to go on with it, within a response or when resumed. */
+    STREAM_CONTINUED(
+            Level.INFO,
+            true,
+            EventField.REQUEST,
+            EventField.RESUMES,
+            EventField.SERVICE,
+            EventField.FROM,
+            EventField.TARGET,
+            EventField.PEER,
+            EventField.TARGET_VERSION,
+            EventField.STREAM_VERSION,
+            EventField.SOURCE,
+            EventField.LAST_EVENT,
+            EventField.PROCESS,
+            EventField.CONNECTED_MILLIS),
     /** A stream has begun at a process that is not known to be the one that the target's entry names. */
     STREAM_ORIGIN_OPEN(
             Level.INFO,
+            true,
             EventField.REQUEST,
             EventField.TARGET,
             EventField.SERVICE,
@@ -432,11 +450,17 @@
             EventField.ATTRIBUTES);
 
     private final Level level;
+    private final boolean prompt;
     private final Set<EventField> fields = EnumSet.noneOf(EventField.class);
     private final String wireName = name().toLowerCase(Locale.ROOT).replace('_', '-');
 
     LogEvent(Level level, EventField... fields) {
+        this(level, false, fields);
+    }
+
+    LogEvent(Level level, boolean prompt, EventField... fields) {
         this.level = level;
+        this.prompt = prompt;
         this.fields.addAll(List.of(fields));
     }
 
@@ -468,6 +492,15 @@
         return level;
     }
 
+    /**
+     * Tells whether lines of the event are to be written soon, and before others if some are dropped.
+     *
+     * @return true if so
+     */
+    public boolean prompt() {
+        return prompt;
+    }
+
     /**
      * Returns a description of the event for readers of the log.
      *
