--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
@@ -221,6 +221,30 @@
         }
     }
 
+    /** Guards against presuming, since targets did not report for a moment, that their published processes serve. */
+    @ParameterizedTest
+    @ValueSource(ints = {404, 503})
+    void streamIsNotContinuedAtARestartedTargetAfterReportsWereRefused(int status) throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(1, ONE_VERSION, true, 3, VersionedFleet.Interruption.BROKEN_OFF)) {
+            fleet.reportRuns();
+            for (int i = 0; i < ONE_VERSION.size(); i++) {
+                fleet.refuseReports(i, status);
+            }
+            for (int i = 0; i < STREAMS; i++) {
+                fleet.call(0, "b" + i, VersionedFleet.Received.nothing("r" + i));
+            }
+            fleet.answerReports();
+            fleet.restart(0, "v2");
+            List<VersionedFleet.Received> streams = new ArrayList<>();
+            for (int i = 0; i < 2 * STREAMS; i++) {
+                streams.add(fleet.call(0, "a" + i, VersionedFleet.Received.nothing("s" + i)));
+            }
+            assertSomeBeganAt("v2", streams);
+            assertNoneIsMixed(streams);
+        }
+    }
+
     /** Waits until it is known which processes began the streams, as after the time in which targets report. */
     private static void awaitKnownOrigins(VersionedFleet fleet) throws InterruptedException {
         FrontFixture front = fleet.fleet().front(0);
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UnpublishedProcessTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UnpublishedProcessTest.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.traffic.stream.ImmutableTargetHistory;
 
 /**
@@ -41,6 +43,22 @@
         killAllFronts(false);
     }
 
+    /** Guards against taking a process that does not report yet for the published one, at a service that reports. */
+    @ParameterizedTest
+    @ValueSource(ints = {404, 503})
+    void streamOfAnUnpublishedProcessThatDoesNotReportYetIsNotMixedAfterAKillOfAllFronts(int status) throws Exception {
+        try (VersionedFleet fleet = start(true, VersionedFleet.Interruption.HELD)) {
+            fleet.restart(0, "v2");
+            List<VersionedFleet.Received> begun = begin(fleet);
+            assertThat("streams begun at the unpublished process", beganAtV2(begun), greaterThan(0L));
+            fleet.reportRuns();
+            fleet.refuseReports(0, status);
+            List<FrontFixture> fronts = restartAllFronts(fleet, true);
+            publishCold(fleet);
+            assertThat("streams with events of two versions", mixedOfV2(resume(fleet, fronts, begun)), is(0L));
+        }
+    }
+
     private static void killAllFronts(boolean engine) throws Exception {
         try (VersionedFleet fleet = start(engine, VersionedFleet.Interruption.HELD)) {
             fleet.restart(0, "v2");
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
@@ -106,6 +106,8 @@
 
     private volatile boolean runsReported;
     private volatile boolean startsReported = true;
+    /** Status with which targets refuse to report, by the target's index. */
+    private final Map<Integer, Integer> refusedReports = new ConcurrentHashMap<>();
     /** Run by each target before it reports its runs. */
     private volatile IntConsumer beforeReport = target -> {};
 
@@ -258,6 +260,16 @@
         startsReported = false;
     }
 
+    /** Lets a target answer questions for a report with a status until it reports again. */
+    void refuseReports(int target, int status) {
+        refusedReports.put(target, status);
+    }
+
+    /** Lets all targets answer questions for a report again. */
+    void answerReports() {
+        refusedReports.clear();
+    }
+
     /** Sets what each target does, given its index, before it reports its runs. */
     void beforeReport(IntConsumer action) {
         beforeReport = action;
@@ -266,6 +278,10 @@
     private void answerRuns(String request, Socket socket) throws IOException {
         int target = fleet.targetOf(socket);
         beforeReport.accept(target);
+        if (refusedReports.containsKey(target)) {
+            FakeTarget.write(socket, FakeTarget.answer(request, refusedReports.get(target), ""));
+            return;
+        }
         Set<String> attempts = runs.getOrDefault(target, Set.of());
         String start = startsReported ? startUnixMillis(target) + ";" : "";
         String body = runsReported ? start + String.join(",", attempts) : "";
