Take a refused report for no proof that targets have none

Callers got events of two versions within one response: a target had restarted under its id at another version and was not published yet, and a front whose first question for a report had been refused, by any target of the service, presumed for 10 s that the published processes serve.

Cause: one report without a start, whatever its status, marked the whole service as one that does not report. Now only 404, 405 and reports without a start count, for the target that was asked and for connections that were established before the question; a later connection may lead to a process that reports. Any other error is no answer.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
@@ -231,14 +231,20 @@
             for (int i = 0; i < ONE_VERSION.size(); i++) {
                 fleet.refuseReports(i, status);
             }
-            for (int i = 0; i < STREAMS; i++) {
-                fleet.call(0, "b" + i, VersionedFleet.Received.nothing("r" + i));
-            }
+            fleet.call(0, "b", VersionedFleet.Received.nothing("r"));
             fleet.answerReports();
             fleet.restart(0, "v2");
+            // At once, so that each target gets some.
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < STREAMS; i++) {
+                VersionedFleet.Received nothing = VersionedFleet.Received.nothing("s" + i);
+                sockets.add(VersionedFleet.open(fleet.fleet().front(0), "a" + i, nothing));
+            }
             List<VersionedFleet.Received> streams = new ArrayList<>();
-            for (int i = 0; i < 2 * STREAMS; i++) {
-                streams.add(fleet.call(0, "a" + i, VersionedFleet.Received.nothing("s" + i)));
+            for (int i = 0; i < STREAMS; i++) {
+                String response = FrontFixture.readAll(sockets.get(i));
+                streams.add(VersionedFleet.Received.nothing("s" + i).plus("a" + i, response));
+                sockets.get(i).close();
             }
             assertSomeBeganAt("v2", streams);
             assertNoneIsMixed(streams);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
@@ -1,7 +1,7 @@
 package org.whinwharf.front;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.whinwharf.traffic.target.ProcessKnowledge;
 
 /**
@@ -48,12 +48,17 @@
         if (ofFirst == ProcessKnowledge.REPLACED || ofNext == ProcessKnowledge.REPLACED || nowMillis >= untilMillis) {
             return false;
         }
-        List<TargetEntry> asked = new ArrayList<>();
+        Map<TargetEntry, Long> asked = new LinkedHashMap<>();
         if (!ofFirst.publishedVersion()) {
-            stream.openTarget().ifPresent(asked::add);
+            stream.openProcess().ifPresent(first -> {
+                TargetEntry entry = front.entry(first.targetId());
+                if (entry != null) {
+                    asked.put(entry, first.connectedAtMillis());
+                }
+            });
         }
         if (!ofNext.publishedVersion()) {
-            asked.add(next);
+            asked.merge(next, connection.establishedAtMillis(), Math::max);
         }
         return front.processInquiry().verify(asked, () -> passes(next, connection), untilMillis - nowMillis, task);
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessInquiry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessInquiry.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -58,13 +59,17 @@
         this.metrics = metrics;
     }
 
-    /** Tells whether a question may show that the process which a target's entry names still serves its address. */
-    boolean possible(TargetEntry entry) {
+    /**
+     * Tells whether a question may show that the process which a target's entry names serves a connection.
+     *
+     * @param establishedAtMillis monotonic time in milliseconds at which the connection was established
+     */
+    boolean possible(TargetEntry entry, long establishedAtMillis) {
         TargetProcess process = entry.pool().process();
-        String service = entry.state().target().service();
+        Target target = entry.state().target();
         return process.startedUnixMillis() > 0
                 && process.successorStartUnixMillis().isEmpty()
-                && targets.processes().mayReport(service, ticker.nowMillis());
+                && targets.processes().mayReport(target.service(), target.id(), establishedAtMillis);
     }
 
     /**
@@ -89,7 +94,7 @@
     void askAgain(Set<String> targetIds, Runnable task) {
         for (String targetId : targetIds) {
             TargetEntry entry = targets.entry(targetId);
-            if (entry != null && !questions.containsKey(targetId) && possible(entry)) {
+            if (entry != null && !questions.containsKey(targetId) && possible(entry, ticker.nowMillis())) {
                 ask(entry, task);
             }
         }
@@ -98,15 +103,20 @@
     /**
      * Waits until it is known which processes serve the addresses of targets, or nothing more is to come.
      *
-     * @param asked targets whose processes are to become known
+     * @param asked targets whose processes are to become known, with the monotonic times in milliseconds at which the
+     *     connections to them were established
      * @param known tells whether they are
      * @param maxMillis time in milliseconds after which nothing is awaited any longer
      * @param task run in a later turn of the event loop
      * @return false if nothing is to come; the task is not run then
      */
-    boolean verify(List<TargetEntry> asked, BooleanSupplier known, long maxMillis, Runnable task) {
-        Verification verification = new Verification(asked, known, task);
-        asked.stream().filter(this::possible).forEach(entry -> ask(entry, this::recheck));
+    boolean verify(Map<TargetEntry, Long> asked, BooleanSupplier known, long maxMillis, Runnable task) {
+        Verification verification = new Verification(asked.keySet(), known, task);
+        asked.forEach((entry, establishedAtMillis) -> {
+            if (possible(entry, establishedAtMillis)) {
+                ask(entry, this::recheck);
+            }
+        });
         if (!verification.awaitsAnything()) {
             return false;
         }
@@ -132,11 +142,11 @@
 
     /** A wait for the processes of targets. */
     private final class Verification {
-        private final List<TargetEntry> asked;
+        private final Set<TargetEntry> asked;
         private final BooleanSupplier known;
         private final Runnable task;
 
-        Verification(List<TargetEntry> asked, BooleanSupplier known, Runnable task) {
+        Verification(Set<TargetEntry> asked, BooleanSupplier known, Runnable task) {
             this.asked = asked;
             this.known = known;
             this.task = task;
@@ -186,7 +196,12 @@
         private final ByteBuf body = Unpooled.buffer();
         private TargetConnection connection;
         private long askedAtMillis;
-        private boolean readable;
+        private int status;
+        /** What the call shows if nothing better comes in time. */
+        private ProcessReport outcome = ProcessReport.UNANSWERED;
+        /** Whether the response to the call is complete. */
+        private boolean complete;
+
         private boolean ended;
 
         Call(TargetEntry entry, Questions of) {
@@ -207,7 +222,7 @@
 
         @Override
         public void head(HttpResponse response, ResponseHead head) {
-            readable = head.status() == 200;
+            status = head.status();
         }
 
         @Override
@@ -229,27 +244,40 @@
 
         @Override
         public void complete() {
-            OptionalLong start =
-                    readable ? dialect.readReportedStart(body.toString(StandardCharsets.UTF_8)) : OptionalLong.empty();
+            complete = true;
+            if (status != HttpResponseStatus.OK.code()) {
+                endWithoutStart(ProcessReport.ofError(status));
+                return;
+            }
+            OptionalLong start = dialect.readReportedStart(body.toString(StandardCharsets.UTF_8));
             if (start.isEmpty()) {
-                end(ProcessReport.UNREADABLE);
+                endWithoutStart(ProcessReport.UNREADABLE);
                 return;
             }
             Optional<Target> published = targets.stated(target, start.getAsLong(), askedAtMillis);
             end(published.isPresent() ? ProcessReport.PUBLISHED : ProcessReport.OTHER);
         }
 
+        /** Ends a call that has shown no process; where a later one may, not sooner than one without an answer. */
+        private void endWithoutStart(ProcessReport report) {
+            outcome = report;
+            if (report != ProcessReport.REFUSED && !targets.processes().reports(target.service())) {
+                end(report);
+            }
+        }
+
         @Override
         public void failed(TargetFailure failure) {
+            complete = true;
             end(ProcessReport.UNANSWERED);
         }
 
         void timedOut() {
             if (!ended) {
-                if (connection != null) {
+                if (connection != null && !complete) {
                     connection.cancel();
                 }
-                end(ProcessReport.UNANSWERED);
+                end(outcome);
             }
         }
 
@@ -259,8 +287,8 @@
             }
             ended = true;
             body.release();
-            if (report == ProcessReport.UNREADABLE) {
-                targets.processes().reportUnreadable(target.service(), ticker.nowMillis());
+            if (report.statesNoProcess()) {
+                targets.processes().reportUnreadable(target.id(), askedAtMillis);
             }
             metrics.processReported(report);
             FrontLog.processReported(entry, report, ticker.nowMillis() - askedAtMillis);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamContinuation.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamContinuation.java
@@ -42,7 +42,8 @@
                 .unconfirmedProcess(knowledge == ProcessKnowledge.CONFIRMED ? Optional.empty() : Optional.of(process))
                 .recordedAtMillis(front.nowMillis())
                 .build());
-        if (knowledge != ProcessKnowledge.CONFIRMED && front.processInquiry().possible(run.entry())) {
+        if (knowledge == ProcessKnowledge.UNCONFIRMED
+                && front.processInquiry().possible(run.entry(), run.connectedAtMillis())) {
             front.processInquiry().ask(run.entry(), () -> front.streams().confirm(key));
         }
     }
@@ -82,12 +83,9 @@
         return current().map(front.streams()::knowledgeOf).orElse(ProcessKnowledge.CONFIRMED);
     }
 
-    /** Returns the target that began the stream, while it is not known which process of it did. */
-    Optional<TargetEntry> openTarget() {
-        return current()
-                .flatMap(StreamOrigin::unconfirmedProcess)
-                .map(OriginProcess::targetId)
-                .map(front::entry);
+    /** Returns the published process of the target that began the stream, while it is not known whether it did. */
+    Optional<OriginProcess> openProcess() {
+        return current().flatMap(StreamOrigin::unconfirmedProcess);
     }
 
     /** Tells whether the stream has begun, so that only some targets are suitable. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamTracker.java
@@ -145,6 +145,7 @@
                 .map(this::recorded)
                 .flatMap(Optional::stream)
                 .filter(origin -> origin.recordedAtMillis() >= sinceMillis)
+                .filter(origin -> knowledgeOf(origin) == ProcessKnowledge.UNCONFIRMED)
                 .map(StreamOrigin::unconfirmedProcess)
                 .flatMap(Optional::stream)
                 .map(OriginProcess::targetId)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -626,16 +626,16 @@
             consumer.accept(false);
             return;
         }
-        if (!processInquiry.possible(entry)) {
+        long askedAtMillis = ticker.nowMillis();
+        if (!processInquiry.possible(entry, askedAtMillis)) {
             checkInstance(entry, target, consumer);
             return;
         }
         TargetProcess process = entry.pool().process();
-        long askedAtMillis = ticker.nowMillis();
         processInquiry.ask(entry, () -> {
             boolean served = process.serves(askedAtMillis);
             // Another process under the same id would pass a health check.
-            if (served || processes.mayReport(target.service(), ticker.nowMillis())) {
+            if (served || processes.mayReport(target.service(), target.id(), askedAtMillis)) {
                 consumer.accept(served);
             } else {
                 checkInstance(entry, target, consumer);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetProcesses.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetProcesses.java
@@ -16,12 +16,9 @@
     /** Number of heartbeats within which a target that repeats its entry has done so. */
     private static final int MAX_HEARTBEATS = 3;
 
-    /** Time after which a service whose targets have reported no process is asked again. */
-    private static final long UNREADABLE_RETENTION_MILLIS = 10_000;
-
     private final long heartbeatMillis;
     private final Predicate<String> reportsExpected;
-    /** When the report of a target of a service last stated no process. */
+    /** When each target was last asked for a report and stated no process, in monotonic milliseconds. */
     private final Map<String, Long> unreadableAtMillis = new HashMap<>();
     /** The processes of each target, the one named last at the end. */
     private final Map<String, Deque<TargetProcess>> byTargetId = new HashMap<>();
@@ -148,7 +145,7 @@
         if (replaced) {
             return ProcessKnowledge.REPLACED;
         }
-        boolean stated = mayReport(service, nowMillis)
+        boolean stated = mayReport(service, targetId, establishedAtMillis)
                 || mayRepeatEntries(service, nowMillis)
                 || lostBefore(known, establishedAtMillis);
         return startedUnixMillis > 0 && stated ? ProcessKnowledge.UNCONFIRMED : ProcessKnowledge.PRESUMED;
@@ -163,27 +160,37 @@
     }
 
     /**
-     * Records that the report of a target states no process.
+     * Records that a target has no reports, or one that states no process.
      *
-     * @param service service of the target
-     * @param nowMillis monotonic time in milliseconds
+     * @param targetId id of the target
+     * @param askedAtMillis monotonic time in milliseconds at which it was asked
      */
-    public void reportUnreadable(String service, long nowMillis) {
-        unreadableAtMillis.put(service, nowMillis);
+    public void reportUnreadable(String targetId, long askedAtMillis) {
+        unreadableAtMillis.put(targetId, askedAtMillis);
     }
 
     /**
-     * Tells whether the targets of a service report their processes.
+     * Tells whether a target of a service has reported its process.
      *
      * @param service name of the service
-     * @param nowMillis monotonic time in milliseconds
+     * @return false also while none was asked
+     */
+    public boolean reports(String service) {
+        return reporting.contains(service);
+    }
+
+    /**
+     * Tells whether a target may report the process that serves its address. One that had no report when it was asked
+     * may restart as a process that has, over connections that are established later.
+     *
+     * @param service name of the target's service
+     * @param targetId id of the target
+     * @param establishedAtMillis monotonic time in milliseconds at which a connection to the process was established
      * @return true also while that is not known
      */
-    public boolean mayReport(String service, long nowMillis) {
-        Long unreadable = unreadableAtMillis.get(service);
-        return reporting.contains(service)
-                || reportsExpected.test(service)
-                        && (unreadable == null || nowMillis - unreadable > UNREADABLE_RETENTION_MILLIS);
+    public boolean mayReport(String service, String targetId, long establishedAtMillis) {
+        boolean unreadableSince = unreadableAtMillis.getOrDefault(targetId, Long.MIN_VALUE) >= establishedAtMillis;
+        return reports(service) || reportsExpected.test(service) && !unreadableSince;
     }
 
     /**
@@ -210,6 +217,7 @@
         namedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > StreamOrigins.RETENTION_MILLIS);
         byTargetId.keySet().retainAll(namedAtMillis.keySet());
         entries.keySet().retainAll(namedAtMillis.keySet());
+        unreadableAtMillis.keySet().retainAll(namedAtMillis.keySet());
         byTargetId.values().forEach(known -> {
             while (known.size() > 1 && endedLongAgo(known, nowMillis)) {
                 known.removeFirst();
