Confirm no target without a report at a service that reports

After a kill of all fronts, callers got events of two versions: a target that had restarted at another version, was not published yet and answered its report with 404 counted as confirmed, so that the only published version was taken for that of the streams that it had begun.

A 404 counts as confirmed now only where no target of the service has reported, in this inquiry or before.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
@@ -82,6 +82,8 @@
         private int pending;
         /** Whether a target is not known to be the published process. */
         private boolean unconfirmed;
+        /** Whether a target has no reports. */
+        private boolean withoutReports;
 
         private boolean ended;
 
@@ -100,8 +102,9 @@
             }
         }
 
-        private void answered(boolean confirmed) {
-            unconfirmed |= !confirmed;
+        private void answered(ProcessReport report) {
+            withoutReports |= report == ProcessReport.NONE;
+            unconfirmed |= report != ProcessReport.PUBLISHED && report != ProcessReport.NONE;
             pending--;
             if (pending == 0) {
                 end();
@@ -149,16 +152,22 @@
     }
 
     /**
-     * Finds out whether all targets of a service are the published processes, whose versions are known. Targets that do
-     * not report at all are taken for them.
+     * Finds out whether all targets of a service are the published processes, whose versions are known. Those of a
+     * service of which no target reports are taken for them.
      *
      * @param consumer receives false also if a target does not answer in time
      */
     void confirmPublished(String service, Consumer<Boolean> consumer) {
         Reports reports = reportsOf(service);
         // A report that was late is asked for again sooner than runs are.
-        Inquiry inquiry = inquire(service, reports, reports.latest.unconfirmed ? TIMEOUT_MILLIS : REUSE_MILLIS);
-        inquiry.onEnd(() -> consumer.accept(!inquiry.unconfirmed));
+        Inquiry inquiry = inquire(service, reports, confirms(service, reports.latest) ? REUSE_MILLIS : TIMEOUT_MILLIS);
+        inquiry.onEnd(() -> consumer.accept(confirms(service, inquiry)));
+    }
+
+    /** Tells whether the processes of all targets are known; at a service that reports, all of them have to report. */
+    private boolean confirms(String service, Inquiry inquiry) {
+        return !inquiry.unconfirmed
+                && !(inquiry.withoutReports && targets.processes().reports(service));
     }
 
     /** Asks the targets of a service before a caller resumes a stream, since runs end meanwhile. */
@@ -190,7 +199,7 @@
         asked.forEach(entry -> entry.pool().acquireForProbe(acquired -> {
             if (acquired.connection().isEmpty()) {
                 FrontLog.processReported(entry, ProcessReport.UNANSWERED, ticker.nowMillis() - nowMillis);
-                inquiry.answered(false);
+                inquiry.answered(ProcessReport.UNANSWERED);
                 return;
             }
             if (inquiry.ended) {
@@ -244,7 +253,11 @@
 
         @Override
         public void complete() {
-            String text = status == HttpResponseStatus.OK.code() ? body.toString(StandardCharsets.UTF_8) : "";
+            if (status != HttpResponseStatus.OK.code()) {
+                end(ProcessReport.ofError(status));
+                return;
+            }
+            String text = body.toString(StandardCharsets.UTF_8);
             OptionalLong startedUnixMillis = dialect.readReportedStart(text);
             if (startedUnixMillis.isEmpty()) {
                 end(ProcessReport.UNREADABLE);
@@ -271,11 +284,10 @@
         private void end(ProcessReport report) {
             ended = true;
             body.release();
-            boolean confirmed = report == ProcessReport.PUBLISHED || status == HttpResponseStatus.NOT_FOUND.code();
-            if (!confirmed) {
+            if (report != ProcessReport.PUBLISHED) {
                 FrontLog.processReported(entry, report, ticker.nowMillis() - inquiry.askedAtMillis);
             }
-            inquiry.answered(confirmed);
+            inquiry.answered(report);
         }
     }
 }
