Let streams wait until it is known that targets state nothing

Traced by the logs of the fronts: taken up 0.55 s after the start, three targets skipped as unconfirmed after 1.6 s, refused; those that came later went on 3.6 s after the start, when three heartbeats have passed and the process is presumed. The wait of 1.6 s ended before that. Now it ends then, within the request's own time, where no report can show more.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -734,13 +734,13 @@
             return;
         }
         stage = Stage.VERIFYING_PROCESSES;
-        queueTimeoutAtMillis = Math.max(
-                queueTimeoutAtMillis, nowMillis + ProcessCheck.MAX_WAIT_MILLIS + route.latencyObjectiveMillis());
         boolean awaited = processCheck.await(
                 current.entry(),
                 acquired,
                 deadlineAtMillis - MIN_REMAINING_MILLIS,
                 () -> processesVerified(current, acquired));
+        queueTimeoutAtMillis =
+                Math.max(queueTimeoutAtMillis, processCheck.untilMillis() + route.latencyObjectiveMillis());
         if (!awaited) {
             giveUpTarget(current, acquired, nowMillis);
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -40,6 +40,7 @@
 import org.whinwharf.traffic.target.ProcessKnowledge;
 import org.whinwharf.traffic.target.PromptCacheIndex;
 import org.whinwharf.traffic.target.Target;
+import org.whinwharf.traffic.target.TargetProcesses;
 import org.whinwharf.wire.fleet.MemberPhase;
 import org.whinwharf.wire.fleet.MemberReport;
 
@@ -625,6 +626,10 @@
                         ticker.nowMillis());
     }
 
+    TargetProcesses processes() {
+        return targets.processes();
+    }
+
     /** Tells what is known of the process to which a request was sent. */
     ProcessKnowledge knowledgeOf(TargetRun run) {
         Target target = run.target();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.whinwharf.traffic.target.ProcessKnowledge;
+import org.whinwharf.traffic.target.Target;
 
 /**
  * Finds out whether a stream may go on over a connection: the process that has begun it and the one at the other end
@@ -10,14 +11,16 @@
  */
 final class ProcessCheck {
     /**
-     * Maximum time for which a stream waits for what its targets state of their processes: more than a heartbeat, and
-     * less than the gap after which callers give up.
+     * Time for which a stream waits for what its targets state of their processes: more than a heartbeat, and less than
+     * the gap after which callers give up. It waits longer where nothing but time shows that they state nothing.
      */
-    static final long MAX_WAIT_MILLIS = 1_600;
+    private static final long WAIT_MILLIS = 1_600;
 
     private final Front front;
     private final StreamContinuation stream;
-    /** Until when the stream waits; 0 if it has not waited yet. */
+    /** When the stream began to wait; 0 if it has not waited yet. */
+    private long sinceMillis;
+    /** Until when it waits at most. */
     private long untilMillis;
 
     ProcessCheck(Front front, StreamContinuation stream) {
@@ -31,6 +34,22 @@
                 && front.knowledgeOf(next, connection).publishedVersion();
     }
 
+    /** Returns until when the stream waits at most, in monotonic milliseconds; 0 if it has not waited. */
+    long untilMillis() {
+        return untilMillis;
+    }
+
+    /**
+     * Returns when it is known that the process at the other end of a connection cannot be known, as the targets of its
+     * service neither report nor write their entries again; 0 if they may report.
+     */
+    private long presumedAtMillis(TargetEntry next, TargetConnection connection) {
+        Target target = next.state().target();
+        boolean mayReport =
+                front.processes().mayReport(target.service(), target.id(), connection.establishedAtMillis());
+        return mayReport ? 0 : front.processes().repetitionKnownAtMillis(target.service());
+    }
+
     /**
      * Waits until the stream may go on over a connection, or nothing that could show it is to come.
      *
@@ -40,9 +59,11 @@
      */
     boolean await(TargetEntry next, TargetConnection connection, long deadlineAtMillis, Runnable task) {
         long nowMillis = front.nowMillis();
-        if (untilMillis == 0) {
-            untilMillis = Math.min(nowMillis + MAX_WAIT_MILLIS, deadlineAtMillis);
+        if (sinceMillis == 0) {
+            sinceMillis = nowMillis;
         }
+        untilMillis =
+                Math.min(Math.max(sinceMillis + WAIT_MILLIS, presumedAtMillis(next, connection)), deadlineAtMillis);
         ProcessKnowledge ofFirst = stream.knowledge();
         ProcessKnowledge ofNext = front.knowledgeOf(next, connection);
         if (ofFirst == ProcessKnowledge.REPLACED || ofNext == ProcessKnowledge.REPLACED || nowMillis >= untilMillis) {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetProcesses.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetProcesses.java
@@ -206,6 +206,16 @@
         return repeating.contains(service) || heartbeatMillis > 0 && knownMillis <= MAX_HEARTBEATS * heartbeatMillis;
     }
 
+    /**
+     * Returns when it is known at the latest whether the targets of a service write their entries again.
+     *
+     * @param service name of the service
+     * @return monotonic time in milliseconds; a time in the past if the service is not known
+     */
+    public long repetitionKnownAtMillis(String service) {
+        return firstPublishedAtMillis.getOrDefault(service, Long.MIN_VALUE / 2) + MAX_HEARTBEATS * heartbeatMillis + 1;
+    }
+
     /**
      * Forgets processes that have ended before any stream began whose caller still follows it.
      *
