Infer the only version from a read that began after the request

Cause: what was published when the items were read last, up to 3 s before, was taken for what was published when the stream began. Items of that age are usual, as a watch without events is held for 2 s, and a silent watch or a slow peer delivers late. Now the changes since are read from the store first, over a connection of their own; the stream began before its caller took it up, so a read that begins later shows its version. Reads of a front are at least 100 ms apart, and further in larger fleets, 1,000 a second together at most; without one in a second the stream is refused as unknown.

Ways weighed: waiting for the next answer of the watch (no call, up to 2 s for each take-up, and a silent watch shows nothing for 2.7 s); asking peers (those that know may be killed).

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.whinwharf.traffic.catalog.CallerLimits;
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.ImmutableRoute;
@@ -38,6 +39,7 @@
     private static final int RELAY_PORT = 18_214;
     private static final long TIMEOUT_SECONDS = 20;
     private static final int READ_TIMEOUT_MILLIS = 10_000;
+    private static final long SERVICE_ANSWERS_MILLIS = 3_000;
 
     /** Part of the loopback address, so that concurrent test runs do not share one: process ids are unique. */
     private static final long PID = ProcessHandle.current().pid();
@@ -120,6 +122,17 @@
                 .build();
         front = new Front(settings, dialect, callerPort(ip));
         front.start();
+        run(() -> front.itemConfirmation().readBy(this::readItems));
+    }
+
+    /** Stands for a publishing service that answers for a while after the test has applied an answer of it. */
+    private void readItems(Consumer<Boolean> result) {
+        ItemFeed feed = front.feed();
+        boolean answers = feed.revision() > 0 && feed.ageMillis() < SERVICE_ANSWERS_MILLIS;
+        if (answers) {
+            feed.applyRead(List.of(), feed.revision(), front.nowMillis());
+        }
+        result.accept(answers);
     }
 
     private static CallerPort callerPort(String ip) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -229,14 +229,31 @@
         }
         Optional<StreamOrigin> inferred = onlyPossibleOrigin(finding.onlyVersions());
         if (inferred.isPresent()) {
-            confirmInferred(inferred.get(), finding);
+            confirmInferred(finding);
         } else if (!awaitsHistory(finding)) {
             findAtTargets(finding);
         }
     }
 
-    /** Resumes at the only published version if no target is another process than the published one. */
-    private void confirmInferred(StreamOrigin inferred, StreamTracker.Finding finding) {
+    /**
+     * Resumes at the only published version if no other one was published before the request arrived, as the stream had
+     * begun before that, and no target is another process than the published one.
+     */
+    private void confirmInferred(StreamTracker.Finding finding) {
+        front.itemConfirmation().await(arrivedAtMillis, confirmed -> {
+            if (stage != Stage.RESOLVING_ORIGIN) {
+                return;
+            }
+            Optional<StreamOrigin> current = onlyPossibleOrigin(finding.onlyVersions());
+            if (confirmed && current.isPresent()) {
+                confirmProcesses(current.get(), finding);
+            } else {
+                findAtTargets(finding);
+            }
+        });
+    }
+
+    private void confirmProcesses(StreamOrigin inferred, StreamTracker.Finding finding) {
         if (!front.isEngine(inferred.service())) {
             resumeAt(Optional.of(inferred), OriginSource.ONLY_VERSION, finding);
             return;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -109,6 +109,7 @@
     private final CrashTracker crashes;
 
     private final StatedLimits statedLimits;
+    private final ItemConfirmation itemConfirmation;
     private final VersionObserver versions;
     private final RunInquiry runInquiry;
     private final ProcessInquiry processInquiry;
@@ -174,6 +175,7 @@
         ItemMirror mirror = new ItemMirror();
         peerItems = new PeerItems(loop, mirror, metrics);
         feed = new ItemFeed(settings, members, mirror, peerItems, ticker, random);
+        itemConfirmation = new ItemConfirmation(loop, ticker, () -> 1 + knownPeers());
         versions = new VersionObserver(loop, settings.freshFleet(), targets, feed, ticker);
         streamEnds = new StreamEndTracker(settings, members, targets, datagrams, this::inCatalog, ticker, random);
         fleetState = new FleetStateExchange(settings, members, targets, quotas, feed, rates, streamEnds, ticker);
@@ -222,6 +224,15 @@
         return feed;
     }
 
+    /**
+     * Returns what confirms that the published items are current.
+     *
+     * @return confirmation, which needs a reader of the publishing service
+     */
+    public ItemConfirmation itemConfirmation() {
+        return itemConfirmation;
+    }
+
     /**
      * Returns the monotonic clock.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -229,6 +229,18 @@
         }
     }
 
+    /**
+     * Applies changes that were read from the service beside the watch, which goes on and may deliver them once more.
+     *
+     * @param changes changes in order; empty when nothing changed
+     * @param revision revision up to which the changes are complete
+     * @param askedAtMillis monotonic time in milliseconds at which the read began
+     */
+    public void applyRead(Collection<PublishedValue> changes, long revision, long askedAtMillis) {
+        confirmedAtMillis = Math.max(confirmedAtMillis, askedAtMillis);
+        notifyChanges(mirror.apply(changes, revision), true);
+    }
+
     /**
      * Returns when the changes that are being passed on to the listener were written. The read before showed all that
      * the service held when that read began, so what a later one shows was written after that.
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
@@ -24,6 +24,9 @@
     /** Streams of a service; with two versions, both begin some of them but for one run in thousands. */
     private static final int STREAMS = 14;
 
+    /** Number of streams among which both of two versions begin some. */
+    private static final int MAX_BEGUN = 50;
+
     private static final int FIRST_WORKER = 20;
     /** Long before any stream of the test. */
     private static final long LONG_AGO_MILLIS = TimeUnit.HOURS.toMillis(1);
@@ -35,6 +38,9 @@
     /** Time in which fronts have surely asked for the history. */
     private static final long HISTORY_READ_MILLIS = 1_000;
 
+    /** Time after which fronts presume that workers which have not written their entries again never do. */
+    private static final long PRESUMED_MILLIS = 4_000;
+
     private static final String LONG = "long";
     private static final String SHORT = "short";
     private static final int LONG_TIMEOUT_MILLIS = 10_000;
@@ -142,6 +148,27 @@
         assertNoneMixed();
     }
 
+    /** Guards against an only version that a front infers from items which are older than the stream. */
+    @Test
+    void streamsAreNotJoinedAtAFrontThatReadsANewVersionLater() throws Exception {
+        startWorkers("one", LONG_AGO_MILLIS, "v1", "v1");
+        start("one");
+        FrontProcess late = fleet.fronts().get(0);
+        FrontProcess prompt = fleet.fronts().get(1);
+        awaitMillis(PRESUMED_MILLIS);
+        fleet.store().begin(StoreFault.SILENT, late.ip()::equals);
+        startWorkers("one", LONG_AGO_MILLIS, "v2", "v2");
+        BrokenStream begun = begin(prompt, "/" + LONG + "/one/0");
+        // Without a pause, as peers name new items within half a second.
+        for (int i = 0; i < MAX_BEGUN && !begun.versions().contains("v2"); i++) {
+            begun = begin(prompt, "/" + LONG + "/one/0");
+        }
+        streams.put(LONG + "/one", List.of(begun));
+        assertThat("versions of one", firstVersions(LONG + "/one"), hasItem("v2"));
+        streams.put(LONG + "/one", List.of(begun.call(late.callerAddress(), nextAttempt(), false)));
+        assertNoneMixed();
+    }
+
     /** Guards against versions that are guessed at restarted fronts though another one may remember them. */
     @Test
     void streamsAreNotJoinedWhereOneFrontLives() throws Exception {
