Doubt a history whose newest discarded change may be a removal

Only a store whose last change of all was a removal was doubted.

Now the newest discarded change has to be one that an item of the copy shows, as its last write or its creation. Entries that are written again overwrite all such changes; there the number of writes of one process shows for how long the history reaches, three heartbeats short of the stated time at most. The price: where the newest change that has expired was a departure, or the first of two updates of an entry, streams that nobody remembers are refused for 20 s after a kill of all fronts. A removal before the newest discarded change is still not seen.

The calls of StoreHistoryTest name a function in place of a truth value, with the same values.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -224,6 +224,15 @@
         return feed;
     }
 
+    /**
+     * Returns the interval at which targets write their entries.
+     *
+     * @return time in milliseconds; 0 if unknown
+     */
+    public long targetHeartbeatMillis() {
+        return settings.targetHeartbeatMillis();
+    }
+
     /**
      * Returns what confirms that the published items are current.
      *
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemFeed.java
@@ -151,13 +151,15 @@
     }
 
     /**
-     * Tells whether one of the local items was written at the revision of the local items, so that the last change was
-     * no removal.
+     * Tells whether one of the local items was created or last written at a revision, so that this change was no
+     * removal.
      *
+     * @param revision revision of the change
      * @return true if there is such an item
      */
-    public boolean lastChangeHeld() {
-        return mirror.all().stream().anyMatch(value -> value.revision() == mirror.revision());
+    public boolean holdsChange(long revision) {
+        return mirror.all().stream()
+                .anyMatch(value -> value.revision() == revision || value.createdRevision() == revision);
     }
 
     @Override
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongPredicate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -23,6 +24,7 @@
 /** Tests what a front that has just started learns from the store's history. */
 class StoreHistoryTest {
     private static final long KEPT_MILLIS = 20_000;
+    private static final long HEARTBEAT_MILLIS = 1_200;
     private static final long TIMEOUT_SECONDS = 20;
     private static final String CONFIG_KEY = "op/config";
 
@@ -99,6 +101,38 @@
         assertThat(startReading(false).get(TIMEOUT_SECONDS, TimeUnit.SECONDS).reachMillis(), is(0L));
     }
 
+    /** Guards against a discarded removal that counts as old because an entry was written after it. */
+    @Test
+    void discardedRemovalBeforeALaterEntryLeavesThePastUnknown() throws Exception {
+        write("a", "v1");
+        write("b", "v2");
+        store.remove("servers/a");
+        store.discardHistory();
+        write("b", "v2");
+        long written = store.revision();
+        assertThat(
+                readFrom(written, revision -> revision == written)
+                        .get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                        .reachMillis(),
+                is(0L));
+    }
+
+    /** Guards against refusing every stream where entries are written again, so that all changes are overwritten. */
+    @Test
+    void entriesThatWereRepeatedForLongTellThePast() throws Exception {
+        write("a", "v1");
+        store.discardHistory();
+        for (int i = 0; i < KEPT_MILLIS / HEARTBEAT_MILLIS; i++) {
+            write("a", "v1");
+        }
+        long written = store.revision();
+        assertThat(
+                readFrom(written, revision -> revision == written)
+                        .get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                        .reachMillis(),
+                is(KEPT_MILLIS));
+    }
+
     /**
      * Guards against a worker that left between the pages of the copy, so that neither the copy nor the history names
      * it.
@@ -195,11 +229,16 @@
         return readFrom(store.revision(), lastChangeHeld);
     }
 
-    private CompletableFuture<TargetHistory> readFrom(long copyRevision, boolean lastChangeHeld) {
+    private CompletableFuture<TargetHistory> readFrom(long copyRevision, boolean changesHeld) {
+        return readFrom(copyRevision, revision -> changesHeld);
+    }
+
+    private CompletableFuture<TargetHistory> readFrom(long copyRevision, LongPredicate held) {
         CompletableFuture<TargetHistory> read = new CompletableFuture<>();
         StoreClient client = new StoreClient(loop, store.address());
-        StoreHistory history = new StoreHistory(loop, client, "servers/", KEPT_MILLIS, read::complete);
-        loop.execute(() -> history.readBackFrom(copyRevision, lastChangeHeld, config));
+        StoreHistory history =
+                new StoreHistory(loop, client, "servers/", KEPT_MILLIS, HEARTBEAT_MILLIS, read::complete);
+        loop.execute(() -> history.readBackFrom(copyRevision, held, config));
         return read;
     }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RejoinedFleetTest.java
@@ -120,6 +120,25 @@
         assertNoneMixed();
     }
 
+    /** Guards against a discarded history that is taken for whole because an entry was written after it. */
+    @Test
+    void streamsAreNotJoinedIfAnEntryWasWrittenAfterTheHistoryWasDiscarded() throws Exception {
+        List<StreamWorker> staying = startWorkers("left", LONG_AGO_MILLIS, "v2");
+        List<StreamWorker> leaving = startWorkers("left", LONG_AGO_MILLIS, "v1");
+        start("left");
+        begin(LONG + "/left");
+        assertThat("versions of left", firstVersions(LONG + "/left"), hasItem("v1"));
+        leaving.forEach(this::leave);
+        fleet.store().discardHistory();
+        staying.forEach(worker -> fleet.store().put(worker.key(), worker.entry("ready")));
+        fleet.fronts().parallelStream().forEach(FrontProcess::kill);
+        fleet.fronts().forEach(FrontProcess::start);
+        fleet.awaitReady();
+        awaitMillis(HISTORY_READ_MILLIS);
+        takeUp(fleet.fronts());
+        assertNoneMixed();
+    }
+
     /** Guards against fronts that take the time in which they were frozen or cut off for one without other versions. */
     @Test
     void streamsAreNotJoinedAtFrontsThatMissedAVersion() throws Exception {
