--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -646,6 +646,7 @@
                         ticker.nowMillis());
     }
 
+    /** Returns what is known of the processes of targets. */
     TargetProcesses processes() {
         return targets.processes();
     }
