--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UnpublishedProcessTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/UnpublishedProcessTest.java
@@ -120,6 +120,24 @@
         }
     }
 
+    /** Guards against reports that are older than the stream: a target has restarted since. */
+    @Test
+    void streamOfAProcessThatStartedAfterTheLatestReportsIsNotMixed() throws Exception {
+        try (VersionedFleet fleet = start(true, VersionedFleet.Interruption.HELD)) {
+            FrontFixture front = fleet.fleet().front(0);
+            fleet.reportRuns();
+            front.run(() -> front.front().feed().applySnapshot(List.of(), 1));
+            publishCold(fleet);
+            VersionedFleet.Received before =
+                    new VersionedFleet.Received("before", "", List.of("v1", "v1", "v1"), "", false);
+            assertThat("asks for reports", fleet.call(front, "c", before).wentOn(), is(true));
+            fleet.restart(0, "v2");
+            VersionedFleet.Received after =
+                    new VersionedFleet.Received("after", "", List.of("v2", "v2", "v2"), "", false);
+            assertThat("versions", fleet.call(front, "d", after).mixed(), is(false));
+        }
+    }
+
     /** Guards against taking a report that states no start for one of the published process. */
     @Test
     void streamReportedWithoutAStartIsNotMixed() throws Exception {
