End each wait for a read of the items, whatever fails

A request that took up a stream stayed without an answer until its deadline if the consumer of another request, which learnt of the same read before it, threw; and once a read could not begin, all later streams that nobody remembers were refused until the front restarted. Neither was seen at callers: both need another fault.

Cause: requests left the list before any was told, all in one turn; and a read that threw left the next one expected under way. Now each is told in a turn of its own, a read that throws has failed, and an outcome counts once.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemConfirmation.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ItemConfirmation.java
@@ -37,7 +37,7 @@
     private final Ticker ticker;
     private final IntSupplier processes;
     private Reader reader = result -> result.accept(false);
-    private List<Pending> pending = new ArrayList<>();
+    private final List<Pending> pending = new ArrayList<>();
     /** When the latest read began. */
     private long readAtMillis = Long.MIN_VALUE / 2;
 
@@ -89,18 +89,33 @@
         }
         readExpected = true;
         long intervalMillis = Math.max(MIN_INTERVAL_MILLIS, processes.getAsInt());
-        long delayMillis = readAtMillis + intervalMillis - ticker.nowMillis();
-        if (delayMillis <= 0) {
-            read();
-        } else {
-            loop.schedule(this::read, delayMillis, TimeUnit.MILLISECONDS);
-        }
+        long delayMillis = Math.max(0, readAtMillis + intervalMillis - ticker.nowMillis());
+        loop.schedule(this::read, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     private void read() {
-        long beganAtMillis = ticker.nowMillis();
-        readAtMillis = beganAtMillis;
-        reader.read(succeeded -> {
+        Read read = new Read();
+        readAtMillis = read.beganAtMillis;
+        try {
+            reader.read(read);
+        } catch (Throwable e) {
+            // Whatever fails in there, there is a next read.
+            read.accept(false);
+            throw e;
+        }
+    }
+
+    /** One read, whose outcome counts once. */
+    private final class Read implements Consumer<Boolean> {
+        private final long beganAtMillis = ticker.nowMillis();
+        private boolean ended;
+
+        @Override
+        public void accept(Boolean succeeded) {
+            if (ended) {
+                return;
+            }
+            ended = true;
             readExpected = false;
             List<Pending> confirmed = succeeded
                     ? pending.stream()
@@ -108,8 +123,9 @@
                             .toList()
                     : List.of();
             pending.removeAll(confirmed);
-            confirmed.forEach(request -> request.consumer().accept(true));
+            // Each in a turn of its own, so that one that fails does not end the others.
+            confirmed.forEach(request -> loop.execute(() -> request.consumer().accept(true)));
             readSoon();
-        });
+        }
     }
 }
