Confirm the only version by reports asked for after the request

Callers that name no attempt when they take up a stream got events of two versions within a second of another take-up at the same front: a target had restarted under its id at another version after it was asked, was not published yet, and had begun the stream.

Cause: the start that targets reported up to a second before was taken for that of the process which is there now. Reports that confirm the only version are now asked for after the request has arrived, 100 ms apart at most often, or 400 ms after an inquiry that confirmed nothing. The price: where a target does not answer, each stream that is refused has waited for up to 800 ms, not 400 ms.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -258,7 +258,7 @@
             resumeAt(Optional.of(inferred), OriginSource.ONLY_VERSION, finding);
             return;
         }
-        front.runInquiry().confirmPublished(inferred.service(), confirmed -> {
+        front.runInquiry().confirmPublished(inferred.service(), arrivedAtMillis, confirmed -> {
             if (stage != Stage.RESOLVING_ORIGIN) {
                 return;
             }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RunInquiry.java
@@ -31,8 +31,10 @@
 final class RunInquiry {
     /** Time for which reports are awaited; a caller waits meanwhile. */
     private static final long TIMEOUT_MILLIS = 400;
-    /** Minimum time between two inquiries about one service, so that many streams cause one. */
+    /** Time for which reports are used again to find runs, so that many streams cause one inquiry. */
     private static final long REUSE_MILLIS = 1_000;
+    /** Minimum time between two inquiries that are to confirm the processes of one service. */
+    private static final long MIN_INTERVAL_MILLIS = 100;
     /** Maximum size of the body of a report. */
     private static final int MAX_REPORT_BYTES = 256 * 1_024;
 
@@ -148,20 +150,38 @@
             consumer.accept(reports.versionOf(attemptId));
             return;
         }
-        inquire(service, reports, REUSE_MILLIS).onEnd(() -> consumer.accept(reports.versionOf(attemptId)));
+        inquire(service, reports).onEnd(() -> consumer.accept(reports.versionOf(attemptId)));
     }
 
     /**
      * Finds out whether all targets of a service are the published processes, whose versions are known. Those of a
      * service of which no target reports are taken for them.
      *
+     * @param sinceMillis monotonic time in milliseconds at or after which the targets are asked: an earlier report does
+     *     not show a process that has started since
      * @param consumer receives false also if a target does not answer in time
      */
-    void confirmPublished(String service, Consumer<Boolean> consumer) {
+    void confirmPublished(String service, long sinceMillis, Consumer<Boolean> consumer) {
         Reports reports = reportsOf(service);
-        // A report that was late is asked for again sooner than runs are.
-        Inquiry inquiry = inquire(service, reports, confirms(service, reports.latest) ? REUSE_MILLIS : TIMEOUT_MILLIS);
-        inquiry.onEnd(() -> consumer.accept(confirms(service, inquiry)));
+        Inquiry latest = reports.latest;
+        if (latest.askedAtMillis >= sinceMillis) {
+            latest.onEnd(() -> consumer.accept(confirms(service, latest)));
+            return;
+        }
+        if (!latest.ended) {
+            latest.onEnd(() -> confirmPublished(service, sinceMillis, consumer));
+            return;
+        }
+        // Targets of which one was late are given more time.
+        long intervalMillis = confirms(service, latest) ? MIN_INTERVAL_MILLIS : TIMEOUT_MILLIS;
+        long delayMillis = latest.askedAtMillis + intervalMillis - ticker.nowMillis();
+        if (delayMillis <= 0) {
+            ask(service, reports);
+        }
+        loop.schedule(
+                () -> confirmPublished(service, sinceMillis, consumer),
+                Math.max(0, delayMillis),
+                TimeUnit.MILLISECONDS);
     }
 
     /** Tells whether the processes of all targets are known; at a service that reports, all of them have to report. */
@@ -181,8 +201,8 @@
         return reportsByService.computeIfAbsent(service, name -> new Reports());
     }
 
-    private Inquiry inquire(String service, Reports reports, long reuseMillis) {
-        if (reports.latest.ended && ticker.nowMillis() - reports.latest.askedAtMillis >= reuseMillis) {
+    private Inquiry inquire(String service, Reports reports) {
+        if (reports.latest.ended && ticker.nowMillis() - reports.latest.askedAtMillis >= REUSE_MILLIS) {
             ask(service, reports);
         }
         return reports.latest;
