--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/AsyncLogWriterTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/AsyncLogWriterTest.java
@@ -7,13 +7,18 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class AsyncLogWriterTest {
     private static final int LINES = 10_000;
+    /** Leaves fewer prompt lines than the buffer has room for. */
+    private static final int LINES_PER_PROMPT_LINE = 10;
+
     private static final long TIMEOUT_SECONDS = 20;
 
     /**
@@ -51,6 +56,32 @@
         writer.stop();
     }
 
+    /** Guards against prompt lines that are lost among many others, while the reader of the log does not read. */
+    @Test
+    void noPromptLineOfManyIsDroppedBetweenOthers() throws Exception {
+        CountDownLatch readerContinues = new CountDownLatch(1);
+        ByteArrayOutputStream read = new ByteArrayOutputStream();
+        AsyncLogWriter writer = new AsyncLogWriter(new PrintStream(new BlockedStream(readerContinues, read)));
+        writer.start();
+        for (int i = 0; i < LINES; i++) {
+            writer.append("line\n");
+            if (i % LINES_PER_PROMPT_LINE == 0) {
+                writer.appendPrompt("prompt " + i + "\n");
+            }
+        }
+        readerContinues.countDown();
+        awaitText(read, "log-lines-dropped");
+        writer.stop();
+        List<String> expected = IntStream.range(0, LINES / LINES_PER_PROMPT_LINE)
+                .mapToObj(i -> "prompt " + i * LINES_PER_PROMPT_LINE)
+                .toList();
+        awaitText(read, expected.get(expected.size() - 1) + "\n");
+        assertThat(
+                "prompt lines, in order",
+                text(read).lines().filter(line -> line.startsWith("prompt")).toList(),
+                is(expected));
+    }
+
     /**
      * The process stops in an orderly way, possibly before the thread of the writer has run at all. The last lines
      * state the reason and must not be lost in the buffer.
