Play releases and two joint kills of fronts, published late

Workers of a service are replaced one a second by others with new ids at the other version, some releases are taken back, some workers restart under their id and are published late, and entries of living workers lapse for up to 2 s. All fronts but one are killed at once, and all of them 8 to 13 s later. Draws of the plays without the new traits are unchanged.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
@@ -24,6 +24,9 @@
 final class FleetPlay implements AutoCloseable {
     private static final String SERVICE = "s";
     private static final int WORKERS = 8;
+    /** Addresses of workers; each worker with a new id that a release starts has one of its own. */
+    private static final int PLACES = 64;
+
     private static final int FIRST_WORKER_IP = 50;
     private static final int WORKER_PORT = 9_000;
     private static final int CALLERS = 24;
@@ -38,6 +41,19 @@
     /** Time for which the places of the old version are empty after it has left. */
     private static final long AFTER_RELEASE_MILLIS = 4_000;
 
+    private static final long RELEASE_STEP_MILLIS = 1_000;
+    /** Time from the start of a worker of a release to the leaving of the one that it replaces. */
+    private static final long REPLACED_AFTER_MILLIS = 400;
+
+    private static final int MAX_RELEASE_PAUSE_STEPS = 3;
+    private static final int MIN_BEFORE_KILL_MILLIS = 3_000;
+    private static final int MAX_BEFORE_KILL_MILLIS = 5_000;
+    private static final int MIN_BETWEEN_KILLS_MILLIS = 8_000;
+    private static final int MAX_BETWEEN_KILLS_MILLIS = 13_000;
+    private static final long AFTER_KILLS_MILLIS = 5_000;
+    private static final int MIN_LAPSE_MILLIS = 300;
+    private static final int MAX_LAPSE_MILLIS = 2_000;
+
     /** Time without an impairment after which a front is in touch. */
     private static final long CONTACT_MILLIS = 3_000;
 
@@ -61,10 +77,10 @@
 
     private final DeployedFleet fleet;
     private final FleetRecord record = new FleetRecord();
-    private final WorkerStandIn[] workers = new WorkerStandIn[WORKERS];
-    private final boolean[] busy = new boolean[WORKERS];
+    private final WorkerStandIn[] workers = new WorkerStandIn[PLACES];
+    private final boolean[] busy = new boolean[PLACES];
     /** How far the clock of each worker is ahead. */
-    private final long[] skewMillis = new long[WORKERS];
+    private final long[] skewMillis = new long[PLACES];
 
     private final ScheduledExecutorService schedule = Executors.newScheduledThreadPool(2);
     private final List<CallerStandIn> callers = new ArrayList<>();
@@ -75,7 +91,12 @@
     /** Connections that were silent for a while. */
     private final AtomicInteger silenced = new AtomicInteger();
 
+    private final List<Long> jointKillsNanos = new CopyOnWriteArrayList<>();
+
     private int lifetimes;
+    /** Number of places that have had a worker. */
+    private int places = WORKERS;
+
     private volatile boolean oldVersionLeft;
 
     FleetPlay(Random random, StreamEnds streamEnds) throws IOException {
@@ -127,6 +148,8 @@
         threads.forEach(Thread::start);
         if (restartTraits.isEmpty()) {
             injectFaults();
+        } else if (RestartTrait.replacesWorkersOrFronts(restartTraits)) {
+            injectReleasesAndKills();
         } else {
             injectRestarts();
         }
@@ -175,8 +198,14 @@
         busy[place] = false;
     }
 
-    /** Returns the version of a new lifetime: each half of the places has its own, until the old one has left. */
+    /**
+     * Returns the version of a new lifetime: each half of the places has its own, until the old one has left; where
+     * releases change it, all begin with the same one.
+     */
     private int versionOf(int place) {
+        if (restartTraits.contains(RestartTrait.RELEASES)) {
+            return 1;
+        }
         return oldVersionLeft || place >= WORKERS / 2 ? 2 : 1;
     }
 
@@ -221,6 +250,142 @@
         }
     }
 
+    private void injectReleasesAndKills() throws InterruptedException {
+        long startNanos = System.nanoTime();
+        long firstMillis = MIN_BEFORE_KILL_MILLIS + random.nextInt(MAX_BEFORE_KILL_MILLIS - MIN_BEFORE_KILL_MILLIS);
+        long secondMillis = firstMillis
+                + MIN_BETWEEN_KILLS_MILLIS
+                + random.nextInt(MAX_BETWEEN_KILLS_MILLIS - MIN_BETWEEN_KILLS_MILLIS);
+        if (restartTraits.contains(RestartTrait.RELEASES)) {
+            Release release = new Release(new Random(random.nextLong()));
+            schedule.scheduleAtFixedRate(
+                    release::step, RELEASE_STEP_MILLIS, RELEASE_STEP_MILLIS, TimeUnit.MILLISECONDS);
+        }
+        injectAroundReleases(startNanos + TimeUnit.MILLISECONDS.toNanos(firstMillis));
+        killJointly(fleet.fronts().size() - 1);
+        injectAroundReleases(startNanos + TimeUnit.MILLISECONDS.toNanos(secondMillis));
+        killJointly(fleet.fronts().size());
+        injectAroundReleases(System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(AFTER_KILLS_MILLIS));
+    }
+
+    private void injectAroundReleases(long endNanos) throws InterruptedException {
+        while (true) {
+            int pauseMillis = random.nextInt(MAX_FAULT_INTERVAL_MILLIS);
+            long leftNanos = endNanos - System.nanoTime();
+            if (leftNanos < TimeUnit.MILLISECONDS.toNanos(pauseMillis)) {
+                TimeUnit.NANOSECONDS.sleep(leftNanos);
+                return;
+            }
+            TimeUnit.MILLISECONDS.sleep(pauseMillis);
+            synchronized (this) {
+                workers[drawPlace()].setFaults(FaultMix.drawBroken(random));
+            }
+            int place = drawPlace();
+            switch (random.nextInt(6)) {
+                case 0 -> fleet.store().cutWatches();
+                case 1 -> {
+                    if (restartTraits.contains(RestartTrait.LAPSES)) {
+                        lapse(place);
+                    }
+                }
+                case 2, 3, 4 -> restart(place);
+                default -> {
+                    // Nothing but the release goes on.
+                }
+            }
+        }
+    }
+
+    private void killJointly(int count) {
+        if (restartTraits.contains(RestartTrait.JOINT_KILLS)) {
+            jointKillsNanos.add(System.nanoTime());
+            killFronts(count, () -> {});
+        }
+    }
+
+    /** Draws a place whose worker has not been replaced. */
+    private synchronized int drawPlace() {
+        List<Integer> taken = new ArrayList<>();
+        for (int place = 0; place < places; place++) {
+            if (workers[place] != null) {
+                taken.add(place);
+            }
+        }
+        return taken.get(random.nextInt(taken.size()));
+    }
+
+    /** Lets the entry of a worker that serves on lapse; the worker writes it again later. */
+    private synchronized void lapse(int place) {
+        if (busy[place]) {
+            return;
+        }
+        WorkerStandIn worker = workers[place];
+        worker.lapse();
+        schedule.schedule(
+                worker::renewEntry,
+                MIN_LAPSE_MILLIS + random.nextInt(MAX_LAPSE_MILLIS - MIN_LAPSE_MILLIS),
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Replaces the worker of another version that has been there the longest by one with a new id; false if none. */
+    private synchronized boolean replaceOne(int version) {
+        for (int place = 0; place < places && places < PLACES; place++) {
+            WorkerStandIn worker = workers[place];
+            if (worker != null && !busy[place] && !worker.identity().version().equals("v" + version)) {
+                busy[place] = true;
+                startWorker(places++, "w" + lifetimes++, version);
+                int replaced = place;
+                schedule.schedule(() -> drain(replaced), REPLACED_AFTER_MILLIS, TimeUnit.MILLISECONDS);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Lets a worker leave that stays busy until it is gone. */
+    private void drain(int place) {
+        WorkerStandIn worker = workers[place];
+        worker.leave();
+        schedule.schedule(
+                () -> {
+                    worker.stop();
+                    worker.removeEntry();
+                    synchronized (this) {
+                        workers[place] = null;
+                    }
+                },
+                LEAVE_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Releases of one version after the other, of which some are taken back before their end. */
+    private final class Release {
+        private final Random draws;
+        private int version = 2;
+        private int steps;
+        private int pauseSteps;
+
+        Release(Random draws) {
+            this.draws = draws;
+            steps = drawSteps();
+        }
+
+        private int drawSteps() {
+            return draws.nextInt(3) == 0 ? 2 + draws.nextInt(WORKERS - 2) : WORKERS;
+        }
+
+        /** Replaces a worker; begins the next release if this one has ended or is taken back. */
+        void step() {
+            if (pauseSteps > 0) {
+                pauseSteps--;
+            } else if (steps-- == 0 || !replaceOne(version)) {
+                version = version == 1 ? 2 : 1;
+                steps = drawSteps();
+                pauseSteps = draws.nextInt(MAX_RELEASE_PAUSE_STEPS);
+            }
+        }
+    }
+
     /** Ends a process and starts another one under its id and address at the other version. */
     private synchronized void restart(int place) {
         if (busy[place]) {
@@ -392,6 +557,11 @@
         return silenced.get();
     }
 
+    /** Returns when most or all fronts were killed at once. */
+    List<Long> jointKillsNanos() {
+        return List.copyOf(jointKillsNanos);
+    }
+
     /** Returns the changes of the workers. */
     List<WorkerEvent> workerEvents() {
         return record.workerEvents();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetSummary.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetSummary.java
@@ -95,6 +95,21 @@
                 + joins.size() + ", of these within an attempt " + within;
     }
 
+    /** Returns how many attempts to resume were sent within some time after any of some moments, and succeeded. */
+    static String ofTakeUpsAfter(FleetHistory history, List<Long> momentsNanos, long withinNanos) {
+        List<CallerAnswer> resumed = history.answers().stream()
+                .filter(answer -> answer.kind() == AttemptKind.RESUMABLE
+                        && !answer.firstAttemptId().isEmpty()
+                        && answer.end() != CallerAnswer.End.LEFT)
+                .filter(answer -> momentsNanos.stream()
+                        .map(moment -> answer.sentNanos() - moment)
+                        .anyMatch(since -> since >= 0 && since < withinNanos))
+                .toList();
+        long goneOn = resumed.stream().filter(answer -> answer.status() == 200).count();
+        return "joint kills " + momentsNanos.size() + ", attempts that resume after them " + resumed.size()
+                + ", of these with a success " + goneOn;
+    }
+
     private static Map<String, Long> count(List<String> keys) {
         return keys.stream().collect(Collectors.groupingBy(key -> key, TreeMap::new, Collectors.counting()));
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RestartTrait.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RestartTrait.java
@@ -18,13 +18,24 @@
     /** The clocks of workers differ from those of fronts by several seconds. */
     SKEWED_CLOCKS,
     /** The workers are engines. */
-    ENGINE;
+    ENGINE,
+    /** Workers are replaced one after the other by others with new ids at the other version; some releases stop. */
+    RELEASES,
+    /** All fronts but one are killed at once, and all of them some seconds later. */
+    JOINT_KILLS,
+    /** Entries of workers that serve on lapse and are written again. */
+    LAPSES;
 
     private static final long SOON_MILLIS = 800;
     private static final int MIN_LATE_MILLIS = 500;
     private static final int MAX_LATE_MILLIS = 3_500;
     private static final int MAX_SKEW_MILLIS = 6_000;
 
+    /** Tells whether workers are replaced by others, or fronts are killed jointly. */
+    static boolean replacesWorkersOrFronts(Set<RestartTrait> traits) {
+        return traits.contains(RELEASES) || traits.contains(JOINT_KILLS);
+    }
+
     /** Draws the time from the start of a process to its first entry. */
     static long drawEntryDelayMillis(Set<RestartTrait> traits, Random random) {
         if (traits.contains(PUBLISHED_LATE)) {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RestartedFleetSoakTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RestartedFleetSoakTest.java
@@ -15,6 +15,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
@@ -37,23 +38,31 @@
             Optional.ofNullable(System.getProperty("whinwharf.soak.logs")).map(Path::of);
     private static final int MIN_SUCCESSES = 50;
     private static final int MAX_PRINTED = 3;
+    /** Time after a joint kill in which attempts to resume count as made after it. */
+    private static final long AFTER_KILL_NANOS = TimeUnit.SECONDS.toNanos(6);
 
     static Stream<Arguments> plays() {
+        return plays(
+                Set.of(RestartTrait.PUBLISHED_LATE, RestartTrait.BEATS, RestartTrait.REPORTS),
+                Set.of(
+                        RestartTrait.PUBLISHED_LATE,
+                        RestartTrait.BEATS,
+                        RestartTrait.SKEWED_CLOCKS,
+                        RestartTrait.ENGINE));
+    }
+
+    /** Returns the plays of all seeds: one with each set of traits, unless a property names the traits. */
+    @SafeVarargs
+    static Stream<Arguments> plays(Set<RestartTrait>... defaults) {
         return LongStream.range(FIRST_SEED, FIRST_SEED + SEEDS)
                 .boxed()
-                .flatMap(seed -> traits().map(traits -> Arguments.of(traits, seed)));
+                .flatMap(seed -> traits(defaults).map(traits -> Arguments.of(traits, seed)));
     }
 
-    private static Stream<Set<RestartTrait>> traits() {
+    private static Stream<Set<RestartTrait>> traits(Set<RestartTrait>[] defaults) {
         String names = System.getProperty("whinwharf.soak.restarts");
         if (names == null) {
-            return Stream.of(
-                    new TreeSet<>(Set.of(RestartTrait.PUBLISHED_LATE, RestartTrait.BEATS, RestartTrait.REPORTS)),
-                    new TreeSet<>(Set.of(
-                            RestartTrait.PUBLISHED_LATE,
-                            RestartTrait.BEATS,
-                            RestartTrait.SKEWED_CLOCKS,
-                            RestartTrait.ENGINE)));
+            return Arrays.stream(defaults).map(TreeSet::new);
         }
         return Stream.of(Arrays.stream(names.split(","))
                 .map(RestartTrait::valueOf)
@@ -64,11 +73,22 @@
     @ParameterizedTest
     @MethodSource("plays")
     void streamsHoldEventsOfOneVersionAroundRestarts(Set<RestartTrait> traits, long seed) throws Exception {
+        playAndCheck(RestartedFleetSoakTest.class, traits, seed);
+    }
+
+    /**
+     * Plays and checks all rules.
+     *
+     * @param test test class that the message of a failure names
+     */
+    static void playAndCheck(Class<?> test, Set<RestartTrait> traits, long seed) throws Exception {
         FleetHistory history;
         List<String> joins;
+        List<Long> jointKillsNanos;
         try (FleetPlay play = FleetPlay.ofRestarts(new Random(seed), traits, new DeployedFleet())) {
             history = play.play();
             joins = FleetChecks.version(history);
+            jointKillsNanos = play.jointKillsNanos();
             keepLogs(traits + "-" + seed, play, history, joins);
         }
         List<String> breaches = new ArrayList<>(joins);
@@ -77,10 +97,11 @@
         breaches.addAll(FleetChecks.refused(history));
         breaches.addAll(FleetChecks.order(history));
         System.out.println(traits + " " + FleetSummary.ofTakeUps(history, joins) + "; "
+                + FleetSummary.ofTakeUpsAfter(history, jointKillsNanos, AFTER_KILL_NANOS) + "; "
                 + FleetSummary.of(seed, history, breaches));
         assertThat(
                 breaches.size() + " breaches; again: mvn -o -pl org.whinwharf.platform.test -am"
-                        + " -Dtest=RestartedFleetSoakTest -Dsurefire.failIfNoSpecifiedTests=false"
+                        + " -Dtest=" + test.getSimpleName() + " -Dsurefire.failIfNoSpecifiedTests=false"
                         + " -Dwhinwharf.soak.restarts="
                         + traits.stream().map(RestartTrait::name).collect(Collectors.joining(","))
                         + " -Dwhinwharf.soak.first=" + seed + " -Dwhinwharf.soak.seeds=1 verify",
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
@@ -233,15 +233,24 @@
         }
     }
 
-    /** Removes the entry unless another process has written it. */
+    /** Removes the entry unless another process has written it, or this one has written none. */
     void lapse() {
         synchronized (entryLock) {
-            if (store.removeUnchanged("servers/" + identity.id(), lastEntry.revision())) {
+            if (lastEntry != null && store.removeUnchanged("servers/" + identity.id(), lastEntry.revision())) {
                 record(WorkerEvent.Change.LAPSED);
             }
         }
     }
 
+    /** Writes the entry again after it has lapsed, if it has. */
+    void renewEntry() {
+        synchronized (entryLock) {
+            if (lastEntry != null) {
+                beat();
+            }
+        }
+    }
+
     /** Records that a run has made some events. */
     void runMade(WorkerRun run, int events) {
         eventsByAttempt.put(run.attemptId(), events);
