--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
@@ -46,6 +46,7 @@
     private static final long REPLACED_AFTER_MILLIS = 400;
 
     private static final int MAX_RELEASE_PAUSE_STEPS = 3;
+    private static final int MAX_SPARSE_PAUSE_STEPS = 9;
     private static final int MIN_BEFORE_KILL_MILLIS = 3_000;
     private static final int MAX_BEFORE_KILL_MILLIS = 5_000;
     private static final int MIN_BETWEEN_KILLS_MILLIS = 8_000;
@@ -288,7 +289,12 @@
                         lapse(place);
                     }
                 }
-                case 2, 3, 4 -> restart(place);
+                case 2 -> restart(place);
+                case 3, 4 -> {
+                    if (!restartTraits.contains(RestartTrait.SPARSE)) {
+                        restart(place);
+                    }
+                }
                 default -> {
                     // Nothing but the release goes on.
                 }
@@ -368,6 +374,14 @@
         Release(Random draws) {
             this.draws = draws;
             steps = drawSteps();
+            if (restartTraits.contains(RestartTrait.SPARSE)) {
+                pauseSteps = drawPauseSteps();
+            }
+        }
+
+        private int drawPauseSteps() {
+            return draws.nextInt(
+                    restartTraits.contains(RestartTrait.SPARSE) ? MAX_SPARSE_PAUSE_STEPS : MAX_RELEASE_PAUSE_STEPS);
         }
 
         private int drawSteps() {
@@ -381,7 +395,7 @@
             } else if (steps-- == 0 || !replaceOne(version)) {
                 version = version == 1 ? 2 : 1;
                 steps = drawSteps();
-                pauseSteps = draws.nextInt(MAX_RELEASE_PAUSE_STEPS);
+                pauseSteps = drawPauseSteps();
             }
         }
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RestartTrait.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/RestartTrait.java
@@ -24,7 +24,9 @@
     /** All fronts but one are killed at once, and all of them some seconds later. */
     JOINT_KILLS,
     /** Entries of workers that serve on lapse and are written again. */
-    LAPSES;
+    LAPSES,
+    /** Few workers restart and releases are some seconds apart, so that one version serves alone for a while. */
+    SPARSE;
 
     private static final long SOON_MILLIS = 800;
     private static final int MIN_LATE_MILLIS = 500;
