Reproduce questions without pause to a target that refuses connections

RestartedVersionTest, the new case: four of 16 streams began at a target that refuses its report and then connections; the front asked it 8,608 times in two seconds, and wrote as many lines.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
@@ -1,9 +1,11 @@
 package org.whinwharf.front;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 
 import java.io.IOException;
 import java.net.Socket;
@@ -23,6 +25,11 @@
     /** Longer than the interval at which a front looks for entries of targets that are gone. */
     private static final long EVICTION_MILLIS = 1_500;
 
+    /** Longer than streams wait for what their targets state. */
+    private static final long ASKED_MILLIS = 2_000;
+    /** Several for each stream. */
+    private static final double MAX_QUESTIONS = 200;
+
     private static VersionedFleet start(boolean engine) throws Exception {
         return new VersionedFleet(FRONTS, ONE_VERSION, engine, 1, VersionedFleet.Interruption.HELD);
     }
@@ -251,6 +258,33 @@
         }
     }
 
+    /** Guards against asking a target again and again, at once, that refuses connections. */
+    @Test
+    void targetThatRefusesConnectionsIsNotAskedWithoutPause() throws Exception {
+        try (VersionedFleet fleet = new VersionedFleet(1, ONE_VERSION, true, 3, VersionedFleet.Interruption.HELD)) {
+            fleet.reportRuns();
+            fleet.refuseReports(0, 503);
+            List<Socket> sockets = new ArrayList<>();
+            for (int i = 0; i < STREAMS; i++) {
+                sockets.add(
+                        VersionedFleet.open(fleet.fleet().front(0), "a" + i, VersionedFleet.Received.nothing("s" + i)));
+            }
+            for (Socket socket : sockets) {
+                VersionedFleet.readHeld(socket);
+            }
+            for (CutLink link : fleet.fleet().linksTo(0)) {
+                link.cut(CutLink.Cut.REFUSED);
+                link.resetOpen();
+            }
+            Thread.sleep(ASKED_MILLIS);
+            double asked = fleet.fleet().front(0).counter("whinwharf_processes_reported_total");
+            assertThat("questions", asked, allOf(greaterThan(0.0), lessThan(MAX_QUESTIONS)));
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
+
     /** Waits until it is known which processes began the streams, as after the time in which targets report. */
     private static void awaitKnownOrigins(VersionedFleet fleet) throws InterruptedException {
         FrontFixture front = fleet.fleet().front(0);
