Let a moment pass before a target is asked for its process again

A stream that had to go on while the target that began it refused connections kept its front asking: thousands of connects and as many log lines in 1.6 s, over which other lines are dropped. Where targets write their entries again it was not shown, as the wait for such an entry hides it. The same change ends a wait at once when a report shows another process, though entries are written again.

Cause: a question that ends at once ended the wait too, and the wait after it put the question again at once. Now a wait that has found nothing lasts as long as a question without an answer.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
@@ -64,13 +64,11 @@
         }
         untilMillis =
                 Math.min(Math.max(sinceMillis + WAIT_MILLIS, presumedAtMillis(next, connection)), deadlineAtMillis);
-        ProcessKnowledge ofFirst = stream.knowledge();
-        ProcessKnowledge ofNext = front.knowledgeOf(next, connection);
-        if (ofFirst == ProcessKnowledge.REPLACED || ofNext == ProcessKnowledge.REPLACED || nowMillis >= untilMillis) {
+        if (replaced(next, connection) || nowMillis >= untilMillis) {
             return false;
         }
         Map<TargetEntry, Long> asked = new LinkedHashMap<>();
-        if (!ofFirst.publishedVersion()) {
+        if (!stream.knowledge().publishedVersion()) {
             stream.openProcess().ifPresent(first -> {
                 TargetEntry entry = front.entry(first.targetId());
                 if (entry != null) {
@@ -78,9 +76,20 @@
                 }
             });
         }
-        if (!ofNext.publishedVersion()) {
+        if (!front.knowledgeOf(next, connection).publishedVersion()) {
             asked.merge(next, connection.establishedAtMillis(), Math::max);
         }
-        return front.processInquiry().verify(asked, () -> passes(next, connection), untilMillis - nowMillis, task);
+        return front.processInquiry()
+                .verify(
+                        asked,
+                        () -> passes(next, connection) || replaced(next, connection),
+                        untilMillis - nowMillis,
+                        task);
+    }
+
+    /** Tells whether another process has taken the place of one of the two. */
+    private boolean replaced(TargetEntry next, TargetConnection connection) {
+        return stream.knowledge() == ProcessKnowledge.REPLACED
+                || front.knowledgeOf(next, connection) == ProcessKnowledge.REPLACED;
     }
 }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessInquiry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessInquiry.java
@@ -105,7 +105,7 @@
      *
      * @param asked targets whose processes are to become known, with the monotonic times in milliseconds at which the
      *     connections to them were established
-     * @param known tells whether they are
+     * @param known tells whether they are, or cannot become known any longer
      * @param maxMillis time in milliseconds after which nothing is awaited any longer
      * @param task run in a later turn of the event loop
      * @return false if nothing is to come; the task is not run then
@@ -128,8 +128,12 @@
     /** Concludes verifications for which something that was awaited has come. */
     void recheck() {
         for (Verification verification : List.copyOf(verifications)) {
-            if (verification.known.getAsBoolean() || !verification.awaitsAnything()) {
+            if (verification.known.getAsBoolean()) {
                 conclude(verification);
+            } else if (!verification.awaitsAnything()) {
+                // A question may end at once, for a target that refuses connections, and would be put again at once.
+                long delayMillis = verification.begunAtMillis + TIMEOUT_MILLIS - ticker.nowMillis();
+                loop.schedule(() -> conclude(verification), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
             }
         }
     }
@@ -145,6 +149,7 @@
         private final Set<TargetEntry> asked;
         private final BooleanSupplier known;
         private final Runnable task;
+        private final long begunAtMillis = ticker.nowMillis();
 
         Verification(Set<TargetEntry> asked, BooleanSupplier known, Runnable task) {
             this.asked = asked;
