--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -87,6 +87,25 @@
         assertThat(writtenSinceMillis, contains(Long.MIN_VALUE, 100L));
     }
 
+    /** Guards against an earlier state of an item that the watch delivers after a read beside it, or a change twice. */
+    @Test
+    void watchBringsNothingBackThatAReadHasShown() {
+        List<String> changes = new ArrayList<>();
+        feed.listener((value, afterInitialSnapshot, readableForMillis) ->
+                changes.add(value.key() + value.revision() + (value.removed() ? " removed" : "")));
+        feed.applyWatchEvents(List.of(new PublishedValue("a", new byte[0], 41, 41)), 41, 100);
+        List<PublishedValue> later = List.of(
+                new PublishedValue("a", new byte[0], 42, 41),
+                new PublishedValue("b", new byte[0], 43, 43),
+                new PublishedValue("b", null, 44),
+                new PublishedValue("a", new byte[0], 45, 41));
+        feed.applyRead(later, 45, 900);
+        feed.applyWatchEvents(later.subList(0, 2), 43, 200);
+        feed.applyRead(later.subList(0, 3), 44, 800);
+        assertThat(changes, contains("a41", "a42", "b43", "b44 removed", "a45"));
+        assertThat(feed.revision(), is(45L));
+    }
+
     /** Guards against polling the last peer that answered indefinitely after it is cut off, while others answer. */
     @Test
     void peerThatDoesNotAnswerIsNotPreferred() {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
@@ -258,6 +258,33 @@
         }
     }
 
+    /** Guards against a stream that is not continued because it has waited at an interruption long before. */
+    @Test
+    void streamIsContinuedAtASecondInterruption() throws Exception {
+        try (VersionedFleet fleet =
+                new VersionedFleet(1, ONE_VERSION, true, 4, VersionedFleet.Interruption.EACH_RUN_HELD)) {
+            fleet.reportRuns();
+            VersionedFleet.Received nothing = VersionedFleet.Received.nothing("s");
+            try (Socket socket = VersionedFleet.open(fleet.fleet().front(0), "a", nothing)) {
+                String response = FrontFixture.readUntil(socket, "id: 2\ndata: v1\n\n");
+                resetConnections(fleet);
+                response += FrontFixture.readUntil(socket, "id: 4\ndata: v1\n\n");
+                Thread.sleep(ASKED_MILLIS);
+                resetConnections(fleet);
+                response += FrontFixture.readAll(socket);
+                assertThat("went on", nothing.plus("a", response).wentOn(), is(true));
+            }
+        }
+    }
+
+    private static void resetConnections(VersionedFleet fleet) throws IOException {
+        for (int i = 0; i < ONE_VERSION.size(); i++) {
+            for (CutLink link : fleet.fleet().linksTo(i)) {
+                link.resetOpen();
+            }
+        }
+    }
+
     /** Guards against asking a target again and again, at once, that refuses connections. */
     @Test
     void targetThatRefusesConnectionsIsNotAskedWithoutPause() throws Exception {
