Test late events of a silent target beside a replacement of another version

What callers would see: events of two versions in one stream, if a silent run that was set aside sent again while its replacement, at another version, began the stream, or if the stream was bound to the version of the wrong run.

No fault was found. The test lets both runs send in one turn of the event loop, or one right after the other, over direct and relayed paths, at plain targets and engines; both then fall silent, and a third run must go on at the version whose event was forwarded.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilentRunTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/SilentRunTest.java
@@ -28,6 +28,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.regex.Pattern;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
@@ -71,6 +72,15 @@
 
     private static final String LARGE_EVENT = "x".repeat(2_000);
 
+    /** Maximum time for which the loop of a front is blocked until both targets have sent events. */
+    private static final long LATE_MILLIS = 50;
+
+    /** Few enough that most targets are not silent. */
+    private static final int LATE_STREAMS = 3;
+
+    private static final int LATE_TARGETS = 12;
+    private static final Pattern VERSION = Pattern.compile("data: (v\\d)\n");
+
     private static final String CUTS = "whinwharf_answers_cut_total";
     private static final String RETRIES = "whinwharf_repeats_total";
     private static final String EJECTIONS = "whinwharf_ejections_total";
@@ -877,4 +887,118 @@
             }
         });
     }
+
+    /** When a silent target sends again, while another one of another version has the request. */
+    private enum LateEvents {
+        /** In the same turn of the event loop as the other one's first events. */
+        SAME_TURN,
+        /** Right after the other one has sent its first events. */
+        AFTER_THE_OTHER
+    }
+
+    /** A way to the targets, and the moment of the late events. */
+    private record LateCase(LateEvents moment, boolean relayed, boolean engine) {
+        static List<LateCase> all() {
+            return Stream.of(LateEvents.values())
+                    .flatMap(moment -> Stream.of(false, true)
+                            .flatMap(relayed ->
+                                    Stream.of(false, true).map(engine -> new LateCase(moment, relayed, engine))))
+                    .toList();
+        }
+    }
+
+    /** Guards against late events of a silent target, or its version, in a stream that another version has begun. */
+    @Test
+    void streamOfAReplacementHoldsNoLateEventsOfAnotherVersion() throws Exception {
+        AtomicInteger replacedByOther = new AtomicInteger();
+        assertAll(LateCase.all(), late -> assertOneVersion(late, replacedByOther));
+        assertThat("replaced at another version", replacedByOther.get(), greaterThan(0));
+    }
+
+    private static void assertOneVersion(LateCase late, AtomicInteger replacedByOther) throws Exception {
+        RunScripts scripts = new RunScripts();
+        ExecutorService callers = Executors.newCachedThreadPool();
+        List<String> published = Stream.iterate("v1", version -> version.equals("v1") ? "v2" : "v1")
+                .limit(LATE_TARGETS)
+                .toList();
+        try (CutFleet fleet = new CutFleet(2, published, late.engine(), LIMITS, scripts)) {
+            if (late.relayed()) {
+                fleet.cut(0, CutLink.Cut.REFUSED);
+                assertThat(fleet.front(0).exchange(Work.SAFE.request("partition")), startsWith("HTTP/1.1 200"));
+            }
+            List<Future<String>> answers = new ArrayList<>();
+            for (int i = 0; i < LATE_STREAMS; i++) {
+                String attempt = "a" + i;
+                planLateEvents(late.moment(), attempt, fleet, scripts);
+                answers.add(callers.submit(() -> fleet.front(0).exchange(Work.RESUMABLE_STREAM.request(attempt))));
+            }
+            List<List<String>> versions = new ArrayList<>();
+            for (Future<String> answer : answers) {
+                versions.add(VERSION.matcher(answer.get())
+                        .results()
+                        .map(event -> event.group(1))
+                        .toList());
+            }
+            for (int i = 0; i < LATE_STREAMS; i++) {
+                List<Run> runs = scripts.runs("a" + i);
+                if (runs.size() > 1 && !versionOf(fleet, runs.get(0)).equals(versionOf(fleet, runs.get(1)))) {
+                    replacedByOther.incrementAndGet();
+                }
+            }
+            List<List<String>> one = versions.stream()
+                    .map(events -> Collections.nCopies(PausingFleet.EVENTS, events.isEmpty() ? "" : events.get(0)))
+                    .toList();
+            assertThat("versions of the events", versions, is(one));
+        } finally {
+            callers.shutdownNow();
+        }
+    }
+
+    /** Plans a silent run whose events come late, its replacement, and a third run that goes on with the stream. */
+    private static void planLateEvents(LateEvents moment, String attempt, CutFleet fleet, RunScripts scripts) {
+        CountDownLatch firstReleased = new CountDownLatch(1);
+        CountDownLatch firstSent = new CountDownLatch(1);
+        scripts.plan(
+                attempt,
+                run -> {
+                    run.pauseUntil(firstReleased);
+                    // Another number than the replacement sends, so that a response shows whose events it holds.
+                    run.events(2 * RunScripts.EVENTS_BEFORE_INTERRUPTION, versionOf(fleet, run));
+                    firstSent.countDown();
+                    run.hang();
+                },
+                run -> {
+                    if (moment == LateEvents.SAME_TURN) {
+                        CountDownLatch unblock = blockThread(fleet.front(0));
+                        try {
+                            firstReleased.countDown();
+                            run.events(RunScripts.EVENTS_BEFORE_INTERRUPTION, versionOf(fleet, run));
+                            run.pauseWhile(() -> firstSent.getCount() > 0, LATE_MILLIS);
+                        } finally {
+                            unblock.countDown();
+                        }
+                    } else {
+                        run.events(RunScripts.EVENTS_BEFORE_INTERRUPTION, versionOf(fleet, run));
+                        firstReleased.countDown();
+                    }
+                    run.hang();
+                },
+                run -> {
+                    run.events(PausingFleet.EVENTS, versionOf(fleet, run));
+                    run.endStream();
+                });
+    }
+
+    private static CountDownLatch blockThread(FrontFixture front) {
+        try {
+            return front.blockThread();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static String versionOf(CutFleet fleet, Run run) {
+        return fleet.version(fleet.targetListeningOn(run.port()));
+    }
 }
