--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetSummary.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetSummary.java
@@ -95,7 +95,9 @@
                 + joins.size() + ", of these within an attempt " + within;
     }
 
-    /** Returns how many attempts to resume were sent within some time after any of some moments, and succeeded. */
+    /**
+     * Returns how many attempts to resume, and of how many streams, were sent soon after some moments, and succeeded.
+     */
     static String ofTakeUpsAfter(FleetHistory history, List<Long> momentsNanos, long withinNanos) {
         List<CallerAnswer> resumed = history.answers().stream()
                 .filter(answer -> answer.kind() == AttemptKind.RESUMABLE
@@ -105,9 +107,15 @@
                         .map(moment -> answer.sentNanos() - moment)
                         .anyMatch(since -> since >= 0 && since < withinNanos))
                 .toList();
-        long goneOn = resumed.stream().filter(answer -> answer.status() == 200).count();
+        List<CallerAnswer> goneOn =
+                resumed.stream().filter(answer -> answer.status() == 200).toList();
         return "joint kills " + momentsNanos.size() + ", attempts that resume after them " + resumed.size()
-                + ", of these with a success " + goneOn;
+                + ", of these with a success " + goneOn.size() + ", streams of these attempts " + countPaths(resumed)
+                + ", of these gone on " + countPaths(goneOn);
+    }
+
+    private static long countPaths(List<CallerAnswer> answers) {
+        return answers.stream().map(CallerAnswer::path).distinct().count();
     }
 
     private static Map<String, Long> count(List<String> keys) {
