Let a stream wait again at a later interruption

Callers lost streams that could go on: after a first interruption at which the stream had waited for what its targets state, the targets at an interruption more than 1.6 s later were skipped as unconfirmed without having been asked.

Cause: the time to wait was counted from the first wait of the request. Now it is counted anew once the stream was sent on.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -824,6 +824,7 @@
         DispatchParameters dispatch = new DispatchParameters(
                 target.id(), organisation.map(Organisation::name), deadlineAtMillis - nowMillis, lastEventId);
         if (stream.isBound()) {
+            processCheck.streamContinued();
             front.metrics().streamResumption(ResumptionOutcome.RESUMED);
             FrontLog.streamContinued(this, run, previousTargetId, originSource, lastEventId);
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
@@ -18,7 +18,7 @@
 
     private final Front front;
     private final StreamContinuation stream;
-    /** When the stream began to wait; 0 if it has not waited yet. */
+    /** When the stream began to wait; 0 if it has not waited since it went on last. */
     private long sinceMillis;
     /** Until when it waits at most. */
     private long untilMillis;
@@ -34,6 +34,11 @@
                 && front.knowledgeOf(next, connection).publishedVersion();
     }
 
+    /** Records that the stream goes on; after a later interruption it may wait again. */
+    void streamContinued() {
+        sinceMillis = 0;
+    }
+
     /** Returns until when the stream waits at most, in monotonic milliseconds; 0 if it has not waited. */
     long untilMillis() {
         return untilMillis;
