Have streams of the refused-report test begin at the restarted target

They are published as cold now, so that the restarted one is chosen first, and the test waits until none is out of use.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/RestartedVersionTest.java
@@ -11,6 +11,7 @@
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -25,6 +26,9 @@
     /** Longer than the interval at which a front looks for entries of targets that are gone. */
     private static final long EVICTION_MILLIS = 1_500;
 
+    /** Longer than the test. */
+    private static final long COLD_MILLIS = 10_000;
+
     /** Longer than streams wait for what their targets state. */
     private static final long ASKED_MILLIS = 2_000;
     /** Several for each stream. */
@@ -241,7 +245,11 @@
             fleet.call(0, "b", VersionedFleet.Received.nothing("r"));
             fleet.answerReports();
             fleet.restart(0, "v2");
-            // At once, so that each target gets some.
+            awaitInUse(fleet);
+            // New streams begin at the restarted target as long as it has slots.
+            for (int i = 1; i < ONE_VERSION.size(); i++) {
+                fleet.fleet().publishCold(i, COLD_MILLIS);
+            }
             List<Socket> sockets = new ArrayList<>();
             for (int i = 0; i < STREAMS; i++) {
                 VersionedFleet.Received nothing = VersionedFleet.Received.nothing("s" + i);
@@ -285,6 +293,17 @@
         }
     }
 
+    /** Waits until the first front has no target out of use, as after the end of a stream that a target broke off. */
+    private static void awaitInUse(VersionedFleet fleet) throws InterruptedException {
+        FrontFixture front = fleet.fleet().front(0);
+        FrontFixture.await(() -> {
+            boolean[] inUse = new boolean[1];
+            front.run(() -> inUse[0] = IntStream.range(0, ONE_VERSION.size())
+                    .noneMatch(i -> front.entry("t" + i).state().health().ejected()));
+            return inUse[0];
+        });
+    }
+
     /** Guards against asking a target again and again, at once, that refuses connections. */
     @Test
     void targetThatRefusesConnectionsIsNotAskedWithoutPause() throws Exception {
