List a removal that the store discards early together with a later entry

StoreHistoryTest, the new case, fails: the past counts as known for 20 s. It is what is left of the history that is discarded sooner than stated.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
@@ -117,6 +117,22 @@
                 is(0L));
     }
 
+    /** Guards against a discarded removal that counts as old because the entry written after it was discarded too. */
+    @Test
+    void discardedRemovalBeforeADiscardedEntryLeavesThePastUnknown() throws Exception {
+        write("a", "v1");
+        write("b", "v2");
+        store.remove("servers/a");
+        write("b", "v2");
+        store.discardHistory();
+        long written = store.revision();
+        assertThat(
+                readFrom(written, revision -> revision == written)
+                        .get(TIMEOUT_SECONDS, TimeUnit.SECONDS)
+                        .reachMillis(),
+                is(0L));
+    }
+
     /** Guards against refusing every stream where entries are written again, so that all changes are overwritten. */
     @Test
     void entriesThatWereRepeatedForLongTellThePast() throws Exception {
