Let one target without reports speak for its service, for connections that stood

Their targets had hung before they answered the question for a report, so that the process that began the stream stayed unknown, the targets that were to go on were skipped, and the run at the hung target was kept until its deadline.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
@@ -50,8 +50,7 @@
      */
     private long presumedAtMillis(TargetEntry next, TargetConnection connection) {
         Target target = next.state().target();
-        boolean mayReport =
-                front.processes().mayReport(target.service(), target.id(), connection.establishedAtMillis());
+        boolean mayReport = front.processes().mayReport(target.service(), connection.establishedAtMillis());
         return mayReport ? 0 : front.processes().repetitionKnownAtMillis(target.service());
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessInquiry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessInquiry.java
@@ -69,7 +69,7 @@
         Target target = entry.state().target();
         return process.startedUnixMillis() > 0
                 && process.successorStartUnixMillis().isEmpty()
-                && targets.processes().mayReport(target.service(), target.id(), establishedAtMillis);
+                && targets.processes().mayReport(target.service(), establishedAtMillis);
     }
 
     /**
@@ -293,7 +293,7 @@
             ended = true;
             body.release();
             if (report.statesNoProcess()) {
-                targets.processes().reportUnreadable(target.id(), askedAtMillis);
+                targets.processes().reportUnreadable(target.service(), askedAtMillis);
             }
             metrics.processReported(report);
             FrontLog.processReported(entry, report, ticker.nowMillis() - askedAtMillis);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -635,7 +635,7 @@
         processInquiry.ask(entry, () -> {
             boolean served = process.serves(askedAtMillis);
             // Another process under the same id would pass a health check.
-            if (served || processes.mayReport(target.service(), target.id(), askedAtMillis)) {
+            if (served || processes.mayReport(target.service(), askedAtMillis)) {
                 consumer.accept(served);
             } else {
                 checkInstance(entry, target, consumer);
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/target/TargetProcessesTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/target/TargetProcessesTest.java
@@ -124,7 +124,7 @@
         TargetProcesses ofEngines = new TargetProcesses(0, service -> true);
         ofEngines.published(target(7, "v1"), UNKNOWN, 0);
         assertThat("not asked", ofEngines.knowledge("t", "s", 7, 20, 30), is(ProcessKnowledge.UNCONFIRMED));
-        ofEngines.reportUnreadable("t", 30);
+        ofEngines.reportUnreadable("s", 30);
         assertThat("asked in vain", ofEngines.knowledge("t", "s", 7, 20, 30), is(ProcessKnowledge.PRESUMED));
         assertThat("connected since", ofEngines.knowledge("t", "s", 7, 31, 40), is(ProcessKnowledge.UNCONFIRMED));
         ofEngines.stated(target(7, "v1"), 7, 10);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetProcesses.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetProcesses.java
@@ -18,7 +18,7 @@
 
     private final long heartbeatMillis;
     private final Predicate<String> reportsExpected;
-    /** When each target was last asked for a report and stated no process, in monotonic milliseconds. */
+    /** When a target of each service was last asked for a report and stated no process, in monotonic milliseconds. */
     private final Map<String, Long> unreadableAtMillis = new HashMap<>();
     /** The processes of each target, the one named last at the end. */
     private final Map<String, Deque<TargetProcess>> byTargetId = new HashMap<>();
@@ -145,7 +145,7 @@
         if (replaced) {
             return ProcessKnowledge.REPLACED;
         }
-        boolean stated = mayReport(service, targetId, establishedAtMillis)
+        boolean stated = mayReport(service, establishedAtMillis)
                 || mayRepeatEntries(service, nowMillis)
                 || lostBefore(known, establishedAtMillis);
         return startedUnixMillis > 0 && stated ? ProcessKnowledge.UNCONFIRMED : ProcessKnowledge.PRESUMED;
@@ -162,11 +162,11 @@
     /**
      * Records that a target has no reports, or one that states no process.
      *
-     * @param targetId id of the target
+     * @param service name of the target's service
      * @param askedAtMillis monotonic time in milliseconds at which it was asked
      */
-    public void reportUnreadable(String targetId, long askedAtMillis) {
-        unreadableAtMillis.put(targetId, askedAtMillis);
+    public void reportUnreadable(String service, long askedAtMillis) {
+        unreadableAtMillis.merge(service, askedAtMillis, Math::max);
     }
 
     /**
@@ -180,16 +180,16 @@
     }
 
     /**
-     * Tells whether a target may report the process that serves its address. One that had no report when it was asked
-     * may restart as a process that has, over connections that are established later.
+     * Tells whether a target may report the process that serves its address. While no target of its service has done
+     * so, one that had no report speaks for the others, for connections that stood when it was asked: targets may
+     * restart as processes that report.
      *
      * @param service name of the target's service
-     * @param targetId id of the target
      * @param establishedAtMillis monotonic time in milliseconds at which a connection to the process was established
      * @return true also while that is not known
      */
-    public boolean mayReport(String service, String targetId, long establishedAtMillis) {
-        boolean unreadableSince = unreadableAtMillis.getOrDefault(targetId, Long.MIN_VALUE) >= establishedAtMillis;
+    public boolean mayReport(String service, long establishedAtMillis) {
+        boolean unreadableSince = unreadableAtMillis.getOrDefault(service, Long.MIN_VALUE) >= establishedAtMillis;
         return reports(service) || reportsExpected.test(service) && !unreadableSince;
     }
 
@@ -227,7 +227,6 @@
         namedAtMillis.values().removeIf(atMillis -> nowMillis - atMillis > StreamOrigins.RETENTION_MILLIS);
         byTargetId.keySet().retainAll(namedAtMillis.keySet());
         entries.keySet().retainAll(namedAtMillis.keySet());
-        unreadableAtMillis.keySet().retainAll(namedAtMillis.keySet());
         byTargetId.values().forEach(known -> {
             while (known.size() > 1 && endedLongAgo(known, nowMillis)) {
                 known.removeFirst();
