Let a target without reports speak for its service for a while again

Hung and slow targets do not answer the question for a report, which was put again for each connection since, and for each newer one since.

A 404, or a report without a start, counts for its service for 10 s again, while no target of it has reported.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessCheck.java
@@ -1,7 +1,7 @@
 package org.whinwharf.front;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import org.whinwharf.traffic.target.ProcessKnowledge;
 import org.whinwharf.traffic.target.Target;
 
@@ -48,9 +48,9 @@
      * Returns when it is known that the process at the other end of a connection cannot be known, as the targets of its
      * service neither report nor write their entries again; 0 if they may report.
      */
-    private long presumedAtMillis(TargetEntry next, TargetConnection connection) {
+    private long presumedAtMillis(TargetEntry next) {
         Target target = next.state().target();
-        boolean mayReport = front.processes().mayReport(target.service(), connection.establishedAtMillis());
+        boolean mayReport = front.processes().mayReport(target.service(), front.nowMillis());
         return mayReport ? 0 : front.processes().repetitionKnownAtMillis(target.service());
     }
 
@@ -66,22 +66,21 @@
         if (sinceMillis == 0) {
             sinceMillis = nowMillis;
         }
-        untilMillis =
-                Math.min(Math.max(sinceMillis + WAIT_MILLIS, presumedAtMillis(next, connection)), deadlineAtMillis);
+        untilMillis = Math.min(Math.max(sinceMillis + WAIT_MILLIS, presumedAtMillis(next)), deadlineAtMillis);
         if (replaced(next, connection) || nowMillis >= untilMillis) {
             return false;
         }
-        Map<TargetEntry, Long> asked = new LinkedHashMap<>();
+        Set<TargetEntry> asked = new LinkedHashSet<>();
         if (!stream.knowledge().publishedVersion()) {
             stream.openProcess().ifPresent(first -> {
                 TargetEntry entry = front.entry(first.targetId());
                 if (entry != null) {
-                    asked.put(entry, first.connectedAtMillis());
+                    asked.add(entry);
                 }
             });
         }
         if (!front.knowledgeOf(next, connection).publishedVersion()) {
-            asked.merge(next, connection.establishedAtMillis(), Math::max);
+            asked.add(next);
         }
         return front.processInquiry()
                 .verify(
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessInquiry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/ProcessInquiry.java
@@ -59,17 +59,13 @@
         this.metrics = metrics;
     }
 
-    /**
-     * Tells whether a question may show that the process which a target's entry names serves a connection.
-     *
-     * @param establishedAtMillis monotonic time in milliseconds at which the connection was established
-     */
-    boolean possible(TargetEntry entry, long establishedAtMillis) {
+    /** Tells whether a question may show that the process which a target's entry names still serves its address. */
+    boolean possible(TargetEntry entry) {
         TargetProcess process = entry.pool().process();
-        Target target = entry.state().target();
+        String service = entry.state().target().service();
         return process.startedUnixMillis() > 0
                 && process.successorStartUnixMillis().isEmpty()
-                && targets.processes().mayReport(target.service(), establishedAtMillis);
+                && targets.processes().mayReport(service, ticker.nowMillis());
     }
 
     /**
@@ -94,7 +90,7 @@
     void askAgain(Set<String> targetIds, Runnable task) {
         for (String targetId : targetIds) {
             TargetEntry entry = targets.entry(targetId);
-            if (entry != null && !questions.containsKey(targetId) && possible(entry, ticker.nowMillis())) {
+            if (entry != null && !questions.containsKey(targetId) && possible(entry)) {
                 ask(entry, task);
             }
         }
@@ -103,20 +99,15 @@
     /**
      * Waits until it is known which processes serve the addresses of targets, or nothing more is to come.
      *
-     * @param asked targets whose processes are to become known, with the monotonic times in milliseconds at which the
-     *     connections to them were established
+     * @param asked targets whose processes are to become known
      * @param known tells whether they are, or cannot become known any longer
      * @param maxMillis time in milliseconds after which nothing is awaited any longer
      * @param task run in a later turn of the event loop
      * @return false if nothing is to come; the task is not run then
      */
-    boolean verify(Map<TargetEntry, Long> asked, BooleanSupplier known, long maxMillis, Runnable task) {
-        Verification verification = new Verification(asked.keySet(), known, task);
-        asked.forEach((entry, establishedAtMillis) -> {
-            if (possible(entry, establishedAtMillis)) {
-                ask(entry, this::recheck);
-            }
-        });
+    boolean verify(Set<TargetEntry> asked, BooleanSupplier known, long maxMillis, Runnable task) {
+        Verification verification = new Verification(asked, known, task);
+        asked.stream().filter(this::possible).forEach(entry -> ask(entry, this::recheck));
         if (!verification.awaitsAnything()) {
             return false;
         }
@@ -293,7 +284,7 @@
             ended = true;
             body.release();
             if (report.statesNoProcess()) {
-                targets.processes().reportUnreadable(target.service(), askedAtMillis);
+                targets.processes().reportUnreadable(target.service(), ticker.nowMillis());
             }
             metrics.processReported(report);
             FrontLog.processReported(entry, report, ticker.nowMillis() - askedAtMillis);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamContinuation.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/StreamContinuation.java
@@ -42,8 +42,7 @@
                 .unconfirmedProcess(knowledge == ProcessKnowledge.CONFIRMED ? Optional.empty() : Optional.of(process))
                 .recordedAtMillis(front.nowMillis())
                 .build());
-        if (knowledge == ProcessKnowledge.UNCONFIRMED
-                && front.processInquiry().possible(run.entry(), run.connectedAtMillis())) {
+        if (knowledge == ProcessKnowledge.UNCONFIRMED && front.processInquiry().possible(run.entry())) {
             front.processInquiry().ask(run.entry(), () -> front.streams().confirm(key));
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -627,7 +627,7 @@
             return;
         }
         long askedAtMillis = ticker.nowMillis();
-        if (!processInquiry.possible(entry, askedAtMillis)) {
+        if (!processInquiry.possible(entry)) {
             checkInstance(entry, target, consumer);
             return;
         }
@@ -635,7 +635,7 @@
         processInquiry.ask(entry, () -> {
             boolean served = process.serves(askedAtMillis);
             // Another process under the same id would pass a health check.
-            if (served || processes.mayReport(target.service(), askedAtMillis)) {
+            if (served || processes.mayReport(target.service(), ticker.nowMillis())) {
                 consumer.accept(served);
             } else {
                 checkInstance(entry, target, consumer);
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetProcesses.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/target/TargetProcesses.java
@@ -16,9 +16,12 @@
     /** Number of heartbeats within which a target that repeats its entry has done so. */
     private static final int MAX_HEARTBEATS = 3;
 
+    /** Time after which a service whose targets have stated no process in a report is asked again. */
+    private static final long UNREADABLE_RETENTION_MILLIS = 10_000;
+
     private final long heartbeatMillis;
     private final Predicate<String> reportsExpected;
-    /** When a target of each service was last asked for a report and stated no process, in monotonic milliseconds. */
+    /** When a target of each service last had no report, or one that stated no process, in monotonic milliseconds. */
     private final Map<String, Long> unreadableAtMillis = new HashMap<>();
     /** The processes of each target, the one named last at the end. */
     private final Map<String, Deque<TargetProcess>> byTargetId = new HashMap<>();
@@ -145,7 +148,7 @@
         if (replaced) {
             return ProcessKnowledge.REPLACED;
         }
-        boolean stated = mayReport(service, establishedAtMillis)
+        boolean stated = mayReport(service, nowMillis)
                 || mayRepeatEntries(service, nowMillis)
                 || lostBefore(known, establishedAtMillis);
         return startedUnixMillis > 0 && stated ? ProcessKnowledge.UNCONFIRMED : ProcessKnowledge.PRESUMED;
@@ -163,10 +166,10 @@
      * Records that a target has no reports, or one that states no process.
      *
      * @param service name of the target's service
-     * @param askedAtMillis monotonic time in milliseconds at which it was asked
+     * @param nowMillis monotonic time in milliseconds
      */
-    public void reportUnreadable(String service, long askedAtMillis) {
-        unreadableAtMillis.merge(service, askedAtMillis, Math::max);
+    public void reportUnreadable(String service, long nowMillis) {
+        unreadableAtMillis.put(service, nowMillis);
     }
 
     /**
@@ -180,17 +183,18 @@
     }
 
     /**
-     * Tells whether a target may report the process that serves its address. While no target of its service has done
-     * so, one that had no report speaks for the others, for connections that stood when it was asked: targets may
-     * restart as processes that report.
+     * Tells whether the targets of a service may report their processes. While none has done so, one that had no report
+     * speaks for the others for a while.
      *
-     * @param service name of the target's service
-     * @param establishedAtMillis monotonic time in milliseconds at which a connection to the process was established
+     * @param service name of the service
+     * @param nowMillis monotonic time in milliseconds
      * @return true also while that is not known
      */
-    public boolean mayReport(String service, long establishedAtMillis) {
-        boolean unreadableSince = unreadableAtMillis.getOrDefault(service, Long.MIN_VALUE) >= establishedAtMillis;
-        return reports(service) || reportsExpected.test(service) && !unreadableSince;
+    public boolean mayReport(String service, long nowMillis) {
+        Long unreadable = unreadableAtMillis.get(service);
+        return reports(service)
+                || reportsExpected.test(service)
+                        && (unreadable == null || nowMillis - unreadable > UNREADABLE_RETENTION_MILLIS);
     }
 
     /**
