--- /dev/null
+++ b/review/7/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the silence and the kill.
+cd "$(dirname "$0")"
+root=$(cd ../.. && pwd)
+exec timeout 115 java -Xmx256m -cp "$root/target/review-2" Case7 "$root" "$PWD"
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -518,13 +518,24 @@
         volatile boolean beating = true;
         /** Attempt ids in the order in which their runs began. */
         final List<String> ran = Collections.synchronizedList(new ArrayList<>());
+        /** Events made of each stream under way, by its attempt id. */
+        final Map<String, Integer> underWay = new ConcurrentHashMap<>();
+        final String version;
+        /** Address that the worker publishes in place of its own, as a proxy stands before it; null for none. */
+        final Proxy proxy;
 
         Worker(String id, String service, int slots) throws IOException {
+            this(id, service, slots, "v1", false);
+        }
+
+        Worker(String id, String service, int slots, String version, boolean behindProxy) throws IOException {
             this.id = id;
+            this.version = version;
             this.service = service;
             this.slots = slots;
             server = new ServerSocket(0, 200, InetAddress.getByName(WORKER_HOSTS + (10 + workers.size())));
             workers.add(this);
+            proxy = behindProxy ? new Proxy(server) : null;
             thread(id, () -> {
                 while (true) {
                     Socket socket = server.accept();
@@ -542,6 +553,7 @@
         }
 
         String address() {
+            ServerSocket server = proxy == null ? this.server : proxy.server;
             return server.getInetAddress().getHostAddress() + ":" + server.getLocalPort();
         }
 
@@ -549,7 +561,7 @@
             store.put(
                     "servers/" + id,
                     "{\"service\":\"" + service + "\",\"address\":\"" + address() + "\",\"zone\":\"" + ZONE
-                            + "\",\"version\":\"v1\",\"slots\":" + slots + ",\"state\":\"" + state
+                            + "\",\"version\":\"" + version + "\",\"slots\":" + slots + ",\"state\":\"" + state
                             + "\",\"cold-left-ms\":0,\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,"
                             + "\"adapters\":[]}],\"born\":" + born + ",\"seq\":" + seq.incrementAndGet() + "}");
         }
@@ -566,7 +578,7 @@
                         plain(channel, "200 OK", "Content-Type: application/json\r\n",
                                 "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],"
                                         + "\"busy\":false,\"seq\":" + seq.get() + ",\"queued\":0,\"active\":0,"
-                                        + "\"kv-used\":0,\"kv-total\":500000,\"handles\":0,\"runs\":[],\"born\":"
+                                        + "\"kv-used\":0,\"kv-total\":500000,\"handles\":0,\"runs\":" + runs() + ",\"born\":"
                                         + born + "}");
                     } else if (uri.equals("/healthz")) {
                         channel.readBody(request, false);
@@ -608,20 +620,35 @@
                     + request.startLine.split(" ")[1]);
         }
 
+        /** Returns the runs that have made events, as the report has them. */
+        private String runs() {
+            List<String> entries = new ArrayList<>();
+            underWay.forEach((attemptId, events) -> entries.add("[\"" + attemptId + "\",600," + events + ",1]"));
+            return "[" + String.join(",", entries) + "]";
+        }
+
         String sealed(Message request) {
             return "X-Attempt-Id: " + request.header("x-attempt-id") + "\r\nX-Server-Seal: seal-" + id + "\r\n";
         }
 
+        /** Sends a stream, from after the event that the request names; ends with its channel. */
         void stream(Channel channel, Message request, int events, long pauseMillis) throws Exception {
+            String attemptId = request.header("x-attempt-id");
+            String after = request.header("last-event-id");
             channel.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
                     + sealed(request) + "\r\n");
-            for (int event = 1; event <= events; event++) {
-                Thread.sleep(pauseMillis);
-                String text = "id: " + event + "\ndata: piece " + event + " of " + events + "\n\n";
-                channel.send(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            try {
+                for (int event = after.isEmpty() ? 1 : Integer.parseInt(after) + 1; event <= events; event++) {
+                    Thread.sleep(pauseMillis);
+                    underWay.put(attemptId, event);
+                    String text = "id: " + event + "\ndata: piece " + event + " of " + events + " by " + version + "\n\n";
+                    channel.send(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+                }
+                channel.send("0\r\n\r\n");
+                note(id + " has sent all of " + attemptId);
+            } finally {
+                underWay.remove(attemptId);
             }
-            channel.send("0\r\n\r\n");
-            note(id + " has sent all of " + request.header("x-attempt-id"));
         }
 
         void plain(Channel channel, String status, String headers, String body) throws IOException {
@@ -630,6 +657,75 @@
         }
     }
 
+    // ---- proxies
+
+    /** Passes on the channels to a worker; those that are open may go silent for good, while new ones work. */
+    static final class Proxy {
+        final ServerSocket server;
+        private final List<Pump> pumps = Collections.synchronizedList(new ArrayList<>());
+
+        Proxy(ServerSocket worker) throws IOException {
+            server = new ServerSocket(0, 200, worker.getInetAddress());
+            thread("proxy", () -> {
+                while (true) {
+                    Socket caller = server.accept();
+                    Socket onward = new Socket(worker.getInetAddress(), worker.getLocalPort());
+                    new Pump(caller, onward).start();
+                    new Pump(onward, caller).start();
+                }
+            });
+        }
+
+        /** Lets all open channels go silent: nothing more is passed on, neither bytes nor ends. */
+        void silence() {
+            synchronized (pumps) {
+                pumps.forEach(pump -> pump.silent = true);
+            }
+        }
+
+        private final class Pump extends Thread {
+            private final Socket from;
+            private final Socket to;
+            private volatile boolean silent;
+
+            Pump(Socket from, Socket to) throws IOException {
+                this.from = from;
+                this.to = to;
+                to.setTcpNoDelay(true);
+                setDaemon(true);
+                pumps.add(this);
+            }
+
+            @Override
+            public void run() {
+                byte[] bytes = new byte[16_384];
+                try {
+                    for (int read = from.getInputStream().read(bytes);
+                            read >= 0;
+                            read = from.getInputStream().read(bytes)) {
+                        if (!silent) {
+                            to.getOutputStream().write(bytes, 0, read);
+                        }
+                    }
+                } catch (IOException e) {
+                    // One side has ended, which the other one learns below.
+                }
+                if (!silent) {
+                    closeBoth();
+                }
+            }
+
+            private void closeBoth() {
+                try (from;
+                        to) {
+                    pumps.remove(this);
+                } catch (IOException e) {
+                    // They are closed either way.
+                }
+            }
+        }
+    }
+
     // ---- configuration and requests
 
     /** Writes a configuration with a model service (streams below /s/, resumable ones below /r/) and a plain one. */
