--- a/review/standins-2/Case9.java
+++ b/review/standins-2/Case10.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A planned stop after the settings file has given the front a longer grace time. */
-final class Case9 {
+final class Case10 {
     private static final int GRACE_SECONDS = 16;
 
     public static void main(String[] arguments) throws Exception {
