Log what a planned stop of a front leaves and cuts

Four hypotheses could not be told apart.

The stop's time line moves from Front to PlannedStop. leaving says what is in progress, drain-timeout what is left, request-cut-by-stop names each request with its age, stage and runs; request-sent and request-refused state the time since the stop began. No change of what is accepted or cut.

FleetTest, LateCloseTest and AnswerTest pass, and the tests of the runtime.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -226,7 +227,7 @@
         DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         head.headers().set(headers).remove(HttpHeaderNames.CONTENT_LENGTH);
         HttpUtil.setTransferEncodingChunked(head, true);
-        if (front.leaving() || closeAfterResponse) {
+        if (front.plannedStop().begun() || closeAfterResponse) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             closing = true;
         }
@@ -296,7 +297,7 @@
     }
 
     private void write(FullHttpResponse response, boolean close) {
-        closing = closing || close || closeAfterResponse || front.leaving();
+        closing = closing || close || closeAfterResponse || front.plannedStop().begun();
         if (closing) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -334,6 +335,17 @@
         }
     }
 
+    /** Tells whether a request was begun and not received whole. */
+    boolean receivingRequest() {
+        return exchange == null && !closing && (request != null || receivingHead);
+    }
+
+    /** Returns the bytes of responses that the caller has not taken. */
+    long unreadBytes() {
+        ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
+        return outbound == null ? 0 : outbound.totalPendingWriteBytes();
+    }
+
     /** Closes the connection if no request is in progress. */
     void closeIfIdle() {
         if (exchange == null && request == null && !receivingHead && !closing) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -1293,7 +1294,8 @@
         return sharedParts;
     }
 
-    private TargetEntry entry() {
+    /** Returns the target of the latest run; null before the first. */
+    TargetEntry entry() {
         return runs.latest() == null ? null : runs.latest().entry();
     }
 
@@ -1518,6 +1520,40 @@
                 : OptionalLong.empty();
     }
 
+    /** Returns how far the handling of the request has got, for logs. */
+    String stageTag() {
+        return stage.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Returns the number of times that the request was sent to a target. */
+    int sentCount() {
+        return runs.sentCount();
+    }
+
+    /** Returns the time in milliseconds since the request was sent to its latest target; empty before that. */
+    OptionalLong runMillis() {
+        return runs.latest() != null && runs.latest().sent()
+                ? OptionalLong.of(nowMillis() - runs.latest().run().sentAtMillis())
+                : OptionalLong.empty();
+    }
+
+    /** Returns the status of the latest response of a target; 0 if there is none. */
+    int responseStatus() {
+        return responseAssembler == null ? 0 : responseAssembler.status();
+    }
+
+    /** Returns the bytes of the response that the caller has not taken. */
+    long unreadBytes() {
+        return caller.unreadBytes();
+    }
+
+    /** Returns the time in milliseconds since a planned stop of this process began; empty if none has begun. */
+    OptionalLong stoppingMillis() {
+        return front.plannedStop().begun()
+                ? OptionalLong.of(front.plannedStop().elapsedMillis())
+                : OptionalLong.empty();
+    }
+
     /** Returns the requests per second that a run's target has stated it takes; empty if it takes any number. */
     OptionalDouble statedRate(TargetRun run) {
         return front.statedRates().rateOf(run.target().id());
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -60,8 +60,6 @@
     private static final long LATE_TICK_MILLIS = 50;
     /** Interval between checks of idle connections, of ejected targets due for a probe and of silent peers. */
     private static final long SWEEP_INTERVAL_MILLIS = 250;
-    /** Time for which new callers are accepted after a stop is requested, until earlier address lists have expired. */
-    private static final long LATE_CALLER_MILLIS = 2_500;
     /**
      * Relative jitter added to predictions when this process places requests locally in a large fleet: more than the
      * difference between engines of one hardware generation, less than the difference between generations.
@@ -75,13 +73,12 @@
     private static final long CATALOG_WAIT_LIMIT_MILLIS = 600;
     /** Delay after the start until metrics are served, so that requests are served first. */
     private static final long METRICS_START_DELAY_MILLIS = 2_000;
-    /** Time before the end of the grace period at which the process stops even if requests are in flight. */
-    private static final long STOP_MARGIN_MILLIS = 600;
 
     private FrontSettings settings;
     private final HttpDialect dialect;
     private final Ticker ticker = Ticker.system();
     private final Random random = new Random();
+    private final PlannedStop plannedStop = new PlannedStop(ticker);
     private final FrontMetrics metrics = new FrontMetrics();
     private final TaskGuard tasks = new TaskGuard(metrics, ticker);
     private final EventLoopGroup loop = new GuardedEventLoopGroup(tasks);
@@ -125,7 +122,6 @@
     private boolean acceptStarted;
     private boolean acceptingCallers;
     private long startedAtMillis;
-    private long leavingAtMillis;
     private Runnable onStopped = () -> {};
 
     /**
@@ -376,12 +372,11 @@
     @Override
     public void stop() {
         loop.execute(() -> {
-            if (phase == MemberPhase.MEMBER_LEAVING) {
+            if (plannedStop.begun()) {
                 return;
             }
             phase = MemberPhase.MEMBER_LEAVING;
-            leavingAtMillis = ticker.nowMillis();
-            EventLog.event(LogEvent.LEAVING).call();
+            plannedStop.begin(settings.stopGraceMillis(), work());
             phaseChanged();
         });
     }
@@ -538,8 +533,8 @@
         tasks.run("paths", () -> pathMonitor.checkSilence(nowMillis));
         List.copyOf(exchanges).forEach(exchange -> tasks.run("requests", () -> exchange.checkTimeouts(nowMillis)));
         tasks.run("queues", () -> localQueues.advance(nowMillis));
-        if (phase == MemberPhase.MEMBER_LEAVING) {
-            tasks.run("drain", () -> drain(nowMillis));
+        if (plannedStop.begun()) {
+            tasks.run("drain", this::drain);
         }
         boolean queued = coordination.hasPendingRequests() || localQueues.size() > 0;
         return queued ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
@@ -568,22 +563,29 @@
         quotas.updateReachableShare(members.reachableShare(nowMillis), nowMillis);
     }
 
-    private void drain(long nowMillis) {
-        long leftMillis = settings.stopGraceMillis() - (nowMillis - leavingAtMillis);
-        if (nowMillis - leavingAtMillis > LATE_CALLER_MILLIS) {
+    private void drain() {
+        boolean expectsCallers = plannedStop.expectsCallers();
+        if (!expectsCallers) {
             callers.stop();
             List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
         }
-        boolean idle = exchanges.isEmpty()
-                && connections.isEmpty()
-                && relays.connectionCount() == 0
-                && nowMillis - leavingAtMillis > LATE_CALLER_MILLIS;
-        if (idle || leftMillis < STOP_MARGIN_MILLIS) {
-            EventLog.event(idle ? LogEvent.DRAINED : LogEvent.DRAIN_TIMEOUT).call();
+        PlannedStop.Work work = work();
+        if (work.none() && !expectsCallers || plannedStop.timedOut(settings.stopGraceMillis())) {
+            plannedStop.ended(work);
+            exchanges.forEach(exchange -> FrontLog.cutByStop(exchange, plannedStop.elapsedMillis()));
             onStopped.run();
         }
     }
 
+    private PlannedStop.Work work() {
+        int incomplete = (int)
+                connections.stream().filter(CallerConnection::receivingRequest).count();
+        long unreadBytes =
+                connections.stream().mapToLong(CallerConnection::unreadBytes).sum();
+        return new PlannedStop.Work(
+                exchanges.size(), incomplete, connections.size(), relays.connectionCount(), unreadBytes);
+    }
+
     private Coordinator createCoordinator(DecisionListener decisions) {
         TargetSelector selector = new TargetSelector(
                 prompts,
@@ -693,8 +695,8 @@
         return catalog.map(Catalog::limits).orElse(CallerLimits.DEFAULT);
     }
 
-    boolean leaving() {
-        return phase == MemberPhase.MEMBER_LEAVING;
+    PlannedStop plannedStop() {
+        return plannedStop;
     }
 
     Policy policy() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -103,6 +103,7 @@
         if (run.relayed()) {
             event.with(EventField.PEER, run.peerName());
         }
+        exchange.stoppingMillis().ifPresent(millis -> event.with(EventField.STOPPING_MILLIS, millis));
         if (exchange.route().resumable()) {
             event.with(EventField.PROCESS, tag(run.processKnowledge()))
                     .with(EventField.CONNECTED_MILLIS, run.connectedMillis());
@@ -178,6 +179,30 @@
                 .call();
     }
 
+    /**
+     * Logs a request that ends because a planned stop does.
+     *
+     * @param stoppingMillis time in milliseconds since the stop began
+     */
+    static void cutByStop(CallerExchange exchange, long stoppingMillis) {
+        EventLog event = EventLog.event(LogEvent.REQUEST_CUT_BY_STOP)
+                .with(EventField.SERVICE, exchange.service())
+                .with(EventField.STAGE, exchange.stageTag())
+                .with(EventField.STATUS, exchange.responseStatus())
+                .with(EventField.TOTAL_MILLIS, exchange.ageMillis())
+                .with(EventField.STOPPING_MILLIS, stoppingMillis)
+                .with(EventField.RUNS, exchange.sentCount())
+                .with(EventField.UNREAD_BYTES, exchange.unreadBytes());
+        if (exchange.head() != null) {
+            event.with(EventField.REQUEST, exchange.head().attemptId());
+        }
+        if (exchange.entry() != null) {
+            event.with(EventField.TARGET, exchange.entry().state().target().id());
+        }
+        exchange.runMillis().ifPresent(millis -> event.with(EventField.RUN_MILLIS, millis));
+        event.call();
+    }
+
     static void ended(CallerExchange exchange, TargetEntry entry, String reason, int status, long totalMillis) {
         endLine(exchange, entry, reason, status, totalMillis).call();
     }
@@ -230,6 +255,7 @@
         if (exchange.head() != null) {
             event.with(EventField.REQUEST, exchange.head().attemptId());
         }
+        exchange.stoppingMillis().ifPresent(millis -> event.with(EventField.STOPPING_MILLIS, millis));
         if (response.kind() == ErrorKind.QUARANTINED || response.kind() == ErrorKind.TARGET_CRASHED) {
             event.with(EventField.FINGERPRINT, exchange.fingerprint().toString())
                     .with(EventField.SHARED_PARTS, joined(exchange.sharedParts()));
--- /dev/null
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
@@ -0,0 +1,90 @@
+package org.whinwharf.front;
+
+import org.whinwharf.runtime.log.EventField;
+import org.whinwharf.runtime.log.EventLog;
+import org.whinwharf.runtime.log.LogEvent;
+import org.whinwharf.time.Ticker;
+
+/** Planned stop of a process: its phases and the time that it may take. */
+final class PlannedStop {
+    /** Time for which new callers are accepted after a stop is requested, until earlier address lists have expired. */
+    private static final long LATE_CALLER_MILLIS = 2_500;
+    /** Time before the end of the grace period at which the process stops even if requests are in flight. */
+    private static final long STOP_MARGIN_MILLIS = 600;
+
+    /**
+     * Work of a process.
+     *
+     * @param requests number of requests in progress
+     * @param incompleteRequests number of requests that were not received whole
+     * @param connections number of connections of callers
+     * @param relays number of connections to targets that are relayed for peers
+     * @param unreadBytes bytes of responses that callers have not taken
+     */
+    record Work(int requests, int incompleteRequests, int connections, int relays, long unreadBytes) {
+        boolean none() {
+            return requests == 0 && connections == 0 && relays == 0;
+        }
+    }
+
+    private final Ticker ticker;
+    private boolean begun;
+    private long begunAtMillis;
+
+    PlannedStop(Ticker ticker) {
+        this.ticker = ticker;
+    }
+
+    /**
+     * Begins the stop.
+     *
+     * @param graceMillis time in milliseconds after which the process is killed
+     */
+    void begin(long graceMillis, Work work) {
+        begun = true;
+        begunAtMillis = ticker.nowMillis();
+        EventLog.event(LogEvent.LEAVING)
+                .with(EventField.GRACE_MILLIS, graceMillis)
+                .with(EventField.REQUESTS, work.requests())
+                .with(EventField.CONNECTIONS, work.connections())
+                .with(EventField.RELAYS, work.relays())
+                .call();
+    }
+
+    boolean begun() {
+        return begun;
+    }
+
+    /** Returns the time in milliseconds since the stop began. */
+    long elapsedMillis() {
+        return ticker.nowMillis() - begunAtMillis;
+    }
+
+    /** Tells whether callers may still come whose address lists date from before the stop. */
+    boolean expectsCallers() {
+        return elapsedMillis() <= LATE_CALLER_MILLIS;
+    }
+
+    /** Tells whether the process has to end, whatever is in progress. */
+    boolean timedOut(long graceMillis) {
+        return graceMillis - elapsedMillis() < STOP_MARGIN_MILLIS;
+    }
+
+    /** Logs the end of the stop. */
+    void ended(Work work) {
+        if (work.none()) {
+            EventLog.event(LogEvent.DRAINED)
+                    .with(EventField.STOPPING_MILLIS, elapsedMillis())
+                    .call();
+            return;
+        }
+        EventLog.event(LogEvent.DRAIN_TIMEOUT)
+                .with(EventField.STOPPING_MILLIS, elapsedMillis())
+                .with(EventField.REQUESTS, work.requests())
+                .with(EventField.INCOMPLETE_REQUESTS, work.incompleteRequests())
+                .with(EventField.CONNECTIONS, work.connections())
+                .with(EventField.RELAYS, work.relays())
+                .with(EventField.UNREAD_BYTES, work.unreadBytes())
+                .call();
+    }
+}
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -186,7 +186,23 @@
     /** Requests of callers to this process in the current window. */
     REQUESTS("requests"),
     /** Number of other processes that this process knows. */
-    PEERS("peers");
+    PEERS("peers"),
+    /** Time in milliseconds that a planned stop may take. */
+    GRACE_MILLIS("graceMillis"),
+    /** Time in milliseconds since a planned stop began. */
+    STOPPING_MILLIS("stoppingMillis"),
+    /** Connections of callers. */
+    CONNECTIONS("connections"),
+    /** Connections to targets that are relayed for peers. */
+    RELAYS("relays"),
+    /** Requests that were not received whole. */
+    INCOMPLETE_REQUESTS("incompleteRequests"),
+    /** How far the handling of a request has got. */
+    STAGE("stage"),
+    /** Number of times that a request was sent to a target. */
+    RUNS("runs"),
+    /** Time in milliseconds since a request was sent to its latest target. */
+    RUN_MILLIS("runMillis");
 
     private final String jsonName;
 
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -20,11 +20,31 @@
     /** A daemon is not ready, or is no longer ready. */
     NOT_READY(Level.WARN, EventField.REASONS),
     /** A planned stop has begun. */
-    LEAVING(Level.INFO),
+    LEAVING(Level.INFO, EventField.GRACE_MILLIS, EventField.REQUESTS, EventField.CONNECTIONS, EventField.RELAYS),
     /** No request is in flight any longer, during a planned stop. */
-    DRAINED(Level.INFO),
+    DRAINED(Level.INFO, EventField.STOPPING_MILLIS),
     /** The drain timeout has expired while requests are still in flight. */
-    DRAIN_TIMEOUT(Level.WARN),
+    DRAIN_TIMEOUT(
+            Level.WARN,
+            EventField.STOPPING_MILLIS,
+            EventField.REQUESTS,
+            EventField.INCOMPLETE_REQUESTS,
+            EventField.CONNECTIONS,
+            EventField.RELAYS,
+            EventField.UNREAD_BYTES),
+    /** A request is cut off, since a planned stop ends before it does. */
+    REQUEST_CUT_BY_STOP(
+            Level.WARN,
+            EventField.REQUEST,
+            EventField.SERVICE,
+            EventField.TARGET,
+            EventField.STAGE,
+            EventField.STATUS,
+            EventField.TOTAL_MILLIS,
+            EventField.STOPPING_MILLIS,
+            EventField.RUNS,
+            EventField.RUN_MILLIS,
+            EventField.UNREAD_BYTES),
     /** A daemon has stopped. */
     STOPPED(Level.INFO, EventField.EXIT_CODE),
     /** Another document has come into force. */
@@ -80,7 +100,8 @@
             EventField.RESUMES,
             EventField.STATED_RATE,
             EventField.PROCESS,
-            EventField.CONNECTED_MILLIS),
+            EventField.CONNECTED_MILLIS,
+            EventField.STOPPING_MILLIS),
     /** A request ended. */
     REQUEST_ENDED(
             Level.INFO,
@@ -127,7 +148,8 @@
             EventField.REACHED_TARGETS,
             EventField.KNOWN_TARGETS,
             EventField.VERSION,
-            EventField.AGE_MILLIS),
+            EventField.AGE_MILLIS,
+            EventField.STOPPING_MILLIS),
     /** A request was relayed to its home. */
     REQUEST_RELAYED(Level.INFO, EventField.REQUEST, EventField.PEER),
     /** A grant arrived too late and was returned unused. */
