Keep the grace time that a planned stop began with

A change of the grace time during a stop moved its end, while the platform kills the process at the time that held at the signal; and a change before the stop did not reach the thread that waits for its end, which used the time of the start. A stop that is killed, or whose hook ends early, cuts requests without a word.

The end of the stop is fixed as it begins, from the settings in force, and the hook waits for the same time.

PlannedStopTest.changedGraceTimeDoesNotExtendABegunStop failed before (no end within 8 s after a change to 16 s) and passes. The hook is not tested here: it needs a process.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -325,6 +325,11 @@
         run(() -> front.reload(settings.withRetryRatio(retryRatio).withRetryAllowance(retryAllowance)));
     }
 
+    /** Puts settings into force that differ in the time that a planned stop may take. */
+    void reload(long stopGraceMillis) {
+        run(() -> front.reload(settings.withStopGraceMillis(stopGraceMillis)));
+    }
+
     /** Returns the sum of a counter over all its tags. */
     double counter(String name) {
         return front.metrics()
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
@@ -178,6 +178,19 @@
         }
     }
 
+    /** Guards against a stop that goes on beyond its grace time, after which the process is killed, as that changes. */
+    @Test
+    void changedGraceTimeDoesNotExtendABegunStop() throws Exception {
+        publishPlainTarget();
+        try (Socket caller = front.connect()) {
+            FakeTarget.write(caller, FrontFixture.request("POST", "/unsafe/x", "endless", true));
+            FrontFixture.await(() -> !target.requests().isEmpty());
+            front.front().stop();
+            front.reload(2 * GRACE_MILLIS);
+            assertThat(stopped.await(GRACE_MILLIS, TimeUnit.MILLISECONDS), is(true));
+        }
+    }
+
     private void publishPlainTarget() {
         front.publishCatalog(1, LONG_TIMEOUT_MILLIS);
         front.publish("target", "127.0.0.1", target.port(), 8);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -74,7 +74,7 @@
     /** Delay after the start until metrics are served, so that requests are served first. */
     private static final long METRICS_START_DELAY_MILLIS = 2_000;
 
-    private FrontSettings settings;
+    private volatile FrontSettings settings;
     private final HttpDialect dialect;
     private final Ticker ticker = Ticker.system();
     private final Random random = new Random();
@@ -381,6 +381,15 @@
         });
     }
 
+    /**
+     * Returns the time that a planned stop which begins now may take. May be called on any thread.
+     *
+     * @return time in milliseconds
+     */
+    public long stopGraceMillis() {
+        return settings.stopGraceMillis();
+    }
+
     /**
      * Sets the action to run when a planned stop is complete.
      *
@@ -570,7 +579,7 @@
             List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
         }
         PlannedStop.Work work = work();
-        if (work.none() && !expectsCallers || plannedStop.timedOut(settings.stopGraceMillis())) {
+        if (work.none() && !expectsCallers || plannedStop.timedOut()) {
             plannedStop.ended(work);
             exchanges.forEach(exchange -> FrontLog.cutByStop(exchange, plannedStop.elapsedMillis()));
             onStopped.run();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
@@ -30,6 +30,7 @@
     private final Ticker ticker;
     private boolean begun;
     private long begunAtMillis;
+    private long endsAtMillis;
 
     PlannedStop(Ticker ticker) {
         this.ticker = ticker;
@@ -38,11 +39,12 @@
     /**
      * Begins the stop.
      *
-     * @param graceMillis time in milliseconds after which the process is killed
+     * @param graceMillis time in milliseconds after which the process is killed; a later change does not alter it
      */
     void begin(long graceMillis, Work work) {
         begun = true;
         begunAtMillis = ticker.nowMillis();
+        endsAtMillis = begunAtMillis + graceMillis - STOP_MARGIN_MILLIS;
         EventLog.event(LogEvent.LEAVING)
                 .with(EventField.GRACE_MILLIS, graceMillis)
                 .with(EventField.REQUESTS, work.requests())
@@ -66,8 +68,8 @@
     }
 
     /** Tells whether the process has to end, whatever is in progress. */
-    boolean timedOut(long graceMillis) {
-        return graceMillis - elapsedMillis() < STOP_MARGIN_MILLIS;
+    boolean timedOut() {
+        return ticker.nowMillis() > endsAtMillis;
     }
 
     /** Logs the end of the stop. */
