Refuse requests that come late in a stop and may outlast it

A front that got SIGTERM sent every request to a target that was whole before its end: the next one of a connection whose stream had begun before the stop, so that its head did not say Connection: close, and one whose body ended late. 7.4 s after the signal it cut them off, whatever their targets did.

The cause: a bound in time that belongs to the process, and nothing that accepts work asks for the time left. From 2.5 s into the stop on, when callers can have gone elsewhere, a request is accepted only if its deadline passes before the process ends; only the deadline bounds its length from above. Others get host-leaving: 503, not run, Connection: close. Kept connections are read once more before they are closed, and not within 100 ms of a response, so that a request on its way gets an answer in place of a reset, which tells its caller nothing.

Weighed: to refuse all late requests (short ones, which end in time, would have to come back for nothing) and to accept by the expected time (streams end late by several times the expectation, and such a request is lost).

The late request with a short timeout is served as before. FleetTest and LateCloseTest pass.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
@@ -133,15 +133,14 @@
     @Test
     void uploadThatEndsTooLateDoesNotDelayTheStop() throws Exception {
         publishPlainTarget();
+        long beganNanos = System.nanoTime();
         try (Socket caller = front.connect()) {
             FakeTarget.write(caller, upload("stream-upload"));
-            long beganNanos = System.nanoTime();
             front.front().stop();
             assertThat(FrontFixture.readUntil(caller, "\r\n\r\n"), startsWith("HTTP/1.1 503"));
-            caller.close();
-            assertThat(stopped.await(GRACE_MILLIS, TimeUnit.MILLISECONDS), is(true));
-            assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos), lessThan(GRACE_MILLIS / 2));
         }
+        assertThat(stopped.await(GRACE_MILLIS, TimeUnit.MILLISECONDS), is(true));
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos), lessThan(GRACE_MILLIS / 2));
     }
 
     /** Guards against closing the connection of a caller whose request was still queued, and so has not run. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -48,6 +48,9 @@
     /** The last printable character of ASCII; others would reach the target as other bytes. */
     private static final char MAX_URI_CHARACTER = '~';
 
+    /** Time after a response in which callers send their next request, if they have one ready. */
+    private static final long NEXT_REQUEST_MILLIS = 100;
+
     private static final String CALLER_CLOSED = "caller-closed";
 
     private final Front front;
@@ -346,14 +349,21 @@
         return outbound == null ? 0 : outbound.totalPendingWriteBytes();
     }
 
-    /** Closes the connection if no request is in progress. */
-    void closeIfIdle() {
-        if (exchange == null && request == null && !receivingHead && !closing) {
+    /**
+     * Closes the connection if no request is in progress and none is likely to be on its way, as a caller whose request
+     * crosses the close cannot know whether it was executed.
+     */
+    void closeIfIdle(long nowMillis) {
+        if (idle() && nowMillis - lastActivityMillis > NEXT_REQUEST_MILLIS && isCallerConnected() && idle()) {
             closing = true;
             channel.close();
         }
     }
 
+    private boolean idle() {
+        return exchange == null && request == null && !receivingHead && !closing;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -198,6 +198,10 @@
         quotaTokens = admitted.quotaTokens();
         deadlineAtMillis = admitted.deadlineAtMillis();
         queueTimeoutAtMillis = admitted.queueTimeoutAtMillis();
+        if (!front.plannedStop().accepts(deadlineAtMillis)) {
+            rejectLate();
+            return;
+        }
         if (route.kind() == RouteKind.STREAMING && head.lastEventId().isPresent()) {
             findOrigin();
         } else {
@@ -205,6 +209,11 @@
         }
     }
 
+    /** Rejects a request that may last longer than this process, which is stopping. */
+    private void rejectLate() {
+        respondWithError(new ErrorResponse(ErrorKind.HOST_LEAVING, Front.NOT_READY_RETRY_AFTER_MILLIS));
+    }
+
     /** Finds out at which service and version the stream that the caller resumes has begun. */
     private void findOrigin() {
         stage = Stage.RESOLVING_ORIGIN;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -543,7 +543,7 @@
         List.copyOf(exchanges).forEach(exchange -> tasks.run("requests", () -> exchange.checkTimeouts(nowMillis)));
         tasks.run("queues", () -> localQueues.advance(nowMillis));
         if (plannedStop.begun()) {
-            tasks.run("drain", this::drain);
+            tasks.run("drain", () -> drain(nowMillis));
         }
         boolean queued = coordination.hasPendingRequests() || localQueues.size() > 0;
         return queued ? TICK_INTERVAL_MILLIS : IDLE_TICK_INTERVAL_MILLIS;
@@ -572,11 +572,11 @@
         quotas.updateReachableShare(members.reachableShare(nowMillis), nowMillis);
     }
 
-    private void drain() {
+    private void drain(long nowMillis) {
         boolean expectsCallers = plannedStop.expectsCallers();
         if (!expectsCallers) {
             callers.stop();
-            List.copyOf(connections).forEach(CallerConnection::closeIfIdle);
+            List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMillis));
         }
         PlannedStop.Work work = work();
         if (work.none() && !expectsCallers || plannedStop.timedOut()) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
@@ -67,6 +67,16 @@
         return elapsedMillis() <= LATE_CALLER_MILLIS;
     }
 
+    /**
+     * Tells whether a request may be accepted. Once callers can have gone elsewhere, it may only if its deadline passes
+     * before the process ends: nothing else bounds how long its target works on it.
+     *
+     * @param deadlineAtMillis monotonic time in milliseconds by which the caller gets its final response
+     */
+    boolean accepts(long deadlineAtMillis) {
+        return !begun || expectsCallers() || deadlineAtMillis <= endsAtMillis;
+    }
+
     /** Tells whether the process has to end, whatever is in progress. */
     boolean timedOut() {
         return ticker.nowMillis() > endsAtMillis;
