Refuse uploads that would end too late as soon as a stop knows it

A body that began before a stop and ended late in it held its connection, and so the stop, for up to the whole grace time, and its caller learned only with the last byte that the request is not accepted.

Once callers can have gone elsewhere, an incomplete request whose deadline would pass after the process has ended, if its last byte came now, gets host-leaving. The front then closes its side and reads on for a second: a close with unread input resets the connection, and the caller may lose the response.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
@@ -32,6 +32,7 @@
     /** Grace time of the fixture. */
     private static final long GRACE_MILLIS = 8_000;
 
+    private static final long RESET_MILLIS = 200;
     private static final int READ_TIMEOUT_MILLIS = 10_000;
 
     private final CountDownLatch firstMayEnd = new CountDownLatch(1);
@@ -124,6 +125,8 @@
             front.front().stop();
             TimeUnit.MILLISECONDS.sleep(LATE_MILLIS);
             FakeTarget.write(caller, "0\r\n\r\n");
+            // A reset, if the front sends one, has arrived by then.
+            TimeUnit.MILLISECONDS.sleep(RESET_MILLIS);
             assertThat(FrontFixture.readUntil(caller, "\r\n\r\n"), startsWith("HTTP/1.1 503"));
             assertThat(attempts().isEmpty(), is(true));
         }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -51,6 +52,9 @@
     /** Time after a response in which callers send their next request, if they have one ready. */
     private static final long NEXT_REQUEST_MILLIS = 100;
 
+    /** Time for which the rest of a rejected request is read, so that its caller receives the response. */
+    private static final long DISCARD_MILLIS = 1_000;
+
     private static final String CALLER_CLOSED = "caller-closed";
 
     private final Front front;
@@ -61,6 +65,9 @@
     private CallerExchange exchange;
     private boolean closing;
     private boolean closeAfterResponse;
+    /** Whether the rest of a rejected request is read and discarded. */
+    private boolean discarding;
+
     private long lastActivityMillis;
     private boolean receivingHead;
     private String closeCause = CALLER_CLOSED;
@@ -310,6 +317,11 @@
     private void responseWritten() {
         exchange = null;
         lastActivityMillis = front.nowMillis();
+        if (discarding) {
+            // A close with unread input resets the connection, and the caller may not receive the response.
+            ((DuplexChannel) channel).shutdownOutput();
+            return;
+        }
         if (closing) {
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
@@ -350,13 +362,29 @@
     }
 
     /**
-     * Closes the connection if no request is in progress and none is likely to be on its way, as a caller whose request
-     * crosses the close cannot know whether it was executed.
+     * Goes on with a planned stop once callers can have gone elsewhere.
+     *
+     * <p>An idle connection is closed if no request is likely to be on its way, as a caller whose request crosses the
+     * close cannot know whether it was executed. A request that would come too late is rejected before its last byte.
      */
-    void closeIfIdle(long nowMillis) {
+    void drain(long nowMillis) {
         if (idle() && nowMillis - lastActivityMillis > NEXT_REQUEST_MILLIS && isCallerConnected() && idle()) {
             closing = true;
             channel.close();
+        } else if (request != null && !closing) {
+            rejectIfLate();
+        } else if (discarding && nowMillis - lastActivityMillis > DISCARD_MILLIS) {
+            channel.close();
+        }
+    }
+
+    private void rejectIfLate() {
+        CallerExchange incomplete = new CallerExchange(front, this, request, body);
+        if (incomplete.isLate()) {
+            request = null;
+            body = null;
+            discarding = true;
+            incomplete.rejectLate();
         }
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -209,8 +209,23 @@
         }
     }
 
+    /**
+     * Tells whether a request that is incomplete would be rejected as late if its last byte came now. It is not handled
+     * otherwise.
+     */
+    boolean isLate() {
+        try {
+            head = front.dialect().readRequest(request);
+        } catch (BadRequestException e) {
+            // Rejected as malformed once it is complete.
+            return false;
+        }
+        return front.admission().decide(head, arrivedAtMillis) instanceof AdmissionControl.Admitted admitted
+                && !front.plannedStop().accepts(admitted.deadlineAtMillis());
+    }
+
     /** Rejects a request that may last longer than this process, which is stopping. */
-    private void rejectLate() {
+    void rejectLate() {
         respondWithError(new ErrorResponse(ErrorKind.HOST_LEAVING, Front.NOT_READY_RETRY_AFTER_MILLIS));
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -576,7 +576,7 @@
         boolean expectsCallers = plannedStop.expectsCallers();
         if (!expectsCallers) {
             callers.stop();
-            List.copyOf(connections).forEach(connection -> connection.closeIfIdle(nowMillis));
+            List.copyOf(connections).forEach(connection -> connection.drain(nowMillis));
         }
         PlannedStop.Work work = work();
         if (work.none() && !expectsCallers || plannedStop.timedOut()) {
