Answer the requests that the end of a stop cuts off

At the end of its stop a front halted, whatever was in progress: callers whose requests were queued saw their connections close, though "not run" was true, and those whose requests ran got no word either. A response that had ended was lost if its caller had not taken it by then.

At the end, requests that were not sent get host-leaving (503, not run), those that may have run target-lost (502, unknown), and streams that have begun are broken off, as before. Requests that were not sent go first: slots freed by the others went to them (seen in a test run, 502). The process then exits once nothing is left to be written, 200 ms later at most, and 400 ms before it is killed.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
@@ -32,6 +32,10 @@
     /** Grace time of the fixture. */
     private static final long GRACE_MILLIS = 8_000;
 
+    /** Request whose answer takes longer than a stop. */
+    private static final String LONG_REQUEST = FrontFixture.request("POST", "/stream/x", "stream-long", true)
+            .replace("Content-Length", "Answer-Tokens: 4000\r\nContent-Length");
+
     private static final long RESET_MILLIS = 200;
     private static final int READ_TIMEOUT_MILLIS = 10_000;
 
@@ -167,6 +171,29 @@
         }
     }
 
+    /**
+     * Guards against cutting off a request that was accepted in time and waited until too little of the stop was left.
+     */
+    @Test
+    void requestThatWaitsForTooLongIsNotSentToATarget() throws Exception {
+        front.publishCatalog(1, 10 * LONG_TIMEOUT_MILLIS, true, OBJECTIVE_MILLIS);
+        front.publish("engine", "127.0.0.1", target.port(), 1);
+        try (Socket first = front.connect();
+                Socket second = front.connect();
+                Socket queued = front.connect()) {
+            // One request runs and one waits at the engine, so that the next one is queued at the front.
+            FakeTarget.write(first, FrontFixture.request("POST", "/stream/x", "stream-first", true));
+            FakeTarget.write(second, FrontFixture.request("POST", "/safe/x", "endless", true));
+            FrontFixture.await(() -> attempts().size() == 2);
+            front.front().stop();
+            FakeTarget.write(queued, LONG_REQUEST);
+            TimeUnit.MILLISECONDS.sleep(LATE_MILLIS);
+            firstMayEnd.countDown();
+            assertThat(FrontFixture.readAll(queued), startsWith("HTTP/1.1 503"));
+            assertThat(attempts(), contains("stream-first", "endless"));
+        }
+    }
+
     /** Guards against closing the connection of a caller without a word while its request runs. */
     @Test
     void runningRequestIsAnsweredAtTheEndOfAStop() throws Exception {
--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/TestDialect.java
@@ -52,7 +52,7 @@
                 .apiKey(Optional.empty())
                 .model("")
                 .promptTokens(0)
-                .maxAnswerTokens(0)
+                .maxAnswerTokens(request.headers().getInt("Answer-Tokens", 0))
                 .hasTokenCounts(false)
                 .promptParts(promptParts(request))
                 .lastEventId(Optional.ofNullable(request.headers().get("Resume-After")))
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -11,6 +11,7 @@
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
@@ -1460,19 +1461,35 @@
     }
 
     private void deadlineReached(long nowMillis) {
+        giveUp(
+                TruncationCause.TIMED_OUT,
+                new ErrorResponse(ErrorKind.DEADLINE_RUNNING, 0),
+                () -> new ErrorResponse(ErrorKind.HOPELESS, front.localQueues().retryAfterMillis(service)),
+                nowMillis);
+    }
+
+    /** Ends the request, because this process does; the caller is told whether it may have been executed. */
+    void cutOff(long nowMillis) {
+        FrontLog.cutOff(this, front.plannedStop().elapsedMillis());
+        giveUp(
+                TruncationCause.STOPPED,
+                new ErrorResponse(ErrorKind.TARGET_LOST, 0),
+                () -> new ErrorResponse(ErrorKind.HOST_LEAVING, Front.NOT_READY_RETRY_AFTER_MILLIS),
+                nowMillis);
+    }
+
+    /** Ends the request and its runs, whatever its stage. */
+    private void giveUp(
+            TruncationCause cause, ErrorResponse ifExecuted, Supplier<ErrorResponse> ifNotExecuted, long nowMillis) {
         removeFromQueue();
-        if (responseAssembler.streamStarted()) {
+        if (responseAssembler != null && responseAssembler.streamStarted()) {
             abandonRuns(nowMillis);
-            endStarted("timed-out", TruncationCause.TIMED_OUT);
+            endStarted(cause.tag(), cause);
             return;
         }
         boolean possiblyExecuted = runs.mayHaveExecuted();
         abandonRuns(nowMillis);
-        respondWithError(
-                possiblyExecuted
-                        ? new ErrorResponse(ErrorKind.DEADLINE_RUNNING, 0)
-                        : new ErrorResponse(
-                                ErrorKind.HOPELESS, front.localQueues().retryAfterMillis(service)));
+        respondWithError(possiblyExecuted ? ifExecuted : ifNotExecuted.get());
     }
 
     /**
@@ -1549,6 +1566,11 @@
         return stage.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
+    /** Tells whether any target may have executed the request or may still execute it. */
+    boolean mayHaveExecuted() {
+        return runs.mayHaveExecuted();
+    }
+
     /** Returns the number of times that the request was sent to a target. */
     int sentCount() {
         return runs.sentCount();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -573,15 +574,20 @@
     }
 
     private void drain(long nowMillis) {
-        boolean expectsCallers = plannedStop.expectsCallers();
-        if (!expectsCallers) {
+        if (!plannedStop.expectsCallers()) {
             callers.stop();
             List.copyOf(connections).forEach(connection -> connection.drain(nowMillis));
         }
         PlannedStop.Work work = work();
-        if (work.none() && !expectsCallers || plannedStop.timedOut()) {
-            plannedStop.ended(work);
-            exchanges.forEach(exchange -> FrontLog.cutByStop(exchange, plannedStop.elapsedMillis()));
+        if (!plannedStop.ended() && plannedStop.ends(work)) {
+            plannedStop.end(work);
+            // Queued ones first, so that slots which the others free do not go to them.
+            exchanges.stream()
+                    .sorted(Comparator.comparing(CallerExchange::mayHaveExecuted))
+                    .toList()
+                    .forEach(exchange -> tasks.run("cut off", () -> exchange.cutOff(nowMillis)));
+        }
+        if (plannedStop.ended() && plannedStop.mayExit(work())) {
             onStopped.run();
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -180,11 +180,11 @@
     }
 
     /**
-     * Logs a request that ends because a planned stop does.
+     * Logs a request that is cut off by the end of a planned stop.
      *
      * @param stoppingMillis time in milliseconds since the stop began
      */
-    static void cutByStop(CallerExchange exchange, long stoppingMillis) {
+    static void cutOff(CallerExchange exchange, long stoppingMillis) {
         EventLog event = EventLog.event(LogEvent.REQUEST_CUT_BY_STOP)
                 .with(EventField.SERVICE, exchange.service())
                 .with(EventField.STAGE, exchange.stageTag())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
@@ -9,8 +9,10 @@
 final class PlannedStop {
     /** Time for which new callers are accepted after a stop is requested, until earlier address lists have expired. */
     private static final long LATE_CALLER_MILLIS = 2_500;
-    /** Time before the end of the grace period at which the process stops even if requests are in flight. */
+    /** Time before the end of the grace period at which requests that are in progress are cut off. */
     private static final long STOP_MARGIN_MILLIS = 600;
+    /** Time for which callers are then left to take the ends of their responses. */
+    private static final long FLUSH_MILLIS = 200;
 
     /**
      * Work of a process.
@@ -31,6 +33,7 @@
     private boolean begun;
     private long begunAtMillis;
     private long endsAtMillis;
+    private boolean ended;
 
     PlannedStop(Ticker ticker) {
         this.ticker = ticker;
@@ -77,13 +80,24 @@
         return !begun || expectsCallers() || deadlineAtMillis <= endsAtMillis;
     }
 
-    /** Tells whether the process has to end, whatever is in progress. */
-    boolean timedOut() {
-        return ticker.nowMillis() > endsAtMillis;
+    /** Tells whether the stop ends now: as nothing is in progress, or whatever is. */
+    boolean ends(Work work) {
+        return work.none() && !expectsCallers() || ticker.nowMillis() > endsAtMillis;
     }
 
-    /** Logs the end of the stop. */
-    void ended(Work work) {
+    /** Tells whether requests have been cut off. */
+    boolean ended() {
+        return ended;
+    }
+
+    /** Tells whether the process may exit: nothing is left to be written, or there is no time for it. */
+    boolean mayExit(Work work) {
+        return work.unreadBytes() == 0 || ticker.nowMillis() > endsAtMillis + FLUSH_MILLIS;
+    }
+
+    /** Records and logs the end of the stop. */
+    void end(Work work) {
+        ended = true;
         if (work.none()) {
             EventLog.event(LogEvent.DRAINED)
                     .with(EventField.STOPPING_MILLIS, elapsedMillis())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TruncationCause.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TruncationCause.java
@@ -14,6 +14,8 @@
     UNVERIFIED_END,
     /** The deadline of the request was reached. */
     TIMED_OUT,
+    /** A planned stop of this process ended. */
+    STOPPED,
     /** No target was available in time to resume the stream. */
     REFUSED;
 
