Ask for the time left before a request is sent for the first time

A request that came before or early in a stop and waited for a place was sent whenever it got one, however little of the stop was left: its target worked in vain, its caller lost an answer that it may not ask for twice, and "not run" would have been true until then.

Right before the first send, where every way to a target meets, a stopping front compares the end of its stop with the time at which the request is expected to end: the prediction of its first event and of the length of its answer at that target, or its deadline if that comes first. Requests whose time does not suffice get host-leaving. A deadline alone, as for requests that come late, would refuse all that wait for more than 2.5 s, most of which end in time; a request that may have run is sent again as before.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -199,7 +199,8 @@
         quotaTokens = admitted.quotaTokens();
         deadlineAtMillis = admitted.deadlineAtMillis();
         queueTimeoutAtMillis = admitted.queueTimeoutAtMillis();
-        if (!front.plannedStop().accepts(deadlineAtMillis)) {
+        if (!front.plannedStop().leavesTimeUntil(deadlineAtMillis)) {
+            // Nothing else bounds how long targets work on it.
             rejectLate();
             return;
         }
@@ -222,7 +223,7 @@
             return false;
         }
         return front.admission().decide(head, arrivedAtMillis) instanceof AdmissionControl.Admitted admitted
-                && !front.plannedStop().accepts(admitted.deadlineAtMillis());
+                && !front.plannedStop().leavesTimeUntil(admitted.deadlineAtMillis());
     }
 
     /** Rejects a request that may last longer than this process, which is stopping. */
@@ -753,6 +754,12 @@
             placeAgain();
             return;
         }
+        if (!runs.mayHaveExecuted() && !front.plannedStop().leavesTimeUntil(expectedEndMillis(current, nowMillis))) {
+            current.entry().pool().release(acquired);
+            current.end(RunEvent.RUN_GIVEN_UP);
+            rejectLate();
+            return;
+        }
         if (!accepts(current.entry().state().target())) {
             current.entry().pool().release(acquired);
             current.end(RunEvent.RUN_GIVEN_UP);
@@ -767,6 +774,14 @@
         send(acquired, nowMillis);
     }
 
+    /** Returns the monotonic time in milliseconds at which a run that is sent now is expected to end. */
+    private long expectedEndMillis(ActiveRun placed, long nowMillis) {
+        Candidate candidate = placed.run().candidate();
+        double expectedMillis =
+                candidate.firstEventMillis() + candidate.state().speed().estimatedAnswerMillis(expectedAnswerTokens());
+        return Math.min(deadlineAtMillis, nowMillis + (long) expectedMillis);
+    }
+
     /**
      * Continues a stream over a connection once it is known that published processes have begun it and go on with it.
      */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
@@ -71,13 +71,13 @@
     }
 
     /**
-     * Tells whether a request may be accepted. Once callers can have gone elsewhere, it may only if its deadline passes
-     * before the process ends: nothing else bounds how long its target works on it.
+     * Tells whether work may begin that ends at a given time. Once callers can have gone elsewhere, it may only if the
+     * process ends later.
      *
-     * @param deadlineAtMillis monotonic time in milliseconds by which the caller gets its final response
+     * @param workEndsAtMillis monotonic time in milliseconds at which the work ends
      */
-    boolean accepts(long deadlineAtMillis) {
-        return !begun || expectsCallers() || deadlineAtMillis <= endsAtMillis;
+    boolean leavesTimeUntil(long workEndsAtMillis) {
+        return !begun || expectsCallers() || workEndsAtMillis <= endsAtMillis;
     }
 
     /** Tells whether the stop ends now: as nothing is in progress, or whatever is. */
