Soak of fronts that are stopped under callers that keep connections

The soak plays seven deployed fronts as processes before twelve workers. One or two fronts at a time get a SIGTERM, in overlapping series, some of them a SIGHUP or a second SIGTERM during the stop, with configurations beside. Callers use a connection until it ends and send the next request within milliseconds; some send their bodies over 0.6 to 6 s, in chunks or with a length; streams last 0.4 to 8 s.

--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/AttemptKind.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/AttemptKind.java
@@ -1,6 +1,9 @@
 package org.whinwharf.platform.fleet;
 
 import java.util.Arrays;
+import java.util.OptionalInt;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** Kinds of attempts, each with a route of its own. */
 enum AttemptKind {
@@ -9,9 +12,11 @@
     RESUMABLE("POST", "/resumable/", true, true, "\"kind\":\"streaming\",\"resumable\":true,\"attempts\":3"),
     STREAM("POST", "/stream/", false, true, "\"kind\":\"streaming\",\"attempts\":2");
 
-    /** Time limit of each attempt. */
+    /** Usual time limit of each attempt. */
     static final int TIMEOUT_MILLIS = 3_000;
 
+    private static final Pattern STEP = Pattern.compile("/(\\d+)ms/");
+
     private final String method;
     private final String prefix;
     private final boolean repeatable;
@@ -57,6 +62,17 @@
         return Integer.parseInt(path.substring(path.lastIndexOf('/') + 1));
     }
 
+    /** Returns the path of a request that names the time between two events, or of the whole run of another one. */
+    String path(String name, int stepMillis, int events) {
+        return prefix + name + "/" + stepMillis + "ms/" + events;
+    }
+
+    /** Returns the time that the path names for each step of the run; empty if the worker draws it. */
+    static OptionalInt stepMillis(String path) {
+        Matcher matcher = STEP.matcher(path);
+        return matcher.find() ? OptionalInt.of(Integer.parseInt(matcher.group(1))) : OptionalInt.empty();
+    }
+
     /** Returns a configuration with a route for each kind, to a service of plain workers. */
     static String config(int version, String host, String service) {
         return config(version, host, service, false);
@@ -64,9 +80,14 @@
 
     /** Returns a configuration with a route for each kind. */
     static String config(int version, String host, String service, boolean engine) {
+        return config(version, host, service, engine, TIMEOUT_MILLIS);
+    }
+
+    /** Returns a configuration with a route for each kind, with a time limit of their own. */
+    static String config(int version, String host, String service, boolean engine, int timeoutMillis) {
         String routes = Arrays.stream(values())
                 .map(kind -> "{\"name\":\"" + kind + "\",\"host\":\"" + host + "\",\"prefix\":\"" + kind.prefix + "\","
-                        + kind.route + ",\"timeout-ms\":" + TIMEOUT_MILLIS + ",\"slo-ms\":300,\"gap-target-ms\":500,"
+                        + kind.route + ",\"timeout-ms\":" + timeoutMillis + ",\"slo-ms\":300,\"gap-target-ms\":500,"
                         + "\"service\":\"" + service + "\",\"public\":true}")
                 .reduce((all, next) -> all + "," + next)
                 .orElseThrow();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerAnswer.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerAnswer.java
@@ -1,5 +1,7 @@
 package org.whinwharf.platform.fleet;
 
+import java.util.OptionalLong;
+
 /**
  * A caller's own record of an attempt.
  *
@@ -7,7 +9,7 @@
  * @param path path of the request
  * @param frontIp address of the front to which it was sent
  * @param kept whether the connection had carried another request before
- * @param sentNanos time at which it was sent
+ * @param sentNanos time at which its first byte was sent
  * @param endedNanos time at which its answer, its connection or the caller's patience ended
  * @param status status of the answer; 0 if none
  * @param answeredAttemptId attempt id in the answer; empty if none
@@ -17,6 +19,7 @@
  * @param firstAttemptId attempt that brought the first event of the stream; empty for a stream that is not resumed
  * @param afterEvent id of the last event of the stream before this attempt
  * @param strayBytes bytes that were on the connection before the request was sent
+ * @param upload how it was sent
  */
 record CallerAnswer(
         String attemptId,
@@ -32,7 +35,8 @@
         End end,
         String firstAttemptId,
         int afterEvent,
-        int strayBytes) {
+        int strayBytes,
+        Upload upload) {
     /** How an attempt ended. */
     enum End {
         COMPLETE,
@@ -43,6 +47,14 @@
         LEFT
     }
 
+    /**
+     * How a request was sent.
+     *
+     * @param pace pace of its body
+     * @param lastByteNanos time at which its last byte was sent; empty if it was not
+     */
+    record Upload(BodyPace pace, OptionalLong lastByteNanos) {}
+
     AttemptKind kind() {
         return AttemptKind.of(path);
     }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerStandIn.java
@@ -1,12 +1,14 @@
 package org.whinwharf.platform.fleet;
 
 import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -26,18 +28,19 @@
     private static final int MAX_RESUMPTIONS = 25;
 
     private static final int RESUMPTION_MILLIS = 200;
-    private static final int MAX_PAUSE_MILLIS = 30;
     private static final int MAX_PATIENCE_MILLIS = 120;
     private static final double MAX_RETRY_SECONDS = 1;
-    /** One of so many attempts ends early by the caller. */
-    private static final int LEFT_INTERVAL = 25;
+    private static final int MIN_RUN_MILLIS = 400;
+    private static final int MAX_STEP_MILLIS = 400;
+    private static final int MIN_SLOW_BODY_MILLIS = 600;
+    private static final int MAX_SLOW_BODY_MILLIS = 6_000;
+    private static final int SLOW_BODY_PIECES = 12;
 
     private final String name;
     private final Supplier<List<InetSocketAddress>> fronts;
     private final FleetRecord record;
+    private final CallerHabits habits;
     private final Random random;
-    private final boolean keepsConnection;
-    private final List<AttemptKind> kinds;
     private int requests;
     private int attempts;
     private Socket socket;
@@ -49,37 +52,13 @@
      *
      * @param name name, with which the ids of its attempts begin
      * @param fronts addresses to which it may connect now
-     * @param keepsConnection whether it uses a connection for many requests
      */
     CallerStandIn(
-            String name,
-            Supplier<List<InetSocketAddress>> fronts,
-            FleetRecord record,
-            boolean keepsConnection,
-            long seed) {
-        this(name, fronts, record, keepsConnection, List.of(AttemptKind.values()), seed);
-    }
-
-    /**
-     * Creates a caller.
-     *
-     * @param name name, with which the ids of its attempts begin
-     * @param fronts addresses to which it may connect now
-     * @param keepsConnection whether it uses a connection for many requests
-     * @param kinds kinds of its requests
-     */
-    CallerStandIn(
-            String name,
-            Supplier<List<InetSocketAddress>> fronts,
-            FleetRecord record,
-            boolean keepsConnection,
-            List<AttemptKind> kinds,
-            long seed) {
+            String name, Supplier<List<InetSocketAddress>> fronts, FleetRecord record, CallerHabits habits, long seed) {
         this.name = name;
         this.fronts = fronts;
         this.record = record;
-        this.keepsConnection = keepsConnection;
-        this.kinds = kinds;
+        this.habits = habits;
         random = new Random(seed);
     }
 
@@ -93,7 +72,7 @@
         try {
             while (!stopped) {
                 request();
-                TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_PAUSE_MILLIS));
+                TimeUnit.MILLISECONDS.sleep(random.nextInt(habits.maxPauseMillis()));
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -104,8 +83,8 @@
 
     /** Sends a request, again where its kind allows it, and resumes a stream that was broken off. */
     private void request() throws InterruptedException {
-        AttemptKind kind = kinds.get(random.nextInt(kinds.size()));
-        String path = kind.prefix() + name + "-" + requests++ + "/" + (1 + random.nextInt(MAX_EVENTS));
+        AttemptKind kind = habits.kinds().get(random.nextInt(habits.kinds().size()));
+        String path = path(kind, name + "-" + requests++);
         String firstAttempt = "";
         int lastEvent = 0;
         for (int i = 0; i < (lastEvent > 0 ? MAX_RESUMPTIONS : MAX_TRIES) && !stopped; i++) {
@@ -128,6 +107,15 @@
         }
     }
 
+    private String path(AttemptKind kind, String request) {
+        if (habits.maxRunMillis() == 0) {
+            return kind.prefix() + request + "/" + (1 + random.nextInt(MAX_EVENTS));
+        }
+        int runMillis = MIN_RUN_MILLIS + random.nextInt(habits.maxRunMillis() - MIN_RUN_MILLIS);
+        int events = kind.streaming() ? 1 + runMillis / MAX_STEP_MILLIS : 1;
+        return kind.path(request, runMillis / events, events);
+    }
+
     private long retryAfterMillis;
 
     private static int lastEvent(String body, int before) {
@@ -145,8 +133,10 @@
         String head = "";
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         CallerAnswer.End end = CallerAnswer.End.COMPLETE;
-        boolean impatient = random.nextInt(LEFT_INTERVAL) == 0;
-        int patienceMillis = impatient ? 1 + random.nextInt(MAX_PATIENCE_MILLIS) : 2 * AttemptKind.TIMEOUT_MILLIS;
+        boolean impatient = habits.leftInterval() > 0 && random.nextInt(habits.leftInterval()) == 0;
+        int patienceMillis = impatient ? 1 + random.nextInt(MAX_PATIENCE_MILLIS) : 2 * habits.timeoutMillis();
+        BodyPace pace = drawPace(kind);
+        OptionalLong lastByteNanos = OptionalLong.empty();
         String front = "";
         int strayBytes = 0;
         long sentNanos = System.nanoTime();
@@ -155,9 +145,11 @@
             front = socket.getInetAddress().getHostAddress();
             strayBytes = in.available();
             in.setTimeoutMillis(patienceMillis);
-            String text = requestText(kind, path, attemptId, firstAttempt, lastEvent);
+            String text = requestHead(kind, path, attemptId, firstAttempt, lastEvent);
             sentNanos = System.nanoTime();
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            if (send(text, kind, attemptId, pace)) {
+                lastByteNanos = OptionalLong.of(System.nanoTime());
+            }
             head = in.head();
             if (head.isEmpty()) {
                 end = CallerAnswer.End.CLOSED;
@@ -169,8 +161,9 @@
         } catch (IOException e) {
             end = CallerAnswer.End.CLOSED;
         }
-        if (!keepsConnection
+        if (!habits.keepsConnection()
                 || end != CallerAnswer.End.COMPLETE
+                || lastByteNanos.isEmpty()
                 || "close".equalsIgnoreCase(HttpReader.header(head, "Connection"))) {
             disconnect();
         }
@@ -191,7 +184,8 @@
                 end,
                 firstAttempt,
                 lastEvent,
-                strayBytes);
+                strayBytes,
+                new CallerAnswer.Upload(pace, lastByteNanos));
     }
 
     /** Returns the status of an answer; 0 if there is none, -1 if what came is no answer. */
@@ -201,14 +195,46 @@
         return matcher.lookingAt() ? Integer.parseInt(matcher.group(1)) : other;
     }
 
-    private String requestText(AttemptKind kind, String path, String attemptId, String firstAttempt, int lastEvent) {
+    private BodyPace drawPace(AttemptKind kind) {
+        boolean slow = habits.slowBodyInterval() > 0
+                && kind.method().equals("POST")
+                && random.nextInt(habits.slowBodyInterval()) == 0;
+        if (!slow) {
+            return BodyPace.AT_ONCE;
+        }
+        return random.nextBoolean() ? BodyPace.SLOW_IN_CHUNKS : BodyPace.SLOW_WITH_LENGTH;
+    }
+
+    private String requestHead(AttemptKind kind, String path, String attemptId, String firstAttempt, int lastEvent) {
         String resumption =
                 lastEvent == 0 ? "" : "Last-Event-Id: " + lastEvent + "\r\nResumes: " + firstAttempt + "\r\n";
-        String content = kind.method().equals("POST") ? "content of " + attemptId : "";
         return kind.method() + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Attempt-Id: " + attemptId
-                + "\r\nX-Deadline-Ms: " + AttemptKind.TIMEOUT_MILLIS + "\r\n" + resumption
-                + (content.isEmpty() ? "" : "Content-Length: " + content.length() + "\r\n")
-                + "\r\n" + content;
+                + "\r\nX-Deadline-Ms: " + habits.timeoutMillis() + "\r\n" + resumption;
+    }
+
+    /** Sends a request; returns whether the whole of it was sent, which an early answer or end prevents. */
+    private boolean send(String head, AttemptKind kind, String attemptId, BodyPace pace) throws IOException {
+        String content = kind.method().equals("POST") ? "content of " + attemptId : "";
+        if (pace == BodyPace.AT_ONCE) {
+            write(head + (content.isEmpty() ? "" : pace.header(content.length()) + "\r\n") + "\r\n" + content);
+            return true;
+        }
+        write(head + pace.header(SLOW_BODY_PIECES * content.length()) + "\r\n\r\n");
+        int slowMillis = MIN_SLOW_BODY_MILLIS + random.nextInt(MAX_SLOW_BODY_MILLIS - MIN_SLOW_BODY_MILLIS);
+        for (int i = 0; i < SLOW_BODY_PIECES; i++) {
+            if (!in.staysOpen(slowMillis / SLOW_BODY_PIECES)) {
+                throw new EOFException("closed in the request");
+            }
+            if (in.available() > 0) {
+                return false;
+            }
+            write(pace.piece(content) + (i + 1 == SLOW_BODY_PIECES ? pace.end() : ""));
+        }
+        return true;
+    }
+
+    private void write(String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
     private void connect() throws IOException {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CutWatchDrainTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CutWatchDrainTest.java
@@ -54,7 +54,12 @@
             for (int i = 0; i < CALLERS; i++) {
                 FrontProcess front = fleet.fronts().get(i % fleet.fronts().size());
                 InetSocketAddress address = new InetSocketAddress(front.ip(), front.callerPort());
-                CallerStandIn caller = new CallerStandIn("c" + i, () -> List.of(address), record, true, i);
+                CallerStandIn caller = new CallerStandIn(
+                        "c" + i,
+                        () -> List.of(address),
+                        record,
+                        CallerHabits.builder().build(),
+                        i);
                 callers.add(caller);
                 threads.add(new Thread(caller, "caller " + i));
             }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FaultMix.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FaultMix.java
@@ -23,6 +23,7 @@
 
     private static final List<WorkerFault> BROKEN_OFF = List.of(WorkerFault.TRUNCATED, WorkerFault.RESET);
     private static final double BROKEN_OFF_PROBABILITY = 0.35;
+    private static final double RARE_PROBABILITY = 0.02;
 
     /** Draws a mix: none, some of all kinds, mostly repeated answers, or mostly answers that are broken off. */
     static FaultMix draw(Random random) {
@@ -40,6 +41,11 @@
         return new FaultMix(BROKEN_OFF, random.nextInt(2) * BROKEN_OFF_PROBABILITY, 0);
     }
 
+    /** Returns a mix of few answers that are broken off. */
+    static FaultMix rare() {
+        return new FaultMix(BROKEN_OFF, RARE_PROBABILITY, 0);
+    }
+
     /** Draws the fault of an answer, or none. */
     WorkerFault drawFault(Random random) {
         return random.nextDouble() < probability ? faults.get(random.nextInt(faults.size())) : WorkerFault.NONE;
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetChecksTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetChecksTest.java
@@ -14,6 +14,7 @@
 class FleetChecksTest {
     private static final String PLAIN = "/unsafe/x/1";
     private static final String STREAM = "/resumable/x/3";
+    private static final CallerAnswer.Upload UPLOAD = new CallerAnswer.Upload(BodyPace.AT_ONCE, OptionalLong.of(0));
     private static final WorkerRun RUN = run(1, "a", PLAIN, 200, "whole", WorkerRun.End.WRITTEN);
 
     private static WorkerRun run(
@@ -38,7 +39,7 @@
 
     private static CallerAnswer answer(
             String attemptId, String path, int status, String seal, String body, CallerAnswer.End end) {
-        return new CallerAnswer(attemptId, path, "f", true, 0, 1, status, "", seal, body, end, "", 0, 0);
+        return new CallerAnswer(attemptId, path, "f", true, 0, 1, status, "", seal, body, end, "", 0, 0, UPLOAD);
     }
 
     private static CallerAnswer complete(String attemptId, String path, int status, String seal, String body) {
@@ -92,7 +93,7 @@
     @Test
     void answerOfAnotherAttemptIsABreach() {
         CallerAnswer named = new CallerAnswer(
-                "b", PLAIN, "f", true, 0, 1, 200, "a", "1.w", "whole", CallerAnswer.End.COMPLETE, "", 0, 0);
+                "b", PLAIN, "f", true, 0, 1, 200, "a", "1.w", "whole", CallerAnswer.End.COMPLETE, "", 0, 0, UPLOAD);
         assertMixed(history(named, RUN), "MIXED answer of another attempt");
         assertMixed(history(complete("b", PLAIN, 200, "1.w", "whole"), RUN), "MIXED answer of another request");
     }
@@ -128,7 +129,7 @@
     void bytesThatAnswerNothingAreABreach() {
         assertMixed(history(complete("a", PLAIN, -1, "", "")), "MIXED bytes that are no answer");
         CallerAnswer stray = new CallerAnswer(
-                "a", PLAIN, "f", true, 0, 1, 200, "a", "1.w", "whole", CallerAnswer.End.COMPLETE, "", 0, 4);
+                "a", PLAIN, "f", true, 0, 1, 200, "a", "1.w", "whole", CallerAnswer.End.COMPLETE, "", 0, 4, UPLOAD);
         assertMixed(history(stray, RUN), "MIXED bytes with no request waiting");
     }
 
@@ -178,7 +179,8 @@
                 CallerAnswer.End.COMPLETE,
                 "a",
                 2,
-                0);
+                0,
+                UPLOAD);
         assertThat(
                 FleetChecks.order(new FleetHistory(List.of(), List.of(begun, rest))),
                 contains(startsWith("ORDER event 3 of version v2")));
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
@@ -142,7 +142,7 @@
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < CALLERS; i++) {
             CallerStandIn caller =
-                    new CallerStandIn("c" + i, this::runningFronts, record, i % 3 != 0, kinds(i), random.nextLong());
+                    new CallerStandIn("c" + i, this::runningFronts, record, habits(i), random.nextLong());
             callers.add(caller);
             threads.add(new Thread(caller, "caller " + i));
         }
@@ -168,11 +168,12 @@
                 .toList();
     }
 
-    /** Returns the kinds of a caller's requests; where workers restart, every other caller sends streams only. */
-    private List<AttemptKind> kinds(int caller) {
+    /** Returns how a caller sends; where workers restart, every other caller sends streams only. */
+    private CallerHabits habits(int caller) {
+        CallerHabits.Builder habits = CallerHabits.builder().keepsConnection(caller % 3 != 0);
         return restartTraits.isEmpty() || caller % 2 == 0
-                ? List.of(AttemptKind.values())
-                : List.of(AttemptKind.RESUMABLE);
+                ? habits.build()
+                : habits.kinds(AttemptKind.RESUMABLE).build();
     }
 
     private void startWorker(int place, String id, int version) {
@@ -184,7 +185,8 @@
                 entryDelayMillis,
                 restartTraits.contains(RestartTrait.BEATS),
                 restartTraits.contains(RestartTrait.REPORTS),
-                skewMillis[place]);
+                skewMillis[place],
+                WorkerStatements.SLOTS);
         WorkerStandIn worker = new WorkerStandIn(
                 fleet.store(),
                 record,
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
 /** One connection to a worker, which serves one request at a time. */
@@ -226,7 +227,9 @@
 
     private boolean plain(Output output, WorkerFault fault, long limitMillis) throws IOException {
         WorkerRun run = output.run;
-        int millis = worker.draw(LONG_INTERVAL) == 0 ? worker.draw(MAX_LONG_MILLIS) : worker.draw(MAX_PLAIN_MILLIS);
+        int drawnMillis =
+                worker.draw(LONG_INTERVAL) == 0 ? worker.draw(MAX_LONG_MILLIS) : worker.draw(MAX_PLAIN_MILLIS);
+        int millis = AttemptKind.stepMillis(run.path()).orElse(drawnMillis);
         if (!staysOpen(fault == WorkerFault.SILENT ? limitMillis : Math.min(millis, limitMillis))) {
             throw new IOException("the caller left");
         }
@@ -297,8 +300,9 @@
         if (endsAfterRepetition) {
             throw new IOException("ended by a repeated answer");
         }
+        OptionalInt askedMillis = AttemptKind.stepMillis(run.path());
         for (int id = run.afterEvent() + 1; id <= breakAfter; id++) {
-            if (!staysOpen(worker.draw(maxEventMillis)) || System.nanoTime() > endNanos) {
+            if (!staysOpen(askedMillis.orElse(worker.draw(maxEventMillis))) || System.nanoTime() > endNanos) {
                 if (framing == Framing.CONNECTION && !worker.crashed()) {
                     reset();
                 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
@@ -25,7 +25,6 @@
     static final String REPORT_PATH = "/whinwharf/report";
 
     private static final int BACKLOG = 128;
-    private static final int SLOTS = 4;
     private static final int MAX_QUEUED = 2;
     private static final long MAX_QUEUE_MILLIS = 300;
     private static final long BEAT_MILLIS = 1_200;
@@ -42,7 +41,7 @@
     private final StreamEnds streamEnds;
     private volatile FaultMix faults;
     private final Random random;
-    private final Semaphore slots = new Semaphore(SLOTS, true);
+    private final Semaphore slots;
     private final AtomicInteger queued = new AtomicInteger();
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final WorkerStatements statements;
@@ -115,6 +114,7 @@
         this.streamEnds = streamEnds;
         this.faults = faults;
         this.statements = statements;
+        slots = new Semaphore(statements.slots(), true);
         bornMillis = System.currentTimeMillis() + statements.skewMillis();
         random = new Random(seed);
     }
@@ -178,7 +178,8 @@
                 "servers/" + identity.id(),
                 "{\"service\":\"" + identity.service() + "\",\"address\":\""
                         + address.getAddress().getHostAddress() + ":" + address.getPort() + "\",\"zone\":\""
-                        + identity.zone() + "\",\"version\":\"" + identity.version() + "\",\"slots\":" + SLOTS
+                        + identity.zone() + "\",\"version\":\"" + identity.version() + "\",\"slots\":"
+                        + statements.slots()
                         + ",\"state\":\"" + entryState + "\",\"cold-left-ms\":0,\"seq\":" + (entries - 1) + ",\"born\":"
                         + bornMillis + "}");
     }
@@ -270,7 +271,7 @@
                 .map(run -> "[\"" + run.getKey() + "\",0," + run.getValue() + ",0]")
                 .collect(Collectors.joining(","));
         return Optional.of("{\"stage\":\"both\",\"models\":[],\"busy\":false,\"seq\":0,\"queued\":" + queued.get()
-                + ",\"active\":" + (SLOTS - slots.availablePermits())
+                + ",\"active\":" + (statements.slots() - slots.availablePermits())
                 + ",\"kv-used\":0,\"kv-total\":90000,\"handles\":0,\"state\":\""
                 + (leavingSinceNanos.isPresent() ? DRAINING : READY) + "\",\"runs\":[" + runs + "],\"born\":"
                 + bornMillis
