Move requests that wait at a leaving coordinator to the next one

Cause: a queued request was repeated to the coordinator that it was sent to until that one was silent. A front that stops goes on placing them until it halts, beside the next coordinator, which knows the runs of the first from lists up to a second old; at the halt they lose up to 300 ms until they are repeated and the time after which a coordinator counts as silent.

Change: each process withdraws its queued requests once it knows that their coordinator leaves and another one is ranked, and asks that one. This counts as no coordinator that was tried in vain.

Result: CoordinatorStopTest, red before (6 of 6 requests still there after 20 s), passes: 6 of 6 wait at the next coordinator and none at the leaving one. FleetTest, CoordinationTest, SeveralCoordinatorsTest and PlacementTurnTest pass.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -241,14 +241,17 @@
         }
     }
 
-    /** Resends unanswered placement requests, skips silent coordinators and advances the local coordinator. */
+    /**
+     * Resends unanswered placement requests, skips silent and leaving coordinators and advances the local coordinator.
+     */
     void tick() {
         long nowMillis = ticker.nowMillis();
         coordinator.advance(nowMillis);
-        for (PlacementTicket ticket : List.copyOf(tickets.values())) {
-            if (!ticket.settled() && !ticket.coordinatorName().equals(settings.name())) {
-                checkUnplaced(ticket, nowMillis);
-            }
+        List<PlacementTicket> unplaced =
+                tickets.values().stream().filter(ticket -> !ticket.settled()).toList();
+        if (!unplaced.isEmpty()) {
+            Set<String> leaving = members.leavingNames();
+            unplaced.forEach(ticket -> checkUnplaced(ticket, leaving, nowMillis));
         }
         if (nowMillis - runsReportedAtMillis >= RUN_REPORT_INTERVAL_MILLIS) {
             runsReportedAtMillis = nowMillis;
@@ -256,7 +259,21 @@
         }
     }
 
-    private void checkUnplaced(PlacementTicket ticket, long nowMillis) {
+    private void checkUnplaced(PlacementTicket ticket, Set<String> leaving, long nowMillis) {
+        if (ticket.settled()) {
+            // A report on another ticket may have settled it.
+            return;
+        }
+        if (ticket.isQueued() && leaving.contains(ticket.coordinatorName()) && hasOtherCoordinator(ticket, leaving)) {
+            // At the old coordinator it would wait until that one halts, and compete with what the next one places.
+            report(ticket, RunEvent.RUN_GIVEN_UP, 0);
+            ticket.withdrawn();
+            sendToCoordinator(ticket);
+            return;
+        }
+        if (ticket.coordinatorName().equals(settings.name())) {
+            return;
+        }
         if (ticket.isQueued()) {
             if (nowMillis - ticket.requestedAtMillis() >= QUEUED_REFRESH_INTERVAL_MILLIS) {
                 ticket.refreshed(nowMillis);
@@ -275,6 +292,13 @@
         }
     }
 
+    private boolean hasOtherCoordinator(PlacementTicket ticket, Set<String> leaving) {
+        return selection.ranking(ticket.service()).stream()
+                .findFirst()
+                .filter(next -> !leaving.contains(next.getName()))
+                .isPresent();
+    }
+
     /** Reports the progress of a ticket's request to its coordinator. */
     void report(PlacementTicket ticket, RunEvent event, long tookMillis) {
         report(ticket, event, tookMillis, 0);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -120,6 +120,11 @@
         coordinatorsTried++;
     }
 
+    /** Records that the request was withdrawn from its coordinator, which did reply: no coordinator counts as tried. */
+    void withdrawn() {
+        coordinatorsTried = 0;
+    }
+
     /** Records that the placement request of a queued request was repeated, to check that it is still queued. */
     void refreshed(long nowMillis) {
         stage = Stage.REQUESTED;
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -319,6 +320,25 @@
         return serving;
     }
 
+    /**
+     * Returns the names of the processes that have reported a planned stop, this one included.
+     *
+     * @return names, in a new set
+     */
+    public Set<String> leavingNames() {
+        Set<String> names = new HashSet<>();
+        if (localReport.getPhase() == MemberPhase.MEMBER_LEAVING) {
+            names.add(localReport.getName());
+        }
+        for (Entry entry : remoteMembers.values()) {
+            MemberReport report = entry.member.report();
+            if (report.getPhase() == MemberPhase.MEMBER_LEAVING) {
+                names.add(report.getName());
+            }
+        }
+        return names;
+    }
+
     /**
      * Returns a random sample of the processes that serve callers; it includes this process if it serves.
      *
