--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -352,6 +352,7 @@
     /** Asks this front, as a peer does, for a connection to a target. */
     Socket openRelay(String targetId) throws IOException {
         Socket socket = new Socket(ip, RELAY_PORT);
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         byte[] open = RelayOpen.newBuilder()
                 .setFrom("peer")
                 .setTarget(targetId)
