Close idle connections through a peer that stops

Cause: a peer kept idle relayed connections through a front that stops until a request would have used them or they were stale. The stop waits for all relayed connections, so it lasted as long as targets keep connections, up to the whole grace period, with nothing in flight.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnection.java
@@ -200,6 +200,11 @@
         return nowMillis - idleSinceMillis;
     }
 
+    /** Tells whether the way to the target can be used for a further request. */
+    boolean linkUsable() {
+        return link.usable();
+    }
+
     /** Tells whether the connection is open and carries no request. */
     boolean usable() {
         return phase == Phase.IDLE && !link.inputEnded() && link.usable() && decoder.isBetweenResponses();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetConnectionPool.java
@@ -197,12 +197,15 @@
         return connector.replacedSince(target, sinceMillis);
     }
 
-    /** Closes connections that have been idle for longer than their keep-alive time. */
+    /**
+     * Closes connections that have been idle for longer than their keep-alive time, and those through a peer that is
+     * not used any longer: a peer that stops waits for their end.
+     */
     void closeStale() {
         long nowMillis = ticker.nowMillis();
         for (Iterator<TargetConnection> connections = idle.iterator(); connections.hasNext(); ) {
             TargetConnection connection = connections.next();
-            if (connection.stale(nowMillis)) {
+            if (connection.stale(nowMillis) || !connection.linkUsable()) {
                 connections.remove();
                 connection.close();
             }
