--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreDecoderTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreDecoderTest.java
@@ -6,8 +6,12 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.whinwharf.traffic.catalog.Catalog;
 import org.whinwharf.traffic.catalog.Organisation;
@@ -27,6 +31,19 @@
             + "'tenants':[{'name':'o','api-keys':['k'],'priority':1,'plain-tokens':200,'rate-per-s':36000,"
             + "'burst':36000}]}";
 
+    private static final String REST = "'cold-left-ms':0,'seq':1}";
+
+    /** A sound entry: the JSON values of its members by their names. */
+    private static final Map<String, String> ENTRY = Map.of(
+            "service", "\"s\"",
+            "address", "\"10.0.0.1:1\"",
+            "zone", "\"z\"",
+            "version", "\"v\"",
+            "slots", "7",
+            "state", "\"ready\"",
+            "cold-left-ms", "0",
+            "seq", "1");
+
     private static byte[] json(String text) {
         return text.replace('\'', '"').getBytes(StandardCharsets.UTF_8);
     }
@@ -77,18 +94,18 @@
                 "",
                 "\u0000\u0001",
                 "[]",
-                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'v','slots':7,'state':'resting'}",
-                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'v','slots':'7','state':'ready'}",
-                "{'service':'s','address':'nowhere','zone':'z','version':'v','slots':7,'state':'ready'}",
-                "{'service':'s','address':'10.0.0.1:0','zone':'z','version':'v','slots':7,'state':'ready'}",
-                "{'service':'s','address':'10.0.0.1:65536','zone':'z','version':'v','slots':7,'state':'ready'}",
-                "{'service':'s','address':'10.0.0.256:1','zone':'z','version':'v','slots':7,'state':'ready'}",
-                "{'service':'s','address':'999.0.0.1:1','zone':'z','version':'v','slots':7,'state':'ready'}",
-                "{'service':5,'address':'10.0.0.1:1','zone':'z','version':'v','slots':7,'state':'ready'}",
-                "{'service':'s','address':'10.0.0.1:1','version':'v','slots':7,'state':'ready'}",
-                "{'service':'s','address':'10.0.0.1:1','zone':'z','slots':7,'state':'ready'}",
-                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':2,'slots':7,'state':'ready'}",
-                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'','slots':7,'state':'ready'}"
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'v','slots':7,'state':'resting'," + REST,
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'v','slots':'7','state':'ready'," + REST,
+                "{'service':'s','address':'nowhere','zone':'z','version':'v','slots':7,'state':'ready'," + REST,
+                "{'service':'s','address':'10.0.0.1:0','zone':'z','version':'v','slots':7,'state':'ready'," + REST,
+                "{'service':'s','address':'10.0.0.1:65536','zone':'z','version':'v','slots':7,'state':'ready'," + REST,
+                "{'service':'s','address':'10.0.0.256:1','zone':'z','version':'v','slots':7,'state':'ready'," + REST,
+                "{'service':'s','address':'999.0.0.1:1','zone':'z','version':'v','slots':7,'state':'ready'," + REST,
+                "{'service':5,'address':'10.0.0.1:1','zone':'z','version':'v','slots':7,'state':'ready'," + REST,
+                "{'service':'s','address':'10.0.0.1:1','version':'v','slots':7,'state':'ready'," + REST,
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','slots':7,'state':'ready'," + REST,
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':2,'slots':7,'state':'ready'," + REST,
+                "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'','slots':7,'state':'ready'," + REST
             })
     void malformedEntryYieldsNoTarget(String text) {
         assertThat(StoreDecoder.target("i-1", json(text)).isPresent(), is(false));
@@ -98,8 +115,93 @@
     @Test
     void deeplyNestedEntryYieldsNoTarget() {
         String entry = "{'service':'s','address':'10.0.0.1:1','zone':'z','version':'v','slots':7,'state':'ready','x':";
-        assertThat(StoreDecoder.target("i-1", json(entry + "[]}")).isPresent(), is(true));
+        assertThat(StoreDecoder.target("i-1", json(entry + "[]," + REST)).isPresent(), is(true));
         String deep = "[".repeat(900) + "]".repeat(900);
-        assertThat(StoreDecoder.target("i-1", json(entry + deep + "}")).isPresent(), is(false));
+        assertThat(StoreDecoder.target("i-1", json(entry + deep + "," + REST)).isPresent(), is(false));
+    }
+
+    /** Guards against an entry of another writer that lacks one field and sends requests to a foreign service. */
+    @ParameterizedTest
+    @ValueSource(strings = {"service", "address", "zone", "version", "slots", "state", "cold-left-ms", "seq"})
+    void entryThatLacksAFieldYieldsNoTarget(String name) {
+        assertThat(isTarget(Map.of()), is(true));
+        Map<String, String> members = new LinkedHashMap<>(ENTRY);
+        members.remove(name);
+        assertThat(StoreDecoder.target("i-1", entry(members)).isPresent(), is(false));
+    }
+
+    /** Guards against an entry of another writer with a field of another type or out of range that counts as sound. */
+    @ParameterizedTest
+    @CsvSource({
+        "service, '\"\"'",
+        "address, 7",
+        "zone, '\"\"'",
+        "version, true",
+        "slots, 4.5",
+        "slots, -1",
+        "slots, 4294967297",
+        "state, '[\"ready\"]'",
+        "cold-left-ms, '\"0\"'",
+        "cold-left-ms, null",
+        "cold-left-ms, -1",
+        "cold-left-ms, 1e999",
+        "cold-left-ms, 9223372036854775807",
+        "seq, '\"1\"'",
+        "seq, 1.5",
+        "seq, -1",
+        "seq, {}",
+        "born, '\"1\"'",
+        "born, 1.5",
+        "born, -1",
+        "stage, 1",
+        "models, {}",
+        "models, [7]",
+        "models, [{}]"
+    })
+    void entryWithAnUnsoundFieldYieldsNoTarget(String name, String value) {
+        assertThat(isTarget(Map.of(name, value)), is(false));
+    }
+
+    /** Guards against bytes that only begin like an entry, or that hold two, and count as one. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "{}", "}"})
+    void entryWithOtherBytesBehindItYieldsNoTarget(String bytes) {
+        String entry = new String(entry(ENTRY), StandardCharsets.UTF_8);
+        assertThat(StoreDecoder.target("i-1", json(entry + bytes)).isPresent(), is(false));
+    }
+
+    /** Guards against an entry that names two services, of which the reader picks one. */
+    @Test
+    void entryWithAMemberThatComesTwiceYieldsNoTarget() {
+        assertThat(isTarget(Map.of("slots", "4,\"service\":\"t\"")), is(false));
+    }
+
+    /** Guards against workers that are out of use because a later release adds fields to their entries. */
+    @ParameterizedTest
+    @CsvSource({
+        "new-field, '{\"a\":[1]}'",
+        "new-field, null",
+        "cold-left-ms, 12.5",
+        "seq, 0",
+        "born, 1780220182119",
+        "stage, '\"both\"'",
+        "models, []",
+        "models, '[{\"name\":\"m\",\"version\":1,\"new-field\":2}]'"
+    })
+    void entryWithFurtherFieldsYieldsATarget(String name, String value) {
+        assertThat(isTarget(Map.of(name, value)), is(true));
+    }
+
+    private static boolean isTarget(Map<String, String> changed) {
+        Map<String, String> members = new LinkedHashMap<>(ENTRY);
+        members.putAll(changed);
+        return StoreDecoder.target("i-1", entry(members)).isPresent();
+    }
+
+    private static byte[] entry(Map<String, String> members) {
+        return members.entrySet().stream()
+                .map(member -> "\"" + member.getKey() + "\":" + member.getValue())
+                .collect(Collectors.joining(",", "{", "}"))
+                .getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreHistoryTest.java
@@ -234,7 +234,7 @@
         store.put(
                 "servers/" + id,
                 "{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\",\"version\":\"" + version
-                        + "\",\"slots\":4,\"state\":\"ready\",\"born\":1}");
+                        + "\",\"slots\":4,\"state\":\"ready\",\"cold-left-ms\":0,\"seq\":1,\"born\":1}");
     }
 
     private TargetHistory read() throws Exception {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/StoreWatchTest.java
@@ -225,8 +225,8 @@
                 "{",
                 "[]",
                 "{\"state\":\"draining\"}",
-                "{\"service\":\"s\",\"address\":\"ADDRESS\",\"zone\":\"z\",\"version\":\"v\",\"slots\":0,\"state\":\"draining\"}",
-                "{\"service\":\"s\",\"address\":\"ADDRESS\",\"zone\":\"z\",\"version\":\"v\",\"slots\":4,\"state\":\"stopped\"}"
+                "{\"service\":\"s\",\"address\":\"ADDRESS\",\"zone\":\"z\",\"version\":\"v\",\"slots\":0,\"state\":\"draining\",\"cold-left-ms\":0,\"seq\":1}",
+                "{\"service\":\"s\",\"address\":\"ADDRESS\",\"zone\":\"z\",\"version\":\"v\",\"slots\":4,\"state\":\"stopped\",\"cold-left-ms\":0,\"seq\":1}"
             })
     void workerWhoseEntryBecomesInvalidGetsNoRequests(String invalid) throws Exception {
         try (ServerSocket worker = new ServerSocket(0, 50, InetAddress.getByName(ip))) {
@@ -248,6 +248,32 @@
         }
     }
 
+    /**
+     * Guards against requests that run at a worker of another service, under whose id another writer has written an
+     * entry that lacks a field.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"cold-left-ms", "seq"})
+    void entryThatLacksAFieldLeadsNoRequestsToAWorkerOfAnotherService(String missing) throws Exception {
+        try (ServerSocket worker = new ServerSocket(0, 50, InetAddress.getByName(ip))) {
+            Thread thread = new Thread(() -> answerAll(worker), "worker");
+            thread.setDaemon(true);
+            thread.start();
+            String allowed =
+                    ("{" + String.join(",", WORKER) + "}").replace("127.0.0.1:9", ip + ":" + worker.getLocalPort());
+            String route = ",{" + String.join(",", ROUTE) + "}";
+            publishVersion(route, "", "");
+            store.put("servers/a", allowed.replace("\"service\":\"s\"", "\"service\":\"other\""));
+            assertThat("route known", await(() -> statusOf("/a/x").equals("503"), READ_TIMEOUT_MILLIS), is(true));
+            store.put("servers/a", allowed.replace("\"" + missing + "\":", "\"x\":"));
+            publishVersion(route, "", "");
+            assertThat("entry read", inForce(APPLY_LIMIT_MILLIS), is(true));
+            for (int i = 0; i < 5; i++) {
+                assertThat(statusOf("/a/x"), is("503"));
+            }
+        }
+    }
+
     /** Answers one request on each connection. */
     private static void answerAll(ServerSocket worker) {
         while (!worker.isClosed()) {
