--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -576,7 +576,7 @@
     private void drain(long nowMillis) {
         if (!plannedStop.expectsCallers()) {
             callers.stop();
-            List.copyOf(connections).forEach(connection -> connection.drain(nowMillis));
+            List.copyOf(connections).forEach(connection -> tasks.run("connections", () -> connection.drain(nowMillis)));
         }
         PlannedStop.Work work = work();
         if (!plannedStop.ended() && plannedStop.ends(work)) {
