Let the relay server refuse while its front stops, and log what it cuts

Cause: a front that stops opened relayed connections until it halted, for peers that had not heard of the stop, and cut what ran over them. Nothing told which connections the halt had cut.

Change: RelayServer.leave refuses further connections; the peer asks another front then. RelayServer.logOpen writes relay-cut for each open one, at most 32, as the log's ring takes them. The unused stop is gone. Front calls neither yet: relays.leave() belongs where it reports that it leaves, relays.logOpen() where its grace period ends.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -599,6 +599,17 @@
                 .call();
     }
 
+    /** Logs that the end of this process cuts a connection that it relays for a peer. */
+    static void relayCut(String peer, String targetId, long ageMillis, long receivedBytes, int otherConnections) {
+        EventLog.event(LogEvent.RELAY_CUT)
+                .with(EventField.PEER, peer)
+                .with(EventField.TARGET, targetId)
+                .with(EventField.AGE_MILLIS, ageMillis)
+                .with(EventField.RECEIVED_BYTES, receivedBytes)
+                .with(EventField.OTHER_CONNECTIONS, otherConnections)
+                .call();
+    }
+
     static void unreachable(Target target, long tookMillis, TargetRegistry.Reach reach) {
         EventLog event = EventLog.event(LogEvent.TARGET_UNREACHABLE)
                 .with(EventField.TARGET, target.id())
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RelayServer.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RelayServer.java
@@ -17,6 +17,8 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.util.ReferenceCountUtil;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import org.whinwharf.time.Ticker;
 import org.whinwharf.wire.fleet.RelayOpen;
@@ -33,6 +35,8 @@
 final class RelayServer {
     /** Maximum number of relay connections; their write buffers may then hold a sixth of this process's memory. */
     static final int MAX_CONNECTIONS = 256;
+    /** Maximum number of connections of which a log event of their own tells that they are cut. */
+    private static final int MAX_LOGGED_CONNECTIONS = 32;
     /** Connect timeout to the target, within the time for which a peer waits for the answer. */
     private static final int CONNECT_TIMEOUT_MILLIS = 200;
     /** Limits on the bytes queued for a slow side; above the high one, reading from the other side is suspended. */
@@ -42,8 +46,9 @@
     private final Ticker ticker;
     private final TargetRegistry targets;
     private final OwnReach ownReach;
+    private final Set<PeerSide> openSides = new LinkedHashSet<>();
     private Channel server;
-    private int connectionCount;
+    private boolean leaving;
 
     RelayServer(EventLoopGroup loop, Ticker ticker, TargetRegistry targets, OwnReach ownReach) {
         this.loop = loop;
@@ -71,16 +76,27 @@
                 .channel();
     }
 
-    /** Stops accepting relay connections; those that are open stay. */
-    void stop() {
-        if (server != null) {
-            server.close();
-        }
+    /** Refuses further connections, since this process ends and would cut them; those that are open stay. */
+    void leave() {
+        leaving = true;
+    }
+
+    /** Logs the open connections, which the end of this process cuts. */
+    void logOpen() {
+        long nowMillis = ticker.nowMillis();
+        openSides.stream()
+                .limit(MAX_LOGGED_CONNECTIONS)
+                .forEach(side -> FrontLog.relayCut(
+                        side.from,
+                        side.targetId,
+                        nowMillis - side.openedAtMillis,
+                        side.receivedBytes,
+                        openSides.size() - 1));
     }
 
     /** Returns the number of open relay connections. */
     int connectionCount() {
-        return connectionCount;
+        return openSides.size();
     }
 
     /** Side of a relay connection towards the peer. */
@@ -90,7 +106,6 @@
         private String from = "";
         private String targetId = "";
         private long openedAtMillis;
-        private boolean counted;
         private long receivedBytes;
 
         @Override
@@ -132,7 +147,7 @@
             from = request.getFrom();
             targetId = request.getTarget();
             TargetEntry entry = targets.entry(targetId);
-            if (connectionCount >= MAX_CONNECTIONS) {
+            if (leaving || openSides.size() >= MAX_CONNECTIONS) {
                 refuse(RelayOutcome.RELAY_REFUSED);
             } else if (entry == null || targets.isOut(entry) || targets.paths().needsRelay(targetId)) {
                 refuse(RelayOutcome.RELAY_NO_PATH);
@@ -142,8 +157,7 @@
         }
 
         private void connect(TargetEntry entry) {
-            counted = true;
-            connectionCount++;
+            openSides.add(this);
             new Bootstrap()
                     .group(context.channel().eventLoop())
                     .channelFactory(TargetSocketChannel::new)
@@ -199,9 +213,7 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext inactiveContext) {
-            if (counted) {
-                connectionCount--;
-            }
+            openSides.remove(this);
             if (target != null) {
                 target.close();
             }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -230,6 +230,14 @@
     FAILURE_DISMISSED(Level.INFO, EventField.TARGET, EventField.REASON, EventField.PEER),
     /** A peer asked for a connection to a target. */
     RELAY_ANSWERED(Level.INFO, EventField.PEER, EventField.TARGET, EventField.STATUS, EventField.TOTAL_MILLIS),
+    /** The end of this process cuts a connection that it relays for a peer. */
+    RELAY_CUT(
+            Level.WARN,
+            EventField.PEER,
+            EventField.TARGET,
+            EventField.AGE_MILLIS,
+            EventField.RECEIVED_BYTES,
+            EventField.OTHER_CONNECTIONS),
     /** A peer was heard from for the first time, or with a new incarnation. */
     MEMBER_HEARD(Level.INFO, EventField.PEER, EventField.INCARNATION, EventField.STATUS),
     /** The coordinator that this process uses for a service changed. */
