Test the watch of a data centre whose watchers leave

The next in rank does not watch while the three designated watchers leave: they count until they have been silent for the suspect timeout, 3 s in a large fleet.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/ItemFeedTest.java
@@ -383,6 +383,18 @@
         assertThat(feed.shouldWatch(), is(false));
     }
 
+    /** Guards against a data centre without a watch from the end of watchers that stop until they count as silent. */
+    @Test
+    void watchersThatLeaveAreReplacedWhileTheyStillRun() {
+        receiveReportsOfLowerRankedFronts();
+        List<String> watchers = List.of("front-01", "front-02", "front-03");
+        watchers.forEach(name -> members.receive(report(name, 41, true), nowMillis));
+        assertThat(feed.shouldWatch(), is(false));
+        watchers.forEach(name ->
+                members.receive(new MemberHeartbeat(name.hashCode(), 1, 2, MemberPhase.MEMBER_LEAVING), nowMillis));
+        assertThat(feed.shouldWatch(), is(true));
+    }
+
     /** Guards against one item whose handling fails and that keeps the items behind it out of force. */
     @Test
     void itemWhoseHandlingFailsDoesNotKeepOthersBack() {
