Watch in place of watchers that leave while they still run

Cause: a process that leaves kept its rank among the watchers of its data centre until it had been silent for the suspect timeout, 3 s in a large fleet, so that its successor began to watch only then.

Change: processes that leave do not count in the rank. They go on watching themselves until they end.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/WatcherRole.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/WatcherRole.java
@@ -4,6 +4,7 @@
 import org.whinwharf.time.Ticker;
 import org.whinwharf.traffic.member.Member;
 import org.whinwharf.traffic.member.MemberTable;
+import org.whinwharf.wire.fleet.MemberPhase;
 import org.whinwharf.wire.fleet.MemberReport;
 
 /**
@@ -85,13 +86,17 @@
         return alive.size() < SMALL_FLEET_LIMIT ? 0 : rankInDataCentre(alive);
     }
 
-    /** Returns how many live processes of this data centre precede this one by name. */
+    /**
+     * Returns how many live processes of this data centre precede this one by name. Those that leave do not count, so
+     * that their successors watch before they end.
+     */
     private int rankInDataCentre(List<Member> alive) {
         int rank = 0;
         for (Member member : alive) {
             MemberReport report = member.report();
             boolean sameDataCentre = report.getDataCentre().equals(settings.dataCentre());
-            if (sameDataCentre && report.getName().compareTo(settings.name()) < 0) {
+            boolean leaving = report.getPhase() == MemberPhase.MEMBER_LEAVING;
+            if (sameDataCentre && !leaving && report.getName().compareTo(settings.name()) < 0) {
                 rank++;
             }
         }
