Refuse further relayed connections as soon as a stop begins

Front tells its relay server of the stop, and has it log the connections that the end of the stop cuts. Peers that have not learned of the stop yet ask another front.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
@@ -158,10 +158,11 @@
         try (Socket first = front.connect();
                 Socket second = front.connect();
                 Socket queued = front.connect()) {
-            // One request runs and one waits at the engine, so that the next one is queued at the front.
             FakeTarget.write(first, FrontFixture.request("POST", "/safe/x", "endless-1", true));
+            FrontFixture.await(() -> attempts().size() == 1);
+            // One request runs and one waits at the engine, so that the next one is queued at the front.
             FakeTarget.write(second, FrontFixture.request("POST", "/safe/x", "endless-2", true));
-            FrontFixture.await(() -> target.requests().size() == 2);
+            FrontFixture.await(() -> attempts().size() == 2);
             FakeTarget.write(queued, FrontFixture.request("POST", "/unsafe/x", "queued", true));
             front.front().stop();
             String response = FrontFixture.readAll(queued);
@@ -181,8 +182,8 @@
         try (Socket first = front.connect();
                 Socket second = front.connect();
                 Socket queued = front.connect()) {
-            // One request runs and one waits at the engine, so that the next one is queued at the front.
             FakeTarget.write(first, FrontFixture.request("POST", "/stream/x", "stream-first", true));
+            FrontFixture.await(() -> attempts().size() == 1);
             FakeTarget.write(second, FrontFixture.request("POST", "/safe/x", "endless", true));
             FrontFixture.await(() -> attempts().size() == 2);
             front.front().stop();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -378,6 +378,7 @@
             }
             phase = MemberPhase.MEMBER_LEAVING;
             plannedStop.begin(settings.stopGraceMillis(), work());
+            relays.leave();
             phaseChanged();
         });
     }
@@ -581,6 +582,7 @@
         PlannedStop.Work work = work();
         if (!plannedStop.ended() && plannedStop.ends(work)) {
             plannedStop.end(work);
+            relays.logOpen();
             // Queued ones first, so that slots which the others free do not go to them.
             exchanges.stream()
                     .sorted(Comparator.comparing(CallerExchange::mayHaveExecuted))
