--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/AttemptKind.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/AttemptKind.java
@@ -16,6 +16,7 @@
     static final int TIMEOUT_MILLIS = 3_000;
 
     private static final Pattern STEP = Pattern.compile("/(\\d+)ms/");
+    private static final Pattern LINES = Pattern.compile("/(\\d+)lines/");
 
     private final String method;
     private final String prefix;
@@ -67,9 +68,23 @@
         return prefix + name + "/" + stepMillis + "ms/" + events;
     }
 
+    /** Returns the path of a request that is no stream, and names the time of its run and the lines of its answer. */
+    String pathOfLarge(String name, int runMillis, int lines) {
+        return prefix + name + "/" + runMillis + "ms/" + lines + "lines/1";
+    }
+
+    /** Returns the lines that the path names for the answer to a request that is no stream; empty if none. */
+    static OptionalInt lines(String path) {
+        return number(LINES, path);
+    }
+
     /** Returns the time that the path names for each step of the run; empty if the worker draws it. */
     static OptionalInt stepMillis(String path) {
-        Matcher matcher = STEP.matcher(path);
+        return number(STEP, path);
+    }
+
+    private static OptionalInt number(Pattern pattern, String path) {
+        Matcher matcher = pattern.matcher(path);
         return matcher.find() ? OptionalInt.of(Integer.parseInt(matcher.group(1))) : OptionalInt.empty();
     }
 
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerHabits.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerHabits.java
@@ -12,6 +12,7 @@
  * @param timeoutMillis time limit of each attempt
  * @param maxRunMillis bound of the time that its requests ask their workers to take; 0 if the workers draw it
  * @param slowBodyInterval one of so many bodies is sent slowly; none if 0
+ * @param slowlyReadLines lines of its answers, which it reads slowly; 0 if the workers draw them
  */
 record CallerHabits(
         boolean keepsConnection,
@@ -20,7 +21,8 @@
         int leftInterval,
         int timeoutMillis,
         int maxRunMillis,
-        int slowBodyInterval) {
+        int slowBodyInterval,
+        int slowlyReadLines) {
     /** Returns a builder with the usual habits: a kept connection, short pauses, and requests of all kinds. */
     static Builder builder() {
         return new Builder();
@@ -35,6 +37,7 @@
         private int timeoutMillis = AttemptKind.TIMEOUT_MILLIS;
         private int maxRunMillis;
         private int slowBodyInterval;
+        private int slowlyReadLines;
 
         private Builder() {}
 
@@ -73,6 +76,11 @@
             return this;
         }
 
+        Builder slowlyReadLines(int value) {
+            slowlyReadLines = value;
+            return this;
+        }
+
         CallerHabits build() {
             return new CallerHabits(
                     keepsConnection,
@@ -81,7 +89,8 @@
                     leftInterval,
                     timeoutMillis,
                     maxRunMillis,
-                    slowBodyInterval);
+                    slowBodyInterval,
+                    slowlyReadLines);
         }
     }
 }
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/CallerStandIn.java
@@ -34,6 +34,9 @@
     private static final int MAX_STEP_MILLIS = 400;
     private static final int MIN_SLOW_BODY_MILLIS = 600;
     private static final int MAX_SLOW_BODY_MILLIS = 6_000;
+    /** Size of the receive buffer of a slow reader, which leaves the rest of an answer at the other side. */
+    private static final int SLOW_RECEIVE_BYTES = 65_536;
+
     private static final int SLOW_BODY_PIECES = 12;
 
     private final String name;
@@ -112,6 +115,9 @@
             return kind.prefix() + request + "/" + (1 + random.nextInt(MAX_EVENTS));
         }
         int runMillis = MIN_RUN_MILLIS + random.nextInt(habits.maxRunMillis() - MIN_RUN_MILLIS);
+        if (habits.slowlyReadLines() > 0) {
+            return kind.pathOfLarge(request, runMillis, habits.slowlyReadLines());
+        }
         int events = kind.streaming() ? 1 + runMillis / MAX_STEP_MILLIS : 1;
         return kind.path(request, runMillis / events, events);
     }
@@ -248,8 +254,11 @@
         Socket opened = new Socket();
         try {
             opened.setTcpNoDelay(true);
+            if (habits.slowlyReadLines() > 0) {
+                opened.setReceiveBufferSize(SLOW_RECEIVE_BYTES);
+            }
             opened.connect(choice.get(random.nextInt(choice.size())), CONNECT_MILLIS);
-            in = new HttpReader(opened);
+            in = habits.slowlyReadLines() > 0 ? HttpReader.slow(opened) : new HttpReader(opened);
             socket = opened;
         } catch (IOException e) {
             opened.close();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FleetPlay.java
@@ -186,6 +186,7 @@
                 restartTraits.contains(RestartTrait.BEATS),
                 restartTraits.contains(RestartTrait.REPORTS),
                 skewMillis[place],
+                false,
                 WorkerStatements.SLOTS);
         WorkerStandIn worker = new WorkerStandIn(
                 fleet.store(),
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontProcess.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -23,6 +24,9 @@
     private static final List<Integer> PEER_PORTS = List.of(7600, 7615);
     private static final int WORKER_HEARTBEAT_MILLIS = 1_200;
     private static final long EXIT_TIMEOUT_SECONDS = 20;
+    /** Usual time that the platform leaves a process to stop. */
+    static final int GRACE_SECONDS = 8;
+
     private static final List<String> PASSED_VARIABLES = List.of("PATH", "HOME", "JAVA_HOME", "LANG");
 
     private final DeployFile deployFile;
@@ -77,7 +81,7 @@
                 "bootstrap",
                 true,
                 "bounds",
-                Map.of("retry-ratio", 0.2, "retry-slack", 54, "retry-window-s", 10, "grace-s", 8, "ttl_max_s", 5),
+                bounds(GRACE_SECONDS),
                 "platform",
                 Map.of("address", storeAddress, "history-s", StoreStandIn.HISTORY_SECONDS),
                 "limits",
@@ -165,6 +169,23 @@
         process.destroy();
     }
 
+    /** Changes the grace time in the settings file, which the process learns from a hang-up or by itself. */
+    synchronized void setGraceSeconds(int graceSeconds) {
+        fields.put("bounds", bounds(graceSeconds));
+        try {
+            Path next = settingsFile.resolveSibling(name + ".next");
+            Files.writeString(next, deployFile.settings(fields));
+            Files.move(next, settingsFile, StandardCopyOption.ATOMIC_MOVE);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static Map<String, Object> bounds(int graceSeconds) {
+        return Map.of(
+                "retry-ratio", 0.2, "retry-slack", 54, "retry-window-s", 10, "grace-s", graceSeconds, "ttl_max_s", 5);
+    }
+
     /** Tells the process that its settings file has changed. */
     public void hangUp() {
         signal("HUP");
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontStop.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/FrontStop.java
@@ -12,7 +12,7 @@
  */
 record FrontStop(String frontName, String frontIp, long atNanos, long exitedNanos) {
     /** Time that the platform leaves a process to stop. */
-    static final long GRACE_MILLIS = 8_000;
+    static final long GRACE_MILLIS = TimeUnit.SECONDS.toMillis(FrontProcess.GRACE_SECONDS);
 
     /** Returns the time from the SIGTERM to a moment. */
     long millisUntil(long momentNanos) {
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/HttpReader.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/HttpReader.java
@@ -14,12 +14,29 @@
 /** Reads HTTP messages from a socket and keeps what was received of a message that ends early. */
 final class HttpReader {
     private static final int HEX = 16;
+    private static final int SLOW_READ_BYTES = 20_000;
+    private static final long SLOW_READ_MILLIS = 20;
 
     private final Socket socket;
     private final PushbackInputStream in;
+    /** Pause after each piece that was read; 0 if none. */
+    private final long pauseMillis;
+
     private long endNanos = Long.MAX_VALUE;
 
+    private long readBytes;
+
     HttpReader(Socket socket) throws IOException {
+        this(socket, 0);
+    }
+
+    /** Returns a reader that pauses while it reads. */
+    static HttpReader slow(Socket socket) throws IOException {
+        return new HttpReader(socket, SLOW_READ_MILLIS);
+    }
+
+    private HttpReader(Socket socket, long pauseMillis) throws IOException {
+        this.pauseMillis = pauseMillis;
         this.socket = socket;
         in = new PushbackInputStream(new BufferedInputStream(socket.getInputStream()), 1);
     }
@@ -125,6 +142,9 @@
     }
 
     private int read() throws IOException {
+        if (pauseMillis > 0 && ++readBytes % SLOW_READ_BYTES == 0) {
+            pause();
+        }
         if (in.available() == 0) {
             int leftMillis = 0;
             if (endNanos != Long.MAX_VALUE) {
@@ -138,6 +158,15 @@
         return in.read();
     }
 
+    private void pause() throws IOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(pauseMillis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException(e);
+        }
+    }
+
     /** Returns the bytes that have arrived and were not read. */
     int available() throws IOException {
         return in.available();
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StopPlay.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StopPlay.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Executors;
@@ -24,6 +25,7 @@
     private static final String SERVICE = "s";
     private static final int WORKERS = 12;
     private static final int WORKER_SLOTS = 16;
+    private static final int FEW_SLOTS = 3;
     private static final int FIRST_WORKER_IP = 50;
     private static final int WORKER_PORT = 9_000;
     private static final int ROUTE_TIMEOUT_MILLIS = 20_000;
@@ -32,6 +34,10 @@
     private static final int SLOW_CALLERS = 16;
     private static final int SLOW_SHORT_CALLERS = 8;
     private static final int SHORT_CALLERS = 10;
+    private static final int SLOW_READERS = 12;
+    /** Lines of an answer of about two megabytes. */
+    private static final int LARGE_LINES = 280_000;
+
     private static final int MAX_STREAM_MILLIS = 8_000;
     private static final int MAX_SHORT_MILLIS = 500;
     private static final int MAX_PAUSE_MILLIS = 4;
@@ -47,6 +53,9 @@
     private static final int MAX_APART_MILLIS = 1_500;
 
     private static final int MAX_SIGNAL_MILLIS = 7_000;
+    private static final int MAX_GRACE_CHANGE_MILLIS = 2_500;
+    private static final int SHORTER_GRACE_SECONDS = 5;
+    private static final int LONGER_GRACE_SECONDS = 12;
     private static final int MAX_CONFIG_MILLIS = 3_000;
     /** Time after a SIGTERM at which callers no longer open connections to the front. */
     private static final long LISTED_MILLIS = 2_500;
@@ -58,6 +67,7 @@
     private static final int THREADS = MAX_STOPPING + 3;
 
     private final Random random;
+    private final Set<StopTrait> traits;
     private final DeployedFleet fleet = new DeployedFleet();
     private final FleetRecord record = new FleetRecord();
     private final List<WorkerStandIn> workers = new ArrayList<>();
@@ -71,8 +81,9 @@
     private int configVersion = 1;
 
     /** Prepares a play. */
-    StopPlay(Random random) throws IOException {
+    StopPlay(Random random, Set<StopTrait> traits) throws IOException {
         this.random = random;
+        this.traits = traits;
     }
 
     /** Plays to the end and returns the records. */
@@ -113,7 +124,8 @@
                 new InetSocketAddress(fleet.ip(FIRST_WORKER_IP + place), WORKER_PORT),
                 StreamEnds.WHOLE,
                 FaultMix.rare(),
-                new WorkerStatements(0, false, false, 0, WORKER_SLOTS),
+                new WorkerStatements(
+                        0, false, false, 0, true, traits.contains(StopTrait.QUEUES) ? FEW_SLOTS : WORKER_SLOTS),
                 random.nextLong());
         worker.start();
         workers.add(worker);
@@ -142,6 +154,12 @@
                 "slowshort",
                 SLOW_SHORT_CALLERS,
                 calls.slowBodyInterval(SLOW_BODY_INTERVAL).build());
+        if (traits.contains(StopTrait.SLOW_READERS)) {
+            addCallers(
+                    "reader",
+                    SLOW_READERS,
+                    calls.slowBodyInterval(0).slowlyReadLines(LARGE_LINES).build());
+        }
         List<Thread> threads =
                 callers.stream().map(caller -> new Thread(caller, "caller")).toList();
         threads.forEach(Thread::start);
@@ -199,6 +217,13 @@
 
     /** Sends signals to a front that stops. */
     private void scheduleSignals(FrontProcess front, long delayMillis) {
+        if (traits.contains(StopTrait.GRACE_CHANGES)) {
+            int graceSeconds = random.nextBoolean() ? SHORTER_GRACE_SECONDS : LONGER_GRACE_SECONDS;
+            schedule.schedule(
+                    () -> whileStopping(front, known -> changeGrace(known, graceSeconds)),
+                    delayMillis + random.nextInt(MAX_GRACE_CHANGE_MILLIS),
+                    TimeUnit.MILLISECONDS);
+        }
         if (random.nextBoolean()) {
             schedule.schedule(
                     () -> whileStopping(front, this::hangUp),
@@ -213,6 +238,11 @@
         }
     }
 
+    private void changeGrace(FrontProcess front, int graceSeconds) {
+        front.setGraceSeconds(graceSeconds);
+        hangUp(front);
+    }
+
     private void hangUp(FrontProcess front) {
         hangUps.add(new StopHistory.HangUp(front.ip(), System.nanoTime()));
         front.hangUp();
@@ -231,6 +261,7 @@
         front.awaitExit();
         stops.add(new FrontStop(front.name(), front.ip(), atNanos, System.nanoTime()));
         stopping.remove(front);
+        front.setGraceSeconds(FrontProcess.GRACE_SECONDS);
         front.start();
     }
 
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoppedFleetSoakTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoppedFleetSoakTest.java
@@ -10,12 +10,16 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import java.util.stream.LongStream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -25,6 +29,7 @@
  * their connections. Each seed is played once, and judged by each test.
  *
  * <p>{@code -Dwhinwharf.soak.seeds=N} plays N seeds, from {@code -Dwhinwharf.soak.first} on;
+ * {@code -Dwhinwharf.soak.stops} names {@linkplain StopTrait traits} of the plays, of which there are none otherwise;
  * {@code -Dwhinwharf.soak.logs} names a folder for the logs of fronts and all breaches.
  */
 class StoppedFleetSoakTest {
@@ -32,6 +37,7 @@
     private static final long SEEDS = Long.getLong("whinwharf.soak.seeds", 2);
     private static final Optional<Path> LOGS =
             Optional.ofNullable(System.getProperty("whinwharf.soak.logs")).map(Path::of);
+    private static final Set<StopTrait> TRAITS = traits(System.getProperty("whinwharf.soak.stops", ""));
     private static final int MIN_SUCCESSES = 200;
     private static final int MIN_STOPS = 5;
     private static final int MAX_PRINTED = 3;
@@ -40,6 +46,13 @@
 
     private static final Map<Long, StopHistory> HISTORIES = new HashMap<>();
 
+    private static Set<StopTrait> traits(String names) {
+        return Arrays.stream(names.split(","))
+                .filter(name -> !name.isEmpty())
+                .map(StopTrait::valueOf)
+                .collect(Collectors.toCollection(TreeSet::new));
+    }
+
     static LongStream seeds() {
         return LongStream.range(FIRST_SEED, FIRST_SEED + SEEDS);
     }
@@ -84,6 +97,8 @@
         assertThat(
                 breaches.size() + " breaches; again: mvn -o -pl org.whinwharf.platform.test -am"
                         + " -Dtest=StoppedFleetSoakTest -Dsurefire.failIfNoSpecifiedTests=false"
+                        + " -Dwhinwharf.soak.stops="
+                        + TRAITS.stream().map(StopTrait::name).collect(Collectors.joining(","))
                         + " -Dwhinwharf.soak.first=" + seed + " -Dwhinwharf.soak.seeds=1 verify",
                 shortestFirst.subList(0, Math.min(MAX_PRINTED, breaches.size())),
                 empty());
@@ -95,10 +110,11 @@
         if (known != null) {
             return known;
         }
-        try (StopPlay play = new StopPlay(new Random(seed))) {
+        try (StopPlay play = new StopPlay(new Random(seed), TRAITS)) {
             StopHistory history = play.play();
             List<String> lost = StopChecks.lost(history);
-            System.out.println(StopChecks.figures(history) + "; " + FleetSummary.of(seed, history.fleet(), lost));
+            System.out.println(
+                    TRAITS + " " + StopChecks.figures(history) + "; " + FleetSummary.of(seed, history.fleet(), lost));
             lost.forEach(text -> System.out.println(text.lines().findFirst().orElseThrow()));
             keepLogs(seed, play.fleet(), lost);
             assertThat("stops", history.stops().size(), greaterThan(MIN_STOPS));
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -160,7 +160,7 @@
 
     private boolean reject(String head, int status, WorkerFault fault) throws IOException {
         WorkerRun run = begin(head, false);
-        String attempt = worker.draw(2) == 0 ? "" : "X-Attempt-Id: " + run.attemptId() + "\r\n";
+        String attempt = worker.drawNamed() ? "X-Attempt-Id: " + run.attemptId() + "\r\n" : "";
         WorkerFault used = fault.repeats() ? fault : WorkerFault.NONE;
         worker.record().put(run.ended(WorkerRun.End.WRITTEN, status, "", used.repeats()));
         return write(
@@ -240,7 +240,9 @@
                 .append(" of ")
                 .append(run.attemptId())
                 .append('\n');
-        output.body.append((run.seal() + "\n").repeat(worker.draw(MAX_BODY_LINES)));
+        int drawnLines = worker.draw(MAX_BODY_LINES);
+        output.body.append(
+                (run.seal() + "\n").repeat(AttemptKind.lines(run.path()).orElse(drawnLines)));
         Framing framing = Framing.values()[worker.draw(Framing.values().length)];
         int half = output.body.length() / 2;
         String first = head(output, framing, output.body.length()) + framing.part(output.body.substring(0, half));
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerStandIn.java
@@ -376,6 +376,11 @@
         }
     }
 
+    /** Draws whether a rejection bears the id of the attempt, unless all do. */
+    boolean drawNamed() {
+        return statements.namesRejections() || draw(2) != 0;
+    }
+
     /** Draws whether a request is rejected though there is a slot. */
     boolean drawRejection() {
         synchronized (random) {
