Log how a request that a stop cuts off was received

request-cut-by-stop has the number of requests that the connection has carried and the time from the head of the request to its last byte.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -69,6 +69,10 @@
     private boolean discarding;
 
     private long lastActivityMillis;
+    private long headAtMillis;
+    /** Requests whose head was received, the current one included. */
+    private int carriedRequests;
+
     private boolean receivingHead;
     private String closeCause = CALLER_CLOSED;
 
@@ -144,6 +148,8 @@
         request = head;
         body = Unpooled.compositeBuffer(1024);
         lastActivityMillis = front.nowMillis();
+        headAtMillis = lastActivityMillis;
+        carriedRequests++;
         if (HttpUtil.is100ContinueExpected(head)) {
             channel.writeAndFlush(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -355,6 +361,16 @@
         return exchange == null && !closing && (request != null || receivingHead);
     }
 
+    /** Returns the monotonic time in milliseconds at which the head of the latest request was received. */
+    long headAtMillis() {
+        return headAtMillis;
+    }
+
+    /** Returns the number of requests that the connection has carried, the latest included. */
+    int carriedRequests() {
+        return carriedRequests;
+    }
+
     /** Returns the bytes of responses that the caller has not taken. */
     long unreadBytes() {
         ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -1603,6 +1603,16 @@
         return responseAssembler == null ? 0 : responseAssembler.status();
     }
 
+    /** Returns the number of requests that the caller's connection has carried, this one included. */
+    int carriedRequests() {
+        return caller.carriedRequests();
+    }
+
+    /** Returns the time in milliseconds from the head of the request to its last byte. */
+    long receivingMillis() {
+        return arrivedAtMillis - caller.headAtMillis();
+    }
+
     /** Returns the bytes of the response that the caller has not taken. */
     long unreadBytes() {
         return caller.unreadBytes();
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -192,6 +192,8 @@
                 .with(EventField.TOTAL_MILLIS, exchange.ageMillis())
                 .with(EventField.STOPPING_MILLIS, stoppingMillis)
                 .with(EventField.RUNS, exchange.sentCount())
+                .with(EventField.CARRIED, exchange.carriedRequests())
+                .with(EventField.RECEIVING_MILLIS, exchange.receivingMillis())
                 .with(EventField.UNREAD_BYTES, exchange.unreadBytes());
         if (exchange.head() != null) {
             event.with(EventField.REQUEST, exchange.head().attemptId());
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -61,7 +61,7 @@
     RESUMES("resumes"),
     /** Id of the attempt that a response names; empty if it names none. */
     NAMED_ATTEMPT("namedAttempt"),
-    /** Requests that a connection to a target has carried, with the current one. */
+    /** Requests that a connection has carried, with the current one. */
     CARRIED("carried"),
     /** Id of the last event that the caller of a resumed stream has received. */
     LAST_EVENT("lastEvent"),
@@ -199,6 +199,8 @@
     INCOMPLETE_REQUESTS("incompleteRequests"),
     /** How far the handling of a request has got. */
     STAGE("stage"),
+    /** Time in milliseconds from the head of a request to its last byte. */
+    RECEIVING_MILLIS("receivingMillis"),
     /** Number of times that a request was sent to a target. */
     RUNS("runs"),
     /** Time in milliseconds since a request was sent to its latest target. */
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/LogEvent.java
@@ -44,6 +44,8 @@
             EventField.STOPPING_MILLIS,
             EventField.RUNS,
             EventField.RUN_MILLIS,
+            EventField.CARRIED,
+            EventField.RECEIVING_MILLIS,
             EventField.UNREAD_BYTES),
     /** A daemon has stopped. */
     STOPPED(Level.INFO, EventField.EXIT_CODE),
