--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/FrontLog.java
@@ -192,6 +192,8 @@
                 .with(EventField.TOTAL_MILLIS, exchange.ageMillis())
                 .with(EventField.STOPPING_MILLIS, stoppingMillis)
                 .with(EventField.RUNS, exchange.sentCount())
+                .with(EventField.CARRIED, exchange.carriedRequests())
+                .with(EventField.RECEIVING_MILLIS, exchange.receivingMillis())
                 .with(EventField.UNREAD_BYTES, exchange.unreadBytes());
         if (exchange.head() != null) {
             event.with(EventField.REQUEST, exchange.head().attemptId());
@@ -625,6 +627,17 @@
                 .call();
     }
 
+    /** Logs that the end of this process cuts a connection that it relays for a peer. */
+    static void relayCut(String peer, String targetId, long ageMillis, long receivedBytes, int otherConnections) {
+        EventLog.event(LogEvent.RELAY_CUT)
+                .with(EventField.PEER, peer)
+                .with(EventField.TARGET, targetId)
+                .with(EventField.AGE_MILLIS, ageMillis)
+                .with(EventField.RECEIVED_BYTES, receivedBytes)
+                .with(EventField.OTHER_CONNECTIONS, otherConnections)
+                .call();
+    }
+
     static void unreachable(Target target, long tookMillis, TargetRegistry.Reach reach) {
         EventLog event = EventLog.event(LogEvent.TARGET_UNREACHABLE)
                 .with(EventField.TARGET, target.id())
