Test ends of runs that a leaving coordinator has placed

The next coordinator learns of them from the lists of each second only: 6 places that become free one after the other are filled after 6.1 s in all. The requests that moved to it wait for these places.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CoordinatorStopTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CoordinatorStopTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.startsWith;
 
 import java.io.IOException;
@@ -10,7 +11,8 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -22,14 +24,17 @@
     /** Number of requests that the only target takes at once: an engine gets one beyond its slots. */
     private static final int PLACES = SLOTS + 1;
 
-    private static final int WAITING_PER_FRONT = 2;
+    private static final int WAITING = 2 * FRONTS;
     /** Long enough for requests to wait through a whole stop. */
     private static final FleetLimits LIMITS = new FleetLimits(3, 120_000, 20_000, 1, 100);
 
     /** Longer than a busy machine delays a reply, so that no front takes a coordinator for silent. */
     private static final long COORDINATOR_TIMEOUT_MILLIS = 5_000;
 
-    private final CountDownLatch released = new CountDownLatch(1);
+    /** Half of the time for which as many lists of runs come one after the other, as are waited for. */
+    private static final long MAX_REFILL_MILLIS = 3_000;
+
+    private final Semaphore ends = new Semaphore(0, true);
     private final List<Socket> callers = new ArrayList<>();
     private final List<FrontFixture> fronts = new ArrayList<>();
     private FakeTarget target;
@@ -38,9 +43,8 @@
     @BeforeEach
     void startFleetThatWaits() throws Exception {
         target = new FakeTarget("127.0.0.1", (request, socket) -> {
-            if (request.contains("/unsafe/held")) {
-                FrontFixture.awaitLatch(released);
-            }
+            // Fair, so that the runs end in the order in which they began.
+            ends.acquireUninterruptibly();
             FakeTarget.write(socket, FakeTarget.answer(request, 200, "whole"));
         });
         while (fronts.size() < FRONTS) {
@@ -55,18 +59,18 @@
         FrontFixture.await(this::agreeOnCoordinator);
         coordinator = coordinators().iterator().next();
         for (int i = 0; i < PLACES; i++) {
-            send(i % FRONTS, "/unsafe/held", "held" + i);
+            send((coordinator + 1) % FRONTS, "/unsafe/held", "held" + i);
         }
         FrontFixture.await(() -> runs() == PLACES);
-        for (int i = 0; i < FRONTS * WAITING_PER_FRONT; i++) {
+        for (int i = 0; i < WAITING; i++) {
             send(i % FRONTS, "/unsafe/waiting", "waiting" + i);
         }
-        FrontFixture.await(() -> queuedAt(coordinator) == FRONTS * WAITING_PER_FRONT);
+        FrontFixture.await(() -> queuedAt(coordinator) == WAITING);
     }
 
     @AfterEach
     void stopFleet() throws IOException {
-        released.countDown();
+        ends.release(PLACES + WAITING);
         for (Socket caller : callers) {
             caller.close();
         }
@@ -83,14 +87,30 @@
         FrontFixture.await(
                 () -> !coordinators().contains(coordinator) && coordinators().size() == 1);
         int next = coordinators().iterator().next();
-        FrontFixture.await(() -> queuedAt(next) == FRONTS * WAITING_PER_FRONT);
+        FrontFixture.await(() -> queuedAt(next) == WAITING);
         assertThat(queuedAt(coordinator), is(0));
         assertThat(runs(), is((long) PLACES));
-        released.countDown();
+        ends.release(PLACES + WAITING);
         for (Socket caller : callers) {
             assertThat(FrontFixture.readAll(caller), startsWith("HTTP/1.1 200"));
         }
-        assertThat(runs(), is((long) PLACES + FRONTS * WAITING_PER_FRONT));
+        assertThat(runs(), is((long) PLACES + WAITING));
+    }
+
+    /** Guards against places that stay empty since the next coordinator does not know that runs have ended. */
+    @Test
+    void endsOfRunsThatTheLeavingCoordinatorPlacedReachTheNextOne() throws Exception {
+        fronts.get(coordinator).front().stop();
+        FrontFixture.await(() -> fronts.stream()
+                .filter(front -> front != fronts.get(coordinator))
+                .anyMatch(front -> queuedAt(fronts.indexOf(front)) == WAITING));
+        long begunNanos = System.nanoTime();
+        for (int i = 1; i <= WAITING; i++) {
+            ends.release();
+            long begun = PLACES + i;
+            FrontFixture.await(() -> runs() == begun);
+        }
+        assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - begunNanos), lessThan(MAX_REFILL_MILLIS));
     }
 
     private void send(int front, String path, String attempt) throws IOException {
