Report the ends of runs to the next coordinator when one leaves

Cause: the end of a run was reported to the coordinator that had placed it. While that one leaves, the next learned of it from the lists of each second, and kept the place taken.

Change: a process that learns of a leaving sends its lists at once, reports ends to the next coordinator too, and moves its queued requests an interval of the lists later, when every process has sent one.

Result: CoordinatorStopTest.endsOfRunsThatTheLeavingCoordinatorPlacedReach- TheNextOne, red before (6.1 s for 6 places), passes within its 3 s. FleetTest, CoordinationTest, SeveralCoordinatorsTest and PlacementTurnTest pass.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Coordination.java
@@ -68,6 +68,9 @@
     private final Map<Long, PlacementTicket> tickets = new LinkedHashMap<>();
     private final Map<String, String> lastCoordinators = new HashMap<>();
     private final Map<String, String> requesterIps = new HashMap<>();
+    /** Times in milliseconds at which this process learned that others, or itself, leave, by their names. */
+    private final Map<String, Long> leavingSinceMillis = new HashMap<>();
+
     private final CoordinatorSelection selection;
     private long nextId;
     private long runsReportedAtMillis;
@@ -247,11 +250,11 @@
     void tick() {
         long nowMillis = ticker.nowMillis();
         coordinator.advance(nowMillis);
-        List<PlacementTicket> unplaced =
-                tickets.values().stream().filter(ticket -> !ticket.settled()).toList();
-        if (!unplaced.isEmpty()) {
-            Set<String> leaving = members.leavingNames();
-            unplaced.forEach(ticket -> checkUnplaced(ticket, leaving, nowMillis));
+        updateLeaving(nowMillis);
+        for (PlacementTicket ticket : List.copyOf(tickets.values())) {
+            if (!ticket.settled()) {
+                checkUnplaced(ticket, nowMillis);
+            }
         }
         if (nowMillis - runsReportedAtMillis >= RUN_REPORT_INTERVAL_MILLIS) {
             runsReportedAtMillis = nowMillis;
@@ -259,12 +262,19 @@
         }
     }
 
-    private void checkUnplaced(PlacementTicket ticket, Set<String> leaving, long nowMillis) {
-        if (ticket.settled()) {
-            // A report on another ticket may have settled it.
-            return;
+    /** Follows which processes leave, and reports the runs to the next coordinators at once when one begins to. */
+    private void updateLeaving(long nowMillis) {
+        Set<String> names = members.leavingNames();
+        leavingSinceMillis.keySet().retainAll(names);
+        names.removeAll(leavingSinceMillis.keySet());
+        if (!names.isEmpty()) {
+            names.forEach(name -> leavingSinceMillis.put(name, nowMillis));
+            activeServices().forEach(this::reportRuns);
         }
-        if (ticket.isQueued() && leaving.contains(ticket.coordinatorName()) && hasOtherCoordinator(ticket, leaving)) {
+    }
+
+    private void checkUnplaced(PlacementTicket ticket, long nowMillis) {
+        if (ticket.isQueued() && mustMove(ticket, nowMillis)) {
             // At the old coordinator it would wait until that one halts, and compete with what the next one places.
             report(ticket, RunEvent.RUN_GIVEN_UP, 0);
             ticket.withdrawn();
@@ -292,11 +302,19 @@
         }
     }
 
-    private boolean hasOtherCoordinator(PlacementTicket ticket, Set<String> leaving) {
+    /** Tells whether a request's coordinator leaves and the next one has had time to learn of all runs. */
+    private boolean mustMove(PlacementTicket ticket, long nowMillis) {
+        Long sinceMillis = leavingSinceMillis.get(ticket.coordinatorName());
+        return sinceMillis != null
+                && nowMillis - sinceMillis >= RUN_REPORT_INTERVAL_MILLIS
+                && successor(ticket).isPresent();
+    }
+
+    /** Returns the first coordinator in rank of a request's service, unless that one leaves. */
+    private Optional<MemberReport> successor(PlacementTicket ticket) {
         return selection.ranking(ticket.service()).stream()
                 .findFirst()
-                .filter(next -> !leaving.contains(next.getName()))
-                .isPresent();
+                .filter(next -> !leavingSinceMillis.containsKey(next.getName()));
     }
 
     /** Reports the progress of a ticket's request to its coordinator. */
@@ -309,6 +327,15 @@
         report(ticket.coordinatorName(), ticket.coordinatorIp(), ticket.id(), event, tookMillis, events);
     }
 
+    /** Reports the end of a request to its coordinator, and to the next one if that one leaves. */
+    void reportEnd(PlacementTicket ticket, RunEvent event, long tookMillis, int events) {
+        report(ticket, event, tookMillis, events);
+        if (leavingSinceMillis.containsKey(ticket.coordinatorName())) {
+            successor(ticket)
+                    .ifPresent(next -> report(next.getName(), next.getIp(), ticket.id(), event, tookMillis, events));
+        }
+    }
+
     private void report(String name, String ip, long id, RunEvent event, long tookMillis, int events) {
         if (name.isEmpty()) {
             return;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlacementTicket.java
@@ -243,7 +243,7 @@
     private void reportEnd(RunEvent event, long elapsedMillis, int events) {
         stage = Stage.ENDED;
         charge.ended(coordination.nowMillis());
-        coordination.report(this, event, elapsedMillis, events);
+        coordination.reportEnd(this, event, elapsedMillis, events);
         coordination.forget(this);
     }
 }
