Count the time of a stop from its request; close the port of a front that never served

The clock is now read where the signal is handled. A front that was stopped while it started kept its port open for 2.5 s with callers unread; it closes at once. The end of the stop is logged under a guard, so that a failing log cannot take the answers of those who are cut off. An upload that comes too late is recognised by AdmissionControl, without an exchange for each look at it.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/PlannedStopTest.java
@@ -145,8 +145,8 @@
             FakeTarget.write(caller, upload("stream-upload"));
             front.front().stop();
             assertThat(FrontFixture.readUntil(caller, "\r\n\r\n"), startsWith("HTTP/1.1 503"));
+            assertThat(stopped.await(GRACE_MILLIS, TimeUnit.MILLISECONDS), is(true));
         }
-        assertThat(stopped.await(GRACE_MILLIS, TimeUnit.MILLISECONDS), is(true));
         assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - beganNanos), lessThan(GRACE_MILLIS / 2));
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/AdmissionControl.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/AdmissionControl.java
@@ -1,5 +1,6 @@
 package org.whinwharf.front;
 
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.whinwharf.errors.ErrorKind;
@@ -65,6 +66,21 @@
         return admitted(head, route, organisation, nowMillis);
     }
 
+    /**
+     * Returns the head of an incomplete request that could outlast a planned stop even if its last byte came now; empty
+     * for any other request, also for a malformed one, which is rejected once it is complete.
+     */
+    Optional<RequestHead> headIfLate(HttpRequest request, long nowMillis) {
+        try {
+            RequestHead head = front.dialect().readRequest(request);
+            boolean late = decide(head, nowMillis) instanceof Admitted admitted
+                    && !front.plannedStop().leavesTimeUntil(admitted.deadlineAtMillis());
+            return late ? Optional.of(head) : Optional.empty();
+        } catch (BadRequestException e) {
+            return Optional.empty();
+        }
+    }
+
     /**
      * Consumes a request's tokens of its organisation's quota; returns the error response when the quota is used up.
      */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -388,20 +388,20 @@
             closing = true;
             channel.close();
         } else if (request != null && !closing) {
-            rejectIfLate();
+            rejectIfLate(nowMillis);
         } else if (discarding && nowMillis - lastActivityMillis > DISCARD_MILLIS) {
             channel.close();
         }
     }
 
-    private void rejectIfLate() {
-        CallerExchange incomplete = new CallerExchange(front, this, request, body);
-        if (incomplete.isLate()) {
+    private void rejectIfLate(long nowMillis) {
+        front.admission().headIfLate(request, nowMillis).ifPresent(head -> {
+            CallerExchange incomplete = new CallerExchange(front, this, request, body);
             request = null;
             body = null;
             discarding = true;
-            incomplete.rejectLate();
-        }
+            incomplete.rejectIncomplete(head);
+        });
     }
 
     private boolean idle() {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -211,23 +211,14 @@
         }
     }
 
-    /**
-     * Tells whether a request that is incomplete would be rejected as late if its last byte came now. It is not handled
-     * otherwise.
-     */
-    boolean isLate() {
-        try {
-            head = front.dialect().readRequest(request);
-        } catch (BadRequestException e) {
-            // Rejected as malformed once it is complete.
-            return false;
-        }
-        return front.admission().decide(head, arrivedAtMillis) instanceof AdmissionControl.Admitted admitted
-                && !front.plannedStop().leavesTimeUntil(admitted.deadlineAtMillis());
+    /** Rejects an incomplete request with the given head that would come too late with its last byte. */
+    void rejectIncomplete(RequestHead incompleteHead) {
+        head = incompleteHead;
+        rejectLate();
     }
 
     /** Rejects a request that may last longer than this process, which is stopping. */
-    void rejectLate() {
+    private void rejectLate() {
         respondWithError(new ErrorResponse(ErrorKind.HOST_LEAVING, Front.NOT_READY_RETRY_AFTER_MILLIS));
     }
 
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -372,13 +372,17 @@
     /** Begins a planned stop: reports this process as leaving and stops it once no request is in flight. */
     @Override
     public void stop() {
+        long requestedAtMillis = ticker.nowMillis();
         loop.execute(() -> {
             if (plannedStop.begun()) {
                 return;
             }
             phase = MemberPhase.MEMBER_LEAVING;
-            plannedStop.begin(settings.stopGraceMillis(), work());
+            plannedStop.begin(requestedAtMillis, settings.stopGraceMillis(), work());
             relays.leave();
+            if (!acceptStarted) {
+                callers.stop();
+            }
             phaseChanged();
         });
     }
@@ -580,16 +584,16 @@
             List.copyOf(connections).forEach(connection -> tasks.run("connections", () -> connection.drain(nowMillis)));
         }
         PlannedStop.Work work = work();
-        if (!plannedStop.ended() && plannedStop.ends(work)) {
-            plannedStop.end(work);
-            relays.logOpen();
+        if (!plannedStop.finished() && plannedStop.isDue(work)) {
+            tasks.run("end of the stop", () -> plannedStop.finish(work));
+            tasks.run("relays", relays::logOpen);
             // Queued ones first, so that slots which the others free do not go to them.
             exchanges.stream()
                     .sorted(Comparator.comparing(CallerExchange::mayHaveExecuted))
                     .toList()
-                    .forEach(exchange -> tasks.run("cut off", () -> exchange.cutOff(nowMillis)));
+                    .forEach(exchange -> tasks.run("requests", () -> exchange.cutOff(nowMillis)));
         }
-        if (plannedStop.ended() && plannedStop.mayExit(work())) {
+        if (plannedStop.finished() && plannedStop.mayExit(work())) {
             onStopped.run();
         }
     }
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
@@ -5,9 +5,18 @@
 import org.whinwharf.runtime.log.LogEvent;
 import org.whinwharf.time.Ticker;
 
-/** Planned stop of a process: its phases and the time that it may take. */
+/**
+ * Planned stop of a process: its phases and the time that it may take. Used on the event loop only.
+ *
+ * <p>Callers may come for {@link #LATE_CALLER_MILLIS}. After {@link #STOP_MARGIN_MILLIS} before the end of the grace
+ * period, requests in progress are cut off, their callers have {@link #FLUSH_MILLIS} to take what was written, and the
+ * log is written; the rest of the margin is for ticks and for a signal that is handled late.
+ */
 final class PlannedStop {
-    /** Time for which new callers are accepted after a stop is requested, until earlier address lists have expired. */
+    /**
+     * Time for which new callers are accepted after a stop is requested, until earlier address lists have expired. Long
+     * requests of that time may be cut off, which callers bear only of requests that they sent within 3 s.
+     */
     private static final long LATE_CALLER_MILLIS = 2_500;
     /** Time before the end of the grace period at which requests that are in progress are cut off. */
     private static final long STOP_MARGIN_MILLIS = 600;
@@ -32,8 +41,8 @@
     private final Ticker ticker;
     private boolean begun;
     private long begunAtMillis;
-    private long endsAtMillis;
-    private boolean ended;
+    private long cutOffAtMillis;
+    private boolean finished;
 
     PlannedStop(Ticker ticker) {
         this.ticker = ticker;
@@ -42,12 +51,13 @@
     /**
      * Begins the stop.
      *
+     * @param requestedAtMillis monotonic time in milliseconds at which it was requested
      * @param graceMillis time in milliseconds after which the process is killed; a later change does not alter it
      */
-    void begin(long graceMillis, Work work) {
+    void begin(long requestedAtMillis, long graceMillis, Work work) {
         begun = true;
-        begunAtMillis = ticker.nowMillis();
-        endsAtMillis = begunAtMillis + graceMillis - STOP_MARGIN_MILLIS;
+        begunAtMillis = requestedAtMillis;
+        cutOffAtMillis = begunAtMillis + graceMillis - STOP_MARGIN_MILLIS;
         EventLog.event(LogEvent.LEAVING)
                 .with(EventField.GRACE_MILLIS, graceMillis)
                 .with(EventField.REQUESTS, work.requests())
@@ -67,37 +77,37 @@
 
     /** Tells whether callers may still come whose address lists date from before the stop. */
     boolean expectsCallers() {
-        return elapsedMillis() <= LATE_CALLER_MILLIS;
+        return !begun || elapsedMillis() <= LATE_CALLER_MILLIS;
     }
 
     /**
      * Tells whether work may begin that ends at a given time. Once callers can have gone elsewhere, it may only if the
      * process ends later.
      *
-     * @param workEndsAtMillis monotonic time in milliseconds at which the work ends
+     * @param endsAtMillis monotonic time in milliseconds at which the work ends
      */
-    boolean leavesTimeUntil(long workEndsAtMillis) {
-        return !begun || expectsCallers() || workEndsAtMillis <= endsAtMillis;
+    boolean leavesTimeUntil(long endsAtMillis) {
+        return expectsCallers() || endsAtMillis <= cutOffAtMillis;
     }
 
-    /** Tells whether the stop ends now: as nothing is in progress, or whatever is. */
-    boolean ends(Work work) {
-        return work.none() && !expectsCallers() || ticker.nowMillis() > endsAtMillis;
+    /** Tells whether the process is to end now: as nothing is in progress, or whatever is. */
+    boolean isDue(Work work) {
+        return work.none() && !expectsCallers() || ticker.nowMillis() > cutOffAtMillis;
     }
 
     /** Tells whether requests have been cut off. */
-    boolean ended() {
-        return ended;
+    boolean finished() {
+        return finished;
     }
 
     /** Tells whether the process may exit: nothing is left to be written, or there is no time for it. */
     boolean mayExit(Work work) {
-        return work.unreadBytes() == 0 || ticker.nowMillis() > endsAtMillis + FLUSH_MILLIS;
+        return work.unreadBytes() == 0 || ticker.nowMillis() > cutOffAtMillis + FLUSH_MILLIS;
     }
 
     /** Records and logs the end of the stop. */
-    void end(Work work) {
-        ended = true;
+    void finish(Work work) {
+        finished = true;
         if (work.none()) {
             EventLog.event(LogEvent.DRAINED)
                     .with(EventField.STOPPING_MILLIS, elapsedMillis())
