Divide an organisation's bucket among the parts of a split fleet

An organisation that sent six times its quota while two of seven fronts were cut off from all others had more tokens run in 8 s than its quota, the excess and the slack allow: 2,152,223 to 2,189,631 where 2,150,701 are.

While a share was left to unreachable processes, the reports of reachable ones were charged to that share as well, so that a part used the whole rate; after the split each part did so for seconds until the share was used up.

Now a smaller share applies to the bucket as well, and from the begin of the silence on: what the part has used since then beyond its share is a debt. Once the others are heard again, the debt for their share is forgiven, and no more than that is given back, as each part would use it again; the rest only offsets what they report late. Only the first half second of reports after a silence counts as late.

The price: none is refused below the quota before a split and while it lasts (at 0.9 of the rate). A part that has used more than its share before it noticed refuses that organisation until the debt is paid; two of seven fronts that are only restarting cost the others up to a seventh of the bucket and of 1.75 s of its use meanwhile. After a split the bucket fills at its rate instead of being given back. More than about a hundred organisations' late reports come after the half second, and are a debt.

Seven processes that are each alone still exceed the quota, 13.8 s of the rate, by what they use until they notice: listed with its test.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/Front.java
@@ -565,6 +565,7 @@
                         .call());
         retryAllowance.updatePeers(knownPeers(), nowMillis);
         quotas.updateProcessCount(1 + members.alive(nowMillis).size());
+        quotas.updateUnnoticedTime(members.suspectTimeoutMillis() + SWEEP_INTERVAL_MILLIS);
         quotas.updateReachableShare(members.reachableShare(nowMillis), nowMillis);
     }
 
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/member/MemberTable.java
@@ -257,8 +257,16 @@
     }
 
     private boolean isAlive(Member member, long nowMillis) {
-        long suspectTimeoutMillis = largeFleet() ? LARGE_FLEET_SUSPECT_TIMEOUT_MILLIS : SUSPECT_TIMEOUT_MILLIS;
-        return nowMillis - member.receivedAtMillis() <= suspectTimeoutMillis;
+        return nowMillis - member.receivedAtMillis() <= suspectTimeoutMillis();
+    }
+
+    /**
+     * Returns the time without a heartbeat after which a process is suspected.
+     *
+     * @return time in milliseconds
+     */
+    public long suspectTimeoutMillis() {
+        return largeFleet() ? LARGE_FLEET_SUSPECT_TIMEOUT_MILLIS : SUSPECT_TIMEOUT_MILLIS;
     }
 
     /**
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaAccount.java
@@ -8,8 +8,9 @@
  * <p>Every process keeps the whole bucket and subtracts the usage that the other processes report. Reports are a
  * fraction of a second old, so the level may fall below zero. The debt is paid off before further requests are
  * admitted, which keeps usage over any longer window within the quota. Unreachable processes may admit requests too, so
- * their share of the refill is left to them and two halves of a partitioned fleet stay within the quota together. Once
- * they are reachable again, their reports are charged to that share first.
+ * their share of the bucket and of its refill is left to them, so that the parts of a partitioned fleet use about one
+ * bucket together. Once they are reachable again, a debt for their share is forgiven, and what they report late is
+ * charged to what was left to them first.
  */
 public final class QuotaAccount {
     /** Share of the burst available at a restart, when the usage admitted before the restart is unknown. */
@@ -31,12 +32,17 @@
     private double burst;
     private double level;
     private double reachableShare = 1;
+    /** Tokens of the bucket that are left to unreachable processes. */
+    private double withheldLevel;
+    /** Tokens of the refill that are left to unreachable processes. */
     private double withheldTokens;
+
     private long withheldUntilMillis;
     private double rejectedBacklogTokens;
     private long rejectingSinceMillis;
     private long lastRejectionMillis = Long.MIN_VALUE / 2;
     private long refilledAtMillis;
+    private final RecentTokens recentTokens = new RecentTokens();
     private double uncoordinatedLevel = Double.MAX_VALUE;
     private long uncoordinatedRefilledAtMillis;
 
@@ -66,17 +72,36 @@
         refill(nowMillis);
         ratePerSecond = newRatePerSecond;
         burst = newBurst;
-        level = Math.min(level, burst);
+        level = Math.min(level, burst * reachableShare);
     }
 
     /**
-     * Sets the share of the refill that the reachable part of the fleet, this process included, may use.
+     * Sets the share of the bucket and of its refill that the reachable part of the fleet, this process included, may
+     * use.
+     *
+     * <p>Processes that become unreachable have been so for a while before it is noticed, and had the whole bucket in
+     * that time, as this part of the fleet had. A smaller share therefore counts from the begin of that time on: what
+     * this part has used since then beyond its share is a debt.
      *
      * @param share above 0, at most 1
+     * @param unnoticedMillis time for which processes may have been unreachable before it was noticed
      * @param nowMillis monotonic time in milliseconds
      */
-    public void updateReachableShare(double share, long nowMillis) {
+    public void updateReachableShare(double share, long unnoticedMillis, long nowMillis) {
         refill(nowMillis);
+        if (share < reachableShare) {
+            double available = Math.max(0, level + recentTokens.within(unnoticedMillis, nowMillis));
+            double withheld = available * (1 - share / reachableShare);
+            level -= withheld;
+            withheldLevel += withheld;
+        } else if (share > reachableShare) {
+            double returned = withheldLevel * (share - reachableShare) / (1 - reachableShare);
+            withheldLevel -= returned;
+            // No more than the debt is given back at once: others may have used it, and each part would use it again.
+            double debt = Math.min(returned, Math.max(0, -level));
+            level += debt;
+            withheldTokens += returned - debt;
+        }
         reachableShare = share;
     }
 
@@ -97,7 +122,7 @@
             lastRejectionMillis = nowMillis;
             return false;
         }
-        level -= tokens;
+        charge(tokens, nowMillis);
         return true;
     }
 
@@ -135,7 +160,8 @@
      * @param tokens tokens that were admitted
      */
     public void refund(long tokens) {
-        level = Math.min(burst, level + tokens);
+        level = Math.min(burst * reachableShare, level + tokens);
+        recentTokens.add(-tokens, refilledAtMillis);
     }
 
     /**
@@ -146,7 +172,7 @@
      */
     public void recordRemoteAdmission(long tokens, long nowMillis) {
         refill(nowMillis);
-        level -= tokens;
+        charge(tokens, nowMillis);
     }
 
     /**
@@ -160,7 +186,7 @@
         refill(nowMillis);
         double withheldUsed = Math.min(tokens, withheldTokens);
         withheldTokens -= withheldUsed;
-        level -= tokens - withheldUsed;
+        charge(tokens - withheldUsed, nowMillis);
     }
 
     /**
@@ -201,6 +227,11 @@
         return (long) level;
     }
 
+    private void charge(double tokens, long nowMillis) {
+        level -= tokens;
+        recentTokens.add(tokens, nowMillis);
+    }
+
     private void refill(long nowMillis) {
         long elapsedMillis = Math.max(0, nowMillis - refilledAtMillis);
         refilledAtMillis = nowMillis;
@@ -212,7 +243,7 @@
         } else if (nowMillis >= withheldUntilMillis) {
             withheldTokens = 0;
         }
-        level = Math.min(burst, level + refill);
+        level = Math.min(burst * reachableShare, level + refill);
         rejectedBacklogTokens = Math.max(0, rejectedBacklogTokens - refill);
     }
 }
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/quota/QuotaLedger.java
@@ -12,6 +12,10 @@
 /** Quota accounts of all organisations, and the totals of admitted tokens that this process reports to the others. */
 public final class QuotaLedger {
     private static final long NO_BASELINE = -1;
+    /** Time between two reports of a process after which it was unreachable, as processes report more often. */
+    private static final long SILENCE_MILLIS = 1_000;
+    /** Time after its return within which a process has reported what it admitted while it was unreachable. */
+    private static final long LATE_REPORTS_MILLIS = 500;
     /** Maximum number of totals of other processes that are kept, those updated last: about seven megabytes. */
     private static final int MAX_REMOTE_TOTALS = 65_536;
 
@@ -31,6 +35,7 @@
     private final Map<PendingAdmissionKey, Long> pendingAdmissions = new HashMap<>();
     private final Map<Integer, String> organisationNamesByDigest = new HashMap<>();
     private double reachableShare = 1;
+    private long unnoticedMillis = MemberTable.SUSPECT_TIMEOUT_MILLIS;
     private int processCount = 1;
 
     /**
@@ -39,12 +44,26 @@
      * @param incarnation its current incarnation
      * @param baselineAtMillis time at which the process was first seen; totals received at that time without the one
      *     reported before are not charged, since they date from before; negative for none
+     * @param reportedAtMillis time of its last report
+     * @param returnedAtMillis time of its first report after it was unreachable
      */
-    private record ReportingProcess(long incarnation, long baselineAtMillis) {
+    private record ReportingProcess(
+            long incarnation, long baselineAtMillis, long reportedAtMillis, long returnedAtMillis) {
         /** Returns whether the process was restarted after it was first seen. */
         boolean restarted() {
             return baselineAtMillis == NO_BASELINE;
         }
+
+        ReportingProcess reported(long nowMillis) {
+            boolean returned = nowMillis - reportedAtMillis > SILENCE_MILLIS;
+            return new ReportingProcess(
+                    incarnation, baselineAtMillis, nowMillis, returned ? nowMillis : returnedAtMillis);
+        }
+
+        /** Returns whether a report may hold what the process admitted while it was unreachable. */
+        boolean reportsLate(long nowMillis) {
+            return nowMillis - returnedAtMillis <= LATE_REPORTS_MILLIS;
+        }
     }
 
     /** Identifies the total that an incarnation of a process has reported of an organisation. */
@@ -80,7 +99,7 @@
             QuotaAccount account = accounts.get(organisation.name());
             if (account == null) {
                 account = new QuotaAccount(rate, burst, freshFleet, nowMillis);
-                account.updateReachableShare(reachableShare, nowMillis);
+                account.updateReachableShare(reachableShare, unnoticedMillis, nowMillis);
                 accounts.put(organisation.name(), account);
             } else {
                 account.update(rate, burst, nowMillis);
@@ -237,13 +256,14 @@
             long nowMillis) {
         ReportingProcess known = processes.get(process);
         if (known == null) {
-            known = new ReportingProcess(incarnation, nowMillis);
-            processes.put(process, known);
+            known = new ReportingProcess(incarnation, nowMillis, nowMillis, nowMillis);
         } else if (known.incarnation() != incarnation) {
-            known = new ReportingProcess(incarnation, NO_BASELINE);
-            processes.put(process, known);
+            known = new ReportingProcess(incarnation, NO_BASELINE, nowMillis, nowMillis);
             pendingAdmissions.keySet().removeIf(key -> key.process().equals(process));
+        } else {
+            known = known.reported(nowMillis);
         }
+        processes.put(process, known);
         TotalKey key = new TotalKey(process, incarnation, organisationDigest);
         Long previous = remoteTotals.get(key);
         long previousTotal = previous == null ? reportedTotal.orElse(0) : previous;
@@ -261,11 +281,11 @@
             long alreadyCharged = Math.min(total - previousTotal, pendingAdmissions.getOrDefault(pending, 0L));
             addPending(pending, -alreadyCharged);
             long newTokens = total - previousTotal - alreadyCharged;
-            if (known.restarted()) {
-                // A process that was down has used nothing of the refill that was left to it.
-                account.recordRemoteAdmission(newTokens, nowMillis);
-            } else {
+            // A process that was down has used nothing of the refill that was left to it.
+            if (known.reportsLate(nowMillis) && !known.restarted()) {
                 account.recordLateAdmission(newTokens, nowMillis);
+            } else {
+                account.recordRemoteAdmission(newTokens, nowMillis);
             }
         }
     }
@@ -338,7 +358,17 @@
     }
 
     /**
-     * Sets the share of the refill that the reachable part of the fleet, this process included, may use.
+     * Sets the time for which processes may be unreachable before the reachable share shows it.
+     *
+     * @param millis time in milliseconds
+     */
+    public void updateUnnoticedTime(long millis) {
+        unnoticedMillis = millis;
+    }
+
+    /**
+     * Sets the share of all buckets and of their refill that the reachable part of the fleet, this process included,
+     * may use.
      *
      * @param share above 0, at most 1
      * @param nowMillis monotonic time in milliseconds
@@ -346,7 +376,7 @@
     public void updateReachableShare(double share, long nowMillis) {
         if (share != reachableShare) {
             reachableShare = share;
-            accounts.values().forEach(account -> account.updateReachableShare(share, nowMillis));
+            accounts.values().forEach(account -> account.updateReachableShare(share, unnoticedMillis, nowMillis));
         }
     }
 }
