Keep an attempt at one version until its stream has begun

Cause: a front sent an attempt whose first target was silent or had lost its connection, without an event so far, to a target of another version. The caller got that one's events. After the kill the second run had ended with its connection, the first target had noticed nothing and still reported its run, and RunInquiry took its version for that of the stream.

What a target reports names the attempt only, so nothing after the kill tells the two runs apart. Therefore no front brings them about any longer: until the caller has an event of a resumable stream, the attempt goes only to engines of the version that may still work on it. A refusal, an error or a whole response that is no answer ends a run. Nothing changes for services that report no runs, and for those that have had one version lately.

The caller's next attempt has an id of its own and may go anywhere.

Left, by reading: a first run at a process of another version than its entry.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/VersionedFleet.java
@@ -36,6 +36,8 @@
 
     /** How targets interrupt streams. */
     enum Interruption {
+        /** Streams are completed at once. */
+        NONE,
         /** The connection of a new stream is closed after its third event. */
         BROKEN_OFF,
         /** Nothing more is sent of a new stream after its third event. */
@@ -48,10 +50,31 @@
             if (this == EACH_RUN_HELD) {
                 return Math.min(EVENTS, after + EVENTS_PER_RUN);
             }
-            return after == 0 ? EVENTS_BEFORE_INTERRUPTION : EVENTS;
+            return after == 0 && this != NONE ? EVENTS_BEFORE_INTERRUPTION : EVENTS;
         }
     }
 
+    /** What a target does with a new stream of which no event arrives. */
+    enum FirstRun {
+        /** Works on, and reports the run; its connection brings nothing. */
+        SILENT {
+            @Override
+            void answer(Socket socket) throws IOException {
+                socket.getInputStream().read();
+            }
+        },
+        /** Works on, and reports the run; its connection is reset. */
+        RESET {
+            @Override
+            void answer(Socket socket) throws IOException {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        };
+
+        abstract void answer(Socket socket) throws IOException;
+    }
+
     /**
      * What a caller has received of one stream, over all its attempts so far.
      *
@@ -108,6 +131,8 @@
     private volatile boolean startsReported = true;
     /** Status with which targets refuse to report, by the target's index. */
     private final Map<Integer, Integer> refusedReports = new ConcurrentHashMap<>();
+    /** What targets do with new streams in place of serving them, by the target's index. */
+    private final Map<Integer, FirstRun> firstRuns = new ConcurrentHashMap<>();
     /** Run by each target before it reports its runs. */
     private volatile IntConsumer beforeReport = target -> {};
 
@@ -227,6 +252,11 @@
         int last = interruption.lastEvent(after);
         if (after == 0) {
             addRun(fleet.targetOf(socket), FakeTarget.attemptId(request));
+            FirstRun firstRun = firstRuns.get(fleet.targetOf(socket));
+            if (firstRun != null) {
+                firstRun.answer(socket);
+                return;
+            }
         }
         FakeTarget.write(
                 socket,
@@ -249,11 +279,21 @@
         runsReported = true;
     }
 
+    /** Lets no event of the streams that begin at a target arrive. */
+    void loseEvents(int target, FirstRun firstRun) {
+        firstRuns.put(target, firstRun);
+    }
+
     /** Lets a target report a run of an attempt, whose events the caller need not have got. */
     void addRun(int target, String attemptId) {
         runs.computeIfAbsent(target, index -> ConcurrentHashMap.newKeySet()).add(attemptId);
     }
 
+    /** Lets a target drop its runs, as one does whose connections have ended. */
+    void dropRuns(int target) {
+        runs.remove(target);
+    }
+
     /** Tells whether a target reports the run of an attempt. */
     boolean reports(int target, String attemptId) {
         return runs.getOrDefault(target, Set.of()).contains(attemptId);
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -382,6 +382,10 @@
             keepSilentRun();
             return;
         }
+        if (versionAtWork().isPresent() && !stream.isBound()) {
+            respondWithError(new ErrorResponse(ErrorKind.TARGET_LOST, 0));
+            return;
+        }
         front.metrics().streamResumption(outcome);
         FrontLog.notResumed(this, outcome, silentProcesses);
         ErrorKind kind =
@@ -391,7 +395,28 @@
     }
 
     private boolean streamCanContinue() {
-        return stream.isPossible(runs.triedTargetIds(), pathlessTargetIds);
+        return stream.isBound()
+                ? stream.isPossible(runs.triedTargetIds(), pathlessTargetIds)
+                : versionAtWork()
+                        .map(version -> front.hasTarget(service, version, runs.triedTargetIds(), pathlessTargetIds))
+                        .orElse(true);
+    }
+
+    /** Returns the version of which the next target must be; empty if any will do. */
+    private Optional<String> requiredVersion() {
+        return stream.isBound() ? stream.requiredVersion() : versionAtWork();
+    }
+
+    /**
+     * Returns the version of a target that may work on a stream before the first event has reached the caller. What it
+     * reports later is taken for the version of the stream if no process remembers that, so no other version may begin
+     * the stream.
+     */
+    private Optional<String> versionAtWork() {
+        return runs.versionAtWork()
+                .filter(version -> route.resumable()
+                        && front.isEngine(service)
+                        && !front.versions().hasOneVersion(service));
     }
 
     private void place(long nowMillis) {
@@ -465,7 +490,7 @@
                 .remainingMillis(deadlineAtMillis - nowMillis)
                 .promptParts(head.promptParts())
                 .tierRank(tierRank)
-                .requiredVersion(stream.requiredVersion())
+                .requiredVersion(requiredVersion())
                 .addAllTriedTargets(runs.triedTargetIds())
                 .addAllTriedTargets(pathlessTargetIds)
                 .suspect(crashAssessment.suspect())
@@ -511,7 +536,9 @@
 
     @Override
     public boolean accepts(Target target) {
-        return stream.accepts(target);
+        return stream.isBound()
+                ? stream.accepts(target)
+                : versionAtWork().map(target.version()::equals).orElse(true);
     }
 
     @Override
@@ -614,7 +641,7 @@
 
     @Override
     public boolean resumesStream() {
-        return stream.isBound();
+        return requiredVersion().isPresent();
     }
 
     @Override
@@ -956,6 +983,7 @@
             notExecuted(run, responseAssembler.fromWrongTarget());
             retryElsewhereOrReject(nowMillis);
         } else if (!responseAssembler.isDeliverable()) {
+            runs.endedByTarget(run);
             run.end(RunEvent.RUN_BROKEN);
             retryOrFail(TargetFailure.GARBLED, nowMillis);
         } else if (responseAssembler.status() >= 500) {
@@ -1096,7 +1124,7 @@
     }
 
     private void notExecuted(ActiveRun run, boolean wrongTarget) {
-        runs.notExecuted();
+        runs.notExecuted(run);
         if (wrongTarget) {
             run.end(RunEvent.RUN_UNREACHABLE);
             front.targetFailed(run.entry(), TargetFailure.UNREACHABLE);
@@ -1107,6 +1135,7 @@
     }
 
     private void erred(ActiveRun run) {
+        runs.endedByTarget(run);
         run.end(RunEvent.RUN_ERRED);
         front.targetAnsweredError(run.entry());
     }
@@ -1344,7 +1373,7 @@
     /** Seeks another target for a request whose target is silent; its run goes on meanwhile. */
     private void replaceIfAllowed(long nowMillis) {
         boolean noTarget =
-                route.idempotent() && !front.hasUntriedTarget(service, stream.requiredVersion(), runs.triedTargetIds());
+                route.idempotent() && !front.hasUntriedTarget(service, requiredVersion(), runs.triedTargetIds());
         RetryDecision decision = noTarget ? RetryDecision.NO_TARGET : retryDecision(nowMillis);
         recordSilence(decision, nowMillis);
         if (decision != RetryDecision.RETRY) {
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/RequestRuns.java
@@ -32,6 +32,8 @@
 
     private int sentCount;
     private int possibleExecutions;
+    /** Runs whose targets have not ended them, so far as is known; those of silent and lost connections among them. */
+    private final List<ActiveRun> notEnded = new ArrayList<>();
     /** Null before the first run. */
     private ActiveRun latest;
     /** Runs of silent targets for which another target is sought or was sent the request, the oldest first. */
@@ -58,11 +60,23 @@
         possibleExecutions++;
         sentTargetId = Optional.of(latest.run().target().id());
         triedTargetIds.add(sentTargetId.get());
+        notEnded.add(latest);
     }
 
     /** Records that a target reported that it did not execute the request. */
-    void notExecuted() {
+    void notExecuted(ActiveRun run) {
         possibleExecutions--;
+        notEnded.remove(run);
+    }
+
+    /** Records that a target has ended a run without success. */
+    void endedByTarget(ActiveRun run) {
+        notEnded.remove(run);
+    }
+
+    /** Returns the version of the first target that may still work on the request; empty if none does. */
+    Optional<String> versionAtWork() {
+        return notEnded.stream().findFirst().map(run -> run.run().target().version());
     }
 
     /** Returns the number of times that the request was sent to a target. */
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/VersionObserver.java
@@ -77,6 +77,11 @@
                 : targets.onlyVersion(service, certifiedVersion, maxAgeMillis);
     }
 
+    /** Tells whether all targets of a service that this process knows of have had one version lately. */
+    boolean hasOneVersion(String service) {
+        return targets.hasOneVersion(service);
+    }
+
     /** Records that the history of the publishing service is about to be read. */
     void expectHistory() {
         historyExpected = true;
