Take only a whole event for the proof that a stream was cut

The front had closed them as end-unverified.

The first bytes of it counted as proof that the stream had been cut, for the whole fleet and for 30 s, and ends that nobody can be asked about are left open for that time. The stream asked about lost its end too.

Now an event that follows is proof once it is whole, or if its bytes are coming when the end may be held no longer. A target that breaks off before is a failed question, and another is asked or the end judged as before.

Weighed: to compare the number of cuts with that of whole ends before ends are left open; not taken, as it would pass on cuts that this leaves open.

CutStreamTest.partOfAnEventShowsNoCut failed before and passes, with the class's 16 others, StreamEndTest, TruncatedStreamTest and UndeclaredEndTest.

--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/CutStreamTest.java
@@ -73,7 +73,11 @@
             if (request.contains("/silent")) {
                 return;
             }
-            if (request.contains("/undeclared")) {
+            if (request.contains("/part")) {
+                FakeTarget.write(
+                        socket, head(request, "Transfer-Encoding: chunked\r\n") + FakeTarget.chunk("id: 3\nda"));
+                socket.close();
+            } else if (request.contains("/undeclared")) {
                 FakeTarget.write(socket, head(request, ""));
                 socket.close();
             } else {
@@ -160,6 +164,26 @@
         }
     }
 
+    /**
+     * Guards against leaving whole streams open, since a target that was asked for the rest of one has broken off
+     * inside an event.
+     */
+    @Test
+    void partOfAnEventShowsNoCut() throws Exception {
+        startTargets();
+        try (FrontFixture peer = peer()) {
+            for (int i = 0; i < BROKEN_STREAMS; i++) {
+                stream(peer, "/resumable/broken");
+            }
+            FrontFixture.await(() -> doubtsTarget("t") && doubtsTarget("u"));
+            int continuationsBefore = continuations.get();
+            assertThat(stream(fixture, "/resumable/part"), endsWith(LAST_CHUNK));
+            assertThat("ends that were asked about", continuations.get(), is(continuationsBefore + 1));
+            assertThat(knowsOfCuts(), is(false));
+            assertThat(stream(fixture, "/stream/whole"), endsWith(LAST_CHUNK));
+        }
+    }
+
     private boolean doubtsTarget(String id) {
         boolean[] doubted = new boolean[1];
         fixture.run(() -> doubted[0] = fixture.entry(id).brokeOffSince(0));
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -977,7 +977,7 @@
 
     private void acceptContent(ActiveRun run, ByteBuf chunk) {
         boolean written = responseAssembler.content(chunk);
-        if (responseAssembler.hasStreamData()) {
+        if (responseAssembler.events() > 0) {
             endVerified(EndVerdict.CUT);
         }
         if (responseAssembler.isOversized()) {
@@ -1368,7 +1368,11 @@
             deadlineReached(nowMillis);
             return;
         }
-        if (heldEnd.isPresent() && nowMillis >= heldEnd.get().untilMillis()) {
+        boolean heldTooLong = heldEnd.isPresent() && nowMillis >= heldEnd.get().untilMillis();
+        if (heldTooLong && responseAssembler.hasStreamData()) {
+            // An event is on its way.
+            endVerified(EndVerdict.CUT);
+        } else if (heldTooLong) {
             removeFromQueue();
             abandonRuns(nowMillis);
             endHeldStream();
