--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
@@ -14,8 +14,9 @@
  */
 final class PlannedStop {
     /**
-     * Time for which new callers are accepted after a stop is requested, until earlier address lists have expired. Long
-     * requests of that time may be cut off, which callers bear only of requests that they sent within 3 s.
+     * Time for which new callers are accepted after a stop is requested, until earlier address lists have expired.
+     * Their requests may outlast the stop, which the platform tolerates of those sent within 3 s of the request to
+     * stop.
      */
     private static final long LATE_CALLER_MILLIS = 2_500;
     /** Time before the end of the grace period at which requests that are in progress are cut off. */
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StopChecks.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StopChecks.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -148,6 +149,31 @@
         return breaches;
     }
 
+    /** Returns the number of requests that were sent before callers could know of a stop. */
+    static long earlyRequests(StopHistory history) {
+        return during(history, StopChecks::isWithinUnknown);
+    }
+
+    /** Returns the number of requests that were sent whole later than long work at their worker excuses. */
+    static long lateRequests(StopHistory history) {
+        return during(history, StopChecks::isLate);
+    }
+
+    private static long during(StopHistory history, BiPredicate<FrontStop, CallerAnswer> phase) {
+        return history.fleet().answers().stream()
+                .filter(answer -> history.stops().stream().anyMatch(stop -> phase.test(stop, answer)))
+                .count();
+    }
+
+    private static boolean isLate(FrontStop stop, CallerAnswer answer) {
+        if (!stop.frontIp().equals(answer.frontIp())
+                || answer.upload().lastByteNanos().isEmpty()) {
+            return false;
+        }
+        long sentMillis = stop.millisUntil(answer.upload().lastByteNanos().getAsLong());
+        return sentMillis > EXCUSED_SENT_MILLIS && sentMillis < FrontStop.GRACE_MILLIS;
+    }
+
     private static boolean isWithinUnknown(FrontStop stop, CallerAnswer answer) {
         return stop.frontIp().equals(answer.frontIp())
                 && stop.millisUntil(answer.sentNanos()) >= 0
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoppedFleetSoakTest.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/StoppedFleetSoakTest.java
@@ -40,6 +40,9 @@
     private static final Set<StopTrait> TRAITS = traits(System.getProperty("whinwharf.soak.stops", ""));
     private static final int MIN_SUCCESSES = 200;
     private static final int MIN_STOPS = 5;
+    /** Requests of each phase without which a play shows nothing of it. */
+    private static final long MIN_REQUESTS = 5;
+
     private static final int MAX_PRINTED = 3;
     /** Bound of the stop of a front without requests, which must not wait for the end of the grace time. */
     private static final long MAX_IDLE_STOP_MILLIS = 5_000;
@@ -118,6 +121,8 @@
             lost.forEach(text -> System.out.println(text.lines().findFirst().orElseThrow()));
             keepLogs(seed, play.fleet(), lost);
             assertThat("stops", history.stops().size(), greaterThan(MIN_STOPS));
+            assertThat("requests sent early in a stop", StopChecks.earlyRequests(history), greaterThan(MIN_REQUESTS));
+            assertThat("requests sent late in a stop", StopChecks.lateRequests(history), greaterThan(MIN_REQUESTS));
             long successes = history.fleet().answers().stream()
                     .filter(CallerAnswer::succeeded)
                     .count();
