--- a/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
+++ b/org.whinwharf.front.test/src/test/java/org/whinwharf/front/FrontFixture.java
@@ -325,6 +325,11 @@
         run(() -> front.reload(settings.withRetryRatio(retryRatio).withRetryAllowance(retryAllowance)));
     }
 
+    /** Puts settings into force that differ in the time that a planned stop may take. */
+    void reload(long stopGraceMillis) {
+        run(() -> front.reload(settings.withStopGraceMillis(stopGraceMillis)));
+    }
+
     /** Returns the sum of a counter over all its tags. */
     double counter(String name) {
         return front.metrics()
@@ -352,6 +357,7 @@
     /** Asks this front, as a peer does, for a connection to a target. */
     Socket openRelay(String targetId) throws IOException {
         Socket socket = new Socket(ip, RELAY_PORT);
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
         byte[] open = RelayOpen.newBuilder()
                 .setFrom("peer")
                 .setTarget(targetId)
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerConnection.java
@@ -7,7 +7,9 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -47,6 +49,12 @@
     /** The last printable character of ASCII; others would reach the target as other bytes. */
     private static final char MAX_URI_CHARACTER = '~';
 
+    /** Time after a response in which callers send their next request, if they have one ready. */
+    private static final long NEXT_REQUEST_MILLIS = 100;
+
+    /** Time for which the rest of a rejected request is read, so that its caller receives the response. */
+    private static final long DISCARD_MILLIS = 1_000;
+
     private static final String CALLER_CLOSED = "caller-closed";
 
     private final Front front;
@@ -57,6 +65,9 @@
     private CallerExchange exchange;
     private boolean closing;
     private boolean closeAfterResponse;
+    /** Whether the rest of a rejected request is read and discarded. */
+    private boolean discarding;
+
     private long lastActivityMillis;
     private boolean receivingHead;
     private String closeCause = CALLER_CLOSED;
@@ -226,7 +237,7 @@
         DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
         head.headers().set(headers).remove(HttpHeaderNames.CONTENT_LENGTH);
         HttpUtil.setTransferEncodingChunked(head, true);
-        if (front.leaving() || closeAfterResponse) {
+        if (front.plannedStop().begun() || closeAfterResponse) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
             closing = true;
         }
@@ -296,7 +307,7 @@
     }
 
     private void write(FullHttpResponse response, boolean close) {
-        closing = closing || close || closeAfterResponse || front.leaving();
+        closing = closing || close || closeAfterResponse || front.plannedStop().begun();
         if (closing) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
@@ -306,6 +317,11 @@
     private void responseWritten() {
         exchange = null;
         lastActivityMillis = front.nowMillis();
+        if (discarding) {
+            // A close with unread input resets the connection, and the caller may not receive the response.
+            ((DuplexChannel) channel).shutdownOutput();
+            return;
+        }
         if (closing) {
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             return;
@@ -334,14 +350,48 @@
         }
     }
 
-    /** Closes the connection if no request is in progress. */
-    void closeIfIdle() {
-        if (exchange == null && request == null && !receivingHead && !closing) {
+    /** Tells whether a request was begun and not received whole. */
+    boolean receivingRequest() {
+        return exchange == null && !closing && (request != null || receivingHead);
+    }
+
+    /** Returns the bytes of responses that the caller has not taken. */
+    long unreadBytes() {
+        ChannelOutboundBuffer outbound = channel.unsafe().outboundBuffer();
+        return outbound == null ? 0 : outbound.totalPendingWriteBytes();
+    }
+
+    /**
+     * Goes on with a planned stop once callers can have gone elsewhere.
+     *
+     * <p>An idle connection is closed if no request is likely to be on its way, as a caller whose request crosses the
+     * close cannot know whether it was executed. A request that would come too late is rejected before its last byte.
+     */
+    void drain(long nowMillis) {
+        if (idle() && nowMillis - lastActivityMillis > NEXT_REQUEST_MILLIS && isCallerConnected() && idle()) {
             closing = true;
             channel.close();
+        } else if (request != null && !closing) {
+            rejectIfLate();
+        } else if (discarding && nowMillis - lastActivityMillis > DISCARD_MILLIS) {
+            channel.close();
+        }
+    }
+
+    private void rejectIfLate() {
+        CallerExchange incomplete = new CallerExchange(front, this, request, body);
+        if (incomplete.isLate()) {
+            request = null;
+            body = null;
+            discarding = true;
+            incomplete.rejectLate();
         }
     }
 
+    private boolean idle() {
+        return exchange == null && request == null && !receivingHead && !closing;
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         closing = true;
--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -5,11 +5,13 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.whinwharf.errors.ErrorKind;
 import org.whinwharf.traffic.catalog.Organisation;
 import org.whinwharf.traffic.catalog.Route;
@@ -197,6 +199,11 @@
         quotaTokens = admitted.quotaTokens();
         deadlineAtMillis = admitted.deadlineAtMillis();
         queueTimeoutAtMillis = admitted.queueTimeoutAtMillis();
+        if (!front.plannedStop().leavesTimeUntil(deadlineAtMillis)) {
+            // Nothing else bounds how long targets work on it.
+            rejectLate();
+            return;
+        }
         if (route.kind() == RouteKind.STREAMING && head.lastEventId().isPresent()) {
             findOrigin();
         } else {
@@ -204,6 +211,26 @@
         }
     }
 
+    /**
+     * Tells whether a request that is incomplete would be rejected as late if its last byte came now. It is not handled
+     * otherwise.
+     */
+    boolean isLate() {
+        try {
+            head = front.dialect().readRequest(request);
+        } catch (BadRequestException e) {
+            // Rejected as malformed once it is complete.
+            return false;
+        }
+        return front.admission().decide(head, arrivedAtMillis) instanceof AdmissionControl.Admitted admitted
+                && !front.plannedStop().leavesTimeUntil(admitted.deadlineAtMillis());
+    }
+
+    /** Rejects a request that may last longer than this process, which is stopping. */
+    void rejectLate() {
+        respondWithError(new ErrorResponse(ErrorKind.HOST_LEAVING, Front.NOT_READY_RETRY_AFTER_MILLIS));
+    }
+
     /** Finds out at which service and version the stream that the caller resumes has begun. */
     private void findOrigin() {
         stage = Stage.RESOLVING_ORIGIN;
@@ -727,6 +754,12 @@
             placeAgain();
             return;
         }
+        if (!runs.mayHaveExecuted() && !front.plannedStop().leavesTimeUntil(expectedEndMillis(current, nowMillis))) {
+            current.entry().pool().release(acquired);
+            current.end(RunEvent.RUN_GIVEN_UP);
+            rejectLate();
+            return;
+        }
         if (!accepts(current.entry().state().target())) {
             current.entry().pool().release(acquired);
             current.end(RunEvent.RUN_GIVEN_UP);
@@ -741,6 +774,14 @@
         send(acquired, nowMillis);
     }
 
+    /** Returns the monotonic time in milliseconds at which a run that is sent now is expected to end. */
+    private long expectedEndMillis(ActiveRun placed, long nowMillis) {
+        Candidate candidate = placed.run().candidate();
+        double expectedMillis =
+                candidate.firstEventMillis() + candidate.state().speed().estimatedAnswerMillis(expectedAnswerTokens());
+        return Math.min(deadlineAtMillis, nowMillis + (long) expectedMillis);
+    }
+
     /**
      * Continues a stream over a connection once it is known that published processes have begun it and go on with it.
      */
@@ -1293,7 +1334,8 @@
         return sharedParts;
     }
 
-    private TargetEntry entry() {
+    /** Returns the target of the latest run; null before the first. */
+    TargetEntry entry() {
         return runs.latest() == null ? null : runs.latest().entry();
     }
 
@@ -1434,19 +1476,35 @@
     }
 
     private void deadlineReached(long nowMillis) {
+        giveUp(
+                TruncationCause.TIMED_OUT,
+                new ErrorResponse(ErrorKind.DEADLINE_RUNNING, 0),
+                () -> new ErrorResponse(ErrorKind.HOPELESS, front.localQueues().retryAfterMillis(service)),
+                nowMillis);
+    }
+
+    /** Ends the request, because this process does; the caller is told whether it may have been executed. */
+    void cutOff(long nowMillis) {
+        FrontLog.cutOff(this, front.plannedStop().elapsedMillis());
+        giveUp(
+                TruncationCause.STOPPED,
+                new ErrorResponse(ErrorKind.TARGET_LOST, 0),
+                () -> new ErrorResponse(ErrorKind.HOST_LEAVING, Front.NOT_READY_RETRY_AFTER_MILLIS),
+                nowMillis);
+    }
+
+    /** Ends the request and its runs, whatever its stage. */
+    private void giveUp(
+            TruncationCause cause, ErrorResponse ifExecuted, Supplier<ErrorResponse> ifNotExecuted, long nowMillis) {
         removeFromQueue();
-        if (responseAssembler.streamStarted()) {
+        if (responseAssembler != null && responseAssembler.streamStarted()) {
             abandonRuns(nowMillis);
-            endStarted("timed-out", TruncationCause.TIMED_OUT);
+            endStarted(cause.tag(), cause);
             return;
         }
         boolean possiblyExecuted = runs.mayHaveExecuted();
         abandonRuns(nowMillis);
-        respondWithError(
-                possiblyExecuted
-                        ? new ErrorResponse(ErrorKind.DEADLINE_RUNNING, 0)
-                        : new ErrorResponse(
-                                ErrorKind.HOPELESS, front.localQueues().retryAfterMillis(service)));
+        respondWithError(possiblyExecuted ? ifExecuted : ifNotExecuted.get());
     }
 
     /**
@@ -1518,6 +1576,45 @@
                 : OptionalLong.empty();
     }
 
+    /** Returns how far the handling of the request has got, for logs. */
+    String stageTag() {
+        return stage.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Tells whether any target may have executed the request or may still execute it. */
+    boolean mayHaveExecuted() {
+        return runs.mayHaveExecuted();
+    }
+
+    /** Returns the number of times that the request was sent to a target. */
+    int sentCount() {
+        return runs.sentCount();
+    }
+
+    /** Returns the time in milliseconds since the request was sent to its latest target; empty before that. */
+    OptionalLong runMillis() {
+        return runs.latest() != null && runs.latest().sent()
+                ? OptionalLong.of(nowMillis() - runs.latest().run().sentAtMillis())
+                : OptionalLong.empty();
+    }
+
+    /** Returns the status of the latest response of a target; 0 if there is none. */
+    int responseStatus() {
+        return responseAssembler == null ? 0 : responseAssembler.status();
+    }
+
+    /** Returns the bytes of the response that the caller has not taken. */
+    long unreadBytes() {
+        return caller.unreadBytes();
+    }
+
+    /** Returns the time in milliseconds since a planned stop of this process began; empty if none has begun. */
+    OptionalLong stoppingMillis() {
+        return front.plannedStop().begun()
+                ? OptionalLong.of(front.plannedStop().elapsedMillis())
+                : OptionalLong.empty();
+    }
+
     /** Returns the requests per second that a run's target has stated it takes; empty if it takes any number. */
     OptionalDouble statedRate(TargetRun run) {
         return front.statedRates().rateOf(run.target().id());
--- a/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
+++ b/org.whinwharf.platform.test/src/test/java/org/whinwharf/platform/fleet/WorkerConnection.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.TimeUnit;
 
 /** One connection to a worker, which serves one request at a time. */
@@ -159,7 +160,7 @@
 
     private boolean reject(String head, int status, WorkerFault fault) throws IOException {
         WorkerRun run = begin(head, false);
-        String attempt = worker.draw(2) == 0 ? "" : "X-Attempt-Id: " + run.attemptId() + "\r\n";
+        String attempt = worker.drawNamed() ? "X-Attempt-Id: " + run.attemptId() + "\r\n" : "";
         WorkerFault used = fault.repeats() ? fault : WorkerFault.NONE;
         worker.record().put(run.ended(WorkerRun.End.WRITTEN, status, "", used.repeats()));
         return write(
@@ -226,7 +227,9 @@
 
     private boolean plain(Output output, WorkerFault fault, long limitMillis) throws IOException {
         WorkerRun run = output.run;
-        int millis = worker.draw(LONG_INTERVAL) == 0 ? worker.draw(MAX_LONG_MILLIS) : worker.draw(MAX_PLAIN_MILLIS);
+        int drawnMillis =
+                worker.draw(LONG_INTERVAL) == 0 ? worker.draw(MAX_LONG_MILLIS) : worker.draw(MAX_PLAIN_MILLIS);
+        int millis = AttemptKind.stepMillis(run.path()).orElse(drawnMillis);
         if (!staysOpen(fault == WorkerFault.SILENT ? limitMillis : Math.min(millis, limitMillis))) {
             throw new IOException("the caller left");
         }
@@ -237,7 +240,9 @@
                 .append(" of ")
                 .append(run.attemptId())
                 .append('\n');
-        output.body.append((run.seal() + "\n").repeat(worker.draw(MAX_BODY_LINES)));
+        int drawnLines = worker.draw(MAX_BODY_LINES);
+        output.body.append(
+                (run.seal() + "\n").repeat(AttemptKind.lines(run.path()).orElse(drawnLines)));
         Framing framing = Framing.values()[worker.draw(Framing.values().length)];
         int half = output.body.length() / 2;
         String first = head(output, framing, output.body.length()) + framing.part(output.body.substring(0, half));
@@ -297,8 +302,9 @@
         if (endsAfterRepetition) {
             throw new IOException("ended by a repeated answer");
         }
+        OptionalInt askedMillis = AttemptKind.stepMillis(run.path());
         for (int id = run.afterEvent() + 1; id <= breakAfter; id++) {
-            if (!staysOpen(worker.draw(maxEventMillis)) || System.nanoTime() > endNanos) {
+            if (!staysOpen(askedMillis.orElse(worker.draw(maxEventMillis))) || System.nanoTime() > endNanos) {
                 if (framing == Framing.CONNECTION && !worker.crashed()) {
                     reset();
                 }
