Leave a stream open of which a part of a further event has come

Since a part of an event no longer counts as proof of a cut, for the fleet nor for the stream itself. But where a target that is asked for the rest of a stream begins to send an event, the stream has that event. It was passed on as whole: at once, and recorded as found whole, where that target's body has no declared end (an end that is held counted as "nothing follows" whatever had come); and where it broke off in chunks, as a question that failed, if nothing else spoke of cuts.

Now such a stream is resumed at another target or left open. What the fleet is told stays as it is since.

CutStreamTest.streamOfWhichAPartOfAnEventFollowsIsLeftOpen: of its two cases the one without a declared end failed before (complete after two events of three); the other one passed, as ends are odd there. Both pass now.

StoppedFleetSoakTest was not run with this.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -152,6 +152,8 @@
     private int emptyContinuations;
     /** Whether the stream was found to be cut, so that what follows comes from a target that was asked for the rest. */
     private boolean cutShown;
+    /** Whether a target that was asked for the rest has sent a part of a further event, and none has sent it whole. */
+    private boolean partFollows;
 
     CallerExchange(Front front, CallerConnection caller, HttpRequest request, ByteBuf body) {
         this.front = front;
@@ -978,7 +980,10 @@
     private void acceptContent(ActiveRun run, ByteBuf chunk) {
         boolean written = responseAssembler.content(chunk);
         if (responseAssembler.events() > 0) {
+            partFollows = false;
             endVerified(EndVerdict.CUT);
+        } else if (heldEnd.isPresent() && responseAssembler.hasStreamData()) {
+            partFollows = true;
         }
         if (responseAssembler.isOversized()) {
             run.reject();
@@ -1001,7 +1006,8 @@
         if (run.held() != null) {
             acceptHeld(run);
         }
-        boolean nothingFollows = heldEnd.isPresent() || toldTwiceThatNothingFollows();
+        boolean heldEndIsWhole = heldEnd.isPresent() && !responseAssembler.hasStreamData();
+        boolean nothingFollows = heldEndIsWhole || toldTwiceThatNothingFollows();
         if (!responseAssembler.notExecuted() && !responseAssembler.isComplete() && !nothingFollows) {
             if (responseAssembler.cutInsideEvent()) {
                 recordEndCheck(EndVerdict.CUT);
@@ -1087,10 +1093,11 @@
     /**
      * Ends a stream whose end is doubted and could not be verified. A caller that is told of no end has all events and
      * may resume the stream; one that takes a part for the whole cannot notice. What a target has sent that was asked
-     * for the rest of the stream counts as the rest.
+     * for the rest of the stream counts as the rest, unless it broke off inside an event.
      */
     private void endUnverified(TargetEntry target, String reason) {
-        if (cutShown || !front.streamEnds().likelyCut(service, verifiableShare())) {
+        boolean mayBeWhole = cutShown || !front.streamEnds().likelyCut(service, verifiableShare());
+        if (mayBeWhole && !partFollows) {
             recordEndDecision(target, EndDecision.PASSED_ON, reason);
             deliver();
             return;
