Count the versions of targets that were published long ago as in use

Until the caller has an event of a stream, an attempt goes only to engines of the version that may still work on it, unless the service has had one version only. UnheardRunTest and the script publish all targets within 30 s of their streams.

Not done where the question is asked, as queues ask it for each comparison of two requests.

TargetRegistryTest.versionOfTargetsThatWerePublishedLongAgoIsInUse failed before and passes.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/TargetRegistry.java
@@ -557,7 +557,10 @@
         }
     }
 
-    /** Probes ejected targets, evicts targets that are gone and closes stale connections. */
+    /**
+     * Probes ejected targets, evicts targets that are gone, closes stale connections and records the versions that are
+     * in use.
+     */
     void sweep() {
         long nowMillis = ticker.nowMillis();
         processes.sweep(entries.keySet(), nowMillis);
@@ -569,7 +572,10 @@
                 if (state.localInFlight() == 0) {
                     evict(state.target().id());
                 }
-            } else if (!state.target().draining() && state.health().beginProbe(nowMillis)) {
+                continue;
+            }
+            versions.seen(state.target().service(), state.target().version(), nowMillis);
+            if (!state.target().draining() && state.health().beginProbe(nowMillis)) {
                 probe(entry);
             }
         }
