Keep the order of queued requests while they are sorted

A queue sorts its requests by whether they need targets of one version. Since an attempt without an event needs one while a target of it may still work and its service has two versions, which depends on the clock and on what is published: the answer may change between two comparisons of one sort, and List.sort throws then ("Comparison method violates its general contract"). The list is detached before it is sorted, so that all requests of that rank were lost: their callers would have waited until their timeout.

Now a pass asks each request once. QueuedRequest.resumesStream is named for what it asks since, needsOneVersion.

RequestQueueTest.requestsWhoseNeedsChangeMeanwhileAreKept threw that exception before, and passes; RequestQueueTest 13 of 13, CoordinatorTest 29, CoordinatorRankingTest 5, OrganisationSharesTest 17, one run each.

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerExchange.java
@@ -660,7 +660,7 @@
     }
 
     @Override
-    public boolean resumesStream() {
+    public boolean needsOneVersion() {
         return requiredVersion().isPresent();
     }
 
@@ -673,7 +673,7 @@
         }
         Optional<Candidate> chosen = front.chooseLocally(demand(nowMillis), nowMillis);
         if (chosen.isEmpty()) {
-            return resumesStream() ? DispatchResult.HELD : DispatchResult.NO_TARGET;
+            return needsOneVersion() ? DispatchResult.HELD : DispatchResult.NO_TARGET;
         }
         Candidate candidate = chosen.get();
         front.recordLocalDispatch(candidate, nowMillis);
--- a/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RequestQueueTest.java
+++ b/org.whinwharf.traffic.test/src/test/java/org/whinwharf/traffic/RequestQueueTest.java
@@ -7,6 +7,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.whinwharf.traffic.waiting.DispatchResult;
 import org.whinwharf.traffic.waiting.QueuedRequest;
@@ -75,6 +76,30 @@
         }
     }
 
+    /** Guards against a queue that is lost, since what its requests need changes while they are sorted. */
+    @Test
+    void requestsWhoseNeedsChangeMeanwhileAreKept() {
+        int requests = 200;
+        RequestQueue queue = new RequestQueue(requests);
+        Random random = new Random(1);
+        for (int i = 0; i < requests; i++) {
+            queue.add(
+                    new TestRequest("changing-" + i, 1, 1_000) {
+                        @Override
+                        public boolean needsOneVersion() {
+                            return random.nextBoolean();
+                        }
+                    },
+                    0);
+        }
+        for (int pass = 0; pass < 20; pass++) {
+            queue.advance(pass);
+        }
+        freeSlots = requests;
+        queue.advance(20);
+        assertThat(dispatched.size(), is(requests));
+    }
+
     /** Guards against long requests that keep the slot from a short one of the same rank that arrives just after. */
     @Test
     void shortRequestsHaveABoundedHeadStart() {
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/coordination/ServiceCoordinator.java
@@ -176,7 +176,7 @@
         int queuedAhead = queue.queuedAhead(queued, nowMillis);
         long timeoutMillis = queue.effectiveTimeoutAtMillis(queued, nowMillis) - nowMillis;
         return dependencies.policy().isEnabled(Mechanism.REFUSAL_ON_ARRIVAL)
-                && !queued.resumesStream()
+                && !queued.needsOneVersion()
                 && queuedAhead >= MIN_AHEAD_FOR_REJECTION
                 && estimatedWaitMillis(queuedAhead, queued.tierRank(), nowMillis) > timeoutMillis;
     }
@@ -456,7 +456,7 @@
         }
 
         @Override
-        public boolean resumesStream() {
+        public boolean needsOneVersion() {
             return request.demand().requiredVersion().isPresent();
         }
 
@@ -490,7 +490,7 @@
             Optional<Candidate> selected = select(isolation.alternatives(demand, assessment, nowMillis), nowMillis);
             if (selected.isEmpty()) {
                 // Other requests may use the targets that a suspect or a resumed stream must not.
-                return suspect.isPresent() || resumesStream() ? DispatchResult.HELD : DispatchResult.NO_TARGET;
+                return suspect.isPresent() || needsOneVersion() ? DispatchResult.HELD : DispatchResult.NO_TARGET;
             }
             if (!assessment.strongSuspect() && shouldWaitForFasterTarget(selected.get(), demand, nowMillis)) {
                 return DispatchResult.HELD;
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueuedRequest.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/QueuedRequest.java
@@ -48,12 +48,13 @@
     String requiredModel();
 
     /**
-     * Tells whether the request resumes a stream, so that only targets of one software version are suitable. It
-     * precedes the new requests of its rank, whose targets it might otherwise never get, and holds up none of them.
+     * Tells whether only targets of one software version are suitable, as the request resumes a stream, or a target of
+     * that version may still work on it. It precedes the other requests of its rank, whose targets it might otherwise
+     * never get, and holds up none of them. The answer may change while the request is queued.
      *
-     * @return true if it resumes a stream
+     * @return true if it needs targets of one version
      */
-    default boolean resumesStream() {
+    default boolean needsOneVersion() {
         return false;
     }
 
--- a/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/RequestQueue.java
+++ b/org.whinwharf.traffic/src/main/java/org/whinwharf/traffic/waiting/RequestQueue.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,10 +17,11 @@
 import org.whinwharf.traffic.share.ShareTags;
 
 /**
- * Queue of the requests of one service, ordered by rank. Within a rank, resumed streams precede new requests, requests
- * that can still meet their objective precede late ones, then the shares of the organisations decide, and among the
- * requests of one organisation the order of arrival, in which short requests have a head start. A burst therefore
- * delays some requests instead of all that follow, and few of them, and those of the organisation that sends it.
+ * Queue of the requests of one service, ordered by rank. Within a rank, requests that need one version precede others,
+ * requests that can still meet their objective precede late ones, then the shares of the organisations decide, and
+ * among the requests of one organisation the order of arrival, in which short requests have a head start. A burst
+ * therefore delays some requests instead of all that follow, and few of them, and those of the organisation that sends
+ * it.
  *
  * <p>Requests are queued here instead of at an engine, because here a later request of a higher tier is still served
  * first, and a request whose caller disconnects costs nothing.
@@ -35,8 +37,8 @@
     /** Age from which a backlog shortens queue timeouts; shorter bursts are served late and without rejections. */
     private static final long BACKLOG_THRESHOLD_MILLIS = 1_000;
 
-    /** Precedence of a request that resumes no stream; a lower number is served first. */
-    private static final int NEW_REQUEST = 2;
+    /** Precedence of a request that any version suits; a lower number is served first. */
+    private static final int ANY_VERSION = 2;
     /** Added to the precedence of a late request. */
     private static final int LATE = 1;
 
@@ -95,7 +97,7 @@
     }
 
     /**
-     * Tells whether a request of the same or a higher tier is queued, apart from resumed streams.
+     * Tells whether a request of the same or a higher tier is queued, apart from those that need one version.
      *
      * @param tierRank rank
      * @return true if such a request must be served first
@@ -103,12 +105,12 @@
     public boolean hasQueuedAhead(int tierRank) {
         return requestsByRank.headMap(tierRank, true).values().stream()
                 .flatMap(List::stream)
-                .anyMatch(request -> !request.resumesStream());
+                .anyMatch(request -> !request.needsOneVersion());
     }
 
     /**
-     * Returns the number of queued requests that are served before a given one, apart from resumed streams, which wait
-     * for targets that most others do not need.
+     * Returns the number of queued requests that are served before a given one, apart from those that need one version,
+     * which wait for targets that most others do not need.
      *
      * @param request request, queued or not
      * @param nowMillis monotonic time in milliseconds
@@ -120,7 +122,7 @@
         for (List<QueuedRequest> list :
                 requestsByRank.headMap(request.tierRank()).values()) {
             for (QueuedRequest other : list) {
-                ahead += other.resumesStream() ? 0 : 1;
+                ahead += other.needsOneVersion() ? 0 : 1;
             }
         }
         List<QueuedRequest> sameRank = requestsByRank.getOrDefault(request.tierRank(), List.of());
@@ -138,7 +140,7 @@
     }
 
     private static boolean countsAhead(QueuedRequest other, QueuedRequest request, long nowMillis) {
-        return other != request && !other.resumesStream() && nowMillis <= other.onTimeUntilMillis();
+        return other != request && !other.needsOneVersion() && nowMillis <= other.onTimeUntilMillis();
     }
 
     /** Counts the requests that start before a given one by the shares of their organisations. */
@@ -295,12 +297,15 @@
         for (Integer rank : List.copyOf(requestsByRank.keySet())) {
             List<QueuedRequest> current = requestsByRank.put(rank, new ArrayList<>());
             size -= current.size();
-            current.sort(Comparator.comparingInt((QueuedRequest request) -> precedence(request, nowMillis))
+            // What a request needs may change at any time, which a sort does not bear.
+            Map<QueuedRequest, Integer> precedences = new IdentityHashMap<>();
+            current.forEach(request -> precedences.put(request, precedence(request, nowMillis)));
+            current.sort(Comparator.<QueuedRequest>comparingInt(precedences::get)
                     .thenComparingLong(QueuedRequest::orderMillis));
             // A request may queue itself again during its dispatch, so the current list was detached above.
             Pass pass = new Pass(current, nowMillis);
             if (shares.isContended(rank)) {
-                advanceByShare(rank, current, pass);
+                advanceByShare(rank, current, precedences, pass);
             } else {
                 current.forEach(pass::advance);
             }
@@ -313,20 +318,21 @@
 
     private int precedence(QueuedRequest request, long nowMillis) {
         boolean late = onTimeFirst && nowMillis > request.onTimeUntilMillis();
-        return (request.resumesStream() ? 0 : NEW_REQUEST) + (late ? LATE : 0);
+        return (request.needsOneVersion() ? 0 : ANY_VERSION) + (late ? LATE : 0);
     }
 
     /** Advances requests that are sorted by precedence, those of equal precedence by the shares of organisations. */
-    private void advanceByShare(int rank, List<QueuedRequest> sorted, Pass pass) {
+    private void advanceByShare(
+            int rank, List<QueuedRequest> sorted, Map<QueuedRequest, Integer> precedences, Pass pass) {
         int begin = 0;
         while (begin < sorted.size()) {
-            int precedence = precedence(sorted.get(begin), pass.nowMillis);
+            int precedence = precedences.get(sorted.get(begin));
             int end = begin;
-            while (end < sorted.size() && precedence(sorted.get(end), pass.nowMillis) == precedence) {
+            while (end < sorted.size() && precedences.get(sorted.get(end)) == precedence) {
                 end++;
             }
             List<QueuedRequest> equal = sorted.subList(begin, end);
-            if (precedence < NEW_REQUEST || pass.allModelsFailed()) {
+            if (precedence < ANY_VERSION || pass.allModelsFailed()) {
                 equal.forEach(pass::advance);
             } else {
                 ShareOrder<QueuedRequest> order = shares.order(rank, equal);
