Accept the callers that wait at the port before a stop closes it

Cause: CallerAcceptor.stop closed the listening socket 2.5 s into a stop (Front.drain). The timers of the event loop may run before it has looked for new connections; those in the backlog are then reset, with the requests that their callers have sent.

Such a request comes after the 2.5 s, so that one with a long timeout gets 503 (host-leaving, not run).

--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerAcceptor.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/CallerAcceptor.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -25,6 +26,8 @@
     private final EventLoopGroup loop;
     private final CallerPort port;
     private Channel server;
+    /** Connections that were accepted. */
+    private long accepted;
 
     CallerAcceptor(Front front, EventLoopGroup loop, CallerPort port) {
         this.front = front;
@@ -42,6 +45,7 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
+                        accepted++;
                         CallerConnection connection = new CallerConnection(front);
                         channel.pipeline()
                                 .addLast(new ReceiveMonitor(connection))
@@ -61,12 +65,30 @@
                 });
     }
 
-    /** Stops accepting connections. */
+    /**
+     * Stops accepting connections. Those that wait are accepted first, as their callers may have sent requests; before
+     * the start they are reset.
+     */
     void stop() {
-        if (server != null) {
-            server.close();
-        } else {
+        if (server == null) {
             port.close();
+        } else if (server.isOpen()) {
+            acceptWaiting();
+            server.close();
+        }
+    }
+
+    /**
+     * Accepts the connections in the backlog. On a delayed event loop there are some, as its timers may run before it
+     * has looked for new connections.
+     */
+    private void acceptWaiting() {
+        if (server.unsafe() instanceof AbstractNioChannel.NioUnsafe listening) {
+            long before;
+            do {
+                before = accepted;
+                listening.read();
+            } while (accepted > before);
         }
     }
 
