--- a/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
+++ b/org.whinwharf.front/src/main/java/org/whinwharf/front/PlannedStop.java
@@ -67,6 +67,7 @@
                 .call();
     }
 
+    /** Tells whether a stop was requested. */
     boolean begun() {
         return begun;
     }
@@ -96,7 +97,7 @@
         return work.none() && !expectsCallers() || ticker.nowMillis() > cutOffAtMillis;
     }
 
-    /** Tells whether requests have been cut off. */
+    /** Tells whether the stop has come to its end: nothing was in progress, or what was has been cut off. */
     boolean finished() {
         return finished;
     }
