Tell callers at the end of a drain that their request did not run

Callers whose requests waited in the entry program at the end of drainMillis saw their connection close without a response ("header parser received no bytes"), and callers of another host that relayed to it got 502 home-unreachable, ran unknown. Neither could know that the request had not run, so that none could safely be repeated.

Cause: EntryProcess.stop closed the callers' server first; nothing told the home that the process ends. StopRequested only refuses new requests, and what was accepted before it may have a deadline beyond the drain.

The home now takes StopDue: it closes the gate of each request that was not sent and ends it as host-leaving, not run, with the addresses of other hosts. The gate decides between a sender and the end, as it does for a cancellation. EntryProcess.stop sends it before it closes the server, and waits at most 1 s for the answers to be written, and not at all if nothing is in flight. Requests that were sent are not changed by this.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
@@ -15,13 +15,19 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.whinwharf.runtime.command.DaemonRunner;
+import org.whinwharf.runtime.command.ExitCode;
 import org.whinwharf.wire.caller.Addresses;
+import org.whinwharf.wire.schema.Host;
 
 class EntryStopTest {
     private static final String BOOKING =
             "{\"service\":\"zber-app\",\"call\":\"book\",\"body\":\"{}\",\"ticket\":\"%s\",\"number\":%d}";
     private static final String STREAM =
             "{\"service\":\"lampa-llm\",\"model\":\"lampa\",\"prompt\":\"p\",\"maxTokens\":60,\"stream\":true}";
+    /** Shorter than the work of the tests, and than the time for which callers may hold the address. */
+    private static final long DRAIN_MILLIS = 500;
+
     private EntryFixture fixture;
     private EntryDaemon three;
 
@@ -33,6 +39,7 @@
 
     @AfterEach
     void stop() {
+        fixture.grantAll();
         three.stop();
     }
 
@@ -87,6 +94,50 @@
         left.get(30, TimeUnit.SECONDS);
     }
 
+    // A request waits for a slot when the time of the stop is over. Its caller saw the connection close, and could not
+    // know that it may send the request elsewhere.
+    @Test
+    void callerWhoseRequestWaitsAtTheEndOfTheDrainIsToldThatItDidNotRun() {
+        fixture.silenceAll();
+        CompletableFuture<HttpResponse<String>> waiting = submit(EntryFixture.THREE, STREAM);
+        awaitStatus("Waiting\":1");
+        stopAtTheEndOfTheDrain();
+        assertNotRun(waiting.join());
+    }
+
+    // The same by way of another host, whose caller was told that nobody knows whether the request ran.
+    @Test
+    void callerOfAnotherHostIsToldToo() throws Exception {
+        fixture.silenceAll();
+        CompletableFuture<HttpResponse<String>> waiting = submit(EntryFixture.ONE, BOOKING.formatted(ticket(), 0));
+        awaitStatus("Waiting\":1");
+        stopAtTheEndOfTheDrain();
+        HttpResponse<String> response = waiting.join();
+        assertThat(response.body(), response.statusCode(), is(503));
+        assertThat(response.body(), containsString("\"ran\":\"not-run\""));
+    }
+
+    private CompletableFuture<HttpResponse<String>> submit(Host host, String body) {
+        return fixture.client.sendAsync(EntryFixture.submission(host, body), HttpResponse.BodyHandlers.ofString());
+    }
+
+    private void awaitStatus(String part) {
+        EntryFixture.until(
+                part, () -> fixture.admin(EntryFixture.THREE, "/v1/status").contains(part));
+    }
+
+    private void stopAtTheEndOfTheDrain() {
+        assertThat(new DaemonRunner(three, DRAIN_MILLIS).stop(), is(ExitCode.DRAIN_TIMEOUT));
+    }
+
+    private static void assertNotRun(HttpResponse<String> response) {
+        assertThat(response.body(), response.statusCode(), is(503));
+        assertThat(response.body(), containsString("\"error\":\"host-leaving\""));
+        assertThat(response.body(), containsString("\"ran\":\"not-run\""));
+        assertThat(response.body(), containsString("\"host\":\"host-1\""));
+        assertThat(response.headers().firstValue("Retry-After").isPresent(), is(true));
+    }
+
     private String ticket() throws Exception {
         Addresses.Builder addresses = Addresses.newBuilder();
         JsonFormat.parser()
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
@@ -23,6 +23,10 @@
 /** Wires the parts of the entry daemon together. */
 public final class EntryProcess implements Service {
     private static final long DRAIN_POLL_MILLIS = 50;
+    /** Longest time for which callers are left to take their last answers once the process ends. */
+    private static final long FLUSH_MILLIS = 1_000;
+
+    private static final long FLUSH_POLL_MILLIS = 5;
 
     private final EntrySettings settings;
     private final Ticker ticker = Ticker.system();
@@ -82,8 +86,10 @@
         return CompletableFuture.runAsync(this::awaitDrained);
     }
 
+    /** Stops the process. Callers whose requests have not ended are told so, for at most {@link #FLUSH_MILLIS}. */
     @Override
     public void stop() {
+        cutOff();
         callers.stop();
         node.stop();
         relays.stop();
@@ -136,6 +142,21 @@
         }
     }
 
+    private void cutOff() {
+        if (!isBusy()) {
+            return;
+        }
+        home.put(new HomeEvent.StopDue());
+        long endMillis = ticker.nowMillis() + FLUSH_MILLIS;
+        try {
+            while (ticker.nowMillis() < endMillis && isBusy()) {
+                TimeUnit.MILLISECONDS.sleep(FLUSH_POLL_MILLIS);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private boolean isBusy() {
         return home.liveCount() > 0 || sessions.count() > 0 || exchanges.count() > 0;
     }
--- a/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
@@ -459,6 +459,23 @@
         assertThat(driver.find(HomeAction.AnswerEnd.class), hasSize(2));
     }
 
+    // The process ends while one request waits and another is with the sender. Told nothing, their callers can't know
+    // that neither ran; sent after that, the second would run although its caller was told "not run".
+    @Test
+    void endOfTheProcessEndsRequestsThatWereNotSentAsNotRun() {
+        driver.submit(1, request);
+        driver.submit(2, request);
+        driver.grant(2, driver.queuedAt(2), driver.nowMillis);
+        driver.on(new HomeEvent.StopDue());
+        assertThat(driver.errorOf(1), is("host-leaving"));
+        assertThat(driver.errorOf(2), is("host-leaving"));
+        driver.runSender(2);
+        assertThat(driver.sentRequests, is(empty()));
+        driver.submit(3, request);
+        assertThat(driver.errorOf(3), is("host-leaving"));
+        assertThat(driver.home.liveCount(), is(0));
+    }
+
     @Test
     void hostHoldsNoMoreRequestsThanItsLimit() {
         for (int caller = 1; caller <= 21; caller++) {
--- a/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/Home.java
@@ -236,6 +236,12 @@
             state.leaving = true;
         }
 
+        @Override
+        public void on(HomeEvent.StopDue event) {
+            state.leaving = true;
+            state.liveRequests().forEach(completion::cutOff);
+        }
+
         @Override
         public void on(HomeEvent.Ticked event) {
             state.tickets.expire(state.nowMillis);
--- a/org.whinwharf/src/main/java/org/whinwharf/home/HomeEvent.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/HomeEvent.java
@@ -332,6 +332,14 @@
         }
     }
 
+    /** The process ends: the home ends the requests that were never sent, and takes no others. */
+    record StopDue() implements HomeEvent {
+        @Override
+        public void accept(HomeEventHandler handler) {
+            handler.on(this);
+        }
+    }
+
     /** The periodic tick: expired timers and tickets are due for handling. */
     record Ticked() implements HomeEvent {
         @Override
--- a/org.whinwharf/src/main/java/org/whinwharf/home/HomeEventHandler.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/HomeEventHandler.java
@@ -177,6 +177,13 @@
      */
     void on(HomeEvent.StopRequested event);
 
+    /**
+     * Handles {@link HomeEvent.StopDue}.
+     *
+     * @param event the event
+     */
+    void on(HomeEvent.StopDue event);
+
     /**
      * Handles {@link HomeEvent.Ticked}.
      *
--- a/org.whinwharf/src/main/java/org/whinwharf/home/RequestCompletion.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/RequestCompletion.java
@@ -49,6 +49,16 @@
         fail(request, errorIfRunning, HomeText.get("the-target-was-at-work"), FinishKind.CANCELLED);
     }
 
+    /** Ends a request that was not sent, because the process ends. */
+    void cutOff(Request request) {
+        if (preventDispatch(request)) {
+            end(
+                    request,
+                    state.failure(ErrorKind.HOST_LEAVING, HomeText.get("this-host-is-leaving")),
+                    FinishKind.UNUSED);
+        }
+    }
+
     /** Ends a sent request with an error. */
     void fail(Request request, ErrorKind kind, String detail, FinishKind finish) {
         String target = request.location == null ? "" : request.location.target();
