Say what became of sent requests at the end of a drain

Callers whose call ran at a target at the end of drainMillis saw their connection close without a response. Callers of a begun stream saw it break off, and could not resume it at another host with their receipt either ("unknown-request": the engine had dropped the stream).

Cause: the callers' server was closed under them, and the home took the closed connections for callers that had gone, whose work it cancels.

StopDue now also ends the requests that were sent: callers that have received nothing get 502 target-lost, ran unknown; begun streams are broken off, without an end or an error event (answer-cut says process-stopped), and nothing is cancelled at the target. The callers are forgotten before their connections close, so that no cancellation follows. The scheduler is told that the request is lost, which counts it as work that may still run. Relayed answers end with the link, as before: unknown at the relaying host. The closed list of error kinds is unchanged.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
@@ -3,14 +3,17 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
 
 import com.google.protobuf.util.JsonFormat;
 import java.io.BufferedReader;
+import java.io.IOException;
 import java.io.InputStream;
 import java.io.InputStreamReader;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,6 +28,9 @@
             "{\"service\":\"zber-app\",\"call\":\"book\",\"body\":\"{}\",\"ticket\":\"%s\",\"number\":%d}";
     private static final String STREAM =
             "{\"service\":\"lampa-llm\",\"model\":\"lampa\",\"prompt\":\"p\",\"maxTokens\":60,\"stream\":true}";
+    private static final String LONG_STREAM =
+            "{\"service\":\"lampa-llm\",\"model\":\"lampa\",\"prompt\":\"p\",\"maxTokens\":400,\"stream\":true}";
+    private static final String LONG_CALL = "{\"service\":\"zber-loose\",\"call\":\"list\",\"body\":\"{}\"}";
     /** Shorter than the work of the tests, and than the time for which callers may hold the address. */
     private static final long DRAIN_MILLIS = 500;
 
@@ -117,6 +123,49 @@
         assertThat(response.body(), containsString("\"ran\":\"not-run\""));
     }
 
+    // A target works on a call when the time of the stop is over. "Not run" would make the caller repeat it.
+    @Test
+    void callerWhoseCallRunsAtTheEndOfTheDrainIsToldThatItMayHaveRun() throws Exception {
+        CountDownLatch reached = new CountDownLatch(1);
+        CountDownLatch over = new CountDownLatch(1);
+        LooseTarget target = new LooseTarget(EntryFixture.LOOSE, (connection, out, body) -> {
+            reached.countDown();
+            over.await();
+        });
+        target.start();
+        try {
+            CompletableFuture<HttpResponse<String>> running = submit(EntryFixture.THREE, LONG_CALL);
+            assertThat(reached.await(30, TimeUnit.SECONDS), is(true));
+            stopAtTheEndOfTheDrain();
+            HttpResponse<String> response = running.join();
+            assertThat(response.body(), response.statusCode(), is(502));
+            assertThat(response.body(), containsString("\"error\":\"target-lost\""));
+            assertThat(response.body(), containsString("\"ran\":\"unknown\""));
+        } finally {
+            over.countDown();
+            target.stop();
+        }
+    }
+
+    // A stream outlasts the stop. An end would make a part of it look whole, and an order to the engine to drop it
+    // would leave nothing for the caller to resume.
+    @Test
+    void streamThatOutlastsTheDrainIsBrokenOffAndResumedElsewhere() throws Exception {
+        HttpResponse<InputStream> stream = fixture.client.send(
+                EntryFixture.submission(EntryFixture.THREE, LONG_STREAM), HttpResponse.BodyHandlers.ofInputStream());
+        StringBuilder read = new StringBuilder();
+        CompletableFuture<Boolean> brokenOff =
+                CompletableFuture.supplyAsync(() -> readUntilBroken(stream.body(), read));
+        stopAtTheEndOfTheDrain();
+        assertThat(brokenOff.get(30, TimeUnit.SECONDS), is(true));
+        assertThat(read.toString(), containsString("event: token"));
+        assertThat(read.toString(), not(containsString("event: end")));
+        assertThat(read.toString(), not(containsString("event: error")));
+        String receipt = read.toString().replaceAll("(?s).*\"receipt\":\"([^\"]*)\".*", "$1");
+        HttpResponse<String> resumed = fixture.get(EntryFixture.ONE, "/v1/streams?from=0&receipt=" + receipt);
+        assertThat(resumed.body(), containsString("\"tokens\":400"));
+    }
+
     private CompletableFuture<HttpResponse<String>> submit(Host host, String body) {
         return fixture.client.sendAsync(EntryFixture.submission(host, body), HttpResponse.BodyHandlers.ofString());
     }
@@ -138,6 +187,18 @@
         assertThat(response.headers().firstValue("Retry-After").isPresent(), is(true));
     }
 
+    /** Tells whether the connection broke before the end of the body. */
+    private static boolean readUntilBroken(InputStream body, StringBuilder read) {
+        try (BufferedReader reader = new BufferedReader(new InputStreamReader(body, StandardCharsets.UTF_8))) {
+            for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+                read.append(line).append('\n');
+            }
+            return false;
+        } catch (IOException broken) {
+            return true;
+        }
+    }
+
     private String ticket() throws Exception {
         Addresses.Builder addresses = Addresses.newBuilder();
         JsonFormat.parser()
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/ActionRunner.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/ActionRunner.java
@@ -12,6 +12,7 @@
 import org.whinwharf.runtime.node.Node;
 import org.whinwharf.ticket.Receipt;
 import org.whinwharf.ticket.SealingKeys;
+import org.whinwharf.wire.caller.AnswerError;
 import org.whinwharf.wire.caller.EntryAddress;
 import org.whinwharf.wire.caller.Head;
 import org.whinwharf.wire.caller.RequestState;
@@ -119,6 +120,13 @@
         sessions.remove(action.caller()).ifPresent(session -> tellError(session, action.sequence(), action.outcome()));
     }
 
+    @Override
+    public void on(HomeAction.CutAnswer action) {
+        ErrorKind kind = action.outcome().error().orElse(ErrorKind.INTERNAL);
+        AnswerError error = Errors.of(action.outcome(), home.requestId(action.sequence()), List.of());
+        sessions.remove(action.caller()).ifPresent(session -> session.cutOff(kind, error));
+    }
+
     @Override
     public void on(HomeAction.ReplayAnswer action) {
         Optional<CallerSession> session = sessions.remove(action.caller());
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerSession.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CallerSession.java
@@ -23,6 +23,9 @@
     /** Ends with an error. */
     void error(ErrorKind kind, AnswerError error);
 
+    /** Ends because this process ends: with an error when nothing was given, else without the end of the answer. */
+    void cutOff(ErrorKind kind, AnswerError error);
+
     /** Ends with what became of a request. */
     void state(RequestState state);
 }
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CloseCause.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/CloseCause.java
@@ -27,6 +27,8 @@
     static final String REQUEST_LATE = "request-late";
     /** This process closed a connection above its bound on them. */
     static final String TOO_MANY = "too-many-connections";
+    /** This process ended before the answer did. */
+    static final String STOPPED = "process-stopped";
     /** Bytes of an answer could not be written to a connection that was open. */
     static final String WRITE_FAILED = "write-failed";
     /** The HTTP server of this process closed the connection, for a reason that it did not tell. */
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/HttpSession.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/HttpSession.java
@@ -119,6 +119,15 @@
         }
     }
 
+    @Override
+    public void cutOff(ErrorKind kind, AnswerError error) {
+        if (events == null) {
+            answer(errorResponse(kind, error));
+        } else {
+            breakOff(CloseCause.STOPPED);
+        }
+    }
+
     @Override
     public void state(RequestState state) {
         answer(json(HttpStatus.OK.getCode(), state));
@@ -169,7 +178,7 @@
         // After the last event, and for a caller that is gone, nothing can be missing.
         boolean ended = result == Sinks.EmitResult.FAIL_TERMINATED || result == Sinks.EmitResult.FAIL_CANCELLED;
         if (result.isFailure() && !ended) {
-            refused(result);
+            breakOff(NOT_EMITTED + result);
         }
         if (unread > maxUnreadBytes && !slow) {
             slow = true;
@@ -178,9 +187,9 @@
     }
 
     /** Breaks the answer off: with a part missing it must not end as if it were whole. */
-    private void refused(Sinks.EmitResult result) {
-        cut(NOT_EMITTED + result);
-        broken.tryEmitError(new IllegalStateException(NOT_EMITTED + result));
+    private void breakOff(String cause) {
+        cut(cause);
+        broken.tryEmitError(new IllegalStateException(cause));
     }
 
     private void open() {
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/RelaySession.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/RelaySession.java
@@ -69,6 +69,12 @@
                 .build());
     }
 
+    @Override
+    public void cutOff(ErrorKind kind, AnswerError error) {
+        // The link closes next, and the relaying host tells its caller that the outcome is unknown.
+        whenEnded.run();
+    }
+
     @Override
     public void state(RequestState state) {
         ByteString bytes = state.toByteString();
--- a/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeDriver.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeDriver.java
@@ -215,6 +215,9 @@
         } else if (action instanceof HomeAction.AnswerError error) {
             recordFinalAnswer(error.caller());
             checkNotRunIsTrue(error);
+        } else if (action instanceof HomeAction.CutAnswer cut) {
+            recordFinalAnswer(cut.caller());
+            check(cut.outcome().ran() != Ran.NOT_RUN, "caller was told \"not run\" of a sent request");
         } else if (action instanceof HomeAction.AnswerEnd end) {
             recordFinalAnswer(end.caller());
         } else if (action instanceof HomeAction.AnswerBody body) {
--- a/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
@@ -476,6 +476,23 @@
         assertThat(driver.home.liveCount(), is(0));
     }
 
+    // The process ends while a target works. "Not run" would make the caller send the request twice, and a cancelled
+    // stream could not be resumed at another host.
+    @Test
+    void endOfTheProcessCutsSentRequestsAndCancelsNothing() {
+        driver.sent(request);
+        driver.submit(2, request);
+        driver.grant(2, driver.queuedAt(2), driver.nowMillis);
+        driver.pendingDispatches.get(2L).gate().trySend(driver.nowMillis);
+        driver.on(new HomeEvent.StopDue());
+        List<HomeAction.CutAnswer> cut = driver.find(HomeAction.CutAnswer.class);
+        assertThat(cut, hasSize(2));
+        cut.forEach(action -> assertThat(action.outcome().ran(), is(Ran.UNKNOWN)));
+        driver.on(new HomeEvent.CallerDisconnected(1));
+        assertThat(driver.find(HomeAction.CancelAtTarget.class), is(empty()));
+        assertThat(driver.home.liveCount(), is(0));
+    }
+
     @Test
     void hostHoldsNoMoreRequestsThanItsLimit() {
         for (int caller = 1; caller <= 21; caller++) {
--- a/org.whinwharf/src/main/java/org/whinwharf/home/HomeAction.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/HomeAction.java
@@ -83,6 +83,13 @@
          */
         void on(AnswerError action);
 
+        /**
+         * Handles {@link CutAnswer}.
+         *
+         * @param action the action
+         */
+        void on(CutAnswer action);
+
         /**
          * Handles {@link ReplayAnswer}.
          *
@@ -263,6 +270,22 @@
         }
     }
 
+    /**
+     * Ends the answer of a sent request whose outcome is unknown, because the process ends: with the error when the
+     * caller has received nothing, else without an end, so that the caller can resume the stream. Final action for the
+     * caller.
+     *
+     * @param caller handle of the caller's connection
+     * @param sequence number of the request, unique in this incarnation
+     * @param outcome the failure
+     */
+    record CutAnswer(long caller, long sequence, Outcome outcome) implements HomeAction {
+        @Override
+        public void accept(Handler handler) {
+            handler.on(this);
+        }
+    }
+
     /**
      * Sends the stored answer of an ended request to a caller. Final action for the caller.
      *
--- a/org.whinwharf/src/main/java/org/whinwharf/home/HomeEvent.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/HomeEvent.java
@@ -332,7 +332,7 @@
         }
     }
 
-    /** The process ends: the home ends the requests that were never sent, and takes no others. */
+    /** The process ends: the home ends all requests, and takes no others. */
     record StopDue() implements HomeEvent {
         @Override
         public void accept(HomeEventHandler handler) {
--- a/org.whinwharf/src/main/java/org/whinwharf/home/RequestCompletion.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/home/RequestCompletion.java
@@ -49,14 +49,23 @@
         fail(request, errorIfRunning, HomeText.get("the-target-was-at-work"), FinishKind.CANCELLED);
     }
 
-    /** Ends a request that was not sent, because the process ends. */
+    /** Ends a request because the process ends. A target that is at work goes on, for callers that resume a stream. */
     void cutOff(Request request) {
         if (preventDispatch(request)) {
             end(
                     request,
                     state.failure(ErrorKind.HOST_LEAVING, HomeText.get("this-host-is-leaving")),
                     FinishKind.UNUSED);
+            return;
         }
+        Outcome outcome =
+                Outcome.failed(ErrorKind.TARGET_LOST, HomeText.get("this-host-has-left"), 0, request.location.target());
+        for (long caller : request.callers.keySet()) {
+            state.requestOfCaller.remove(caller);
+            state.emit(new HomeAction.CutAnswer(caller, request.sequence, outcome));
+        }
+        request.callers.clear();
+        end(request, outcome, FinishKind.LOST);
     }
 
     /** Ends a sent request with an error. */
