Say in drain-timeout what a planned stop cuts

Operators saw a drain-timeout without a field: not whether one request or a thousand was cut, nor which slice kept a scheduler.

DaemonRunner now asks the daemon for its work in flight and writes stoppingMillis, requests, queued (not sent), answers (not written whole) and slices (not handed over). A daemon that does not count its work (the steward) has a line without counts rather than zeros. Which requests are cut is said by the request-ended lines that follow at an entry.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
@@ -12,6 +12,7 @@
 import java.io.InputStreamReader;
 import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -20,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.whinwharf.runtime.command.DaemonRunner;
 import org.whinwharf.runtime.command.ExitCode;
+import org.whinwharf.runtime.command.WorkInFlight;
 import org.whinwharf.wire.caller.Addresses;
 import org.whinwharf.wire.schema.Host;
 
@@ -107,6 +109,7 @@
         fixture.silenceAll();
         CompletableFuture<HttpResponse<String>> waiting = submit(EntryFixture.THREE, STREAM);
         awaitStatus("Waiting\":1");
+        assertThat(three.workInFlight().orElseThrow(), is(new WorkInFlight(1, 1, 1, List.of())));
         stopAtTheEndOfTheDrain();
         assertNotRun(waiting.join());
     }
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/EntryDaemon.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/EntryDaemon.java
@@ -1,8 +1,10 @@
 package org.whinwharf.entry;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.whinwharf.entry.internal.EntryProcess;
 import org.whinwharf.runtime.command.Daemon;
+import org.whinwharf.runtime.command.WorkInFlight;
 import org.whinwharf.wire.schema.EntrySettings;
 
 /** Process that speaks with callers and is the home of their requests. */
@@ -28,6 +30,11 @@
         return process.leave();
     }
 
+    @Override
+    public Optional<WorkInFlight> workInFlight() {
+        return Optional.of(process.workInFlight());
+    }
+
     @Override
     public void stop() {
         process.stop();
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
@@ -1,5 +1,6 @@
 package org.whinwharf.entry.internal;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
@@ -10,6 +11,7 @@
 import org.whinwharf.lifecycle.Service;
 import org.whinwharf.membership.Membership;
 import org.whinwharf.routing.RoutingPolicy;
+import org.whinwharf.runtime.command.WorkInFlight;
 import org.whinwharf.runtime.node.Node;
 import org.whinwharf.runtime.node.NodeListener;
 import org.whinwharf.time.Ticker;
@@ -86,6 +88,15 @@
         return CompletableFuture.runAsync(this::awaitDrained);
     }
 
+    /**
+     * Counts the work in flight as of the home's latest tick. Never waits.
+     *
+     * @return the work
+     */
+    public WorkInFlight workInFlight() {
+        return new WorkInFlight(home.liveCount(), home.waitingCount(), exchanges.count(), List.of());
+    }
+
     /** Stops the process. Callers whose requests have not ended are told so, for at most {@link #FLUSH_MILLIS}. */
     @Override
     public void stop() {
--- a/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/command/DaemonCommandTest.java
+++ b/org.whinwharf.runtime.test/src/test/java/org/whinwharf/runtime/command/DaemonCommandTest.java
@@ -3,10 +3,12 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.allOf;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.github.rvesse.airline.annotations.Command;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -17,13 +19,17 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.whinwharf.runtime.log.CapturedLog;
 import org.whinwharf.wire.schema.NodeSettings;
 import org.whinwharf.wire.schema.SchedulerSettings;
 
 class DaemonCommandTest {
+    private static final long DRAIN_MILLIS = 20;
+
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
@@ -101,6 +107,28 @@
         assertThat(daemon.calls, is(List.of("start", "leave", "stop")));
     }
 
+    // A drain timed out, as it usually does, and its line did not say whether it cut one request or a thousand.
+    @Test
+    void drainTimeoutSaysWhatItCuts() throws IOException {
+        FakeDaemon daemon = new FakeDaemon(new CompletableFuture<>(), null);
+        daemon.work = Optional.of(new WorkInFlight(3, 2, 4, List.of("llm/a/0")));
+        List<JsonNode> lines = linesOfDrainTimeout(daemon);
+        assertThat(lines.size(), is(1));
+        assertThat(lines.get(0).get("requests").asInt(), is(3));
+        assertThat(lines.get(0).get("queued").asInt(), is(2));
+        assertThat(lines.get(0).get("answers").asInt(), is(4));
+        assertThat(lines.get(0).get("slices").get(0).asText(), is("llm/a/0"));
+        assertThat(lines.get(0).get("stoppingMillis").asLong(), is(greaterThanOrEqualTo(DRAIN_MILLIS)));
+    }
+
+    // Counts of a daemon that does not count its work would read as if nothing had been cut.
+    @Test
+    void drainTimeoutOfADaemonThatCountsNothingHasNoCounts() throws IOException {
+        List<JsonNode> lines = linesOfDrainTimeout(new FakeDaemon(new CompletableFuture<>(), null));
+        assertThat(lines.size(), is(1));
+        assertThat(lines.get(0).has("requests"), is(false));
+    }
+
     @Test
     void plannedStopLeavesBeforeItStops() {
         FakeDaemon daemon = new FakeDaemon(CompletableFuture.completedFuture(null), null);
@@ -116,6 +144,13 @@
         assertThat(daemon.calls, is(List.of("start", "stop")));
     }
 
+    private static List<JsonNode> linesOfDrainTimeout(FakeDaemon daemon) throws IOException {
+        try (CapturedLog log = new CapturedLog()) {
+            assertThat(new DaemonRunner(daemon, DRAIN_MILLIS).stop(), is(ExitCode.DRAIN_TIMEOUT));
+            return log.lines("drain-timeout");
+        }
+    }
+
     private DaemonCommand.Prepared prepare(String... arguments) {
         return DaemonCommand.prepare(
                 FakeCommand.class, new PrintStream(out, true), new PrintStream(err, true), arguments);
@@ -152,6 +187,7 @@
         private final CompletableFuture<Void> drained;
         private final RuntimeException startFailure;
         private final List<String> calls = new ArrayList<>();
+        private Optional<WorkInFlight> work = Optional.empty();
 
         FakeDaemon(CompletableFuture<Void> drained, RuntimeException startFailure) {
             this.drained = drained;
@@ -172,6 +208,11 @@
             return drained;
         }
 
+        @Override
+        public Optional<WorkInFlight> workInFlight() {
+            return work;
+        }
+
         @Override
         public void stop() {
             calls.add("stop");
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/Daemon.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/Daemon.java
@@ -1,5 +1,6 @@
 package org.whinwharf.runtime.command;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.whinwharf.lifecycle.Service;
 
@@ -11,4 +12,13 @@
      * @return completes when nothing is in flight any more; never fails
      */
     CompletableFuture<Void> leave();
+
+    /**
+     * Describes the work that is in flight, for the log. Reads counters that other threads keep; never waits.
+     *
+     * @return the work; empty if this daemon does not count it
+     */
+    default Optional<WorkInFlight> workInFlight() {
+        return Optional.empty();
+    }
 }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/DaemonRunner.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/command/DaemonRunner.java
@@ -10,10 +10,12 @@
 import org.whinwharf.runtime.log.EventField;
 import org.whinwharf.runtime.log.EventLog;
 import org.whinwharf.runtime.log.LogEvent;
+import org.whinwharf.time.Ticker;
 
 /** Leads a daemon from its start through a planned stop. */
 public final class DaemonRunner {
     private static final Logger LOG = LogManager.getLogger(DaemonRunner.class);
+    private static final Ticker TICKER = Ticker.system();
 
     private final Daemon daemon;
     private final long drainMillis;
@@ -52,7 +54,8 @@
      */
     public ExitCode stop() {
         EventLog.event(LogEvent.LEAVING).call();
-        ExitCode result = drain(daemon.leave());
+        long leavingAtMillis = TICKER.nowMillis();
+        ExitCode result = drain(daemon.leave(), leavingAtMillis);
         daemon.stop();
         EventLog.event(LogEvent.STOPPED)
                 .with(EventField.EXIT_CODE, result.code())
@@ -60,14 +63,14 @@
         return result;
     }
 
-    private ExitCode drain(CompletableFuture<Void> drained) {
+    private ExitCode drain(CompletableFuture<Void> drained, long leavingAtMillis) {
         try {
             drained.get(drainMillis, TimeUnit.MILLISECONDS);
             EventLog.event(LogEvent.DRAINED).call();
             return ExitCode.OK;
         } catch (TimeoutException e) {
             // Without this bound one caller that never reads would keep the host from being replaced.
-            EventLog.event(LogEvent.DRAIN_TIMEOUT).call();
+            logTimeout(TICKER.nowMillis() - leavingAtMillis);
             return ExitCode.DRAIN_TIMEOUT;
         } catch (ExecutionException e) {
             LOG.error("cannot drain", e);
@@ -77,4 +80,14 @@
             return ExitCode.FAILED;
         }
     }
+
+    private void logTimeout(long stoppingMillis) {
+        EventLog line = EventLog.event(LogEvent.DRAIN_TIMEOUT).with(EventField.STOPPING_MILLIS, stoppingMillis);
+        daemon.workInFlight()
+                .ifPresent(work -> line.with(EventField.REQUESTS, work.requests())
+                        .with(EventField.QUEUED, work.queuedRequests())
+                        .with(EventField.ANSWERS, work.answers())
+                        .with(EventField.SLICES, work.slices()));
+        line.call();
+    }
 }
--- a/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
+++ b/org.whinwharf.runtime/src/main/java/org/whinwharf/runtime/log/EventField.java
@@ -67,6 +67,8 @@
     LAST_EVENT("lastEvent"),
     /** Slice as service/dataCentre/index. */
     SLICE("slice"),
+    /** Slices that a scheduler has not handed over, each as service/dataCentre/index. */
+    SLICES("slices"),
     /** Share of a slice, from 0 to 1. */
     SHARE("share"),
     /** Grant in hexadecimal. */
@@ -191,6 +193,8 @@
     GRACE_MILLIS("graceMillis"),
     /** Time in milliseconds since a planned stop began. */
     STOPPING_MILLIS("stoppingMillis"),
+    /** Answers that were not written whole to their callers. */
+    ANSWERS("answers"),
     /** Connections of callers. */
     CONNECTIONS("connections"),
     /** Connections to targets that are relayed for peers. */
--- a/org.whinwharf.scheduler.test/src/test/java/org/whinwharf/scheduler/SchedulerDaemonTest.java
+++ b/org.whinwharf.scheduler.test/src/test/java/org/whinwharf/scheduler/SchedulerDaemonTest.java
@@ -58,6 +58,7 @@
     private static final long TIMEOUT_SECONDS = 30;
     private static final int MAX_ATTEMPTS = 300;
     private static final long ATTEMPT_INTERVAL_MILLIS = 100;
+    private static final long HANDOVER_POLL_MILLIS = 10;
     private static final SliceId SLICE =
             SliceId.newBuilder().setService("llm").setDataCentre("a").build();
 
@@ -86,8 +87,10 @@
                 CompletableFuture<Void> left = daemon.leave();
                 assertThat(next(Frame.BodyCase.REFUSAL).getRefusal().getReason(), is(RefusalReason.OWNER_LEAVING));
                 assertThat(next(Frame.BodyCase.RECALL).getRecall().getGrant(), is(grant.getGrant()));
+                awaitSlicesNotHandedOver(daemon, List.of("llm/a/0"));
                 link.send(unused(grant));
                 left.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+                awaitSlicesNotHandedOver(daemon, List.of());
             } finally {
                 entry.stop();
                 daemon.stop();
@@ -95,6 +98,19 @@
         }
     }
 
+    // A stop that times out must be able to say which slice keeps it.
+    private static void awaitSlicesNotHandedOver(SchedulerDaemon daemon, List<String> slices)
+            throws InterruptedException {
+        for (int attempt = 0; attempt < MAX_ATTEMPTS && !slices(daemon).equals(slices); attempt++) {
+            TimeUnit.MILLISECONDS.sleep(HANDOVER_POLL_MILLIS);
+        }
+        assertThat(slices(daemon), is(slices));
+    }
+
+    private static List<String> slices(SchedulerDaemon daemon) {
+        return daemon.workInFlight().orElseThrow().slices();
+    }
+
     // Until it has its first host list and document, the scheduler drops frames because it cannot tell which slices
     // it owns.
     private void enqueueUntilAnswered(PeerLink link) throws InterruptedException {
--- a/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/SchedulerDaemon.java
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/SchedulerDaemon.java
@@ -1,6 +1,7 @@
 package org.whinwharf.scheduler;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.whinwharf.document.DocumentView;
@@ -8,6 +9,7 @@
 import org.whinwharf.owner.SchedulerConfiguration;
 import org.whinwharf.owner.placement.PlacementStrategy;
 import org.whinwharf.runtime.command.Daemon;
+import org.whinwharf.runtime.command.WorkInFlight;
 import org.whinwharf.runtime.duty.Duty;
 import org.whinwharf.runtime.duty.DutyHandler;
 import org.whinwharf.runtime.node.Node;
@@ -19,6 +21,7 @@
 import org.whinwharf.wire.message.Role;
 import org.whinwharf.wire.schema.SchedulerSettings;
 import org.whinwharf.wire.status.SliceState;
+import org.whinwharf.wire.status.TierQueue;
 
 /** Scheduler process. One duty makes all decisions, another polls the load of the targets. */
 public final class SchedulerDaemon implements Daemon {
@@ -72,6 +75,15 @@
         return handedOver;
     }
 
+    @Override
+    public Optional<WorkInFlight> workInFlight() {
+        int queued = states().stream()
+                .flatMap(state -> state.getQueuesList().stream())
+                .mapToInt(TierQueue::getWaiting)
+                .sum();
+        return Optional.of(new WorkInFlight(0, queued, 0, loop.slicesNotHandedOver()));
+    }
+
     @Override
     public void stop() {
         poller.stop();
--- a/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/SchedulerLog.java
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/SchedulerLog.java
@@ -103,7 +103,7 @@
         return state.getService() + "/" + state.getDataCentre() + "/" + state.getIndex();
     }
 
-    private static String name(SliceId slice) {
+    static String name(SliceId slice) {
         return slice.getService() + "/" + slice.getDataCentre() + "/" + slice.getIndex();
     }
 }
--- a/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/SchedulerLoop.java
+++ b/org.whinwharf.scheduler/src/main/java/org/whinwharf/scheduler/internal/SchedulerLoop.java
@@ -41,6 +41,7 @@
     private CompletableFuture<Void> handedOver;
     private long lastSnapshotMillis;
     private volatile List<SliceState> states = List.of();
+    private volatile List<String> slicesNotHandedOver = List.of();
 
     /**
      * Creates the loop.
@@ -72,6 +73,15 @@
         return states;
     }
 
+    /**
+     * Returns the slices that a planned stop has not handed over, as of the last tick; safe for use by several threads.
+     *
+     * @return names as in the log; empty before a planned stop
+     */
+    public List<String> slicesNotHandedOver() {
+        return slicesNotHandedOver;
+    }
+
     /**
      * Applies a new document.
      *
@@ -114,8 +124,8 @@
             lastSnapshotMillis = ticker.nowMillis();
             updateSnapshot();
         }
-        if (handedOver != null && core.isHandoverComplete(ticker.nowMillis())) {
-            handedOver.complete(null);
+        if (handedOver != null) {
+            updateHandover();
         }
     }
 
@@ -166,6 +176,15 @@
         }
     }
 
+    private void updateHandover() {
+        slicesNotHandedOver = core.slicesNotHandedOver(ticker.nowMillis()).stream()
+                .map(SchedulerLog::name)
+                .toList();
+        if (slicesNotHandedOver.isEmpty()) {
+            handedOver.complete(null);
+        }
+    }
+
     private void applyConfiguration() {
         if (configuration != null && membership != null) {
             handle(new SchedulerEvent.ConfigurationChanged(membership, configuration));
--- a/org.whinwharf/src/main/java/org/whinwharf/owner/SchedulerCore.java
+++ b/org.whinwharf/src/main/java/org/whinwharf/owner/SchedulerCore.java
@@ -81,7 +81,21 @@
      * @return true when the process may exit
      */
     public boolean isHandoverComplete(long nowMillis) {
-        return slices.values().stream().allMatch(owner -> owner.isHandoverComplete(nowMillis));
+        return slicesNotHandedOver(nowMillis).isEmpty();
+    }
+
+    /**
+     * Returns the slices for which a planned stop must wait: a request waits here, a grant can still be used, or
+     * pledges are not released.
+     *
+     * @param nowMillis current time
+     * @return the slices, in no order
+     */
+    public List<SliceId> slicesNotHandedOver(long nowMillis) {
+        return slices.values().stream()
+                .filter(owner -> !owner.isHandoverComplete(nowMillis))
+                .map(SliceOwner::slice)
+                .toList();
     }
 
     /**
