Tell callers of relayed requests that the outcome is unknown

Callers whose request this host had passed on to the home of its ticket, and that waited for the home's answer at the end of drainMillis, saw their connection close without a response.

Cause: as for the requests of the own home: the callers' server was closed under them, and nothing told RelayClient that the process ends.

RelayClient now ends what is pending with 502 home-unreachable, ran unknown, with the time to come back after (a repeat at another host joins the request at its home, which keeps it for two seconds); begun streams are broken off.

EntryStopTest before: the new test fails ("header parser received no bytes").

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
@@ -67,7 +67,7 @@
     // ran. "Not run" would make the phone book again.
     @Test
     void bookingWhoseHomeDiedIsUnknownAndNeverNotRun() throws Exception {
-        String booking = BOOKING.formatted(ticket(), 0);
+        String booking = BOOKING.formatted(ticket(EntryFixture.THREE), 0);
         assertThat(fixture.post(EntryFixture.THREE, booking).statusCode(), is(200));
         three.stop();
         HttpResponse<String> response = fixture.post(EntryFixture.ONE, booking);
@@ -78,7 +78,7 @@
     // The home was restarted and gets a number of its earlier run. It has forgotten what it did under that ticket.
     @Test
     void restartedHomeKnowsThatItDoesNotKnow() throws Exception {
-        String booking = BOOKING.formatted(ticket(), 0);
+        String booking = BOOKING.formatted(ticket(EntryFixture.THREE), 0);
         assertThat(fixture.post(EntryFixture.THREE, booking).statusCode(), is(200));
         three.stop();
         three = fixture.startThree();
@@ -118,7 +118,8 @@
     @Test
     void callerOfAnotherHostIsToldToo() throws Exception {
         fixture.silenceAll();
-        CompletableFuture<HttpResponse<String>> waiting = submit(EntryFixture.ONE, BOOKING.formatted(ticket(), 0));
+        CompletableFuture<HttpResponse<String>> waiting =
+                submit(EntryFixture.ONE, BOOKING.formatted(ticket(EntryFixture.THREE), 0));
         awaitStatus("Waiting\":1");
         stopAtTheEndOfTheDrain();
         HttpResponse<String> response = waiting.join();
@@ -126,6 +127,27 @@
         assertThat(response.body(), containsString("\"ran\":\"not-run\""));
     }
 
+    // A request that this host passed on to another home is still there when the time of the stop is over. Only the
+    // home
+    // knows whether it runs; its caller saw the connection close and was not told to ask for it.
+    @Test
+    void callerWhoseRequestIsAtAnotherHomeIsToldThatTheOutcomeIsUnknown() throws Exception {
+        String booking = BOOKING.formatted(ticket(EntryFixture.ONE), 0);
+        fixture.silenceAll();
+        CompletableFuture<HttpResponse<String>> relayed = submit(EntryFixture.THREE, booking);
+        EntryFixture.until(
+                "waiting at its home",
+                () -> fixture.admin(EntryFixture.ONE, "/v1/status").contains("Waiting\":1"));
+        stopAtTheEndOfTheDrain();
+        HttpResponse<String> response = relayed.join();
+        assertThat(response.body(), response.statusCode(), is(502));
+        assertThat(response.body(), containsString("\"error\":\"home-unreachable\""));
+        assertThat(response.body(), containsString("\"ran\":\"unknown\""));
+        EntryFixture.until(
+                "given up by its home",
+                () -> !fixture.admin(EntryFixture.ONE, "/v1/status").contains("Waiting\":1"));
+    }
+
     // A target works on a call when the time of the stop is over. "Not run" would make the caller repeat it.
     @Test
     void callerWhoseCallRunsAtTheEndOfTheDrainIsToldThatItMayHaveRun() throws Exception {
@@ -202,10 +224,9 @@
         }
     }
 
-    private String ticket() throws Exception {
+    private String ticket(Host host) throws Exception {
         Addresses.Builder addresses = Addresses.newBuilder();
-        JsonFormat.parser()
-                .merge(fixture.get(EntryFixture.THREE, "/v1/addresses").body(), addresses);
+        JsonFormat.parser().merge(fixture.get(host, "/v1/addresses").body(), addresses);
         return addresses.getTicket();
     }
 
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
@@ -158,6 +158,7 @@
             return;
         }
         home.put(new HomeEvent.StopDue());
+        relays.cutOff();
         long endMillis = ticker.nowMillis() + FLUSH_MILLIS;
         try {
             while (ticker.nowMillis() < endMillis && isBusy()) {
--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/RelayClient.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/RelayClient.java
@@ -102,6 +102,18 @@
         }));
     }
 
+    /** Ends all answers because this process ends. What becomes of the requests, only their homes know. */
+    void cutOff() {
+        duty.offer(() -> {
+            ErrorKind kind = ErrorKind.HOME_UNREACHABLE;
+            String why = EntryText.get("this-host-has-left");
+            pending.values()
+                    .forEach(each -> each.session.cutOff(
+                            kind, Errors.of(kind, why, COME_BACK_MILLIS, requestId(each), List.of())));
+            pending.clear();
+        });
+    }
+
     void linkUp(PeerLink link) {
         duty.offer(() -> {
             String host = link.peer().getHost();
