Check the end of a home in any order of events

HomePropertyTest ends the process after each of 3,000 scripts too: each caller has one final answer at once, nothing is sent afterwards, and no request that was sent is called "not run". Its check of answers is shared with the first property and unchanged.

--- a/org.whinwharf.test/src/test/java/org/whinwharf/home/HomePropertyTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/home/HomePropertyTest.java
@@ -34,12 +34,21 @@
         Run run = new Run();
         script.forEach(number -> run.step(number % KINDS, number / KINDS));
         run.finish();
-        for (long caller = 1; caller <= run.lastCaller; caller++) {
-            if (!run.disconnected.contains(caller)) {
-                assertThat("answers of caller " + caller, run.driver.finalAnswers.getOrDefault(caller, 0), is(1));
-            }
-        }
-        assertThat(run.driver.home.liveCount(), is(0));
+        run.checkAllAnswered();
+    }
+
+    // The process ends in the middle of all that. Whoever is told nothing can't know whether its request ran, and a
+    // sender that comes late must not send what was called "not run".
+    @Property(seed = "20261207", tries = 3_000)
+    void endOfTheProcessAnswersEachCallerOnceAndLetsNothingBeSent(
+            @ForAll @Size(max = 60) List<@IntRange(min = 0, max = KINDS * 100 - 1) Integer> script) {
+        Run run = new Run();
+        script.forEach(number -> run.step(number % KINDS, number / KINDS));
+        run.driver.on(new HomeEvent.StopDue());
+        int sent = run.driver.sentRequests.size();
+        run.runSenders();
+        assertThat(run.driver.sentRequests.size(), is(sent));
+        run.checkAllAnswered();
     }
 
     private static final class Run {
@@ -93,11 +102,24 @@
             for (int i = 0; i < 3; i++) {
                 driver.at(driver.nowMillis + HomeDriver.DEADLINE_MILLIS, new HomeEvent.Ticked());
             }
+            runSenders();
+        }
+
+        void runSenders() {
             for (long sequence = 1; sequence <= SEQUENCES; sequence++) {
                 driver.runSender(sequence);
             }
         }
 
+        void checkAllAnswered() {
+            for (long caller = 1; caller <= lastCaller; caller++) {
+                if (!disconnected.contains(caller)) {
+                    assertThat("answers of caller " + caller, driver.finalAnswers.getOrDefault(caller, 0), is(1));
+                }
+            }
+            assertThat(driver.home.liveCount(), is(0));
+        }
+
         private void token(long sequence, int salt) {
             if (driver.sentRequests.contains(sequence)) {
                 driver.token(sequence, salt % 4, salt % 4 == 3);
