--- a/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
+++ b/org.whinwharf.entry/src/main/java/org/whinwharf/entry/internal/EntryProcess.java
@@ -1,5 +1,6 @@
 package org.whinwharf.entry.internal;
 
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
@@ -10,6 +11,7 @@
 import org.whinwharf.lifecycle.Service;
 import org.whinwharf.membership.Membership;
 import org.whinwharf.routing.RoutingPolicy;
+import org.whinwharf.runtime.command.WorkInFlight;
 import org.whinwharf.runtime.node.Node;
 import org.whinwharf.runtime.node.NodeListener;
 import org.whinwharf.time.Ticker;
@@ -23,6 +25,10 @@
 /** Wires the parts of the entry daemon together. */
 public final class EntryProcess implements Service {
     private static final long DRAIN_POLL_MILLIS = 50;
+    /** Longest time for which callers are left to take their last answers once the process ends. */
+    private static final long FLUSH_MILLIS = 1_000;
+
+    private static final long FLUSH_POLL_MILLIS = 5;
 
     private final EntrySettings settings;
     private final Ticker ticker = Ticker.system();
@@ -82,8 +88,19 @@
         return CompletableFuture.runAsync(this::awaitDrained);
     }
 
+    /**
+     * Counts the work in flight as of the home's latest tick. Never waits.
+     *
+     * @return the work
+     */
+    public WorkInFlight workInFlight() {
+        return new WorkInFlight(home.liveCount(), home.waitingCount(), exchanges.count(), List.of());
+    }
+
+    /** Stops the process. Callers whose requests have not ended are told so, for at most {@link #FLUSH_MILLIS}. */
     @Override
     public void stop() {
+        cutOff();
         callers.stop();
         node.stop();
         relays.stop();
@@ -136,6 +153,22 @@
         }
     }
 
+    private void cutOff() {
+        if (!isBusy()) {
+            return;
+        }
+        home.put(new HomeEvent.StopDue());
+        relays.cutOff();
+        long endMillis = ticker.nowMillis() + FLUSH_MILLIS;
+        try {
+            while (ticker.nowMillis() < endMillis && isBusy()) {
+                TimeUnit.MILLISECONDS.sleep(FLUSH_POLL_MILLIS);
+            }
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private boolean isBusy() {
         return home.liveCount() > 0 || sessions.count() > 0 || exchanges.count() > 0;
     }
--- a/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
+++ b/org.whinwharf.test/src/test/java/org/whinwharf/home/HomeTest.java
@@ -459,6 +459,40 @@
         assertThat(driver.find(HomeAction.AnswerEnd.class), hasSize(2));
     }
 
+    // The process ends while one request waits and another is with the sender. Told nothing, their callers can't know
+    // that neither ran; sent after that, the second would run although its caller was told "not run".
+    @Test
+    void endOfTheProcessEndsRequestsThatWereNotSentAsNotRun() {
+        driver.submit(1, request);
+        driver.submit(2, request);
+        driver.grant(2, driver.queuedAt(2), driver.nowMillis);
+        driver.on(new HomeEvent.StopDue());
+        assertThat(driver.errorOf(1), is("host-leaving"));
+        assertThat(driver.errorOf(2), is("host-leaving"));
+        driver.runSender(2);
+        assertThat(driver.sentRequests, is(empty()));
+        driver.submit(3, request);
+        assertThat(driver.errorOf(3), is("host-leaving"));
+        assertThat(driver.home.liveCount(), is(0));
+    }
+
+    // The process ends while a target works. "Not run" would make the caller send the request twice, and a cancelled
+    // stream could not be resumed at another host.
+    @Test
+    void endOfTheProcessCutsSentRequestsAndCancelsNothing() {
+        driver.sent(request);
+        driver.submit(2, request);
+        driver.grant(2, driver.queuedAt(2), driver.nowMillis);
+        driver.pendingDispatches.get(2L).gate().trySend(driver.nowMillis);
+        driver.on(new HomeEvent.StopDue());
+        List<HomeAction.CutAnswer> cut = driver.find(HomeAction.CutAnswer.class);
+        assertThat(cut, hasSize(2));
+        cut.forEach(action -> assertThat(action.outcome().ran(), is(Ran.UNKNOWN)));
+        driver.on(new HomeEvent.CallerDisconnected(1));
+        assertThat(driver.find(HomeAction.CancelAtTarget.class), is(empty()));
+        assertThat(driver.home.liveCount(), is(0));
+    }
+
     @Test
     void hostHoldsNoMoreRequestsThanItsLimit() {
         for (int caller = 1; caller <= 21; caller++) {
