--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
@@ -128,8 +128,7 @@
     }
 
     // A request that this host passed on to another home is still there when the time of the stop is over. Only the
-    // home
-    // knows whether it runs; its caller saw the connection close and was not told to ask for it.
+    // home knows whether it runs; its caller saw the connection close and was not told to ask for it.
     @Test
     void callerWhoseRequestIsAtAnotherHomeIsToldThatTheOutcomeIsUnknown() throws Exception {
         String booking = BOOKING.formatted(ticket(EntryFixture.ONE), 0);
