EntryStopTest: ask for a relay once the hosts have found each other

Two tests submit a request at one host to the home of a ticket at another one, and then wait for it there. The second host has just been started. That it was refused is inferred: its home has no line of it, and the refusing host logs none.

Both now send the first number of the ticket by the same way until it is answered, and judge the second one as before.

--- a/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
+++ b/org.whinwharf.entry.test/src/test/java/org/whinwharf/entry/EntryStopTest.java
@@ -117,9 +117,10 @@
     // The same by way of another host, whose caller was told that nobody knows whether the request ran.
     @Test
     void callerOfAnotherHostIsToldToo() throws Exception {
+        String ticket = ticket(EntryFixture.THREE);
+        awaitRelay(EntryFixture.ONE, ticket);
         fixture.silenceAll();
-        CompletableFuture<HttpResponse<String>> waiting =
-                submit(EntryFixture.ONE, BOOKING.formatted(ticket(EntryFixture.THREE), 0));
+        CompletableFuture<HttpResponse<String>> waiting = submit(EntryFixture.ONE, BOOKING.formatted(ticket, 1));
         awaitStatus("Waiting\":1");
         stopAtTheEndOfTheDrain();
         HttpResponse<String> response = waiting.join();
@@ -131,9 +132,10 @@
     // home knows whether it runs; its caller saw the connection close and was not told to ask for it.
     @Test
     void callerWhoseRequestIsAtAnotherHomeIsToldThatTheOutcomeIsUnknown() throws Exception {
-        String booking = BOOKING.formatted(ticket(EntryFixture.ONE), 0);
+        String ticket = ticket(EntryFixture.ONE);
+        awaitRelay(EntryFixture.THREE, ticket);
         fixture.silenceAll();
-        CompletableFuture<HttpResponse<String>> relayed = submit(EntryFixture.THREE, booking);
+        CompletableFuture<HttpResponse<String>> relayed = submit(EntryFixture.THREE, BOOKING.formatted(ticket, 1));
         EntryFixture.until(
                 "waiting at its home",
                 () -> fixture.admin(EntryFixture.ONE, "/v1/status").contains("Waiting\":1"));
@@ -194,6 +196,13 @@
         return fixture.client.sendAsync(EntryFixture.submission(host, body), HttpResponse.BodyHandlers.ofString());
     }
 
+    /** Waits until a host reaches the home of a ticket, of which it uses the first number. */
+    private void awaitRelay(Host host, String ticket) {
+        EntryFixture.until(
+                "relayed",
+                () -> fixture.post(host, BOOKING.formatted(ticket, 0)).statusCode() == 200);
+    }
+
     private void awaitStatus(String part) {
         EntryFixture.until(
                 part, () -> fixture.admin(EntryFixture.THREE, "/v1/status").contains(part));
